Lay the ground: wire messages, links, HTTP, settings, configuration copy

Cause: the repository is empty; the programs need one vocabulary before they can be written side by side. Before: nothing. Conclusion: programs can be written on this.

--- /dev/null
+++ b/idl/waxwing.thrift
@@ -0,0 +1,140 @@
+/**
+ * Messages between waxwinglb's own processes.
+ *
+ * A frame on a link is: 4-byte big-endian length, then `header`, then the body struct that
+ * `header.kind` names, both in Thrift's compact protocol. Answers carry the call number of the
+ * message that they answer. Times travel as remaining durations in milliseconds, never as clock readings.
+ */
+namespace cpp waxwinglb.wire
+
+enum message_kind {
+  heartbeat = 1, heartbeat_ack = 2, hello = 3,
+  run_request = 10, run_accepted = 11, run_chunk = 12, run_finished = 13, run_refused = 14,
+  resume_request = 15, cancel_request = 16, cancel_result = 17, ack_request = 18,
+  watch_target = 20, target_report = 21, load_order = 22, unload_order = 23, order_result = 24,
+  locate_request = 30, locate_result = 31, not_holder = 32,
+  view_request = 33, replica_view = 34,
+  draw_request = 40, draw_result = 41,
+  claim_request = 50, claim_result = 51, claim_outcome = 52, claim_outcome_ack = 53,
+  slot_request = 55, slot_result = 56,
+  crash_report = 60, quarantine_notice = 61,
+  subscribe_config = 70, config_update = 71, config_fresh = 72, acceptor_status = 73, apply_report = 74,
+  bucket_handover = 80, bucket_handover_ack = 81
+}
+
+/** Whether a request's work ran at its target. */
+enum run_state { not_run = 0, run = 1, unknown = 2 }
+
+enum refusal {
+  none = 0, overloaded = 1, deadline_too_short = 2, draining = 3, data_centre_out = 4, model_not_loaded = 5,
+  old_fencing = 6, no_memory = 7, quarantined = 8, duplicate = 9, tombstoned = 10, not_fresh = 11,
+  rate_limited = 12, target_failed = 13, store_unavailable = 14, not_holder = 15, bad_message = 16,
+  unknown_request = 17, isolation_busy = 18
+}
+
+struct header { 1: i64 call, 2: message_kind kind, 3: i64 clock }   // clock: sender's hybrid logical clock
+
+struct heartbeat { 1: i64 sequence }
+struct heartbeat_ack { 1: i64 sequence }
+/** First message on each link, from both ends. boot distinguishes restarts of one process. */
+struct hello { 1: string process, 2: string role, 3: string data_centre, 4: i64 boot }
+
+/** A target's load as its agent sees it; sent with every answer, so that routers need no polling. */
+struct replica_load { 1: i32 running, 2: i32 waiting, 3: i32 limit, 4: bool draining, 5: i64 boot, 6: i64 estimate_ms }
+
+// ---- requests: router to agent -------------------------------------------------------------------
+
+struct header_field { 1: string name, 2: string value }
+
+struct run_request {
+  1: string request_id, 2: i32 attempt, 3: string customer, 4: string service_name, 5: string model,
+  6: string adapter, 7: i64 remaining_ms, 8: i32 priority, 9: bool repeatable, 10: i64 prompt_tokens,
+  11: i64 max_tokens, 12: string method, 13: string path, 14: list<header_field> headers, 15: binary body,
+  16: i64 config_revision, 17: string fingerprint, 18: bool isolate, 19: bool stream, 20: double weight
+}
+struct run_accepted { 1: string request_id, 2: i32 attempt, 3: i64 agent_boot }
+/** One piece of an answer; offset counts bytes of the answer body, so that pieces can't be lost or doubled. */
+struct run_chunk { 1: string request_id, 2: i32 attempt, 3: i64 offset, 4: binary data }
+struct run_finished {
+  1: string request_id, 2: i32 attempt, 3: i32 status, 4: i64 length, 5: i64 used_tokens,
+  6: list<header_field> headers, 7: replica_load load
+}
+struct run_refused {
+  1: string request_id, 2: i32 attempt, 3: refusal reason, 4: run_state ran, 5: i64 retry_after_ms,
+  6: string detail, 7: bool suspect, 8: replica_load load
+}
+/** Asks for a kept or running answer from an offset on, over whatever link works now. */
+struct resume_request { 1: string request_id, 2: i32 attempt, 3: i64 offset }
+/** Cancels; sets a tombstone if the request was never seen, so that "not run" stays true. */
+struct cancel_request { 1: string request_id, 2: i32 attempt }
+struct cancel_result { 1: string request_id, 2: i32 attempt, 3: run_state ran }
+struct ack_request { 1: string request_id, 2: i32 attempt }
+
+// ---- targets: steward to agent -------------------------------------------------------------------
+
+struct loaded_model {
+  1: string model, 2: string version, 3: i64 decision, 4: string state,   // loading, loaded, unloading, unknown
+  5: i64 bytes, 6: i64 idle_ms, 7: list<string> adapters
+}
+struct watch_target { 1: string steward }
+struct target_report {
+  1: string target, 2: string vm, 3: string data_centre, 4: string service_name, 5: i64 boot, 6: i64 memory_bytes,
+  7: i64 free_bytes, 8: list<loaded_model> models, 9: replica_load load, 10: bool draining, 11: i64 config_revision,
+  12: i64 sequence
+}
+struct load_order { 1: string model, 2: string version, 3: i64 decision, 4: i64 fencing, 5: i64 bytes, 6: i64 remaining_ms, 7: i64 slot_ms }
+struct unload_order { 1: string model, 2: string version, 3: i64 decision, 4: i64 fencing }
+struct order_result { 1: string target, 2: string model, 3: i64 decision, 4: refusal reason, 5: string state, 6: i64 free_bytes, 7: string detail }
+
+// ---- control shards ------------------------------------------------------------------------------
+
+struct locate_request { 1: i32 shard }
+struct locate_result { 1: i32 shard, 2: string holder, 3: string address, 4: i64 fencing, 5: i64 valid_ms }
+struct not_holder { 1: i32 shard, 2: string holder, 3: string address, 4: i64 fencing }
+
+struct waiting_work { 1: string customer, 2: i32 requests, 3: i64 tokens, 4: i64 oldest_remaining_ms }
+/** Asks for a model's replicas; `waiting` wakes a cold model. The answer is pushed again on each change. */
+struct view_request { 1: string service_name, 2: string model, 3: list<waiting_work> waiting, 4: i64 served_since, 5: string data_centre }
+struct replica { 1: string target, 2: string address, 3: string data_centre, 4: string state, 5: replica_load load, 6: list<string> adapters }
+struct quarantine { 1: string fingerprint, 2: i64 remaining_ms, 3: i32 crashes, 4: bool condemned }
+struct replica_view {
+  1: string service_name, 2: string model, 3: i64 decision, 4: i64 fencing, 5: i64 valid_ms, 6: list<replica> replicas,
+  7: i64 estimate_ms, 8: list<quarantine> quarantined, 9: refusal reason, 10: i64 retry_after_ms
+}
+
+/** Draws tokens of a customer's rate. spent and returned settle grants drawn earlier on this router. */
+struct grant_settlement { 1: i64 grant, 2: i64 spent, 3: i64 returned }
+struct draw_request { 1: string customer, 2: i64 wanted, 3: list<grant_settlement> settled, 4: string router }
+struct draw_result { 1: string customer, 2: i64 grant, 3: i64 tokens, 4: i64 valid_ms, 5: i64 retry_after_ms, 6: refusal reason, 7: i64 fencing }
+
+struct claim_record {
+  1: string key, 2: string fingerprint, 3: string request_id, 4: i32 attempt, 5: string target, 6: string address,
+  7: string state,            // running, done, not_run, unknown
+  8: i32 status, 9: binary answer, 10: i64 expires_unix_ms, 11: string content_type
+}
+struct claim_request { 1: claim_record record, 2: i64 remaining_ms }
+/** granted: this request may run now. Otherwise `existing` says what is known of the earlier one. */
+struct claim_result { 1: string key, 2: bool granted, 3: claim_record existing, 4: refusal reason, 5: i64 retry_after_ms, 6: bool mismatch }
+struct claim_outcome { 1: claim_record record }
+struct claim_outcome_ack { 1: string key, 2: bool stored }
+
+struct slot_request { 1: string service_name, 2: string model, 3: i64 remaining_ms, 4: i32 adapters, 5: bool release }
+struct slot_result { 1: string service_name, 2: string model, 3: bool granted, 4: i64 estimate_ms }
+
+struct crash_report { 1: string service_name, 2: string model, 3: list<string> fingerprints, 4: bool isolated, 5: string target }
+struct quarantine_notice { 1: list<quarantine> entries }
+
+// ---- configuration -------------------------------------------------------------------------------
+
+/** One accepted change: key is "<kind>/<name>", value is JSON, empty for a deletion. */
+struct config_entry { 1: i64 revision, 2: string key, 3: string value }
+struct subscribe_config { 1: i64 have_revision }
+/** Entries after from_revision; a snapshot (from_revision 0) replaces all. part/parts split large snapshots. */
+struct config_update { 1: i64 from_revision, 2: i64 revision, 3: list<config_entry> entries, 4: i32 part, 5: i32 parts }
+/** Sent on each feed link at a steady rate; fresh_ms: for how long from receipt the revision may be trusted. */
+struct config_fresh { 1: i64 revision, 2: i64 fresh_ms }
+struct acceptor_status { 1: string acceptor, 2: i64 accepted_revision, 3: i64 store_unreachable_ms }
+struct apply_report { 1: string process, 2: i64 revision }
+
+struct bucket_handover { 1: string customer, 2: i64 tokens, 3: i64 outstanding, 4: i64 fencing }
+struct bucket_handover_ack { 1: string customer, 2: bool taken }
--- /dev/null
+++ b/src/edge/http_client.cpp
@@ -0,0 +1,243 @@
+#include "edge/http_client.hpp"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace waxwinglb::edge {
+namespace {
+
+constexpr int idle_poll_ms = 1000;
+constexpr long max_connections_cached = 256;
+
+struct curl_globals {
+    curl_globals() { curl_global_init(CURL_GLOBAL_DEFAULT); }
+};
+
+} // namespace
+
+class http_client::impl {
+public:
+    impl() : multi_(init()), thread_([this] { run(); }) {}
+    ~impl() {
+        stopping_ = true;
+        curl_multi_wakeup(multi_);
+        thread_.join();
+        curl_multi_cleanup(multi_);
+    }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    impl(impl&&) = delete;
+    impl& operator=(impl&&) = delete;
+
+    client_call add(client_request request, std::function<void(client_result&&)> on_done,
+                    std::function<void(int, std::string_view)> on_data) {
+        auto made = std::make_unique<call>();
+        made->id = ++last_id_;
+        made->request = std::move(request);
+        made->on_done = std::move(on_done);
+        made->on_data = std::move(on_data);
+        const client_call id = made->id;
+        {
+            const std::scoped_lock hold{mutex_};
+            added_.push_back(std::move(made));
+        }
+        curl_multi_wakeup(multi_);
+        return id;
+    }
+    void cancel(client_call id) {
+        {
+            const std::scoped_lock hold{mutex_};
+            cancelled_.push_back(id);
+        }
+        curl_multi_wakeup(multi_);
+    }
+
+private:
+    struct call {
+        client_call id = 0;
+        client_request request;
+        client_result result;
+        std::function<void(client_result&&)> on_done;
+        std::function<void(int, std::string_view)> on_data;
+        CURL* easy = nullptr;
+        curl_slist* headers = nullptr;
+        core::common::time_point last_byte{};
+    };
+
+    static CURLM* init() {
+        static const curl_globals once;
+        CURLM* multi = curl_multi_init();
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, max_connections_cached);
+        return multi;
+    }
+    static std::size_t take_body(char* data, std::size_t unit, std::size_t count, void* self) {
+        auto& one = *static_cast<call*>(self);
+        one.last_byte = core::common::clock::now();
+        long status = 0;
+        curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
+        if (one.on_data)
+            one.on_data(static_cast<int>(status), {data, unit * count});
+        else
+            one.result.body.append(data, unit * count);
+        return unit * count;
+    }
+    static std::size_t take_header(char* data, std::size_t unit, std::size_t count, void* self) {
+        auto& one = *static_cast<call*>(self);
+        std::string_view line{data, unit * count};
+        const auto colon = line.find(':');
+        if (colon != line.npos) {
+            std::string name{line.substr(0, colon)};
+            std::transform(name.begin(), name.end(), name.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+            line.remove_prefix(colon + 1);
+            while (!line.empty() && std::isspace(static_cast<unsigned char>(line.front())) != 0)
+                line.remove_prefix(1);
+            while (!line.empty() && std::isspace(static_cast<unsigned char>(line.back())) != 0)
+                line.remove_suffix(1);
+            one.result.headers.push_back({std::move(name), std::string{line}});
+        }
+        return unit * count;
+    }
+    void begin(std::unique_ptr<call> one) {
+        const client_request& request = one->request;
+        one->easy = curl_easy_init();
+        CURL* easy = one->easy;
+        for (const http_field& field : request.headers)
+            one->headers = curl_slist_append(one->headers, (field.name + ": " + field.value).c_str());
+        one->headers = curl_slist_append(one->headers, "Expect:"); // no 100-continue round trip
+        curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        if (request.method != "GET" && request.method != "HEAD") {
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+        }
+        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, one->headers);
+        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(request.connect_timeout.count()));
+        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &impl::take_body);
+        curl_easy_setopt(easy, CURLOPT_WRITEDATA, one.get());
+        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &impl::take_header);
+        curl_easy_setopt(easy, CURLOPT_HEADERDATA, one.get());
+        curl_easy_setopt(easy, CURLOPT_PRIVATE, one.get());
+        if (request.send_once) {
+            curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        }
+        one->last_byte = core::common::clock::now();
+        curl_multi_add_handle(multi_, easy);
+        calls_[one->id] = std::move(one);
+    }
+    void finish(call& one, CURLcode code) {
+        const std::unique_ptr<call> done = std::move(calls_[one.id]);
+        calls_.erase(done->id);
+        long status = 0;
+        curl_easy_getinfo(done->easy, CURLINFO_RESPONSE_CODE, &status);
+        done->result.status = static_cast<int>(status);
+        done->result.outcome = outcome_of(*done, code);
+        if (code != CURLE_OK)
+            done->result.why = {done->request.method + " request", done->request.url,
+                                curl_easy_strerror(code)};
+        curl_multi_remove_handle(multi_, done->easy);
+        curl_easy_cleanup(done->easy);
+        curl_slist_free_all(done->headers);
+        done->on_done(std::move(done->result));
+    }
+    /// A request that no connection carried was never seen by the peer; all other failures stay open.
+    static client_outcome outcome_of(const call& one, CURLcode code) {
+        if (code == CURLE_OK)
+            return client_outcome::answered;
+        if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
+            return client_outcome::not_sent;
+        double connected_s = 0;
+        curl_easy_getinfo(one.easy, CURLINFO_CONNECT_TIME, &connected_s);
+        long sent_request = 0;
+        curl_easy_getinfo(one.easy, CURLINFO_REQUEST_SIZE, &sent_request);
+        return code == CURLE_OPERATION_TIMEDOUT && connected_s == 0 && sent_request == 0
+                   ? client_outcome::not_sent
+                   : client_outcome::interrupted;
+    }
+    void run() {
+        while (!stopping_) {
+            take_commands();
+            int running = 0;
+            curl_multi_perform(multi_, &running);
+            read_finished();
+            end_stalled();
+            curl_multi_poll(multi_, nullptr, 0, poll_ms(), nullptr);
+        }
+        while (!calls_.empty())
+            finish(*calls_.begin()->second, CURLE_ABORTED_BY_CALLBACK);
+    }
+    [[nodiscard]] int poll_ms() const {
+        const bool any = std::any_of(calls_.begin(), calls_.end(), [](const auto& entry) {
+            return entry.second->request.stall_timeout.count() > 0;
+        });
+        return any ? 50 : idle_poll_ms;
+    }
+    void take_commands() {
+        std::vector<std::unique_ptr<call>> added;
+        std::vector<client_call> cancelled;
+        {
+            const std::scoped_lock hold{mutex_};
+            added.swap(added_);
+            cancelled.swap(cancelled_);
+        }
+        for (auto& one : added)
+            begin(std::move(one));
+        for (const client_call id : cancelled) {
+            const auto found = calls_.find(id);
+            if (found != calls_.end())
+                finish(*found->second, CURLE_ABORTED_BY_CALLBACK);
+        }
+    }
+    void read_finished() {
+        int left = 0;
+        while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            char* owner = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &owner);
+            finish(*reinterpret_cast<call*>(owner), message->data.result);
+        }
+    }
+    void end_stalled() {
+        const auto at = core::common::clock::now();
+        std::vector<call*> stalled;
+        for (const auto& [id, one] : calls_) {
+            const auto limit = one->request.stall_timeout;
+            if (limit.count() > 0 && at - one->last_byte > limit)
+                stalled.push_back(one.get());
+        }
+        for (call* one : stalled)
+            finish(*one, CURLE_OPERATION_TIMEDOUT);
+    }
+
+    CURLM* multi_;
+    std::mutex mutex_;
+    std::vector<std::unique_ptr<call>> added_;
+    std::vector<client_call> cancelled_;
+    std::map<client_call, std::unique_ptr<call>> calls_;
+    std::atomic<client_call> last_id_{0};
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+http_client::http_client() : impl_(std::make_unique<impl>()) {}
+http_client::~http_client() = default;
+client_call http_client::send(client_request request, std::function<void(client_result&&)> on_done,
+                              std::function<void(int, std::string_view)> on_data) {
+    return impl_->add(std::move(request), std::move(on_done), std::move(on_data));
+}
+void http_client::cancel(client_call call) {
+    impl_->cancel(call);
+}
+
+} // namespace waxwinglb::edge
--- /dev/null
+++ b/src/edge/http_server.cpp
@@ -0,0 +1,290 @@
+#include "edge/http_server.hpp"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <cstring>
+#include <mutex>
+#include <optional>
+
+namespace waxwinglb::edge {
+namespace {
+
+constexpr std::size_t stream_block = 32U << 10U; // bytes MHD asks of a stream at a time
+constexpr unsigned idle_timeout_s = 75;          // keep-alive connections without a request
+
+std::string lower(std::string_view text) {
+    std::string out{text};
+    std::transform(out.begin(), out.end(), out.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+MHD_Result collect_header(void* target, MHD_ValueKind kind, const char* name, const char* value) {
+    (void)kind;
+    (*static_cast<std::map<std::string, std::string>*>(target))[lower(name)] = value != nullptr ? value : "";
+    return MHD_YES;
+}
+MHD_Result collect_query(void* target, MHD_ValueKind kind, const char* name, const char* value) {
+    (void)kind;
+    (*static_cast<std::map<std::string, std::string>*>(target))[name] = value != nullptr ? value : "";
+    return MHD_YES;
+}
+
+} // namespace
+
+// MHD suspends the connection while neither an answer nor stream data is there. Every suspension and
+// resumption is under `mutex_`, so that a wake-up can't slip between the check and the suspension.
+
+void http_exchange::respond(http_response response) {
+    const std::scoped_lock hold{mutex_};
+    if (answer_)
+        return;
+    answer_ = std::move(response);
+    resume();
+}
+
+void http_exchange::begin_stream(int status, std::vector<http_field> headers) {
+    const std::scoped_lock hold{mutex_};
+    if (answer_)
+        return;
+    answer_ = http_response{status, std::move(headers), {}};
+    streaming_ = true;
+    resume();
+}
+
+bool http_exchange::write_stream(std::string_view data) {
+    const std::scoped_lock hold{mutex_};
+    if (gone_ || stream_.size() - stream_start_ + data.size() > max_unsent_)
+        return false;
+    stream_ += data;
+    resume();
+    return true;
+}
+
+bool http_exchange::caller_gone() const {
+    const std::scoped_lock hold{mutex_};
+    return gone_;
+}
+
+int http_exchange::queue_or_suspend() {
+    const std::scoped_lock hold{mutex_};
+    if (answer_)
+        return queue();
+    suspended_ = true;
+    MHD_suspend_connection(connection_);
+    return MHD_YES;
+}
+
+std::int64_t http_exchange::read(char* out, std::size_t room) {
+    const std::scoped_lock hold{mutex_};
+    const std::size_t count = std::min(stream_.size() - stream_start_, room);
+    if (count > 0) {
+        std::memcpy(out, stream_.data() + stream_start_, count);
+        stream_start_ += count;
+        if (stream_start_ == stream_.size()) {
+            stream_.clear();
+            stream_start_ = 0;
+        }
+        return static_cast<std::int64_t>(count);
+    }
+    if (stream_ended_)
+        return stream_cut_ ? MHD_CONTENT_READER_END_WITH_ERROR : MHD_CONTENT_READER_END_OF_STREAM;
+    suspended_ = true;
+    MHD_suspend_connection(connection_);
+    return 0;
+}
+
+void http_exchange::completed() {
+    const std::scoped_lock hold{mutex_};
+    gone_ = true;
+    suspended_ = false;
+}
+
+void http_exchange::finish(bool cut) {
+    const std::scoped_lock hold{mutex_};
+    stream_ended_ = true;
+    stream_cut_ = cut;
+    resume();
+}
+
+void http_exchange::resume() {
+    if (!suspended_ || gone_)
+        return;
+    suspended_ = false;
+    MHD_resume_connection(connection_);
+}
+
+class http_server::impl {
+public:
+    impl(http_server_options options, http_handler handler)
+        : options_(std::move(options)), handler_(std::move(handler)) {}
+    ~impl() {
+        if (daemon_ == nullptr)
+            return;
+        stop_accepting();
+        MHD_stop_daemon(daemon_);
+    }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    impl(impl&&) = delete;
+    impl& operator=(impl&&) = delete;
+
+    bool start();
+    void stop_accepting() {
+        if (daemon_ == nullptr || quiesced_)
+            return;
+        quiesced_ = true;
+        const MHD_socket listening = MHD_quiesce_daemon(daemon_);
+        if (listening != MHD_INVALID_SOCKET)
+            ::close(listening);
+    }
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+    [[nodiscard]] std::size_t open() const { return open_; }
+
+private:
+    static MHD_Result handle(void* self, MHD_Connection* connection, const char* url, const char* method,
+                             const char* version, const char* data, std::size_t* size, void** state);
+    static void completed(void* self, MHD_Connection* connection, void** state,
+                          MHD_RequestTerminationCode code);
+
+    http_server_options options_;
+    http_handler handler_;
+    MHD_Daemon* daemon_ = nullptr;
+    std::atomic<std::size_t> open_{0};
+    std::uint16_t port_ = 0;
+    bool quiesced_ = false;
+};
+
+int http_exchange::queue() {
+    MHD_Response* response = nullptr;
+    if (streaming_) {
+        response = MHD_create_response_from_callback(
+            MHD_SIZE_UNKNOWN, stream_block,
+            [](void* self, std::uint64_t position, char* out, std::size_t room) -> ssize_t {
+                (void)position;
+                return static_cast<http_exchange*>(self)->read(out, room);
+            },
+            this, nullptr);
+    } else {
+        response = MHD_create_response_from_buffer(answer_->body.size(), answer_->body.data(),
+                                                   MHD_RESPMEM_MUST_COPY);
+    }
+    if (response == nullptr)
+        return MHD_NO;
+    for (const http_field& field : answer_->headers)
+        MHD_add_response_header(response, field.name.c_str(), field.value.c_str());
+    const MHD_Result result =
+        MHD_queue_response(connection_, static_cast<unsigned>(answer_->status), response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+MHD_Result http_server::impl::handle(void* self, MHD_Connection* connection, const char* url,
+                                     const char* method, const char* version, const char* data,
+                                     std::size_t* size, void** state) {
+    (void)version;
+    auto& server = *static_cast<impl*>(self);
+    if (*state == nullptr) {
+        ++server.open_;
+        auto made = std::make_shared<http_exchange>(connection, server.options_.max_unsent);
+        made->request_.method = method;
+        made->request_.path = url;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header, &made->request_.headers);
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect_query, &made->request_.query);
+        *state = new exchange_ptr(std::move(made)); // freed in completed()
+        return MHD_YES;
+    }
+    const exchange_ptr current = *static_cast<exchange_ptr*>(*state);
+    if (*size > 0) {
+        if (current->request_.body.size() + *size > server.options_.max_body)
+            current->too_large_ = true;
+        else
+            current->request_.body.append(data, *size);
+        *size = 0;
+        return MHD_YES;
+    }
+    if (!current->handled_) {
+        current->handled_ = true;
+        if (current->too_large_)
+            current->respond(
+                {413,
+                 {{"Content-Type", "application/problem+json"}},
+                 R"({"code":"body_too_large","status":413,"ran":"not_run","title":"The body is too large."})"});
+        else
+            server.handler_(current);
+    }
+    return static_cast<MHD_Result>(current->queue_or_suspend());
+}
+
+void http_server::impl::completed(void* self, MHD_Connection* connection, void** state,
+                                  MHD_RequestTerminationCode code) {
+    (void)connection;
+    (void)code;
+    if (*state == nullptr)
+        return;
+    auto* current = static_cast<exchange_ptr*>(*state);
+    (*current)->completed();
+    delete current;
+    *state = nullptr;
+    --static_cast<impl*>(self)->open_;
+}
+
+bool http_server::impl::start() {
+    const auto colon = options_.address.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_port =
+        htons(static_cast<std::uint16_t>(std::strtoul(options_.address.c_str() + colon + 1, nullptr, 10)));
+    if (inet_pton(AF_INET, options_.address.substr(0, colon).c_str(), &local.sin_addr) != 1)
+        return false;
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+    std::vector<MHD_OptionItem> extra{
+        {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(std::max(1U, options_.threads)), nullptr},
+        {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options_.max_connections), nullptr},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<intptr_t>(options_.max_header + stream_block * 2),
+         nullptr},
+        {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(idle_timeout_s), nullptr},
+        {MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024, nullptr},
+    };
+    if (options_.threads <= 1)
+        extra.erase(extra.begin());
+    if (!options_.certificate.empty()) {
+        flags |= MHD_USE_TLS;
+        extra.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, options_.certificate.data()});
+        extra.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, options_.key.data()});
+    }
+    extra.push_back({MHD_OPTION_END, 0, nullptr});
+    daemon_ = MHD_start_daemon(flags, 0, nullptr, nullptr, &impl::handle, this, MHD_OPTION_SOCK_ADDR, &local,
+                               MHD_OPTION_NOTIFY_COMPLETED, &impl::completed, this, MHD_OPTION_ARRAY,
+                               extra.data(), MHD_OPTION_END);
+    if (daemon_ == nullptr)
+        return false;
+    const MHD_DaemonInfo* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT);
+    port_ = info != nullptr ? info->port : ntohs(local.sin_port);
+    return true;
+}
+
+http_server::http_server(http_server_options options, http_handler handler)
+    : impl_(std::make_unique<impl>(std::move(options), std::move(handler))) {}
+http_server::~http_server() = default;
+bool http_server::start() {
+    return impl_->start();
+}
+void http_server::stop_accepting() {
+    impl_->stop_accepting();
+}
+std::uint16_t http_server::port() const {
+    return impl_->port();
+}
+std::size_t http_server::open_exchanges() const {
+    return impl_->open();
+}
+
+} // namespace waxwinglb::edge
--- /dev/null
+++ b/tests/core/config_test.cpp
@@ -0,0 +1,56 @@
+// Contract tests of the configuration copy: revisions only rise, faults are named, nothing is half applied.
+#include "core/config/codec.hpp"
+#include "core/config/replica.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace waxwinglb::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+config::change customer_change(std::int64_t revision, double rate) {
+    return {revision, "customer/norte", config::encode(config::customer{"norte", rate, 10, 1})};
+}
+
+} // namespace
+
+TEST(config_replica, older_revision_is_never_applied) {
+    config::replica copy;
+    ASSERT_EQ(copy.apply(0, 5, {customer_change(5, 50)}), config::apply_result::applied);
+    EXPECT_EQ(copy.apply(0, 4, {customer_change(4, 40)}), config::apply_result::old);
+    EXPECT_EQ(copy.apply(0, 5, {customer_change(5, 99)}), config::apply_result::old);
+    EXPECT_EQ(copy.state().customers.at("norte").tokens_per_second, 50);
+}
+
+TEST(config_replica, malformed_update_changes_nothing) {
+    config::replica copy;
+    ASSERT_EQ(copy.apply(0, 1, {customer_change(1, 1)}), config::apply_result::applied);
+    const std::vector<config::change> bad{customer_change(2, 2), {3, "customer/sur", "{"}};
+    EXPECT_EQ(copy.apply(1, 3, bad), config::apply_result::malformed);
+    EXPECT_EQ(copy.revision(), 1);
+    EXPECT_EQ(copy.state().customers.at("norte").tokens_per_second, 1);
+}
+
+TEST(config_codec, every_fault_is_named) {
+    const auto faults =
+        config::check_entry("customer/norte", R"({"name":"sur","burst_tokens":-1,"colour":"red"})");
+    std::vector<std::string> pointers;
+    for (const auto& one : faults)
+        pointers.push_back(one.pointer);
+    EXPECT_EQ(pointers, (std::vector<std::string>{"/tokens_per_second", "/burst_tokens", "/colour"}));
+}
+
+RC_GTEST_PROP(config_replica, revision_never_falls_in_any_order_of_updates, ()) {
+    config::replica copy;
+    const auto tops = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 30));
+    std::int64_t highest = 0;
+    for (const int top : tops) {
+        copy.apply(*rc::gen::inRange(0, top), top, {customer_change(top, top)});
+        RC_ASSERT(copy.revision() >= highest);
+        highest = copy.revision();
+        if (highest > 0)
+            RC_ASSERT(copy.state().customers.at("norte").tokens_per_second == static_cast<double>(highest));
+    }
+}
