--- /dev/null
+++ b/src/core/routing/choice.hpp
@@ -0,0 +1,41 @@
+/// Chooses a target among a model's replicas: two random choices by load, adapter affinity with bounded load.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace waxwinglb::core::routing {
+
+/// One replica as the router knows it.
+struct replica {
+    std::string target;
+    std::string address; // the agent's "ip:port"
+    std::string data_centre;
+    bool ready = false;       // loaded and taking work
+    bool draining = false;    // its agent refuses new work
+    int running = 0;          // as last reported by the agent
+    int waiting = 0;          // as last reported by the agent
+    int unreported = 0;       // sent by this router since that report
+    int limit = 1;            // concurrency that the target bears now
+    std::int64_t boot = 0;    // the agent's; a new one voids the report
+    std::int64_t estimate_ms = 0; // expected wait for a free place
+    std::vector<std::string> adapters;
+};
+
+struct choice_wish {
+    std::string adapter;                        // empty: none
+    std::string own_data_centre;                // preferred mildly
+    const std::set<std::string>* out = nullptr; // data centres taken out
+    std::set<std::string> avoid;                // targets already tried by this request
+    std::uint64_t random = 0;                   // fresh random bits for each choice
+};
+
+/// (running + waiting + unreported) / limit; above 1 the target is full.
+[[nodiscard]] double load_of(const replica& one);
+
+/// The replica to send to, or nullptr if none may take work.
+[[nodiscard]] const replica* choose(const std::vector<replica>& replicas, const choice_wish& wish);
+
+} // namespace waxwinglb::core::routing
