--- a/src/core/routing/call.cpp
+++ b/src/core/routing/call.cpp
@@ -8,7 +8,7 @@
 using common::milliseconds;
 using common::time_point;
 
-constexpr milliseconds control_timeout{1'500}; // a grant, claim or first view that takes longer is given up
+constexpr milliseconds control_timeout{5'000}; // covers the takeover of a shard; what takes longer is given up
 constexpr milliseconds connect_timeout{1'000}; // to an agent; then another target is tried
 constexpr milliseconds progress_timeout{1'000}; // silence after which a running answer is asked for again
 constexpr milliseconds lost_timeout{3'000};     // a target that can't be reached again for so long is lost
--- /dev/null
+++ b/src/programs/router/relay.cpp
@@ -0,0 +1,238 @@
+// Agents' messages on their way to open calls, and callers' answers.
+#include "programs/router/calls.hpp"
+#include "programs/router/front.hpp"
+
+#include <algorithm>
+
+namespace waxwinglb::programs::router {
+namespace {
+
+using core::common::milliseconds;
+using core::common::time_point;
+using core::routing::end_reason;
+using core::routing::run_state;
+
+run_state from_wire(wire::run_state::type ran) {
+    switch (ran) {
+    case wire::run_state::not_run: return run_state::not_run;
+    case wire::run_state::run: return run_state::run;
+    case wire::run_state::unknown: return run_state::unknown;
+    }
+    return run_state::unknown;
+}
+
+core::routing::refusal from_wire(wire::refusal::type reason) {
+    using core::routing::refusal;
+    switch (reason) {
+    case wire::refusal::overloaded:
+    case wire::refusal::rate_limited: return refusal::overloaded;
+    case wire::refusal::deadline_too_short: return refusal::deadline_too_short;
+    case wire::refusal::draining:
+    case wire::refusal::data_centre_out:
+    case wire::refusal::model_not_loaded:
+    case wire::refusal::no_memory:
+    case wire::refusal::old_fencing:
+    case wire::refusal::not_fresh: return refusal::not_here;
+    case wire::refusal::quarantined: return refusal::quarantined;
+    case wire::refusal::unknown_request: return refusal::unknown_request;
+    case wire::refusal::isolation_busy: return refusal::isolation_busy;
+    default: return refusal::failed;
+    }
+}
+
+core::routing::ending from_wire(const wire::run_finished& told) {
+    core::routing::ending out;
+    out.status = told.status;
+    out.used_tokens = told.used_tokens;
+    for (const wire::header_field& field : told.headers) {
+        std::string name = field.name;
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        out.headers.push_back({std::move(name), field.value});
+    }
+    return out;
+}
+
+/// Headers of a plain service's answer that go back to its caller.
+bool is_returned(const std::string& name) {
+    return name == "content-type" || name == "location" || name == "etag" || name == "cache-control" ||
+           name == "content-language";
+}
+
+/// Splits off an unfinished UTF-8 character at the end, which the next piece completes.
+std::string take_whole_characters(std::string& text) {
+    constexpr std::size_t longest = 4;
+    std::size_t end = text.size();
+    for (std::size_t back = 1; back <= std::min(longest, text.size()); ++back) {
+        const auto byte = static_cast<unsigned char>(text[text.size() - back]);
+        if ((byte & 0xc0U) == 0x80U)
+            continue; // continuation: look further back for the start
+        const std::size_t length = byte >= 0xf0U ? 4 : byte >= 0xe0U ? 3 : byte >= 0xc0U ? 2 : 1;
+        if (length > back)
+            end = text.size() - back;
+        break;
+    }
+    std::string out = text.substr(0, end);
+    text.erase(0, end);
+    return out;
+}
+
+std::string finish_reason_of(const core::routing::ending& end) {
+    for (const core::routing::answer_field& field : end.headers)
+        if (field.name == "x-finish-reason")
+            return field.value;
+    return "stop";
+}
+
+} // namespace
+
+template<class step_type>
+void call_table::each_of(const std::string& request_id, const std::string& address, time_point now,
+                         step_type&& step) {
+    std::vector<call_id> ids;
+    const auto [first, last] = by_request_.equal_range(request_id);
+    for (auto next = first; next != last; ++next)
+        ids.push_back(next->second);
+    bool taken = false;
+    for (const call_id id : ids) {
+        live_call* call = find(id);
+        if (call == nullptr || call->address != address)
+            continue; // another agent's word on a request that isn't at it
+        taken = true;
+        run(*call, step(*call), now);
+    }
+    if (!taken)
+        parts_.metrics.count_dropped();
+}
+
+void call_table::from_agent(const std::string& address, const edge::frame& frame, time_point now) {
+    switch (frame.header.kind) {
+    case wire::message_kind::run_accepted: on_accepted(address, frame, now); break;
+    case wire::message_kind::run_chunk: on_chunk(address, frame, now); break;
+    case wire::message_kind::run_finished: on_finished(address, frame, now); break;
+    case wire::message_kind::run_refused: on_refused(address, frame, now); break;
+    case wire::message_kind::cancel_result: on_cancel_result(address, frame, now); break;
+    default: parts_.metrics.count_dropped(); break;
+    }
+    bury();
+}
+
+void call_table::on_accepted(const std::string& address, const edge::frame& frame, time_point now) {
+    const auto told = edge::decode_body<wire::run_accepted>(frame.body);
+    if (!told)
+        return parts_.metrics.count_dropped();
+    each_of(told->request_id, address, now,
+            [&](live_call& call) { return call.machine.accepted(told->request_id, told->attempt, now); });
+}
+
+void call_table::on_chunk(const std::string& address, const edge::frame& frame, time_point now) {
+    const auto told = edge::decode_body<wire::run_chunk>(frame.body);
+    if (!told)
+        return parts_.metrics.count_dropped();
+    each_of(told->request_id, address, now, [&](live_call& call) {
+        return call.machine.chunk(told->request_id, told->attempt, told->offset, told->data, now);
+    });
+}
+
+void call_table::on_finished(const std::string& address, const edge::frame& frame, time_point now) {
+    const auto told = edge::decode_body<wire::run_finished>(frame.body);
+    if (!told)
+        return parts_.metrics.count_dropped();
+    each_of(told->request_id, address, now, [&](live_call& call) {
+        release_load(call);
+        parts_.views.report(call.service, call.model, call.machine.target(), told->load);
+        return call.machine.finished(told->request_id, told->attempt, told->length, from_wire(*told), now);
+    });
+}
+
+void call_table::on_refused(const std::string& address, const edge::frame& frame, time_point now) {
+    const auto told = edge::decode_body<wire::run_refused>(frame.body);
+    if (!told)
+        return parts_.metrics.count_dropped();
+    each_of(told->request_id, address, now, [&](live_call& call) {
+        release_load(call);
+        parts_.views.report(call.service, call.model, call.machine.target(), told->load);
+        if (told->reason == wire::refusal::duplicate)
+            return call.machine.accepted(told->request_id, told->attempt, now);
+        const milliseconds wait{std::max<std::int64_t>(0, told->retry_after_ms)};
+        return call.machine.refused(told->request_id, told->attempt, from_wire(told->reason),
+                                    from_wire(told->ran), told->suspect, wait, now);
+    });
+}
+
+void call_table::on_cancel_result(const std::string& address, const edge::frame& frame, time_point now) {
+    const auto told = edge::decode_body<wire::cancel_result>(frame.body);
+    if (!told)
+        return parts_.metrics.count_dropped();
+    each_of(told->request_id, address, now, [&](live_call& call) {
+        return call.machine.cancelled(told->request_id, told->attempt, from_wire(told->ran), now);
+    });
+}
+
+void call_table::note_first_byte(live_call& call, time_point now) {
+    if (call.answered_byte)
+        return;
+    call.answered_byte = true;
+    parts_.metrics.first_token(now - call.from.at);
+}
+
+void call_table::carry_out(live_call& call, const core::routing::deliver_action& what, time_point now) {
+    note_first_byte(call, now);
+    if (!call.streaming) {
+        call.streaming = true;
+        call.from.exchange->begin_stream(
+            200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
+    }
+    call.unsent_text += what.bytes;
+    const std::string text = take_whole_characters(call.unsent_text);
+    if (text.empty() || call.from.exchange->write_stream(completion_event(call.about, text)))
+        return;
+    run(call, call.machine.abandon(end_reason::caller_gone, now), now);
+}
+
+void call_table::answer(live_call& call, const core::routing::ending& end) {
+    if (end.used_tokens >= 0)
+        call.about.used_tokens = std::max<std::int64_t>(0, end.used_tokens - call.about.prompt_tokens);
+    call.about.finish_reason = finish_reason_of(end);
+    if (call.streaming)
+        answer_stream(call, end);
+    else
+        answer_whole(call, end);
+}
+
+void call_table::answer_stream(live_call& call, const core::routing::ending& end) {
+    const edge::exchange_ptr& exchange = call.from.exchange;
+    if (!call.unsent_text.empty())
+        exchange->write_stream(completion_event(call.about, std::exchange(call.unsent_text, {})));
+    if (end.reason == end_reason::completed)
+        exchange->write_stream(completion_end(call.about));
+    else
+        exchange->write_stream(to_event(describe_end(end, call.machine.options().request_id)));
+    exchange->end_stream();
+}
+
+void call_table::answer_whole(live_call& call, const core::routing::ending& end) {
+    const edge::exchange_ptr& exchange = call.from.exchange;
+    const bool served = end.reason == end_reason::completed || end.reason == end_reason::kept_answer;
+    const std::string& request_id = call.machine.options().request_id;
+    if (!served)
+        return exchange->respond(to_response(describe_end(end, request_id)));
+    const bool good = end.status == 0 || (end.status >= 200 && end.status < 300);
+    if (call.from.kind == arrival_kind::chat && good) {
+        if (!call.machine.options().streamed)
+            return exchange->respond(completion_response(call.about, end.body));
+        exchange->begin_stream(200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
+        exchange->write_stream(completion_end(call.about));
+        return exchange->end_stream();
+    }
+    edge::http_response response{end.status == 0 ? 200 : end.status, {}, end.body};
+    for (const core::routing::answer_field& field : end.headers)
+        if (is_returned(field.name))
+            response.headers.push_back({field.name, field.value});
+    response.headers.push_back({"X-Request-Id", request_id});
+    if (end.reason == end_reason::kept_answer)
+        response.headers.push_back({"Idempotency-Replayed", "true"});
+    exchange->respond(std::move(response));
+}
+
+} // namespace waxwinglb::programs::router
