--- a/src/core/limits/bucket.hpp
+++ b/src/core/limits/bucket.hpp
@@ -19,7 +19,7 @@
 
 constexpr common::milliseconds grant_term{2'000}; // a router may spend a grant for this long after it asked
 constexpr common::milliseconds lapse_margin{250}; // clocks' rates differ; the holder waits this much longer
-constexpr common::duration never = common::duration::max(); // retry_after of an amount above the burst
+constexpr common::duration never = common::duration::max(); // retry_after while the rate is 0
 
 /// What a router says of a grant. Both counts are totals since the grant's issue, so that lost, repeated and
 /// reordered messages do no harm.
@@ -32,9 +32,10 @@
 /// Answer to a draw; grants nothing if `tokens` is 0.
 struct draw_answer {
     grant_id grant = 0;
-    std::int64_t tokens = 0;        // at most what was wanted and at most what is there
-    common::duration valid_for{};   // counted by the router from before it sent the draw
-    common::duration retry_after{}; // when the missing part would be there; 0 if none is missing, or `never`
+    std::int64_t tokens = 0;      // at most what was wanted and at most what is there
+    common::duration valid_for{}; // counted by the router from before it sent the draw
+    common::duration
+        retry_after{}; // when all that was wanted (at most the burst) would be there; 0 if it is, or `never`
 };
 
 /// State that a holder passes to its successor at a planned handover.
--- /dev/null
+++ b/src/core/limits/wallet.cpp
@@ -0,0 +1,239 @@
+#include "core/limits/wallet.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace waxwinglb::core::limits {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr common::duration draw_ahead = 500ms;   // a draw covers the demand of this time
+constexpr common::duration refill_below = 150ms; // draws again when less than the demand of this time is left
+constexpr common::duration return_before = 500ms; // unspent tokens go back this long before the grant ends
+constexpr common::duration report_after = 500ms;  // reservations open for longer are reported as spent
+constexpr common::duration return_gap = 200ms;    // between draws that only settle
+constexpr common::duration demand_decay = 1s;     // time constant of the demand estimate
+constexpr common::duration hold_least = 20ms;     // after a short answer no draw for at least this
+constexpr common::duration hold_most = 250ms;     // and at most this
+
+double seconds(common::duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+reserve_result wallet::reserve(common::time_point now, std::int64_t tokens) {
+    expire(now);
+    std::int64_t missing = std::max<std::int64_t>(tokens, 0);
+    const std::int64_t there = available(now);
+    if (there < missing && now < hold_until_) {
+        // The holder has just said that it hasn't so much: refuse instead of asking it again.
+        if (hold_retry_ == never)
+            return {reserve_outcome::refused, 0, never};
+        const double part = static_cast<double>(missing - there) / static_cast<double>(hold_missing_);
+        const auto scaled = std::chrono::duration_cast<common::duration>(hold_retry_ * std::min(part, 1.0));
+        return {reserve_outcome::refused, 0, std::max(scaled, hold_until_ - now)};
+    }
+    if (there < missing) {
+        waiting_ += missing;
+        return {reserve_outcome::wait, 0, {}};
+    }
+    note_demand(now, missing);
+    reservation made{{}, now};
+    for (auto& [id, one] : grants_) {
+        const std::int64_t taken = std::min(one.free, missing);
+        if (taken == 0)
+            continue;
+        one.free -= taken;
+        one.reserved += taken;
+        missing -= taken;
+        made.parts.push_back({id, taken});
+    }
+    const reservation_id id = ++last_id_;
+    reservations_.emplace(id, std::move(made));
+    return {reserve_outcome::served, id, {}};
+}
+
+void wallet::settle(common::time_point now, reservation_id reservation, std::int64_t used) {
+    const auto found = reservations_.find(reservation);
+    if (found == reservations_.end())
+        return;
+    expire(now);
+    std::int64_t left = std::max<std::int64_t>(used, 0);
+    for (const part& one : found->second.parts) {
+        const std::int64_t taken = std::min(left, one.tokens);
+        release(now, one, taken);
+        left -= taken;
+    }
+    reservations_.erase(found);
+}
+
+void wallet::release(common::time_point now, const part& one, std::int64_t used) {
+    const auto found = grants_.find(one.grant);
+    if (found == grants_.end()) // lapsed at the holder: the whole part counts as spent
+        return;
+    grant& mine = found->second;
+    mine.reserved -= one.tokens;
+    mine.used += used;
+    const std::int64_t unused = one.tokens - used;
+    // What the holder was told to be spent may have accrued anew there, so it isn't spent a second time here.
+    const std::int64_t above = std::max<std::int64_t>(mine.reported_spent - mine.used - mine.reserved, 0);
+    const std::int64_t back = now < mine.expires ? std::min(unused, above) : unused;
+    mine.returned += back;
+    mine.free += unused - back;
+}
+
+std::optional<draw_order> wallet::next_draw(common::time_point now) {
+    expire(now);
+    if (flight_)
+        return std::nullopt;
+    give_up_ending(now);
+    draw_order out{0, amount_to_draw(now), settlements(now)};
+    if (out.wanted == 0) {
+        const bool returns =
+            std::any_of(out.settled.begin(), out.settled.end(), [this](const settlement& one) {
+                return one.returned > grants_.at(one.grant).confirmed_returned;
+            });
+        if (!returns || now < return_after_)
+            return std::nullopt;
+        return_after_ = now + return_gap;
+    }
+    for (const settlement& one : out.settled) {
+        grant& mine = grants_.at(one.grant);
+        mine.reported_spent = std::max(mine.reported_spent, one.spent);
+    }
+    out.id = ++last_id_;
+    flight_ = flight{out.id, now, out.wanted, out.settled};
+    return out;
+}
+
+void wallet::drawn(common::time_point now, draw_id id, const draw_answer& answer) {
+    expire(now);
+    if (!flight_ || flight_->id != id) {
+        // Too late to be spent; all of it goes back with the next settlement.
+        if (answer.tokens > 0 && !grants_.contains(answer.grant))
+            grants_[answer.grant] = {answer.tokens, 0, 0, 0, answer.tokens, 0, 0, 0, now + answer.valid_for};
+        return;
+    }
+    for (const settlement& one : flight_->settled) {
+        const auto found = grants_.find(one.grant);
+        if (found == grants_.end())
+            continue;
+        found->second.confirmed_spent = std::max(found->second.confirmed_spent, one.spent);
+        found->second.confirmed_returned = std::max(found->second.confirmed_returned, one.returned);
+    }
+    const common::time_point expires = flight_->sent + answer.valid_for;
+    if (answer.tokens > 0 && !grants_.contains(answer.grant)) {
+        const std::int64_t free = now < expires ? answer.tokens : 0;
+        grants_[answer.grant] = {answer.tokens, free, 0, 0, answer.tokens - free, 0, 0, 0, expires};
+    }
+    if (answer.tokens < flight_->wanted) {
+        hold_until_ = now + std::clamp(answer.retry_after, hold_least, hold_most);
+        hold_retry_ = answer.retry_after;
+        hold_missing_ = flight_->wanted - answer.tokens;
+    }
+    waiting_ = 0;
+    flight_.reset();
+}
+
+void wallet::draw_failed(common::time_point now, draw_id id) {
+    expire(now);
+    if (!flight_ || flight_->id != id)
+        return;
+    flight_.reset();
+    waiting_ = 0;
+}
+
+std::optional<common::time_point> wallet::next_due(common::time_point now) const {
+    if (flight_)
+        return std::nullopt;
+    if (amount_to_draw(now) > 0)
+        return now;
+    std::optional<common::time_point> due;
+    if (now < hold_until_ && waiting_ > 0)
+        due = hold_until_;
+    for (const auto& [id, one] : grants_)
+        if (one.free > 0 || one.returned > one.confirmed_returned) {
+            const auto at = std::max({one.expires - return_before, return_after_, now});
+            due = due ? std::min(*due, at) : at;
+        }
+    return due;
+}
+
+std::int64_t wallet::available(common::time_point now) const {
+    std::int64_t sum = 0;
+    for (const auto& [id, one] : grants_)
+        if (now < one.expires)
+            sum += one.free;
+    return sum;
+}
+
+bool wallet::unused(common::time_point now) const {
+    return !flight_ && reservations_.empty() && waiting_ == 0 && now >= hold_until_ &&
+           std::all_of(grants_.begin(), grants_.end(),
+                       [now](const auto& entry) { return now >= entry.second.expires; });
+}
+
+void wallet::expire(common::time_point now) {
+    std::erase_if(grants_, [now](const auto& entry) {
+        const grant& one = entry.second;
+        const bool done =
+            one.free == 0 && one.reserved == 0 && one.confirmed_spent + one.confirmed_returned >= one.tokens;
+        return done || now >= one.expires + lapse_margin;
+    });
+    for (auto& [id, one] : grants_)
+        if (now >= one.expires) {
+            one.returned += one.free;
+            one.free = 0;
+        }
+}
+
+void wallet::give_up_ending(common::time_point now) {
+    for (auto& [id, one] : grants_)
+        if (one.expires - now <= return_before) {
+            one.returned += one.free;
+            one.free = 0;
+        }
+}
+
+void wallet::note_demand(common::time_point now, std::int64_t tokens) {
+    demand_ = demand(now) + static_cast<double>(tokens) / seconds(demand_decay);
+    demand_at_ = std::max(now, demand_at_);
+}
+
+double wallet::demand(common::time_point now) const {
+    const double age = std::max(seconds(now - demand_at_), 0.0);
+    return demand_ * std::exp(-age / seconds(demand_decay));
+}
+
+std::int64_t wallet::amount_to_draw(common::time_point now) const {
+    if (now < hold_until_)
+        return 0;
+    const double per_second = demand(now);
+    const std::int64_t there = available(now);
+    const auto ahead = static_cast<std::int64_t>(per_second * seconds(draw_ahead));
+    const auto least = static_cast<std::int64_t>(per_second * seconds(refill_below));
+    const std::int64_t needed = std::max<std::int64_t>(waiting_ - there, 0);
+    if (needed == 0 && there >= least)
+        return 0;
+    return needed + std::max<std::int64_t>(ahead - std::max<std::int64_t>(there - waiting_, 0), 0);
+}
+
+std::vector<settlement> wallet::settlements(common::time_point now) const {
+    std::map<grant_id, std::int64_t> young; // reserved so lately that much of it may still come back
+    for (const auto& [id, one] : reservations_)
+        if (now - one.made < report_after)
+            for (const part& each : one.parts)
+                young[each.grant] += each.tokens;
+    std::vector<settlement> out;
+    for (const auto& [id, one] : grants_) {
+        const auto open = young.find(id);
+        const std::int64_t spent = one.used + one.reserved - (open == young.end() ? 0 : open->second);
+        if (spent > one.confirmed_spent || one.returned > one.confirmed_returned)
+            out.push_back({id, std::max(spent, one.reported_spent), one.returned});
+    }
+    return out;
+}
+
+} // namespace waxwinglb::core::limits
--- a/src/core/limits/wallet.hpp
+++ b/src/core/limits/wallet.hpp
@@ -28,7 +28,8 @@
 struct reserve_result {
     reserve_outcome outcome = reserve_outcome::refused;
     reservation_id reservation = 0; // if served
-    common::duration retry_after{}; // if refused; `never`: the amount is above the burst
+    common::duration
+        retry_after{}; // if refused; `never`: the rate is 0. (Amounts above the burst: the caller refuses)
 };
 
 /// A draw to send to the customer's holder.
@@ -65,14 +66,14 @@
 
 private:
     struct grant {
-        std::int64_t tokens = 0;
-        std::int64_t free = 0;
-        std::int64_t reserved = 0;       // by open reservations
-        std::int64_t used = 0;           // by settled ones
-        std::int64_t returned = 0;       // given up for good
-        std::int64_t reported_spent = 0; // highest value sent; may be spent no second time
-        std::int64_t reported_returned = 0;
-        bool told = false; // the holder has answered a draw with the present counts
+        std::int64_t tokens = 0;             // free + reserved + used + returned
+        std::int64_t free = 0;               // can be reserved until `expires`
+        std::int64_t reserved = 0;           // by open reservations
+        std::int64_t used = 0;               // by settled ones
+        std::int64_t returned = 0;           // given up for good
+        std::int64_t reported_spent = 0;     // highest count sent: that many are never spent again
+        std::int64_t confirmed_spent = 0;    // of a draw that was answered
+        std::int64_t confirmed_returned = 0; // of a draw that was answered
         common::time_point expires{};
     };
     struct part {
@@ -87,22 +88,26 @@
         draw_id id = 0;
         common::time_point sent{};
         std::int64_t wanted = 0;
-        std::vector<grant_id> settled;
+        std::vector<settlement> settled;
     };
 
     void expire(common::time_point now);
     void note_demand(common::time_point now, std::int64_t tokens);
     void release(common::time_point now, const part& one, std::int64_t used);
-    [[nodiscard]] std::int64_t wanted(common::time_point now) const;
-    std::vector<settlement> settlements(common::time_point now, std::vector<grant_id>& ids);
+    void give_up_ending(common::time_point now);
+    [[nodiscard]] double demand(common::time_point now) const; // tokens a second
+    [[nodiscard]] std::int64_t amount_to_draw(common::time_point now) const;
+    [[nodiscard]] std::vector<settlement> settlements(common::time_point now) const;
 
     std::map<grant_id, grant> grants_; // oldest first, so spent first
     std::map<reservation_id, reservation> reservations_;
     std::optional<flight> flight_;
-    std::int64_t shortfall_ = 0;      // largest sum asked for and not there since the last draw
+    std::int64_t waiting_ = 0;        // tokens of requests told to wait since the last answer
     common::time_point hold_until_{}; // no draw before: the holder had too little
-    common::duration hold_retry_{};   // what it said, for `hold_amount_`
-    double demand_ = 0;               // tokens a second, decayed
+    common::duration hold_retry_{};   // when it would have had `hold_missing_` more
+    std::int64_t hold_missing_ = 0;
+    common::time_point return_after_{}; // no draw that only settles before
+    double demand_ = 0;                 // tokens a second at `demand_at_`
     common::time_point demand_at_{};
     std::int64_t last_id_ = 0; // of reservations and draws
 };
--- a/src/core/placement/weight_slots.hpp
+++ b/src/core/placement/weight_slots.hpp
@@ -19,6 +19,7 @@
     int adapters_in_flight = 32;                              // beyond, each takes proportionally longer
     common::duration load_time = std::chrono::seconds(2);     // expected for one load, for estimates
     common::duration held_at_most = std::chrono::seconds(60); // a slot that wasn't released is free again
+    common::duration asked_within = std::chrono::seconds(10); // a wish not repeated for so long is dropped
 };
 
 struct slot_wish {
@@ -52,6 +53,7 @@
 private:
     struct wish_state {
         slot_wish wish;
+        common::time_point asked{};
         std::uint64_t order = 0; // of arrival
         double start = 0;        // virtual time of its customer's share
     };
