--- a/src/core/routing/call.cpp
+++ b/src/core/routing/call.cpp
@@ -182,7 +182,8 @@
         begin_cancel(now); // a tombstone makes "not run" certain, or the answer is "unknown"
         return take();
     }
-    const run_state truth = trusted(ran);
+    // Without a tombstone the run may still be on its way to the agent.
+    const run_state truth = why == refusal::unknown_request ? run_state::unknown : trusted(ran);
     if (why == refusal::quarantined) {
         finish(end_reason::quarantined, truth, retry_after);
         return take();
@@ -332,6 +333,8 @@
                         options_.retry_budget->take(now);
     if (!budget)
         return finish(why, overall, retry_after);
+    if (sent_ && link_up_ && ran != run_state::not_run)
+        out_.push_back(cancel_action{remote_attempt_}); // spares the target work that nobody waits for
     may_have_run_ = overall != run_state::not_run;
     avoid_.insert(target_);
     target_.clear();
--- a/src/programs/router/router.cpp
+++ b/src/programs/router/router.cpp
@@ -194,11 +194,15 @@
     }
 }
 
-bool router::drained(time_point now) const {
-    if (stopped_ == time_point{} || calls_.size() > 0)
+bool router::drained(time_point now) {
+    if (stopped_ == time_point{} || calls_.size() > 0) {
+        idle_ = {};
         return false;
-    const bool settled = parts_.claims.all_settled() || now - stopped_ >= settle_limit;
-    const bool flushed = server_->open_exchanges() == 0 || now - stopped_ >= flush_limit;
+    }
+    if (idle_ == time_point{})
+        idle_ = now;
+    const bool settled = parts_.claims.all_settled() || now - idle_ >= settle_limit;
+    const bool flushed = server_->open_exchanges() == 0 || now - idle_ >= flush_limit;
     return settled && flushed;
 }
 
--- a/src/programs/router/router.hpp
+++ b/src/programs/router/router.hpp
@@ -30,7 +30,7 @@
     void take(arrival&& request, core::common::time_point now);
     void take_from_steward(const edge::link_event& event, core::common::time_point now);
     void tick(core::common::time_point now);
-    [[nodiscard]] bool drained(core::common::time_point now) const;
+    [[nodiscard]] bool drained(core::common::time_point now);
 
     edge::program_context& context_;
     router_settings settings_;
@@ -42,6 +42,7 @@
     std::unique_ptr<edge::http_server> server_;
     core::common::time_point last_tick_{};
     core::common::time_point stopped_{}; // when draining began
+    core::common::time_point idle_{};    // while draining: since when no request is open
     edge::logger log_ = edge::make_logger("router");
 };
 
