Prove that silent and hostile links end and disturb no other

Cause: open connections can go silent for good while new ones work, and peers can send anything. Ruled out: relying on TCP keep-alive, whose periods are minutes. Change: a raw socket in the place of a peer: silence, over-long, empty, headerless and early frames, HTTP bytes. Before: not covered. Conclusion: a link ends by itself; its owner sees the step and the peer.

--- a/tests/contract/link_test.cpp
+++ b/tests/contract/link_test.cpp
@@ -2,7 +2,12 @@
 #include "edge/link.hpp"
 #include "edge/ring.hpp"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 
 using namespace waxwinglb;
 using namespace std::chrono_literals;
@@ -30,6 +35,41 @@
     edge::link_hub hub;
 };
 
+/// A plain TCP socket in the place of a peer, to send what no link would send.
+struct raw_peer {
+    explicit raw_peer(std::uint16_t port) : handle(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in remote{};
+        remote.sin_family = AF_INET;
+        remote.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        remote.sin_port = htons(port);
+        EXPECT_EQ(::connect(handle, reinterpret_cast<sockaddr*>(&remote), sizeof remote), 0);
+        const timeval limit{20, 0};
+        ::setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+    ~raw_peer() { ::close(handle); }
+    raw_peer(const raw_peer&) = delete;
+    raw_peer& operator=(const raw_peer&) = delete;
+    raw_peer(raw_peer&&) = delete;
+    raw_peer& operator=(raw_peer&&) = delete;
+    void say(const std::string& bytes) const {
+        EXPECT_EQ(::send(handle, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+    /// True once the other end has closed; what it sent before is read and dropped.
+    bool closed_by_peer() const {
+        std::array<char, 4096> buffer{};
+        ssize_t got = 1;
+        while (got > 0)
+            got = ::recv(handle, buffer.data(), buffer.size(), 0);
+        return got == 0 || errno == ECONNRESET;
+    }
+    int handle;
+};
+
+std::string hello_frame() {
+    return edge::encode_frame(wire::message_kind::hello, 0, wire::hello{});
+}
+
 } // namespace
 
 TEST(link, frames_arrive_in_order_and_answers_carry_the_call) {
@@ -95,3 +135,46 @@
     EXPECT_FALSE(edge::decode_body<wire::run_request>(good->body + "x").has_value());
     EXPECT_FALSE(edge::decode_body<wire::run_request>("\x1b\xff\xff\xff\xff\x0f").has_value());
 }
+
+TEST(link, a_link_that_went_silent_is_closed) {
+    endpoint server{"server"};
+    const auto port = server.hub.listen("127.0.0.1:0");
+    server.hub.start();
+    const raw_peer peer{port};
+    peer.say(hello_frame());
+    ASSERT_EQ(server.next().kind, edge::link_event_kind::opened);
+    // Nothing more is sent and nothing acknowledged, but the connection stays open at the other end.
+    const auto event = server.next();
+    EXPECT_EQ(event.kind, edge::link_event_kind::closed);
+    EXPECT_EQ(event.why.step, "heartbeat");
+}
+
+TEST(link, hostile_peers_lose_their_link_and_disturb_no_other) {
+    const std::vector<std::pair<const char*, std::string>> cases{
+        {"a length over the limit", hello_frame() + std::string("\xff\xff\xff\xff", 4)},
+        {"a frame without a header", hello_frame() + std::string("\0\0\0\2zz", 6)},
+        {"an empty frame", hello_frame() + std::string(4, '\0')},
+        {"a message before hello",
+         edge::encode_frame(wire::message_kind::ack_request, 1, wire::ack_request{})},
+        {"hello said twice", hello_frame() + hello_frame()},
+        {"HTTP", "GET / HTTP/1.1\r\nHost: x\r\n\r\n"},
+    };
+    endpoint server{"server"};
+    endpoint client{"client"};
+    const auto port = server.hub.listen("127.0.0.1:0");
+    server.hub.start();
+    client.hub.start();
+    const auto link = client.hub.connect("127.0.0.1:" + std::to_string(port));
+    ASSERT_EQ(client.next().kind, edge::link_event_kind::opened);
+    ASSERT_EQ(server.next().peer.process, "client");
+    for (const auto& [name, bytes] : cases) {
+        const raw_peer peer{port};
+        peer.say(bytes);
+        EXPECT_TRUE(peer.closed_by_peer()) << name;
+    }
+    client.hub.send(link, wire::message_kind::ack_request, 42, wire::ack_request{});
+    auto event = server.next();
+    while (event.kind != edge::link_event_kind::message)
+        event = server.next();
+    EXPECT_EQ(event.frame.header.call, 42);
+}
