--- a/src/edge/program.cpp
+++ b/src/edge/program.cpp
@@ -106,6 +106,7 @@
         int which = 0;
         sigwait(&set, &which);
         context.stopping = true;
+        context.stopping.notify_all();
         sigwait(&set, &which); // a second signal ends the process at once
         std::_Exit(exit_failed);
     }}.detach();
--- a/src/edge/ring.hpp
+++ b/src/edge/ring.hpp
@@ -57,6 +57,11 @@
         drained_.notify_all();
     }
 
+    [[nodiscard]] bool closed() const {
+        const std::scoped_lock hold{mutex_};
+        return closed_;
+    }
+
     [[nodiscard]] std::size_t size() const {
         const std::scoped_lock hold{mutex_};
         return items_.size();
