--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -65,8 +65,12 @@
 }
 /** Asks for a kept or running answer from an offset on, over whatever link works now. */
 struct resume_request { 1: string request_id, 2: i32 attempt, 3: i64 offset }
-/** Cancels; sets a tombstone if the request was never seen, so that "not run" stays true. */
-struct cancel_request { 1: string request_id, 2: i32 attempt }
+/**
+ * Cancels; sets a tombstone if the request was never seen, so that "not run" stays true. agent_boot is the boot
+ * in the hello of the link that the run_request was sent on, 0 if it was never sent: another boot of the agent
+ * can't tell what a former process ran, and answers unknown.
+ */
+struct cancel_request { 1: string request_id, 2: i32 attempt, 3: i64 agent_boot }
 struct cancel_result { 1: string request_id, 2: i32 attempt, 3: run_state ran }
 struct ack_request { 1: string request_id, 2: i32 attempt }
 
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -2580,6 +2580,10 @@
 void cancel_request::__set_attempt(const int32_t val) {
   this->attempt = val;
 }
+
+void cancel_request::__set_agent_boot(const int64_t val) {
+  this->agent_boot = val;
+}
 std::ostream& operator<<(std::ostream& out, const cancel_request& obj)
 {
   obj.printTo(out);
@@ -2624,6 +2628,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->agent_boot);
+          this->__isset.agent_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2649,6 +2661,10 @@
   xfer += oprot->writeI32(this->attempt);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("agent_boot", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->agent_boot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2658,28 +2674,33 @@
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.attempt, b.attempt);
+  swap(a.agent_boot, b.agent_boot);
   swap(a.__isset, b.__isset);
 }
 
 cancel_request::cancel_request(const cancel_request& other63) {
   request_id = other63.request_id;
   attempt = other63.attempt;
+  agent_boot = other63.agent_boot;
   __isset = other63.__isset;
 }
 cancel_request::cancel_request(cancel_request&& other64) noexcept {
   request_id = std::move(other64.request_id);
   attempt = other64.attempt;
+  agent_boot = other64.agent_boot;
   __isset = other64.__isset;
 }
 cancel_request& cancel_request::operator=(const cancel_request& other65) {
   request_id = other65.request_id;
   attempt = other65.attempt;
+  agent_boot = other65.agent_boot;
   __isset = other65.__isset;
   return *this;
 }
 cancel_request& cancel_request::operator=(cancel_request&& other66) noexcept {
   request_id = std::move(other66.request_id);
   attempt = other66.attempt;
+  agent_boot = other66.agent_boot;
   __isset = other66.__isset;
   return *this;
 }
@@ -2688,6 +2709,7 @@
   out << "cancel_request(";
   out << "request_id=" << to_string(request_id);
   out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "agent_boot=" << to_string(agent_boot);
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -1127,13 +1127,16 @@
 std::ostream& operator<<(std::ostream& out, const resume_request& obj);
 
 typedef struct _cancel_request__isset {
-  _cancel_request__isset() : request_id(false), attempt(false) {}
+  _cancel_request__isset() : request_id(false), attempt(false), agent_boot(false) {}
   bool request_id :1;
   bool attempt :1;
+  bool agent_boot :1;
 } _cancel_request__isset;
 
 /**
- * Cancels; sets a tombstone if the request was never seen, so that "not run" stays true.
+ * Cancels; sets a tombstone if the request was never seen, so that "not run" stays true. agent_boot is the boot
+ * in the hello of the link that the run_request was sent on, 0 if it was never sent: another boot of the agent
+ * can't tell what a former process ran, and answers unknown.
  */
 class cancel_request : public virtual ::apache::thrift::TBase {
  public:
@@ -1144,12 +1147,14 @@
   cancel_request& operator=(cancel_request&&) noexcept;
   cancel_request() noexcept
                  : request_id(),
-                   attempt(0) {
+                   attempt(0),
+                   agent_boot(0) {
   }
 
   virtual ~cancel_request() noexcept;
   std::string request_id;
   int32_t attempt;
+  int64_t agent_boot;
 
   _cancel_request__isset __isset;
 
@@ -1157,12 +1162,16 @@
 
   void __set_attempt(const int32_t val);
 
+  void __set_agent_boot(const int64_t val);
+
   bool operator == (const cancel_request & rhs) const
   {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
       return false;
+    if (!(agent_boot == rhs.agent_boot))
+      return false;
     return true;
   }
   bool operator != (const cancel_request &rhs) const {
