--- a/src/core/admission/ramp.hpp
+++ b/src/core/admission/ramp.hpp
@@ -19,9 +19,9 @@
 public:
     explicit ramp(ramp_options options) : options_(options), limit_(options.start) {}
 
-    void observe_boot(std::int64_t boot, common::time_point now);    // another boot starts again
-    void observe_cold(bool cold, common::time_point now);            // the target's own word
-    void failed(common::time_point now);                             // no growth for one step
+    void observe_boot(std::int64_t boot, common::time_point now); // another boot starts again
+    void observe_cold(bool cold, common::time_point now);         // the target's own word
+    void failed(common::time_point now);                          // no growth for one step
     void succeeded(common::duration first_token, common::time_point now);
 
     [[nodiscard]] int limit() const { return limit_; }
--- a/src/core/answers/store.cpp
+++ b/src/core/answers/store.cpp
@@ -1,8 +1,9 @@
 #include "core/answers/store.hpp"
 
-#include <algorithm>
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace waxwinglb::core::answers {
 namespace {
 
--- a/src/core/answers/store.hpp
+++ b/src/core/answers/store.hpp
@@ -36,11 +36,11 @@
 
 /// Why an attempt ended without an answer.
 struct refusal {
-    int reason = 0;                        // wire code
-    run_truth ran = run_truth::not_run;    // as told to the router
-    common::milliseconds retry_after{0};   // 0: coming back makes no sense
-    std::string detail;                    // a sentence
-    bool suspect = false;                  // was in flight when the target crashed
+    int reason = 0;                      // wire code
+    run_truth ran = run_truth::not_run;  // as told to the router
+    common::milliseconds retry_after{0}; // 0: coming back makes no sense
+    std::string detail;                  // a sentence
+    bool suspect = false;                // was in flight when the target crashed
 };
 
 struct answer {
@@ -107,7 +107,8 @@
 
     store_options options_;
     common::time_point born_;
-    common::time_point blind_until_{}; // forgotten attempts were themselves evicted: vouch for nothing until then
+    common::time_point
+        blind_until_{}; // forgotten attempts were themselves evicted: vouch for nothing until then
     std::map<attempt_key, answer> records_;
     std::deque<attempt_key> ended_;     // oldest first; of records in a final phase
     std::deque<attempt_key> with_body_; // oldest first; of finished records
--- a/src/core/fairness/queue.cpp
+++ b/src/core/fairness/queue.cpp
@@ -5,7 +5,7 @@
 namespace waxwinglb::core::fairness {
 namespace {
 
-constexpr double least_weight = 0.001; // keeps a wrong weight from stopping a customer for good
+constexpr double least_weight = 0.001;  // keeps a wrong weight from stopping a customer for good
 constexpr std::size_t prune_over = 256; // customers remembered before those without backlog are dropped
 
 } // namespace
--- a/src/core/fairness/queue.hpp
+++ b/src/core/fairness/queue.hpp
@@ -17,8 +17,8 @@
 struct waiting_request {
     std::uint64_t id = 0; // the owner's number for it
     std::string customer;
-    double weight = 1;        // of the customer, above 0
-    std::int64_t tokens = 1;  // cost, prompt and answer
+    double weight = 1;       // of the customer, above 0
+    std::int64_t tokens = 1; // cost, prompt and answer
     common::time_point deadline;
 };
 
@@ -26,9 +26,9 @@
 public:
     explicit fair_queue(std::size_t capacity) : capacity_(capacity) {}
 
-    bool push(const waiting_request& request); // false if full
-    std::optional<waiting_request> pop();      // next in fair order
-    bool remove(std::uint64_t id);             // false if it isn't waiting
+    bool push(const waiting_request& request);                   // false if full
+    std::optional<waiting_request> pop();                        // next in fair order
+    bool remove(std::uint64_t id);                               // false if it isn't waiting
     std::vector<waiting_request> expire(common::time_point now); // removes and returns those out of time
 
     [[nodiscard]] const waiting_request* front() const;
@@ -47,9 +47,9 @@
 
     std::size_t capacity_;
     std::map<position, waiting_request> waiting_;
-    std::map<std::uint64_t, position> positions_; // by id
+    std::map<std::uint64_t, position> positions_;                                     // by id
     std::map<std::pair<common::time_point, std::uint64_t>, std::uint64_t> deadlines_; // (deadline, id) -> id
-    std::map<std::string, double> last_finish_;   // by customer; only above the virtual time
+    std::map<std::string, double> last_finish_; // by customer; only above the virtual time
     double virtual_time_ = 0;
     std::uint64_t arrivals_ = 0;
 };
--- a/src/core/memory/ledger.hpp
+++ b/src/core/memory/ledger.hpp
@@ -1,7 +1,7 @@
 /// Memory ledger of one target: the only account of what is loaded there, and of what may be loaded next.
 ///
-/// Memory is reserved before an order leaves and freed only after the engine confirmed the unload. Whatever is
-/// uncertain (a lost answer, a restart of the agent) counts as loaded until the engine's state was read.
+/// Memory is reserved before an order leaves and freed only after the engine confirmed the unload. Whatever
+/// is uncertain (a lost answer, a restart of the agent) counts as loaded until the engine's state was read.
 /// Orders with a number older than the highest seen are refused, also for engines that ignore fencing.
 #pragma once
 
@@ -168,7 +168,7 @@
     std::uint64_t sequence_ = 0;                           // rises when an order leaves or ends
     std::int64_t boot_ = 0;
     bool settled_ = false;
-    bool one_read_settles_ = false; // every order that can be under way is this ledger's own
+    bool one_read_settles_ = false;         // every order that can be under way is this ledger's own
     std::optional<engine_view> first_view_; // until settled
     common::time_point first_view_at_;
 };
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -27,7 +27,8 @@
         one.fingerprint = fingerprint;
         ++one.crashes;
         one.condemned = one.condemned || (alone && in_flight.size() == 1);
-        one.until = std::max(one.until, now + (one.condemned ? options_.condemned_term : options_.suspect_term));
+        one.until =
+            std::max(one.until, now + (one.condemned ? options_.condemned_term : options_.suspect_term));
     }
     shrink();
 }
@@ -67,9 +68,11 @@
 /// Drops the entry that matters least: a suspect before a condemned one, the sooner ending first.
 void record::shrink() {
     while (entries_.size() > options_.max_entries) {
-        const auto least = std::min_element(entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
-            return std::pair{a.second.condemned, a.second.until} < std::pair{b.second.condemned, b.second.until};
-        });
+        const auto least =
+            std::min_element(entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
+                return std::pair{a.second.condemned, a.second.until} <
+                       std::pair{b.second.condemned, b.second.until};
+            });
         entries_.erase(least);
     }
 }
--- a/src/core/quarantine/quarantine.hpp
+++ b/src/core/quarantine/quarantine.hpp
@@ -34,7 +34,8 @@
     explicit record(record_options options) : options_(options) {}
 
     [[nodiscard]] verdict judge(const std::string& fingerprint, common::time_point now) const;
-    [[nodiscard]] common::milliseconds remaining(const std::string& fingerprint, common::time_point now) const;
+    [[nodiscard]] common::milliseconds remaining(const std::string& fingerprint,
+                                                 common::time_point now) const;
 
     /// The target crashed while these were in flight; `alone`: exactly one was, and ran isolated.
     void crashed(const std::vector<std::string>& in_flight, bool alone, common::time_point now);
--- /dev/null
+++ b/src/programs/agent/agent.hpp
@@ -0,0 +1,44 @@
+/// waxwing-agent: the only door to one target. Runs until the program is told to stop and has drained.
+#pragma once
+
+#include "edge/http_client.hpp"
+#include "edge/link.hpp"
+#include "edge/program.hpp"
+#include "edge/ring.hpp"
+#include "programs/agent/settings.hpp"
+#include "programs/agent/state.hpp"
+
+#include <memory>
+#include <thread>
+
+namespace waxwinglb::programs::agent {
+
+class agent {
+public:
+    agent(agent_settings settings, edge::program_context& context);
+    ~agent(); // ends at once; to drain, set context.stopping and join()
+    agent(const agent&) = delete;
+    agent& operator=(const agent&) = delete;
+    agent(agent&&) = delete;
+    agent& operator=(agent&&) = delete;
+
+    bool start(); // false if its address can't be had
+    void join();  // returns once drained
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+    [[nodiscard]] std::int64_t boot() const { return boot_; }
+
+private:
+    void run();
+
+    agent_settings settings_;
+    edge::program_context& context_;
+    std::int64_t boot_; // Unix milliseconds at start
+    edge::ring<event> ring_;
+    std::unique_ptr<edge::link_hub> hub_;
+    std::unique_ptr<edge::http_client> http_;
+    std::uint16_t port_ = 0;
+    std::atomic<bool> ended_{false};
+    std::thread thread_;
+};
+
+} // namespace waxwinglb::programs::agent
