Add feed_elsewhere, stood_down and held slots to the wire messages

A steward that feeds enough subscribers has to name others; a deposed holder has to end the halving of rates at its successor; a new holder of the weight slots has to learn which loads already run.

--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -19,7 +19,8 @@
   slot_request = 55, slot_result = 56,
   crash_report = 60, quarantine_notice = 61,
   subscribe_config = 70, config_update = 71, config_fresh = 72, acceptor_status = 73, apply_report = 74,
-  bucket_handover = 80, bucket_handover_ack = 81
+  feed_elsewhere = 75,
+  bucket_handover = 80, bucket_handover_ack = 81, stood_down = 82
 }
 
 /** Whether a request's work ran at its target. */
@@ -118,7 +119,8 @@
 struct claim_outcome { 1: claim_record record }
 struct claim_outcome_ack { 1: string key, 2: bool stored }
 
-struct slot_request { 1: string service_name, 2: string model, 3: i64 remaining_ms, 4: i32 adapters, 5: bool release }
+/** held: the asker has a slot already, granted by an earlier holder of the queue. */
+struct slot_request { 1: string service_name, 2: string model, 3: i64 remaining_ms, 4: i32 adapters, 5: bool release, 6: bool held, 7: string customer }
 struct slot_result { 1: string service_name, 2: string model, 3: bool granted, 4: i64 estimate_ms }
 
 struct crash_report { 1: string service_name, 2: string model, 3: list<string> fingerprints, 4: bool isolated, 5: string target }
@@ -136,5 +138,11 @@
 struct acceptor_status { 1: string acceptor, 2: i64 accepted_revision, 3: i64 store_unreachable_ms }
 struct apply_report { 1: string process, 2: i64 revision }
 
+/** Answer to subscribe_config of a steward that feeds enough subscribers: other stewards to ask. */
+struct feed_elsewhere { 1: list<string> addresses }
+
+/** A deposed holder grants nothing any more for this shard; ends the halving of rates at its successor. */
+struct stood_down { 1: i32 shard, 2: string holder, 3: i64 boot, 4: i64 fencing }
+
 struct bucket_handover { 1: string customer, 2: i64 tokens, 3: i64 outstanding, 4: i64 fencing }
 struct bucket_handover_ack { 1: string customer, 2: bool taken }
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -51,8 +51,10 @@
   message_kind::config_fresh,
   message_kind::acceptor_status,
   message_kind::apply_report,
+  message_kind::feed_elsewhere,
   message_kind::bucket_handover,
-  message_kind::bucket_handover_ack
+  message_kind::bucket_handover_ack,
+  message_kind::stood_down
 };
 const char* _kmessage_kindNames[] = {
   "heartbeat",
@@ -92,10 +94,12 @@
   "config_fresh",
   "acceptor_status",
   "apply_report",
+  "feed_elsewhere",
   "bucket_handover",
-  "bucket_handover_ack"
+  "bucket_handover_ack",
+  "stood_down"
 };
-const std::map<int, const char*> _message_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(39, _kmessage_kindValues, _kmessage_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _message_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(41, _kmessage_kindValues, _kmessage_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const message_kind::type& val) {
   std::map<int, const char*>::const_iterator it = _message_kind_VALUES_TO_NAMES.find(val);
@@ -7357,6 +7361,14 @@
 void slot_request::__set_release(const bool val) {
   this->release = val;
 }
+
+void slot_request::__set_held(const bool val) {
+  this->held = val;
+}
+
+void slot_request::__set_customer(const std::string& val) {
+  this->customer = val;
+}
 std::ostream& operator<<(std::ostream& out, const slot_request& obj)
 {
   obj.printTo(out);
@@ -7425,6 +7437,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->held);
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7462,6 +7490,14 @@
   xfer += oprot->writeBool(this->release);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->held);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7474,6 +7510,8 @@
   swap(a.remaining_ms, b.remaining_ms);
   swap(a.adapters, b.adapters);
   swap(a.release, b.release);
+  swap(a.held, b.held);
+  swap(a.customer, b.customer);
   swap(a.__isset, b.__isset);
 }
 
@@ -7483,6 +7521,8 @@
   remaining_ms = other210.remaining_ms;
   adapters = other210.adapters;
   release = other210.release;
+  held = other210.held;
+  customer = other210.customer;
   __isset = other210.__isset;
 }
 slot_request::slot_request(slot_request&& other211) noexcept {
@@ -7491,6 +7531,8 @@
   remaining_ms = other211.remaining_ms;
   adapters = other211.adapters;
   release = other211.release;
+  held = other211.held;
+  customer = std::move(other211.customer);
   __isset = other211.__isset;
 }
 slot_request& slot_request::operator=(const slot_request& other212) {
@@ -7499,6 +7541,8 @@
   remaining_ms = other212.remaining_ms;
   adapters = other212.adapters;
   release = other212.release;
+  held = other212.held;
+  customer = other212.customer;
   __isset = other212.__isset;
   return *this;
 }
@@ -7508,6 +7552,8 @@
   remaining_ms = other213.remaining_ms;
   adapters = other213.adapters;
   release = other213.release;
+  held = other213.held;
+  customer = std::move(other213.customer);
   __isset = other213.__isset;
   return *this;
 }
@@ -7519,6 +7565,8 @@
   out << ", " << "remaining_ms=" << to_string(remaining_ms);
   out << ", " << "adapters=" << to_string(adapters);
   out << ", " << "release=" << to_string(release);
+  out << ", " << "held=" << to_string(held);
+  out << ", " << "customer=" << to_string(customer);
   out << ")";
 }
 
@@ -8866,6 +8914,294 @@
 }
 
 
+feed_elsewhere::~feed_elsewhere() noexcept {
+}
+
+
+void feed_elsewhere::__set_addresses(const std::vector<std::string> & val) {
+  this->addresses = val;
+}
+std::ostream& operator<<(std::ostream& out, const feed_elsewhere& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t feed_elsewhere::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->addresses.clear();
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->addresses.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
+            {
+              xfer += iprot->readString(this->addresses[_i272]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.addresses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t feed_elsewhere::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("feed_elsewhere");
+
+  xfer += oprot->writeFieldBegin("addresses", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->addresses.size()));
+    std::vector<std::string> ::const_iterator _iter273;
+    for (_iter273 = this->addresses.begin(); _iter273 != this->addresses.end(); ++_iter273)
+    {
+      xfer += oprot->writeString((*_iter273));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(feed_elsewhere &a, feed_elsewhere &b) {
+  using ::std::swap;
+  swap(a.addresses, b.addresses);
+  swap(a.__isset, b.__isset);
+}
+
+feed_elsewhere::feed_elsewhere(const feed_elsewhere& other274) {
+  addresses = other274.addresses;
+  __isset = other274.__isset;
+}
+feed_elsewhere::feed_elsewhere(feed_elsewhere&& other275) noexcept {
+  addresses = std::move(other275.addresses);
+  __isset = other275.__isset;
+}
+feed_elsewhere& feed_elsewhere::operator=(const feed_elsewhere& other276) {
+  addresses = other276.addresses;
+  __isset = other276.__isset;
+  return *this;
+}
+feed_elsewhere& feed_elsewhere::operator=(feed_elsewhere&& other277) noexcept {
+  addresses = std::move(other277.addresses);
+  __isset = other277.__isset;
+  return *this;
+}
+void feed_elsewhere::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "feed_elsewhere(";
+  out << "addresses=" << to_string(addresses);
+  out << ")";
+}
+
+
+stood_down::~stood_down() noexcept {
+}
+
+
+void stood_down::__set_shard(const int32_t val) {
+  this->shard = val;
+}
+
+void stood_down::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void stood_down::__set_boot(const int64_t val) {
+  this->boot = val;
+}
+
+void stood_down::__set_fencing(const int64_t val) {
+  this->fencing = val;
+}
+std::ostream& operator<<(std::ostream& out, const stood_down& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t stood_down::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->shard);
+          this->__isset.shard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->boot);
+          this->__isset.boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fencing);
+          this->__isset.fencing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t stood_down::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("stood_down");
+
+  xfer += oprot->writeFieldBegin("shard", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->shard);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->boot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fencing", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->fencing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(stood_down &a, stood_down &b) {
+  using ::std::swap;
+  swap(a.shard, b.shard);
+  swap(a.holder, b.holder);
+  swap(a.boot, b.boot);
+  swap(a.fencing, b.fencing);
+  swap(a.__isset, b.__isset);
+}
+
+stood_down::stood_down(const stood_down& other278) {
+  shard = other278.shard;
+  holder = other278.holder;
+  boot = other278.boot;
+  fencing = other278.fencing;
+  __isset = other278.__isset;
+}
+stood_down::stood_down(stood_down&& other279) noexcept {
+  shard = other279.shard;
+  holder = std::move(other279.holder);
+  boot = other279.boot;
+  fencing = other279.fencing;
+  __isset = other279.__isset;
+}
+stood_down& stood_down::operator=(const stood_down& other280) {
+  shard = other280.shard;
+  holder = other280.holder;
+  boot = other280.boot;
+  fencing = other280.fencing;
+  __isset = other280.__isset;
+  return *this;
+}
+stood_down& stood_down::operator=(stood_down&& other281) noexcept {
+  shard = other281.shard;
+  holder = std::move(other281.holder);
+  boot = other281.boot;
+  fencing = other281.fencing;
+  __isset = other281.__isset;
+  return *this;
+}
+void stood_down::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "stood_down(";
+  out << "shard=" << to_string(shard);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "boot=" << to_string(boot);
+  out << ", " << "fencing=" << to_string(fencing);
+  out << ")";
+}
+
+
 bucket_handover::~bucket_handover() noexcept {
 }
 
@@ -8992,34 +9328,34 @@
   swap(a.__isset, b.__isset);
 }
 
-bucket_handover::bucket_handover(const bucket_handover& other268) {
-  customer = other268.customer;
-  tokens = other268.tokens;
-  outstanding = other268.outstanding;
-  fencing = other268.fencing;
-  __isset = other268.__isset;
-}
-bucket_handover::bucket_handover(bucket_handover&& other269) noexcept {
-  customer = std::move(other269.customer);
-  tokens = other269.tokens;
-  outstanding = other269.outstanding;
-  fencing = other269.fencing;
-  __isset = other269.__isset;
-}
-bucket_handover& bucket_handover::operator=(const bucket_handover& other270) {
-  customer = other270.customer;
-  tokens = other270.tokens;
-  outstanding = other270.outstanding;
-  fencing = other270.fencing;
-  __isset = other270.__isset;
+bucket_handover::bucket_handover(const bucket_handover& other282) {
+  customer = other282.customer;
+  tokens = other282.tokens;
+  outstanding = other282.outstanding;
+  fencing = other282.fencing;
+  __isset = other282.__isset;
+}
+bucket_handover::bucket_handover(bucket_handover&& other283) noexcept {
+  customer = std::move(other283.customer);
+  tokens = other283.tokens;
+  outstanding = other283.outstanding;
+  fencing = other283.fencing;
+  __isset = other283.__isset;
+}
+bucket_handover& bucket_handover::operator=(const bucket_handover& other284) {
+  customer = other284.customer;
+  tokens = other284.tokens;
+  outstanding = other284.outstanding;
+  fencing = other284.fencing;
+  __isset = other284.__isset;
   return *this;
 }
-bucket_handover& bucket_handover::operator=(bucket_handover&& other271) noexcept {
-  customer = std::move(other271.customer);
-  tokens = other271.tokens;
-  outstanding = other271.outstanding;
-  fencing = other271.fencing;
-  __isset = other271.__isset;
+bucket_handover& bucket_handover::operator=(bucket_handover&& other285) noexcept {
+  customer = std::move(other285.customer);
+  tokens = other285.tokens;
+  outstanding = other285.outstanding;
+  fencing = other285.fencing;
+  __isset = other285.__isset;
   return *this;
 }
 void bucket_handover::printTo(std::ostream& out) const {
@@ -9125,26 +9461,26 @@
   swap(a.__isset, b.__isset);
 }
 
-bucket_handover_ack::bucket_handover_ack(const bucket_handover_ack& other272) {
-  customer = other272.customer;
-  taken = other272.taken;
-  __isset = other272.__isset;
+bucket_handover_ack::bucket_handover_ack(const bucket_handover_ack& other286) {
+  customer = other286.customer;
+  taken = other286.taken;
+  __isset = other286.__isset;
 }
-bucket_handover_ack::bucket_handover_ack(bucket_handover_ack&& other273) noexcept {
-  customer = std::move(other273.customer);
-  taken = other273.taken;
-  __isset = other273.__isset;
+bucket_handover_ack::bucket_handover_ack(bucket_handover_ack&& other287) noexcept {
+  customer = std::move(other287.customer);
+  taken = other287.taken;
+  __isset = other287.__isset;
 }
-bucket_handover_ack& bucket_handover_ack::operator=(const bucket_handover_ack& other274) {
-  customer = other274.customer;
-  taken = other274.taken;
-  __isset = other274.__isset;
+bucket_handover_ack& bucket_handover_ack::operator=(const bucket_handover_ack& other288) {
+  customer = other288.customer;
+  taken = other288.taken;
+  __isset = other288.__isset;
   return *this;
 }
-bucket_handover_ack& bucket_handover_ack::operator=(bucket_handover_ack&& other275) noexcept {
-  customer = std::move(other275.customer);
-  taken = other275.taken;
-  __isset = other275.__isset;
+bucket_handover_ack& bucket_handover_ack::operator=(bucket_handover_ack&& other289) noexcept {
+  customer = std::move(other289.customer);
+  taken = other289.taken;
+  __isset = other289.__isset;
   return *this;
 }
 void bucket_handover_ack::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -60,8 +60,10 @@
     config_fresh = 72,
     acceptor_status = 73,
     apply_report = 74,
+    feed_elsewhere = 75,
     bucket_handover = 80,
-    bucket_handover_ack = 81
+    bucket_handover_ack = 81,
+    stood_down = 82
   };
 };
 
@@ -212,6 +214,10 @@
 
 class apply_report;
 
+class feed_elsewhere;
+
+class stood_down;
+
 class bucket_handover;
 
 class bucket_handover_ack;
@@ -2937,14 +2943,19 @@
 std::ostream& operator<<(std::ostream& out, const claim_outcome_ack& obj);
 
 typedef struct _slot_request__isset {
-  _slot_request__isset() : service_name(false), model(false), remaining_ms(false), adapters(false), release(false) {}
+  _slot_request__isset() : service_name(false), model(false), remaining_ms(false), adapters(false), release(false), held(false), customer(false) {}
   bool service_name :1;
   bool model :1;
   bool remaining_ms :1;
   bool adapters :1;
   bool release :1;
+  bool held :1;
+  bool customer :1;
 } _slot_request__isset;
 
+/**
+ * held: the asker has a slot already, granted by an earlier holder of the queue.
+ */
 class slot_request : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2957,7 +2968,9 @@
                  model(),
                  remaining_ms(0),
                  adapters(0),
-                 release(0) {
+                 release(0),
+                 held(0),
+                 customer() {
   }
 
   virtual ~slot_request() noexcept;
@@ -2966,6 +2979,8 @@
   int64_t remaining_ms;
   int32_t adapters;
   bool release;
+  bool held;
+  std::string customer;
 
   _slot_request__isset __isset;
 
@@ -2979,6 +2994,10 @@
 
   void __set_release(const bool val);
 
+  void __set_held(const bool val);
+
+  void __set_customer(const std::string& val);
+
   bool operator == (const slot_request & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -2991,6 +3010,10 @@
       return false;
     if (!(release == rhs.release))
       return false;
+    if (!(held == rhs.held))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
     return true;
   }
   bool operator != (const slot_request &rhs) const {
@@ -3539,6 +3562,122 @@
 
 std::ostream& operator<<(std::ostream& out, const apply_report& obj);
 
+typedef struct _feed_elsewhere__isset {
+  _feed_elsewhere__isset() : addresses(false) {}
+  bool addresses :1;
+} _feed_elsewhere__isset;
+
+/**
+ * Answer to subscribe_config of a steward that feeds enough subscribers: other stewards to ask.
+ */
+class feed_elsewhere : public virtual ::apache::thrift::TBase {
+ public:
+
+  feed_elsewhere(const feed_elsewhere&);
+  feed_elsewhere(feed_elsewhere&&) noexcept;
+  feed_elsewhere& operator=(const feed_elsewhere&);
+  feed_elsewhere& operator=(feed_elsewhere&&) noexcept;
+  feed_elsewhere() noexcept {
+  }
+
+  virtual ~feed_elsewhere() noexcept;
+  std::vector<std::string>  addresses;
+
+  _feed_elsewhere__isset __isset;
+
+  void __set_addresses(const std::vector<std::string> & val);
+
+  bool operator == (const feed_elsewhere & rhs) const
+  {
+    if (!(addresses == rhs.addresses))
+      return false;
+    return true;
+  }
+  bool operator != (const feed_elsewhere &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const feed_elsewhere & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(feed_elsewhere &a, feed_elsewhere &b);
+
+std::ostream& operator<<(std::ostream& out, const feed_elsewhere& obj);
+
+typedef struct _stood_down__isset {
+  _stood_down__isset() : shard(false), holder(false), boot(false), fencing(false) {}
+  bool shard :1;
+  bool holder :1;
+  bool boot :1;
+  bool fencing :1;
+} _stood_down__isset;
+
+/**
+ * A deposed holder grants nothing any more for this shard; ends the halving of rates at its successor.
+ */
+class stood_down : public virtual ::apache::thrift::TBase {
+ public:
+
+  stood_down(const stood_down&);
+  stood_down(stood_down&&) noexcept;
+  stood_down& operator=(const stood_down&);
+  stood_down& operator=(stood_down&&) noexcept;
+  stood_down() noexcept
+             : shard(0),
+               holder(),
+               boot(0),
+               fencing(0) {
+  }
+
+  virtual ~stood_down() noexcept;
+  int32_t shard;
+  std::string holder;
+  int64_t boot;
+  int64_t fencing;
+
+  _stood_down__isset __isset;
+
+  void __set_shard(const int32_t val);
+
+  void __set_holder(const std::string& val);
+
+  void __set_boot(const int64_t val);
+
+  void __set_fencing(const int64_t val);
+
+  bool operator == (const stood_down & rhs) const
+  {
+    if (!(shard == rhs.shard))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(boot == rhs.boot))
+      return false;
+    if (!(fencing == rhs.fencing))
+      return false;
+    return true;
+  }
+  bool operator != (const stood_down &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const stood_down & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(stood_down &a, stood_down &b);
+
+std::ostream& operator<<(std::ostream& out, const stood_down& obj);
+
 typedef struct _bucket_handover__isset {
   _bucket_handover__isset() : customer(false), tokens(false), outstanding(false), fencing(false) {}
   bool customer :1;
