Add a thin steward: leases, configuration feed, buckets, replica sets, weight slots

The lease state machine, the configuration feed's freshness and the platform client stand in the core and the edge; the program joins them to links under one deciding thread.

--- /dev/null
+++ b/src/edge/platform_client.cpp
@@ -0,0 +1,146 @@
+#include "edge/platform_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace waxwinglb::edge {
+namespace {
+
+using core::common::milliseconds;
+using nlohmann::json;
+
+constexpr int status_precondition_failed = 412;
+constexpr int status_too_large = 413;
+
+/// The number inside an entity tag such as "17"; 0 if there is none.
+std::int64_t version_of(const std::vector<http_field>& headers) {
+    for (const http_field& field : headers) {
+        if (field.name != "etag")
+            continue;
+        std::string_view text{field.value};
+        while (!text.empty() && (text.front() < '0' || text.front() > '9'))
+            text.remove_prefix(1);
+        std::int64_t out = 0;
+        std::from_chars(text.data(), text.data() + text.size(), out);
+        return out;
+    }
+    return 0;
+}
+
+store_outcome outcome_of(const client_result& result, bool writes) {
+    if (result.outcome == client_outcome::not_sent)
+        return store_outcome::unavailable;
+    if (result.outcome == client_outcome::answered) {
+        if (result.status == 304)
+            return store_outcome::unchanged;
+        if (result.status >= 200 && result.status < 300)
+            return store_outcome::ok;
+        if (result.status == 404)
+            return store_outcome::absent;
+        if (result.status == status_precondition_failed)
+            return store_outcome::conflict;
+        if (result.status == status_too_large)
+            return store_outcome::too_large;
+    }
+    return writes ? store_outcome::unknown : store_outcome::unavailable;
+}
+
+std::string text_of(const json& object, const char* name) {
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
+}
+
+} // namespace
+
+std::optional<std::vector<listed_object>> decode_objects(const std::string& body) {
+    const json parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_array())
+        return std::nullopt;
+    std::vector<listed_object> out;
+    for (const json& one : parsed) {
+        if (!one.is_object() || !one.contains("version") || !one["version"].is_number_integer())
+            return std::nullopt;
+        out.push_back({text_of(one, "key"), one["version"].get<std::int64_t>()});
+    }
+    return out;
+}
+
+std::optional<std::vector<listed_vm>> decode_vms(const std::string& body) {
+    const json parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_array())
+        return std::nullopt;
+    std::vector<listed_vm> out;
+    for (const json& one : parsed) {
+        if (!one.is_object())
+            return std::nullopt;
+        out.push_back({text_of(one, "vm"), text_of(one, "data_centre"), text_of(one, "role"),
+                       text_of(one, "service"), text_of(one, "address"), text_of(one, "state") == "leaving"});
+    }
+    return out;
+}
+
+platform_client::platform_client(http_client& client, const std::string& address, milliseconds timeout)
+    : client_(client), base_("http://" + address), timeout_(timeout) {}
+
+client_request platform_client::make(const std::string& method, const std::string& path) const {
+    client_request out;
+    out.method = method;
+    out.url = base_ + path;
+    out.timeout = timeout_;
+    return out;
+}
+
+void platform_client::send(client_request request, on_answer done) {
+    const bool writes = request.method == "PUT" || request.method == "DELETE";
+    const std::string peer = request.url;
+    client_.send(std::move(request), [done = std::move(done), writes, peer](client_result&& result) {
+        store_answer out;
+        out.outcome = outcome_of(result, writes);
+        out.version = version_of(result.headers);
+        if (!out.heard())
+            out.why = result.outcome == client_outcome::answered
+                          ? core::common::error{writes ? "store.write" : "store.read", peer,
+                                                "status " + std::to_string(result.status)}
+                          : result.why;
+        out.body = std::move(result.body);
+        done(std::move(out));
+    });
+}
+
+void platform_client::read(const std::string& key, on_answer done) {
+    send(make("GET", "/objects/" + key), std::move(done));
+}
+
+void platform_client::watch(const std::string& key, std::int64_t version, milliseconds wait, on_answer done) {
+    client_request request = make("GET", "/objects/" + key + "?watch=" + std::to_string(version) +
+                                             "&wait_ms=" + std::to_string(wait.count()));
+    request.timeout = timeout_ + wait;
+    send(std::move(request), std::move(done));
+}
+
+void platform_client::list(const std::string& prefix, on_answer done) {
+    send(make("GET", "/objects?prefix=" + prefix), std::move(done));
+}
+
+void platform_client::put(const std::string& key, std::int64_t if_version, std::string body, on_answer done) {
+    client_request request = make("PUT", "/objects/" + key);
+    request.headers.push_back(if_version == 0
+                                  ? http_field{"If-None-Match", "*"}
+                                  : http_field{"If-Match", '"' + std::to_string(if_version) + '"'});
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.body = std::move(body);
+    send(std::move(request), std::move(done));
+}
+
+void platform_client::remove(const std::string& key, std::int64_t if_version, on_answer done) {
+    client_request request = make("DELETE", "/objects/" + key);
+    request.headers.push_back({"If-Match", '"' + std::to_string(if_version) + '"'});
+    send(std::move(request), std::move(done));
+}
+
+void platform_client::vms(on_answer done) {
+    send(make("GET", "/vms"), std::move(done));
+}
+
+} // namespace waxwinglb::edge
--- /dev/null
+++ b/src/edge/platform_client.hpp
@@ -0,0 +1,83 @@
+/// The platform's service over HTTP: versioned objects with conditional updates and watches, and the VM list.
+///
+/// Nothing is sent twice on purpose. A PUT that ends as `unknown` may have taken effect or may yet do so; its
+/// sender settles that by reading the object again.
+#pragma once
+
+#include "core/common/error.hpp"
+#include "core/common/time.hpp"
+#include "edge/http_client.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwinglb::edge {
+
+enum class store_outcome {
+    ok,          // carried out; `version` and, for reads, `body` are set
+    absent,      // no such object
+    unchanged,   // a watch ended without a change
+    conflict,    // the condition failed; a repeated PUT may meet its own first effect here
+    too_large,   // value over the store's limit
+    unavailable, // for certain without effect: never sent, or a read that failed
+    unknown,     // a write whose answer is lost
+};
+
+struct store_answer {
+    store_outcome outcome = store_outcome::unavailable;
+    std::int64_t version = 0; // 0: absent
+    std::string body;
+    core::common::error why; // set for unavailable and unknown
+
+    /// True if the store itself spoke, whatever it said.
+    [[nodiscard]] bool heard() const {
+        return outcome != store_outcome::unavailable && outcome != store_outcome::unknown;
+    }
+};
+
+struct listed_object {
+    std::string key;
+    std::int64_t version = 0;
+};
+
+/// One line of the platform's VM list; it lags behind what happens.
+struct listed_vm {
+    std::string vm;
+    std::string data_centre;
+    std::string role;    // target, steward, router or admin
+    std::string service; // targets only
+    std::string address; // "ip:port" of the process's links
+    bool leaving = false;
+};
+
+/// Decoders of the platform's JSON lists; empty optional if malformed.
+[[nodiscard]] std::optional<std::vector<listed_object>> decode_objects(const std::string& body);
+[[nodiscard]] std::optional<std::vector<listed_vm>> decode_vms(const std::string& body);
+
+class platform_client {
+public:
+    using on_answer = std::function<void(store_answer&&)>; // on the client's thread; must not block
+
+    /// `address` is the platform's "ip:port"; `timeout` bounds each call, besides a watch's own wait.
+    platform_client(http_client& client, const std::string& address, core::common::milliseconds timeout);
+
+    void read(const std::string& key, on_answer done);
+    void watch(const std::string& key, std::int64_t version, core::common::milliseconds wait, on_answer done);
+    void list(const std::string& prefix, on_answer done);
+    void put(const std::string& key, std::int64_t if_version, std::string body, on_answer done); // 0: create
+    void remove(const std::string& key, std::int64_t if_version, on_answer done);
+    void vms(on_answer done);
+
+private:
+    void send(client_request request, on_answer done);
+    [[nodiscard]] client_request make(const std::string& method, const std::string& path) const;
+
+    http_client& client_;
+    std::string base_;
+    core::common::milliseconds timeout_;
+};
+
+} // namespace waxwinglb::edge
--- /dev/null
+++ b/src/programs/steward/replicas.cpp
@@ -0,0 +1,453 @@
+#include "programs/steward/replicas.hpp"
+
+#include "core/membership/shard.hpp"
+
+#include <algorithm>
+
+namespace waxwinglb::programs::steward {
+
+using core::common::milliseconds;
+using core::common::time_point;
+using core::placement::member;
+using core::placement::member_state;
+using core::placement::order_outcome;
+using kind = wire::message_kind;
+using nlohmann::json;
+
+namespace {
+
+constexpr milliseconds retry_if_unknown{500}; // a model that this copy of the configuration doesn't have
+constexpr milliseconds retry_if_no_target{2'000};
+constexpr milliseconds load_estimate_fallback{5'000}; // models without a load estimate
+constexpr milliseconds order_deadline{60'000};        // of a load, for its agent
+
+std::optional<member_state> member_state_of(const std::string& text) {
+    if (text == "loading")
+        return member_state::loading;
+    if (text == "loaded")
+        return member_state::loaded;
+    if (text == "unloading")
+        return member_state::unloading;
+    return std::nullopt;
+}
+
+order_outcome::kind outcome_of(const wire::order_result& result) {
+    if (result.reason != wire::refusal::none)
+        return order_outcome::kind::refused;
+    if (result.state == "loading")
+        return order_outcome::kind::loading;
+    if (result.state == "loaded")
+        return order_outcome::kind::loaded;
+    if (result.state == "unloading")
+        return order_outcome::kind::unloading;
+    return result.state == "unloaded" ? order_outcome::kind::unloaded : order_outcome::kind::refused;
+}
+
+const char* text_of(member_state state) {
+    switch (state) {
+    case member_state::ordered:
+        return "ordered";
+    case member_state::loading:
+        return "loading";
+    case member_state::loaded:
+        return "loaded";
+    case member_state::unloading:
+        return "unloading";
+    }
+    return "unknown";
+}
+
+const wire::loaded_model* find_model(const wire::target_report& report, const std::string& model) {
+    const auto found = std::find_if(report.models.begin(), report.models.end(),
+                                    [&](const wire::loaded_model& one) { return one.model == model; });
+    return found == report.models.end() ? nullptr : &*found;
+}
+
+/// What changes without anybody having to know: times and loads.
+bool same_view(const wire::replica_view& a, const wire::replica_view& b) {
+    const auto same = [](const wire::replica& x, const wire::replica& y) {
+        return x.target == y.target && x.address == y.address && x.state == y.state &&
+               x.adapters == y.adapters;
+    };
+    return a.decision == b.decision && a.fencing == b.fencing && a.reason == b.reason &&
+           a.quarantined.size() == b.quarantined.size() &&
+           std::equal(a.replicas.begin(), a.replicas.end(), b.replicas.begin(), b.replicas.end(), same);
+}
+
+} // namespace
+
+int replica_service::shard_of(const set_name& name) const {
+    return core::membership::shard_of(core::membership::replica_set_name(name.service, name.model),
+                                      context_.settings.control_shards);
+}
+
+void replica_service::acquired(int shard, const json& state, std::int64_t fencing) {
+    std::erase_if(sets_, [&](const auto& one) { return one.second.shard == shard; });
+    fencing_[shard] = fencing;
+    const auto sets = state.find("sets");
+    if (sets == state.end() || !sets->is_object())
+        return;
+    for (const auto& [key, value] : sets->items()) {
+        const auto slash = key.find('/');
+        if (slash == std::string::npos || !value.contains("set"))
+            continue;
+        auto decoded = core::placement::replica_set::decode(value["set"]);
+        if (!decoded) {
+            log_->error("replica set {} in shard {} can't be read", key, shard);
+            continue;
+        }
+        set_entry& entry = entry_of({key.substr(0, slash), key.substr(slash + 1)});
+        entry.set = std::move(*decoded);
+        if (value.contains("gaps"))
+            entry.gaps.decode(value["gaps"]);
+    }
+}
+
+void replica_service::stored(int shard, std::int64_t generation, time_point now) {
+    (void)now;
+    for (auto& [name, entry] : sets_) {
+        if (entry.shard != shard || entry.awaited == 0 || entry.awaited > generation)
+            continue;
+        entry.awaited = 0;
+        entry.set.stored(entry.proposed.number);
+        entry.dirty = true;
+        context_.program.timeline.add(edge::event_kind::load, name.text(), "decision stored",
+                                      "decision " + std::to_string(entry.set.current().number));
+    }
+}
+
+void replica_service::lost(int shard, time_point now) {
+    (void)now;
+    std::erase_if(sets_, [&](const auto& one) { return one.second.shard == shard; });
+    fencing_.erase(shard);
+}
+
+void replica_service::encode(int shard, json& state) const {
+    json sets = json::object();
+    for (const auto& [name, entry] : sets_) {
+        if (entry.shard != shard || name.model.empty())
+            continue;
+        const core::placement::decision& newest = entry.set.open() ? entry.proposed : entry.set.current();
+        if (newest.number > 0)
+            sets[name.text()] = {{"set", entry.set.encode(newest)}, {"gaps", entry.gaps.encode()}};
+    }
+    state["sets"] = std::move(sets);
+}
+
+replica_service::set_entry& replica_service::entry_of(const set_name& name) {
+    const auto [found, made] = sets_.try_emplace(name);
+    if (made)
+        found->second.shard = shard_of(name);
+    return found->second;
+}
+
+const core::config::model* replica_service::model_of(const set_name& name) const {
+    const auto found = context_.state().models.find(name.text());
+    return found == context_.state().models.end() ? nullptr : &found->second;
+}
+
+void replica_service::view(const edge::link_event& event, const wire::view_request& request, int shard,
+                           time_point now) {
+    (void)shard;
+    const set_name name{request.service_name, request.model};
+    const bool known =
+        name.model.empty() ? context_.state().services.contains(name.service) : model_of(name) != nullptr;
+    if (!known) {
+        wire::replica_view out;
+        out.__set_service_name(name.service);
+        out.__set_model(name.model);
+        out.__set_reason(wire::refusal::not_fresh);
+        out.__set_retry_after_ms(retry_if_unknown.count());
+        return context_.links.send(event.link, kind::replica_view, event.frame.header.call, out);
+    }
+    set_entry& entry = entry_of(name);
+    entry.subscribers[event.link] = {now, event.frame.header.call, event.peer.process};
+    core::placement::waiting work;
+    work.oldest_remaining = core::common::duration::max();
+    for (const wire::waiting_work& one : request.waiting) {
+        work.requests += one.requests;
+        work.tokens += one.tokens;
+        work.oldest_remaining =
+            std::min<core::common::duration>(work.oldest_remaining, milliseconds{one.oldest_remaining_ms});
+    }
+    entry.set.note_waiting(now, event.peer.process, work);
+    if (work.requests > 0 || request.served_since > 0)
+        note_use(entry, name, now);
+    if (work.requests > 0 && entry.customer.empty())
+        entry.customer = request.waiting.front().customer;
+    entry.dirty = true;
+    const wire::replica_view out = make_view(name, entry, now);
+    context_.links.send(event.link, kind::replica_view, event.frame.header.call, out);
+}
+
+/// One gap is the time from the end of a busy spell to the next use.
+void replica_service::note_use(set_entry& entry, const set_name& name, time_point now) {
+    (void)name;
+    if (entry.used_at != time_point{} && now - entry.used_at > milliseconds{1'000})
+        entry.gaps.add(now - entry.used_at);
+    entry.used_at = now;
+}
+
+void replica_service::reported(const target_entry& target, time_point now) {
+    const wire::target_report& report = *target.report;
+    for (auto& [name, entry] : sets_) {
+        if (name.service != target.listed.service)
+            continue;
+        entry.dirty = true;
+        if (name.model.empty() || entry.set.find(report.target) == nullptr)
+            continue;
+        const wire::loaded_model* model = find_model(report, name.model);
+        const auto state = model == nullptr ? std::nullopt : member_state_of(model->state);
+        if (state)
+            entry.set.on_report(report.target, *state, milliseconds{model->idle_ms});
+        else
+            entry.set.on_unknown(report.target);
+        if (model != nullptr && model->idle_ms < milliseconds{1'000}.count())
+            note_use(entry, name, now);
+        if (state == member_state::loaded)
+            slots_.release(name.service, name.model, report.target, now);
+    }
+}
+
+void replica_service::answered(const wire::order_result& result, const std::string& service, time_point now) {
+    const auto found = sets_.find({service, result.model});
+    if (found == sets_.end())
+        return;
+    const auto outcome = outcome_of(result);
+    found->second.set.on_outcome({result.target, result.decision, outcome});
+    found->second.dirty = true;
+    if (outcome != order_outcome::kind::loading)
+        slots_.release(service, result.model, result.target, now);
+    context_.program.timeline.add(edge::event_kind::load, found->first.text(),
+                                  result.target + " answers " + result.state + " " + result.detail,
+                                  "decision " + std::to_string(result.decision));
+}
+
+void replica_service::link_closed(edge::link_id link) {
+    for (auto& [name, entry] : sets_)
+        entry.subscribers.erase(link);
+}
+
+std::vector<set_name> replica_service::tick(const std::function<bool(int)>& may_decide, time_point now) {
+    std::vector<set_name> changed;
+    for (auto& [name, entry] : sets_) {
+        const bool due = entry.dirty || now - entry.planned_at >= plan_every;
+        if (due && may_decide(entry.shard)) {
+            entry.planned_at = now;
+            if (!name.model.empty() && plan(name, entry, now))
+                changed.push_back(name);
+            if (!name.model.empty())
+                send_orders(name, entry, now);
+        }
+        if (due || now - entry.sent_at >= view_again)
+            push_views(name, entry, now);
+        entry.dirty = false;
+    }
+    return changed;
+}
+
+void replica_service::awaiting(const set_name& name, std::int64_t generation) {
+    entry_of(name).awaited = generation;
+}
+
+bool replica_service::plan(const set_name& name, set_entry& entry, time_point now) {
+    const core::config::model* model = model_of(name);
+    const auto targets = targets_.views(name.service, now);
+    core::placement::plan_input input;
+    input.targets = targets;
+    input.max_replicas = model == nullptr ? 0 : model->max_replicas; // withdrawn: unload what is left
+    if (model != nullptr) {
+        input.bytes = model->bytes;
+        const auto load_time =
+            model->load_estimate.count() > 0 ? model->load_estimate : load_estimate_fallback;
+        input.times = {load_time, load_time, load_time + slots_.estimate()};
+    }
+    const auto preset = context_.state().presets.find(context_.state().preset_in_force);
+    core::placement::idle_cost cost;
+    cost.load_time = input.times.remote;
+    cost.max_idle = core::config::preset{}.max_idle;
+    if (preset != context_.state().presets.end()) {
+        input.spare_replicas = preset->second.spare_replicas;
+        cost.idle_price = preset->second.idle_price;
+        cost.max_idle = preset->second.max_idle;
+    }
+    input.idle_limit = core::placement::idle_limit(entry.gaps, cost);
+    for (const member& one : entry.set.current().members) {
+        const target_entry* target = targets_.find(one.target);
+        if (one.state != member_state::loaded || target == nullptr || !target->report)
+            continue;
+        input.load.running += target->report->load.running;
+        input.load.waiting += target->report->load.waiting;
+        input.load.limit += target->report->load.limit;
+    }
+    auto proposed = entry.set.plan(now, input);
+    if (!proposed)
+        return false;
+    entry.proposed = std::move(*proposed);
+    std::string list;
+    for (const member& one : entry.proposed.members)
+        list += (list.empty() ? "" : ", ") + one.target +
+                (one.wanted == core::placement::intent::unload ? " (unload)" : "");
+    context_.program.timeline.add(edge::event_kind::load, name.text(), "decided: " + list,
+                                  "decision " + std::to_string(entry.proposed.number));
+    return true;
+}
+
+void replica_service::send_orders(const set_name& name, set_entry& entry, time_point now) {
+    const auto targets = targets_.views(name.service, now);
+    for (const core::placement::order& order : entry.set.orders(now, targets)) {
+        entry.due_orders[order.target] = order;
+    }
+    for (auto one = entry.due_orders.begin(); one != entry.due_orders.end();) {
+        const core::placement::order& order = one->second;
+        const target_entry* target = targets_.find(order.target);
+        const member* current = entry.set.find(order.target);
+        const bool still = current != nullptr && current->since == order.decision && target != nullptr &&
+                           target->report && target->report->boot == order.boot;
+        const bool needs_slot = order.kind == core::placement::intent::load;
+        if (still && needs_slot && current->state == member_state::ordered &&
+            !slots_.granted({name.service, name.model, order.target, entry.customer, order_deadline}, now)) {
+            ++one;
+            continue;
+        }
+        if (still)
+            send_order(name, order, *target, now);
+        one = entry.due_orders.erase(one);
+    }
+    for (const member& one : entry.set.current().members)
+        if (one.wanted == core::placement::intent::load && one.state == member_state::loading)
+            slots_.granted({name.service, name.model, one.target, entry.customer, order_deadline}, now);
+}
+
+void replica_service::send_order(const set_name& name, const core::placement::order& order,
+                                 const target_entry& target, time_point now) {
+    (void)now;
+    const core::config::model* model = model_of(name);
+    const std::int64_t fencing = fencing_.at(shard_of(name));
+    if (order.kind == core::placement::intent::unload) {
+        wire::unload_order out;
+        out.__set_model(name.model);
+        out.__set_version(model == nullptr ? "" : model->version);
+        out.__set_decision(order.decision);
+        out.__set_fencing(fencing);
+        return context_.links.send(target.link, kind::unload_order, context_.next_call(), out);
+    }
+    if (model == nullptr)
+        return;
+    wire::load_order out;
+    out.__set_model(name.model);
+    out.__set_version(model->version);
+    out.__set_decision(order.decision);
+    out.__set_fencing(fencing);
+    out.__set_bytes(model->bytes);
+    out.__set_remaining_ms(order_deadline.count());
+    context_.links.send(target.link, kind::load_order, context_.next_call(), out);
+}
+
+wire::replica_view replica_service::make_view(const set_name& name, const set_entry& entry,
+                                              time_point now) const {
+    wire::replica_view out;
+    out.__set_service_name(name.service);
+    out.__set_model(name.model);
+    out.__set_valid_ms(view_valid.count());
+    const auto fencing = fencing_.find(entry.shard);
+    out.__set_fencing(fencing == fencing_.end() ? 0 : fencing->second);
+    if (name.model.empty())
+        add_plain(name, out, now);
+    else
+        add_members(name, entry, out, now);
+    if (quarantined)
+        out.__set_quarantined(quarantined(name.service));
+    const bool any = std::any_of(out.replicas.begin(), out.replicas.end(),
+                                 [](const wire::replica& one) { return one.state == "loaded"; });
+    if (any)
+        return out;
+    out.__set_estimate_ms(core::common::to_wire_ms(estimate(name, entry, now)));
+    const auto targets = targets_.views(name.service, now);
+    if (std::none_of(targets.begin(), targets.end(), [](const auto& one) { return one.usable(); })) {
+        out.__set_reason(wire::refusal::overloaded);
+        out.__set_retry_after_ms(retry_if_no_target.count());
+    }
+    return out;
+}
+
+void replica_service::add_plain(const set_name& name, wire::replica_view& out, time_point now) const {
+    for (const auto& view : targets_.views(name.service, now)) {
+        if (!view.usable())
+            continue;
+        const target_entry& target = *targets_.find(view.target);
+        wire::replica one;
+        one.__set_target(view.target);
+        one.__set_address(target.listed.address);
+        one.__set_data_centre(view.data_centre);
+        one.__set_state("loaded");
+        one.__set_load(target.report->load);
+        out.replicas.push_back(std::move(one));
+    }
+}
+
+void replica_service::add_members(const set_name& name, const set_entry& entry, wire::replica_view& out,
+                                  time_point now) const {
+    out.__set_decision(entry.set.current().number);
+    for (const auto& view : targets_.views(name.service, now)) {
+        const member* found = entry.set.find(view.target);
+        if (found == nullptr || found->wanted != core::placement::intent::load || !view.usable())
+            continue;
+        const target_entry& target = *targets_.find(view.target);
+        wire::replica one;
+        one.__set_target(view.target);
+        one.__set_address(target.listed.address);
+        one.__set_data_centre(view.data_centre);
+        one.__set_state(text_of(found->state));
+        one.__set_load(target.report->load);
+        if (const wire::loaded_model* model = find_model(*target.report, name.model))
+            one.__set_adapters(model->adapters);
+        out.replicas.push_back(std::move(one));
+    }
+}
+
+/// Expected time until a replica serves: its load, and the queue before the weight store.
+core::common::duration replica_service::estimate(const set_name& name, const set_entry& entry,
+                                                 time_point now) const {
+    (void)entry;
+    (void)now;
+    const core::config::model* model = model_of(name);
+    if (model == nullptr)
+        return {};
+    const auto load_time = model->load_estimate.count() > 0 ? model->load_estimate : load_estimate_fallback;
+    return load_time + slots_.estimate();
+}
+
+void replica_service::push_views(const set_name& name, set_entry& entry, time_point now) {
+    std::erase_if(entry.subscribers,
+                  [&](const auto& one) { return now - one.second.asked_at > view_subscribed; });
+    wire::replica_view out = make_view(name, entry, now);
+    const bool again = now - entry.sent_at >= view_again;
+    if (!again && same_view(out, entry.sent))
+        return;
+    entry.sent_at = now;
+    for (const auto& [link, subscriber] : entry.subscribers)
+        context_.links.send(link, kind::replica_view, subscriber.call, out);
+    entry.sent = std::move(out);
+}
+
+std::set<std::string> replica_service::services() const {
+    std::set<std::string> out;
+    for (const auto& [name, service] : context_.state().services)
+        if (service.kind == core::config::service_kind::plain && fencing_.contains(shard_of({name, ""})))
+            out.insert(name);
+    for (const auto& [key, model] : context_.state().models)
+        if (fencing_.contains(shard_of({model.service, model.name})))
+            out.insert(model.service);
+    for (const auto& [name, entry] : sets_)
+        out.insert(name.service); // sets of models that were withdrawn meanwhile
+    return out;
+}
+
+void replica_service::quarantine_changed(const std::string& service) {
+    for (auto& [name, entry] : sets_)
+        if (name.service == service)
+            entry.dirty = true;
+}
+
+} // namespace waxwinglb::programs::steward
--- /dev/null
+++ b/src/programs/steward/steward.hpp
@@ -0,0 +1,75 @@
+/// The deciding thread of waxwing-steward: reads the ring, calls the core, carries out what it decides.
+#pragma once
+
+#include "programs/steward/buckets.hpp"
+#include "programs/steward/context.hpp"
+#include "programs/steward/events.hpp"
+#include "programs/steward/feed_service.hpp"
+#include "programs/steward/replicas.hpp"
+#include "programs/steward/shards.hpp"
+#include "programs/steward/slots.hpp"
+#include "programs/steward/targets.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace waxwinglb::programs::steward {
+
+constexpr core::common::milliseconds tick_every{25};       // granularity of all timers
+constexpr core::common::milliseconds stop_within{5'000};   // longest planned stop
+constexpr core::common::milliseconds located_valid{1'000}; // for how long an asker may keep a location
+
+/// Listens, connects and runs until the process is asked to stop; returns the exit code.
+int run_steward(const steward_settings& settings, edge::program_context& program);
+
+class steward {
+public:
+    steward(steward_context& context, event_ring& events);
+
+    void run(); // until stopping and handed over
+
+private:
+    void take(edge::link_event&& event, core::common::time_point now);
+    void take(store_event&& event, core::common::time_point now);
+    void take(const page_event& event, core::common::time_point now);
+    void take_message(const edge::link_event& event, core::common::time_point now);
+    bool take_config_message(const edge::link_event& event, core::common::time_point now);
+    bool take_shard_message(const edge::link_event& event, core::common::time_point now);
+    bool take_agent_message(const edge::link_event& event, core::common::time_point now);
+
+    void tick(core::common::time_point now);
+    void take_changes(core::common::time_point now);
+    void take_change(const shard_change& change, core::common::time_point now);
+    void store_changes(core::common::time_point now);
+    void connect_stewards();
+    void announce(int shard);
+    void locate(const edge::link_event& event, const wire::locate_request& request,
+                core::common::time_point now);
+    void refuse_not_holder(const edge::link_event& event, int shard);
+    [[nodiscard]] int live_stewards() const;
+    [[nodiscard]] std::string encode_state(int shard, bool stopping, core::common::time_point now);
+    [[nodiscard]] std::string holder_address(int shard) const;
+    template<class body_type, class handler>
+    bool with(const edge::link_event& event, handler&& handle);
+    /// Like with(), for the holder of the shard that `name_of(body)` belongs to.
+    template<class body_type, class naming, class handler>
+    bool with_shard(const edge::link_event& event, naming&& name_of, handler&& handle);
+
+    steward_context& context_;
+    event_ring& events_;
+    edge::logger log_ = edge::make_logger("steward");
+    feed_service feed_;
+    target_table targets_;
+    slot_service slots_;
+    slot_client own_slots_;
+    bucket_service buckets_;
+    replica_service replicas_;
+    shard_keeper keeper_;
+    int slots_shard_;
+    std::map<edge::link_id, wire::hello> peers_;         // open links
+    std::map<std::string, edge::link_id> steward_links_; // outbound, by address
+    std::set<edge::link_id> connected_;                  // of those, the open ones
+};
+
+} // namespace waxwinglb::programs::steward
--- /dev/null
+++ b/src/programs/steward/targets.cpp
@@ -0,0 +1,169 @@
+#include "programs/steward/targets.hpp"
+
+#include <algorithm>
+
+namespace waxwinglb::programs::steward {
+
+using core::common::time_point;
+using core::placement::target_view;
+
+void target_table::tick(time_point now) {
+    if (listing_ || now - listed_at_ < vm_list_every)
+        return;
+    listing_ = true;
+    listed_at_ = now;
+    store_event tag;
+    tag.call = store_call::vm_list;
+    tag.asked_at = now;
+    context_.platform.vms(std::move(tag));
+}
+
+void target_table::take(const store_event& event, time_point now) {
+    listing_ = false;
+    if (event.answer.outcome != edge::store_outcome::ok)
+        return;
+    if (const auto listed = edge::decode_vms(event.answer.body))
+        merge(*listed, now);
+}
+
+void target_table::merge(const std::vector<edge::listed_vm>& listed, time_point now) {
+    list_heard_at_ = now;
+    stewards_.clear();
+    std::set<std::string> present;
+    for (const edge::listed_vm& one : listed) {
+        vms_seen_[one.vm] = now;
+        if (one.role == "steward")
+            stewards_.push_back(one);
+        if (one.role != "target" || one.address.empty())
+            continue;
+        present.insert(one.address);
+        target_entry& entry = by_address_[one.address];
+        entry.listed = one;
+        entry.on_list = true;
+    }
+    for (auto& [address, entry] : by_address_)
+        if (entry.on_list && !present.contains(address)) {
+            entry.on_list = false;
+            entry.off_list_since = now;
+        }
+    connect_wanted();
+}
+
+void target_table::watch_services(const std::set<std::string>& services) {
+    if (services == services_)
+        return;
+    services_ = services;
+    connect_wanted();
+}
+
+void target_table::connect_wanted() {
+    for (auto& [address, entry] : by_address_) {
+        // An agent that left the list keeps its link while it answers: the list may be wrong.
+        const bool wanted = services_.contains(entry.listed.service) && (entry.on_list || entry.link_open);
+        if (wanted && entry.link == 0) {
+            entry.link = context_.links.connect(address);
+            links_[entry.link] = address;
+        } else if (!wanted && entry.link != 0) {
+            context_.links.disconnect(entry.link);
+            links_.erase(entry.link);
+            entry.link = 0;
+            entry.link_open = false;
+        }
+    }
+}
+
+bool target_table::link_opened(edge::link_id link) {
+    const auto found = links_.find(link);
+    if (found == links_.end())
+        return false;
+    by_address_[found->second].link_open = true;
+    wire::watch_target watch;
+    watch.__set_steward(context_.self.holder);
+    context_.links.send(link, wire::message_kind::watch_target, context_.next_call(), watch);
+    return true;
+}
+
+bool target_table::link_closed(edge::link_id link) {
+    const auto found = links_.find(link);
+    if (found == links_.end())
+        return false;
+    by_address_[found->second].link_open = false;
+    return true;
+}
+
+const target_entry* target_table::reported(edge::link_id link, wire::target_report report, time_point now) {
+    const auto found = links_.find(link);
+    if (found == links_.end())
+        return nullptr;
+    target_entry& entry = by_address_[found->second];
+    const bool same_process = entry.report && entry.report->boot == report.boot;
+    if (same_process && report.sequence < entry.report->sequence)
+        return nullptr; // overtaken by a newer one
+    by_name_[report.target] = found->second;
+    entry.report = std::move(report);
+    entry.reported_at = now;
+    return &entry;
+}
+
+const target_entry* target_table::find(const std::string& target) const {
+    const auto name = by_name_.find(target);
+    if (name == by_name_.end())
+        return nullptr;
+    const auto found = by_address_.find(name->second);
+    return found == by_address_.end() ? nullptr : &found->second;
+}
+
+const target_entry* target_table::on_link(edge::link_id link) const {
+    const auto found = links_.find(link);
+    return found == links_.end() ? nullptr : &by_address_.at(found->second);
+}
+
+std::vector<target_view> target_table::views(const std::string& service, time_point now) const {
+    std::vector<target_view> out;
+    for (const auto& [address, entry] : by_address_) {
+        if (entry.listed.service != service || !entry.report)
+            continue;
+        const wire::target_report& report = *entry.report;
+        target_view view;
+        view.target = report.target;
+        view.vm = entry.listed.vm;
+        view.data_centre = entry.listed.data_centre;
+        view.boot = report.boot;
+        view.memory_bytes = report.memory_bytes;
+        view.free_bytes = report.free_bytes;
+        view.running = report.load.running;
+        view.limit = std::max(1, report.load.limit);
+        view.reachable = entry.reachable(now);
+        view.draining = report.draining || report.load.draining;
+        view.leaving = entry.on_list && entry.listed.leaving;
+        view.gone = vm_gone(entry.listed.vm, now);
+        view.out = data_centre_out(entry.listed.data_centre);
+        for (const wire::loaded_model& model : report.models)
+            view.residents.push_back({service + "/" + model.model, model.bytes,
+                                      model.state != "loaded" || model.idle_ms == 0, 0,
+                                      core::common::duration::zero()});
+        out.push_back(std::move(view));
+    }
+    return out;
+}
+
+/// Only a list that was heard can show a VM's absence, and only past the list's lag.
+bool target_table::vm_gone(const std::string& vm, time_point now) const {
+    const auto seen = vms_seen_.find(vm);
+    if (seen == vms_seen_.end())
+        return false; // never seen: the list may lag behind its start
+    (void)now;
+    return list_heard_at_ - seen->second > context_.settings.vm_list_lag;
+}
+
+std::vector<edge::listed_vm> target_table::stewards() const {
+    return stewards_;
+}
+
+bool target_table::data_centre_out(const std::string& name) const {
+    const auto found = context_.state().data_centres.find(name);
+    return found != context_.state().data_centres.end() &&
+           found->second.state == core::config::data_centre_state::out;
+}
+
+} // namespace waxwinglb::programs::steward
