Let a handler end a connection without an answer

Cause: a stand-in has to show an answer lost after its write took effect. Change: http_exchange::cut() closes the connection; the caller sees no status line.

--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -66,6 +66,14 @@
     return true;
 }
 
+void http_exchange::cut() {
+    const std::scoped_lock hold{mutex_};
+    if (answer_)
+        return;
+    cut_ = true;
+    resume();
+}
+
 bool http_exchange::caller_gone() const {
     const std::scoped_lock hold{mutex_};
     return gone_;
@@ -73,6 +81,8 @@
 
 int http_exchange::queue_or_suspend() {
     const std::scoped_lock hold{mutex_};
+    if (cut_)
+        return MHD_NO;
     if (answer_)
         return queue();
     suspended_ = true;
--- a/src/edge/http_server.hpp
+++ b/src/edge/http_server.hpp
@@ -47,6 +47,7 @@
     bool write_stream(std::string_view data);                       // false: caller gone or too slow
     void end_stream() { finish(false); }                            // whole answer sent
     void abort_stream() { finish(true); }                           // cuts: caller sees a truncated body
+    void cut();                                                     // closes without any answer
     [[nodiscard]] bool caller_gone() const;                         // connection ended early
 
     http_exchange(MHD_Connection* connection, std::size_t max_unsent) // made by the server only
@@ -73,6 +74,7 @@
     bool streaming_ = false;
     bool stream_ended_ = false;
     bool stream_cut_ = false;
+    bool cut_ = false; // the connection ends instead of an answer
     bool suspended_ = false;
     bool gone_ = false;
 };
