--- a/src/programs/steward/replicas.cpp
+++ b/src/programs/steward/replicas.cpp
@@ -10,7 +10,7 @@
 using core::common::time_point;
 using core::placement::member;
 using core::placement::member_state;
-using core::placement::order_outcome;
+using core::placement::order_result;
 using kind = wire::message_kind;
 using nlohmann::json;
 
@@ -31,21 +31,21 @@
     return std::nullopt;
 }
 
-order_outcome::kind outcome_of(const wire::order_result& result) {
+order_result outcome_of(const wire::order_result& result) {
     if (result.reason != wire::refusal::none)
-        return order_outcome::kind::refused;
+        return order_result::refused;
     if (result.state == "loading")
-        return order_outcome::kind::loading;
+        return order_result::loading;
     if (result.state == "loaded")
-        return order_outcome::kind::loaded;
+        return order_result::loaded;
     if (result.state == "unloading")
-        return order_outcome::kind::unloading;
-    return result.state == "unloaded" ? order_outcome::kind::unloaded : order_outcome::kind::refused;
+        return order_result::unloading;
+    return result.state == "unloaded" ? order_result::unloaded : order_result::refused;
 }
 
 const char* text_of(member_state state) {
     switch (state) {
-    case member_state::ordered:
+    case member_state::unknown:
         return "ordered";
     case member_state::loading:
         return "loading";
@@ -63,6 +63,13 @@
     return found == report.models.end() ? nullptr : &*found;
 }
 
+const member* find_member(const core::placement::replica_set& set, const std::string& target) {
+    const auto& members = set.current().members;
+    const auto found =
+        std::find_if(members.begin(), members.end(), [&](const member& one) { return one.target == target; });
+    return found == members.end() ? nullptr : &*found;
+}
+
 /// What changes without anybody having to know: times and loads.
 bool same_view(const wire::replica_view& a, const wire::replica_view& b) {
     const auto same = [](const wire::replica& x, const wire::replica& y) {
@@ -129,7 +136,8 @@
             continue;
         const core::placement::decision& newest = entry.set.open() ? entry.proposed : entry.set.current();
         if (newest.number > 0)
-            sets[name.text()] = {{"set", entry.set.encode(newest)}, {"gaps", entry.gaps.encode()}};
+            sets[name.text()] = {{"set", core::placement::replica_set::encode(newest)},
+                                 {"gaps", entry.gaps.encode()}};
     }
     state["sets"] = std::move(sets);
 }
@@ -162,7 +170,7 @@
     }
     set_entry& entry = entry_of(name);
     entry.subscribers[event.link] = {now, event.frame.header.call, event.peer.process};
-    core::placement::waiting work;
+    core::placement::waiting_work work;
     work.oldest_remaining = core::common::duration::max();
     for (const wire::waiting_work& one : request.waiting) {
         work.requests += one.requests;
@@ -194,14 +202,12 @@
         if (name.service != target.listed.service)
             continue;
         entry.dirty = true;
-        if (name.model.empty() || entry.set.find(report.target) == nullptr)
+        if (name.model.empty() || find_member(entry.set, report.target) == nullptr)
             continue;
         const wire::loaded_model* model = find_model(report, name.model);
         const auto state = model == nullptr ? std::nullopt : member_state_of(model->state);
-        if (state)
-            entry.set.on_report(report.target, *state, milliseconds{model->idle_ms});
-        else
-            entry.set.on_unknown(report.target);
+        entry.set.on_report(report.target, state.value_or(member_state::unknown),
+                            milliseconds{model == nullptr ? 0 : model->idle_ms});
         if (model != nullptr && model->idle_ms < milliseconds{1'000}.count())
             note_use(entry, name, now);
         if (state == member_state::loaded)
@@ -214,9 +220,9 @@
     if (found == sets_.end())
         return;
     const auto outcome = outcome_of(result);
-    found->second.set.on_outcome({result.target, result.decision, outcome});
+    found->second.set.on_outcome(now, {result.target, result.decision, outcome});
     found->second.dirty = true;
-    if (outcome != order_outcome::kind::loading)
+    if (outcome != order_result::loading)
         slots_.release(service, result.model, result.target, now);
     context_.program.timeline.add(edge::event_kind::load, found->first.text(),
                                   result.target + " answers " + result.state + " " + result.detail,
@@ -258,6 +264,7 @@
     input.max_replicas = model == nullptr ? 0 : model->max_replicas; // withdrawn: unload what is left
     if (model != nullptr) {
         input.bytes = model->bytes;
+        input.version = model->version;
         const auto load_time =
             model->load_estimate.count() > 0 ? model->load_estimate : load_estimate_fallback;
         input.times = {load_time, load_time, load_time + slots_.estimate()};
@@ -272,14 +279,7 @@
         cost.max_idle = preset->second.max_idle;
     }
     input.idle_limit = core::placement::idle_limit(entry.gaps, cost);
-    for (const member& one : entry.set.current().members) {
-        const target_entry* target = targets_.find(one.target);
-        if (one.state != member_state::loaded || target == nullptr || !target->report)
-            continue;
-        input.load.running += target->report->load.running;
-        input.load.waiting += target->report->load.waiting;
-        input.load.limit += target->report->load.limit;
-    }
+    add_load(entry, input);
     auto proposed = entry.set.plan(now, input);
     if (!proposed)
         return false;
@@ -293,50 +293,61 @@
     return true;
 }
 
+void replica_service::add_load(const set_entry& entry, core::placement::plan_input& input) const {
+    int replicas = 0;
+    int limit = 0;
+    for (const member& one : entry.set.current().members) {
+        const target_entry* target = targets_.find(one.target);
+        if (entry.set.state_of(one.target) != member_state::loaded || target == nullptr || !target->report)
+            continue;
+        const wire::replica_load& load = target->report->load;
+        input.running += load.running;
+        input.queued += load.waiting;
+        limit += load.limit;
+        ++replicas;
+    }
+    if (replicas > 0 && limit > 0)
+        input.concurrency = std::max(input.concurrency, limit / replicas);
+}
+
+/// An order that isn't sent stays due, so a load that waits for its slot is asked for again.
 void replica_service::send_orders(const set_name& name, set_entry& entry, time_point now) {
     const auto targets = targets_.views(name.service, now);
+    const auto slot = [&](const std::string& target) {
+        return slots_.granted({name.service, name.model, target, entry.customer, order_deadline}, now);
+    };
     for (const core::placement::order& order : entry.set.orders(now, targets)) {
-        entry.due_orders[order.target] = order;
-    }
-    for (auto one = entry.due_orders.begin(); one != entry.due_orders.end();) {
-        const core::placement::order& order = one->second;
+        if (order.kind == core::placement::intent::load && !slot(order.target))
+            continue;
         const target_entry* target = targets_.find(order.target);
-        const member* current = entry.set.find(order.target);
-        const bool still = current != nullptr && current->since == order.decision && target != nullptr &&
-                           target->report && target->report->boot == order.boot;
-        const bool needs_slot = order.kind == core::placement::intent::load;
-        if (still && needs_slot && current->state == member_state::ordered &&
-            !slots_.granted({name.service, name.model, order.target, entry.customer, order_deadline}, now)) {
-            ++one;
+        if (target == nullptr || !target->report || target->report->boot != order.boot)
             continue;
-        }
-        if (still)
-            send_order(name, order, *target, now);
-        one = entry.due_orders.erase(one);
+        send_order(name, order, *target);
+        entry.set.sent(now, order);
     }
     for (const member& one : entry.set.current().members)
-        if (one.wanted == core::placement::intent::load && one.state == member_state::loading)
-            slots_.granted({name.service, name.model, one.target, entry.customer, order_deadline}, now);
+        if (one.wanted == core::placement::intent::load &&
+            entry.set.state_of(one.target) == member_state::loading)
+            slot(one.target); // kept while it loads
 }
 
 void replica_service::send_order(const set_name& name, const core::placement::order& order,
-                                 const target_entry& target, time_point now) {
-    (void)now;
+                                 const target_entry& target) {
     const core::config::model* model = model_of(name);
     const std::int64_t fencing = fencing_.at(shard_of(name));
     if (order.kind == core::placement::intent::unload) {
         wire::unload_order out;
         out.__set_model(name.model);
-        out.__set_version(model == nullptr ? "" : model->version);
+        out.__set_version(order.version);
         out.__set_decision(order.decision);
         out.__set_fencing(fencing);
         return context_.links.send(target.link, kind::unload_order, context_.next_call(), out);
     }
     if (model == nullptr)
-        return;
+        return; // withdrawn meanwhile; the next plan unloads it
     wire::load_order out;
     out.__set_model(name.model);
-    out.__set_version(model->version);
+    out.__set_version(order.version);
     out.__set_decision(order.decision);
     out.__set_fencing(fencing);
     out.__set_bytes(model->bytes);
@@ -390,7 +401,7 @@
                                   time_point now) const {
     out.__set_decision(entry.set.current().number);
     for (const auto& view : targets_.views(name.service, now)) {
-        const member* found = entry.set.find(view.target);
+        const member* found = find_member(entry.set, view.target);
         if (found == nullptr || found->wanted != core::placement::intent::load || !view.usable())
             continue;
         const target_entry& target = *targets_.find(view.target);
@@ -398,7 +409,7 @@
         one.__set_target(view.target);
         one.__set_address(target.listed.address);
         one.__set_data_centre(view.data_centre);
-        one.__set_state(text_of(found->state));
+        one.__set_state(text_of(entry.set.state_of(view.target)));
         one.__set_load(target.report->load);
         if (const wire::loaded_model* model = find_model(*target.report, name.model))
             one.__set_adapters(model->adapters);
--- a/src/programs/steward/replicas.hpp
+++ b/src/programs/steward/replicas.hpp
@@ -78,18 +78,17 @@
         core::placement::gap_histogram gaps;
         core::common::time_point used_at{}; // last time that a replica was busy
         bool busy = false;
-        bool dirty = true;                                        // plan and view again at the next tick
-        core::placement::decision proposed;                       // while set.open()
-        std::map<std::string, core::placement::order> due_orders; // waiting for a weight slot, by target
-        std::string customer;                                     // whose request woke the model
+        bool dirty = true;                  // plan and view again at the next tick
+        core::placement::decision proposed; // while set.open()
+        std::string customer;               // whose request woke the model
     };
     set_entry& entry_of(const set_name& name);
     [[nodiscard]] const core::config::model* model_of(const set_name& name) const;
     void note_use(set_entry& entry, const set_name& name, core::common::time_point now);
     bool plan(const set_name& name, set_entry& entry, core::common::time_point now);
     void send_orders(const set_name& name, set_entry& entry, core::common::time_point now);
-    void send_order(const set_name& name, const core::placement::order& order, const target_entry& target,
-                    core::common::time_point now);
+    void send_order(const set_name& name, const core::placement::order& order, const target_entry& target);
+    void add_load(const set_entry& entry, core::placement::plan_input& input) const;
     [[nodiscard]] wire::replica_view make_view(const set_name& name, const set_entry& entry,
                                                core::common::time_point now) const;
     void add_plain(const set_name& name, wire::replica_view& out, core::common::time_point now) const;
