--- a/src/programs/steward/events.hpp
+++ b/src/programs/steward/events.hpp
@@ -31,7 +31,8 @@
 struct store_event {
     store_call call = store_call::lease_list;
     int shard = 0;                       // of lease and claims calls
-    std::int64_t number = 0;             // write sequence, snapshot part or segment
+    std::int64_t number = 0;             // write sequence, snapshot base or epoch of a claims log
+    std::string key;                     // of segments to be removed
     core::common::time_point asked_at{}; // before the call was sent
     edge::store_answer answer;
 };
--- a/src/programs/steward/steward.cpp
+++ b/src/programs/steward/steward.cpp
@@ -15,6 +15,7 @@
 steward::steward(steward_context& context, event_ring& events)
     : context_(context), events_(events), feed_(context), targets_(context), slots_(context),
       own_slots_(context, slots_), buckets_(context, targets_), replicas_(context, targets_, own_slots_),
+      claims_(context),
       keeper_(
           context.settings, context.self, context.platform,
           [this](int shard) { return encode_state(shard, false, core::common::clock::now()); },
@@ -56,6 +57,7 @@
         targets_.watch_services(replicas_.services());
     slots_.tick(now);
     own_slots_.tick(now);
+    claims_.tick(now);
     store_changes(now);
 }
 
@@ -92,6 +94,7 @@
         const json known = state.is_object() ? state : json::object();
         buckets_.acquired(shard, known, keeper_.lease(shard).fencing(), now);
         replicas_.acquired(shard, known, keeper_.lease(shard).fencing());
+        claims_.acquired(shard);
         if (shard == slots_shard_)
             slots_.acquired(now);
         keeper_.opened(shard);
@@ -123,6 +126,7 @@
     }
     buckets_.deposed(shard, now);
     replicas_.lost(shard, now);
+    claims_.lost(shard);
     if (shard == slots_shard_)
         slots_.lost();
     targets_.watch_services(replicas_.services());
@@ -209,8 +213,12 @@
         return feed_.take(event, now);
     case store_call::vm_list:
         return targets_.take(event, now);
-    default:
-        return;
+    case store_call::claims_head_read:
+    case store_call::claims_head_write:
+    case store_call::claims_segment_read:
+    case store_call::claims_segment_write:
+    case store_call::claims_segment_remove:
+        return claims_.take(event, now);
     }
 }
 
@@ -281,6 +289,14 @@
         return with_shard<wire::draw_request>(
             event, [](const auto& body) { return names::bucket_name(body.customer); },
             [&](const auto& body, int shard) { buckets_.draw(event, body, shard, now); });
+    case kind::claim_request:
+        return with_shard<wire::claim_request>(
+            event, [](const auto& body) { return body.record.key; },
+            [&](const auto& body, int shard) { claims_.claim(event, body, shard, now); });
+    case kind::claim_outcome:
+        return with_shard<wire::claim_outcome>(
+            event, [](const auto& body) { return body.record.key; },
+            [&](const auto& body, int shard) { claims_.outcome(event, body, shard, now); });
     case kind::slot_request:
         return with<wire::slot_request>(event, [&](const auto& body) {
             slots_.request(event.link, event.frame.header.call, event.peer.process, body, now);
--- a/src/programs/steward/steward.hpp
+++ b/src/programs/steward/steward.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "programs/steward/buckets.hpp"
+#include "programs/steward/claims_service.hpp"
 #include "programs/steward/context.hpp"
 #include "programs/steward/events.hpp"
 #include "programs/steward/feed_service.hpp"
@@ -65,6 +66,7 @@
     slot_client own_slots_;
     bucket_service buckets_;
     replica_service replicas_;
+    claims_service claims_;
     shard_keeper keeper_;
     int slots_shard_;
     std::map<edge::link_id, wire::hello> peers_;         // open links
