--- /dev/null
+++ b/src/programs/admin/settings.hpp
@@ -0,0 +1,31 @@
+/// Settings of waxwing-admin.
+#pragma once
+
+#include "core/acceptance/book.hpp"
+#include "edge/settings.hpp"
+
+#include <string>
+#include <vector>
+
+namespace waxwinglb::programs::admin {
+
+/// An operator's own credentials; only the token's digest is kept.
+struct operator_account {
+    core::acceptance::actor who;
+    std::string token_digest; // hex BLAKE2b-256 of the bearer token
+};
+
+struct admin_settings {
+    std::string name;
+    std::string vm; // also its name in the list of acceptors
+    std::string data_centre;
+    std::string http;                  // "ip:port" of the administration API and the operations pages
+    std::string platform;              // "ip:port" of the platform's service
+    std::vector<std::string> stewards; // addresses of their links
+    std::vector<std::string> steward_operations; // addresses of their pages, for /v1/in-force
+    std::vector<operator_account> operators;
+};
+
+void read_settings(edge::settings_section& top, admin_settings& out);
+
+} // namespace waxwinglb::programs::admin
