--- a/src/programs/admin/head_copy.cpp
+++ b/src/programs/admin/head_copy.cpp
@@ -11,7 +11,8 @@
     if (watching_ || now < next_watch_)
         return;
     watching_ = true;
-    store_.watch(store_call::watch_head, core::acceptance::head_key(), version_, watch_wait);
+    store_.watch(store_call::watch_head, core::acceptance::head_key(), version_,
+                 known_ ? watch_wait : core::common::milliseconds{0});
 }
 
 void head_copy::take(const store_event& event, time_point now) {
@@ -34,14 +35,14 @@
     }
     if (answer.version == version_ && known_)
         return !fetch_;
+    if (answer.version < version_)
+        return true; // overtaken by a newer answer
     auto document = core::acceptance::decode_head(answer.body);
     if (!document || document->revision < book_.revision()) {
         log_->error("Head of version {} is {}; revision {} stays in force.", answer.version,
                     document ? "older" : "malformed", book_.revision());
         return false;
     }
-    if (answer.version < version_)
-        return true; // an answer that was overtaken
     if (document->snapshot.base <= book_.revision()) {
         fetch_.reset();
         adopt(answer.version, std::move(*document));
--- a/standins/platform/fault_table.hpp
+++ b/standins/platform/fault_table.hpp
@@ -24,6 +24,7 @@
     std::string match;                   // prefix of an object's key; one that starts with '/': of the path
     std::int64_t count = -1;             // calls left to hit; -1: until cleared
     core::common::milliseconds delay{0}; // of slow and weights_slow
+    bool then_down = false; // a call that was hit is followed by an outage of what `match` covers
 };
 
 [[nodiscard]] std::optional<fault_kind> fault_kind_of(std::string_view name);
--- a/standins/platform/platform.cpp
+++ b/standins/platform/platform.cpp
@@ -280,9 +280,10 @@
                          outcome.status == write_status::replaced || outcome.status == write_status::removed;
     if (changed)
         answer_watches(key);
-    if (faults_.take(fault_kind::lose_answer, request.path)) {
+    if (const auto lost = faults_.take(fault_kind::lose_answer, request.path)) {
         ++faults_shown_[name_of(fault_kind::lose_answer)];
-        return exchange->cut();
+        exchange->cut();
+        return lost->then_down ? begin_outage(lost->match) : void();
     }
     switch (outcome.status) {
     case write_status::created:
@@ -369,13 +370,19 @@
         return refuse(exchange, 400,
                       "POST a JSON object whose kind is down, slow, lose_answer, weights_slow or reject.");
     const fault_rule rule{*kind, text_member(body, "match"), whole_member(body, "count", -1),
-                          milliseconds{whole_member(body, "delay_ms", 0)}};
+                          milliseconds{whole_member(body, "delay_ms", 0)},
+                          body.contains("then_down") && body["then_down"] == true};
     faults_.add(rule);
     if (*kind == fault_kind::down)
         cut_watches(rule.match); // an outage ends what waits, too
     exchange->respond({204, {}, {}});
 }
 
+void platform_server::begin_outage(const std::string& match) {
+    faults_.add({fault_kind::down, match, -1, milliseconds{0}, false});
+    cut_watches(match);
+}
+
 void platform_server::show_audit(const exchange_ptr& exchange) {
     respond(exchange, 200,
             {{"calls", calls_},
--- a/standins/platform/platform.hpp
+++ b/standins/platform/platform.hpp
@@ -1,6 +1,7 @@
 /// Stand-in of the platform: objects with versions and watches, the lagging list of virtual machines, the
 /// rate-limited weight store. Paths are those of docs/DESIGN.md, "Platform protocol"; besides them:
-///   POST /faults {"kind","match","count","delay_ms"}, DELETE /faults, GET /audit, PUT and DELETE /vms/VM.
+///   POST /faults {"kind","match","count","delay_ms","then_down"}, DELETE /faults, GET /audit, PUT and DELETE
+///   /vms/VM.
 #pragma once
 
 #include "edge/http_server.hpp"
@@ -68,6 +69,7 @@
     void change_faults(const edge::exchange_ptr& exchange);
     void show_audit(const edge::exchange_ptr& exchange);
     void answer_watches(const std::string& key);
+    void begin_outage(const std::string& match); // down until cleared
     void cut_watches(const std::string& match);
     void end_weight_reads(time_point now);
     void count(const std::string& call) { ++calls_[call]; }
--- a/tests/programs/harness.py
+++ b/tests/programs/harness.py
@@ -355,10 +355,10 @@
         return request(self.routers[index]["address"], "POST", "/v1/chat/completions", body,
                        {"Authorization": f"Bearer {key}", **(headers or {})}, timeout)
 
-    def fault(self, kind, match="", count=-1, delay_ms=0):
+    def fault(self, kind, match="", count=-1, delay_ms=0, **more):
         """A fault of the platform's stand-in."""
         answer = request(self.platform_address, "POST", "/faults",
-                         {"kind": kind, "match": match, "count": count, "delay_ms": delay_ms})
+                         {"kind": kind, "match": match, "count": count, "delay_ms": delay_ms, **more})
         if answer.status != 204:
             raise Failure(f"the stand-in took no fault {kind}: {answer}")
 
