Limits: correct unused reservations, settle by totals; property over failures

Cause: a grant ends after 2 s, a long answer ends later, so its unused reservation was lost, and while reserved tokens counted as outstanding nothing accrued. Change: spending is reported at once; what a request ends without using is corrected up to the least room below the burst since; counts are totals, so lost, doubled and reordered settlements do no harm. grant_settlement gets the field corrected. Test: limits_property with 1,000 schedules passes.

--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -102,8 +102,12 @@
   7: i64 estimate_ms, 8: list<quarantine> quarantined, 9: refusal reason, 10: i64 retry_after_ms
 }
 
-/** Draws tokens of a customer's rate. spent and returned settle grants drawn earlier on this router. */
-struct grant_settlement { 1: i64 grant, 2: i64 spent, 3: i64 returned }
+/**
+ * Draws tokens of a customer's rate, and settles grants drawn earlier on this router. The counts are totals since
+ * the grant's issue: spent (reserved by requests), returned (never reserved), corrected (part of spent that ended
+ * unused).
+ */
+struct grant_settlement { 1: i64 grant, 2: i64 spent, 3: i64 returned, 4: i64 corrected }
 struct draw_request { 1: string customer, 2: i64 wanted, 3: list<grant_settlement> settled, 4: string router }
 struct draw_result { 1: string customer, 2: i64 grant, 3: i64 tokens, 4: i64 valid_ms, 5: i64 retry_after_ms, 6: refusal reason, 7: i64 fencing }
 
--- a/src/core/limits/bucket.cpp
+++ b/src/core/limits/bucket.cpp
@@ -2,16 +2,22 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace waxwinglb::core::limits {
 namespace {
 
 constexpr int fencing_shift = 32;
+constexpr std::size_t rooms_kept = 1024; // per customer
 
 double seconds(common::duration value) {
     return std::chrono::duration<double>(value).count();
 }
 
+common::duration to_duration(double seconds) {
+    return std::chrono::ceil<common::duration>(std::chrono::duration<double>(seconds));
+}
+
 } // namespace
 
 bucket::bucket(common::time_point taken_over, std::int64_t fencing, bucket_limits limits)
@@ -34,7 +40,7 @@
         return out;
     out.grant = (fencing_ << fencing_shift) + ++issued_;
     out.valid_for = grant_term;
-    grants_[out.grant] = {out.tokens, 0, 0, at_ + grant_term + lapse_margin};
+    grants_[out.grant] = {.tokens = out.tokens, .lapses = at_ + grant_term + lapse_margin};
     tokens_ -= static_cast<double>(out.tokens);
     outstanding_ += out.tokens;
     return out;
@@ -42,8 +48,13 @@
 
 void bucket::change_limits(common::time_point now, bucket_limits limits) {
     advance(now);
+    if (limits == limits_)
+        return;
     limits_ = limits;
     clip();
+    rooms_.assign(
+        1, {0, corrections_}); // rooms under the old limits say nothing: no corrections of what is spent
+    note_room();
 }
 
 bool bucket::adopt(common::time_point now, const bucket_balance& balance, std::int64_t from_fencing) {
@@ -80,64 +91,113 @@
 void bucket::advance(common::time_point now) {
     if (now <= at_) // a clock that stands or falls mints nothing
         return;
-    // Accrue piecewise up to each lapse: room for tokens appears only from then on.
-    const auto accrue_until = [this](common::time_point until) {
-        if (until <= at_)
-            return;
-        if (!closed_)
-            tokens_ += rate() * seconds(until - at_);
-        clip();
-        at_ = until;
-    };
     if (at_ < assumed_until_)
         accrue_until(std::min(now, assumed_until_));
-    while (!grants_.empty() && grants_.begin()->second.lapses <= now) {
-        const auto first = grants_.begin();
-        accrue_until(first->second.lapses);
-        outstanding_ -= first->second.open();
-        grants_.erase(first);
+    // Piecewise up to each lapse: room for more tokens appears only from then on.
+    for (auto one = grants_.upper_bound(last_lapsed_); one != grants_.end() && one->second.lapses <= now;
+         ++one) {
+        accrue_until(one->second.lapses);
+        spend(one->second, one->second.open());
+        last_lapsed_ = one->first;
     }
     accrue_until(now);
+    forget_old();
+}
+
+void bucket::accrue_until(common::time_point until) {
+    if (until <= at_)
+        return;
+    if (!closed_)
+        tokens_ += rate() * seconds(until - at_);
+    clip();
+    at_ = until;
+    note_room();
 }
 
 void bucket::settle(const settlement& one) {
     const auto found = grants_.find(one.grant);
-    if (found == grants_.end()) // lapsed, of another holder, or made up
+    if (found == grants_.end()) // of another holder, forgotten, or made up
         return;
     grant& mine = found->second;
-    const std::int64_t before = mine.open();
-    // Only what is still outstanding can come back: a part once reported as spent may have accrued anew.
-    const std::int64_t returned = std::clamp(one.returned, mine.returned, mine.tokens - mine.spent);
+    const std::int64_t returned = std::clamp(one.returned, mine.returned, mine.returned + mine.open());
+    outstanding_ -= returned - mine.returned;
     if (!closed_)
         tokens_ += static_cast<double>(returned - mine.returned);
     mine.returned = returned;
-    mine.spent = std::clamp(one.spent, mine.spent, mine.tokens - mine.returned);
-    outstanding_ += mine.open() - before;
-    if (mine.open() == 0)
-        grants_.erase(found);
+    spend(mine, std::clamp<std::int64_t>(one.spent - mine.spent, 0, mine.open()));
+    correct(mine, std::clamp(one.corrected, mine.corrected, mine.spent) - mine.corrected);
     clip();
 }
 
-void bucket::clip() {
+void bucket::spend(grant& mine, std::int64_t amount) {
+    if (amount <= 0)
+        return;
+    if (mine.spent == 0)
+        mine.first_spent = events_;
+    mine.spent += amount;
+    outstanding_ -= amount;
+}
+
+void bucket::correct(grant& mine, std::int64_t amount) {
+    if (amount <= 0 || closed_)
+        return;
+    mine.corrected += amount;
+    const auto since =
+        std::lower_bound(rooms_.begin(), rooms_.end(), mine.first_spent,
+                         [](const least_room& entry, std::int64_t event) { return entry.event < event; });
+    const double least = since == rooms_.end() ? room() : std::min(room(), since->room - corrections_);
+    const double gain = std::clamp(least, 0.0, static_cast<double>(amount));
+    tokens_ += gain;
+    corrections_ += gain;
+}
+
+void bucket::forget_old() {
+    while (!grants_.empty() && grants_.begin()->first <= last_lapsed_ &&
+           (grants_.size() > grants_kept || grants_.begin()->second.lapses + corrected_within <= at_))
+        grants_.erase(grants_.begin());
+    // Entries before all grants aren't asked for; of too many the older, lower room stands for both.
+    const std::int64_t oldest = grants_.empty() ? events_ : std::numeric_limits<std::int64_t>::min();
+    while (!rooms_.empty() && rooms_.front().event < oldest)
+        rooms_.pop_front();
+    while (rooms_.size() > rooms_kept) {
+        rooms_[1].room = rooms_[0].room;
+        rooms_.pop_front();
+    }
+}
+
+void bucket::note_room() {
+    const double now = room() + corrections_;
+    while (!rooms_.empty() && rooms_.back().room >= now)
+        rooms_.pop_back();
+    rooms_.push_back({events_++, now});
+}
+
+double bucket::room() const {
     const double assumed = at_ < assumed_until_ ? assumed_ : 0.0;
-    tokens_ = std::clamp(burst() - static_cast<double>(outstanding_) - assumed, 0.0, tokens_);
+    return burst() - tokens_ - static_cast<double>(outstanding_) - assumed;
+}
+
+void bucket::clip() {
+    tokens_ = std::max(tokens_ + std::min(room(), 0.0), 0.0);
 }
 
 common::duration bucket::wait_for(double amount) const {
     if (rate() <= 0)
         return never;
     amount = std::min(amount, std::floor(burst())); // a draw ahead may ask for more than can ever be there
-    common::duration wait =
-        std::chrono::ceil<common::milliseconds>(std::chrono::duration<double>((amount - tokens_) / rate()));
-    if (at_ < assumed_until_)
-        wait += adopted_ ? common::duration{} : assumed_until_ - at_;
-    // Outstanding grants may hold the room until they lapse.
-    double room = burst() - static_cast<double>(outstanding_);
-    for (auto one = grants_.begin(); one != grants_.end() && room < amount; ++one) {
-        room += static_cast<double>(one->second.open());
-        wait = std::max(wait, one->second.lapses - at_);
+    // The same steps as advance() will take, if no router settles before its grant lapses.
+    double have = tokens_;
+    double most = burst() - static_cast<double>(outstanding_);
+    common::time_point at = std::max(at_, adopted_ ? at_ : assumed_until_);
+    const auto reached = [&] { return at + to_duration(std::max(amount - have, 0.0) / rate()); };
+    for (auto one = grants_.upper_bound(last_lapsed_); one != grants_.end(); ++one) {
+        if (amount <= most && reached() <= one->second.lapses)
+            break;
+        have = std::min(have + rate() * seconds(one->second.lapses - at), most);
+        at = one->second.lapses;
+        most += static_cast<double>(one->second.open());
     }
-    return wait;
+    return std::chrono::ceil<common::milliseconds>(reached() - at_);
 }
 
 } // namespace waxwinglb::core::limits
--- a/src/core/limits/bucket.hpp
+++ b/src/core/limits/bucket.hpp
@@ -9,7 +9,7 @@
 #include "core/common/time.hpp"
 
 #include <cstdint>
-#include <limits>
+#include <deque>
 #include <map>
 #include <span>
 
@@ -19,14 +19,17 @@
 
 constexpr common::milliseconds grant_term{2'000}; // a router may spend a grant for this long after it asked
 constexpr common::milliseconds lapse_margin{250}; // clocks' rates differ; the holder waits this much longer
+constexpr common::milliseconds corrected_within{130'000};   // after its issue a grant is forgotten
+constexpr std::size_t grants_kept = 4096;                   // per customer; beyond, the oldest are forgotten
 constexpr common::duration never = common::duration::max(); // retry_after while the rate is 0
 
 /// What a router says of a grant. Both counts are totals since the grant's issue, so that lost, repeated and
 /// reordered messages do no harm.
 struct settlement {
     grant_id grant = 0;
-    std::int64_t spent = 0;    // reserved or used; can't be spent again
-    std::int64_t returned = 0; // the router will never spend these
+    std::int64_t spent = 0;     // reserved by requests, whether they used it or not
+    std::int64_t returned = 0;  // never reserved, and never will be
+    std::int64_t corrected = 0; // part of `spent` that the requests ended without using
 };
 
 /// Answer to a draw; grants nothing if `tokens` is 0.
@@ -49,6 +52,8 @@
     double tokens_per_second = 0;
     double burst_tokens = 0;
     double share = 1; // see shares.hpp
+
+    bool operator==(const bucket_limits&) const = default;
 };
 
 class bucket {
@@ -79,13 +84,26 @@
         std::int64_t tokens = 0;
         std::int64_t spent = 0;
         std::int64_t returned = 0;
+        std::int64_t corrected = 0;
         common::time_point lapses{};
+        std::int64_t first_spent = 0; // events_ when `spent` rose above 0
         [[nodiscard]] std::int64_t open() const { return tokens - spent - returned; }
     };
+    /// Least room below the burst from an event on, until the next entry.
+    struct least_room {
+        std::int64_t event = 0;
+        double room = 0; // corrections_ at the time included
+    };
 
     void advance(common::time_point now); // lapses grants, then accrues
+    void accrue_until(common::time_point until);
     void settle(const settlement& one);
+    void spend(grant& mine, std::int64_t amount);
+    void correct(grant& mine, std::int64_t amount);
+    void forget_old();
+    void note_room();
     void clip(); // restores tokens + outstanding <= burst
+    [[nodiscard]] double room() const;
     [[nodiscard]] double burst() const { return limits_.burst_tokens * limits_.share; }
     [[nodiscard]] double rate() const { return limits_.tokens_per_second * limits_.share; }
     [[nodiscard]] common::duration wait_for(double amount) const;
@@ -98,7 +116,11 @@
     double tokens_ = 0;
     std::int64_t outstanding_ = 0;     // sum of open() over grants_
     std::map<grant_id, grant> grants_; // in order of issue, hence of lapse
+    grant_id last_lapsed_ = 0;
     std::int64_t issued_ = 0;
+    std::deque<least_room> rooms_; // rooms rise from front to back
+    std::int64_t events_ = 0;
+    double corrections_ = 0; // sum of all corrections: lowers every earlier room
     bool adopted_ = false;
     bool closed_ = false;
 };
--- a/src/core/limits/wallet.cpp
+++ b/src/core/limits/wallet.cpp
@@ -11,8 +11,7 @@
 constexpr common::duration draw_ahead = 500ms;   // a draw covers the demand of this time
 constexpr common::duration refill_below = 150ms; // draws again when less than the demand of this time is left
 constexpr common::duration return_before = 500ms; // unspent tokens go back this long before the grant ends
-constexpr common::duration report_after = 500ms;  // reservations open for longer are reported as spent
-constexpr common::duration return_gap = 200ms;    // between draws that only settle
+constexpr common::duration settle_gap = 200ms;    // between draws that only settle
 constexpr common::duration demand_decay = 1s;     // time constant of the demand estimate
 constexpr common::duration hold_least = 20ms;     // after a short answer no draw for at least this
 constexpr common::duration hold_most = 250ms;     // and at most this
@@ -40,13 +39,14 @@
         return {reserve_outcome::wait, 0, {}};
     }
     note_demand(now, missing);
-    reservation made{{}, now};
+    reservation made;
     for (auto& [id, one] : grants_) {
         const std::int64_t taken = std::min(one.free, missing);
         if (taken == 0)
             continue;
         one.free -= taken;
         one.reserved += taken;
+        one.counts.spent += taken;
         missing -= taken;
         made.parts.push_back({id, taken});
     }
@@ -75,13 +75,13 @@
         return;
     grant& mine = found->second;
     mine.reserved -= one.tokens;
-    mine.used += used;
     const std::int64_t unused = one.tokens - used;
-    // What the holder was told to be spent may have accrued anew there, so it isn't spent a second time here.
-    const std::int64_t above = std::max<std::int64_t>(mine.reported_spent - mine.used - mine.reserved, 0);
-    const std::int64_t back = now < mine.expires ? std::min(unused, above) : unused;
-    mine.returned += back;
-    mine.free += unused - back;
+    // What the holder knows to be spent may have accrued anew there: only the holder can give that back.
+    const std::int64_t untold = mine.counts.spent - mine.reported.spent;
+    const std::int64_t freed = now < mine.expires ? std::min(unused, untold) : 0;
+    mine.counts.spent -= freed;
+    mine.free += freed;
+    mine.counts.corrected += unused - freed;
 }
 
 std::optional<draw_order> wallet::next_draw(common::time_point now) {
@@ -89,20 +89,12 @@
     if (flight_)
         return std::nullopt;
     give_up_ending(now);
-    draw_order out{0, amount_to_draw(now), settlements(now)};
-    if (out.wanted == 0) {
-        const bool returns =
-            std::any_of(out.settled.begin(), out.settled.end(), [this](const settlement& one) {
-                return one.returned > grants_.at(one.grant).confirmed_returned;
-            });
-        if (!returns || now < return_after_)
-            return std::nullopt;
-        return_after_ = now + return_gap;
-    }
-    for (const settlement& one : out.settled) {
-        grant& mine = grants_.at(one.grant);
-        mine.reported_spent = std::max(mine.reported_spent, one.spent);
-    }
+    draw_order out{0, amount_to_draw(now), settlements()};
+    if (out.wanted == 0 && (out.settled.empty() || now < settle_after_))
+        return std::nullopt;
+    settle_after_ = now + settle_gap;
+    for (const settlement& one : out.settled)
+        grants_.at(one.grant).reported = one;
     out.id = ++last_id_;
     flight_ = flight{out.id, now, out.wanted, out.settled};
     return out;
@@ -110,24 +102,20 @@
 
 void wallet::drawn(common::time_point now, draw_id id, const draw_answer& answer) {
     expire(now);
-    if (!flight_ || flight_->id != id) {
-        // Too late to be spent; all of it goes back with the next settlement.
-        if (answer.tokens > 0 && !grants_.contains(answer.grant))
-            grants_[answer.grant] = {answer.tokens, 0, 0, 0, answer.tokens, 0, 0, 0, now + answer.valid_for};
-        return;
-    }
-    for (const settlement& one : flight_->settled) {
-        const auto found = grants_.find(one.grant);
-        if (found == grants_.end())
-            continue;
-        found->second.confirmed_spent = std::max(found->second.confirmed_spent, one.spent);
-        found->second.confirmed_returned = std::max(found->second.confirmed_returned, one.returned);
-    }
-    const common::time_point expires = flight_->sent + answer.valid_for;
+    const bool mine = flight_ && flight_->id == id;
     if (answer.tokens > 0 && !grants_.contains(answer.grant)) {
-        const std::int64_t free = now < expires ? answer.tokens : 0;
-        grants_[answer.grant] = {answer.tokens, free, 0, 0, answer.tokens - free, 0, 0, 0, expires};
+        grant got{.tokens = answer.tokens, .expires = (mine ? flight_->sent : now) + answer.valid_for};
+        got.counts.grant = answer.grant;
+        // An answer that nobody waits for any more, or that came too late, goes back with the next
+        // settlement.
+        (mine && now < got.expires ? got.free : got.counts.returned) = answer.tokens;
+        grants_.emplace(answer.grant, got);
     }
+    if (!mine)
+        return;
+    for (const settlement& one : flight_->settled)
+        if (const auto found = grants_.find(one.grant); found != grants_.end())
+            found->second.confirmed = one;
     if (answer.tokens < flight_->wanted) {
         hold_until_ = now + std::clamp(answer.retry_after, hold_least, hold_most);
         hold_retry_ = answer.retry_after;
@@ -153,11 +141,15 @@
     std::optional<common::time_point> due;
     if (now < hold_until_ && waiting_ > 0)
         due = hold_until_;
-    for (const auto& [id, one] : grants_)
-        if (one.free > 0 || one.returned > one.confirmed_returned) {
-            const auto at = std::max({one.expires - return_before, return_after_, now});
-            due = due ? std::min(*due, at) : at;
-        }
+    const auto consider = [&due, now](common::time_point at) {
+        due = std::max(std::min(due.value_or(at), at), now);
+    };
+    for (const auto& [id, one] : grants_) {
+        if (one.free > 0)
+            consider(one.expires - return_before);
+        if (unsettled(one))
+            consider(settle_after_);
+    }
     return due;
 }
 
@@ -178,23 +170,29 @@
 void wallet::expire(common::time_point now) {
     std::erase_if(grants_, [now](const auto& entry) {
         const grant& one = entry.second;
-        const bool done =
-            one.free == 0 && one.reserved == 0 && one.confirmed_spent + one.confirmed_returned >= one.tokens;
-        return done || now >= one.expires + lapse_margin;
+        const bool done = one.free == 0 && one.reserved == 0 && !unsettled(one);
+        return done || now >= one.expires + corrected_within;
     });
     for (auto& [id, one] : grants_)
-        if (now >= one.expires) {
-            one.returned += one.free;
-            one.free = 0;
-        }
+        if (now >= one.expires)
+            give_up(one);
 }
 
 void wallet::give_up_ending(common::time_point now) {
     for (auto& [id, one] : grants_)
-        if (one.expires - now <= return_before) {
-            one.returned += one.free;
-            one.free = 0;
-        }
+        if (one.expires - now <= return_before)
+            give_up(one);
+}
+
+void wallet::give_up(grant& one) {
+    one.counts.returned += one.free;
+    one.free = 0;
+}
+
+/// True if the holder may not know the present counts.
+bool wallet::unsettled(const grant& one) {
+    return one.counts.spent > one.confirmed.spent || one.counts.returned > one.confirmed.returned ||
+           one.counts.corrected > one.confirmed.corrected;
 }
 
 void wallet::note_demand(common::time_point now, std::int64_t tokens) {
@@ -220,19 +218,11 @@
     return needed + std::max<std::int64_t>(ahead - std::max<std::int64_t>(there - waiting_, 0), 0);
 }
 
-std::vector<settlement> wallet::settlements(common::time_point now) const {
-    std::map<grant_id, std::int64_t> young; // reserved so lately that much of it may still come back
-    for (const auto& [id, one] : reservations_)
-        if (now - one.made < report_after)
-            for (const part& each : one.parts)
-                young[each.grant] += each.tokens;
+std::vector<settlement> wallet::settlements() const {
     std::vector<settlement> out;
-    for (const auto& [id, one] : grants_) {
-        const auto open = young.find(id);
-        const std::int64_t spent = one.used + one.reserved - (open == young.end() ? 0 : open->second);
-        if (spent > one.confirmed_spent || one.returned > one.confirmed_returned)
-            out.push_back({id, std::max(spent, one.reported_spent), one.returned});
-    }
+    for (const auto& [id, one] : grants_)
+        if (unsettled(one))
+            out.push_back(one.counts);
     return out;
 }
 
--- a/src/core/limits/wallet.hpp
+++ b/src/core/limits/wallet.hpp
@@ -66,14 +66,12 @@
 
 private:
     struct grant {
-        std::int64_t tokens = 0;             // free + reserved + used + returned
-        std::int64_t free = 0;               // can be reserved until `expires`
-        std::int64_t reserved = 0;           // by open reservations
-        std::int64_t used = 0;               // by settled ones
-        std::int64_t returned = 0;           // given up for good
-        std::int64_t reported_spent = 0;     // highest count sent: that many are never spent again
-        std::int64_t confirmed_spent = 0;    // of a draw that was answered
-        std::int64_t confirmed_returned = 0; // of a draw that was answered
+        std::int64_t tokens = 0;   // free + counts.spent + counts.returned
+        std::int64_t free = 0;     // can be reserved until `expires`
+        settlement counts{};       // as of now
+        settlement reported{};     // highest counts sent: what was reported as spent isn't free again
+        settlement confirmed{};    // of a draw that was answered
+        std::int64_t reserved = 0; // by requests that still run
         common::time_point expires{};
     };
     struct part {
@@ -82,7 +80,6 @@
     };
     struct reservation {
         std::vector<part> parts;
-        common::time_point made{};
     };
     struct flight {
         draw_id id = 0;
@@ -94,10 +91,12 @@
     void expire(common::time_point now);
     void note_demand(common::time_point now, std::int64_t tokens);
     void release(common::time_point now, const part& one, std::int64_t used);
+    static void give_up(grant& one);
+    [[nodiscard]] static bool unsettled(const grant& one);
     void give_up_ending(common::time_point now);
     [[nodiscard]] double demand(common::time_point now) const; // tokens a second
     [[nodiscard]] std::int64_t amount_to_draw(common::time_point now) const;
-    [[nodiscard]] std::vector<settlement> settlements(common::time_point now) const;
+    [[nodiscard]] std::vector<settlement> settlements() const;
 
     std::map<grant_id, grant> grants_; // oldest first, so spent first
     std::map<reservation_id, reservation> reservations_;
@@ -106,7 +105,7 @@
     common::time_point hold_until_{}; // no draw before: the holder had too little
     common::duration hold_retry_{};   // when it would have had `hold_missing_` more
     std::int64_t hold_missing_ = 0;
-    common::time_point return_after_{}; // no draw that only settles before
+    common::time_point settle_after_{}; // no draw that only settles before
     double demand_ = 0;                 // tokens a second at `demand_at_`
     common::time_point demand_at_{};
     std::int64_t last_id_ = 0; // of reservations and draws
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -5901,6 +5901,10 @@
 void grant_settlement::__set_returned(const int64_t val) {
   this->returned = val;
 }
+
+void grant_settlement::__set_corrected(const int64_t val) {
+  this->corrected = val;
+}
 std::ostream& operator<<(std::ostream& out, const grant_settlement& obj)
 {
   obj.printTo(out);
@@ -5953,6 +5957,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->corrected);
+          this->__isset.corrected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5982,6 +5994,10 @@
   xfer += oprot->writeI64(this->returned);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("corrected", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->corrected);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5992,6 +6008,7 @@
   swap(a.grant, b.grant);
   swap(a.spent, b.spent);
   swap(a.returned, b.returned);
+  swap(a.corrected, b.corrected);
   swap(a.__isset, b.__isset);
 }
 
@@ -5999,18 +6016,21 @@
   grant = other170.grant;
   spent = other170.spent;
   returned = other170.returned;
+  corrected = other170.corrected;
   __isset = other170.__isset;
 }
 grant_settlement::grant_settlement(grant_settlement&& other171) noexcept {
   grant = other171.grant;
   spent = other171.spent;
   returned = other171.returned;
+  corrected = other171.corrected;
   __isset = other171.__isset;
 }
 grant_settlement& grant_settlement::operator=(const grant_settlement& other172) noexcept {
   grant = other172.grant;
   spent = other172.spent;
   returned = other172.returned;
+  corrected = other172.corrected;
   __isset = other172.__isset;
   return *this;
 }
@@ -6018,6 +6038,7 @@
   grant = other173.grant;
   spent = other173.spent;
   returned = other173.returned;
+  corrected = other173.corrected;
   __isset = other173.__isset;
   return *this;
 }
@@ -6027,6 +6048,7 @@
   out << "grant=" << to_string(grant);
   out << ", " << "spent=" << to_string(spent);
   out << ", " << "returned=" << to_string(returned);
+  out << ", " << "corrected=" << to_string(corrected);
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -2371,14 +2371,17 @@
 std::ostream& operator<<(std::ostream& out, const replica_view& obj);
 
 typedef struct _grant_settlement__isset {
-  _grant_settlement__isset() : grant(false), spent(false), returned(false) {}
+  _grant_settlement__isset() : grant(false), spent(false), returned(false), corrected(false) {}
   bool grant :1;
   bool spent :1;
   bool returned :1;
+  bool corrected :1;
 } _grant_settlement__isset;
 
 /**
- * Draws tokens of a customer's rate. spent and returned settle grants drawn earlier on this router.
+ * Draws tokens of a customer's rate, and settles grants drawn earlier on this router. The counts are totals since
+ * the grant's issue: spent (reserved by requests), returned (never reserved), corrected (part of spent that ended
+ * unused).
  */
 class grant_settlement : public virtual ::apache::thrift::TBase {
  public:
@@ -2390,13 +2393,15 @@
   grant_settlement() noexcept
                    : grant(0),
                      spent(0),
-                     returned(0) {
+                     returned(0),
+                     corrected(0) {
   }
 
   virtual ~grant_settlement() noexcept;
   int64_t grant;
   int64_t spent;
   int64_t returned;
+  int64_t corrected;
 
   _grant_settlement__isset __isset;
 
@@ -2406,6 +2411,8 @@
 
   void __set_returned(const int64_t val);
 
+  void __set_corrected(const int64_t val);
+
   bool operator == (const grant_settlement & rhs) const
   {
     if (!(grant == rhs.grant))
@@ -2414,6 +2421,8 @@
       return false;
     if (!(returned == rhs.returned))
       return false;
+    if (!(corrected == rhs.corrected))
+      return false;
     return true;
   }
   bool operator != (const grant_settlement &rhs) const {
