--- a/src/core/routing/call.cpp
+++ b/src/core/routing/call.cpp
@@ -36,6 +36,7 @@
     case end_reason::caller_gone: return "caller_gone";
     case end_reason::still_running: return "still_running";
     case end_reason::outcome_unknown: return "outcome_unknown";
+    case end_reason::answer_not_kept: return "answer_not_kept";
     case end_reason::body_mismatch: return "body_mismatch";
     }
     return "unknown";
@@ -85,10 +86,11 @@
 }
 
 /// The claim belongs to an earlier call: its answer is collected from the agent named in the claim.
-actions call::collect(const std::string& request_id, int attempt, time_point now) {
+actions call::collect(const std::string& request_id, int attempt, bool ran, time_point now) {
     if (phase_ != phase::claiming)
         return {};
     collecting_ = true;
+    collecting_done_ = ran;
     remote_id_ = request_id;
     remote_attempt_ = attempt;
     enter(phase::connecting, connect_timeout, now);
@@ -113,7 +115,7 @@
         phase_ = phase::running; // limit_ stays: only a message from the agent shows that it lives
         send_resume();
     } else if (phase_ == phase::cancelling) {
-        out_.push_back(cancel_action{remote_attempt_});
+        out_.push_back(cancel_action{remote_attempt_, sent_boot_});
     }
     return take();
 }
@@ -175,7 +177,7 @@
     if (!concerns(request_id, attempt) || phase_ == phase::cancelling)
         return {};
     if (collecting_) {
-        finish(end_reason::still_running, run_state::unknown, std::max(retry_after, milliseconds{1'000}));
+        finish_collecting();
         return take();
     }
     if (why == refusal::unknown_request && !options_.repeatable) {
@@ -230,7 +232,7 @@
         return {};
     const bool running = sent_ && !collecting_;
     if (running && link_up_)
-        out_.push_back(cancel_action{remote_attempt_});
+        out_.push_back(cancel_action{remote_attempt_, sent_boot_});
     finish(why, running || may_have_run_ ? run_state::unknown : run_state::not_run);
     return take();
 }
@@ -239,15 +241,18 @@
     if (phase_ == phase::done)
         return {};
     const run_state before = may_have_run_ ? run_state::unknown : run_state::not_run;
+    if (now >= options_.deadline && collecting_) {
+        finish_collecting();
+        return take();
+    }
     if (now >= options_.deadline) {
-        finish(collecting_ ? end_reason::still_running : end_reason::deadline_passed,
-               sent_ || collecting_ ? run_state::unknown : before);
+        finish(end_reason::deadline_passed, sent_ ? run_state::unknown : before);
         return take();
     }
     if (now >= cancel_at() && !past_cancel_) {
         past_cancel_ = true;
         if (collecting_)
-            finish(end_reason::still_running, run_state::unknown, milliseconds{1'000});
+            finish_collecting();
         else if (sent_)
             begin_cancel(now);
         else
@@ -262,7 +267,7 @@
     case phase::placing: finish(end_reason::no_replica, before, milliseconds{1'000}); break;
     case phase::connecting:
         if (collecting_)
-            finish(end_reason::still_running, run_state::unknown, milliseconds{1'000});
+            finish_collecting();
         else
             retry_or_finish(true, end_reason::target_unreachable, before, milliseconds{1'000}, now);
         break;
@@ -322,7 +327,7 @@
 /// The target stayed out of reach after the run was sent: nobody can say whether it ran.
 void call::give_up_target(time_point now) {
     if (collecting_)
-        return finish(end_reason::still_running, run_state::unknown, milliseconds{1'000});
+        return finish_collecting();
     retry_or_finish(retry_is_safe(run_state::unknown), end_reason::target_lost, run_state::unknown, {}, now);
 }
 
@@ -334,7 +339,7 @@
     if (!budget)
         return finish(why, overall, retry_after);
     if (sent_ && link_up_ && ran != run_state::not_run)
-        out_.push_back(cancel_action{remote_attempt_}); // spares the target work that nobody waits for
+        out_.push_back(cancel_action{remote_attempt_, sent_boot_}); // spares the target work that nobody waits for
     may_have_run_ = overall != run_state::not_run;
     avoid_.insert(target_);
     target_.clear();
@@ -350,11 +355,18 @@
 void call::begin_cancel(time_point now) {
     enter(phase::cancelling, lost_timeout, now);
     if (link_up_)
-        out_.push_back(cancel_action{remote_attempt_});
+        out_.push_back(cancel_action{remote_attempt_, sent_boot_});
     else
         out_.push_back(connect_action{});
 }
 
+/// The earlier call's answer can't be had now.
+void call::finish_collecting() {
+    if (collecting_done_)
+        return finish(end_reason::answer_not_kept, run_state::run);
+    finish(end_reason::still_running, run_state::unknown, milliseconds{1'000});
+}
+
 void call::send_resume() {
     out_.push_back(resume_action{remote_id_, remote_attempt_, received_});
 }
--- a/src/core/routing/call.hpp
+++ b/src/core/routing/call.hpp
@@ -41,6 +41,7 @@
     caller_gone,
     still_running,   // an earlier call with the same key runs
     outcome_unknown, // an earlier call with the same key ended without a known outcome
+    answer_not_kept, // an earlier call with the same key ran; nobody has its answer any more
     body_mismatch,   // the same key came with another body
 };
 [[nodiscard]] const char* code_of(end_reason reason);
@@ -80,6 +81,7 @@
 };
 struct cancel_action {
     int attempt = 1;
+    std::int64_t agent_boot = 0; // agent process that the run was sent to
 };
 struct acknowledge_action {
     std::string request_id;
@@ -112,7 +114,7 @@
     [[nodiscard]] actions placed(const std::string& target, common::time_point now);
     [[nodiscard]] actions wait_for_replica(common::duration estimate, common::time_point now);
     [[nodiscard]] actions claim_granted(common::time_point now);
-    [[nodiscard]] actions collect(const std::string& request_id, int attempt, common::time_point now);
+    [[nodiscard]] actions collect(const std::string& request_id, int attempt, bool ran, common::time_point now);
     [[nodiscard]] actions link_ready(std::int64_t agent_boot, common::time_point now);
     [[nodiscard]] actions link_lost(common::time_point now);
 
@@ -158,6 +160,7 @@
                          common::time_point now);
     void begin_cancel(common::time_point now);
     void send_resume();
+    void finish_collecting();
     [[nodiscard]] bool concerns(const std::string& request_id, int attempt) const;
     [[nodiscard]] bool retry_is_safe(run_state ran) const;
     [[nodiscard]] run_state trusted(run_state said) const;
@@ -175,6 +178,7 @@
     bool sent_ = false;               // a byte of the current attempt may have left
     bool may_have_run_ = false;       // an earlier attempt's end is not proven "not run"
     bool link_up_ = false;            // to the current target
+    bool collecting_done_ = false;    // that call is known to have run
     bool collecting_ = false;         // an earlier call's answer is being collected
     bool isolated_ = false;           // runs alone, as a suspect
     bool past_cancel_ = false;        // the cancel margin before the deadline was reached
--- a/src/programs/router/answers.cpp
+++ b/src/programs/router/answers.cpp
@@ -39,6 +39,7 @@
     case end_reason::key_withdrawn: return {401, "The key has been withdrawn."};
     case end_reason::still_running: return {409, "An earlier call with this Idempotency-Key may still run."};
     case end_reason::outcome_unknown: return {409, "The outcome of an earlier call with this key is unknown."};
+    case end_reason::answer_not_kept: return {410, "An earlier call with this key ran; its answer is no longer kept."};
     case end_reason::body_mismatch: return {422, "This Idempotency-Key came with another request before."};
     case end_reason::completed:
     case end_reason::kept_answer:
--- a/src/programs/router/calls.cpp
+++ b/src/programs/router/calls.cpp
@@ -1,5 +1,6 @@
 #include "programs/router/calls.hpp"
 
+#include "core/claims/record.hpp"
 #include "core/keys/access.hpp"
 #include "programs/router/front.hpp"
 
@@ -106,7 +107,9 @@
     const milliseconds wait{std::max<std::int64_t>(result.retry_after_ms, 0)};
     if (result.mismatch)
         return end(*call, end_reason::body_mismatch, {}, now);
-    if (result.existing.state == "done") {
+    const bool done = result.existing.state == "done";
+    const bool has_body = !result.existing.answer.empty() || result.existing.content_type.empty();
+    if (done && has_body) {
         core::routing::ending kept;
         kept.reason = end_reason::kept_answer;
         kept.ran = core::routing::run_state::run;
@@ -115,11 +118,11 @@
         kept.headers.push_back({"content-type", result.existing.content_type});
         return run(*call, call->machine.end(std::move(kept), now), now);
     }
-    if (result.existing.state == "running" && unix_ms() < result.existing.expires_unix_ms) {
+    if (done || (result.existing.state == "running" && unix_ms() < result.existing.expires_unix_ms)) {
         call->claim = result.existing;
         call->address = result.existing.address;
         by_request_.emplace(result.existing.request_id, id);
-        return run(*call, call->machine.collect(result.existing.request_id, result.existing.attempt, now), now);
+        return run(*call, call->machine.collect(result.existing.request_id, result.existing.attempt, done, now), now);
     }
     if (result.existing.state == "running" || result.existing.state == "unknown") {
         core::routing::ending unknown;
@@ -162,7 +165,7 @@
         request.headers.push_back(field);
     }
     request.__isset.headers = true;
-    request.__set_body(chat ? call.from.chat.prompt : http.body);
+    request.__set_body(http.body);
     request.__set_config_revision(parts_.config.state().revision);
     request.__set_fingerprint(call.fingerprint);
     request.__set_isolate(what.isolate);
@@ -189,6 +192,7 @@
     wire::cancel_request request;
     request.__set_request_id(call.machine.options().request_id);
     request.__set_attempt(what.attempt);
+    request.__set_agent_boot(what.agent_boot);
     parts_.agents.send(call.address, wire::message_kind::cancel_request, call.id, request);
 }
 
@@ -231,7 +235,7 @@
 }
 
 void call_table::settle_claim(live_call& call, const core::routing::ending& end, time_point now) {
-    constexpr std::size_t max_kept_answer = 64U << 10U; // bytes; larger answers are told as done without body
+    using core::claims::max_kept_answer; // larger answers are told as done without body
     if (call.claim.key.empty() || end.reason == end_reason::kept_answer)
         return;
     const bool collected = call.machine.collecting() && end.reason == end_reason::completed;
@@ -241,11 +245,13 @@
     if (end.reason == end_reason::completed) {
         call.claim.__set_state("done");
         call.claim.__set_status(end.status);
-        call.claim.__set_answer(end.body.size() <= max_kept_answer ? end.body : std::string{});
+        const bool kept_whole = end.body.size() <= max_kept_answer;
+        call.claim.__set_answer(kept_whole ? end.body : std::string{});
         for (const core::routing::answer_field& field : end.headers)
             if (field.name == "content-type")
                 call.claim.__set_content_type(field.value);
-        kept.address = call.address;
+        if (kept_whole)
+            kept.address = call.address; // else the agent alone has the answer: it isn't told to drop it
         kept.ack.__set_request_id(call.claim.request_id);
         kept.ack.__set_attempt(collected ? call.claim.attempt : call.machine.attempt());
     } else if (end.ran == core::routing::run_state::not_run) {
--- a/src/programs/router/calls.hpp
+++ b/src/programs/router/calls.hpp
@@ -62,8 +62,10 @@
 
     // Answering
     void answer(live_call& call, const core::routing::ending& end);
-    void answer_stream(live_call& call, const core::routing::ending& end);
-    void answer_whole(live_call& call, const core::routing::ending& end);
+    void answer_chat(live_call& call, const core::routing::ending& end);
+    void answer_plain(live_call& call, const core::routing::ending& end);
+    void answer_problem(live_call& call, const core::routing::ending& end);
+    void begin_stream(live_call& call);
     void settle_claim(live_call& call, const core::routing::ending& end, core::common::time_point now);
     void settle_rate(live_call& call, const core::routing::ending& end, core::common::time_point now);
     void count(live_call& call, const core::routing::ending& end);
--- a/src/programs/router/directory.cpp
+++ b/src/programs/router/directory.cpp
@@ -34,6 +34,7 @@
 void steward_directory::opened(const edge::link_event& event) {
     steward& one = stewards_[event.link];
     one.open = true;
+    one.full = false;
     one.data_centre = event.peer.data_centre;
     log_->info("Link to steward {} is open.", event.peer.process);
 }
@@ -95,19 +96,21 @@
     one.valid_until = until;
 }
 
+/// Best: of the own data centre and with room; worst: full ones, which may have room again.
 std::optional<edge::link_id> steward_directory::feed(std::optional<edge::link_id> except) const {
     std::optional<edge::link_id> out;
-    bool own = false;
+    int best = -1;
     for (const auto& [link, one] : stewards_) {
-        if (!one.open || link == except)
+        if (!one.open)
             continue;
         const bool near = one.data_centre == settings_.data_centre;
-        if (!out || (near && !own)) {
+        const int rank = link == except ? 0 : one.full ? 1 : near ? 3 : 2;
+        if (rank > best) {
             out = link;
-            own = near;
+            best = rank;
         }
     }
-    return out ? out : (except && stewards_.at(*except).open ? except : out);
+    return out;
 }
 
 } // namespace waxwinglb::programs::router
--- a/src/programs/router/directory.hpp
+++ b/src/programs/router/directory.hpp
@@ -17,6 +17,8 @@
 public:
     steward_directory(edge::link_hub& links, const router_settings& settings);
 
+    void add(const std::string& address) { link_to(address); } // another steward, named by one
+    void avoid_as_feed(edge::link_id link) { stewards_[link].full = true; }
     void start(); // connects to every steward of the settings
 
     [[nodiscard]] bool owns(edge::link_id link) const { return stewards_.contains(link); }
@@ -36,6 +38,7 @@
         std::string address;
         std::string data_centre;
         bool open = false;
+        bool full = false; // feeds enough others
     };
     struct shard_holder {
         edge::link_id link = 0; // 0: not known
--- a/src/programs/router/feed.cpp
+++ b/src/programs/router/feed.cpp
@@ -7,6 +7,8 @@
 using core::common::time_point;
 
 constexpr milliseconds quiet_after{1'500}; // a feed that says nothing for so long is replaced
+constexpr milliseconds ask_every{400};     // trust is counted from the question, so it is asked often
+constexpr std::size_t max_questions = 16;  // of which the time of sending is remembered
 
 } // namespace
 
@@ -16,6 +18,8 @@
 void config_feed::tick(time_point now) {
     if (!source_ || now - heard_ >= quiet_after)
         subscribe(now);
+    else if (now - asked_ >= ask_every)
+        ask(now);
 }
 
 void config_feed::subscribe(time_point now) {
@@ -26,9 +30,29 @@
     heard_ = now;
     parts_.clear();
     next_part_ = 0;
+    questions_.clear();
+    ask(now);
+}
+
+/// Subscribes, or renews the subscription. A message may lie unread in a buffer while this process is paused:
+/// what vouches for the configuration counts from when it was asked for, not from when it was read.
+void config_feed::ask(time_point now) {
+    asked_ = now;
+    questions_[++last_question_] = now;
+    if (questions_.size() > max_questions)
+        questions_.erase(questions_.begin());
     wire::subscribe_config request;
     request.__set_have_revision(copy_.revision());
-    links_.send(*chosen, wire::message_kind::subscribe_config, 0, request);
+    links_.send(*source_, wire::message_kind::subscribe_config, last_question_, request);
+}
+
+void config_feed::refused(edge::link_id from, const wire::feed_elsewhere& told) {
+    for (const std::string& address : told.addresses)
+        stewards_.add(address);
+    if (from != source_)
+        return;
+    stewards_.avoid_as_feed(from);
+    resubscribe();
 }
 
 void config_feed::link_closed(edge::link_id link) {
@@ -84,13 +108,16 @@
     log_->info("Configuration {} is in force.", copy_.revision());
 }
 
-void config_feed::vouched(edge::link_id from, const wire::config_fresh& told, time_point now) {
+void config_feed::vouched(edge::link_id from, std::int64_t question, const wire::config_fresh& told,
+                          time_point now) {
     if (from != source_)
         return;
     heard_ = now;
+    const auto asked = questions_.find(question);
     if (told.revision > copy_.revision() && parts_.empty())
         resubscribe();
-    copy_.confirm(told.revision, milliseconds{told.fresh_ms}, now);
+    if (asked != questions_.end())
+        copy_.confirm(told.revision, milliseconds{told.fresh_ms}, asked->second);
 }
 
 } // namespace waxwinglb::programs::router
--- a/src/programs/router/live_call.hpp
+++ b/src/programs/router/live_call.hpp
@@ -4,6 +4,7 @@
 #include "core/limits/wallet.hpp"
 #include "core/retries/budget.hpp"
 #include "core/routing/call.hpp"
+#include "core/routing/engine_answer.hpp"
 #include "programs/router/answers.hpp"
 #include "programs/router/events.hpp"
 #include "programs/router/rates.hpp"
@@ -38,7 +39,7 @@
     wire::claim_record claim;             // of calls that run at most once
     bool claim_granted = false;
     completion about;                     // of chat
-    std::string unsent_text;              // start of a character whose end has not come yet
+    core::routing::engine_answer engine;  // of chat: reads the answer's lines
     bool streaming = false;               // the HTTP answer has begun
     bool answered_byte = false;
     bool ended = false;
--- a/src/programs/router/relay.cpp
+++ b/src/programs/router/relay.cpp
@@ -1,6 +1,5 @@
 // Agents' messages on their way to open calls, and callers' answers.
 #include "programs/router/calls.hpp"
-#include "programs/router/front.hpp"
 
 #include <algorithm>
 
@@ -59,31 +58,6 @@
            name == "content-language";
 }
 
-/// Splits off an unfinished UTF-8 character at the end, which the next piece completes.
-std::string take_whole_characters(std::string& text) {
-    constexpr std::size_t longest = 4;
-    std::size_t end = text.size();
-    for (std::size_t back = 1; back <= std::min(longest, text.size()); ++back) {
-        const auto byte = static_cast<unsigned char>(text[text.size() - back]);
-        if ((byte & 0xc0U) == 0x80U)
-            continue; // continuation: look further back for the start
-        const std::size_t length = byte >= 0xf0U ? 4 : byte >= 0xe0U ? 3 : byte >= 0xc0U ? 2 : 1;
-        if (length > back)
-            end = text.size() - back;
-        break;
-    }
-    std::string out = text.substr(0, end);
-    text.erase(0, end);
-    return out;
-}
-
-std::string finish_reason_of(const core::routing::ending& end) {
-    for (const core::routing::answer_field& field : end.headers)
-        if (field.name == "x-finish-reason")
-            return field.value;
-    return "stop";
-}
-
 } // namespace
 
 template<class step_type>
@@ -177,62 +151,68 @@
 }
 
 void call_table::carry_out(live_call& call, const core::routing::deliver_action& what, time_point now) {
-    note_first_byte(call, now);
-    if (!call.streaming) {
-        call.streaming = true;
-        call.from.exchange->begin_stream(
-            200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
-    }
-    call.unsent_text += what.bytes;
-    const std::string text = take_whole_characters(call.unsent_text);
-    if (text.empty() || call.from.exchange->write_stream(completion_event(call.about, text)))
+    const std::string text = call.engine.take(what.bytes);
+    if (text.empty())
         return;
-    run(call, call.machine.abandon(end_reason::caller_gone, now), now);
+    note_first_byte(call, now);
+    if (!call.streaming)
+        begin_stream(call);
+    if (!call.from.exchange->write_stream(completion_event(call.about, text)))
+        run(call, call.machine.abandon(end_reason::caller_gone, now), now);
+}
+
+void call_table::begin_stream(live_call& call) {
+    call.streaming = true;
+    call.from.exchange->begin_stream(200,
+                                     {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
 }
 
 void call_table::answer(live_call& call, const core::routing::ending& end) {
     if (end.used_tokens >= 0)
         call.about.used_tokens = std::max<std::int64_t>(0, end.used_tokens - call.about.prompt_tokens);
-    call.about.finish_reason = finish_reason_of(end);
-    if (call.streaming)
-        answer_stream(call, end);
-    else
-        answer_whole(call, end);
+    const bool served = end.reason == end_reason::completed || end.reason == end_reason::kept_answer;
+    if (served && call.from.kind == arrival_kind::plain)
+        return answer_plain(call, end);
+    if (served)
+        return answer_chat(call, end);
+    answer_problem(call, end);
 }
 
-void call_table::answer_stream(live_call& call, const core::routing::ending& end) {
+void call_table::answer_problem(live_call& call, const core::routing::ending& end) {
     const edge::exchange_ptr& exchange = call.from.exchange;
-    if (!call.unsent_text.empty())
-        exchange->write_stream(completion_event(call.about, std::exchange(call.unsent_text, {})));
-    if (end.reason == end_reason::completed)
-        exchange->write_stream(completion_end(call.about));
-    else
-        exchange->write_stream(to_event(describe_end(end, call.machine.options().request_id)));
+    const problem told = describe_end(end, call.machine.options().request_id);
+    if (!call.streaming)
+        return exchange->respond(to_response(told));
+    exchange->write_stream(to_event(told));
     exchange->end_stream();
 }
 
-void call_table::answer_whole(live_call& call, const core::routing::ending& end) {
+void call_table::answer_chat(live_call& call, const core::routing::ending& end) {
     const edge::exchange_ptr& exchange = call.from.exchange;
-    const bool served = end.reason == end_reason::completed || end.reason == end_reason::kept_answer;
-    const std::string& request_id = call.machine.options().request_id;
-    if (!served)
-        return exchange->respond(to_response(describe_end(end, request_id)));
-    const bool good = end.status == 0 || (end.status >= 200 && end.status < 300);
-    if (call.from.kind == arrival_kind::chat && good) {
-        if (!call.machine.options().streamed)
-            return exchange->respond(completion_response(call.about, end.body));
-        exchange->begin_stream(200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
-        exchange->write_stream(completion_end(call.about));
-        return exchange->end_stream();
+    const std::string text = call.engine.take(end.body); // empty if it was streamed
+    call.about.finish_reason = call.engine.finish_reason();
+    if (end.status != 200 || !call.engine.done() || call.engine.malformed()) {
+        core::routing::ending failed = end;
+        failed.reason = end_reason::target_failed;
+        return answer_problem(call, failed);
     }
-    edge::http_response response{end.status == 0 ? 200 : end.status, {}, end.body};
+    if (!call.machine.options().streamed)
+        return exchange->respond(completion_response(call.about, text));
+    if (!call.streaming)
+        begin_stream(call);
+    exchange->write_stream(completion_end(call.about));
+    exchange->end_stream();
+}
+
+void call_table::answer_plain(live_call& call, const core::routing::ending& end) {
+    edge::http_response response{end.status, {}, end.body};
     for (const core::routing::answer_field& field : end.headers)
         if (is_returned(field.name))
             response.headers.push_back({field.name, field.value});
-    response.headers.push_back({"X-Request-Id", request_id});
+    response.headers.push_back({"X-Request-Id", call.machine.options().request_id});
     if (end.reason == end_reason::kept_answer)
         response.headers.push_back({"Idempotency-Replayed", "true"});
-    exchange->respond(std::move(response));
+    call.from.exchange->respond(std::move(response));
 }
 
 } // namespace waxwinglb::programs::router
--- a/src/programs/router/router.cpp
+++ b/src/programs/router/router.cpp
@@ -145,7 +145,11 @@
         break;
     case wire::message_kind::config_fresh:
         with(of.operator()<wire::config_fresh>(),
-             [&](const auto& body) { parts_.config.vouched(event.link, body, now); });
+             [&](const auto& body) { parts_.config.vouched(event.link, frame.header.call, body, now); });
+        break;
+    case wire::message_kind::feed_elsewhere:
+        with(of.operator()<wire::feed_elsewhere>(),
+             [&](const auto& body) { parts_.config.refused(event.link, body); });
         break;
     case wire::message_kind::locate_result:
         with(of.operator()<wire::locate_result>(), [&](const auto& body) { parts_.stewards.located(body, now); });
