--- a/src/programs/router/calls.cpp
+++ b/src/programs/router/calls.cpp
@@ -39,6 +39,8 @@
         parts_.metrics.count_retry();
     release_load(call);
     call.avoid = what.avoid;
+    call.placing_since = now;
+    call.cold = false;
     place(call, now);
 }
 
@@ -60,8 +62,8 @@
     const core::routing::replica* chosen = view.valid(now) ? core::routing::choose(view.replicas, wish) : nullptr;
     if (chosen != nullptr) {
         parts_.views.stop_waiting(call.service, call.model, call.id);
-        if (call.cold_since != time_point{})
-            parts_.metrics.cold_start(now - std::exchange(call.cold_since, time_point{}));
+        if (call.cold)
+            parts_.metrics.cold_start(now - call.placing_since);
         call.address = chosen->address;
         return run(call, call.machine.placed(chosen->target, now), now);
     }
@@ -73,8 +75,7 @@
         });
     if (tried_all)
         return end(call, end_reason::overloaded, short_retry, now);
-    if (call.cold_since == time_point{})
-        call.cold_since = now;
+    call.cold = call.cold || (view.valid(now) && !call.model.empty());
     parts_.views.wait(view, call.id, {call.customer, call.cost, call.machine.options().deadline}, now);
     if (view.valid(now))
         run(call, call.machine.wait_for_replica(view.estimate_left(now), now), now);
--- a/src/programs/router/live_call.hpp
+++ b/src/programs/router/live_call.hpp
@@ -43,7 +43,8 @@
     bool streaming = false;               // the HTTP answer has begun
     bool answered_byte = false;
     bool ended = false;
-    core::common::time_point cold_since{};    // waits for a cold model since
+    core::common::time_point placing_since{}; // asked for a target
+    bool cold = false;                        // and its model had no replica then
     core::common::time_point wakes{};         // its place in the timer index
     core::common::milliseconds held_retry{0}; // what the rate's holder told
 };
