--- a/src/core/retries/budget.hpp
+++ b/src/core/retries/budget.hpp
@@ -18,8 +18,8 @@
     common::time_point refilled_{};
 
     static constexpr double share = 0.1;            // retries earned by each first attempt
-    static constexpr double floor_per_second = 0.2; // lets a rarely used service retry at all
-    static constexpr double initial_tokens = 2;     // retries that a new pair may make
+    static constexpr double floor_per_second = 0.5; // lets a rarely used service retry at all
+    static constexpr double initial_tokens = 3;     // retries that a new pair may make
     static constexpr double max_tokens = 10;        // bounds a burst of retries after quiet hours
 };
 
--- a/src/core/routing/call.cpp
+++ b/src/core/routing/call.cpp
@@ -13,7 +13,8 @@
 constexpr milliseconds progress_timeout{1'000}; // silence after which a running answer is asked for again
 constexpr milliseconds lost_timeout{3'000};     // a target that can't be reached again for so long is lost
 constexpr milliseconds cancel_margin{60};       // before the deadline: time to learn what became of a run
-constexpr int max_attempts = 3;
+constexpr int max_attempts = 4;
+constexpr milliseconds least_pause{200}; // before a target that refused is asked again
 
 } // namespace
 
@@ -46,7 +47,7 @@
     if (phase_ != phase::granting)
         return {};
     enter(phase::placing, control_timeout, now);
-    out_.push_back(place_action{avoid_});
+    out_.push_back(place_action{avoid_, least_pause});
     return take();
 }
 
@@ -176,6 +177,10 @@
                       milliseconds retry_after, time_point now) {
     if (!concerns(request_id, attempt) || phase_ == phase::cancelling)
         return {};
+    if (collecting_ && why != refusal::unknown_request && ran != run_state::not_run) {
+        finish(end_reason::outcome_unknown, run_state::unknown); // that run has ended without an answer
+        return take();
+    }
     if (collecting_) {
         finish_collecting();
         return take();
@@ -190,10 +195,15 @@
         finish(end_reason::quarantined, truth, retry_after);
         return take();
     }
-    if (suspect) {
-        const bool first = !isolated_;
+    if (suspect && !isolated_ && retry_is_safe(truth)) {
+        // One run alone shows who crashed the target. It is outside the budget, so that a crashing request can't
+        // use up the retries of those that ran beside it.
         isolated_ = true;
-        retry_or_finish(first && retry_is_safe(truth), end_reason::target_failed, truth, retry_after, now);
+        retry(truth, {}, now);
+        return take();
+    }
+    if (suspect) {
+        finish(end_reason::target_failed, truth, retry_after);
         return take();
     }
     end_reason reason = end_reason::target_failed;
@@ -333,14 +343,18 @@
 
 void call::retry_or_finish(bool allowed, end_reason why, run_state ran, milliseconds retry_after,
                            time_point now) {
-    const run_state overall = ran == run_state::not_run && may_have_run_ ? run_state::unknown : ran;
     const bool budget = allowed && attempt_ < max_attempts && options_.retry_budget != nullptr &&
                         options_.retry_budget->take(now);
-    if (!budget)
-        return finish(why, overall, retry_after);
+    if (budget)
+        return retry(ran, retry_after, now);
+    finish(why, ran == run_state::not_run && may_have_run_ ? run_state::unknown : ran, retry_after);
+}
+
+/// Goes back to placing for a new attempt; what comes of the old one changes nothing any more.
+void call::retry(run_state ran, milliseconds pause, time_point now) {
     if (sent_ && link_up_ && ran != run_state::not_run)
         out_.push_back(cancel_action{remote_attempt_, sent_boot_}); // spares the target work that nobody waits for
-    may_have_run_ = overall != run_state::not_run;
+    may_have_run_ = may_have_run_ || ran != run_state::not_run;
     avoid_.insert(target_);
     target_.clear();
     sent_ = false;
@@ -349,7 +363,7 @@
     received_ = 0;
     body_.clear();
     enter(phase::placing, control_timeout, now);
-    out_.push_back(place_action{avoid_});
+    out_.push_back(place_action{avoid_, std::max(pause, least_pause)});
 }
 
 void call::begin_cancel(time_point now) {
--- a/src/core/routing/call.hpp
+++ b/src/core/routing/call.hpp
@@ -66,7 +66,8 @@
 
 // What the machine asks for. Only the newest `place` or `claim` counts.
 struct place_action {
-    std::set<std::string> avoid; // targets already tried
+    std::set<std::string> avoid;     // targets already tried
+    common::milliseconds pause{200}; // before one of them is tried again, where no other is left
 };
 struct claim_action {};    // store the claim, naming the chosen target
 struct connect_action {};  // a link to the chosen target; answer with link_ready()
@@ -158,6 +159,7 @@
     void give_up_target(common::time_point now);
     void retry_or_finish(bool allowed, end_reason why, run_state ran, common::milliseconds retry_after,
                          common::time_point now);
+    void retry(run_state ran, common::milliseconds pause, common::time_point now);
     void begin_cancel(common::time_point now);
     void send_resume();
     void finish_collecting();
--- a/src/programs/router/calls.cpp
+++ b/src/programs/router/calls.cpp
@@ -39,6 +39,8 @@
         parts_.metrics.count_retry();
     release_load(call);
     call.avoid = what.avoid;
+    call.pause = what.pause;
+    call.tries_again = {};
     call.placing_since = now;
     call.cold = false;
     place(call, now);
@@ -46,7 +48,7 @@
 
 /// Chooses a target from the view, or lets the call wait for one.
 void call_table::place(live_call& call, time_point now) {
-    if (!call.machine.waits_for_replica())
+    if (!call.machine.waits_for_replica() || call.tries_again > now)
         return;
     replica_set_view& view = parts_.views.use(call.service, call.model, now);
     const auto condemned = view.condemned.find(call.fingerprint);
@@ -69,18 +71,30 @@
     }
     if (view.valid(now) && view.reason != wire::refusal::none)
         return end(call, end_reason::no_replica, std::max(view.retry_after, short_retry), now);
-    const bool tried_all =
-        view.valid(now) && std::any_of(view.replicas.begin(), view.replicas.end(), [&](const auto& one) {
-            return one.ready && call.avoid.contains(one.target);
-        });
-    if (tried_all)
-        return end(call, end_reason::overloaded, short_retry, now);
+    if (view.valid(now) && tried_all(call, view))
+        return place_later(call, now);
     call.cold = call.cold || (view.valid(now) && !call.model.empty());
     parts_.views.wait(view, call.id, {call.customer, call.cost, call.machine.options().deadline}, now);
     if (view.valid(now))
         run(call, call.machine.wait_for_replica(view.estimate_left(now), now), now);
 }
 
+bool call_table::tried_all(const live_call& call, const replica_set_view& view) const {
+    return std::any_of(view.replicas.begin(), view.replicas.end(), [&](const core::routing::replica& one) {
+        return one.ready && call.avoid.contains(one.target);
+    });
+}
+
+/// Every target has refused or failed: they are tried again after a pause, if the deadline leaves time for it.
+void call_table::place_later(live_call& call, time_point now) {
+    if (call.tries_again > now)
+        return;
+    call.tries_again = now + call.pause;
+    call.avoid.clear();
+    pauses_.insert({call.tries_again, call.id});
+    run(call, call.machine.wait_for_replica(call.pause, now), now);
+}
+
 void call_table::carry_out(live_call& call, const core::routing::claim_action& what, time_point now) {
     (void)what;
     call.claim.__set_attempt(1);
@@ -260,6 +274,8 @@
         if (end.reason == end_reason::body_mismatch)
             return;
         call.claim.__set_state("not_run");
+    } else if (end.reason == end_reason::target_failed) {
+        call.claim.__set_state("unknown"); // ended, and nobody has an answer
     } else {
         return; // still running as far as anybody knows; a repeat may collect the answer from the agent
     }
@@ -345,6 +361,12 @@
         call->wakes = {};
         run(*call, call->machine.tick(now), now);
     }
+    while (!pauses_.empty() && pauses_.begin()->first <= now) {
+        const call_id id = pauses_.begin()->second;
+        pauses_.erase(pauses_.begin());
+        if (live_call* call = find(id))
+            place(*call, now);
+    }
     bury();
     parts_.metrics.open_requests(calls_.size());
 }
--- a/src/programs/router/calls.hpp
+++ b/src/programs/router/calls.hpp
@@ -56,6 +56,8 @@
     void carry_out(live_call& call, const core::routing::deliver_action& what, core::common::time_point now);
     void carry_out(live_call& call, const core::routing::finish_action& what, core::common::time_point now);
     void place(live_call& call, core::common::time_point now);
+    void place_later(live_call& call, core::common::time_point now);
+    [[nodiscard]] bool tried_all(const live_call& call, const replica_set_view& view) const;
     void end(live_call& call, core::routing::end_reason why, core::common::milliseconds retry_after,
              core::common::time_point now);
     void end_keyed(core::routing::end_reason why, bool withdrawn_only, core::common::time_point now);
@@ -92,6 +94,7 @@
     std::map<call_id, std::unique_ptr<live_call>> calls_;
     std::unordered_multimap<std::string, call_id> by_request_; // id that agents know -> call
     std::set<std::pair<core::common::time_point, call_id>> timers_;
+    std::set<std::pair<core::common::time_point, call_id>> pauses_; // calls that are placed again then
     std::vector<call_id> ended_;
     std::map<std::string, core::retries::budget> budgets_; // by "customer/service"
     std::string id_prefix_;                                // makes request ids unique over routers and restarts
--- a/src/programs/router/live_call.hpp
+++ b/src/programs/router/live_call.hpp
@@ -34,6 +34,8 @@
     core::limits::reservation_id reservation = 0;
     bool reserved = false;
     std::set<std::string> avoid;          // targets tried before
+    core::common::milliseconds pause{0};  // before they are tried again
+    core::common::time_point tries_again{}; // while it pauses: when it is placed again
     std::string address;                  // of the chosen target's agent
     std::optional<std::string> load_on;   // target that counts this call as unreported
     wire::claim_record claim;             // of calls that run at most once
