--- a/src/core/memory/adoption.cpp
+++ b/src/core/memory/adoption.cpp
@@ -22,15 +22,14 @@
 
 /// Adds what the engine holds, drops what it doesn't; one whose order's answer was lost stays for a while.
 void adopt_adapters(replica& one, const engine_model& seen, common::milliseconds order_timeout,
-                    common::time_point now) {
+                    common::time_point asked) {
     for (const std::string& name : seen.adapters) {
         adapter& held = one.adapters[name]; // new ones: size unknown, so it stays unaccounted
-        const bool waits = held.unsure && now - held.last_used < order_timeout;
-        held.unsure = waits;
+        held.unsure = held.unsure && asked - held.last_used < order_timeout;
     }
     std::erase_if(one.adapters, [&](const auto& entry) {
         const adapter& held = entry.second;
-        const bool waits = held.unsure && now - held.last_used < order_timeout;
+        const bool waits = held.unsure && asked - held.last_used < order_timeout;
         return !held.loading && !held.unloading && !waits && !holds(seen, entry.first);
     });
 }
@@ -45,19 +44,24 @@
            std::equal(models.begin(), models.end(), other.models.begin(), same);
 }
 
-bool ledger::adopt(const engine_view& view, std::uint64_t asked_at, common::time_point now) {
+bool ledger::adopt(const engine_view& view, const read_mark& mark, common::time_point now) {
     const bool restarted = boot_ != 0 && view.boot != boot_;
+    const bool overlapped = mark.sequence != sequence_;
     if (restarted)
-        lose_all(now);
+        engine_gone(now);
     boot_ = view.boot;
     capacity_ = view.memory_bytes > 0 ? std::min(options_.capacity, view.memory_bytes) : options_.capacity;
-    if (asked_at != sequence_)
+    if (overlapped)
         return restarted;
-    settle(view, now);
-    take_over(view, now);
+    std::erase_if(late_orders_,
+                  [&](const late_order& one) { return mark.asked - one.since >= options_.order_timeout; });
+    settle(view, mark, now);
+    take_over(view, mark.asked, now);
     return restarted;
 }
 
+/// Nothing new is ordered until a read has shown what a restarted engine holds: an order that was under way
+/// may have reached it already.
 void ledger::engine_gone(common::time_point now) {
     lose_all(now);
     boot_ = 0;
@@ -67,9 +71,12 @@
 
 /// Orders under way, and ones whose answer was lost, may still reach the engine after its restart.
 void ledger::lose_all(common::time_point now) {
-    (void)now;
     ++sequence_;
     unaccounted_ = 0;
+    for (const auto& [model, one] : replicas_)
+        for (const auto& [name, adapter] : one.adapters)
+            if (adapter.loading || adapter.unsure)
+                late_orders_.push_back({adapter.bytes, now});
     std::erase_if(replicas_, [](const auto& entry) {
         const replica_state state = entry.second.state;
         return state == replica_state::loaded || state == replica_state::draining;
@@ -80,7 +87,7 @@
 
 /// A former agent process may have sent orders that are still on their way: two equal reads, one order
 /// timeout apart, show that none is.
-void ledger::settle(const engine_view& view, common::time_point now) {
+void ledger::settle(const engine_view& view, const read_mark& mark, common::time_point now) {
     if (settled_)
         return;
     if (one_read_settles_) {
@@ -92,17 +99,17 @@
         first_view_at_ = now;
         return;
     }
-    settled_ = now - first_view_at_ >= options_.order_timeout;
+    settled_ = mark.asked - first_view_at_ >= options_.order_timeout;
 }
 
-void ledger::take_over(const engine_view& view, common::time_point now) {
+void ledger::take_over(const engine_view& view, common::time_point asked, common::time_point now) {
     std::int64_t unlisted = view.used_bytes;
     for (const engine_model& seen : view.models) {
         const bool is_new = !replicas_.contains(seen.model);
         replica& one = replicas_[seen.model];
         unlisted -= seen.bytes;
         const bool uncertain = one.state == replica_state::unknown && one.unload_lost &&
-                               now - one.last_used < options_.order_timeout;
+                               asked - one.last_used < options_.order_timeout;
         if (is_under_way(one.state) || (!is_new && uncertain))
             continue;
         if (is_new || one.state == replica_state::unknown || one.state == replica_state::awaiting_room) {
@@ -111,7 +118,7 @@
         }
         one.version = seen.version;
         one.bytes = seen.bytes;
-        adopt_adapters(one, seen, options_.order_timeout, now);
+        adopt_adapters(one, seen, options_.order_timeout, asked);
         for (const std::string& name : seen.adapters)
             unlisted -= one.adapters[name].bytes;
     }
@@ -123,12 +130,13 @@
         if (one.state != replica_state::unknown || one.unload_lost)
             return true;
         // A load whose answer was lost may still arrive, or be going on in memory that the engine counts.
-        return now - one.last_used >= options_.order_timeout && unlisted < one.bytes;
+        return asked - one.last_used >= options_.order_timeout && unlisted < one.bytes;
     });
+    std::int64_t under_way = 0; // may or may not have reached the engine, so may or may not be in `unlisted`
     for (const auto& [model, one] : replicas_)
         if (find_model(view, model) == nullptr && one.state != replica_state::awaiting_room)
-            unlisted -= one.bytes;
-    unaccounted_ = std::max<std::int64_t>(0, unlisted);
+            under_way += one.bytes;
+    unaccounted_ = std::max({std::int64_t{0}, unlisted - under_way, std::min(unaccounted_, unlisted)});
 }
 
 } // namespace waxwinglb::core::memory
--- a/src/core/memory/ledger.cpp
+++ b/src/core/memory/ledger.cpp
@@ -16,8 +16,14 @@
     return one.state == replica_state::unloading || one.state == replica_state::draining;
 }
 
-bool is_idle(const adapter& one) {
-    return one.in_use == 0 && !one.loading && !one.unloading && !one.unsure;
+bool is_settled(const adapter& one) {
+    return !one.loading && !one.unloading && !one.unsure;
+}
+
+/// A model must not be unloaded while an order for one of its adapters could still arrive.
+bool are_settled(const std::map<std::string, adapter>& adapters) {
+    return std::all_of(adapters.begin(), adapters.end(),
+                       [](const auto& entry) { return is_settled(entry.second); });
 }
 
 /// Cost of loading it again, weighed by how lately it was used, for each byte that it holds.
@@ -102,7 +108,7 @@
     case replica_state::loaded:
         break;
     }
-    if (one.in_use > 0) {
+    if (one.in_use > 0 || !are_settled(one.adapters)) {
         one.state = replica_state::draining;
         return order_answer::wait;
     }
@@ -234,7 +240,7 @@
 std::vector<std::string> ledger::unloads_to_start() {
     std::vector<std::string> out;
     for (auto& [model, one] : replicas_) {
-        if (one.state != replica_state::draining || one.in_use > 0)
+        if (one.state != replica_state::draining || one.in_use > 0 || !are_settled(one.adapters))
             continue;
         one.state = replica_state::unloading;
         one.boot = boot_;
@@ -289,6 +295,8 @@
 
 std::int64_t ledger::used() const {
     std::int64_t out = unaccounted_;
+    for (const late_order& one : late_orders_)
+        out += one.bytes;
     for (const auto& [model, one] : replicas_)
         if (one.state != replica_state::awaiting_room)
             out += bytes_of(one);
@@ -337,9 +345,7 @@
     double least = 0;
     for (const auto& [model, one] : replicas_) {
         const bool young = now - one.last_used < options_.spare_young_for;
-        const bool adapters_busy = std::any_of(one.adapters.begin(), one.adapters.end(),
-                                               [](const auto& entry) { return !is_idle(entry.second); });
-        if (one.state != replica_state::loaded || one.in_use > 0 || young || adapters_busy)
+        if (one.state != replica_state::loaded || one.in_use > 0 || young || !are_settled(one.adapters))
             continue;
         const double value = value_of(one, now);
         if (out && value >= least)
@@ -357,7 +363,8 @@
         if (one.state != replica_state::loaded)
             continue;
         for (const auto& [name, adapter] : one.adapters) {
-            if (!is_idle(adapter) || adapter.bytes == 0 || adapter.last_used >= oldest)
+            if (adapter.in_use > 0 || !is_settled(adapter) || adapter.bytes == 0 ||
+                adapter.last_used >= oldest)
                 continue;
             oldest = adapter.last_used;
             out = adapter_key{model, name};
--- a/src/core/memory/ledger.hpp
+++ b/src/core/memory/ledger.hpp
@@ -107,6 +107,13 @@
     bool operator==(const engine_view& other) const;
 };
 
+/// Taken before the engine's state is asked for: a read that an order overlapped, or that is too early, is
+/// not taken as the truth.
+struct read_mark {
+    std::uint64_t sequence = 0;
+    common::time_point asked;
+};
+
 struct ledger_options {
     std::int64_t capacity = 0;                   // bytes; the engine's own figure counts if lower
     common::milliseconds order_timeout{2'000};   // after that no sent order can still arrive at the engine
@@ -137,9 +144,9 @@
     void release_adapter(const adapter_key& key, common::time_point now);
 
     // The engine's state. A read that an order overlapped only tells the boot.
-    [[nodiscard]] std::uint64_t sequence() const { return sequence_; } // to be taken before asking
+    [[nodiscard]] read_mark mark(common::time_point now) const { return {sequence_, now}; }
     /// True if the engine has restarted since the last read.
-    bool adopt(const engine_view& view, std::uint64_t asked_at, common::time_point now);
+    bool adopt(const engine_view& view, const read_mark& mark, common::time_point now);
     void engine_gone(common::time_point now); // connection refused: nothing is loaded any more
 
     [[nodiscard]] bool settled() const { return settled_; } // what the engine holds is known
@@ -156,12 +163,18 @@
     [[nodiscard]] std::optional<std::string> least_valuable(common::time_point now) const;
     [[nodiscard]] std::optional<adapter_key> oldest_idle_adapter() const;
     void lose_all(common::time_point now);
-    void settle(const engine_view& view, common::time_point now);
-    void take_over(const engine_view& view, common::time_point now);
+    void settle(const engine_view& view, const read_mark& mark, common::time_point now);
+    void take_over(const engine_view& view, common::time_point asked, common::time_point now);
 
     ledger_options options_;
     std::int64_t capacity_;
     std::int64_t unaccounted_ = 0; // used at the engine by what the ledger doesn't list
+    /// An adapter's order that may still arrive after the engine lost the model that it belongs to.
+    struct late_order {
+        std::int64_t bytes = 0;
+        common::time_point since;
+    };
+    std::vector<late_order> late_orders_;
     std::map<std::string, replica> replicas_;
     std::map<std::string, std::int64_t> highest_decision_; // by model
     std::map<int, std::int64_t> highest_fencing_;          // by shard
--- a/src/programs/agent/orders.cpp
+++ b/src/programs/agent/orders.cpp
@@ -101,7 +101,7 @@
 }
 
 void take_engine_up(state& all, const probe_done& probe, time_point now) {
-    const bool restarted = all.ledger.adopt(probe.view, probe.asked_at, now);
+    const bool restarted = all.ledger.adopt(probe.view, probe.mark, now);
     if (restarted)
         target_crashed(all, now);
     all.ramp.observe_boot(probe.view.boot, now);
--- a/src/programs/agent/state.hpp
+++ b/src/programs/agent/state.hpp
@@ -49,7 +49,7 @@
     probe_outcome outcome = probe_outcome::silent;
     core::memory::engine_view view; // of an engine
     bool cold = false;
-    std::uint64_t asked_at = 0; // the ledger's sequence when it was asked
+    core::memory::read_mark mark; // taken when it was asked
     std::uint64_t number = 0;   // of the probe
 };
 
--- a/src/programs/agent/target.cpp
+++ b/src/programs/agent/target.cpp
@@ -246,7 +246,7 @@
     call.timeout = probe_timeout;
     call.send_once = true; // a reused connection could belong to a process that is gone
     auto& ring = all.ring;
-    all.http.send(std::move(call), [&ring, plain, asked_at = all.ledger.sequence(),
+    all.http.send(std::move(call), [&ring, plain, mark = all.ledger.mark(now),
                                     number = ++all.last_probe](edge::client_result&& result) {
         probe_done out;
         if (result.outcome == edge::client_outcome::not_sent)
@@ -255,7 +255,7 @@
             out.outcome = probe_outcome::up;
         else if (result.outcome == edge::client_outcome::answered && result.status == 200)
             out = read_state(result.body).value_or(probe_done{});
-        out.asked_at = asked_at;
+        out.mark = mark;
         out.number = number;
         ring.push(std::move(out));
     });
