--- a/src/programs/agent/orders.cpp
+++ b/src/programs/agent/orders.cpp
@@ -101,7 +101,11 @@
 }
 
 void take_engine_up(state& all, const probe_done& probe, time_point now) {
+    const std::int64_t free_before = all.ledger.free_bytes();
+    const std::size_t held_before = all.ledger.replicas().size();
     const bool restarted = all.ledger.adopt(probe.view, probe.mark, now);
+    if (free_before != all.ledger.free_bytes() || held_before != all.ledger.replicas().size())
+        all.report_due = true;
     if (restarted)
         target_crashed(all, now);
     all.ramp.observe_boot(probe.view.boot, now);
--- a/src/programs/agent/target.cpp
+++ b/src/programs/agent/target.cpp
@@ -58,8 +58,10 @@
         });
 }
 
-milliseconds remaining(const request& one, time_point now) {
-    return std::max(milliseconds{1}, std::chrono::ceil<milliseconds>(one.deadline - now));
+/// A little past the deadline, which the deciding thread ends itself.
+milliseconds call_timeout(const request& one, time_point now) {
+    constexpr milliseconds margin{1'000};
+    return std::chrono::ceil<milliseconds>(std::max(one.deadline, now) - now) + margin;
 }
 
 edge::client_request plain_call(const state& all, const request& one) {
@@ -167,7 +169,7 @@
 void start_call(state& all, request& one, time_point now) {
     one.started = now;
     auto call = all.settings.kind == target_kind::plain ? plain_call(all, one) : generate_call(all, one);
-    call.timeout = remaining(one, now);
+    call.timeout = call_timeout(one, now);
     send_request(all, one, std::move(call));
 }
 
@@ -178,7 +180,7 @@
     all.metrics.resumes.Increment();
     auto call = post(all, "/resume", json{{"request", one.key.request_id}, {"from", one.next_index}});
     call.stall_timeout = all.settings.stall_timeout;
-    call.timeout = remaining(one, now);
+    call.timeout = call_timeout(one, now);
     send_request(all, one, std::move(call));
 }
 
--- a/tests/contract/agent_fixture.hpp
+++ b/tests/contract/agent_fixture.hpp
@@ -1,6 +1,7 @@
 // An agent with its target in one process, and a peer that speaks to it over a real link.
 #pragma once
 
+#include "core/config/codec.hpp"
 #include "edge/http_client.hpp"
 #include "edge/link.hpp"
 #include "edge/ring.hpp"
@@ -57,6 +58,18 @@
         hub_.send(link_, what, call, body);
     }
     void send_bytes(std::string bytes) { hub_.send_bytes(link_, std::move(bytes)); }
+    /// Returns once the agent has answered what was sent before, or has closed the link for it.
+    void flush() {
+        wire::cancel_request last;
+        last.request_id = "flush";
+        send(kind::cancel_request, 99, last);
+        for (;;) {
+            const auto event = next_event();
+            if (event.kind == edge::link_event_kind::closed || event.frame.header.call == 99 ||
+                ::testing::Test::HasFailure())
+                return;
+        }
+    }
     edge::link_event next_event() {
         auto event = events_.pop_until(core::common::clock::now() + patience);
         EXPECT_TRUE(event.has_value()) << "no event came";
--- /dev/null
+++ b/tests/contract/agent_orders_test.cpp
@@ -0,0 +1,154 @@
+// Contract tests of orders against an engine's faults: whatever happens to an order, its memory is accounted
+// for.
+#include "contract/agent_fixture.hpp"
+
+using namespace agent_testing;
+
+namespace {
+
+struct load_fault {
+    const char* name;
+    std::vector<json> faults;
+    wire::refusal::type reason; // of the order's result
+    const char* state;
+};
+
+void expect_never_overcommitted(const std::string& engine) {
+    const json seen = audit(engine);
+    EXPECT_EQ(seen["overcommit_attempts"], 0);
+    EXPECT_LE(seen["max_used_bytes"], seen["memory_bytes"]);
+    EXPECT_EQ(seen["old_orders"], 0);
+}
+
+} // namespace
+
+class agent_load_fault : public agent_with_engine, public ::testing::WithParamInterface<load_fault> {};
+
+TEST_P(agent_load_fault, is_settled_and_the_model_can_be_loaded_afterwards) {
+    for (const json& fault : GetParam().faults)
+        add_fault(engine->address(), fault);
+    const auto first = load("m1", 60);
+    EXPECT_EQ(first.reason, GetParam().reason);
+    EXPECT_EQ(first.state, GetParam().state);
+    steward->await_report(
+        [](const auto& report) { return report.load.limit > 0 && report.free_bytes >= 40; });
+    EXPECT_EQ(load("m1", 60, 2).state, "loaded");
+    const auto second = load("m2", 60, 3);
+    EXPECT_EQ(second.reason, wire::refusal::no_memory) << "m1 is too young to be evicted";
+    EXPECT_EQ(second.free_bytes, 40);
+    EXPECT_EQ(unload("m1", 4).state, "absent");
+    EXPECT_EQ(load("m2", 60, 5).state, "loaded");
+    expect_never_overcommitted(engine->address());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, agent_load_fault,
+    ::testing::Values(
+        load_fault{"slow", {{{"kind", "load_slow"}, {"delay_ms", 300}}}, wire::refusal::none, "loaded"},
+        load_fault{"answer_lost", {{{"kind", "load_lost"}}}, wire::refusal::none, "loaded"},
+        load_fault{"answer_lost_and_state_silent",
+                   {{{"kind", "load_lost"}}, {{"kind", "state_silent"}, {"count", 2}}},
+                   wire::refusal::none,
+                   "loaded"},
+        load_fault{"failed", {{{"kind", "load_fail"}}}, wire::refusal::target_failed, "absent"},
+        load_fault{"crash", {{{"kind", "crash_on_load"}}}, wire::refusal::target_failed, "absent"},
+        load_fault{"unload_answer_lost",
+                   {{{"kind", "unload_lost"}, {"match", "m1"}}},
+                   wire::refusal::none,
+                   "loaded"}),
+    [](const auto& one) { return std::string{one.param.name}; });
+
+/// Where the agent dies in the course of a load or an unload.
+struct kill_point {
+    const char* name;
+    std::vector<json> faults;
+    bool until_loaded;  // dies after the load's result, else while the load is under way
+    bool during_unload; // an unload is ordered before it dies
+    const char* state;  // of m1 as the next agent reports it
+};
+
+class agent_killed : public agent_with_engine, public ::testing::WithParamInterface<kill_point> {};
+
+TEST_P(agent_killed, leaves_nothing_that_its_successor_does_not_count) {
+    for (const json& fault : GetParam().faults)
+        add_fault(engine->address(), fault);
+    wire::load_order order;
+    order.model = "m1";
+    order.version = "1";
+    order.bytes = 60;
+    order.remaining_ms = 10'000;
+    steward->send(kind::load_order, 1, order);
+    if (GetParam().until_loaded)
+        steward->expect<wire::order_result>(kind::order_result);
+    else
+        steward->await_report([](const auto& report) { return !report.models.empty(); });
+    if (GetParam().during_unload)
+        unload("m1", 2);
+    agent.reset();
+    router.reset();
+    steward.reset();
+    start_agent();
+    const std::string expected = GetParam().state;
+    const auto report = steward->await_report([&](const auto& seen) {
+        return seen.load.limit > 0 && seen.models.empty() == (expected == "absent");
+    });
+    EXPECT_EQ(report.models.empty() ? "absent" : report.models[0].state, expected);
+    if (expected == "absent")
+        EXPECT_EQ(load("m2", 60, 3).state, "loaded");
+    else
+        EXPECT_EQ(load("m2", 60, 3).reason, wire::refusal::no_memory);
+    expect_never_overcommitted(engine->address());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, agent_killed,
+    ::testing::Values(
+        kill_point{"while_loading", {{{"kind", "load_slow"}, {"delay_ms", 400}}}, false, false, "loaded"},
+        kill_point{"after_load", {}, true, false, "loaded"},
+        kill_point{"load_answer_lost", {{{"kind", "load_lost"}}}, true, false, "loaded"},
+        kill_point{"load_failed", {{{"kind", "load_fail"}}}, true, false, "absent"},
+        kill_point{"unload_answer_lost", {{{"kind", "unload_lost"}, {"match", "m1"}}}, true, true, "absent"},
+        kill_point{"after_unload", {}, true, true, "absent"}),
+    [](const auto& one) { return std::string{one.param.name}; });
+
+TEST_F(agent_with_engine, refuses_an_old_order_itself_when_the_engine_ignores_fencing) {
+    add_fault(engine->address(), {{"kind", "ignore_fencing"}});
+    ASSERT_EQ(load("m1", 30, 5, 3).state, "loaded");
+    ASSERT_EQ(unload("m1", 6, 3).state, "absent");
+    EXPECT_EQ(load("m1", 30, 5, 3).reason, wire::refusal::old_fencing) << "older decision";
+    EXPECT_EQ(load("m1", 30, 7, 2).reason, wire::refusal::old_fencing) << "older fencing number";
+    EXPECT_EQ(audit(engine->address())["loads"], 1);
+    EXPECT_EQ(load("m1", 30, 7, 3).state, "loaded");
+}
+
+TEST_F(agent_with_engine, one_load_serves_orders_that_come_twice) {
+    add_fault(engine->address(), {{"kind", "load_slow"}, {"delay_ms", 200}});
+    wire::load_order order;
+    order.model = "m1";
+    order.bytes = 60;
+    for (int call : {1, 2})
+        steward->send(kind::load_order, call, order);
+    for (int i = 0; i < 2; ++i)
+        EXPECT_EQ(steward->expect<wire::order_result>(kind::order_result).state, "loaded");
+    EXPECT_EQ(audit(engine->address())["loads"], 1);
+}
+
+TEST_F(agent_with_engine, malformed_orders_are_refused) {
+    EXPECT_EQ(load("", 10).reason, wire::refusal::bad_message);
+    EXPECT_EQ(load("m1", -5).reason, wire::refusal::bad_message);
+    EXPECT_EQ(load("m1", 101).reason, wire::refusal::no_memory);
+    EXPECT_EQ(load("m1", std::numeric_limits<std::int64_t>::max()).reason, wire::refusal::no_memory);
+    EXPECT_EQ(unload("", 1).reason, wire::refusal::bad_message);
+    expect_never_overcommitted(engine->address());
+}
+
+TEST_F(agent_with_engine, a_restarted_engine_has_lost_its_models) {
+    ASSERT_EQ(load("m1", 60).state, "loaded");
+    add_fault(engine->address(), {{"kind", "crash"}});
+    const auto report =
+        steward->await_report([](const auto& seen) { return seen.models.empty() && seen.free_bytes == 100; });
+    EXPECT_GT(report.load.limit, 0);
+    EXPECT_EQ(run(chat("r1", "hello")).refused->reason, wire::refusal::model_not_loaded);
+    EXPECT_EQ(load("m2", 90, 2).state, "loaded");
+    expect_never_overcommitted(engine->address());
+}
