--- a/src/core/answers/store.hpp
+++ b/src/core/answers/store.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -20,7 +21,9 @@
 struct attempt_key {
     std::string request_id;
     int attempt = 0;
-    auto operator<=>(const attempt_key&) const = default;
+    bool operator<(const attempt_key& other) const {
+        return std::tie(request_id, attempt) < std::tie(other.request_id, other.attempt);
+    }
 };
 
 enum class phase {
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -72,30 +72,30 @@
         switch (frame.header.kind) {
         case kind::run_request:
             return with<wire::run_request>(
-                frame, [&](auto&& body) { take_run(all_, link, call, std::move(body), now); });
+                frame, [&](wire::run_request&& body) { take_run(all_, link, call, std::move(body), now); });
         case kind::resume_request:
             return with<wire::resume_request>(frame,
-                                              [&](auto&& body) { take_resume(all_, link, call, body); });
+                                              [&](const auto& body) { take_resume(all_, link, call, body); });
         case kind::cancel_request:
-            return with<wire::cancel_request>(frame,
-                                              [&](auto&& body) { take_cancel(all_, link, call, body, now); });
+            return with<wire::cancel_request>(
+                frame, [&](const auto& body) { take_cancel(all_, link, call, body, now); });
         case kind::ack_request:
-            return with<wire::ack_request>(frame, [&](auto&& body) { take_ack(all_, body); });
+            return with<wire::ack_request>(frame, [&](const auto& body) { take_ack(all_, body); });
         case kind::watch_target:
-            return with<wire::watch_target>(frame, [&](auto&&) { take_watch(all_, link); });
+            return with<wire::watch_target>(frame, [&](const auto&) { take_watch(all_, link); });
         case kind::load_order:
-            return with<wire::load_order>(frame,
-                                          [&](auto&& body) { take_load_order(all_, link, call, body, now); });
+            return with<wire::load_order>(
+                frame, [&](const auto& body) { take_load_order(all_, link, call, body, now); });
         case kind::unload_order:
             return with<wire::unload_order>(
-                frame, [&](auto&& body) { take_unload_order(all_, link, call, body, now); });
+                frame, [&](const auto& body) { take_unload_order(all_, link, call, body, now); });
         case kind::quarantine_notice:
-            return with<wire::quarantine_notice>(frame, [&](auto&& body) { merge(body, now); });
+            return with<wire::quarantine_notice>(frame, [&](const auto& body) { merge(body, now); });
         case kind::config_update:
-            return with<wire::config_update>(frame,
-                                             [&](auto&& body) { take_update(all_, link, std::move(body)); });
+            return with<wire::config_update>(
+                frame, [&](wire::config_update&& body) { take_update(all_, link, std::move(body)); });
         case kind::config_fresh:
-            return with<wire::config_fresh>(frame, [&](auto&& body) { take_fresh(all_, body, now); });
+            return with<wire::config_fresh>(frame, [&](const auto& body) { take_fresh(all_, body, now); });
         default:
             return true;
         }
--- a/src/programs/agent/requests.cpp
+++ b/src/programs/agent/requests.cpp
@@ -227,7 +227,7 @@
     one.call = call;
     all.by_key[key] = one.id;
     if (auto why = objection(all, one.message, now))
-        return refuse(all, one, std::move(*why), now);
+        return refuse(all, one, *why, now);
     admit(all, one, now);
 }
 
@@ -346,7 +346,7 @@
         auto why = make_refusal(reason::target_failed, one.any_data ? run_truth::run : run_truth::unknown,
                                 "The target crashed.", retry_soon);
         why.suspect = true;
-        refuse(all, one, std::move(why), now);
+        refuse(all, one, why, now);
     }
     if (all.settings.kind == target_kind::plain)
         return; // what waits may be served when the service is back
@@ -356,7 +356,7 @@
                now);
 }
 
-void refuse(state& all, request& one, core::answers::refusal why, time_point now) {
+void refuse(state& all, request& one, const core::answers::refusal& why, time_point now) {
     all.metrics.refused.Increment();
     all.program.timeline.add(edge::event_kind::attempt, one.key.request_id, "refused: " + why.detail);
     if (one.running) {
--- a/src/programs/agent/requests.hpp
+++ b/src/programs/agent/requests.hpp
@@ -20,7 +20,7 @@
 void target_crashed(state& all, time_point now); // everything that ran is lost and suspect
 
 /// Ends a request as refused. Its place at the target and in the ledger is given back.
-void refuse(state& all, request& one, core::answers::refusal why, time_point now);
+void refuse(state& all, request& one, const core::answers::refusal& why, time_point now);
 /// Ends a request whose answer is complete.
 void finish(state& all, request& one, int status, const std::vector<edge::http_field>& headers,
             time_point now);
--- a/tests/core/memory_test.cpp
+++ b/tests/core/memory_test.cpp
@@ -10,7 +10,6 @@
 using namespace std::chrono_literals;
 using memory::order_answer;
 using memory::order_outcome;
-using memory::replica_state;
 
 namespace {
 
