--- a/src/core/claims/claim_log.cpp
+++ b/src/core/claims/claim_log.cpp
@@ -134,7 +134,7 @@
     else if (phase_ == phase::reading_segments)
         out = read_next_segment();
     else
-        out = !sealing_ && size_of_all(head_.records) >= seal_bytes ? seal() : write_batch(wall);
+        out = !sealing_ && size_of_all(head_.records) >= options_.seal_bytes ? seal() : write_batch(wall);
     under_way_ = out.has_value();
     return out;
 }
--- a/src/core/claims/claim_log.hpp
+++ b/src/core/claims/claim_log.hpp
@@ -24,13 +24,13 @@
 
 namespace waxwinglb::core::claims {
 
-constexpr std::size_t seal_bytes = 64U << 10U;   // of records in the head
 constexpr std::size_t batch_bytes = 256U << 10U; // of records added by one write
 
 struct claim_options {
     common::milliseconds retention{24LL * 3600 * 1000}; // before a record may be deleted
     common::milliseconds longest_wait{2'000};           // a question that isn't settled by then is refused
     common::milliseconds retry_after{200};              // pause after a call that the store didn't answer
+    std::size_t seal_bytes = 64U << 10U;                // of records in the head, then sealed into a segment
 };
 
 enum class step_kind { read_head, read_segment, write_head, create_segment, remove_segment };
--- /dev/null
+++ b/tests/core/lease_test.cpp
@@ -0,0 +1,288 @@
+// Properties of shard leases over a store that delays, doubles and loses what is sent to it.
+#include "core/membership/lease.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+using namespace waxwinglb::core;
+using namespace std::chrono_literals;
+using common::time_point;
+using membership::lease_record;
+using membership::lease_write;
+using membership::shard_lease;
+using membership::write_result;
+
+namespace {
+
+/// Shards' states of these tests are counters.
+std::int64_t number_of(const std::string& state) {
+    return state == "{}" ? 0 : std::stoll(state);
+}
+
+/// One object of the platform's store; checks each accepted write against the one before.
+struct fake_store {
+    std::int64_t version = 0;
+    std::optional<lease_record> value;
+
+    bool put(const lease_write& write) {
+        if (write.if_version != version)
+            return false;
+        const auto next = membership::decode_lease(write.value);
+        RC_ASSERT(next.has_value());
+        const lease_record before = value.value_or(lease_record{});
+        const bool same_holder = before.boot == next->boot && before.holder == next->holder;
+        const bool release = next->holder.empty();
+        if (same_holder || release) {
+            RC_ASSERT(next->boot == before.boot); // only the holder renews or releases
+            RC_ASSERT(next->fencing == before.fencing);
+        } else {
+            RC_ASSERT(next->fencing == before.fencing + 1);
+            RC_ASSERT(next->state == before.state); // nothing decided is lost by a take-over
+        }
+        RC_ASSERT(number_of(next->state) >= number_of(before.state)); // nothing older is written over it
+        value = next;
+        ++version;
+        return true;
+    }
+};
+
+struct message {
+    int sender = 0;
+    bool is_read = false;
+    lease_write write;
+    int copies = 1;        // that will still reach the store, now or long after the sender gave up
+    bool arrived = false;  // one did
+    bool answered = false; // an answer or a timeout has reached the sender
+    write_result result = write_result::unknown;
+    std::int64_t version = 0;
+    std::optional<lease_record> read;
+};
+
+struct actor {
+    explicit actor(const std::string& name, std::int64_t boot, common::duration clock_offset)
+        : lease({name, name + ":1", boot}, {}), offset(clock_offset) {}
+    shard_lease lease;
+    common::duration offset; // steady clocks of two machines have nothing in common
+    bool paused = false;
+    bool reading = false;
+};
+
+class world {
+public:
+    world(std::uint64_t seed, int stewards) : random_(seed) {
+        for (int i = 0; i < stewards; ++i)
+            actors_.emplace_back("s" + std::to_string(i), 100 + i, std::chrono::hours{pick(1'000)});
+    }
+    void run(int steps) {
+        for (int i = 0; i < steps; ++i) {
+            step();
+            int holders = 0;
+            for (const actor& one : actors_)
+                holders += one.lease.held(local(one)) ? 1 : 0;
+            RC_ASSERT(holders <= 1); // each by its own clock
+            held_ever_ = held_ever_ || holders == 1;
+        }
+    }
+    [[nodiscard]] std::int64_t version() const { return store_.version; }
+    [[nodiscard]] std::int64_t fencing() const { return store_.value ? store_.value->fencing : 0; }
+
+private:
+    int pick(int below) { return static_cast<int>(random_() % static_cast<unsigned>(below)); }
+    [[nodiscard]] time_point local(const actor& one) const { return now_ + one.offset; }
+
+    void step() {
+        now_ += std::chrono::milliseconds{pick(150)};
+        const int what = pick(100);
+        if (what < 2)
+            return pause_or_wake();
+        if (what < 40)
+            return act(pick(static_cast<int>(actors_.size())));
+        if (messages_.empty())
+            return;
+        message& one = messages_[static_cast<std::size_t>(pick(static_cast<int>(messages_.size())))];
+        one.arrived || pick(5) == 0 ? answer(one) : deliver(one);
+        std::erase_if(messages_, [](const message& each) { return each.copies == 0 && each.answered; });
+    }
+    void pause_or_wake() {
+        actor& one = actors_[static_cast<std::size_t>(pick(static_cast<int>(actors_.size())))];
+        one.paused = !one.paused && pick(2) == 0; // awake more often than not
+        if (pick(2) == 0)
+            now_ += 4s; // past a whole term
+    }
+    void act(int index) {
+        actor& one = actors_[static_cast<std::size_t>(index)];
+        if (one.paused)
+            return;
+        const time_point now = local(one);
+        if (pick(3) == 0)
+            one.lease.saw_version(
+                pick(4) == 0 ? std::max<std::int64_t>(0, store_.version - 1) : store_.version, now);
+        if (one.lease.wants_read() && !one.reading && !one.lease.writing()) {
+            one.reading = true;
+            return post(index, std::nullopt);
+        }
+        std::optional<lease_write> write;
+        if (one.lease.releasing() || (one.lease.held(now) && pick(30) == 0))
+            write = one.lease.release(one.lease.record().state, now);
+        else if (one.lease.mine())
+            write = one.lease.write(std::to_string(1 + number_of(one.lease.record().state)), now);
+        else
+            write = one.lease.take(now);
+        if (write)
+            post(index, write);
+    }
+    void post(int sender, const std::optional<lease_write>& write) {
+        message out;
+        out.sender = sender;
+        out.is_read = !write.has_value();
+        out.write = write.value_or(lease_write{});
+        const int fate = pick(10);
+        out.copies = fate == 0 ? 0 : fate == 1 ? 2 : 1;
+        messages_.push_back(out);
+    }
+
+    void deliver(message& one) {
+        if (one.copies == 0)
+            return;
+        --one.copies;
+        if (one.is_read) {
+            one.version = store_.version;
+            one.read = store_.value;
+        } else if (const bool stored = store_.put(one.write); !one.arrived) {
+            one.result = stored ? write_result::stored : write_result::conflict;
+            one.version = store_.version;
+        }
+        one.arrived = true;
+    }
+    /// The sender learns the result, or that no answer came.
+    void answer(message& one) {
+        actor& to = actors_[static_cast<std::size_t>(one.sender)];
+        if (one.answered || to.paused)
+            return;
+        one.answered = true;
+        const bool lost = !one.arrived || pick(6) == 0;
+        if (one.is_read) {
+            to.reading = false;
+            if (!lost)
+                to.lease.saw_record(one.version, one.read, local(to));
+            return;
+        }
+        const bool never_sent = one.copies == 0 && !one.arrived;
+        to.lease.written(one.write.sequence,
+                         never_sent ? write_result::not_sent
+                         : lost     ? write_result::unknown
+                                    : one.result,
+                         one.version, local(to));
+    }
+
+    std::mt19937_64 random_;
+    time_point now_{};
+    fake_store store_;
+    std::vector<actor> actors_;
+    std::vector<message> messages_;
+    bool held_ever_ = false;
+};
+
+shard_lease make_lease(const std::string& name, std::int64_t boot) {
+    return shard_lease{{name, name + ":1", boot}, {}};
+}
+
+} // namespace
+
+RC_GTEST_PROP(lease, never_two_holders_and_fencing_rises_under_lost_late_and_doubled_writes, ()) {
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const int stewards = *rc::gen::inRange(2, 5);
+    world all{seed, stewards};
+    all.run(2'000);
+    RC_CLASSIFY(all.fencing() >= 3, "changed hands");
+    RC_CLASSIFY(all.version() >= 50, "50 writes");
+}
+
+TEST(lease, holder_counts_its_term_from_before_it_sent_the_write) {
+    shard_lease one = make_lease("a", 1);
+    const time_point start{1h};
+    one.saw_record(0, std::nullopt, start);
+    const auto write = one.take(start);
+    ASSERT_TRUE(write.has_value());
+    one.written(write->sequence, write_result::stored, 5, start + 2900ms);
+    EXPECT_TRUE(one.held(start + 2999ms));
+    EXPECT_FALSE(one.held(start + 3000ms));
+}
+
+TEST(lease, taker_waits_term_and_margin_after_the_last_change) {
+    shard_lease holder = make_lease("a", 1);
+    shard_lease taker = make_lease("b", 2);
+    const time_point start{1h};
+    holder.saw_record(0, std::nullopt, start);
+    const auto write = holder.take(start);
+    holder.written(write->sequence, write_result::stored, 1, start);
+    taker.saw_record(1, membership::decode_lease(write->value), start);
+    taker.saw_version(1, start + 2s); // unchanged: no later start
+    EXPECT_FALSE(taker.take(start + 3299ms).has_value());
+    const auto taken = taker.take(start + 3300ms);
+    ASSERT_TRUE(taken.has_value());
+    EXPECT_EQ(membership::decode_lease(taken->value)->fencing, 2);
+}
+
+TEST(lease, deposed_holder_is_refused_and_stands_down) {
+    shard_lease holder = make_lease("a", 1);
+    const time_point start{1h};
+    holder.saw_record(0, std::nullopt, start);
+    const auto write = holder.take(start);
+    holder.written(write->sequence, write_result::stored, 1, start);
+    const auto late = holder.write("7", start + 10s); // it was paused; another took the shard as version 2
+    ASSERT_TRUE(late.has_value());
+    EXPECT_EQ(late->if_version, 1);
+    holder.written(late->sequence, write_result::conflict, 0, start + 10s);
+    EXPECT_FALSE(holder.write("8", start + 10s).has_value()) << "it must read first";
+    lease_record other;
+    other.holder = "b";
+    other.boot = 2;
+    other.fencing = 2;
+    holder.saw_record(2, other, start + 10s);
+    EXPECT_FALSE(holder.mine());
+    EXPECT_FALSE(holder.held(start + 10s));
+}
+
+TEST(lease, lost_answer_is_settled_by_reading_the_own_write) {
+    shard_lease one = make_lease("a", 1);
+    const time_point start{1h};
+    one.saw_record(0, std::nullopt, start);
+    const auto write = one.take(start);
+    one.written(write->sequence, write_result::unknown, 0, start + 1s);
+    EXPECT_FALSE(one.held(start + 1s));
+    one.saw_record(9, membership::decode_lease(write->value), start + 1s);
+    EXPECT_TRUE(one.held(start + 2s));
+    EXPECT_FALSE(one.held(start + 3s)) << "the term counts from the write, not from the read";
+}
+
+TEST(lease, planned_handover_needs_no_wait) {
+    shard_lease holder = make_lease("a", 1);
+    shard_lease taker = make_lease("b", 2);
+    const time_point start{1h};
+    holder.saw_record(0, std::nullopt, start);
+    const auto write = holder.take(start);
+    holder.written(write->sequence, write_result::stored, 1, start);
+    const auto release = holder.release(R"({"kept":1})", start + 100ms);
+    ASSERT_TRUE(release.has_value());
+    EXPECT_FALSE(holder.held(start + 100ms)) << "it decides nothing once the release may have arrived";
+    taker.saw_record(2, membership::decode_lease(release->value), start + 101ms);
+    const auto taken = taker.take(start + 101ms);
+    ASSERT_TRUE(taken.has_value());
+    EXPECT_EQ(membership::decode_lease(taken->value)->state, R"({"kept":1})");
+    EXPECT_EQ(membership::decode_lease(taken->value)->fencing, 2);
+}
+
+TEST(lease, malformed_records_are_refused) {
+    for (const char* text :
+         {"", "{", "[]", "{}", R"({"holder":1})", R"({"holder":"a","address":"b","boot":"x"})"})
+        EXPECT_FALSE(membership::decode_lease(text).has_value()) << text;
+}
+
+TEST(lease, shares_cover_all_shards) {
+    EXPECT_EQ(membership::fair_share(16, 3), 6);
+    EXPECT_EQ(membership::fair_share(16, 0), 16);
+    EXPECT_EQ(membership::fair_share(1, 5), 1);
+}
