--- a/src/core/claims/claim_log.cpp
+++ b/src/core/claims/claim_log.cpp
@@ -162,14 +162,14 @@
     }
     drop_expired(next, wall);
     fill(next, wall);
-    if (next.changed.empty() && !next.sealed && next.dropped.empty()) {
-        // Nothing new: what is stored already answers every question.
-        answers_.insert(answers_.end(), next.answers.begin(), next.answers.end());
+    const bool writes = !next.changed.empty() || next.sealed || !next.dropped.empty();
+    if (!writes && next.questions.empty())
         return std::nullopt;
-    }
-    step out{step_kind::write_head, 0, version_, encode(next.head)};
+    next.confirming = !writes;
     batch_ = std::move(next);
-    return out;
+    if (batch_->confirming)
+        return step{step_kind::read_head, 0, 0, {}};
+    return step{step_kind::write_head, 0, version_, encode(batch_->head)};
 }
 
 void claim_log::fill(batch& next, unix_time wall) {
@@ -215,10 +215,17 @@
     under_way_ = false;
     auto head = result == store_result::absent ? log_head{} : decode_log_head(body).value_or(log_head{});
     const bool good = result == store_result::absent || (result == store_result::ok && decode_log_head(body));
+    const bool confirmed = good && loaded_ && version == version_;
+    if (batch_ && confirmed) {
+        give_answers(*batch_);
+        batch_.reset();
+    } else if (batch_) {
+        read_again();
+    }
     if (!good)
         return store_failed(now);
     failing_ = false;
-    if (loaded_ && version == version_) {
+    if (confirmed) {
         phase_ = phase::ready; // a lost write hasn't taken effect yet; what is known still holds
         return;
     }
@@ -289,7 +296,11 @@
                       [&](const auto& one) { return one.second.kept_until_unix_ms <= done.decided_unix_ms; });
     for (auto& [key, one] : done.changed)
         known_[key] = std::move(one);
-    // Answers to questions that were refused meanwhile are dropped: their askers gave up.
+    give_answers(done);
+}
+
+/// Answers to questions that were refused meanwhile are dropped: their askers gave up.
+void claim_log::give_answers(batch& done) {
     for (answer& one : done.answers)
         if (std::any_of(done.questions.begin(), done.questions.end(),
                         [&](const question& asked) { return asked.from == one.to; }))
--- a/src/core/claims/claim_log.hpp
+++ b/src/core/claims/claim_log.hpp
@@ -6,6 +6,7 @@
 /// settled by reading the head again and deciding the same questions on what is found there: a claim that
 /// took effect is recognised by its request id and attempt.
 ///
+/// An answer that needs no write is given only after a read has shown that the head is still the known one.
 /// All questions that wait when a write ends go into the next one. When the head grows past `seal_bytes`,
 /// its records are written into a new segment object, and one update of the head then names the segment and
 /// drops the records; a crash between the two leaves a segment that no head names.
@@ -94,6 +95,7 @@
     struct batch {
         log_head head; // to be written
         std::map<std::string, claim> changed;
+        bool confirming = false;        // nothing to write: a read shows whether the answers still hold
         std::deque<question> questions; // answered if the write is stored
         std::vector<answer> answers;
         std::vector<std::int64_t> dropped; // segments that the new head no longer names
@@ -111,6 +113,7 @@
     void put(batch& next, claim record, common::unix_time wall) const;
     [[nodiscard]] const claim* find(const batch& next, const std::string& key, common::unix_time wall) const;
     void refuse_overdue(common::time_point now);
+    void give_answers(batch& done);
     void read_again(); // before anything else is decided
     void store_failed(common::time_point now);
     void finish_loading();
--- /dev/null
+++ b/tests/core/claims_test.cpp
@@ -0,0 +1,443 @@
+// Properties of claims over a store that fails, loses answers and carries writes out late, with several logs
+// (deposed holders, restarts) over the same objects.
+#include "core/claims/claim_log.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+#include <set>
+
+using namespace waxwinglb::core;
+using namespace std::chrono_literals;
+using claims::answer;
+using claims::answer_kind;
+using claims::claim;
+using claims::claim_log;
+using claims::claim_state;
+using claims::step;
+using claims::step_kind;
+using claims::store_result;
+using common::time_point;
+
+namespace {
+
+constexpr auto noon = common::unix_time{} + 1'700'000'000s;
+
+claim make_claim(const std::string& key, const std::string& request, const std::string& fingerprint = "f") {
+    claim out;
+    out.key = key;
+    out.request_id = request;
+    out.attempt = 1;
+    out.fingerprint = fingerprint;
+    return out;
+}
+
+struct stored_object {
+    std::int64_t version = 0;
+    std::string body;
+};
+
+/// claims/SHARD/... of the platform's store.
+struct fake_store {
+    std::int64_t last_version = 0;
+    stored_object head;
+    std::map<std::int64_t, stored_object> segments;
+
+    store_result put(stored_object& object, std::int64_t if_version, const std::string& body) {
+        if (object.version != if_version)
+            return store_result::conflict;
+        object = {++last_version, body};
+        return store_result::ok;
+    }
+    store_result carry_out(const step& what, std::int64_t& version, std::string& body) {
+        const auto read = [&](const stored_object& object) {
+            version = object.version;
+            body = object.body;
+            return object.version == 0 ? store_result::absent : store_result::ok;
+        };
+        store_result out = store_result::ok;
+        switch (what.kind) {
+        case step_kind::read_head:
+            return read(head);
+        case step_kind::read_segment:
+            return read(segments[what.segment]);
+        case step_kind::write_head:
+            out = put(head, what.if_version, what.body);
+            version = head.version;
+            return out;
+        case step_kind::create_segment:
+            return put(segments[what.segment], 0, what.body);
+        case step_kind::remove_segment:
+            segments.erase(what.segment);
+            return out;
+        }
+        return out;
+    }
+};
+
+void tell(claim_log& log, step_kind kind, store_result result, std::int64_t version, const std::string& body,
+          time_point now) {
+    switch (kind) {
+    case step_kind::read_head:
+        return log.head_read(result, version, body, now);
+    case step_kind::read_segment:
+        return log.segment_read(result, body, now);
+    case step_kind::write_head:
+        return log.head_written(result, version, now);
+    case step_kind::create_segment:
+        return log.segment_created(result, now);
+    case step_kind::remove_segment:
+        return;
+    }
+}
+
+/// One log with a store that answers at once.
+struct direct {
+    fake_store store;
+    claim_log log;
+    time_point now{1h};
+    common::unix_time wall = noon;
+    int writes = 0;
+
+    explicit direct(claims::claim_options options = {}) : log(options) {}
+    std::vector<answer> settle() {
+        while (const auto what = log.next_step(now, wall)) {
+            std::int64_t version = 0;
+            std::string body;
+            const store_result result = store.carry_out(*what, version, body);
+            writes += what->kind == step_kind::write_head ? 1 : 0;
+            tell(log, what->kind, result, version, body, now);
+        }
+        return log.take_answers();
+    }
+    answer ask(const claim& wanted) {
+        log.claim_key(1, wanted, 10s, now);
+        const auto answers = settle();
+        EXPECT_EQ(answers.size(), 1U);
+        return answers.empty() ? answer{} : answers.front();
+    }
+    void note(claim outcome, claim_state state) {
+        outcome.state = state;
+        log.note_outcome(2, outcome, now);
+        settle();
+    }
+};
+
+/// Several logs, routers that ask them, and a network that loses, delays and reorders.
+class world {
+public:
+    explicit world(std::uint64_t seed) : random_(seed) {
+        options_.seal_bytes = 600; // a few records
+        for (int i = 0; i < 3; ++i)
+            logs_.push_back(std::make_unique<log_entry>(claim_log{options_}));
+    }
+    void run(int steps) {
+        for (int i = 0; i < steps; ++i) {
+            now_ += std::chrono::milliseconds{pick(60)};
+            one_step();
+        }
+        check_outcomes();
+    }
+    [[nodiscard]] int granted() const { return granted_; }
+    [[nodiscard]] bool sealed() const { return !store_.segments.empty(); }
+
+private:
+    struct request {
+        claim record;
+        bool granted = false;            // its router was told so: it runs
+        bool given_up = false;           // its router will never run it
+        std::optional<claim_state> told; // outcome that its router sends
+        bool noted = false;              // and that was acknowledged
+    };
+    struct log_entry {
+        explicit log_entry(claim_log made) : log(std::move(made)) {}
+        claim_log log;
+        std::optional<step> under_way;
+    };
+    /// A step on its way: to the store (late ones reach it whenever), or its answer.
+    struct late_write {
+        step what;
+    };
+
+    int pick(int below) { return static_cast<int>(random_() % static_cast<unsigned>(below)); }
+
+    void one_step() {
+        const int what = pick(100);
+        if (what < 1)
+            outage_ = !outage_ && pick(2) == 0;
+        else if (what < 3)
+            logs_[index()] = std::make_unique<log_entry>(claim_log{options_}); // crash and restart
+        else if (what < 20)
+            ask();
+        else if (what < 30)
+            send_outcome();
+        else if (what < 35)
+            deliver_late();
+        else
+            advance(*logs_[index()]);
+    }
+    std::size_t index() { return static_cast<std::size_t>(pick(static_cast<int>(logs_.size()))); }
+
+    void ask() {
+        const bool again = !requests_.empty() && pick(3) == 0;
+        if (!again) {
+            const std::string key = "key" + std::to_string(pick(4));
+            requests_.push_back(
+                {make_claim(key, "r" + std::to_string(requests_.size())), false, false, {}, false});
+        }
+        const std::size_t which =
+            again ? static_cast<std::size_t>(pick(static_cast<int>(requests_.size()))) : requests_.size() - 1;
+        if (requests_[which].given_up || requests_[which].granted)
+            return;
+        logs_[index()]->log.claim_key(2 * which, requests_[which].record,
+                                      std::chrono::milliseconds{50 + pick(3'000)}, now_);
+    }
+    void send_outcome() {
+        if (requests_.empty())
+            return;
+        const auto which = static_cast<std::size_t>(pick(static_cast<int>(requests_.size())));
+        request& one = requests_[which];
+        if (!one.told && one.granted)
+            one.told = std::array{claim_state::done, claim_state::unknown, claim_state::not_run}.at(
+                static_cast<std::size_t>(pick(3)));
+        else if (!one.told && pick(2) == 0)
+            one.told = claim_state::not_run; // it gave up before it was granted
+        if (!one.told)
+            return;
+        one.given_up = one.given_up || *one.told == claim_state::not_run;
+        claim outcome = one.record;
+        outcome.state = *one.told;
+        outcome.answer = one.record.request_id;
+        logs_[index()]->log.note_outcome(2 * which + 1, outcome, now_);
+    }
+
+    void advance(log_entry& one) {
+        if (one.under_way) {
+            finish(one);
+        } else {
+            one.under_way = one.log.next_step(now_, noon);
+            if (one.under_way && one.under_way->kind == step_kind::remove_segment)
+                finish(one);
+        }
+        for (const answer& each : one.log.take_answers())
+            take(each);
+    }
+    /// The step reaches the store, or doesn't, or will later; the log hears of it, or of no answer.
+    void finish(log_entry& one) {
+        const step what = *one.under_way;
+        one.under_way.reset();
+        const bool writes = what.kind == step_kind::write_head || what.kind == step_kind::create_segment;
+        const int fate = outage_ ? pick(3) : pick(12);
+        std::int64_t version = 0;
+        std::string body;
+        if (fate == 0)
+            return tell(one.log, what.kind, store_result::failed, 0, {}, now_);
+        if (fate == 1) { // lost on the way there, or late
+            if (writes && pick(2) == 0)
+                late_.push_back({what});
+            return tell(one.log, what.kind, writes ? store_result::unknown : store_result::failed, 0, {},
+                        now_);
+        }
+        if (outage_ && !writes)
+            return tell(one.log, what.kind, store_result::failed, 0, {}, now_);
+        const store_result result = store_.carry_out(what, version, body);
+        if (fate == 2) // the answer is lost after it took effect
+            return tell(one.log, what.kind, writes ? store_result::unknown : store_result::failed, 0, {},
+                        now_);
+        tell(one.log, what.kind, result, version, body, now_);
+    }
+    void deliver_late() {
+        if (late_.empty())
+            return;
+        const auto which = late_.begin() + pick(static_cast<int>(late_.size()));
+        std::int64_t version = 0;
+        std::string body;
+        store_.carry_out(which->what, version, body);
+        late_.erase(which);
+    }
+
+    void take(const answer& one) {
+        request& to = requests_[one.to / 2];
+        if (one.to % 2 == 1) {
+            to.noted = to.noted || one.kind == answer_kind::noted;
+            return;
+        }
+        if (one.kind == answer_kind::granted && !to.given_up) {
+            for (const request& other : requests_)
+                RC_ASSERT(&other == &to || other.record.key != to.record.key || !other.granted ||
+                          other.given_up);
+            granted_ += to.granted ? 0 : 1;
+            to.granted = true;
+        }
+        if (one.kind == answer_kind::existing)
+            check_truth(one.record);
+    }
+    /// What is said of an earlier request is what its own router said, or that it may be running.
+    void check_truth(const claim& record) {
+        const auto owner = std::find_if(requests_.begin(), requests_.end(), [&](const request& one) {
+            return one.record.request_id == record.request_id;
+        });
+        RC_ASSERT(owner != requests_.end());
+        if (record.state == claim_state::running)
+            return;
+        RC_ASSERT(owner->told == record.state);
+        RC_ASSERT(record.answer == record.request_id);
+    }
+    /// An outcome that was acknowledged is found by a new holder, unless a later request has the key since.
+    void check_outcomes() {
+        direct fresh;
+        fresh.store = store_;
+        for (const request& one : requests_)
+            if (one.granted && one.noted && one.told == claim_state::done) {
+                const answer found = fresh.ask(make_claim(one.record.key, "late caller"));
+                RC_ASSERT(found.kind == answer_kind::existing);
+                RC_ASSERT(found.record.request_id == one.record.request_id);
+                RC_ASSERT(found.record.state == claim_state::done);
+            }
+    }
+
+    std::mt19937_64 random_;
+    claims::claim_options options_;
+    time_point now_{1h};
+    bool outage_ = false;
+    fake_store store_;
+    std::vector<std::unique_ptr<log_entry>> logs_;
+    std::vector<request> requests_;
+    std::vector<late_write> late_;
+    int granted_ = 0;
+};
+
+} // namespace
+
+RC_GTEST_PROP(claims, key_is_granted_to_one_request_unless_the_earlier_one_did_not_run, ()) {
+    world all{*rc::gen::arbitrary<std::uint64_t>()};
+    all.run(800);
+    RC_CLASSIFY(all.granted() >= 4, "4 grants");
+    RC_CLASSIFY(all.sealed(), "sealed");
+}
+
+TEST(claims, repeated_callers_hear_what_is_known) {
+    direct one;
+    EXPECT_EQ(one.ask(make_claim("k", "r1")).kind, answer_kind::granted);
+    EXPECT_EQ(one.ask(make_claim("k", "r1")).kind, answer_kind::granted) << "the same question again";
+    EXPECT_EQ(one.ask(make_claim("k", "r2")).kind, answer_kind::existing);
+    EXPECT_EQ(one.ask(make_claim("k", "r2", "other body")).kind, answer_kind::mismatch);
+    claim done = make_claim("k", "r1");
+    done.status = 201;
+    done.answer = std::string("folio 17\0\xff", 10);
+    one.note(done, claim_state::done);
+    const answer later = one.ask(make_claim("k", "r3"));
+    EXPECT_EQ(later.kind, answer_kind::existing);
+    EXPECT_EQ(later.record.state, claim_state::done);
+    EXPECT_EQ(later.record.status, 201);
+    EXPECT_EQ(later.record.answer, done.answer);
+}
+
+TEST(claims, not_run_may_be_claimed_again_but_not_by_a_late_copy) {
+    direct one;
+    ASSERT_EQ(one.ask(make_claim("k", "r1")).kind, answer_kind::granted);
+    one.note(make_claim("k", "r1"), claim_state::not_run);
+    EXPECT_EQ(one.ask(make_claim("k", "r1")).kind, answer_kind::existing) << "its router has given up";
+    EXPECT_EQ(one.ask(make_claim("k", "r2")).kind, answer_kind::granted);
+    one.note(make_claim("k", "r1"), claim_state::done); // of another request by now
+    EXPECT_EQ(one.ask(make_claim("k", "r3")).record.request_id, "r2");
+}
+
+TEST(claims, outcome_that_says_less_never_replaces_one_that_says_more) {
+    direct one;
+    one.ask(make_claim("k", "r1"));
+    one.note(make_claim("k", "r1"), claim_state::done);
+    for (const claim_state late : {claim_state::unknown, claim_state::not_run, claim_state::running})
+        one.note(make_claim("k", "r1"), late);
+    EXPECT_EQ(one.ask(make_claim("k", "r2")).record.state, claim_state::done);
+}
+
+TEST(claims, questions_that_wait_share_one_write) {
+    direct one;
+    for (int i = 0; i < 200; ++i)
+        one.log.claim_key(static_cast<claims::ticket>(i), make_claim("k" + std::to_string(i), "r"), 10s,
+                          one.now);
+    EXPECT_EQ(one.settle().size(), 200U);
+    EXPECT_EQ(one.writes, 1);
+}
+
+TEST(claims, full_head_is_sealed_and_a_new_holder_finds_all) {
+    direct one;
+    constexpr int count = 600;
+    for (int i = 0; i < count; ++i)
+        ASSERT_EQ(one.ask(make_claim("k" + std::to_string(i), "r")).kind, answer_kind::granted);
+    EXPECT_GE(one.store.segments.size(), 2U);
+    EXPECT_LT(one.store.head.body.size(), 128U << 10U);
+    direct next;
+    next.store = one.store;
+    for (int i = 0; i < count; ++i)
+        ASSERT_EQ(next.ask(make_claim("k" + std::to_string(i), "other")).kind, answer_kind::existing) << i;
+}
+
+TEST(claims, crash_between_segment_and_head_loses_and_doubles_nothing) {
+    claims::claim_options options;
+    options.seal_bytes = 1'000;
+    direct one{options};
+    for (int i = 0; i < 4; ++i)
+        one.ask(make_claim("k" + std::to_string(i), "r"));
+    one.log.claim_key(9, make_claim("k4", "r"), 10s, one.now);
+    for (const step_kind expected : {step_kind::write_head, step_kind::create_segment}) {
+        const std::optional<step> what = one.log.next_step(one.now, one.wall);
+        ASSERT_TRUE(what && what->kind == expected);
+        std::int64_t version = 0;
+        std::string body;
+        const store_result result = one.store.carry_out(*what, version, body);
+        tell(one.log, what->kind, result, version, body, one.now);
+    } // and the holder dies
+    direct next{options};
+    next.store = one.store;
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(next.ask(make_claim("k" + std::to_string(i), "other")).kind, answer_kind::existing);
+    EXPECT_EQ(next.ask(make_claim("k9", "r2")).kind, answer_kind::granted);
+    const auto head = claims::decode_log_head(next.store.head.body);
+    ASSERT_TRUE(head.has_value());
+    EXPECT_EQ(head->segments, (std::vector<std::int64_t>{2}))
+        << "the number taken by the dead holder is left out";
+    EXPECT_FALSE(next.store.segments.contains(1)) << "and its segment deleted";
+}
+
+TEST(claims, old_segments_are_deleted_after_the_retention) {
+    claims::claim_options options;
+    options.seal_bytes = 1'000;
+    direct one{options};
+    for (int i = 0; i < 6; ++i)
+        one.ask(make_claim("k" + std::to_string(i), "r"));
+    ASSERT_FALSE(one.store.segments.empty());
+    one.wall += 24h + 1s;
+    EXPECT_EQ(one.ask(make_claim("new", "r")).kind, answer_kind::granted);
+    one.ask(make_claim("new2", "r"));
+    const auto head = claims::decode_log_head(one.store.head.body);
+    for (const auto& [segment, object] : one.store.segments)
+        EXPECT_NE(std::find(head->segments.begin(), head->segments.end(), segment), head->segments.end());
+    EXPECT_LE(head->segments.size(), 1U);
+}
+
+TEST(claims, store_out_of_reach_is_refused_at_once) {
+    direct one;
+    one.log.claim_key(1, make_claim("k", "r"), 10s, one.now);
+    ASSERT_TRUE(one.log.next_step(one.now, one.wall).has_value());
+    one.log.head_read(store_result::failed, 0, {}, one.now);
+    one.log.claim_key(2, make_claim("k2", "r"), 10s, one.now);
+    const auto answers = one.log.take_answers();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].to, 2U);
+    EXPECT_EQ(answers[0].kind, answer_kind::unavailable);
+}
+
+TEST(claims, malformed_head_refuses_instead_of_starting_anew) {
+    direct one;
+    one.store.head = {3, "{\"records\":"};
+    one.log.claim_key(1, make_claim("k", "r"), 10s, one.now);
+    EXPECT_TRUE(one.settle().empty());
+    one.now += 3s;
+    const auto answers = one.settle();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].kind, answer_kind::unavailable);
+    EXPECT_EQ(one.store.head.version, 3);
+}
