--- a/src/programs/router/router.cpp
+++ b/src/programs/router/router.cpp
@@ -145,7 +145,11 @@
         break;
     case wire::message_kind::config_fresh:
         with(of.operator()<wire::config_fresh>(),
-             [&](const auto& body) { parts_.config.vouched(event.link, body, now); });
+             [&](const auto& body) { parts_.config.vouched(event.link, frame.header.call, body, now); });
+        break;
+    case wire::message_kind::feed_elsewhere:
+        with(of.operator()<wire::feed_elsewhere>(),
+             [&](const auto& body) { parts_.config.refused(event.link, body); });
         break;
     case wire::message_kind::locate_result:
         with(of.operator()<wire::locate_result>(), [&](const auto& body) { parts_.stewards.located(body, now); });
@@ -194,11 +198,15 @@
     }
 }
 
-bool router::drained(time_point now) const {
-    if (stopped_ == time_point{} || calls_.size() > 0)
+bool router::drained(time_point now) {
+    if (stopped_ == time_point{} || calls_.size() > 0) {
+        idle_ = {};
         return false;
-    const bool settled = parts_.claims.all_settled() || now - stopped_ >= settle_limit;
-    const bool flushed = server_->open_exchanges() == 0 || now - stopped_ >= flush_limit;
+    }
+    if (idle_ == time_point{})
+        idle_ = now;
+    const bool settled = parts_.claims.all_settled() || now - idle_ >= settle_limit;
+    const bool flushed = server_->open_exchanges() == 0 || now - idle_ >= flush_limit;
     return settled && flushed;
 }
 
