--- a/src/programs/admin/api.cpp
+++ b/src/programs/admin/api.cpp
@@ -190,7 +190,7 @@
         return;
     std::string name = text_member(*body, "name");
     if (one.kind == "model")
-        name = text_member(*body, "service") + "/" + name;
+        name.insert(0, text_member(*body, "service") + "/");
     submit_one(one,
                {one.kind + "/" + name, body->dump(), 0,
                 creation_digest(one.by, header(one.request(), "idempotency-key"))},
