--- /dev/null
+++ b/src/programs/timeline/command_line.hpp
@@ -0,0 +1,25 @@
+/// Command line of waxwing-timeline.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwinglb::programs::timeline {
+
+enum class output_form { text, jsonl, html };
+
+struct command_line {
+    std::vector<std::string> pages; // "ip:port" of each process's operations pages
+    std::vector<std::string> files; // pages saved earlier, of processes that are gone
+    std::string subject;            // request id, "service/model", customer, shard or revision; empty: all
+    output_form output = output_form::text;
+};
+
+struct parsed_line {
+    command_line line;
+    std::optional<int> exit; // set when the program should end at once
+};
+[[nodiscard]] parsed_line parse_command_line(int argc, char** argv, const std::string& version);
+
+} // namespace waxwinglb::programs::timeline
--- /dev/null
+++ b/src/programs/timeline/writers.hpp
@@ -0,0 +1,16 @@
+/// Forms in which a merged time line is written.
+#pragma once
+
+#include "core/timeline/merge.hpp"
+
+#include <string>
+#include <vector>
+
+namespace waxwinglb::programs::timeline {
+
+[[nodiscard]] std::string write_text(const std::vector<core::timeline::event>& events);
+[[nodiscard]] std::string write_jsonl(const std::vector<core::timeline::event>& events);
+/// One page without outside parts: a lane for each process, zoom and filter.
+[[nodiscard]] std::string write_html(const std::vector<core::timeline::event>& events);
+
+} // namespace waxwinglb::programs::timeline
