Set tokens aside in the shard's object, so that a new holder begins with them

Cause: the demo's burst of cold requests was refused 24 of 24 times as rate_limited. Each holder began with no tokens, also the first one ever and those after a planned exchange of shards at start. Ruled out: beginning full (two holders could grant the burst twice); a store write for each grant (26,000 a second); waiting in the demo (hides wrongful refusals at each change of holder). Change: each write of shards/N carries, for each customer, a number of tokens that this holder does not grant before a later write has taken effect; the successor begins with it. A customer without an entry was never served and begins with its burst, granted only once its entry is stored. A draw that needs tokens set aside waits for the next write, at most 300 ms. The lease is checked at the draw itself. Conclusion: a change of holder refuses nobody within the part set aside; safety rests on the store's version check.

--- a/src/core/limits/bucket.cpp
+++ b/src/core/limits/bucket.cpp
@@ -9,6 +9,7 @@
 
 constexpr int fencing_shift = 32;
 constexpr std::size_t rooms_kept = 1024; // per customer
+constexpr double free_part = 0.25; // of the burst; can be granted between two writes of the shard's object
 
 double seconds(common::duration value) {
     return std::chrono::duration<double>(value).count();
@@ -20,9 +21,10 @@
 
 } // namespace
 
-bucket::bucket(common::time_point taken_over, std::int64_t fencing, bucket_limits limits)
+bucket::bucket(common::time_point taken_over, std::int64_t fencing, bucket_limits limits, inheritance left)
     : limits_(limits), fencing_(fencing), at_(taken_over),
-      assumed_until_(taken_over + grant_term + lapse_margin), assumed_(std::numeric_limits<double>::max()) {}
+      assumed_until_(taken_over + grant_term + lapse_margin), assumed_(std::max(left.outstanding, 0.0)),
+      reserved_(std::max(left.reserve, 0.0)), proposed_(reserved_) {}
 
 draw_answer bucket::draw(common::time_point now, std::int64_t wanted, std::span<const settlement> settled) {
     advance(now);
@@ -31,6 +33,7 @@
     if (wanted <= 0 || closed_)
         return {0, 0, {}, closed_ ? common::duration{grant_term} : common::duration{}};
 
+    wanted_lately_ += static_cast<double>(wanted);
     const auto there = static_cast<std::int64_t>(std::floor(tokens_));
     draw_answer out;
     out.tokens = std::clamp<std::int64_t>(wanted, 0, there);
@@ -63,7 +66,7 @@
         return false;
     adopted_ = true;
     assumed_ = static_cast<double>(std::max<std::int64_t>(balance.outstanding, 0));
-    tokens_ = std::max(balance.tokens, 0.0);
+    tokens_ = std::max(balance.tokens - reserved_, 0.0); // the rest stands in the store as set aside
     clip();
     return true;
 }
@@ -71,13 +74,44 @@
 bucket_balance bucket::hand_over(common::time_point now) {
     advance(now);
     const auto assumed = at_ < assumed_until_ ? std::min(assumed_, burst()) : 0.0;
-    const bucket_balance out{closed_ ? 0.0 : tokens_,
+    const bucket_balance out{closed_ ? 0.0 : tokens_ + reserved_,
                              outstanding_ + static_cast<std::int64_t>(std::ceil(assumed))};
     closed_ = true;
     tokens_ = 0;
     return out;
 }
 
+double bucket::propose_reserve(common::time_point now) {
+    advance(now);
+    const double all = tokens_ + reserved_;
+    const double kept_free = std::max(free_part * burst(), wanted_lately_);
+    wanted_lately_ = 0;
+    proposed_ = std::floor(std::max(all - kept_free, 0.0));
+    if (proposed_ > reserved_) {
+        tokens_ -= proposed_ - reserved_;
+        reserved_ = proposed_;
+    }
+    return proposed_;
+}
+
+void bucket::confirm_reserve(common::time_point now) {
+    advance(now);
+    if (closed_ || proposed_ >= reserved_)
+        return;
+    tokens_ += reserved_ - proposed_;
+    reserved_ = proposed_;
+    clip();
+}
+
+bool bucket::needs_write(common::time_point now, std::int64_t wanted) {
+    advance(now);
+    const double needed = std::min(static_cast<double>(wanted), std::floor(burst()));
+    if (closed_ || limits_.lapsed || tokens_ >= needed || reserved_ < 1)
+        return false;
+    wanted_lately_ += needed;
+    return true;
+}
+
 double bucket::tokens(common::time_point now) {
     advance(now);
     return tokens_;
@@ -174,7 +208,8 @@
 
 double bucket::room() const {
     const double assumed = at_ < assumed_until_ ? assumed_ : 0.0;
-    return burst() - tokens_ - static_cast<double>(outstanding_) - assumed;
+    const double set_aside = limits_.lapsed ? 0.0 : reserved_;
+    return burst() - tokens_ - set_aside - static_cast<double>(outstanding_) - assumed;
 }
 
 void bucket::clip() {
@@ -187,7 +222,7 @@
     amount = std::min(amount, std::floor(burst())); // a draw ahead may ask for more than can ever be there
     // The same steps as advance() will take, if no router settles before its grant lapses.
     double have = tokens_;
-    double most = burst() - static_cast<double>(outstanding_);
+    double most = burst() - static_cast<double>(outstanding_) - (limits_.lapsed ? 0.0 : reserved_);
     common::time_point at = std::max(at_, adopted_ ? at_ : assumed_until_);
     const auto reached = [&] { return at + to_duration(std::max(amount - have, 0.0) / rate()); };
     for (auto one = grants_.upper_bound(last_lapsed_); one != grants_.end(); ++one) {
--- a/src/core/limits/bucket.hpp
+++ b/src/core/limits/bucket.hpp
@@ -4,12 +4,18 @@
 /// settled or has lapsed, so in any window the routers together spend at most burst + rate x window: what
 /// they can spend is outstanding at the window's start or issued within it. Tokens count as spent when a
 /// router reserves them.
+///
+/// So that a successor needn't begin with nothing, part of the tokens is set aside under a number that the
+/// shard's object holds: this holder never grants below the highest number that may stand in the store, so
+/// whoever reads it there may begin with that many. Each write of the object proposes a new number; tokens
+/// set aside beyond it become free once the write has taken effect.
 #pragma once
 
 #include "core/common/time.hpp"
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <span>
 
@@ -51,16 +57,23 @@
 struct bucket_limits {
     double tokens_per_second = 0;
     double burst_tokens = 0;
-    double share = 1; // see shares.hpp
+    double share = 1;    // see shares.hpp
+    bool lapsed = false; // the lease has run out: what is set aside belongs to a successor, if there is one
 
     bool operator==(const bucket_limits&) const = default;
 };
 
+/// What a new holder knows of its predecessors' grants. By default nothing: none is left, all may be granted.
+/// Of a customer that no holder has ever served: the whole burst is left and nothing granted.
+struct inheritance {
+    double reserve = 0;                                      // set aside in the shard's object
+    double outstanding = std::numeric_limits<double>::max(); // may be granted and not lapsed yet
+};
+
 class bucket {
 public:
-    /// A new holder starts with no tokens and takes the whole burst for granted by its predecessor, until
-    /// those grants must have lapsed; then tokens accrue. `fencing` is the shard's number.
-    bucket(common::time_point taken_over, std::int64_t fencing, bucket_limits limits);
+    /// Tokens accrue once the predecessor's grants must have lapsed. `fencing` is the shard's number.
+    bucket(common::time_point taken_over, std::int64_t fencing, bucket_limits limits, inheritance left = {});
 
     /// Grants up to `wanted` tokens after taking in the settlements; `wanted` 0 only settles.
     draw_answer draw(common::time_point now, std::int64_t wanted, std::span<const settlement> settled);
@@ -75,7 +88,16 @@
     /// Ends this bucket for a handover: from now on it grants nothing.
     bucket_balance hand_over(common::time_point now);
 
-    [[nodiscard]] double tokens(common::time_point now);
+    /// Number for the next write of the shard's object; tokens are set aside at once if it is higher.
+    double propose_reserve(common::time_point now);
+    /// The write with the newest proposal has taken effect.
+    void confirm_reserve(common::time_point now);
+    /// True if tokens set aside would serve a draw of `wanted` that the free ones don't: the next proposal
+    /// frees them.
+    [[nodiscard]] bool needs_write(common::time_point now, std::int64_t wanted);
+    [[nodiscard]] double reserved() const { return reserved_; } // set aside
+
+    [[nodiscard]] double tokens(common::time_point now); // free for grants
     [[nodiscard]] std::int64_t outstanding(common::time_point now);
     [[nodiscard]] const bucket_limits& limits() const { return limits_; }
 
@@ -114,6 +136,9 @@
     common::time_point assumed_until_; // the predecessor's grants count as outstanding until then
     double assumed_;                   // that many of them
     double tokens_ = 0;
+    double reserved_ = 0;              // highest number that may stand in the store
+    double proposed_ = 0;              // number of the newest write
+    double wanted_lately_ = 0;         // granted or asked for in vain since the last proposal
     std::int64_t outstanding_ = 0;     // sum of open() over grants_
     std::map<grant_id, grant> grants_; // in order of issue, hence of lapse
     grant_id last_lapsed_ = 0;
--- a/src/programs/steward/buckets.cpp
+++ b/src/programs/steward/buckets.cpp
@@ -1,7 +1,11 @@
 #include "programs/steward/buckets.hpp"
 
+#include "core/membership/shard.hpp"
+
 #include <prometheus/counter.h>
 
+#include <algorithm>
+
 namespace waxwinglb::programs::steward {
 
 using core::common::time_point;
@@ -14,6 +18,7 @@
 namespace {
 
 constexpr core::common::milliseconds retry_if_not_ready{200}; // a new holder is storing its shares
+constexpr core::common::milliseconds write_wait{300};         // longest wait of a draw for a write
 
 prometheus::Counter& make_counter(steward_context& context) {
     return prometheus::BuildCounter()
@@ -51,11 +56,36 @@
     one.pending = stored.value_or(core::limits::shares{});
     if (const auto last = read_decider(state))
         one.pending = one.pending->after(*last, stopped);
-    if (!stopped || !state.contains("balances"))
-        return;
-    for (const auto& [customer, value] : state["balances"].items())
+    const json reserves = state.value("buckets", json::object());
+    for (const auto& [customer, value] : reserves.items()) {
+        const double reserve = value.value("reserve", 0.0);
+        one.inherited[customer] = {reserve, value.value("burst", 0.0) - reserve};
+    }
+    const json balances = stopped ? state.value("balances", json::object()) : json::object();
+    for (const auto& [customer, value] : balances.items())
         one.balances[customer] = {{value.value("tokens", 0.0), value.value("outstanding", std::int64_t{0})},
                                   value.value("fencing", std::int64_t{0})};
+    make_buckets(shard, now);
+}
+
+/// Buckets of all configured customers at once, so that the first write frees tokens for each of them.
+void bucket_service::make_buckets(int shard, time_point now) {
+    const int count = context_.settings.control_shards;
+    for (const auto& [name, customer] : context_.state().customers)
+        if (core::membership::shard_of(core::membership::bucket_name(name), count) == shard)
+            find(shards_[shard], name, now);
+}
+
+void bucket_service::written(int shard, time_point now) {
+    const auto found = shards_.find(shard);
+    if (found == shards_.end())
+        return;
+    for (auto& [customer, held] : found->second.buckets)
+        held.confirm_reserve(now);
+    if (!found->second.ready)
+        return;
+    for (const waiting_draw& one : std::exchange(found->second.waiting, {}))
+        grant(found->second, one, now);
 }
 
 void bucket_service::awaiting(int shard, std::int64_t generation) {
@@ -94,7 +124,12 @@
 
 void bucket_service::deposed(int shard, time_point now) {
     (void)now;
-    shards_.erase(shard);
+    const auto found = shards_.find(shard);
+    if (found == shards_.end())
+        return;
+    for (const waiting_draw& one : found->second.waiting)
+        refuse(one, wire::refusal::store_unavailable);
+    shards_.erase(found);
 }
 
 void bucket_service::encode(int shard, bool stopping, json& state, time_point now) {
@@ -109,11 +144,17 @@
                         {"boot", context_.self.boot},
                         {"fencing", one.fencing},
                         {"share", next.share(true)}};
+    json& reserves = state["buckets"] = json::object();
+    for (const auto& [customer, left] : one.inherited)
+        reserves[customer] = {{"reserve", left.reserve}, {"burst", left.reserve + left.outstanding}};
+    for (auto& [customer, held] : one.buckets)
+        reserves[customer] = {{"reserve", held.propose_reserve(now)}, {"burst", held.limits().burst_tokens}};
     if (!stopping)
         return;
     state["stopped"] = true;
     for (auto& [customer, held] : one.buckets) {
         const bucket_balance balance = held.hand_over(now);
+        reserves[customer]["reserve"] = balance.tokens;
         state["balances"][customer] = {
             {"tokens", balance.tokens}, {"outstanding", balance.outstanding}, {"fencing", one.fencing}};
     }
@@ -126,7 +167,8 @@
 
 bucket_limits bucket_service::limits_of(const shard_buckets& shard,
                                         const core::config::customer& customer) const {
-    return {customer.tokens_per_second, customer.burst_tokens, shard.shares.share(shard.lease_valid)};
+    return {customer.tokens_per_second, customer.burst_tokens, shard.shares.share(shard.lease_valid),
+            !shard.lease_valid};
 }
 
 void bucket_service::apply_limits(shard_buckets& shard, time_point now) {
@@ -144,41 +186,61 @@
     const auto configured = context_.state().customers.find(customer);
     if (configured == context_.state().customers.end())
         return nullptr;
+    // A customer that no holder ever wrote into the shard's object has never been served.
+    const double burst = configured->second.burst_tokens;
+    core::limits::inheritance left{burst, 0};
+    if (const auto known = shard.inherited.find(customer); known != shard.inherited.end()) {
+        left = known->second;
+        left.outstanding = std::max(left.outstanding, burst - left.reserve);
+    }
     // The predecessor's grants are counted from when this steward began to hold the shard.
-    bucket made{shard.since, shard.fencing, limits_of(shard, configured->second)};
-    const auto left = shard.balances.find(customer);
-    if (left != shard.balances.end())
-        made.adopt(now, left->second.balance, left->second.fencing);
+    bucket made{shard.since, shard.fencing, limits_of(shard, configured->second), left};
+    const auto balance = shard.balances.find(customer);
+    if (balance != shard.balances.end())
+        made.adopt(now, balance->second.balance, balance->second.fencing);
+    shard.write_wanted = true;
     return &shard.buckets.emplace(customer, std::move(made)).first->second;
 }
 
 void bucket_service::draw(const edge::link_event& event, const wire::draw_request& request, int shard,
-                          time_point now) {
-    wire::draw_result out;
-    out.__set_customer(request.customer);
+                          bool lease_held, time_point now) {
+    const waiting_draw asked{event.link, event.frame.header.call, request, now + write_wait};
     const auto held = shards_.find(shard);
-    if (held == shards_.end() || !held->second.ready) {
-        out.__set_reason(wire::refusal::store_unavailable);
-        out.__set_retry_after_ms(retry_if_not_ready.count());
-        return answer(event, out);
+    if (held == shards_.end() || !held->second.ready)
+        return refuse(asked, wire::refusal::store_unavailable);
+    shard_buckets& mine = held->second;
+    if (lease_held != mine.lease_valid) {
+        mine.lease_valid = lease_held;
+        apply_limits(mine, now);
     }
-    bucket* one = find(held->second, request.customer, now);
-    if (one == nullptr) {
-        out.__set_reason(
-            wire::refusal::not_fresh); // this copy of the configuration doesn't know the customer
-        out.__set_retry_after_ms(retry_if_not_ready.count());
-        return answer(event, out);
+    bucket* one = find(mine, request.customer, now);
+    if (one == nullptr) // this copy of the configuration doesn't know the customer
+        return refuse(asked, wire::refusal::not_fresh);
+    if (one->needs_write(now, request.wanted)) {
+        mine.waiting.push_back(asked);
+        mine.write_wanted = true;
+        return;
     }
+    grant(mine, asked, now);
+}
+
+void bucket_service::grant(shard_buckets& shard, const waiting_draw& draw, time_point now) {
+    const wire::draw_request& request = draw.request;
+    bucket* one = find(shard, request.customer, now);
+    if (one == nullptr)
+        return refuse(draw, wire::refusal::not_fresh);
     std::vector<core::limits::settlement> settled;
     for (const wire::grant_settlement& each : request.settled)
         settled.push_back({each.grant, each.spent, each.returned});
     const auto drawn = one->draw(now, request.wanted, settled);
+    wire::draw_result out;
+    out.__set_customer(request.customer);
     out.__set_grant(drawn.grant);
     out.__set_tokens(drawn.tokens);
     out.__set_valid_ms(core::common::to_wire_ms(drawn.valid_for));
     // `never` has no finite form on the wire: the largest count stands for it.
     out.__set_retry_after_ms(core::common::to_wire_ms(drawn.retry_after));
-    out.__set_fencing(held->second.fencing);
+    out.__set_fencing(shard.fencing);
     out.__set_reason(drawn.tokens > 0 || request.wanted == 0 ? wire::refusal::none
                                                              : wire::refusal::rate_limited);
     granted_tokens_.Increment(static_cast<double>(drawn.tokens));
@@ -186,11 +248,19 @@
         context_.program.timeline.add(edge::event_kind::grant, request.customer,
                                       std::to_string(drawn.tokens) + " tokens to " + request.router,
                                       "grant " + std::to_string(drawn.grant));
-    answer(event, out);
+    answer(draw, out);
+}
+
+void bucket_service::refuse(const waiting_draw& draw, wire::refusal::type reason) {
+    wire::draw_result out;
+    out.__set_customer(draw.request.customer);
+    out.__set_reason(reason);
+    out.__set_retry_after_ms(retry_if_not_ready.count());
+    answer(draw, out);
 }
 
-void bucket_service::answer(const edge::link_event& event, const wire::draw_result& result) {
-    context_.links.send(event.link, wire::message_kind::draw_result, event.frame.header.call, result);
+void bucket_service::answer(const waiting_draw& draw, const wire::draw_result& result) {
+    context_.links.send(draw.link, wire::message_kind::draw_result, draw.call, result);
 }
 
 void bucket_service::stood_down(const wire::stood_down& message, time_point now) {
@@ -207,6 +277,15 @@
     }
     std::vector<int> out;
     for (auto& [shard, one] : shards_) {
+        const auto overdue =
+            std::stable_partition(one.waiting.begin(), one.waiting.end(),
+                                  [now](const waiting_draw& draw) { return now < draw.until; });
+        const std::vector<waiting_draw> late(overdue, one.waiting.end());
+        one.waiting.erase(overdue, one.waiting.end());
+        for (const waiting_draw& draw : late)
+            grant(one, draw, now);
+        if (std::exchange(one.write_wanted, false))
+            out.push_back(shard);
         for (const predecessor& former : one.shares.predecessors())
             if (targets_.vm_gone(former.vm, now))
                 one.shares.confirm_stopped(former.holder, former.boot, now);
--- a/src/programs/steward/shards.cpp
+++ b/src/programs/steward/shards.cpp
@@ -177,7 +177,10 @@
             one.sent_generation = one.stored_generation; // whatever it carried is written again
         else
             one.stored_generation = one.sent_generation;
-        return report(event.shard, now);
+        report(event.shard, now);
+        if (answer.outcome == edge::store_outcome::ok && one.opened && one.was_held)
+            changes_.push_back({event.shard, shard_change_kind::written, {}, 0});
+        return;
     }
     one.reading = false;
     if (answer.outcome == edge::store_outcome::absent)
--- a/src/programs/steward/shards.hpp
+++ b/src/programs/steward/shards.hpp
@@ -17,6 +17,7 @@
     lapsed,   // the own term ended; nobody was seen to take the shard
     regained, // after lapsed: still nobody had taken it
     lost,     // another holder's record was read
+    written,  // the newest write of the state has taken effect
     stored,   // everything decided up to `generation` stands in the store
     released, // handed over as planned
 };
--- a/src/programs/steward/steward.cpp
+++ b/src/programs/steward/steward.cpp
@@ -102,6 +102,8 @@
         targets_.watch_services(replicas_.services());
         return announce(shard);
     }
+    case shard_change_kind::written:
+        return buckets_.written(shard, now);
     case shard_change_kind::stored:
         buckets_.stored(shard, change.generation, now);
         return replicas_.stored(shard, change.generation, now);
@@ -288,7 +290,9 @@
     case kind::draw_request:
         return with_shard<wire::draw_request>(
             event, [](const auto& body) { return names::bucket_name(body.customer); },
-            [&](const auto& body, int shard) { buckets_.draw(event, body, shard, now); });
+            [&](const auto& body, int shard) {
+                buckets_.draw(event, body, shard, keeper_.lease(shard).held(now), now);
+            });
     case kind::claim_request:
         return with_shard<wire::claim_request>(
             event, [](const auto& body) { return body.record.key; },
