--- a/src/core/claims/claim_log.hpp
+++ b/src/core/claims/claim_log.hpp
@@ -6,6 +6,7 @@
 /// settled by reading the head again and deciding the same questions on what is found there: a claim that
 /// took effect is recognised by its request id and attempt.
 ///
+/// An answer that needs no write is given only after a read has shown that the head is still the known one.
 /// All questions that wait when a write ends go into the next one. When the head grows past `seal_bytes`,
 /// its records are written into a new segment object, and one update of the head then names the segment and
 /// drops the records; a crash between the two leaves a segment that no head names.
@@ -24,13 +25,13 @@
 
 namespace waxwinglb::core::claims {
 
-constexpr std::size_t seal_bytes = 64U << 10U;   // of records in the head
 constexpr std::size_t batch_bytes = 256U << 10U; // of records added by one write
 
 struct claim_options {
     common::milliseconds retention{24LL * 3600 * 1000}; // before a record may be deleted
     common::milliseconds longest_wait{2'000};           // a question that isn't settled by then is refused
     common::milliseconds retry_after{200};              // pause after a call that the store didn't answer
+    std::size_t seal_bytes = 64U << 10U;                // of records in the head, then sealed into a segment
 };
 
 enum class step_kind { read_head, read_segment, write_head, create_segment, remove_segment };
@@ -94,6 +95,7 @@
     struct batch {
         log_head head; // to be written
         std::map<std::string, claim> changed;
+        bool confirming = false;        // nothing to write: a read shows whether the answers still hold
         std::deque<question> questions; // answered if the write is stored
         std::vector<answer> answers;
         std::vector<std::int64_t> dropped; // segments that the new head no longer names
@@ -111,6 +113,7 @@
     void put(batch& next, claim record, common::unix_time wall) const;
     [[nodiscard]] const claim* find(const batch& next, const std::string& key, common::unix_time wall) const;
     void refuse_overdue(common::time_point now);
+    void give_answers(batch& done);
     void read_again(); // before anything else is decided
     void store_failed(common::time_point now);
     void finish_loading();
