--- a/tests/core/limits_model.hpp
+++ b/tests/core/limits_model.hpp
@@ -63,8 +63,12 @@
         advance(std::chrono::milliseconds(b % 16 == 0 ? b : b % 120));
         const std::size_t holder = a % holders_.size();
         const std::size_t router = a % routers_.size();
-        if (kind < 50)
+        if (kind < 25)
             spend(router, 1 + static_cast<std::int64_t>(b % 40));
+        else if (kind < 40)
+            hoard(router, b);
+        else if (kind < 50)
+            spend_all(b);
         else if (kind < 68)
             settle(a, b);
         else if (kind < 76)
@@ -150,6 +154,21 @@
         draw(router, luck_ = luck_ * 1664525 + 1013904223);
     }
 
+    // Asks for a whole burst and goes away: the tokens lie in the wallet.
+    void hoard(std::size_t router, std::uint32_t luck) {
+        routers_[router].reserve(now_, static_cast<std::int64_t>(burst_));
+        draw(router, luck);
+    }
+
+    // Spends at one instant what all routers hold: the worst that a window can see.
+    void spend_all(std::uint32_t which) {
+        for (std::size_t router = 0; router < routers_.size(); ++router) {
+            const std::int64_t there = routers_[router].available(now_);
+            if (there > 0 && (which >> router) % 4 != 0)
+                spend(router, there);
+        }
+    }
+
     void reserve_waiting(std::size_t router) {
         for (const std::int64_t tokens : std::exchange(waiting_[router], {}))
             spend(router, tokens);
--- a/tests/core/limits_test.cpp
+++ b/tests/core/limits_test.cpp
@@ -29,8 +29,8 @@
 } // namespace
 
 RC_GTEST_PROP(limits_property, no_window_exceeds_rate_and_burst_whatever_fails, ()) {
-    const double rate = *rc::gen::resize(100, rc::gen::inRange(20, 400));
-    const double burst = *rc::gen::resize(100, rc::gen::inRange(20, 400));
+    const double rate = *rc::gen::resize(100, rc::gen::inRange(2, 30)); // far below what is asked for
+    const double burst = *rc::gen::resize(100, rc::gen::inRange(20, 200));
     limits_world world{rate, burst};
     for (const std::uint32_t word : *schedules())
         world.step(word);
@@ -80,6 +80,8 @@
     EXPECT_TRUE(next.adopt(start, balance, 1));
     EXPECT_FALSE(next.adopt(start, balance, 1));
     EXPECT_EQ(next.draw(start, 1000, {}).tokens, 70);
+    EXPECT_EQ(next.draw(start + 1s, 1000, {}).tokens, 0); // the old 30 are still out
+    EXPECT_EQ(old.draw(start + 1s, 10, {}).tokens, 0);
 }
 
 TEST(limits_bucket, repeated_unknown_and_late_settlements_mint_nothing) {
@@ -108,6 +110,26 @@
     EXPECT_EQ(one.tokens(start + 8s), 20); // 80 of the 90 accrued anyway: only 20 had room
 }
 
+TEST(limits_bucket, correction_finds_no_room_that_was_filled_meanwhile) {
+    limits::bucket one = ready_bucket(10, 100);
+    const auto first = one.draw(start, 100, {});
+    const std::vector<limits::settlement> spent{{first.grant, 100, 0, 0}};
+    one.draw(start, 0, spent);
+    const auto second = one.draw(start + 10s, 100, {}); // it was full again
+    ASSERT_EQ(second.tokens, 100);
+    const std::vector<limits::settlement> unused{{second.grant, 100, 0, 0}, {first.grant, 100, 0, 90}};
+    one.draw(start + 10s, 0, unused);
+    EXPECT_EQ(one.tokens(start + 10s), 0);
+}
+
+TEST(limits_bucket, repeated_correction_counts_once) {
+    limits::bucket one = ready_bucket(10, 100);
+    const auto got = one.draw(start, 100, {});
+    const std::vector<limits::settlement> unused{{got.grant, 100, 0, 30}, {got.grant, 100, 0, 30}};
+    one.draw(start, 0, unused);
+    EXPECT_EQ(one.tokens(start), 30);
+}
+
 TEST(limits_bucket, lower_burst_takes_effect_at_once) {
     limits::bucket one = ready_bucket(10, 100);
     one.change_limits(start, {10, 20, 1});
@@ -130,6 +152,7 @@
     const limits::shares first;
     const auto second = first.after({"a", "vm-a", 1, 1, 0}, false);
     const auto third = second.after({"b", "vm-b", 1, 2, 0}, false);
+    EXPECT_EQ(first.share(false), 0.5); // without the store: half of its share
     EXPECT_EQ(second.share(true), 0.5);
     EXPECT_EQ(third.share(true), 0.25);
     EXPECT_EQ(third.predecessors().at(1).share, 0.25);
