--- a/src/programs/router/rates.cpp
+++ b/src/programs/router/rates.cpp
@@ -72,6 +72,7 @@
         part.__set_grant(settled.grant);
         part.__set_spent(settled.spent);
         part.__set_returned(settled.returned);
+        part.__set_corrected(settled.corrected);
         request.settled.push_back(part);
     }
     request.__isset.settled = true;
--- a/src/programs/steward/buckets.cpp
+++ b/src/programs/steward/buckets.cpp
@@ -171,7 +171,7 @@
     }
     std::vector<core::limits::settlement> settled;
     for (const wire::grant_settlement& each : request.settled)
-        settled.push_back({each.grant, each.spent, each.returned});
+        settled.push_back({each.grant, each.spent, each.returned, each.corrected});
     const auto drawn = one->draw(now, request.wanted, settled);
     out.__set_grant(drawn.grant);
     out.__set_tokens(drawn.tokens);
