--- a/src/programs/steward/buckets.cpp
+++ b/src/programs/steward/buckets.cpp
@@ -231,7 +231,7 @@
         return refuse(draw, wire::refusal::not_fresh);
     std::vector<core::limits::settlement> settled;
     for (const wire::grant_settlement& each : request.settled)
-        settled.push_back({each.grant, each.spent, each.returned});
+        settled.push_back({each.grant, each.spent, each.returned, each.corrected});
     const auto drawn = one->draw(now, request.wanted, settled);
     wire::draw_result out;
     out.__set_customer(request.customer);
