--- a/tests/programs/test_router_faults.py
+++ b/tests/programs/test_router_faults.py
@@ -133,5 +133,36 @@
         assert len(words) >= 890 and all(w == "abc"[(i + 900 - len(words)) % 3] for i, w in enumerate(words)), words[:9]
 
 
+def test_frozen_router_wakes_without_trusting_what_it_slept_through():
+    with fleet() as d, concurrent.futures.ThreadPoolExecutor(8) as pool:
+        assert d.call("GET", "/v1/models").status == 200
+        d.programs["router-1"].freeze()
+        asleep = [pool.submit(d.call, "GET", "/v1/models") for _ in range(4)]
+        assert d.admin("DELETE", f"/v1/keys/{d.key_id}", headers={"If-Match": "*"}).status == 200
+        wait_until(lambda: d.call("GET", "/v1/models", index=1).status == 401, "the other router knows")
+        time.sleep(3.5)   # beyond every term of trust in the old configuration; decides no verdict
+        d.programs["router-1"].thaw()
+        answers = [one.result() for one in asleep] + [d.call("GET", "/v1/models") for _ in range(20)]
+        assert all(a.status in (401, 503) for a in answers), answers
+        wait_until(lambda: d.call("GET", "/v1/models").status == 401, "the router has caught up")
+
+
+def test_steward_death_is_survived_within_the_deadline():
+    with fleet() as d, concurrent.futures.ThreadPoolExecutor(8) as pool:
+        assert d.chat("seams", "x", d.key, max_tokens=1).status == 200
+        d.programs["steward-1"].kill()
+        jobs = [pool.submit(d.chat, "seams", f"w{i}", d.key, i % 2, {"X-Request-Timeout-Ms": "20000"}, max_tokens=5)
+                for i in range(8)]
+        jobs += [pool.submit(d.certify, f"lot-{i}", i % 2, f"dead-{i}", X_Request_Timeout_Ms="20000") for i in range(6)]
+        answers = [job.result() for job in jobs]
+        for a in answers:
+            assert a.status in (200, 201) or a.json()["ran"] == "not_run", a
+        print("      during the takeover:", sorted(a.status for a in answers))
+        wait_until(lambda: d.chat("seams", "x", d.key, max_tokens=1).status == 200, "served again")
+        for i in range(6):
+            made = wait_until(lambda i=i: (a := d.certify(f"lot-{i}", 1, f"dead-{i}")).status == 201 and a, "recorded")
+            assert made.json()["certification"] == 1 and certifications(d, f"lot-{i}") == 1, made
+
+
 if __name__ == "__main__":
     harness.run_cases([value for name, value in list(globals().items()) if name.startswith("test_")])
