Take an agent's word for an unloaded model

Cause: an agent answers an unload with the state 'absent'; the steward waited for 'unloaded', so a member to be unloaded never left its set, and a model whose two replicas had crashed was never loaded again. Seen: tests/programs/test_router_crashes.py, 'not reached within 60 s: served again'; the time line showed 'answers absent' each second.

--- a/src/programs/steward/replicas.cpp
+++ b/src/programs/steward/replicas.cpp
@@ -40,7 +40,7 @@
         return order_result::loaded;
     if (result.state == "unloading")
         return order_result::unloading;
-    return result.state == "unloaded" ? order_result::unloaded : order_result::refused;
+    return result.state == "absent" ? order_result::unloaded : order_result::refused;
 }
 
 const char* text_of(member_state state) {
