--- a/src/core/claims/claim_log.cpp
+++ b/src/core/claims/claim_log.cpp
@@ -242,8 +242,10 @@
 
 void claim_log::segment_read(store_result result, const std::string& body, time_point now) {
     under_way_ = false;
-    if (result == store_result::absent)
-        return read_again(); // the head has moved on and dropped it
+    if (result == store_result::absent) { // the head has moved on and dropped it; if not, there's no hurry
+        store_failed(now);
+        return read_again();
+    }
     auto records = result == store_result::ok ? decode_segment(body) : std::nullopt;
     if (!records)
         return store_failed(now);
