--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -1133,13 +1133,16 @@
 std::ostream& operator<<(std::ostream& out, const resume_request& obj);
 
 typedef struct _cancel_request__isset {
-  _cancel_request__isset() : request_id(false), attempt(false) {}
+  _cancel_request__isset() : request_id(false), attempt(false), agent_boot(false) {}
   bool request_id :1;
   bool attempt :1;
+  bool agent_boot :1;
 } _cancel_request__isset;
 
 /**
- * Cancels; sets a tombstone if the request was never seen, so that "not run" stays true.
+ * Cancels; sets a tombstone if the request was never seen, so that "not run" stays true. agent_boot is the boot
+ * in the hello of the link that the run_request was sent on, 0 if it was never sent: another boot of the agent
+ * can't tell what a former process ran, and answers unknown.
  */
 class cancel_request : public virtual ::apache::thrift::TBase {
  public:
@@ -1150,12 +1153,14 @@
   cancel_request& operator=(cancel_request&&) noexcept;
   cancel_request() noexcept
                  : request_id(),
-                   attempt(0) {
+                   attempt(0),
+                   agent_boot(0) {
   }
 
   virtual ~cancel_request() noexcept;
   std::string request_id;
   int32_t attempt;
+  int64_t agent_boot;
 
   _cancel_request__isset __isset;
 
@@ -1163,12 +1168,16 @@
 
   void __set_attempt(const int32_t val);
 
+  void __set_agent_boot(const int64_t val);
+
   bool operator == (const cancel_request & rhs) const
   {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(attempt == rhs.attempt))
       return false;
+    if (!(agent_boot == rhs.agent_boot))
+      return false;
     return true;
   }
   bool operator != (const cancel_request &rhs) const {
@@ -2377,14 +2386,17 @@
 std::ostream& operator<<(std::ostream& out, const replica_view& obj);
 
 typedef struct _grant_settlement__isset {
-  _grant_settlement__isset() : grant(false), spent(false), returned(false) {}
+  _grant_settlement__isset() : grant(false), spent(false), returned(false), corrected(false) {}
   bool grant :1;
   bool spent :1;
   bool returned :1;
+  bool corrected :1;
 } _grant_settlement__isset;
 
 /**
- * Draws tokens of a customer's rate. spent and returned settle grants drawn earlier on this router.
+ * Draws tokens of a customer's rate, and settles grants drawn earlier on this router. The counts are totals since
+ * the grant's issue: spent (reserved by requests), returned (never reserved), corrected (part of spent that ended
+ * unused).
  */
 class grant_settlement : public virtual ::apache::thrift::TBase {
  public:
@@ -2396,13 +2408,15 @@
   grant_settlement() noexcept
                    : grant(0),
                      spent(0),
-                     returned(0) {
+                     returned(0),
+                     corrected(0) {
   }
 
   virtual ~grant_settlement() noexcept;
   int64_t grant;
   int64_t spent;
   int64_t returned;
+  int64_t corrected;
 
   _grant_settlement__isset __isset;
 
@@ -2412,6 +2426,8 @@
 
   void __set_returned(const int64_t val);
 
+  void __set_corrected(const int64_t val);
+
   bool operator == (const grant_settlement & rhs) const
   {
     if (!(grant == rhs.grant))
@@ -2420,6 +2436,8 @@
       return false;
     if (!(returned == rhs.returned))
       return false;
+    if (!(corrected == rhs.corrected))
+      return false;
     return true;
   }
   bool operator != (const grant_settlement &rhs) const {
