--- a/src/programs/steward/replicas.cpp
+++ b/src/programs/steward/replicas.cpp
@@ -78,6 +78,10 @@
     };
     return a.decision == b.decision && a.fencing == b.fencing && a.reason == b.reason &&
            a.quarantined.size() == b.quarantined.size() &&
+           std::equal(a.quarantined.begin(), a.quarantined.end(), b.quarantined.begin(),
+                      [](const wire::quarantine& x, const wire::quarantine& y) {
+                          return x.fingerprint == y.fingerprint && x.condemned == y.condemned;
+                      }) &&
            std::equal(a.replicas.begin(), a.replicas.end(), b.replicas.begin(), b.replicas.end(), same);
 }
 
@@ -367,8 +371,7 @@
         add_plain(name, out, now);
     else
         add_members(name, entry, out, now);
-    if (quarantined)
-        out.__set_quarantined(quarantined(name.service));
+    out.__set_quarantined(quarantine_.entries(name.service, name.model, now));
     const bool any = std::any_of(out.replicas.begin(), out.replicas.end(),
                                  [](const wire::replica& one) { return one.state == "loaded"; });
     if (any)
@@ -455,10 +458,10 @@
     return out;
 }
 
-void replica_service::quarantine_changed(const std::string& service) {
-    for (auto& [name, entry] : sets_)
-        if (name.service == service)
-            entry.dirty = true;
+void replica_service::quarantine_changed(const std::string& service, const std::string& model) {
+    const auto found = sets_.find({service, model});
+    if (found != sets_.end())
+        found->second.dirty = true;
 }
 
 } // namespace waxwinglb::programs::steward
--- a/src/programs/steward/replicas.hpp
+++ b/src/programs/steward/replicas.hpp
@@ -7,6 +7,7 @@
 #include "core/placement/idle_policy.hpp"
 #include "core/placement/replica_set.hpp"
 #include "programs/steward/context.hpp"
+#include "programs/steward/quarantine_service.hpp"
 #include "programs/steward/shards.hpp"
 #include "programs/steward/slots.hpp"
 #include "programs/steward/targets.hpp"
@@ -37,8 +38,9 @@
 
 class replica_service {
 public:
-    replica_service(steward_context& context, target_table& targets, slot_client& slots)
-        : context_(context), targets_(targets), slots_(slots) {}
+    replica_service(steward_context& context, target_table& targets, slot_client& slots,
+                    const quarantine_service& quarantine)
+        : context_(context), targets_(targets), slots_(slots), quarantine_(quarantine) {}
 
     void acquired(int shard, const nlohmann::json& state, std::int64_t fencing);
     void stored(int shard, std::int64_t generation, core::common::time_point now);
@@ -58,8 +60,7 @@
 
     [[nodiscard]] std::set<std::string> services() const; // whose agents have to be watched
     [[nodiscard]] int shard_of(const set_name& name) const;
-    void quarantine_changed(const std::string& service);
-    std::function<std::vector<wire::quarantine>(const std::string& service)> quarantined; // of a service
+    void quarantine_changed(const std::string& service, const std::string& model);
 
 private:
     struct subscriber {
@@ -101,6 +102,7 @@
     steward_context& context_;
     target_table& targets_;
     slot_client& slots_;
+    const quarantine_service& quarantine_;
     edge::logger log_ = edge::make_logger("steward.replicas");
     std::map<int, std::int64_t> fencing_; // of each shard whose sets are decided here
     std::map<set_name, set_entry> sets_;
--- a/src/programs/steward/slots.cpp
+++ b/src/programs/steward/slots.cpp
@@ -27,9 +27,9 @@
 
 } // namespace
 
-void slot_service::acquired(time_point now) {
+void slot_service::acquired(bool first_holder, time_point now) {
     queue_.emplace(core::placement::slot_limits{});
-    learning_until_ = now + slot_learning;
+    learning_until_ = first_holder ? now : now + slot_learning;
     askers_.clear();
 }
 
--- a/src/programs/steward/slots.hpp
+++ b/src/programs/steward/slots.hpp
@@ -13,15 +13,14 @@
 namespace waxwinglb::programs::steward {
 
 constexpr core::common::milliseconds slot_again{500}; // an asker repeats its wish, also while it holds a slot
-constexpr core::common::milliseconds slot_learning{
-    1'500}; // a new holder first learns which loads already run
+constexpr core::common::milliseconds slot_learning{800}; // a new holder first learns which loads already run
 
 /// The holder's side.
 class slot_service {
 public:
     explicit slot_service(steward_context& context) : context_(context) {}
 
-    void acquired(core::common::time_point now);
+    void acquired(bool first_holder, core::common::time_point now);
     void lost() { queue_.reset(); }
     [[nodiscard]] bool holds() const { return queue_.has_value(); }
 
--- a/src/programs/steward/steward.cpp
+++ b/src/programs/steward/steward.cpp
@@ -14,8 +14,8 @@
 
 steward::steward(steward_context& context, event_ring& events)
     : context_(context), events_(events), feed_(context), targets_(context), slots_(context),
-      own_slots_(context, slots_), buckets_(context, targets_), replicas_(context, targets_, own_slots_),
-      claims_(context),
+      own_slots_(context, slots_), buckets_(context, targets_), quarantine_(context, targets_),
+      replicas_(context, targets_, own_slots_, quarantine_), claims_(context),
       keeper_(
           context.settings, context.self, context.platform,
           [this](int shard) { return encode_state(shard, false, core::common::clock::now()); },
@@ -58,6 +58,7 @@
     slots_.tick(now);
     own_slots_.tick(now);
     claims_.tick(now);
+    quarantine_.tick(now);
     store_changes(now);
 }
 
@@ -94,9 +95,10 @@
         const json known = state.is_object() ? state : json::object();
         buckets_.acquired(shard, known, keeper_.lease(shard).fencing(), now);
         replicas_.acquired(shard, known, keeper_.lease(shard).fencing());
+        quarantine_.acquired(shard, known, now);
         claims_.acquired(shard);
         if (shard == slots_shard_)
-            slots_.acquired(now);
+            slots_.acquired(keeper_.lease(shard).fencing() == 1, now);
         keeper_.opened(shard);
         buckets_.awaiting(shard, keeper_.mark_changed(shard, now));
         targets_.watch_services(replicas_.services());
@@ -128,6 +130,7 @@
     }
     buckets_.deposed(shard, now);
     replicas_.lost(shard, now);
+    quarantine_.lost(shard);
     claims_.lost(shard);
     if (shard == slots_shard_)
         slots_.lost();
@@ -138,6 +141,7 @@
     json state = json::object();
     buckets_.encode(shard, stopping, state, now);
     replicas_.encode(shard, state);
+    quarantine_.encode(shard, state, now);
     return state.dump();
 }
 
@@ -293,6 +297,15 @@
             [&](const auto& body, int shard) {
                 buckets_.draw(event, body, shard, keeper_.lease(shard).held(now), now);
             });
+    case kind::crash_report:
+        return with<wire::crash_report>(event, [&](const auto& body) {
+            const int shard = replicas_.shard_of({body.service_name, body.model});
+            if (!buckets_.decides(shard))
+                return; // agents tell every steward that watches them
+            quarantine_.crashed(body, shard, now);
+            replicas_.quarantine_changed(body.service_name, body.model);
+            keeper_.mark_changed(shard, now);
+        });
     case kind::claim_request:
         return with_shard<wire::claim_request>(
             event, [](const auto& body) { return body.record.key; },
--- a/src/programs/steward/steward.hpp
+++ b/src/programs/steward/steward.hpp
@@ -65,6 +65,7 @@
     slot_service slots_;
     slot_client own_slots_;
     bucket_service buckets_;
+    quarantine_service quarantine_;
     replica_service replicas_;
     claims_service claims_;
     shard_keeper keeper_;
--- a/src/programs/steward/targets.cpp
+++ b/src/programs/steward/targets.cpp
@@ -147,6 +147,14 @@
     return out;
 }
 
+std::vector<edge::link_id> target_table::links_of(const std::string& service) const {
+    std::vector<edge::link_id> out;
+    for (const auto& [address, entry] : by_address_)
+        if (entry.listed.service == service && entry.link_open)
+            out.push_back(entry.link);
+    return out;
+}
+
 /// Only a list that was heard can show a VM's absence, and only past the list's lag.
 bool target_table::vm_gone(const std::string& vm, time_point now) const {
     const auto seen = vms_seen_.find(vm);
--- a/src/programs/steward/targets.hpp
+++ b/src/programs/steward/targets.hpp
@@ -52,6 +52,7 @@
     /// Targets of a service as the placement core wants them.
     [[nodiscard]] std::vector<core::placement::target_view> views(const std::string& service,
                                                                   core::common::time_point now) const;
+    [[nodiscard]] std::vector<edge::link_id> links_of(const std::string& service) const; // open ones
     [[nodiscard]] bool vm_gone(const std::string& vm, core::common::time_point now) const;
     [[nodiscard]] std::vector<edge::listed_vm> stewards() const; // on the VM list
     [[nodiscard]] bool data_centre_out(const std::string& name) const;
