--- a/src/programs/steward/run.cpp
+++ b/src/programs/steward/run.cpp
@@ -64,6 +64,10 @@
     steward{context, events}.run();
     log->info("stopped");
     events.close();
+    // Pages that nobody will answer any more; the server can't stop while they are held.
+    while (const auto left = events.pop_until(core::common::clock::now()))
+        if (const auto* page = std::get_if<page_event>(&*left))
+            page->exchange->cut();
     return edge::exit_ok;
 }
 
--- a/src/programs/steward/shards.cpp
+++ b/src/programs/steward/shards.cpp
@@ -91,6 +91,7 @@
     if (one.reading)
         return;
     one.reading = true;
+    one.hinted = false;
     one.read_at = now;
     store_event tag;
     tag.call = store_call::lease_read;
@@ -99,7 +100,14 @@
     store_.read(std::move(tag), shard_key(shard));
 }
 
+void shard_keeper::hint(int shard) {
+    if (shard >= 0 && shard < count() && !at(shard).was_held)
+        at(shard).hinted = true;
+}
+
 void shard_keeper::tick(int live_stewards, time_point now) {
+    if (began_ == time_point{})
+        began_ = now;
     if (!listing_ && now - listed_at_ >= lease_list_every) {
         listing_ = true;
         listed_at_ = now;
@@ -117,8 +125,8 @@
 void shard_keeper::tick_shard(int shard, int share, time_point now) {
     entry& one = at(shard);
     report(shard, now);
-    const bool read_due = now - one.read_at >= (one.was_held ? term_ / 10 : lease_read_every);
-    if (one.lease.wants_read() && !one.lease.writing() && read_due)
+    const bool read_due = one.hinted || now - one.read_at >= (one.was_held ? term_ / 10 : lease_read_every);
+    if ((one.lease.wants_read() || one.hinted) && !one.lease.writing() && read_due)
         return read(shard, now);
     if (stopping_ || one.lease.releasing())
         return hand_over(shard, now);
@@ -128,7 +136,7 @@
     if (one.lease.renewal_due(now) || (one.generation > one.sent_generation && one.was_held))
         return write_state(shard, now);
     const bool overdue = one.lease.takeable(now) && one.lease.free_for(now) >= overdue_after;
-    if (one.lease.takeable(now) && (held < share || overdue))
+    if (one.lease.takeable(now) && now >= began_ + first_take_after && (held < share || overdue))
         if (const auto write = one.lease.take(now))
             carry_out(shard, *write, now);
 }
@@ -173,6 +181,9 @@
     entry& one = at(event.shard);
     if (event.call == store_call::lease_write) {
         one.lease.written(event.number, result_of(answer.outcome), answer.version, now);
+        if (answer.outcome == edge::store_outcome::ok && one.lease.known() &&
+            one.lease.record().holder.empty())
+            changes_.push_back({event.shard, shard_change_kind::freed, {}, 0});
         if (answer.outcome != edge::store_outcome::ok)
             one.sent_generation = one.stored_generation; // whatever it carried is written again
         else
--- a/src/programs/steward/shards.hpp
+++ b/src/programs/steward/shards.hpp
@@ -19,7 +19,8 @@
     lost,     // another holder's record was read
     written,  // the newest write of the state has taken effect
     stored,   // everything decided up to `generation` stands in the store
-    released, // handed over as planned
+    released, // handed over as planned: nothing is decided any more
+    freed,    // the store has the handover: others may take the shard
 };
 
 struct shard_change {
@@ -32,6 +33,8 @@
 /// Times of the calls that keep leases.
 constexpr core::common::milliseconds lease_list_every{500};   // versions of all shards, one call
 constexpr core::common::milliseconds lease_read_every{1'000}; // content of one shard held elsewhere
+constexpr core::common::milliseconds first_take_after{
+    500}; // after the start: links to other stewards open first
 constexpr core::common::milliseconds overdue_after{2'000}; // a shard free for longer is taken over the share
 
 class shard_keeper {
@@ -50,6 +53,9 @@
     /// on.
     void opened(int shard) { at(shard).opened = true; }
 
+    /// Another steward says that the shard's holder has changed: read it at once.
+    void hint(int shard);
+
     /// A decision was made; returns its generation, which `stored` will reach once it stands in the store.
     std::int64_t mark_changed(int shard, core::common::time_point now);
 
@@ -66,6 +72,7 @@
     struct entry {
         core::membership::shard_lease lease;
         bool reading = false;
+        bool hinted = false;            // to be read, whatever is known
         bool was_held = false;          // as last reported
         bool was_mine = false;          // was_held, or lapsed since
         std::int64_t known_fencing = 0; // under which it was held
@@ -96,6 +103,7 @@
     core::common::time_point listed_at_{};
     bool listing_ = false;
     bool stopping_ = false;
+    core::common::time_point began_{}; // first tick
     int last_share_ = 0;
 };
 
--- a/src/programs/steward/steward.cpp
+++ b/src/programs/steward/steward.cpp
@@ -115,6 +115,8 @@
     case shard_change_kind::regained:
         note("regained");
         return buckets_.regained(shard, now);
+    case shard_change_kind::freed:
+        return announce(shard);
     case shard_change_kind::released:
     case shard_change_kind::lost:
         note(change.kind == shard_change_kind::lost ? "lost" : "handed over");
@@ -153,12 +155,13 @@
 void steward::announce(int shard) {
     wire::locate_result out;
     out.__set_shard(shard);
-    out.__set_holder(context_.self.holder);
-    out.__set_address(context_.self.address);
-    out.__set_fencing(keeper_.lease(shard).fencing());
-    out.__set_valid_ms(located_valid.count());
+    const auto& record = keeper_.lease(shard).record();
+    out.__set_holder(record.holder);
+    out.__set_address(record.address);
+    out.__set_fencing(record.fencing);
+    out.__set_valid_ms(record.holder.empty() ? 0 : located_valid.count());
     for (const auto& [link, peer] : peers_)
-        if (peer.role == "router" || peer.role == "steward")
+        if (peer.role == "steward" || (peer.role == "router" && !record.holder.empty()))
             context_.links.send(link, kind::locate_result, 0, out);
 }
 
@@ -285,8 +288,8 @@
     switch (event.frame.header.kind) {
     case kind::locate_request:
         return with<wire::locate_request>(event, [&](const auto& body) { locate(event, body, now); });
-    case kind::locate_result:
-        return true; // another steward's announcement; the store's list shows the same soon
+    case kind::locate_result: // another steward's announcement; the store decides what it is worth
+        return with<wire::locate_result>(event, [&](const auto& body) { keeper_.hint(body.shard); });
     case kind::view_request:
         return with_shard<wire::view_request>(
             event, [](const auto& body) { return names::replica_set_name(body.service_name, body.model); },
--- /dev/null
+++ b/tests/contract/platform_client_test.cpp
@@ -0,0 +1,103 @@
+// Contract tests of the platform client: what each status and each broken exchange means for a reader and a
+// writer.
+#include "edge/http_server.hpp"
+#include "edge/platform_client.hpp"
+#include "edge/ring.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace waxwinglb;
+using namespace std::chrono_literals;
+using edge::store_outcome;
+
+namespace {
+
+constexpr auto patience = 20s; // ends a hung test; no verdict depends on its length
+
+struct fault_case {
+    const char* name;
+    int status; // 0: the server never answers
+    store_outcome read;
+    store_outcome write;
+};
+
+struct platform {
+    explicit platform(int status)
+        : server({}, [this, status](edge::exchange_ptr exchange) {
+              last_request = exchange->request();
+              if (status == 0)
+                  return held.push_back(std::move(exchange));
+              exchange->respond({status, {{"ETag", "\"42\""}}, "body"});
+          }) {
+        EXPECT_TRUE(server.start());
+    }
+    edge::store_answer
+    call(const std::function<void(edge::platform_client&, edge::platform_client::on_answer)>& make) {
+        edge::ring<edge::store_answer> answers{4};
+        edge::http_client client;
+        edge::platform_client to{client, "127.0.0.1:" + std::to_string(server.port()), 300ms};
+        make(to, [&](edge::store_answer&& one) { answers.push(std::move(one)); });
+        auto out = answers.pop_until(core::common::clock::now() + patience);
+        EXPECT_TRUE(out.has_value());
+        return out.value_or(edge::store_answer{});
+    }
+    edge::http_request last_request;
+    std::vector<edge::exchange_ptr> held;
+    edge::http_server server;
+};
+
+} // namespace
+
+TEST(platform_client, each_fault_is_told_as_what_is_true_of_it) {
+    const std::array cases{
+        fault_case{"ok", 200, store_outcome::ok, store_outcome::ok},
+        fault_case{"created", 201, store_outcome::ok, store_outcome::ok},
+        fault_case{"unchanged", 304, store_outcome::unchanged, store_outcome::unchanged},
+        fault_case{"absent", 404, store_outcome::absent, store_outcome::absent},
+        fault_case{"condition failed", 412, store_outcome::conflict, store_outcome::conflict},
+        fault_case{"too large", 413, store_outcome::too_large, store_outcome::too_large},
+        fault_case{"store fails", 500, store_outcome::unavailable, store_outcome::unknown},
+        fault_case{"store overloaded", 503, store_outcome::unavailable, store_outcome::unknown},
+        fault_case{"no answer in time", 0, store_outcome::unavailable, store_outcome::unknown},
+    };
+    for (const fault_case& one : cases) {
+        platform store{one.status};
+        const auto read = store.call([](auto& to, auto done) { to.read("shards/1", std::move(done)); });
+        EXPECT_EQ(read.outcome, one.read) << one.name;
+        const auto write =
+            store.call([](auto& to, auto done) { to.put("shards/1", 7, "{}", std::move(done)); });
+        EXPECT_EQ(write.outcome, one.write) << one.name;
+        EXPECT_EQ(write.heard(), one.write != store_outcome::unknown) << one.name;
+        EXPECT_TRUE(one.write != store_outcome::ok || write.version == 42) << one.name;
+    }
+}
+
+TEST(platform_client, refused_connection_is_certain_to_be_without_effect) {
+    edge::ring<edge::store_answer> answers{4};
+    edge::http_client client;
+    edge::platform_client to{client, "127.0.0.1:1", 300ms};
+    to.put("shards/1", 7, "{}", [&](edge::store_answer&& one) { answers.push(std::move(one)); });
+    const auto out = answers.pop_until(core::common::clock::now() + patience);
+    ASSERT_TRUE(out.has_value());
+    EXPECT_EQ(out->outcome, store_outcome::unavailable);
+}
+
+TEST(platform_client, conditions_are_sent_as_entity_tags) {
+    platform store{200};
+    store.call([](auto& to, auto done) { to.put("claims/3/head", 17, "{}", std::move(done)); });
+    EXPECT_EQ(store.last_request.headers.at("if-match"), "\"17\"");
+    store.call([](auto& to, auto done) { to.put("claims/3/head", 0, "{}", std::move(done)); });
+    EXPECT_EQ(store.last_request.headers.at("if-none-match"), "*");
+    EXPECT_FALSE(store.last_request.headers.contains("if-match"));
+}
+
+TEST(platform_client, malformed_lists_are_refused) {
+    for (const char* text : {"", "{}", "[1]", R"([{"key":"a"}])"})
+        EXPECT_FALSE(edge::decode_objects(text).has_value()) << text;
+    for (const char* text : {"", "{}", "[1]"})
+        EXPECT_FALSE(edge::decode_vms(text).has_value()) << text;
+    const auto vms =
+        edge::decode_vms(R"([{"vm":"v1","role":"target","state":"leaving","address":"127.0.0.1:5"}])");
+    ASSERT_TRUE(vms.has_value());
+    EXPECT_TRUE(vms->at(0).leaving);
+}
