--- a/src/programs/steward/buckets.cpp
+++ b/src/programs/steward/buckets.cpp
@@ -56,6 +56,8 @@
     one.pending = stored.value_or(core::limits::shares{});
     if (const auto last = read_decider(state))
         one.pending = one.pending->after(*last, stopped);
+    // This process dropped its buckets when it was deposed: as a predecessor it has stopped.
+    one.pending->confirm_stopped(context_.self.holder, context_.self.boot, now);
     const json reserves = state.value("buckets", json::object());
     for (const auto& [customer, value] : reserves.items()) {
         const double reserve = value.value("reserve", 0.0);
@@ -160,6 +162,11 @@
     }
 }
 
+std::int64_t bucket_service::fencing(int shard) const {
+    const auto found = shards_.find(shard);
+    return found == shards_.end() ? 0 : found->second.fencing;
+}
+
 bool bucket_service::decides(int shard) const {
     const auto found = shards_.find(shard);
     return found != shards_.end() && found->second.ready;
@@ -265,8 +272,13 @@
 
 void bucket_service::stood_down(const wire::stood_down& message, time_point now) {
     const auto found = shards_.find(message.shard);
-    if (found != shards_.end())
-        found->second.shares.confirm_stopped(message.holder, message.boot, now);
+    if (found == shards_.end())
+        return;
+    // A late message about an earlier holding says nothing of a later one by the same process.
+    for (const predecessor& former : found->second.shares.predecessors())
+        if (former.holder == message.holder && former.boot == message.boot &&
+            former.fencing <= message.fencing)
+            return found->second.shares.confirm_stopped(message.holder, message.boot, now);
 }
 
 std::vector<int> bucket_service::tick(time_point now) {
--- a/src/programs/steward/buckets.hpp
+++ b/src/programs/steward/buckets.hpp
@@ -41,7 +41,8 @@
     /// Shards whose shares changed and have to be stored.
     std::vector<int> tick(core::common::time_point now);
 
-    [[nodiscard]] bool decides(int shard) const; // also without a valid term, at half its share
+    [[nodiscard]] std::int64_t fencing(int shard) const; // 0: not held
+    [[nodiscard]] bool decides(int shard) const;         // also without a valid term, at half its share
 
 private:
     struct handed_over {
--- a/src/programs/steward/steward.cpp
+++ b/src/programs/steward/steward.cpp
@@ -53,6 +53,7 @@
     keeper_.tick(live_stewards(), now);
     take_changes(now);
     connect_stewards();
+    tell_stood_down(now);
     if (feed_.take_changed())
         targets_.watch_services(replicas_.services());
     slots_.tick(now);
@@ -91,6 +92,7 @@
     switch (change.kind) {
     case shard_change_kind::acquired: {
         note("acquired");
+        deposed_.erase(shard);
         const json state = json::parse(change.state, nullptr, false);
         const json known = state.is_object() ? state : json::object();
         buckets_.acquired(shard, known, keeper_.lease(shard).fencing(), now);
@@ -122,14 +124,8 @@
         note(change.kind == shard_change_kind::lost ? "lost" : "handed over");
         break;
     }
-    if (buckets_.decides(shard) && change.kind == shard_change_kind::lost) {
-        wire::stood_down message;
-        message.__set_shard(shard);
-        message.__set_holder(context_.self.holder);
-        message.__set_boot(context_.self.boot);
-        for (const auto& [address, link] : steward_links_)
-            context_.links.send(link, kind::stood_down, 0, message);
-    }
+    if (change.kind == shard_change_kind::lost)
+        deposed_[shard] = {buckets_.fencing(shard), now};
     buckets_.deposed(shard, now);
     replicas_.lost(shard, now);
     quarantine_.lost(shard);
@@ -139,6 +135,23 @@
     targets_.watch_services(replicas_.services());
 }
 
+/// Ends the halving of rates at whoever holds the shards now.
+void steward::tell_stood_down(time_point now) {
+    if (deposed_.empty() || now - stood_down_told_ < stood_down_again)
+        return;
+    stood_down_told_ = now;
+    std::erase_if(deposed_, [&](const auto& one) { return now - one.second.at > stood_down_for; });
+    for (const auto& [shard, one] : deposed_) {
+        wire::stood_down message;
+        message.__set_shard(shard);
+        message.__set_holder(context_.self.holder);
+        message.__set_boot(context_.self.boot);
+        message.__set_fencing(one.fencing);
+        for (const auto& [address, link] : steward_links_)
+            context_.links.send(link, kind::stood_down, 0, message);
+    }
+}
+
 std::string steward::encode_state(int shard, bool stopping, time_point now) {
     json state = json::object();
     buckets_.encode(shard, stopping, state, now);
--- a/src/programs/steward/steward.hpp
+++ b/src/programs/steward/steward.hpp
@@ -17,9 +17,11 @@
 
 namespace waxwinglb::programs::steward {
 
-constexpr core::common::milliseconds tick_every{25};       // granularity of all timers
-constexpr core::common::milliseconds stop_within{5'000};   // longest planned stop
-constexpr core::common::milliseconds located_valid{1'000}; // for how long an asker may keep a location
+constexpr core::common::milliseconds tick_every{25};          // granularity of all timers
+constexpr core::common::milliseconds stop_within{5'000};      // longest planned stop
+constexpr core::common::milliseconds stood_down_again{1'000}; // successors may change, so it is repeated
+constexpr core::common::milliseconds stood_down_for{60'000};  // for so long
+constexpr core::common::milliseconds located_valid{1'000};    // for how long an asker may keep a location
 
 /// Listens, connects and runs until the process is asked to stop; returns the exit code.
 int run_steward(const steward_settings& settings, edge::program_context& program);
@@ -45,6 +47,7 @@
     void store_changes(core::common::time_point now);
     void connect_stewards();
     void announce(int shard);
+    void tell_stood_down(core::common::time_point now);
     void locate(const edge::link_event& event, const wire::locate_request& request,
                 core::common::time_point now);
     void refuse_not_holder(const edge::link_event& event, int shard);
@@ -57,6 +60,12 @@
     template<class body_type, class naming, class handler>
     bool with_shard(const edge::link_event& event, naming&& name_of, handler&& handle);
 
+    /// A shard that was lost to another holder; its buckets are gone.
+    struct deposition {
+        std::int64_t fencing = 0; // under which it was held
+        core::common::time_point at{};
+    };
+
     steward_context& context_;
     event_ring& events_;
     edge::logger log_ = edge::make_logger("steward");
@@ -70,6 +79,8 @@
     claims_service claims_;
     shard_keeper keeper_;
     int slots_shard_;
+    std::map<int, deposition> deposed_; // by shard, until it is held again
+    core::common::time_point stood_down_told_{};
     std::map<edge::link_id, wire::hello> peers_;         // open links
     std::map<std::string, edge::link_id> steward_links_; // outbound, by address
     std::set<edge::link_id> connected_;                  // of those, the open ones
--- a/tests/contract/platform_client_test.cpp
+++ b/tests/contract/platform_client_test.cpp
@@ -4,6 +4,8 @@
 #include "edge/platform_client.hpp"
 #include "edge/ring.hpp"
 
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
 #include <gtest/gtest.h>
 
 using namespace waxwinglb;
@@ -21,29 +23,41 @@
     store_outcome write;
 };
 
+edge::store_answer
+ask(const std::string& address,
+    const std::function<void(edge::platform_client&, edge::platform_client::on_answer)>& make) {
+    edge::ring<edge::store_answer> answers{4};
+    edge::http_client client;
+    edge::platform_client to{client, address, 300ms};
+    make(to, [&](edge::store_answer&& one) { answers.push(std::move(one)); });
+    auto out = answers.pop_until(core::common::clock::now() + patience);
+    EXPECT_TRUE(out.has_value());
+    return out.value_or(edge::store_answer{});
+}
+
+/// A platform that answers everything with one status, or takes connections and never says anything.
 struct platform {
     explicit platform(int status)
-        : server({}, [this, status](edge::exchange_ptr exchange) {
+        : server({}, [this, status](const edge::exchange_ptr& exchange) {
               last_request = exchange->request();
-              if (status == 0)
-                  return held.push_back(std::move(exchange));
               exchange->respond({status, {{"ETag", "\"42\""}}, "body"});
           }) {
+        EXPECT_EQ(silent.open(ACE_INET_Addr{static_cast<u_short>(0), "127.0.0.1"}), 0);
         EXPECT_TRUE(server.start());
+        ACE_INET_Addr bound;
+        silent.get_local_addr(bound);
+        address = "127.0.0.1:" + std::to_string(status == 0 ? bound.get_port_number() : server.port());
     }
-    edge::store_answer
-    call(const std::function<void(edge::platform_client&, edge::platform_client::on_answer)>& make) {
-        edge::ring<edge::store_answer> answers{4};
-        edge::http_client client;
-        edge::platform_client to{client, "127.0.0.1:" + std::to_string(server.port()), 300ms};
-        make(to, [&](edge::store_answer&& one) { answers.push(std::move(one)); });
-        auto out = answers.pop_until(core::common::clock::now() + patience);
-        EXPECT_TRUE(out.has_value());
-        return out.value_or(edge::store_answer{});
-    }
+    ~platform() { silent.close(); }
+    platform(const platform&) = delete;
+    platform& operator=(const platform&) = delete;
+    platform(platform&&) = delete;
+    platform& operator=(platform&&) = delete;
+
     edge::http_request last_request;
-    std::vector<edge::exchange_ptr> held;
+    ACE_SOCK_Acceptor silent;
     edge::http_server server;
+    std::string address;
 };
 
 } // namespace
@@ -62,10 +76,11 @@
     };
     for (const fault_case& one : cases) {
         platform store{one.status};
-        const auto read = store.call([](auto& to, auto done) { to.read("shards/1", std::move(done)); });
+        const auto read =
+            ask(store.address, [](auto& to, auto done) { to.read("shards/1", std::move(done)); });
         EXPECT_EQ(read.outcome, one.read) << one.name;
         const auto write =
-            store.call([](auto& to, auto done) { to.put("shards/1", 7, "{}", std::move(done)); });
+            ask(store.address, [](auto& to, auto done) { to.put("shards/1", 7, "{}", std::move(done)); });
         EXPECT_EQ(write.outcome, one.write) << one.name;
         EXPECT_EQ(write.heard(), one.write != store_outcome::unknown) << one.name;
         EXPECT_TRUE(one.write != store_outcome::ok || write.version == 42) << one.name;
@@ -73,20 +88,16 @@
 }
 
 TEST(platform_client, refused_connection_is_certain_to_be_without_effect) {
-    edge::ring<edge::store_answer> answers{4};
-    edge::http_client client;
-    edge::platform_client to{client, "127.0.0.1:1", 300ms};
-    to.put("shards/1", 7, "{}", [&](edge::store_answer&& one) { answers.push(std::move(one)); });
-    const auto out = answers.pop_until(core::common::clock::now() + patience);
-    ASSERT_TRUE(out.has_value());
-    EXPECT_EQ(out->outcome, store_outcome::unavailable);
+    const auto out =
+        ask("127.0.0.1:1", [](auto& to, auto done) { to.put("shards/1", 7, "{}", std::move(done)); });
+    EXPECT_EQ(out.outcome, store_outcome::unavailable);
 }
 
 TEST(platform_client, conditions_are_sent_as_entity_tags) {
     platform store{200};
-    store.call([](auto& to, auto done) { to.put("claims/3/head", 17, "{}", std::move(done)); });
+    ask(store.address, [](auto& to, auto done) { to.put("claims/3/head", 17, "{}", std::move(done)); });
     EXPECT_EQ(store.last_request.headers.at("if-match"), "\"17\"");
-    store.call([](auto& to, auto done) { to.put("claims/3/head", 0, "{}", std::move(done)); });
+    ask(store.address, [](auto& to, auto done) { to.put("claims/3/head", 0, "{}", std::move(done)); });
     EXPECT_EQ(store.last_request.headers.at("if-none-match"), "*");
     EXPECT_FALSE(store.last_request.headers.contains("if-match"));
 }
