--- a/src/programs/steward/replicas.cpp
+++ b/src/programs/steward/replicas.cpp
@@ -16,10 +16,8 @@
 
 namespace {
 
-constexpr milliseconds retry_if_unknown{500}; // a model that this copy of the configuration doesn't have
-constexpr milliseconds retry_if_no_target{2'000};
-constexpr milliseconds load_estimate_fallback{5'000}; // models without a load estimate
-constexpr milliseconds order_deadline{60'000};        // of a load, for its agent
+constexpr milliseconds retry_if_unknown{500};  // a model that this copy of the configuration doesn't have
+constexpr milliseconds order_deadline{60'000}; // of a load, for its agent
 
 std::optional<member_state> member_state_of(const std::string& text) {
     if (text == "loading")
@@ -43,19 +41,7 @@
     return result.state == "unloaded" ? order_result::unloaded : order_result::refused;
 }
 
-const char* text_of(member_state state) {
-    switch (state) {
-    case member_state::unknown:
-        return "ordered";
-    case member_state::loading:
-        return "loading";
-    case member_state::loaded:
-        return "loaded";
-    case member_state::unloading:
-        return "unloading";
-    }
-    return "unknown";
-}
+} // namespace
 
 const wire::loaded_model* find_model(const wire::target_report& report, const std::string& model) {
     const auto found = std::find_if(report.models.begin(), report.models.end(),
@@ -70,23 +56,6 @@
     return found == members.end() ? nullptr : &*found;
 }
 
-/// What changes without anybody having to know: times and loads.
-bool same_view(const wire::replica_view& a, const wire::replica_view& b) {
-    const auto same = [](const wire::replica& x, const wire::replica& y) {
-        return x.target == y.target && x.address == y.address && x.state == y.state &&
-               x.adapters == y.adapters;
-    };
-    return a.decision == b.decision && a.fencing == b.fencing && a.reason == b.reason &&
-           a.quarantined.size() == b.quarantined.size() &&
-           std::equal(a.quarantined.begin(), a.quarantined.end(), b.quarantined.begin(),
-                      [](const wire::quarantine& x, const wire::quarantine& y) {
-                          return x.fingerprint == y.fingerprint && x.condemned == y.condemned;
-                      }) &&
-           std::equal(a.replicas.begin(), a.replicas.end(), b.replicas.begin(), b.replicas.end(), same);
-}
-
-} // namespace
-
 int replica_service::shard_of(const set_name& name) const {
     return core::membership::shard_of(core::membership::replica_set_name(name.service, name.model),
                                       context_.settings.control_shards);
@@ -270,7 +239,7 @@
         input.bytes = model->bytes;
         input.version = model->version;
         const auto load_time =
-            model->load_estimate.count() > 0 ? model->load_estimate : load_estimate_fallback;
+            model->load_estimate.count() > 0 ? model->load_estimate : default_load_estimate;
         input.times = {load_time, load_time, load_time + slots_.estimate()};
     }
     const auto preset = context_.state().presets.find(context_.state().preset_in_force);
@@ -359,92 +328,6 @@
     context_.links.send(target.link, kind::load_order, context_.next_call(), out);
 }
 
-wire::replica_view replica_service::make_view(const set_name& name, const set_entry& entry,
-                                              time_point now) const {
-    wire::replica_view out;
-    out.__set_service_name(name.service);
-    out.__set_model(name.model);
-    out.__set_valid_ms(view_valid.count());
-    const auto fencing = fencing_.find(entry.shard);
-    out.__set_fencing(fencing == fencing_.end() ? 0 : fencing->second);
-    if (name.model.empty())
-        add_plain(name, out, now);
-    else
-        add_members(name, entry, out, now);
-    out.__set_quarantined(quarantine_.entries(name.service, name.model, now));
-    const bool any = std::any_of(out.replicas.begin(), out.replicas.end(),
-                                 [](const wire::replica& one) { return one.state == "loaded"; });
-    if (any)
-        return out;
-    out.__set_estimate_ms(core::common::to_wire_ms(estimate(name, entry, now)));
-    const auto targets = targets_.views(name.service, now);
-    if (std::none_of(targets.begin(), targets.end(), [](const auto& one) { return one.usable(); })) {
-        out.__set_reason(wire::refusal::overloaded);
-        out.__set_retry_after_ms(retry_if_no_target.count());
-    }
-    return out;
-}
-
-void replica_service::add_plain(const set_name& name, wire::replica_view& out, time_point now) const {
-    for (const auto& view : targets_.views(name.service, now)) {
-        if (!view.usable())
-            continue;
-        const target_entry& target = *targets_.find(view.target);
-        wire::replica one;
-        one.__set_target(view.target);
-        one.__set_address(target.listed.address);
-        one.__set_data_centre(view.data_centre);
-        one.__set_state("loaded");
-        one.__set_load(target.report->load);
-        out.replicas.push_back(std::move(one));
-    }
-}
-
-void replica_service::add_members(const set_name& name, const set_entry& entry, wire::replica_view& out,
-                                  time_point now) const {
-    out.__set_decision(entry.set.current().number);
-    for (const auto& view : targets_.views(name.service, now)) {
-        const member* found = find_member(entry.set, view.target);
-        if (found == nullptr || found->wanted != core::placement::intent::load || !view.usable())
-            continue;
-        const target_entry& target = *targets_.find(view.target);
-        wire::replica one;
-        one.__set_target(view.target);
-        one.__set_address(target.listed.address);
-        one.__set_data_centre(view.data_centre);
-        one.__set_state(text_of(entry.set.state_of(view.target)));
-        one.__set_load(target.report->load);
-        if (const wire::loaded_model* model = find_model(*target.report, name.model))
-            one.__set_adapters(model->adapters);
-        out.replicas.push_back(std::move(one));
-    }
-}
-
-/// Expected time until a replica serves: its load, and the queue before the weight store.
-core::common::duration replica_service::estimate(const set_name& name, const set_entry& entry,
-                                                 time_point now) const {
-    (void)entry;
-    (void)now;
-    const core::config::model* model = model_of(name);
-    if (model == nullptr)
-        return {};
-    const auto load_time = model->load_estimate.count() > 0 ? model->load_estimate : load_estimate_fallback;
-    return load_time + slots_.estimate();
-}
-
-void replica_service::push_views(const set_name& name, set_entry& entry, time_point now) {
-    std::erase_if(entry.subscribers,
-                  [&](const auto& one) { return now - one.second.asked_at > view_subscribed; });
-    wire::replica_view out = make_view(name, entry, now);
-    const bool again = now - entry.sent_at >= view_again;
-    if (!again && same_view(out, entry.sent))
-        return;
-    entry.sent_at = now;
-    for (const auto& [link, subscriber] : entry.subscribers)
-        context_.links.send(link, kind::replica_view, subscriber.call, out);
-    entry.sent = std::move(out);
-}
-
 std::set<std::string> replica_service::services() const {
     std::set<std::string> out;
     for (const auto& [name, service] : context_.state().services)
--- a/src/programs/steward/replicas.hpp
+++ b/src/programs/steward/replicas.hpp
@@ -28,6 +28,15 @@
 constexpr core::common::milliseconds view_subscribed{
     30'000}; // a router that didn't ask for longer is dropped
 
+constexpr core::common::milliseconds default_load_estimate{5'000}; // of models without one
+
+/// nullptr if the report doesn't name the model.
+[[nodiscard]] const wire::loaded_model* find_model(const wire::target_report& report,
+                                                   const std::string& model);
+/// nullptr if the stored decision doesn't name the target.
+[[nodiscard]] const core::placement::member* find_member(const core::placement::replica_set& set,
+                                                         const std::string& target);
+
 /// Which set: model is empty for a plain service.
 struct set_name {
     std::string service;
