--- a/src/programs/steward/steward.cpp
+++ b/src/programs/steward/steward.cpp
@@ -14,8 +14,8 @@
 
 steward::steward(steward_context& context, event_ring& events)
     : context_(context), events_(events), feed_(context), targets_(context), slots_(context),
-      own_slots_(context, slots_), buckets_(context, targets_), replicas_(context, targets_, own_slots_),
-      claims_(context),
+      own_slots_(context, slots_), buckets_(context, targets_), quarantine_(context, targets_),
+      replicas_(context, targets_, own_slots_, quarantine_), claims_(context),
       keeper_(
           context.settings, context.self, context.platform,
           [this](int shard) { return encode_state(shard, false, core::common::clock::now()); },
@@ -53,11 +53,13 @@
     keeper_.tick(live_stewards(), now);
     take_changes(now);
     connect_stewards();
+    tell_stood_down(now);
     if (feed_.take_changed())
         targets_.watch_services(replicas_.services());
     slots_.tick(now);
     own_slots_.tick(now);
     claims_.tick(now);
+    quarantine_.tick(now);
     store_changes(now);
 }
 
@@ -90,13 +92,15 @@
     switch (change.kind) {
     case shard_change_kind::acquired: {
         note("acquired");
+        deposed_.erase(shard);
         const json state = json::parse(change.state, nullptr, false);
         const json known = state.is_object() ? state : json::object();
         buckets_.acquired(shard, known, keeper_.lease(shard).fencing(), now);
         replicas_.acquired(shard, known, keeper_.lease(shard).fencing());
+        quarantine_.acquired(shard, known, now);
         claims_.acquired(shard);
         if (shard == slots_shard_)
-            slots_.acquired(now);
+            slots_.acquired(keeper_.lease(shard).fencing() == 1, now);
         keeper_.opened(shard);
         buckets_.awaiting(shard, keeper_.mark_changed(shard, now));
         targets_.watch_services(replicas_.services());
@@ -113,31 +117,46 @@
     case shard_change_kind::regained:
         note("regained");
         return buckets_.regained(shard, now);
+    case shard_change_kind::freed:
+        return announce(shard);
     case shard_change_kind::released:
     case shard_change_kind::lost:
         note(change.kind == shard_change_kind::lost ? "lost" : "handed over");
         break;
     }
-    if (buckets_.decides(shard) && change.kind == shard_change_kind::lost) {
+    if (change.kind == shard_change_kind::lost)
+        deposed_[shard] = {buckets_.fencing(shard), now};
+    buckets_.deposed(shard, now);
+    replicas_.lost(shard, now);
+    quarantine_.lost(shard);
+    claims_.lost(shard);
+    if (shard == slots_shard_)
+        slots_.lost();
+    targets_.watch_services(replicas_.services());
+}
+
+/// Ends the halving of rates at whoever holds the shards now.
+void steward::tell_stood_down(time_point now) {
+    if (deposed_.empty() || now - stood_down_told_ < stood_down_again)
+        return;
+    stood_down_told_ = now;
+    std::erase_if(deposed_, [&](const auto& one) { return now - one.second.at > stood_down_for; });
+    for (const auto& [shard, one] : deposed_) {
         wire::stood_down message;
         message.__set_shard(shard);
         message.__set_holder(context_.self.holder);
         message.__set_boot(context_.self.boot);
+        message.__set_fencing(one.fencing);
         for (const auto& [address, link] : steward_links_)
             context_.links.send(link, kind::stood_down, 0, message);
     }
-    buckets_.deposed(shard, now);
-    replicas_.lost(shard, now);
-    claims_.lost(shard);
-    if (shard == slots_shard_)
-        slots_.lost();
-    targets_.watch_services(replicas_.services());
 }
 
 std::string steward::encode_state(int shard, bool stopping, time_point now) {
     json state = json::object();
     buckets_.encode(shard, stopping, state, now);
     replicas_.encode(shard, state);
+    quarantine_.encode(shard, state, now);
     return state.dump();
 }
 
@@ -149,12 +168,13 @@
 void steward::announce(int shard) {
     wire::locate_result out;
     out.__set_shard(shard);
-    out.__set_holder(context_.self.holder);
-    out.__set_address(context_.self.address);
-    out.__set_fencing(keeper_.lease(shard).fencing());
-    out.__set_valid_ms(located_valid.count());
+    const auto& record = keeper_.lease(shard).record();
+    out.__set_holder(record.holder);
+    out.__set_address(record.address);
+    out.__set_fencing(record.fencing);
+    out.__set_valid_ms(record.holder.empty() ? 0 : located_valid.count());
     for (const auto& [link, peer] : peers_)
-        if (peer.role == "router" || peer.role == "steward")
+        if (peer.role == "steward" || (peer.role == "router" && !record.holder.empty()))
             context_.links.send(link, kind::locate_result, 0, out);
 }
 
@@ -281,8 +301,8 @@
     switch (event.frame.header.kind) {
     case kind::locate_request:
         return with<wire::locate_request>(event, [&](const auto& body) { locate(event, body, now); });
-    case kind::locate_result:
-        return true; // another steward's announcement; the store's list shows the same soon
+    case kind::locate_result: // another steward's announcement; the store decides what it is worth
+        return with<wire::locate_result>(event, [&](const auto& body) { keeper_.hint(body.shard); });
     case kind::view_request:
         return with_shard<wire::view_request>(
             event, [](const auto& body) { return names::replica_set_name(body.service_name, body.model); },
@@ -293,6 +313,15 @@
             [&](const auto& body, int shard) {
                 buckets_.draw(event, body, shard, keeper_.lease(shard).held(now), now);
             });
+    case kind::crash_report:
+        return with<wire::crash_report>(event, [&](const auto& body) {
+            const int shard = replicas_.shard_of({body.service_name, body.model});
+            if (!buckets_.decides(shard))
+                return; // agents tell every steward that watches them
+            quarantine_.crashed(body, shard, now);
+            replicas_.quarantine_changed(body.service_name, body.model);
+            keeper_.mark_changed(shard, now);
+        });
     case kind::claim_request:
         return with_shard<wire::claim_request>(
             event, [](const auto& body) { return body.record.key; },
