--- a/src/core/answers/store.hpp
+++ b/src/core/answers/store.hpp
@@ -20,7 +20,7 @@
 struct attempt_key {
     std::string request_id;
     int attempt = 0;
-    auto operator<=>(const attempt_key&) const = default;
+    auto operator<=>(const attempt_key&) const = default; // NOLINT(modernize-use-nullptr): false alarm on <=>
 };
 
 enum class phase {
--- a/src/core/routing/call.cpp
+++ b/src/core/routing/call.cpp
@@ -8,8 +8,9 @@
 using common::milliseconds;
 using common::time_point;
 
-constexpr milliseconds control_timeout{5'000}; // covers the takeover of a shard; what takes longer is given up
-constexpr milliseconds connect_timeout{1'000}; // to an agent; then another target is tried
+constexpr milliseconds control_timeout{
+    5'000}; // covers the takeover of a shard; what takes longer is given up
+constexpr milliseconds connect_timeout{1'000};  // to an agent; then another target is tried
 constexpr milliseconds progress_timeout{1'000}; // silence after which a running answer is asked for again
 constexpr milliseconds lost_timeout{3'000};     // a target that can't be reached again for so long is lost
 constexpr milliseconds cancel_margin{60};       // before the deadline: time to learn what became of a run
@@ -19,25 +20,44 @@
 
 const char* code_of(end_reason reason) {
     switch (reason) {
-    case end_reason::completed: return "completed";
-    case end_reason::kept_answer: return "kept_answer";
-    case end_reason::rate_limited: return "rate_limited";
-    case end_reason::not_fresh: return "not_fresh";
-    case end_reason::store_unavailable: return "store_unavailable";
-    case end_reason::no_replica: return "no_replica";
-    case end_reason::deadline_too_short: return "deadline_too_short";
-    case end_reason::deadline_passed: return "deadline_passed";
-    case end_reason::overloaded: return "overloaded";
-    case end_reason::target_unreachable: return "target_unreachable";
-    case end_reason::target_lost: return "target_lost";
-    case end_reason::target_failed: return "target_failed";
-    case end_reason::quarantined: return "quarantined";
-    case end_reason::key_withdrawn: return "key_withdrawn";
-    case end_reason::caller_gone: return "caller_gone";
-    case end_reason::still_running: return "still_running";
-    case end_reason::outcome_unknown: return "outcome_unknown";
-    case end_reason::answer_not_kept: return "answer_not_kept";
-    case end_reason::body_mismatch: return "body_mismatch";
+    case end_reason::completed:
+        return "completed";
+    case end_reason::kept_answer:
+        return "kept_answer";
+    case end_reason::rate_limited:
+        return "rate_limited";
+    case end_reason::not_fresh:
+        return "not_fresh";
+    case end_reason::store_unavailable:
+        return "store_unavailable";
+    case end_reason::no_replica:
+        return "no_replica";
+    case end_reason::deadline_too_short:
+        return "deadline_too_short";
+    case end_reason::deadline_passed:
+        return "deadline_passed";
+    case end_reason::overloaded:
+        return "overloaded";
+    case end_reason::target_unreachable:
+        return "target_unreachable";
+    case end_reason::target_lost:
+        return "target_lost";
+    case end_reason::target_failed:
+        return "target_failed";
+    case end_reason::quarantined:
+        return "quarantined";
+    case end_reason::key_withdrawn:
+        return "key_withdrawn";
+    case end_reason::caller_gone:
+        return "caller_gone";
+    case end_reason::still_running:
+        return "still_running";
+    case end_reason::outcome_unknown:
+        return "outcome_unknown";
+    case end_reason::answer_not_kept:
+        return "answer_not_kept";
+    case end_reason::body_mismatch:
+        return "body_mismatch";
     }
     return "unknown";
 }
@@ -263,8 +283,12 @@
         return {};
     switch (phase_) {
     case phase::granting:
-    case phase::claiming: finish(end_reason::store_unavailable, before, milliseconds{1'000}); break;
-    case phase::placing: finish(end_reason::no_replica, before, milliseconds{1'000}); break;
+    case phase::claiming:
+        finish(end_reason::store_unavailable, before, milliseconds{1'000});
+        break;
+    case phase::placing:
+        finish(end_reason::no_replica, before, milliseconds{1'000});
+        break;
     case phase::connecting:
         if (collecting_)
             finish_collecting();
@@ -279,9 +303,14 @@
             send_resume();
         }
         break;
-    case phase::reconnecting: give_up_target(now); break;
-    case phase::cancelling: finish(end_reason::target_lost, run_state::unknown); break;
-    case phase::done: break;
+    case phase::reconnecting:
+        give_up_target(now);
+        break;
+    case phase::cancelling:
+        finish(end_reason::target_lost, run_state::unknown);
+        break;
+    case phase::done:
+        break;
     }
     return take();
 }
@@ -339,7 +368,8 @@
     if (!budget)
         return finish(why, overall, retry_after);
     if (sent_ && link_up_ && ran != run_state::not_run)
-        out_.push_back(cancel_action{remote_attempt_, sent_boot_}); // spares the target work that nobody waits for
+        out_.push_back(
+            cancel_action{remote_attempt_, sent_boot_}); // spares the target work that nobody waits for
     may_have_run_ = overall != run_state::not_run;
     avoid_.insert(target_);
     target_.clear();
@@ -377,8 +407,8 @@
     return active && attempt == remote_attempt_ && request_id == remote_id_;
 }
 
-/// A call that isn't repeatable runs again only if it surely has not run; a streamed one only while the caller
-/// has seen nothing of it. Without a claim, what isn't repeatable gets one attempt.
+/// A call that isn't repeatable runs again only if it surely has not run; a streamed one only while the
+/// caller has seen nothing of it. Without a claim, what isn't repeatable gets one attempt.
 bool call::retry_is_safe(run_state ran) const {
     if (options_.streamed && received_ > 0)
         return false;
--- a/src/core/routing/call.hpp
+++ b/src/core/routing/call.hpp
@@ -47,7 +47,15 @@
 [[nodiscard]] const char* code_of(end_reason reason);
 
 /// Reasons of an agent's refusal that matter to the router.
-enum class refusal { overloaded, deadline_too_short, not_here, quarantined, unknown_request, isolation_busy, failed };
+enum class refusal {
+    overloaded,
+    deadline_too_short,
+    not_here,
+    quarantined,
+    unknown_request,
+    isolation_busy,
+    failed
+};
 
 struct answer_field {
     std::string name;
@@ -68,11 +76,11 @@
 struct place_action {
     std::set<std::string> avoid; // targets already tried
 };
-struct claim_action {};    // store the claim, naming the chosen target
-struct connect_action {};  // a link to the chosen target; answer with link_ready()
-struct run_action {        // the first byte for this attempt leaves now
-    int attempt = 1;       // rises with each run_action
-    bool isolate = false;  // the request is suspected of crashing targets
+struct claim_action {};   // store the claim, naming the chosen target
+struct connect_action {}; // a link to the chosen target; answer with link_ready()
+struct run_action {       // the first byte for this attempt leaves now
+    int attempt = 1;      // rises with each run_action
+    bool isolate = false; // the request is suspected of crashing targets
 };
 struct resume_action {
     std::string request_id; // another call's when an earlier answer is collected
@@ -93,8 +101,8 @@
 struct finish_action {
     ending end;
 };
-using action = std::variant<place_action, claim_action, connect_action, run_action, resume_action, cancel_action,
-                            acknowledge_action, deliver_action, finish_action>;
+using action = std::variant<place_action, claim_action, connect_action, run_action, resume_action,
+                            cancel_action, acknowledge_action, deliver_action, finish_action>;
 using actions = std::vector<action>;
 
 struct call_options {
@@ -114,7 +122,8 @@
     [[nodiscard]] actions placed(const std::string& target, common::time_point now);
     [[nodiscard]] actions wait_for_replica(common::duration estimate, common::time_point now);
     [[nodiscard]] actions claim_granted(common::time_point now);
-    [[nodiscard]] actions collect(const std::string& request_id, int attempt, bool ran, common::time_point now);
+    [[nodiscard]] actions collect(const std::string& request_id, int attempt, bool ran,
+                                  common::time_point now);
     [[nodiscard]] actions link_ready(std::int64_t agent_boot, common::time_point now);
     [[nodiscard]] actions link_lost(common::time_point now);
 
@@ -122,14 +131,14 @@
     [[nodiscard]] actions accepted(const std::string& request_id, int attempt, common::time_point now);
     [[nodiscard]] actions chunk(const std::string& request_id, int attempt, std::int64_t offset,
                                 const std::string& data, common::time_point now);
-    [[nodiscard]] actions finished(const std::string& request_id, int attempt, std::int64_t length, ending end,
-                                   common::time_point now);
+    [[nodiscard]] actions finished(const std::string& request_id, int attempt, std::int64_t length,
+                                   ending end, common::time_point now);
     [[nodiscard]] actions refused(const std::string& request_id, int attempt, refusal why, run_state ran,
                                   bool suspect, common::milliseconds retry_after, common::time_point now);
     [[nodiscard]] actions cancelled(const std::string& request_id, int attempt, run_state ran,
                                     common::time_point now);
 
-    [[nodiscard]] actions end(ending end, common::time_point now); // refused or answered from outside
+    [[nodiscard]] actions end(ending end, common::time_point now);         // refused or answered from outside
     [[nodiscard]] actions abandon(end_reason why, common::time_point now); // key withdrawn or caller gone
     [[nodiscard]] actions tick(common::time_point now);
 
@@ -169,24 +178,24 @@
 
     call_options options_;
     phase phase_ = phase::granting;
-    common::time_point limit_{};      // end of the phase's own patience
-    std::string target_;              // chosen for this attempt
-    std::set<std::string> avoid_;     // targets tried before
-    std::string remote_id_;           // request id that the agent knows; another's while collecting
-    int remote_attempt_ = 0;          // attempt that the agent was told; 0: nothing sent
-    int attempt_ = 0;                 // attempts sent so far
-    bool sent_ = false;               // a byte of the current attempt may have left
-    bool may_have_run_ = false;       // an earlier attempt's end is not proven "not run"
-    bool link_up_ = false;            // to the current target
-    bool collecting_done_ = false;    // that call is known to have run
-    bool collecting_ = false;         // an earlier call's answer is being collected
-    bool isolated_ = false;           // runs alone, as a suspect
-    bool past_cancel_ = false;        // the cancel margin before the deadline was reached
-    bool cancel_sent_ = false;        // over the link that is up
-    std::int64_t sent_boot_ = 0;      // agent process that the run was sent to
-    std::int64_t link_boot_ = 0;      // agent process at the other end of the link now
-    std::int64_t received_ = 0;       // bytes of the current attempt's answer
-    std::string body_;                // the same bytes, unless streamed
+    common::time_point limit_{};   // end of the phase's own patience
+    std::string target_;           // chosen for this attempt
+    std::set<std::string> avoid_;  // targets tried before
+    std::string remote_id_;        // request id that the agent knows; another's while collecting
+    int remote_attempt_ = 0;       // attempt that the agent was told; 0: nothing sent
+    int attempt_ = 0;              // attempts sent so far
+    bool sent_ = false;            // a byte of the current attempt may have left
+    bool may_have_run_ = false;    // an earlier attempt's end is not proven "not run"
+    bool link_up_ = false;         // to the current target
+    bool collecting_done_ = false; // that call is known to have run
+    bool collecting_ = false;      // an earlier call's answer is being collected
+    bool isolated_ = false;        // runs alone, as a suspect
+    bool past_cancel_ = false;     // the cancel margin before the deadline was reached
+    bool cancel_sent_ = false;     // over the link that is up
+    std::int64_t sent_boot_ = 0;   // agent process that the run was sent to
+    std::int64_t link_boot_ = 0;   // agent process at the other end of the link now
+    std::int64_t received_ = 0;    // bytes of the current attempt's answer
+    std::string body_;             // the same bytes, unless streamed
     actions out_;
 };
 
--- a/src/core/routing/chat_request.cpp
+++ b/src/core/routing/chat_request.cpp
@@ -78,11 +78,12 @@
     const json* value = member(body, name);
     if (value == nullptr)
         return std::nullopt;
-    const bool whole = value->is_number_integer() && (!value->is_number_unsigned() ||
-                                                      value->get<std::uint64_t>() <= std::uint64_t(INT64_MAX));
+    const bool whole =
+        value->is_number_integer() &&
+        (!value->is_number_unsigned() || value->get<std::uint64_t>() <= std::uint64_t(INT64_MAX));
     if (!whole || value->get<std::int64_t>() < low || value->get<std::int64_t>() > high)
-        return bad_request{std::string(name) + ": expected a whole number from " + std::to_string(low) + " to " +
-                           std::to_string(high)};
+        return bad_request{std::string(name) + ": expected a whole number from " + std::to_string(low) +
+                           " to " + std::to_string(high)};
     out = value->get<std::int64_t>();
     return std::nullopt;
 }
--- a/src/core/routing/chat_request.hpp
+++ b/src/core/routing/chat_request.hpp
@@ -9,12 +9,12 @@
 namespace waxwinglb::core::routing {
 
 struct chat_request {
-    std::string model;             // "NAME" or "SERVICE/NAME"
-    std::string adapter;           // from "NAME:ADAPTER"; empty: none
-    std::string prompt;            // contents of all messages, one a line
+    std::string model;              // "NAME" or "SERVICE/NAME"
+    std::string adapter;            // from "NAME:ADAPTER"; empty: none
+    std::string prompt;             // contents of all messages, one a line
     std::int64_t prompt_tokens = 0; // estimate, drawn from the customer's rate
-    std::int64_t max_tokens = 0;   // of the answer
-    int priority = 0;              // higher goes first within one customer
+    std::int64_t max_tokens = 0;    // of the answer
+    int priority = 0;               // higher goes first within one customer
     bool stream = false;
 };
 
--- a/src/core/routing/choice.cpp
+++ b/src/core/routing/choice.cpp
@@ -36,8 +36,8 @@
     std::sort(ranked.begin(), ranked.end(), [&](const replica* a, const replica* b) {
         return rendezvous_weight(adapter, a->target) > rendezvous_weight(adapter, b->target);
     });
-    const auto found =
-        std::find_if(ranked.begin(), ranked.end(), [&](const replica* one) { return load_of(*one) <= bound; });
+    const auto found = std::find_if(ranked.begin(), ranked.end(),
+                                    [&](const replica* one) { return load_of(*one) <= bound; });
     return found == ranked.end() ? ranked.front() : *found;
 }
 
--- a/src/core/routing/choice.hpp
+++ b/src/core/routing/choice.hpp
@@ -13,13 +13,13 @@
     std::string target;
     std::string address; // the agent's "ip:port"
     std::string data_centre;
-    bool ready = false;       // loaded and taking work
-    bool draining = false;    // its agent refuses new work
-    int running = 0;          // as last reported by the agent
-    int waiting = 0;          // as last reported by the agent
-    int unreported = 0;       // sent by this router since that report
-    int limit = 1;            // concurrency that the target bears now
-    std::int64_t boot = 0;    // the agent's; a new one voids the report
+    bool ready = false;           // loaded and taking work
+    bool draining = false;        // its agent refuses new work
+    int running = 0;              // as last reported by the agent
+    int waiting = 0;              // as last reported by the agent
+    int unreported = 0;           // sent by this router since that report
+    int limit = 1;                // concurrency that the target bears now
+    std::int64_t boot = 0;        // the agent's; a new one voids the report
     std::int64_t estimate_ms = 0; // expected wait for a free place
     std::vector<std::string> adapters;
 };
--- a/src/programs/agent/state.hpp
+++ b/src/programs/agent/state.hpp
@@ -50,7 +50,7 @@
     core::memory::engine_view view; // of an engine
     bool cold = false;
     core::memory::read_mark mark; // taken when it was asked
-    std::uint64_t number = 0;   // of the probe
+    std::uint64_t number = 0;     // of the probe
 };
 
 enum class order_kind { load, unload, adapter_load, adapter_unload };
--- a/src/programs/router/admission.cpp
+++ b/src/programs/router/admission.cpp
@@ -77,7 +77,8 @@
     const edge::exchange_ptr exchange = one.request.exchange;
     if (parts_.context.stopping) {
         parts_.metrics.count_refusal("draining", true);
-        return exchange->respond(to_response(refuse(503, "draining", "This router is leaving.", short_retry)));
+        return exchange->respond(
+            to_response(refuse(503, "draining", "This router is leaving.", short_retry)));
     }
     if (one.request.kind == arrival_kind::models)
         return list_models(one.request, now);
--- a/src/programs/router/agents.hpp
+++ b/src/programs/router/agents.hpp
@@ -22,11 +22,12 @@
     [[nodiscard]] bool owns(edge::link_id link) const { return addresses_.contains(link); }
     [[nodiscard]] const std::string& address_of(edge::link_id link) const { return addresses_.at(link); }
     [[nodiscard]] std::int64_t boot_of(const std::string& address) const; // of the process at the other end
-    const std::string& opened(const edge::link_event& event); // its address
-    const std::string& closed(edge::link_id link);            // its address
+    const std::string& opened(const edge::link_event& event);             // its address
+    const std::string& closed(edge::link_id link);                        // its address
 
     template<class body_type>
-    void send(const std::string& address, wire::message_kind::type kind, std::int64_t call, const body_type& body) {
+    void send(const std::string& address, wire::message_kind::type kind, std::int64_t call,
+              const body_type& body) {
         const auto found = agents_.find(address);
         if (found != agents_.end() && found->second.open)
             links_.send(found->second.link, kind, call, body);
--- a/src/programs/router/answers.hpp
+++ b/src/programs/router/answers.hpp
@@ -11,12 +11,12 @@
 namespace waxwinglb::programs::router {
 
 struct problem {
-    std::string code;  // stable
+    std::string code; // stable
     int status = 500;
     std::string title; // sentence for people
     core::routing::run_state ran = core::routing::run_state::not_run;
-    std::string request_id;                      // empty before one was given
-    core::common::milliseconds retry_after{0};   // 0: none
+    std::string request_id;                    // empty before one was given
+    core::common::milliseconds retry_after{0}; // 0: none
 };
 
 [[nodiscard]] std::string to_json(const problem& value);
--- a/src/programs/router/calls.cpp
+++ b/src/programs/router/calls.cpp
@@ -19,7 +19,8 @@
 constexpr milliseconds unsettled_after{30'000}; // an outcome that can't be stored for so long is left open
 
 std::int64_t unix_ms() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
 }
 
 } // namespace
@@ -49,15 +50,16 @@
     replica_set_view& view = parts_.views.use(call.service, call.model, now);
     const auto condemned = view.condemned.find(call.fingerprint);
     if (condemned != view.condemned.end() && now < condemned->second)
-        return end(call, end_reason::quarantined,
-                   std::chrono::ceil<milliseconds>(condemned->second - now), now);
+        return end(call, end_reason::quarantined, std::chrono::ceil<milliseconds>(condemned->second - now),
+                   now);
     core::routing::choice_wish wish;
     wish.adapter = call.from.chat.adapter;
     wish.own_data_centre = parts_.settings.data_centre;
     wish.out = &parts_.config.data_centres_out();
     wish.avoid = call.avoid;
     wish.random = random();
-    const core::routing::replica* chosen = view.valid(now) ? core::routing::choose(view.replicas, wish) : nullptr;
+    const core::routing::replica* chosen =
+        view.valid(now) ? core::routing::choose(view.replicas, wish) : nullptr;
     if (chosen != nullptr) {
         parts_.views.stop_waiting(call.service, call.model, call.id);
         if (call.cold_since != time_point{})
@@ -122,7 +124,9 @@
         call->claim = result.existing;
         call->address = result.existing.address;
         by_request_.emplace(result.existing.request_id, id);
-        return run(*call, call->machine.collect(result.existing.request_id, result.existing.attempt, done, now), now);
+        return run(*call,
+                   call->machine.collect(result.existing.request_id, result.existing.attempt, done, now),
+                   now);
     }
     if (result.existing.state == "running" || result.existing.state == "unknown") {
         core::routing::ending unknown;
@@ -175,7 +179,8 @@
     parts_.views.count_sent(call.service, call.model, call.machine.target(), 1);
     call.load_on = call.machine.target();
     parts_.context.timeline.add(edge::event_kind::attempt, call.machine.options().request_id,
-                                "attempt " + std::to_string(what.attempt) + " sent to " + call.machine.target());
+                                "attempt " + std::to_string(what.attempt) + " sent to " +
+                                    call.machine.target());
 }
 
 void call_table::carry_out(live_call& call, const core::routing::resume_action& what, time_point now) {
--- a/src/programs/router/calls.hpp
+++ b/src/programs/router/calls.hpp
@@ -1,4 +1,5 @@
-/// The table of open requests: admits arrivals, carries out what their state machines ask for, answers callers.
+/// The table of open requests: admits arrivals, carries out what their state machines ask for, answers
+/// callers.
 #pragma once
 
 #include "programs/router/live_call.hpp"
@@ -52,7 +53,8 @@
     void carry_out(live_call& call, const core::routing::run_action& what, core::common::time_point now);
     void carry_out(live_call& call, const core::routing::resume_action& what, core::common::time_point now);
     void carry_out(live_call& call, const core::routing::cancel_action& what, core::common::time_point now);
-    void carry_out(live_call& call, const core::routing::acknowledge_action& what, core::common::time_point now);
+    void carry_out(live_call& call, const core::routing::acknowledge_action& what,
+                   core::common::time_point now);
     void carry_out(live_call& call, const core::routing::deliver_action& what, core::common::time_point now);
     void carry_out(live_call& call, const core::routing::finish_action& what, core::common::time_point now);
     void place(live_call& call, core::common::time_point now);
@@ -94,7 +96,7 @@
     std::set<std::pair<core::common::time_point, call_id>> timers_;
     std::vector<call_id> ended_;
     std::map<std::string, core::retries::budget> budgets_; // by "customer/service"
-    std::string id_prefix_;                                // makes request ids unique over routers and restarts
+    std::string id_prefix_; // makes request ids unique over routers and restarts
     call_id last_id_ = 0;
     std::uint64_t random_state_;
     bool was_fresh_ = false;
--- a/src/programs/router/claims.cpp
+++ b/src/programs/router/claims.cpp
@@ -8,7 +8,7 @@
 using core::common::milliseconds;
 using core::common::time_point;
 
-constexpr milliseconds ask_again{300};  // a claim is by request id: asking twice is harmless
+constexpr milliseconds ask_again{300}; // a claim is by request id: asking twice is harmless
 constexpr milliseconds tell_again{500};
 
 } // namespace
@@ -38,7 +38,8 @@
     return true;
 }
 
-void claim_book::settle(const wire::claim_record& record, kept_answer kept, time_point until, time_point now) {
+void claim_book::settle(const wire::claim_record& record, kept_answer kept, time_point until,
+                        time_point now) {
     outcome& one = outcomes_[record.key];
     one.message.__set_record(record);
     one.kept = std::move(kept);
--- a/src/programs/router/claims.hpp
+++ b/src/programs/router/claims.hpp
@@ -48,7 +48,8 @@
     };
     bool send_question(call_id call, question& one, core::common::time_point now);
     bool send_outcome(outcome& one, core::common::time_point now);
-    [[nodiscard]] std::optional<edge::link_id> holder_of(const std::string& key, core::common::time_point now);
+    [[nodiscard]] std::optional<edge::link_id> holder_of(const std::string& key,
+                                                         core::common::time_point now);
 
     edge::link_hub& links_;
     steward_directory& stewards_;
--- a/src/programs/router/directory.cpp
+++ b/src/programs/router/directory.cpp
@@ -8,8 +8,8 @@
 using core::common::milliseconds;
 using core::common::time_point;
 
-constexpr milliseconds ask_every{150};      // pause between questions for one shard's holder
-constexpr milliseconds told_valid{1'000};   // trust in a holder named by not_holder
+constexpr milliseconds ask_every{150};    // pause between questions for one shard's holder
+constexpr milliseconds told_valid{1'000}; // trust in a holder named by not_holder
 
 } // namespace
 
--- a/src/programs/router/events.hpp
+++ b/src/programs/router/events.hpp
@@ -17,20 +17,20 @@
 struct arrival {
     edge::exchange_ptr exchange;
     arrival_kind kind = arrival_kind::plain;
-    core::common::time_point at;       // deadlines count from here
-    core::routing::chat_request chat;  // of kind chat
-    std::string service;               // of kind plain
-    std::string path;                  // of kind plain: below the service, with its query
-    std::string key;                   // the caller's key text; never leaves the router
-    std::string idempotency_key;       // empty: none
+    core::common::time_point at;           // deadlines count from here
+    core::routing::chat_request chat;      // of kind chat
+    std::string service;                   // of kind plain
+    std::string path;                      // of kind plain: below the service, with its query
+    std::string key;                       // the caller's key text; never leaves the router
+    std::string idempotency_key;           // empty: none
     core::common::milliseconds timeout{0}; // 0: the service's default
 };
 
 using router_event = std::variant<edge::link_event, arrival>;
 using event_ring = edge::ring<router_event>;
 
-constexpr std::size_t ring_capacity = 131'072;         // events
-constexpr std::size_t ring_message_limit = 120'000;    // beyond it messages are dropped, link changes still fit
-constexpr std::size_t ring_arrival_limit = 100'000;    // beyond it callers are refused at once
+constexpr std::size_t ring_capacity = 131'072;      // events
+constexpr std::size_t ring_message_limit = 120'000; // beyond it messages are dropped, link changes still fit
+constexpr std::size_t ring_arrival_limit = 100'000; // beyond it callers are refused at once
 
 } // namespace waxwinglb::programs::router
--- a/src/programs/router/feed.hpp
+++ b/src/programs/router/feed.hpp
@@ -39,9 +39,9 @@
     steward_directory& stewards_;
     edge::program_context& context_;
     core::config::replica copy_;
-    std::optional<edge::link_id> source_;     // steward subscribed to
-    core::common::time_point heard_{};        // last word of the source, or the subscription
-    core::common::time_point asked_{};        // the newest question
+    std::optional<edge::link_id> source_; // steward subscribed to
+    core::common::time_point heard_{};    // last word of the source, or the subscription
+    core::common::time_point asked_{};    // the newest question
     std::map<std::int64_t, core::common::time_point> questions_; // by call number: when it was sent
     std::int64_t last_question_ = 0;
     std::vector<core::config::change> parts_; // of a snapshot that comes in parts
--- a/src/programs/router/front.cpp
+++ b/src/programs/router/front.cpp
@@ -14,8 +14,9 @@
 constexpr milliseconds busy_retry{1'000}; // told to callers while this router can take no more
 
 constexpr std::array forwarded_headers{
-    std::string_view{"accept"},       std::string_view{"accept-language"}, std::string_view{"content-type"},
-    std::string_view{"if-match"},     std::string_view{"if-none-match"},   std::string_view{"traceparent"},
+    std::string_view{"accept"},          std::string_view{"accept-language"},
+    std::string_view{"content-type"},    std::string_view{"if-match"},
+    std::string_view{"if-none-match"},   std::string_view{"traceparent"},
     std::string_view{"content-encoding"}};
 
 problem bad(int status, const char* code, std::string title) {
@@ -90,12 +91,15 @@
             return bad(504, "deadline_passed", "The deadline has passed.");
         out.timeout = milliseconds{core::routing::read_timeout_ms(*timeout)};
         if (out.timeout.count() == 0)
-            return bad(400, "bad_deadline", "X-Request-Timeout-Ms: expected whole milliseconds up to 24 hours.");
+            return bad(400, "bad_deadline",
+                       "X-Request-Timeout-Ms: expected whole milliseconds up to 24 hours.");
     }
     if (const std::string* key = header(request, "idempotency-key")) {
-        const bool printable = std::all_of(key->begin(), key->end(), [](char c) { return c > ' ' && c < '\x7f'; });
+        const bool printable =
+            std::all_of(key->begin(), key->end(), [](char c) { return c > ' ' && c < '\x7f'; });
         if (key->empty() || key->size() > max_idempotency_key || !printable)
-            return bad(400, "bad_idempotency_key", "Idempotency-Key: expected 1 to 200 printable characters.");
+            return bad(400, "bad_idempotency_key",
+                       "Idempotency-Key: expected 1 to 200 printable characters.");
         out.idempotency_key = *key;
     }
     return std::nullopt;
@@ -127,7 +131,8 @@
 } // namespace
 
 bool is_forwarded(std::string_view header_name) {
-    return std::find(forwarded_headers.begin(), forwarded_headers.end(), header_name) != forwarded_headers.end();
+    return std::find(forwarded_headers.begin(), forwarded_headers.end(), header_name) !=
+           forwarded_headers.end();
 }
 
 bool carries_key(const arrival& one) {
@@ -146,7 +151,8 @@
            holds(one.chat.adapter) || holds(one.idempotency_key);
 }
 
-std::variant<arrival, problem> read_arrival(const edge::exchange_ptr& exchange, core::common::time_point now) {
+std::variant<arrival, problem> read_arrival(const edge::exchange_ptr& exchange,
+                                            core::common::time_point now) {
     arrival out;
     out.exchange = exchange;
     out.at = now;
--- a/src/programs/router/front.hpp
+++ b/src/programs/router/front.hpp
@@ -1,5 +1,5 @@
-/// Callers' side: reads HTTP requests as far as that needs no configuration and hands them to the deciding thread.
-/// Runs on the HTTP server's threads.
+/// Callers' side: reads HTTP requests as far as that needs no configuration and hands them to the deciding
+/// thread. Runs on the HTTP server's threads.
 #pragma once
 
 #include "edge/program.hpp"
--- a/src/programs/router/live_call.hpp
+++ b/src/programs/router/live_call.hpp
@@ -24,23 +24,23 @@
     core::routing::call machine;
     arrival from;
     std::string service;
-    std::string model;        // empty for a plain service
-    std::string customer;     // empty on a route open to all
-    std::string key_id;       // checked again while the call is open
+    std::string model;    // empty for a plain service
+    std::string customer; // empty on a route open to all
+    std::string key_id;   // checked again while the call is open
     std::string key_digest;
-    double weight = 1;        // of the customer
-    std::int64_t cost = 0;    // tokens to reserve
-    std::string fingerprint;  // of model and body, for the quarantine
+    double weight = 1;       // of the customer
+    std::int64_t cost = 0;   // tokens to reserve
+    std::string fingerprint; // of model and body, for the quarantine
     core::limits::reservation_id reservation = 0;
     bool reserved = false;
-    std::set<std::string> avoid;          // targets tried before
-    std::string address;                  // of the chosen target's agent
-    std::optional<std::string> load_on;   // target that counts this call as unreported
-    wire::claim_record claim;             // of calls that run at most once
+    std::set<std::string> avoid;        // targets tried before
+    std::string address;                // of the chosen target's agent
+    std::optional<std::string> load_on; // target that counts this call as unreported
+    wire::claim_record claim;           // of calls that run at most once
     bool claim_granted = false;
-    completion about;                     // of chat
-    core::routing::engine_answer engine;  // of chat: reads the answer's lines
-    bool streaming = false;               // the HTTP answer has begun
+    completion about;                    // of chat
+    core::routing::engine_answer engine; // of chat: reads the answer's lines
+    bool streaming = false;              // the HTTP answer has begun
     bool answered_byte = false;
     bool ended = false;
     core::common::time_point cold_since{};    // waits for a cold model since
--- a/src/programs/router/main.cpp
+++ b/src/programs/router/main.cpp
@@ -5,8 +5,8 @@
 int main(int argc, char** argv) {
     using namespace waxwinglb;
     programs::router::router_settings settings;
-    const edge::program_description description{
-        "waxwing-router", WAXWING_VERSION, "takes callers' requests and routes them to targets"};
+    const edge::program_description description{"waxwing-router", WAXWING_VERSION,
+                                                "takes callers' requests and routes them to targets"};
     return edge::run_program(
         argc, argv, description,
         [&](edge::settings_section& top) { programs::router::read_settings(top, settings); },
--- a/src/programs/router/metrics.hpp
+++ b/src/programs/router/metrics.hpp
@@ -19,13 +19,17 @@
 
     void count_end(const std::string& service, const std::string& outcome); // waxwing_router_requests_total
     void count_refusal(const std::string& reason, bool within_rate);        // waxwing_router_refusals_total
-    void cold_start(core::common::duration waited);                         // waxwing_router_cold_start_seconds
-    void first_token(core::common::duration waited);                        // waxwing_router_first_token_seconds
-    void count_retry() { retries_.Increment(); }                            // waxwing_router_retries_total
-    void count_dropped() { dropped_.Increment(); }       // waxwing_router_dropped_messages_total
-    void open_requests(std::size_t count) { open_.Set(static_cast<double>(count)); } // waxwing_router_open_requests
-    void fresh(bool yes) { fresh_.Set(yes ? 1 : 0); }                                // waxwing_router_config_fresh
-    void revision(std::int64_t one) { revision_.Set(static_cast<double>(one)); } // waxwing_router_config_revision
+    void cold_start(core::common::duration waited);  // waxwing_router_cold_start_seconds
+    void first_token(core::common::duration waited); // waxwing_router_first_token_seconds
+    void count_retry() { retries_.Increment(); }     // waxwing_router_retries_total
+    void count_dropped() { dropped_.Increment(); }   // waxwing_router_dropped_messages_total
+    void open_requests(std::size_t count) {
+        open_.Set(static_cast<double>(count));
+    }                                                 // waxwing_router_open_requests
+    void fresh(bool yes) { fresh_.Set(yes ? 1 : 0); } // waxwing_router_config_fresh
+    void revision(std::int64_t one) {
+        revision_.Set(static_cast<double>(one));
+    } // waxwing_router_config_revision
 
 private:
     prometheus::Family<prometheus::Counter>& requests_;
--- a/src/programs/router/rates.cpp
+++ b/src/programs/router/rates.cpp
@@ -51,8 +51,8 @@
 void customer_rates::pump(const std::string& customer, entry& one, time_point now) {
     if (one.draw != 0)
         return;
-    const int shard = core::membership::shard_of(core::membership::bucket_name(customer),
-                                                 settings_.control_shards);
+    const int shard =
+        core::membership::shard_of(core::membership::bucket_name(customer), settings_.control_shards);
     const auto holder = stewards_.holder(shard, now);
     if (!holder)
         return;
--- a/src/programs/router/relay.cpp
+++ b/src/programs/router/relay.cpp
@@ -13,9 +13,12 @@
 
 run_state from_wire(wire::run_state::type ran) {
     switch (ran) {
-    case wire::run_state::not_run: return run_state::not_run;
-    case wire::run_state::run: return run_state::run;
-    case wire::run_state::unknown: return run_state::unknown;
+    case wire::run_state::not_run:
+        return run_state::not_run;
+    case wire::run_state::run:
+        return run_state::run;
+    case wire::run_state::unknown:
+        return run_state::unknown;
     }
     return run_state::unknown;
 }
@@ -24,18 +27,25 @@
     using core::routing::refusal;
     switch (reason) {
     case wire::refusal::overloaded:
-    case wire::refusal::rate_limited: return refusal::overloaded;
-    case wire::refusal::deadline_too_short: return refusal::deadline_too_short;
+    case wire::refusal::rate_limited:
+        return refusal::overloaded;
+    case wire::refusal::deadline_too_short:
+        return refusal::deadline_too_short;
     case wire::refusal::draining:
     case wire::refusal::data_centre_out:
     case wire::refusal::model_not_loaded:
     case wire::refusal::no_memory:
     case wire::refusal::old_fencing:
-    case wire::refusal::not_fresh: return refusal::not_here;
-    case wire::refusal::quarantined: return refusal::quarantined;
-    case wire::refusal::unknown_request: return refusal::unknown_request;
-    case wire::refusal::isolation_busy: return refusal::isolation_busy;
-    default: return refusal::failed;
+    case wire::refusal::not_fresh:
+        return refusal::not_here;
+    case wire::refusal::quarantined:
+        return refusal::quarantined;
+    case wire::refusal::unknown_request:
+        return refusal::unknown_request;
+    case wire::refusal::isolation_busy:
+        return refusal::isolation_busy;
+    default:
+        return refusal::failed;
     }
 }
 
@@ -81,12 +91,24 @@
 
 void call_table::from_agent(const std::string& address, const edge::frame& frame, time_point now) {
     switch (frame.header.kind) {
-    case wire::message_kind::run_accepted: on_accepted(address, frame, now); break;
-    case wire::message_kind::run_chunk: on_chunk(address, frame, now); break;
-    case wire::message_kind::run_finished: on_finished(address, frame, now); break;
-    case wire::message_kind::run_refused: on_refused(address, frame, now); break;
-    case wire::message_kind::cancel_result: on_cancel_result(address, frame, now); break;
-    default: parts_.metrics.count_dropped(); break;
+    case wire::message_kind::run_accepted:
+        on_accepted(address, frame, now);
+        break;
+    case wire::message_kind::run_chunk:
+        on_chunk(address, frame, now);
+        break;
+    case wire::message_kind::run_finished:
+        on_finished(address, frame, now);
+        break;
+    case wire::message_kind::run_refused:
+        on_refused(address, frame, now);
+        break;
+    case wire::message_kind::cancel_result:
+        on_cancel_result(address, frame, now);
+        break;
+    default:
+        parts_.metrics.count_dropped();
+        break;
     }
     bury();
 }
--- a/src/programs/router/router.cpp
+++ b/src/programs/router/router.cpp
@@ -26,9 +26,9 @@
     out.self.__set_process(context.name);
     out.self.__set_role("router");
     out.self.__set_data_centre(settings.data_centre);
-    out.self.__set_boot(std::chrono::duration_cast<milliseconds>(
-                            std::chrono::system_clock::now().time_since_epoch())
-                            .count());
+    out.self.__set_boot(
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+            .count());
     return out;
 }
 
@@ -45,8 +45,9 @@
 } // namespace
 
 router::router(edge::program_context& context, router_settings settings)
-    : context_(context), settings_(std::move(settings)), links_(options_of(context, settings_), push_into(events_)),
-      parts_(context, settings_, links_), calls_(parts_), front_(context, events_) {}
+    : context_(context), settings_(std::move(settings)),
+      links_(options_of(context, settings_), push_into(events_)), parts_(context, settings_, links_),
+      calls_(parts_), front_(context, events_) {}
 
 router::~router() {
     server_.reset();
@@ -152,7 +153,8 @@
              [&](const auto& body) { parts_.config.refused(event.link, body); });
         break;
     case wire::message_kind::locate_result:
-        with(of.operator()<wire::locate_result>(), [&](const auto& body) { parts_.stewards.located(body, now); });
+        with(of.operator()<wire::locate_result>(),
+             [&](const auto& body) { parts_.stewards.located(body, now); });
         break;
     case wire::message_kind::not_holder:
         with(of.operator()<wire::not_holder>(), [&](const auto& body) {
@@ -175,7 +177,8 @@
         with(of.operator()<wire::claim_outcome_ack>(),
              [&](const auto& body) { parts_.claims.stored(body.key, body.stored); });
         break;
-    default: break;
+    default:
+        break;
     }
     calls_.rates_changed(now);
 }
--- a/src/programs/router/views.cpp
+++ b/src/programs/router/views.cpp
@@ -10,9 +10,9 @@
 using core::common::milliseconds;
 using core::common::time_point;
 
-constexpr milliseconds ask_every{200};       // pause between questions for one view
-constexpr milliseconds renew_before{1'500};  // an old view in use is renewed so long before its end
-constexpr milliseconds keep_unused{30'000};  // a view that nobody used for so long is dropped
+constexpr milliseconds ask_every{200};      // pause between questions for one view
+constexpr milliseconds renew_before{1'500}; // an old view in use is renewed so long before its end
+constexpr milliseconds keep_unused{30'000}; // a view that nobody used for so long is dropped
 
 std::string key_of(const std::string& service, const std::string& model) {
     return service + "/" + model;
@@ -58,7 +58,8 @@
     return std::max(left, core::common::duration::zero());
 }
 
-replica_views::replica_views(edge::link_hub& links, steward_directory& stewards, const router_settings& settings)
+replica_views::replica_views(edge::link_hub& links, steward_directory& stewards,
+                             const router_settings& settings)
     : links_(links), stewards_(stewards), settings_(settings) {}
 
 replica_set_view& replica_views::use(const std::string& service, const std::string& model, time_point now) {
@@ -155,8 +156,8 @@
     one->estimate_ms = load.estimate_ms;
 }
 
-void replica_views::count_sent(const std::string& service, const std::string& model, const std::string& target,
-                               int change) {
+void replica_views::count_sent(const std::string& service, const std::string& model,
+                               const std::string& target, int change) {
     core::routing::replica* one = find(service, model, target);
     if (one != nullptr)
         one->unreported = std::max(0, one->unreported + change);
--- a/src/programs/router/views.hpp
+++ b/src/programs/router/views.hpp
@@ -35,9 +35,9 @@
     std::map<std::string, core::common::time_point> condemned; // fingerprints that crash targets, until when
     std::map<call_id, waiting_call> waiting;
     core::common::time_point asked{};
-    core::common::time_point used{};   // by a request
-    std::int64_t served_since = 0;     // requests since the last question
-    bool news = false;                 // `waiting` grew since the last question
+    core::common::time_point used{}; // by a request
+    std::int64_t served_since = 0;   // requests since the last question
+    bool news = false;               // `waiting` grew since the last question
 
     [[nodiscard]] bool valid(core::common::time_point now) const { return now < valid_until; }
     [[nodiscard]] core::common::duration estimate_left(core::common::time_point now) const;
@@ -59,13 +59,15 @@
     /// A target's load as its agent just told; `settled` requests of this router are part of it now.
     void report(const std::string& service, const std::string& model, const std::string& target,
                 const wire::replica_load& load);
-    void count_sent(const std::string& service, const std::string& model, const std::string& target, int change);
+    void count_sent(const std::string& service, const std::string& model, const std::string& target,
+                    int change);
 
     void tick(core::common::time_point now);
 
 private:
     void ask(replica_set_view& view, core::common::time_point now);
-    core::routing::replica* find(const std::string& service, const std::string& model, const std::string& target);
+    core::routing::replica* find(const std::string& service, const std::string& model,
+                                 const std::string& target);
 
     edge::link_hub& links_;
     steward_directory& stewards_;
--- a/tests/core/call_test.cpp
+++ b/tests/core/call_test.cpp
@@ -1,5 +1,6 @@
-// Properties of one request's life cycle under random interleavings of losses, duplicates, delays, broken links
-// and restarts: one final answer in time, whole and own bytes, a true "not run", at most one run where promised.
+// Properties of one request's life cycle under random interleavings of losses, duplicates, delays, broken
+// links and restarts: one final answer in time, whole and own bytes, a true "not run", at most one run where
+// promised.
 #include "core/call_world.hpp"
 
 #include <gtest/gtest.h>
--- a/tests/core/call_world.hpp
+++ b/tests/core/call_world.hpp
@@ -1,5 +1,6 @@
-// A world round one call: targets that restart, links that break, messages that are lost, doubled, delayed and
-// reordered. It keeps the truth (what ran, which bytes each attempt's answer has) beside what the call is told.
+// A world round one call: targets that restart, links that break, messages that are lost, doubled, delayed
+// and reordered. It keeps the truth (what ran, which bytes each attempt's answer has) beside what the call is
+// told.
 #pragma once
 
 #include "core/routing/call.hpp"
@@ -25,14 +26,14 @@
     bool repeatable = true;
     bool claimed = false;
     bool streamed = false;
-    int lost = 0;         // percent of messages
-    int doubled = 0;      // percent of messages
-    int max_delay = 5;    // ms of each message
-    int breaks = 0;       // links broken during the call
-    int restarts = 0;     // agents restarted during the call
-    int refusals = 0;     // percent of runs that are refused before they start
-    int failures = 0;     // percent of runs that fail half-way
-    int slow_places = 0;  // percent of placements that never come
+    int lost = 0;        // percent of messages
+    int doubled = 0;     // percent of messages
+    int max_delay = 5;   // ms of each message
+    int breaks = 0;      // links broken during the call
+    int restarts = 0;    // agents restarted during the call
+    int refusals = 0;    // percent of runs that are refused before they start
+    int failures = 0;    // percent of runs that fail half-way
+    int slow_places = 0; // percent of placements that never come
     bool withdrawn = false;
     milliseconds deadline{8'000};
 };
@@ -48,7 +49,8 @@
     void run() {
         after(pick(50), [this] { act(one_.granted(now_)); });
         plan_faults();
-        const time_point end = deadline_ + std::chrono::seconds{30}; // late messages arrive after the end, too
+        const time_point end =
+            deadline_ + std::chrono::seconds{30}; // late messages arrive after the end, too
         while (now_ < end) {
             const time_point wake = finishes == 0 ? one_.next_wake() : time_point::max();
             if (!events_.empty() && events_.top().at <= wake) {
@@ -71,9 +73,9 @@
     int finishes = 0;
     ending end;
     time_point finished_at;
-    std::string delivered;                    // bytes that the caller has
-    std::map<int, int> runs;                  // attempt -> how often its work ran at any target
-    std::set<int> attempts;                   // sent
+    std::string delivered;   // bytes that the caller has
+    std::map<int, int> runs; // attempt -> how often its work ran at any target
+    std::set<int> attempts;  // sent
     [[nodiscard]] time_point deadline() const { return deadline_; }
     [[nodiscard]] static std::string answer_of(int attempt) {
         std::string out;
@@ -110,8 +112,8 @@
     };
     struct target {
         std::int64_t boot = 0;
-        int epoch = 1;   // rises with each link
-        bool up = true;  // a link can be had
+        int epoch = 1;  // rises with each link
+        bool up = true; // a link can be had
         bool linked = false;
         std::map<int, record> records; // by attempt; lost at a restart
     };
@@ -127,7 +129,9 @@
         return call{out};
     }
 
-    int pick(int below) { return below <= 0 ? 0 : static_cast<int>(random_() % static_cast<unsigned>(below)); }
+    int pick(int below) {
+        return below <= 0 ? 0 : static_cast<int>(random_() % static_cast<unsigned>(below));
+    }
     bool chance(int percent) { return pick(100) < percent; }
     void after(int ms, std::function<void()> step) {
         events_.push({now_ + milliseconds{ms}, ++order_, std::move(step)});
@@ -236,7 +240,8 @@
             return;
         const std::string whole = answer_of(attempt);
         const std::size_t from = one.body.size();
-        const std::size_t size = piece + 1 == answer_pieces ? whole.size() : whole.size() * (piece + 1) / answer_pieces;
+        const std::size_t size =
+            piece + 1 == answer_pieces ? whole.size() : whole.size() * (piece + 1) / answer_pieces;
         one.body = whole.substr(0, std::max(from, size));
         if (fails && piece == answer_pieces / 2) {
             one.state = work::failed;
@@ -251,7 +256,8 @@
         const record one = at.records[attempt];
         if (offset < one.body.size())
             to_router(which, 0, [this, attempt, offset, one] {
-                act(one_.chunk("own", attempt, static_cast<std::int64_t>(offset), one.body.substr(offset), now_));
+                act(one_.chunk("own", attempt, static_cast<std::int64_t>(offset), one.body.substr(offset),
+                               now_));
             });
         if (one.state == work::finished)
             to_router(which, 1, [this, attempt, one] {
@@ -319,7 +325,8 @@
     }
     void carry_out(const run_action& what) {
         attempts.insert(what.attempt);
-        to_target([this, what](target& at, std::size_t which) { take_run(at, which, what.attempt, what.isolate); });
+        to_target(
+            [this, what](target& at, std::size_t which) { take_run(at, which, what.attempt, what.isolate); });
         if (target_)
             cross(*target_, what.attempt);
     }
@@ -329,7 +336,8 @@
                 return tell(at, which, what.attempt, static_cast<std::size_t>(what.offset));
             // As far as this process knows, it never ran: true only if no earlier process got it.
             to_router(which, 0, [this, what] {
-                act(one_.refused("own", what.attempt, refusal::unknown_request, run_state::not_run, false, {}, now_));
+                act(one_.refused("own", what.attempt, refusal::unknown_request, run_state::not_run, false, {},
+                                 now_));
             });
         });
     }
