Keep the listening socket open until MHD's threads have let go of it

Cause: an agent's contract test aborted in libmicrohttpd ('Failed to remove listen FD from epoll set'): the socket was closed while a worker still had it in its epoll set. Ruled out: a fault of the test; every server of the project closed that way. Change: the socket is shut down at once, so that new connections are refused, and closed after the daemon has stopped.

--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -134,10 +135,10 @@
     impl(http_server_options options, http_handler handler)
         : options_(std::move(options)), handler_(std::move(handler)) {}
     ~impl() {
-        if (daemon_ == nullptr)
-            return;
-        stop_accepting();
-        MHD_stop_daemon(daemon_);
+        if (daemon_ != nullptr)
+            MHD_stop_daemon(daemon_);
+        if (quiesced_ != MHD_INVALID_SOCKET)
+            ::close(quiesced_);
     }
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
@@ -145,13 +146,13 @@
     impl& operator=(impl&&) = delete;
 
     bool start();
+    /// Shut down, not closed: MHD's threads still take the socket out of their epoll sets.
     void stop_accepting() {
-        if (daemon_ == nullptr || quiesced_)
+        if (daemon_ == nullptr || quiesced_ != MHD_INVALID_SOCKET)
             return;
-        quiesced_ = true;
-        const MHD_socket listening = MHD_quiesce_daemon(daemon_);
-        if (listening != MHD_INVALID_SOCKET)
-            ::close(listening);
+        quiesced_ = MHD_quiesce_daemon(daemon_);
+        if (quiesced_ != MHD_INVALID_SOCKET)
+            ::shutdown(quiesced_, SHUT_RDWR);
     }
     [[nodiscard]] std::uint16_t port() const { return port_; }
     [[nodiscard]] std::size_t open() const { return open_; }
@@ -167,7 +168,7 @@
     MHD_Daemon* daemon_ = nullptr;
     std::atomic<std::size_t> open_{0};
     std::uint16_t port_ = 0;
-    bool quiesced_ = false;
+    MHD_socket quiesced_ = MHD_INVALID_SOCKET; // the listening socket, once no more is accepted
 };
 
 int http_exchange::queue() {
