--- a/tests/contract/agent_fixture.hpp
+++ b/tests/contract/agent_fixture.hpp
@@ -112,6 +112,51 @@
     edge::link_id link_ = 0;
 };
 
+/// Stands in for a steward's feed of the configuration.
+class feed {
+public:
+    feed()
+        : hub_(options(), [this](edge::link_event&& event) { events.push(std::move(event)); }),
+          port_(hub_.listen("127.0.0.1:0")) {
+        hub_.start();
+    }
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    void await_subscription() {
+        for (;;) {
+            auto event = events.pop_until(core::common::clock::now() + patience);
+            ASSERT_TRUE(event.has_value());
+            link_ = event->link;
+            if (event->kind == edge::link_event_kind::message &&
+                event->frame.header.kind == kind::subscribe_config)
+                return;
+        }
+    }
+    void send(std::int64_t revision, const std::string& key, const std::string& value) {
+        wire::config_update update;
+        update.from_revision = revision - 1;
+        update.revision = revision;
+        update.parts = 1;
+        wire::config_entry entry;
+        entry.revision = revision;
+        entry.key = key;
+        entry.value = value;
+        update.entries.push_back(entry);
+        hub_.send(link_, kind::config_update, 0, update);
+    }
+    edge::ring<edge::link_event> events{10'000};
+
+private:
+    static edge::link_options options() {
+        edge::link_options out;
+        out.self.process = "steward-1";
+        out.self.role = "steward";
+        return out;
+    }
+    edge::link_hub hub_;
+    std::uint16_t port_;
+    edge::link_id link_ = 0;
+};
+
 /// How a request ended, as its router sees it.
 struct outcome {
     std::string body;
@@ -176,6 +221,10 @@
 
 class agent_with_engine : public ::testing::Test {
 protected:
+    agent_with_engine() {
+        settings.concurrency = 8;
+        settings.ramp_start = 8;
+    }
     void SetUp() override { begin({}); }
     void begin(standins::engine::engine_options options) {
         options.memory = 100;
@@ -189,8 +238,6 @@
         settings.listen = "127.0.0.1:0";
         settings.engine = engine->address();
         settings.memory = 100;
-        settings.concurrency = 8;
-        settings.ramp_start = 8;
         settings.order_timeout = 100ms;
         settings.stall_timeout = 300ms;
         start_agent();
--- a/tests/contract/agent_requests_test.cpp
+++ b/tests/contract/agent_requests_test.cpp
@@ -1,6 +1,8 @@
 // Contract tests of requests: streams that break, crossed and repeated messages, limits, crashes, drain.
 #include "contract/agent_fixture.hpp"
 
+#include <algorithm>
+
 using namespace agent_testing;
 
 namespace {
@@ -249,68 +251,81 @@
 
 namespace {
 
-/// Stands in for a steward's feed of the configuration.
-class feed {
-public:
-    feed()
-        : hub_(options(), [this](edge::link_event&& event) { events.push(std::move(event)); }),
-          port_(hub_.listen("127.0.0.1:0")) {
-        hub_.start();
-    }
-    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-    void await_subscription() {
-        for (;;) {
-            auto event = events.pop_until(core::common::clock::now() + patience);
-            ASSERT_TRUE(event.has_value());
-            link_ = event->link;
-            if (event->kind == edge::link_event_kind::message &&
-                event->frame.header.kind == kind::subscribe_config)
-                return;
-        }
-    }
-    void set_data_centre(std::int64_t revision, core::config::data_centre_state at) {
-        wire::config_update update;
-        update.from_revision = revision - 1;
-        update.revision = revision;
-        update.parts = 1;
-        wire::config_entry entry;
-        entry.revision = revision;
-        entry.key = "data-centre/cerro";
-        entry.value = core::config::encode(core::config::data_centre{"cerro", "montevideo", at});
-        update.entries.push_back(entry);
-        hub_.send(link_, kind::config_update, 0, update);
-    }
-    edge::ring<edge::link_event> events{10'000};
-
-private:
-    static edge::link_options options() {
-        edge::link_options out;
-        out.self.process = "steward-1";
-        out.self.role = "steward";
-        return out;
+class agent_with_one_slot : public agent_with_slow_engine {
+protected:
+    void SetUp() override {
+        settings.concurrency = 1;
+        settings.ramp_start = 1;
+        agent_with_slow_engine::SetUp();
     }
-    edge::link_hub hub_;
-    std::uint16_t port_;
-    edge::link_id link_ = 0;
 };
 
 } // namespace
 
+TEST_F(agent_with_one_slot, waiting_request_is_refused_as_not_run_when_its_time_is_up) {
+    begin_answer(chat("long", "a", 100));
+    auto brief = chat("brief", "b");
+    brief.remaining_ms = 200;
+    const auto answer = run(brief);
+    ASSERT_TRUE(answer.refused.has_value());
+    EXPECT_EQ(answer.refused->reason, wire::refusal::deadline_too_short);
+    EXPECT_EQ(answer.refused->ran, wire::run_state::not_run);
+    EXPECT_EQ(runs("brief"), 0);
+}
+
+TEST_F(agent_with_one_slot, hopeless_request_is_refused_at_once_with_when_to_come_back) {
+    ASSERT_TRUE(run(chat("first", "a", 10)).finished.has_value()); // shows how long one takes
+    for (int i = 0; i < 5; ++i)
+        router->send(kind::run_request, i, chat("r" + std::to_string(i), "a", 10));
+    auto hopeless = chat("hopeless", "b");
+    hopeless.remaining_ms = 100;
+    router->send(kind::run_request, 9, hopeless);
+    for (;;) { // it comes before any of the others has ended
+        const auto event = router->next_event();
+        ASSERT_NE(event.frame.header.kind, kind::run_finished);
+        if (event.frame.header.kind != kind::run_refused)
+            continue;
+        const auto refused = edge::decode_body<wire::run_refused>(event.frame.body).value();
+        EXPECT_EQ(refused.request_id, "hopeless");
+        EXPECT_EQ(refused.reason, wire::refusal::overloaded);
+        EXPECT_EQ(refused.ran, wire::run_state::not_run);
+        EXPECT_GT(refused.retry_after_ms, 100);
+        break;
+    }
+}
+
+TEST_F(agent_with_one_slot, newcomer_overtakes_the_backlog_of_another_customer) {
+    begin_answer(chat("running", "a", 5));
+    for (int i = 0; i < 5; ++i)
+        router->send(kind::run_request, i, chat("backlog" + std::to_string(i), "a", 2));
+    auto newcomer = chat("newcomer", "b", 2);
+    newcomer.customer = "sur";
+    router->send(kind::run_request, 9, newcomer);
+    std::vector<std::string> order;
+    while (order.size() < 4 && !HasFailure())
+        order.push_back(router->expect<wire::run_finished>(kind::run_finished).request_id);
+    const auto at = std::find(order.begin(), order.end(), "newcomer") - order.begin();
+    EXPECT_LE(at, 2) << "behind what ran and at most one of the other customer's";
+}
+
 TEST_F(agent_with_fresh_engine, data_centre_taken_out_gets_no_new_work_and_comes_back) {
+    const auto data_centre = [](core::config::data_centre_state at) {
+        return core::config::encode(core::config::data_centre{"cerro", "montevideo", at});
+    };
     feed source;
     settings.stewards = {source.address()};
     agent.reset();
     start_agent();
     load("m1", 60);
     source.await_subscription();
-    source.set_data_centre(1, core::config::data_centre_state::out);
+    source.send(1, "data-centre/cerro", data_centre(core::config::data_centre_state::out));
     steward->await_report([](const auto& seen) { return seen.config_revision == 1; });
     const auto refused = run(chat("r1", "a"));
     ASSERT_TRUE(refused.refused.has_value());
     EXPECT_EQ(refused.refused->reason, wire::refusal::data_centre_out);
     EXPECT_EQ(refused.refused->ran, wire::run_state::not_run);
     EXPECT_EQ(load("m2", 10, 2).reason, wire::refusal::data_centre_out);
-    source.set_data_centre(2, core::config::data_centre_state::in);
+    source.send(2, "data-centre/cerro", data_centre(core::config::data_centre_state::in));
     steward->await_report([](const auto& seen) { return seen.config_revision == 2; });
     EXPECT_TRUE(run(chat("r2", "a")).finished.has_value());
 }
