Apply a revision in place of copying the whole configuration

Change: the changed entries are decoded aside, and moved in once all of them are valid; all-or-nothing holds as before, and a property compares one range with its single changes.

--- a/src/core/config/replica.cpp
+++ b/src/core/config/replica.cpp
@@ -5,22 +5,55 @@
 #include <algorithm>
 
 namespace waxwinglb::core::config {
+namespace {
+
+template<class table>
+void move_into(table& into, table& from) {
+    for (auto& [name, value] : from)
+        into.insert_or_assign(name, std::move(value));
+}
+
+/// Moves all entries of `from` over those of `into`.
+void merge(snapshot& into, snapshot& from) {
+    move_into(into.services, from.services);
+    move_into(into.models, from.models);
+    move_into(into.customers, from.customers);
+    move_into(into.keys, from.keys);
+    move_into(into.presets, from.presets);
+    move_into(into.data_centres, from.data_centres);
+    move_into(into.acceptors, from.acceptors);
+    if (!from.preset_in_force.empty())
+        into.preset_in_force = std::move(from.preset_in_force);
+}
+
+} // namespace
 
 apply_result replica::apply(std::int64_t from, std::int64_t to, const std::vector<change>& changes) {
     if (to <= state_.revision)
         return apply_result::old;
     if (from != 0 && from > state_.revision)
         return apply_result::gap;
-    snapshot next = from == 0 ? snapshot{} : state_;
+    // Only the changed entries are decoded aside; nothing can fail any more once they are moved in.
+    snapshot changed;
+    std::vector<const change*> deletions;
     for (const change& one : changes) {
         // A range may start before this copy's revision; what it has already is passed over.
         if (from != 0 && one.revision <= state_.revision)
             continue;
-        if (!apply_entry(next, one.key, one.value))
+        if (!apply_entry(changed, one.key, one.value))
             return apply_result::malformed;
+        if (one.value.empty())
+            deletions.push_back(&one);
+    }
+    if (from == 0) {
+        state_ = std::move(changed);
+    } else {
+        // An entry deleted and put again stands in `changed`, so the order within the range doesn't matter.
+        for (const change* one : deletions)
+            apply_entry(state_, one->key, {});
+        merge(state_, changed);
     }
-    next.revision = to;
-    state_ = std::move(next);
+    state_.revision = to;
     return apply_result::applied;
 }
 
--- a/tests/core/config_test.cpp
+++ b/tests/core/config_test.cpp
@@ -54,3 +54,33 @@
             RC_ASSERT(copy.state().customers.at("norte").tokens_per_second == static_cast<double>(highest));
     }
 }
+
+RC_GTEST_PROP(config_replica, one_range_gives_the_same_as_single_changes, ()) {
+    const auto words = *rc::gen::container<std::vector<unsigned>>(rc::gen::inRange(0U, 24U));
+    std::vector<config::change> all;
+    for (const unsigned word : words) {
+        const std::string name = "c" + std::to_string(word % 3);
+        const auto revision = static_cast<std::int64_t>(all.size()) + 2;
+        const std::string value =
+            word < 8 ? std::string{} : config::encode(config::customer{name, double(word), 1, 1});
+        all.push_back({revision, "customer/" + name, value});
+    }
+    config::replica singly;
+    config::replica at_once;
+    singly.apply(0, 1, {{1, "customer/c0", config::encode(config::customer{"c0", 9, 9, 9})}});
+    at_once.apply(0, 1, {{1, "customer/c0", config::encode(config::customer{"c0", 9, 9, 9})}});
+    for (const config::change& one : all)
+        RC_ASSERT(singly.apply(one.revision - 1, one.revision, {one}) == config::apply_result::applied);
+    const auto last = static_cast<std::int64_t>(all.size()) + 1;
+    const auto result = at_once.apply(1, last, all);
+    RC_ASSERT(result == (all.empty() ? config::apply_result::old : config::apply_result::applied));
+    RC_ASSERT(config::entries(singly.state()) == config::entries(at_once.state()));
+}
+
+TEST(config_replica, malformed_change_after_a_deletion_changes_nothing) {
+    config::replica copy;
+    ASSERT_EQ(copy.apply(0, 1, {customer_change(1, 1)}), config::apply_result::applied);
+    const std::vector<config::change> bad{{2, "customer/norte", ""}, {3, "customer/sur", "{"}};
+    EXPECT_EQ(copy.apply(1, 3, bad), config::apply_result::malformed);
+    EXPECT_TRUE(copy.state().customers.contains("norte"));
+}
