--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,6 @@
 	@$(BUILD)/waxwing-bench
 capacity: build  ## measures the slopes that docs/CAPACITY.md uses
 	@scripts/capacity $(BUILD)
+	@scripts/capacity-processes $(BUILD)
 clean:
 	@rm -rf $(BUILD)
