--- a/src/programs/admin/acceptor.cpp
+++ b/src/programs/admin/acceptor.cpp
@@ -67,7 +67,7 @@
 void acceptor::tick(time_point now) {
     head_.tick(now);
     if (step_ == step::settling && awaited_ == 0 && now >= retry_at_)
-        awaited_ = store_.read(store_call::read_head, core::acceptance::head_key());
+        read_head();
     if (step_ == step::settling && !batch_->callers_told && now - batch_->begun > settle_limit) {
         batch_->callers_told = true;
         for (judged_submission& one : batch_->submissions)
@@ -112,6 +112,11 @@
         head_read(event.answer, now);
 }
 
+void acceptor::read_head() {
+    read_at_ = head_.version();
+    awaited_ = store_.read(store_call::read_head, core::acceptance::head_key());
+}
+
 void acceptor::note_contact(const edge::store_answer& answer, time_point now) {
     if (answer.heard()) {
         if (unreachable_since_)
@@ -132,13 +137,13 @@
     (void)now;
     conflicts_ = 0;
     step_ = step::reading;
-    awaited_ = store_.read(store_call::read_head, core::acceptance::head_key());
+    read_head();
 }
 
 void acceptor::head_read(const edge::store_answer& answer, time_point now) {
     if (answer.outcome != store_outcome::ok && answer.outcome != store_outcome::absent)
         return fail(submit_outcome::unavailable, now);
-    if (head_.learn(answer))
+    if (head_.learn(answer, read_at_))
         return judge(now);
     if (!head_.fetching())
         return fail(submit_outcome::unavailable, now);
@@ -158,7 +163,7 @@
         return;
     }
     step_ = step::reading;
-    awaited_ = store_.read(store_call::read_head, core::acceptance::head_key());
+    read_head();
 }
 
 void acceptor::judge(time_point now) {
@@ -287,7 +292,7 @@
     step_ = step::settling;
     retry_at_ = answer.heard() ? now : now + settle_retry_after;
     if (answer.heard())
-        awaited_ = store_.read(store_call::read_head, core::acceptance::head_key());
+        read_head();
 }
 
 void acceptor::settle(const edge::store_answer& answer, time_point now) {
@@ -304,7 +309,7 @@
         retry_at_ = now + settle_retry_after;
         return;
     }
-    head_.learn(answer);
+    head_.learn(answer, read_at_);
     const auto last = document->batches.find(settings_.vm);
     if (last != document->batches.end() && last->second == batch_->nonce)
         return finish(now);
--- a/src/programs/admin/acceptor.hpp
+++ b/src/programs/admin/acceptor.hpp
@@ -85,6 +85,7 @@
         bool callers_told = false;  // that the outcome is unknown
     };
 
+    void read_head();
     void note_contact(const edge::store_answer& answer, core::common::time_point now);
     void pump(core::common::time_point now);
     void judge(core::common::time_point now);
@@ -112,6 +113,7 @@
     head_copy head_;
     step step_ = step::idle;
     std::uint64_t awaited_ = 0; // number of the call whose answer moves the step on
+    std::int64_t read_at_ = 0;  // the copy's object version when the head was read
     core::common::time_point retry_at_{};
     std::deque<submission> queue_;
     std::optional<batch> batch_;
--- a/src/programs/admin/head_copy.cpp
+++ b/src/programs/admin/head_copy.cpp
@@ -11,6 +11,7 @@
     if (watching_ || now < next_watch_)
         return;
     watching_ = true;
+    watched_version_ = version_;
     store_.watch(store_call::watch_head, core::acceptance::head_key(), version_,
                  known_ ? watch_wait : core::common::milliseconds{0});
 }
@@ -21,13 +22,15 @@
     watching_ = false;
     next_watch_ = event.answer.heard() ? now : now + watch_retry_after;
     if (event.answer.outcome == store_outcome::ok || event.answer.outcome == store_outcome::absent)
-        learn(event.answer);
+        learn(event.answer, watched_version_);
     if (event.answer.outcome == store_outcome::unchanged)
         known_ = true;
 }
 
-bool head_copy::learn(const edge::store_answer& answer) {
+bool head_copy::learn(const edge::store_answer& answer, std::int64_t asked_at) {
     if (answer.outcome == store_outcome::absent) {
+        if (asked_at != version_)
+            return true; // overtaken: the object was made meanwhile
         if (version_ != 0)
             log_->error("The store has lost config/head; revision {} stays in force.", book_.revision());
         known_ = true;
--- a/src/programs/admin/head_copy.hpp
+++ b/src/programs/admin/head_copy.hpp
@@ -24,9 +24,9 @@
     void tick(core::common::time_point now);
     void take(const store_event& answer, core::common::time_point now); // watch_head and read_part
 
-    /// Takes in a head that was read or written; false while a snapshot has to be fetched first, or on a
-    /// head that can't be taken.
-    bool learn(const edge::store_answer& answer);
+    /// Takes in a head that was read when this copy stood at object version `asked_at`; false while a
+    /// snapshot has to be fetched first, or on a head that can't be taken.
+    bool learn(const edge::store_answer& answer, std::int64_t asked_at);
     void adopt(std::int64_t version, core::acceptance::head_document document); // written by this process
 
     [[nodiscard]] bool known() const { return known_; } // heard of the store at least once
@@ -51,6 +51,7 @@
     edge::logger log_ = edge::make_logger("admin.head");
     bool known_ = false;
     bool watching_ = false;
+    std::int64_t watched_version_ = 0; // at which the standing watch was asked
     core::common::time_point next_watch_{};
     std::int64_t version_ = 0;
     core::acceptance::head_document document_;
--- a/src/programs/ctl/commands.cpp
+++ b/src/programs/ctl/commands.cpp
@@ -39,8 +39,8 @@
 }
 
 /// Waits until `revision` is in force in every process that a steward feeds.
-int wait_in_force(admin_client& client, std::int64_t revision, milliseconds timeout) {
-    const auto begun = core::common::clock::now();
+int wait_in_force(admin_client& client, std::int64_t revision, milliseconds timeout,
+                  core::common::time_point begun) {
     std::string last;
     while (core::common::clock::now() - begun < timeout) {
         const api_answer answer = client.call("GET", "/v1/in-force?revision=" + std::to_string(revision));
@@ -58,7 +58,8 @@
             if (live > 0 && applied == live && silent == 0) {
                 const auto took =
                     std::chrono::duration_cast<milliseconds>(core::common::clock::now() - begun);
-                std::cerr << "in force everywhere after " << took.count() << " ms\n";
+                std::cerr << "in force in all " << live << " processes " << took.count()
+                          << " ms after the command began\n";
                 return exit_ok;
             }
         }
@@ -92,6 +93,7 @@
 
     const command_line& line_;
     admin_client client_;
+    core::common::time_point begun_ = core::common::clock::now();
 };
 
 int command_runner::run() {
@@ -128,7 +130,7 @@
     if (!answer.good())
         return report(answer);
     if (line_.wait && !line_.dry_run)
-        return wait_in_force(client_, answer.body.value("revision", std::int64_t{0}), line_.timeout);
+        return wait_in_force(client_, answer.body.value("revision", std::int64_t{0}), line_.timeout, begun_);
     return exit_ok;
 }
 
--- a/tests/programs/harness.py
+++ b/tests/programs/harness.py
@@ -209,6 +209,11 @@
             self._place_targets(group)
         self._platform()
 
+    @property
+    def fed(self):
+        """How many processes the configuration's feed reaches: agents, routers and stewards."""
+        return len(self.agents) + len(self.routers) + len(self.stewards)
+
     # -- where things stand ----------------------------------------------------------------------
 
     def _place(self, role, index, data_centre):
