--- /dev/null
+++ b/tests/contract/platform_standin_test.cpp
@@ -0,0 +1,233 @@
+// Contract tests of the platform's stand-in, seen through the client that the programs use.
+#include "edge/platform_client.hpp"
+#include "edge/program.hpp"
+#include "standins/platform/platform.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+using namespace waxwinglb;
+using namespace std::chrono_literals;
+using edge::store_outcome;
+
+namespace {
+
+constexpr auto call_timeout = 20s; // ends a hung test; no verdict depends on its length
+
+class platform_standin : public testing::Test {
+protected:
+    platform_standin() : server(settings(), context) {
+        EXPECT_TRUE(server.start());
+        address = "127.0.0.1:" + std::to_string(server.port());
+        store.emplace(http, address, call_timeout);
+    }
+    static standins::platform::platform_settings settings() {
+        standins::platform::platform_settings out;
+        out.vm_lag = 50ms;
+        out.weights = {100, 4};
+        out.vms.push_back({"vm-1", "cerro", "target", "s", "127.0.0.1:1", "", "live"});
+        return out;
+    }
+    template<class sender>
+    edge::store_answer ask(sender&& send) {
+        std::promise<edge::store_answer> done;
+        auto answer = done.get_future();
+        send([&done](edge::store_answer&& got) { done.set_value(std::move(got)); });
+        return answer.get();
+    }
+    edge::store_answer read(const std::string& key) {
+        return ask([&](auto done) { store->read(key, done); });
+    }
+    edge::store_answer put(const std::string& key, std::int64_t version, std::string body) {
+        return ask([&](auto done) { store->put(key, version, std::move(body), done); });
+    }
+    edge::client_result call(const std::string& method, const std::string& path, std::string body = {}) {
+        std::promise<edge::client_result> done;
+        auto answer = done.get_future();
+        edge::client_request request;
+        request.method = method;
+        request.url = "http://" + address + path;
+        request.body = std::move(body);
+        request.timeout = call_timeout;
+        http.send(std::move(request), [&done](edge::client_result&& got) { done.set_value(std::move(got)); });
+        return answer.get();
+    }
+    /// A write that the client library does not send again by itself.
+    store_outcome put_once(const std::string& key) {
+        edge::client_request request;
+        request.method = "PUT";
+        request.url = "http://" + address + "/objects/" + key;
+        request.headers = {{"If-None-Match", "*"}};
+        request.body = "x";
+        request.timeout = call_timeout;
+        request.send_once = true;
+        std::promise<edge::client_result> done;
+        auto answer = done.get_future();
+        http.send(std::move(request), [&done](edge::client_result&& got) { done.set_value(std::move(got)); });
+        const auto got = answer.get();
+        return got.outcome == edge::client_outcome::answered && got.status == 201 ? store_outcome::ok
+                                                                                  : store_outcome::unknown;
+    }
+    void fault(const std::string& body) { ASSERT_EQ(call("POST", "/faults", body).status, 204) << body; }
+
+    edge::program_context context;
+    standins::platform::platform_server server;
+    edge::http_client http;
+    std::string address;
+    std::optional<edge::platform_client> store;
+};
+
+} // namespace
+
+TEST_F(platform_standin, versions_rise_and_conditions_decide) {
+    EXPECT_EQ(read("a").outcome, store_outcome::absent);
+    EXPECT_EQ(put("a", 0, "one").version, 1);
+    EXPECT_EQ(put("a", 0, "two").outcome, store_outcome::conflict);
+    EXPECT_EQ(put("a", 7, "two").outcome, store_outcome::conflict);
+    EXPECT_EQ(put("b", 0, "other").version, 2);
+    EXPECT_EQ(put("a", 1, "two").version, 3);
+    EXPECT_EQ(read("a").body, "two");
+    EXPECT_EQ(ask([&](auto done) { store->remove("a", 1, done); }).outcome, store_outcome::conflict);
+    EXPECT_EQ(ask([&](auto done) { store->remove("a", 3, done); }).outcome, store_outcome::ok);
+    EXPECT_EQ(read("a").outcome, store_outcome::absent);
+    EXPECT_GT(put("a", 0, "again").version, 4) << "a version was used again";
+}
+
+TEST_F(platform_standin, writes_without_a_condition_are_refused) {
+    EXPECT_EQ(call("PUT", "/objects/a", "x").status, 428);
+    EXPECT_EQ(call("DELETE", "/objects/a").status, 428);
+    EXPECT_EQ(read("a").outcome, store_outcome::absent);
+}
+
+TEST_F(platform_standin, values_over_a_megabyte_are_refused) {
+    EXPECT_EQ(put("a", 0, std::string(1'000'000, 'x')).outcome, store_outcome::ok);
+    EXPECT_EQ(put("b", 0, std::string(1'000'001, 'x')).outcome, store_outcome::too_large);
+    EXPECT_EQ(read("b").outcome, store_outcome::absent);
+}
+
+TEST_F(platform_standin, a_watch_waits_for_the_change_and_no_longer) {
+    ASSERT_EQ(put("a", 0, "one").version, 1);
+    EXPECT_EQ(ask([&](auto done) { store->watch("a", 1, 30ms, done); }).outcome, store_outcome::unchanged);
+    EXPECT_EQ(ask([&](auto done) { store->watch("a", 0, 10s, done); }).body, "one");
+    std::promise<edge::store_answer> woken;
+    store->watch("a", 1, 20s, [&](edge::store_answer&& got) { woken.set_value(std::move(got)); });
+    ASSERT_EQ(put("a", 1, "two").outcome, store_outcome::ok);
+    EXPECT_EQ(woken.get_future().get().body, "two");
+}
+
+TEST_F(platform_standin, a_watch_on_an_absent_object_is_woken_by_its_creation) {
+    std::promise<edge::store_answer> woken;
+    store->watch("new", 0, 20s, [&](edge::store_answer&& got) { woken.set_value(std::move(got)); });
+    ASSERT_EQ(put("new", 0, "here").outcome, store_outcome::ok);
+    EXPECT_EQ(woken.get_future().get().body, "here");
+}
+
+TEST_F(platform_standin, many_watches_hold_no_thread) {
+    constexpr int watches = 500;
+    std::atomic<int> woken{0};
+    for (int i = 0; i < watches; ++i)
+        store->watch("a", 0, 20s, [&](edge::store_answer&& got) { woken += got.body == "here"; });
+    ASSERT_EQ(put("a", 0, "here").outcome, store_outcome::ok) << "a write waits behind watches";
+    while (woken < watches)
+        std::this_thread::sleep_for(1ms); // ended by the test's own timeout if one is lost
+    EXPECT_EQ(woken, watches);
+}
+
+TEST_F(platform_standin, lists_keys_of_a_prefix) {
+    put("p/1", 0, "x");
+    put("p/2", 0, "x");
+    put("q/1", 0, "x");
+    const auto listed = edge::decode_objects(ask([&](auto done) { store->list("p/", done); }).body);
+    ASSERT_TRUE(listed.has_value());
+    ASSERT_EQ(listed->size(), 2);
+    EXPECT_EQ((*listed)[1].key, "p/2");
+    EXPECT_EQ((*listed)[1].version, 2);
+}
+
+TEST_F(platform_standin, the_vm_list_lags) {
+    const auto shown = [&] {
+        return edge::decode_vms(call("GET", "/vms").body).value_or(std::vector<edge::listed_vm>{});
+    };
+    ASSERT_EQ(shown().size(), 1);
+    ASSERT_EQ(call("PUT", "/vms/vm-2", R"({"data_centre":"cerro","role":"router","state":"leaving"})").status,
+              204);
+    while (shown().size() < 2)
+        std::this_thread::sleep_for(1ms);
+    EXPECT_TRUE(shown()[1].leaving);
+    ASSERT_EQ(call("DELETE", "/vms/vm-1").status, 204);
+    while (shown().size() > 1)
+        std::this_thread::sleep_for(1ms);
+    EXPECT_EQ(shown().front().vm, "vm-2");
+}
+
+struct fault_case {
+    const char* name;
+    const char* body;
+    store_outcome write; // of the write that meets it
+    bool effective;      // whether the write takes effect
+    bool again;          // whether the next write meets it too
+};
+
+class platform_faults : public platform_standin, public testing::WithParamInterface<fault_case> {};
+
+TEST_P(platform_faults, are_shown_as_described) {
+    const fault_case& one = GetParam();
+    fault(one.body);
+    EXPECT_EQ(put_once("config/a"), one.write);
+    EXPECT_EQ(put_once("other"), store_outcome::ok) << "the fault reached another key";
+    const auto next = put_once("config/b");
+    EXPECT_EQ(next == one.write, one.again || one.write == store_outcome::ok);
+    ASSERT_EQ(call("DELETE", "/faults").status, 204);
+    EXPECT_EQ(read("config/a").outcome, one.effective ? store_outcome::ok : store_outcome::absent);
+    EXPECT_EQ(put_once("config/c"), store_outcome::ok) << "the fault outlived its end";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, platform_faults,
+    testing::Values(
+        fault_case{"down", R"({"kind":"down","match":"config/"})", store_outcome::unknown, false, true},
+        fault_case{"down_once", R"({"kind":"down","match":"config/","count":1})", store_outcome::unknown,
+                   false, false},
+        fault_case{"reject", R"({"kind":"reject","match":"config/"})", store_outcome::unknown, false, true},
+        fault_case{"slow", R"({"kind":"slow","match":"config/","delay_ms":20})", store_outcome::ok, true,
+                   true},
+        fault_case{"lose_answer", R"({"kind":"lose_answer","match":"config/"})", store_outcome::unknown, true,
+                   true},
+        fault_case{"lose_answer_then_down",
+                   R"({"kind":"lose_answer","match":"config/","count":1,"then_down":true})",
+                   store_outcome::unknown, true, true}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(platform_standin, malformed_faults_are_refused) {
+    for (const char* body : {"", "[]", "{}", R"({"kind":"storm"})", R"({"kind":1})"})
+        EXPECT_EQ(call("POST", "/faults", body).status, 400) << body;
+}
+
+TEST_F(platform_standin, an_outage_ends_waiting_watches) {
+    std::promise<edge::store_answer> ended;
+    store->watch("a", 0, 20s, [&](edge::store_answer&& got) { ended.set_value(std::move(got)); });
+    while (call("GET", "/audit").body.find("\"open_watches\":1") == std::string::npos)
+        std::this_thread::sleep_for(1ms);
+    fault(R"({"kind":"down"})");
+    EXPECT_EQ(ended.get_future().get().outcome, store_outcome::unavailable);
+}
+
+TEST(weight_store, the_rate_is_shared_beyond_the_reads_at_full_speed) {
+    using standins::platform::weight_store;
+    const core::common::time_point begin{};
+    weight_store four{{4, 4}};
+    for (int i = 0; i < 4; ++i)
+        four.begin(begin);
+    EXPECT_TRUE(four.finished(begin + 990ms).empty());
+    EXPECT_EQ(four.finished(begin + 1'001ms).size(), 4);
+    weight_store eight{{4, 4}};
+    for (int i = 0; i < 8; ++i)
+        eight.begin(begin);
+    EXPECT_TRUE(eight.finished(begin + 1'990ms).empty());
+    EXPECT_EQ(eight.finished(begin + 2'001ms).size(), 8);
+    weight_store one{{4, 4}};
+    one.begin(begin);
+    EXPECT_TRUE(one.finished(begin + 990ms).empty()) << "one read alone is no faster";
+    EXPECT_EQ(one.finished(one.next_end(begin + 990ms)).size(), 1);
+}
--- /dev/null
+++ b/tests/core/acceptance_test.cpp
@@ -0,0 +1,127 @@
+// The rules behind accepted configuration: judging, replay of snapshot and tail, limits of the stored
+// objects.
+#include "core/acceptance/book.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace waxwinglb::core;
+using acceptance::role;
+using acceptance::verdict_kind;
+
+namespace {
+
+const acceptance::actor owner{"olga", "platform", role::owner};
+
+acceptance::accepted_entry entry(std::int64_t revision, std::string key, std::string value) {
+    return {{revision, std::move(key), std::move(value)}, {"olga", "platform", 0, {}}};
+}
+
+std::string customer(const std::string& name, double rate = 1) {
+    return config::encode(config::customer{name, rate, 10, 1});
+}
+
+} // namespace
+
+TEST(acceptance_book, a_judged_change_leaves_the_book_as_it_is) {
+    acceptance::book book;
+    const auto result = book.judge({"customer/a", customer("a"), 0, {}}, owner);
+    EXPECT_EQ(result.kind, verdict_kind::accepted);
+    EXPECT_EQ(book.revision(), 0);
+    EXPECT_EQ(book.find("customer/a"), nullptr);
+}
+
+TEST(acceptance_book, conditions_name_what_happened) {
+    acceptance::book book;
+    book.apply(entry(1, "customer/a", customer("a")));
+    const auto judge = [&](std::string value, std::optional<std::int64_t> expected, const char* key) {
+        return book.judge({key, std::move(value), expected, {}}, owner).kind;
+    };
+    EXPECT_EQ(judge(customer("a", 2), 1, "customer/a"), verdict_kind::accepted);
+    EXPECT_EQ(judge(customer("a", 2), 0, "customer/a"), verdict_kind::exists);
+    EXPECT_EQ(judge(customer("a", 2), 9, "customer/a"), verdict_kind::condition_failed);
+    EXPECT_EQ(judge(customer("b"), 9, "customer/b"), verdict_kind::absent);
+    EXPECT_EQ(judge("", std::nullopt, "customer/b"), verdict_kind::absent);
+    EXPECT_EQ(judge(customer("a"), 1, "customer/a"), verdict_kind::unchanged);
+    EXPECT_EQ(judge("", 1, "customer/a"), verdict_kind::accepted);
+}
+
+TEST(acceptance_document, readers_of_the_feed_find_what_they_need) {
+    acceptance::head_document head;
+    head.revision = 2;
+    head.snapshot = {1, 1};
+    head.batches["vm-1"] = 77;
+    head.entries.push_back(entry(2, "customer/a", customer("a")));
+    const auto back = acceptance::decode_head(acceptance::encode(head));
+    ASSERT_TRUE(back.has_value());
+    EXPECT_EQ(back->entries.front().change.key, "customer/a");
+    EXPECT_EQ(back->batches.at("vm-1"), 77);
+    head.revision = 3; // an entry is missing
+    EXPECT_FALSE(acceptance::decode_head(acceptance::encode(head)).has_value());
+    for (const char* text :
+         {"", "[]", "{}", R"({"revision":"1","entries":[]})", R"({"revision":0,"entries":{}})"})
+        EXPECT_FALSE(acceptance::decode_head(text).has_value() &&
+                     std::string(text) != R"({"revision":0,"entries":{}})")
+            << text;
+}
+
+TEST(acceptance_document, parts_and_head_stay_below_the_stores_limit) {
+    std::vector<acceptance::accepted_entry> entries;
+    const std::string value(300'000, 'x');
+    for (int i = 1; i <= 5; ++i)
+        entries.push_back(entry(i, "model/s/m" + std::to_string(i), value));
+    const auto parts = acceptance::encode_parts(entries);
+    EXPECT_GE(parts.size(), 3U);
+    for (const std::string& part : parts)
+        EXPECT_LT(part.size(), acceptance::max_object_bytes);
+    // The fullest tail that is not compacted, and the largest batch behind it.
+    EXPECT_LT(acceptance::max_tail_bytes + acceptance::max_batch_bytes + 50'000,
+              acceptance::max_object_bytes);
+    std::vector<acceptance::audit_record> records;
+    for (const auto& one : entries)
+        records.push_back({one, value});
+    records.resize(3);
+    EXPECT_LT(acceptance::encode_audit(records).size(), acceptance::max_object_bytes);
+}
+
+RC_GTEST_PROP(acceptance_book, snapshot_and_tail_give_the_same_book_as_all_changes, ()) {
+    acceptance::book whole;
+    acceptance::book resumed;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 3)));
+    const auto cut = static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(steps.size()) + 1));
+    std::int64_t revision = 0;
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        if (i == cut) { // through the stored form, as a process does that starts now
+            std::vector<acceptance::accepted_entry> read;
+            for (const std::string& part : acceptance::encode_parts(whole.all())) {
+                const auto decoded = acceptance::decode_part(part);
+                RC_ASSERT(decoded.has_value());
+                read.insert(read.end(), decoded->begin(), decoded->end());
+            }
+            resumed.replace(whole.revision(), std::move(read));
+        }
+        const std::string name = "c" + std::to_string(steps[i].first);
+        const acceptance::proposal wanted{"customer/" + name,
+                                          steps[i].second == 0 ? "" : customer(name, steps[i].second),
+                                          std::nullopt,
+                                          {}};
+        const auto result = whole.judge(wanted, owner);
+        if (result.kind != verdict_kind::accepted)
+            continue;
+        const auto made = entry(++revision, wanted.key, result.value);
+        whole.apply(made);
+        if (i >= cut)
+            resumed.apply(made);
+    }
+    if (cut < steps.size()) {
+        const auto left = whole.all();
+        const auto right = resumed.all();
+        RC_ASSERT(left.size() == right.size());
+        for (std::size_t i = 0; i < left.size(); ++i) {
+            RC_ASSERT(left[i].change.key == right[i].change.key);
+            RC_ASSERT(left[i].change.value == right[i].change.value);
+            RC_ASSERT(left[i].change.revision == right[i].change.revision);
+        }
+    }
+}
--- a/tests/programs/harness.py
+++ b/tests/programs/harness.py
@@ -370,6 +370,17 @@
     def clear_faults(self):
         request(self.platform_address, "DELETE", "/faults")
 
+    def metric(self, program, name):
+        """Sum over the label sets of one metric of a program."""
+        lines = request(self.programs[program].page, "GET", "/metrics", timeout=5).text.splitlines()
+        return sum(float(line.rsplit(" ", 1)[1]) for line in lines if line.split("{")[0].split(" ")[0] == name)
+
+    def work_at(self, centre):
+        """How many requests the agents of a data centre have begun."""
+        return sum(self.metric(agent, f"waxwing_agent_{what}") for agent in self.agents.values()
+                   if self.programs[agent].settings["data_centre"] == centre
+                   for what in ("finished_requests_total", "running_requests"))
+
     def pages(self):
         """Addresses of every running process's operations pages."""
         return [p.page for p in self.programs.values() if p.page and p.running()]
