--- a/src/programs/agent/orders.cpp
+++ b/src/programs/agent/orders.cpp
@@ -15,7 +15,8 @@
 using core::memory::order_outcome;
 using reason = wire::refusal;
 
-constexpr milliseconds default_load_time{60'000};            // if an order names none
+constexpr milliseconds default_load_time{60'000}; // if an order names none
+constexpr milliseconds probe_again{20};           // after a silent probe that broken calls wait for
 constexpr const char* probe_model = "waxwing-agent-started"; // never loaded; carries the first fencing number
 
 void send_result(state& all, const order_waiter& to, reason::type why, const std::string& at,
@@ -100,6 +101,11 @@
     send_unload(all, probe_model);
 }
 
+bool any_settling(const state& all) {
+    return std::any_of(all.requests.begin(), all.requests.end(),
+                       [](const auto& entry) { return entry.second.settling; });
+}
+
 void take_engine_up(state& all, const probe_done& probe, time_point now) {
     const std::int64_t free_before = all.ledger.free_bytes();
     const std::size_t held_before = all.ledger.replicas().size();
@@ -193,8 +199,12 @@
 
 void take_probe(state& all, const probe_done& probe, time_point now) {
     all.probing = false;
-    if (probe.outcome == probe_outcome::silent)
+    if (probe.outcome == probe_outcome::silent) {
+        // Broken calls wait for the verdict; a target that dies shows it only until it is back.
+        if (any_settling(all))
+            all.next_probe = now + probe_again;
         return;
+    }
     const bool was_up = all.target_up;
     all.target_up = probe.outcome == probe_outcome::up;
     all.program.ready = all.target_up;
--- a/tests/contract/agent_orders_test.cpp
+++ b/tests/contract/agent_orders_test.cpp
@@ -121,6 +121,21 @@
     EXPECT_EQ(load("m1", 30, 7, 3).state, "loaded");
 }
 
+TEST_F(agent_with_engine, order_of_a_former_process_is_too_old_for_an_engine_that_checks) {
+    const std::int64_t former = (agent->boot() - 1) * 1'000;
+    json order{{"model", "ghost"}, {"version", "1"}, {"bytes", 50}, {"fencing", former}};
+    EXPECT_EQ(http("POST", engine->address(), "/load", order.dump()).status, 409);
+    EXPECT_EQ(audit(engine->address())["loads"], 0);
+}
+
+TEST_F(agent_with_engine, late_order_of_a_former_process_is_counted_when_the_engine_ignores_fencing) {
+    add_fault(engine->address(), {{"kind", "ignore_fencing"}});
+    json order{{"model", "ghost"}, {"version", "1"}, {"bytes", 50}, {"fencing", 1}};
+    EXPECT_EQ(http("POST", engine->address(), "/load", order.dump()).status, 200);
+    steward->await_report([](const auto& seen) { return seen.free_bytes == 50 && seen.models.size() == 1; });
+    EXPECT_EQ(load("m1", 60).reason, wire::refusal::no_memory);
+}
+
 TEST_F(agent_with_engine, one_load_serves_orders_that_come_twice) {
     add_fault(engine->address(), {{"kind", "load_slow"}, {"delay_ms", 200}});
     wire::load_order order;
--- a/tests/contract/agent_requests_test.cpp
+++ b/tests/contract/agent_requests_test.cpp
@@ -308,6 +308,19 @@
     EXPECT_LE(at, 2) << "behind what ran and at most one of the other customer's";
 }
 
+TEST_F(agent_with_fresh_engine, sudden_coldness_brings_the_limit_back_to_its_start) {
+    agent.reset();
+    settings.ramp_start = 2;
+    settings.ramp_step_every = 1ms;
+    start_agent();
+    load("m1", 60);
+    for (int i = 0; i < 5; ++i)
+        EXPECT_TRUE(run(chat("r" + std::to_string(i), "a", 1)).finished.has_value());
+    steward->await_report([](const auto& seen) { return seen.load.limit >= 6; });
+    add_fault(engine->address(), {{"kind", "cold"}, {"delay_ms", 60'000}});
+    EXPECT_EQ(steward->await_report([](const auto& seen) { return seen.load.limit < 6; }).load.limit, 2);
+}
+
 TEST_F(agent_with_fresh_engine, data_centre_taken_out_gets_no_new_work_and_comes_back) {
     const auto data_centre = [](core::config::data_centre_state at) {
         return core::config::encode(core::config::data_centre{"cerro", "montevideo", at});
