--- /dev/null
+++ b/src/programs/experiment/rates.cpp
@@ -0,0 +1,123 @@
+#include "core/limits/bucket.hpp"
+#include "core/limits/wallet.hpp"
+#include "programs/experiment/experiments.hpp"
+
+#include <array>
+#include <cmath>
+#include <random>
+
+namespace waxwinglb::programs::experiment {
+namespace {
+
+using namespace std::chrono_literals;
+namespace limits = core::limits;
+using core::common::duration;
+using core::common::time_point;
+
+constexpr std::size_t routers = 4;
+constexpr double rate = 1'000;  // tokens a second over all routers
+constexpr double burst = 2'000; // tokens
+constexpr std::int64_t tokens = 100;
+constexpr double demand = 0.8; // of the rate
+constexpr duration span = 600s;
+constexpr duration round_trip = 2ms;
+constexpr std::array<double, routers> skew{0.7, 0.1, 0.1, 0.1};
+const time_point start = time_point{} + 1h;
+
+struct arrival {
+    time_point at;
+    std::size_t router;
+};
+
+std::vector<arrival> make_arrivals(std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(demand * rate / tokens);
+    std::discrete_distribution<std::size_t> where(skew.begin(), skew.end());
+    std::vector<arrival> out;
+    for (time_point at = start; at < start + span;) {
+        at += std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(random)));
+        out.push_back({at, where(random)});
+    }
+    return out;
+}
+
+/// What one exact bucket over all routers admits.
+class exact_bucket {
+public:
+    exact_bucket(double per_second, double most) : rate_(per_second), burst_(most), there_(most) {}
+    bool take(time_point now) {
+        there_ = std::min(burst_, there_ + rate_ * std::chrono::duration<double>(now - at_).count());
+        at_ = now;
+        if (there_ < tokens)
+            return false;
+        there_ -= tokens;
+        return true;
+    }
+
+private:
+    double rate_;
+    double burst_;
+    double there_;
+    time_point at_ = start;
+};
+
+/// Asks until served or refused; each draw takes one round trip.
+bool reserve(limits::wallet& wallet, limits::bucket& bucket, time_point now) {
+    for (int tries = 0; tries < 3; ++tries) {
+        const auto got = wallet.reserve(now, tokens);
+        if (got.outcome == limits::reserve_outcome::served)
+            return wallet.settle(now, got.reservation, tokens), true;
+        if (got.outcome == limits::reserve_outcome::refused)
+            return false;
+        const auto order = wallet.next_draw(now);
+        if (!order)
+            return false;
+        const auto answer = bucket.draw(now + round_trip / 2, order->wanted, order->settled);
+        now += round_trip;
+        wallet.drawn(now, order->id, answer);
+    }
+    return false;
+}
+
+/// Draws ahead, settlements and returns that are due before `until`.
+void run_wallets(std::array<limits::wallet, routers>& wallets, limits::bucket& bucket, time_point from,
+                 time_point until, double& draws) {
+    constexpr duration tick = 20ms;
+    for (time_point now = from; now < until; now += tick)
+        for (limits::wallet& one : wallets)
+            if (const auto order = one.next_draw(now)) {
+                one.drawn(now + round_trip, order->id, bucket.draw(now, order->wanted, order->settled));
+                ++draws;
+            }
+}
+
+outcome summary(const std::string& policy, double all, double wrongful, double draws) {
+    return {
+        policy,
+        {{"requests", all}, {"wrongful refusals %", 100 * wrongful / all}, {"draws ahead /s", draws / 600}}};
+}
+
+} // namespace
+
+std::vector<outcome> run_rates(std::uint64_t seed) {
+    const auto arrivals = make_arrivals(seed);
+    const auto all = static_cast<double>(arrivals.size());
+    exact_bucket reference{rate, burst};
+    std::vector<exact_bucket> parts(routers, exact_bucket{rate / routers, burst / routers});
+    limits::bucket bucket{start - 1h, 1, {rate, burst, 1}};
+    std::array<limits::wallet, routers> wallets;
+    double by_split = 0;
+    double by_grants = 0;
+    double draws = 0;
+    time_point last = start;
+    for (const arrival& one : arrivals) {
+        run_wallets(wallets, bucket, last, one.at, draws);
+        last = one.at;
+        const bool right = reference.take(one.at);
+        by_split += right && !parts[one.router].take(one.at) ? 1 : 0;
+        by_grants += right && !reserve(wallets[one.router], bucket, one.at) ? 1 : 0;
+    }
+    return {summary("equal static split", all, by_split, 0), summary("drawn grants", all, by_grants, draws)};
+}
+
+} // namespace waxwinglb::programs::experiment
