--- a/src/programs/router/calls.cpp
+++ b/src/programs/router/calls.cpp
@@ -19,7 +19,8 @@
 constexpr milliseconds unsettled_after{30'000}; // an outcome that can't be stored for so long is left open
 
 std::int64_t unix_ms() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
 }
 
 } // namespace
@@ -39,47 +40,64 @@
         parts_.metrics.count_retry();
     release_load(call);
     call.avoid = what.avoid;
+    call.pause = what.pause;
+    call.tries_again = {};
+    call.placing_since = now;
+    call.cold = false;
     place(call, now);
 }
 
 /// Chooses a target from the view, or lets the call wait for one.
 void call_table::place(live_call& call, time_point now) {
-    if (!call.machine.waits_for_replica())
+    if (!call.machine.waits_for_replica() || call.tries_again > now)
         return;
     replica_set_view& view = parts_.views.use(call.service, call.model, now);
     const auto condemned = view.condemned.find(call.fingerprint);
     if (condemned != view.condemned.end() && now < condemned->second)
-        return end(call, end_reason::quarantined,
-                   std::chrono::ceil<milliseconds>(condemned->second - now), now);
+        return end(call, end_reason::quarantined, std::chrono::ceil<milliseconds>(condemned->second - now),
+                   now);
     core::routing::choice_wish wish;
     wish.adapter = call.from.chat.adapter;
     wish.own_data_centre = parts_.settings.data_centre;
     wish.out = &parts_.config.data_centres_out();
     wish.avoid = call.avoid;
     wish.random = random();
-    const core::routing::replica* chosen = view.valid(now) ? core::routing::choose(view.replicas, wish) : nullptr;
+    const core::routing::replica* chosen =
+        view.valid(now) ? core::routing::choose(view.replicas, wish) : nullptr;
     if (chosen != nullptr) {
         parts_.views.stop_waiting(call.service, call.model, call.id);
-        if (call.cold_since != time_point{})
-            parts_.metrics.cold_start(now - std::exchange(call.cold_since, time_point{}));
+        if (call.cold)
+            parts_.metrics.cold_start(now - call.placing_since);
         call.address = chosen->address;
         return run(call, call.machine.placed(chosen->target, now), now);
     }
     if (view.valid(now) && view.reason != wire::refusal::none)
         return end(call, end_reason::no_replica, std::max(view.retry_after, short_retry), now);
-    const bool tried_all =
-        view.valid(now) && std::any_of(view.replicas.begin(), view.replicas.end(), [&](const auto& one) {
-            return one.ready && call.avoid.contains(one.target);
-        });
-    if (tried_all)
-        return end(call, end_reason::overloaded, short_retry, now);
-    if (call.cold_since == time_point{})
-        call.cold_since = now;
+    if (view.valid(now) && tried_all(call, view))
+        return place_later(call, now);
+    call.cold = call.cold || (view.valid(now) && !call.model.empty());
     parts_.views.wait(view, call.id, {call.customer, call.cost, call.machine.options().deadline}, now);
     if (view.valid(now))
         run(call, call.machine.wait_for_replica(view.estimate_left(now), now), now);
 }
 
+bool call_table::tried_all(const live_call& call, const replica_set_view& view) const {
+    return std::any_of(view.replicas.begin(), view.replicas.end(), [&](const core::routing::replica& one) {
+        return one.ready && call.avoid.contains(one.target);
+    });
+}
+
+/// Every target has refused or failed: they are tried again after a pause, if the deadline leaves time for
+/// it.
+void call_table::place_later(live_call& call, time_point now) {
+    if (call.tries_again > now)
+        return;
+    call.tries_again = now + call.pause;
+    call.avoid.clear();
+    pauses_.insert({call.tries_again, call.id});
+    run(call, call.machine.wait_for_replica(call.pause, now), now);
+}
+
 void call_table::carry_out(live_call& call, const core::routing::claim_action& what, time_point now) {
     (void)what;
     call.claim.__set_attempt(1);
@@ -122,7 +140,9 @@
         call->claim = result.existing;
         call->address = result.existing.address;
         by_request_.emplace(result.existing.request_id, id);
-        return run(*call, call->machine.collect(result.existing.request_id, result.existing.attempt, done, now), now);
+        return run(*call,
+                   call->machine.collect(result.existing.request_id, result.existing.attempt, done, now),
+                   now);
     }
     if (result.existing.state == "running" || result.existing.state == "unknown") {
         core::routing::ending unknown;
@@ -175,7 +195,8 @@
     parts_.views.count_sent(call.service, call.model, call.machine.target(), 1);
     call.load_on = call.machine.target();
     parts_.context.timeline.add(edge::event_kind::attempt, call.machine.options().request_id,
-                                "attempt " + std::to_string(what.attempt) + " sent to " + call.machine.target());
+                                "attempt " + std::to_string(what.attempt) + " sent to " +
+                                    call.machine.target());
 }
 
 void call_table::carry_out(live_call& call, const core::routing::resume_action& what, time_point now) {
@@ -259,6 +280,8 @@
         if (end.reason == end_reason::body_mismatch)
             return;
         call.claim.__set_state("not_run");
+    } else if (end.reason == end_reason::target_failed) {
+        call.claim.__set_state("unknown"); // ended, and nobody has an answer
     } else {
         return; // still running as far as anybody knows; a repeat may collect the answer from the agent
     }
@@ -344,6 +367,12 @@
         call->wakes = {};
         run(*call, call->machine.tick(now), now);
     }
+    while (!pauses_.empty() && pauses_.begin()->first <= now) {
+        const call_id id = pauses_.begin()->second;
+        pauses_.erase(pauses_.begin());
+        if (live_call* call = find(id))
+            place(*call, now);
+    }
     bury();
     parts_.metrics.open_requests(calls_.size());
 }
--- a/tests/contract/agent_fixture.hpp
+++ b/tests/contract/agent_fixture.hpp
@@ -1,6 +1,7 @@
 // An agent with its target in one process, and a peer that speaks to it over a real link.
 #pragma once
 
+#include "core/config/codec.hpp"
 #include "edge/http_client.hpp"
 #include "edge/link.hpp"
 #include "edge/ring.hpp"
@@ -57,6 +58,18 @@
         hub_.send(link_, what, call, body);
     }
     void send_bytes(std::string bytes) { hub_.send_bytes(link_, std::move(bytes)); }
+    /// Returns once the agent has answered what was sent before, or has closed the link for it.
+    void flush() {
+        wire::cancel_request last;
+        last.request_id = "flush";
+        send(kind::cancel_request, 99, last);
+        for (;;) {
+            const auto event = next_event();
+            if (event.kind == edge::link_event_kind::closed || event.frame.header.call == 99 ||
+                ::testing::Test::HasFailure())
+                return;
+        }
+    }
     edge::link_event next_event() {
         auto event = events_.pop_until(core::common::clock::now() + patience);
         EXPECT_TRUE(event.has_value()) << "no event came";
@@ -99,6 +112,51 @@
     edge::link_id link_ = 0;
 };
 
+/// Stands in for a steward's feed of the configuration.
+class feed {
+public:
+    feed()
+        : hub_(options(), [this](edge::link_event&& event) { events.push(std::move(event)); }),
+          port_(hub_.listen("127.0.0.1:0")) {
+        hub_.start();
+    }
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    void await_subscription() {
+        for (;;) {
+            auto event = events.pop_until(core::common::clock::now() + patience);
+            ASSERT_TRUE(event.has_value());
+            link_ = event->link;
+            if (event->kind == edge::link_event_kind::message &&
+                event->frame.header.kind == kind::subscribe_config)
+                return;
+        }
+    }
+    void send(std::int64_t revision, const std::string& key, const std::string& value) {
+        wire::config_update update;
+        update.from_revision = revision - 1;
+        update.revision = revision;
+        update.parts = 1;
+        wire::config_entry entry;
+        entry.revision = revision;
+        entry.key = key;
+        entry.value = value;
+        update.entries.push_back(entry);
+        hub_.send(link_, kind::config_update, 0, update);
+    }
+    edge::ring<edge::link_event> events{10'000};
+
+private:
+    static edge::link_options options() {
+        edge::link_options out;
+        out.self.process = "steward-1";
+        out.self.role = "steward";
+        return out;
+    }
+    edge::link_hub hub_;
+    std::uint16_t port_;
+    edge::link_id link_ = 0;
+};
+
 /// How a request ended, as its router sees it.
 struct outcome {
     std::string body;
@@ -163,6 +221,10 @@
 
 class agent_with_engine : public ::testing::Test {
 protected:
+    agent_with_engine() {
+        settings.concurrency = 8;
+        settings.ramp_start = 8;
+    }
     void SetUp() override { begin({}); }
     void begin(standins::engine::engine_options options) {
         options.memory = 100;
@@ -176,8 +238,6 @@
         settings.listen = "127.0.0.1:0";
         settings.engine = engine->address();
         settings.memory = 100;
-        settings.concurrency = 8;
-        settings.ramp_start = 8;
         settings.order_timeout = 100ms;
         settings.stall_timeout = 300ms;
         start_agent();
