--- a/src/programs/admin/api.cpp
+++ b/src/programs/admin/api.cpp
@@ -147,6 +147,7 @@
             return read(one);
         if (request.method == "PUT")
             return change(one);
+        return refuse(one.exchange, {405, "method_not_allowed", "The preset in force takes GET and PUT.", {}});
     }
     for (const auto& [name, kind] : collections)
         if (name == collection)
