Let a new acceptor wait until every earlier one has seen it

Cause: a steward cut from the store trusts its copy while every acceptor in that copy is heard and cut off too; an acceptor registered meanwhile could accept behind its back.

--- a/src/programs/admin/acceptor.cpp
+++ b/src/programs/admin/acceptor.cpp
@@ -207,7 +207,7 @@
 
 /// True if the submission has entries to write; otherwise it has been answered.
 bool acceptor::judge_one(judged_submission& one, book& onto, std::vector<accepted_entry>& entries) {
-    if (!one.wanted.registers && !one.wanted.dry_run && !registered()) {
+    if (!one.wanted.registers && !one.wanted.dry_run && !accepting()) {
         answer(one.wanted, submit_outcome::unconfirmed, {}, 0);
         return false;
     }
--- a/src/programs/admin/acceptor.hpp
+++ b/src/programs/admin/acceptor.hpp
@@ -43,7 +43,7 @@
     core::acceptance::actor by;
     std::int64_t unix_ms = 0;
     bool dry_run = false;
-    bool registers = false; // this process's own entry in the list of acceptors
+    bool registers = false; // a change of the list of acceptors by this process itself
     std::function<void(submit_result&&)> done;
 };
 
@@ -58,6 +58,8 @@
 
     [[nodiscard]] const head_copy& head() const { return head_; }
     [[nodiscard]] bool registered() const; // stands in the list of acceptors with this boot
+    void confirm(bool known_to_others) { confirmed_ = known_to_others; }
+    [[nodiscard]] bool accepting() const { return registered() && confirmed_; }
     [[nodiscard]] bool idle() const { return step_ == step::idle && queue_.empty(); }
 
     /// Newest revision known or possibly accepted; what stewards compare their copies with.
@@ -118,6 +120,7 @@
     std::deque<submission> queue_;
     std::optional<batch> batch_;
     int conflicts_ = 0;
+    bool confirmed_ = false;    // every other acceptor has seen this one's registration
     std::uint64_t cleanup_ = 0; // number of the list call; 0: none
     std::optional<core::common::time_point> unreachable_since_;
 };
--- a/src/programs/admin/answers.cpp
+++ b/src/programs/admin/answers.cpp
@@ -63,7 +63,7 @@
     case submit_outcome::unconfirmed:
         return {503,
                 "not_an_acceptor",
-                "This process does not stand in the list of acceptors yet; the change was not accepted.",
+                "Not every other acceptor knows this process yet; the change was not accepted.",
                 {}};
     case submit_outcome::unknown:
         return {504,
--- a/src/programs/admin/api.cpp
+++ b/src/programs/admin/api.cpp
@@ -147,7 +147,8 @@
             return read(one);
         if (request.method == "PUT")
             return change(one);
-        return refuse(one.exchange, {405, "method_not_allowed", "The preset in force takes GET and PUT.", {}});
+        return refuse(one.exchange,
+                      {405, "method_not_allowed", "The preset in force takes GET and PUT.", {}});
     }
     for (const auto& [name, kind] : collections)
         if (name == collection)
@@ -386,7 +387,7 @@
                   {"preset_in_force", entries.preset_in_force()},
                   {"data_centres", std::move(data_centres)},
                   {"acceptors", std::move(acceptors)},
-                  {"accepting", changes_.registered()},
+                  {"accepting", changes_.accepting()},
                   {"store_reachable", !changes_.unreachable_since().has_value()},
                   {"services", entries.with_prefix("service/").size()},
                   {"models", entries.with_prefix("model/").size()},
--- a/src/programs/admin/run.cpp
+++ b/src/programs/admin/run.cpp
@@ -1,5 +1,6 @@
 #include "programs/admin/run.hpp"
 
+#include "programs/admin/acknowledgements.hpp"
 #include "programs/admin/api.hpp"
 
 #include <variant>
@@ -39,6 +40,7 @@
           hub_(link_options(settings, boot_),
                [this](edge::link_event&& event_seen) { events_.try_push(event{std::move(event_seen)}); }),
           store_(client_, settings.platform, events_), acceptor_(settings, boot_, store_, context.timeline),
+          acknowledgements_(settings, acceptor_, store_),
           pages_(settings.steward_operations, client_, events_), api_(settings, acceptor_, pages_, context),
           server_(server_options(settings),
                   [this](const edge::exchange_ptr& exchange) { receive(exchange); }) {}
@@ -80,7 +82,10 @@
     }
 
     void take(const edge::exchange_ptr& exchange, time_point now) { api_.take(exchange, now); }
-    void take(const store_event& answer, time_point now) { acceptor_.take(answer, now); }
+    void take(const store_event& answer, time_point now) {
+        acceptor_.take(answer, now);
+        acknowledgements_.take(answer, now);
+    }
     void take(const steward_page_event& page, time_point now) {
         (void)now;
         pages_.take(page);
@@ -94,8 +99,10 @@
     void tick(time_point now) {
         acceptor_.tick(now);
         register_self(now);
+        acknowledgements_.tick(now);
+        acceptor_.confirm(acknowledgements_.confirmed());
         send_status(now);
-        context_.ready = acceptor_.head().known() && acceptor_.registered();
+        context_.ready = acceptor_.head().known() && acceptor_.accepting();
     }
 
     /// Nothing may be accepted by a process that stewards don't know to listen to.
@@ -153,6 +160,7 @@
     edge::link_hub hub_;
     store store_;
     acceptor acceptor_;
+    acknowledgements acknowledgements_;
     in_force_pages pages_;
     api api_;
     edge::http_server server_;
--- a/tests/programs/test_admin_api.py
+++ b/tests/programs/test_admin_api.py
@@ -282,5 +282,35 @@
         assert refused.status == 503 and refused.json()["accepted"] == "no", refused
 
 
+def test_a_new_acceptor_waits_for_those_before_it():
+    with harness.Deployment(ARGUMENTS.bin, layout()) as d:
+        d.start("platform", "admin-1")
+        wait_until(d.programs["admin-1"].ready, "the first one accepts")
+        d.programs["admin-1"].freeze()      # alive, but cut from all that happens
+        d.start("admin-2")
+        wait_until(lambda: "Registered" in d.programs["admin-2"].log_text(), "the second one is registered")
+        status = d.admin("GET", "/v1/status", index=1, token=OWNER).json()
+        assert status["accepting"] is False and len(status["acceptors"]) == 2, status
+        refused = d.admin("POST", "/v1/customers", CUSTOMER, index=1, token=OWNER)
+        assert refused.status == 503 and refused.json()["code"] == "not_an_acceptor", refused
+        d.programs["admin-1"].thaw()
+        wait_until(d.programs["admin-2"].ready, "the second one accepts once the first has seen it")
+        assert d.admin("POST", "/v1/customers", CUSTOMER, index=1, token=OWNER).status == 201
+
+
+def test_an_acceptor_whose_vm_is_gone_holds_up_nobody():
+    with harness.Deployment(ARGUMENTS.bin, layout()) as d:
+        d.start("platform", "admin-1")
+        wait_until(d.programs["admin-1"].ready, "the first one accepts")
+        d.programs["admin-1"].kill()
+        d.start("admin-2")
+        wait_until(lambda: "Registered" in d.programs["admin-2"].log_text(), "the second one is registered")
+        assert not d.programs["admin-2"].ready()
+        request(d.platform_address, "DELETE", "/vms/vm-admin-1")
+        wait_until(d.programs["admin-2"].ready, "the second one accepts once the first one's VM is gone")
+        acceptors = d.admin("GET", "/v1/acceptors", index=1, token=OWNER).json()["items"]
+        assert [one["key"] for one in acceptors] == ["acceptor/vm-admin-2"], acceptors
+
+
 if __name__ == "__main__":
     harness.run_cases([case for name, case in list(globals().items()) if name.startswith("test_")])
