Let a successor begin within its share at once

Cause: after the death of a bucket's holder 14 of 14 requests within the rate got 429 (program test of the router). The successor has half of the share until the predecessor is known to have stopped; what stood set aside and the predecessor's grants were counted against this half, so no token was free for seconds. Ruled out: a longer wait at the router (hides it); a full share before the predecessor is known to have stopped. Change: what is set aside is bounded by the own share of the burst; a predecessor's grants count only beyond the share left to it. Before: 0 of 300 tokens at once (new case). Conclusion: the shares keep the sum below the burst; counting the predecessor twice was needless.

--- a/src/core/limits/bucket.cpp
+++ b/src/core/limits/bucket.cpp
@@ -24,7 +24,7 @@
 bucket::bucket(common::time_point taken_over, std::int64_t fencing, bucket_limits limits, inheritance left)
     : limits_(limits), fencing_(fencing), at_(taken_over),
       assumed_until_(taken_over + grant_term + lapse_margin), assumed_(std::max(left.outstanding, 0.0)),
-      reserved_(std::max(left.reserve, 0.0)), proposed_(reserved_) {}
+      reserved_(std::clamp(left.reserve, 0.0, burst())), proposed_(reserved_) {}
 
 draw_answer bucket::draw(common::time_point now, std::int64_t wanted, std::span<const settlement> settled) {
     advance(now);
@@ -54,6 +54,9 @@
     if (limits == limits_)
         return;
     limits_ = limits;
+    // Beyond its own share this holder can't begin again with what it set aside, nor can a successor.
+    if (!limits_.lapsed)
+        reserved_ = std::min(reserved_, burst());
     clip();
     rooms_.assign(
         1, {0, corrections_}); // rooms under the old limits say nothing: no corrections of what is spent
@@ -207,7 +210,9 @@
 }
 
 double bucket::room() const {
-    const double assumed = at_ < assumed_until_ ? assumed_ : 0.0;
+    // A predecessor that wasn't seen to stop has its grants within the share that is left to it.
+    const double others = (1 - limits_.share) * limits_.burst_tokens;
+    const double assumed = at_ < assumed_until_ ? std::max(assumed_ - others, 0.0) : 0.0;
     const double set_aside = limits_.lapsed ? 0.0 : reserved_;
     return burst() - tokens_ - set_aside - static_cast<double>(outstanding_) - assumed;
 }
--- a/tests/core/reserve_test.cpp
+++ b/tests/core/reserve_test.cpp
@@ -246,6 +246,19 @@
     EXPECT_EQ(second.draw(start + 1'300ms, 300, {}).tokens, 300);
 }
 
+TEST(limits_reserve, successor_of_a_holder_not_seen_to_stop_serves_at_once_within_its_half) {
+    const time_point start = time_point{} + 1'000s;
+    limits::bucket first{start, 1, whole, {burst, 0}};
+    const double left = first.propose_reserve(start);
+    const time_point later = start + 1'300ms;
+    limits::bucket second{later, 2, {rate, burst, 0.5, false}, {left, burst - left}};
+    (void)second.needs_write(later, 300);
+    (void)second.propose_reserve(later);
+    second.confirm_reserve(later);
+    EXPECT_EQ(second.draw(later, 300, {}).tokens, 300);
+    EXPECT_LE(second.tokens(later) + second.reserved(), burst / 2);
+}
+
 TEST(limits_reserve, unconfirmed_write_frees_nothing) {
     const time_point start = time_point{} + 1'000s;
     limits::bucket holder{start, 1, whole, {burst, 0}};
