--- a/src/programs/steward/replicas.hpp
+++ b/src/programs/steward/replicas.hpp
@@ -41,7 +41,7 @@
 struct set_name {
     std::string service;
     std::string model;
-    auto operator<=>(const set_name&) const = default;
+    auto operator<=>(const set_name&) const = default; // NOLINT(modernize-use-nullptr)
     [[nodiscard]] std::string text() const { return model.empty() ? service : service + "/" + model; }
 };
 
--- a/src/programs/steward/shards.cpp
+++ b/src/programs/steward/shards.cpp
@@ -39,7 +39,7 @@
     return std::string(shard_prefix) + std::to_string(shard);
 }
 
-shard_keeper::shard_keeper(const steward_settings& settings, core::membership::lease_identity self,
+shard_keeper::shard_keeper(const steward_settings& settings, const core::membership::lease_identity& self,
                            store& store, state_of state, state_of final_state)
     : term_(settings.lease_term), store_(store), state_(std::move(state)),
       final_state_(std::move(final_state)) {
@@ -136,6 +136,10 @@
     if (one.lease.renewal_due(now) || (one.generation > one.sent_generation && one.was_held))
         return write_state(shard, now);
     const bool overdue = one.lease.takeable(now) && one.lease.free_for(now) >= overdue_after;
+    // After an outage of the store the holders come back first: their terms ended only for want of answers.
+    const bool silent_holder = !one.lease.record().holder.empty();
+    if (silent_holder && now < list_resumed_at_ + term_)
+        return;
     if (one.lease.takeable(now) && now >= began_ + first_take_after && (held < share || overdue))
         if (const auto write = one.lease.take(now))
             carry_out(shard, *write, now);
@@ -171,6 +175,9 @@
         const auto listed = answer.heard() ? edge::decode_objects(answer.body) : std::nullopt;
         if (!listed)
             return;
+        if (now - list_heard_at_ > list_gap)
+            list_resumed_at_ = now;
+        list_heard_at_ = now;
         std::map<std::string, std::int64_t> versions;
         for (const edge::listed_object& object : *listed)
             versions[object.key] = object.version;
--- a/src/programs/steward/shards.hpp
+++ b/src/programs/steward/shards.hpp
@@ -34,14 +34,15 @@
 constexpr core::common::milliseconds lease_list_every{500};   // versions of all shards, one call
 constexpr core::common::milliseconds lease_read_every{1'000}; // content of one shard held elsewhere
 constexpr core::common::milliseconds first_take_after{
-    500}; // after the start: links to other stewards open first
+    500};                                             // after the start: links to other stewards open first
+constexpr core::common::milliseconds list_gap{1'500}; // without a list for longer, the store was out of reach
 constexpr core::common::milliseconds overdue_after{2'000}; // a shard free for longer is taken over the share
 
 class shard_keeper {
 public:
     using state_of = std::function<std::string(int shard)>; // JSON to store
 
-    shard_keeper(const steward_settings& settings, core::membership::lease_identity self, store& store,
+    shard_keeper(const steward_settings& settings, const core::membership::lease_identity& self, store& store,
                  state_of state, state_of final_state);
 
     [[nodiscard]] bool holds(int shard, core::common::time_point now) const;
@@ -101,6 +102,8 @@
     std::vector<entry> shards_;
     std::vector<shard_change> changes_;
     core::common::time_point listed_at_{};
+    core::common::time_point list_heard_at_{};
+    core::common::time_point list_resumed_at_{}; // first list after the store was out of reach
     bool listing_ = false;
     bool stopping_ = false;
     core::common::time_point began_{}; // first tick
