--- a/tests/core/placement_model.hpp
+++ b/tests/core/placement_model.hpp
@@ -26,7 +26,7 @@
     explicit placement_world(int max_replicas) : max_replicas_(max_replicas) {
         for (std::size_t i = 0; i < agents_.size(); ++i)
             agents_[i].centre = "c" + std::to_string(i % 3);
-        holders_[0].emplace();
+        holders_[0].emplace(holder{placement::replica_set{}, 1});
     }
 
     void step(std::uint32_t word) {
