--- a/src/programs/admin/api.cpp
+++ b/src/programs/admin/api.cpp
@@ -99,7 +99,7 @@
     std::vector<core::config::fault> out;
     for (const auto& [name, value] : body.items())
         if (std::find(known.begin(), known.end(), name) == known.end())
-            out.push_back({pointer + "/" + name, "no such member here"});
+            out.push_back({std::string(pointer).append("/").append(name), "no such member here"});
     return out;
 }
 
--- a/src/programs/ctl/deployment_file.cpp
+++ b/src/programs/ctl/deployment_file.cpp
@@ -42,10 +42,10 @@
                 continue;
             }
             if (std::string(kind) == "model")
-                name = text_of(entries[i], "service") + "/" + name;
-            const std::string key = std::string(kind) + "/" + name;
+                name.insert(0, text_of(entries[i], "service") + "/");
+            const std::string key = std::string(kind).append("/").append(name);
             if (!seen.insert(key).second)
-                out.faults.push_back(where + ": " + name + " stands twice");
+                out.faults.push_back(std::string(where).append(": ").append(name).append(" stands twice"));
             out.changes.push_back({{"key", key}, {"value", entries[i]}});
         }
     }
@@ -55,8 +55,8 @@
         out.changes.push_back({{"key", "preset-in-force"}, {"value", {{"name", *preset}}}});
     }
     for (const auto& [name, value] : configuration.items()) {
-        const bool known =
-            std::any_of(lists.begin(), lists.end(), [&](const auto& one) { return one.first == name; });
+        const bool known = std::any_of(lists.begin(), lists.end(),
+                                       [wanted = name](const auto& one) { return one.first == wanted; });
         if (!known && name != "preset_in_force")
             out.faults.push_back("configuration." + name + ": not known here");
     }
