--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <mutex>
 #include <optional>
+#include <set>
 
 namespace waxwinglb::edge {
 namespace {
@@ -82,7 +83,7 @@
 
 int http_exchange::queue_or_suspend() {
     const std::scoped_lock hold{mutex_};
-    if (cut_)
+    if (cut_ || ending_)
         return MHD_NO;
     if (answer_)
         return queue();
@@ -105,6 +106,8 @@
     }
     if (stream_ended_)
         return stream_cut_ ? MHD_CONTENT_READER_END_WITH_ERROR : MHD_CONTENT_READER_END_OF_STREAM;
+    if (ending_)
+        return MHD_CONTENT_READER_END_WITH_ERROR;
     suspended_ = true;
     MHD_suspend_connection(connection_);
     return 0;
@@ -123,6 +126,11 @@
     resume();
 }
 
+void http_exchange::end_connection() {
+    const std::scoped_lock hold{mutex_};
+    resume();
+}
+
 void http_exchange::resume() {
     if (!suspended_ || gone_)
         return;
@@ -134,7 +142,12 @@
 public:
     impl(http_server_options options, http_handler handler)
         : options_(std::move(options)), handler_(std::move(handler)) {}
+    /// MHD aborts the process if a connection is still suspended when its daemon stops. From `ending_` on
+    /// none is suspended any more; those that were before are resumed here.
     ~impl() {
+        ending_ = true;
+        for (const exchange_ptr& one : live())
+            one->end_connection();
         if (daemon_ != nullptr)
             MHD_stop_daemon(daemon_);
         if (quiesced_ != MHD_INVALID_SOCKET)
@@ -155,9 +168,23 @@
             ::shutdown(quiesced_, SHUT_RDWR);
     }
     [[nodiscard]] std::uint16_t port() const { return port_; }
-    [[nodiscard]] std::size_t open() const { return open_; }
+    [[nodiscard]] std::size_t open() const {
+        const std::scoped_lock hold{live_mutex_};
+        return live_.size();
+    }
 
 private:
+    [[nodiscard]] std::set<exchange_ptr> live() const {
+        const std::scoped_lock hold{live_mutex_};
+        return live_;
+    }
+    void note_live(const exchange_ptr& one, bool begun) {
+        const std::scoped_lock hold{live_mutex_};
+        if (begun)
+            live_.insert(one);
+        else
+            live_.erase(one);
+    }
     static MHD_Result handle(void* self, MHD_Connection* connection, const char* url, const char* method,
                              const char* version, const char* data, std::size_t* size, void** state);
     static void completed(void* self, MHD_Connection* connection, void** state,
@@ -166,7 +193,9 @@
     http_server_options options_;
     http_handler handler_;
     MHD_Daemon* daemon_ = nullptr;
-    std::atomic<std::size_t> open_{0};
+    std::atomic<bool> ending_{false};
+    mutable std::mutex live_mutex_;
+    std::set<exchange_ptr> live_; // begun and not completely answered
     std::uint16_t port_ = 0;
     MHD_socket quiesced_ = MHD_INVALID_SOCKET; // the listening socket, once no more is accepted
 };
@@ -201,8 +230,8 @@
     (void)version;
     auto& server = *static_cast<impl*>(self);
     if (*state == nullptr) {
-        ++server.open_;
-        auto made = std::make_shared<http_exchange>(connection, server.options_.max_unsent);
+        auto made = std::make_shared<http_exchange>(connection, server.options_.max_unsent, server.ending_);
+        server.note_live(made, true);
         made->request_.method = method;
         made->request_.path = url;
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect_header, &made->request_.headers);
@@ -240,9 +269,9 @@
         return;
     auto* current = static_cast<exchange_ptr*>(*state);
     (*current)->completed();
+    static_cast<impl*>(self)->note_live(*current, false);
     delete current;
     *state = nullptr;
-    --static_cast<impl*>(self)->open_;
 }
 
 bool http_server::impl::start() {
--- a/src/edge/http_server.hpp
+++ b/src/edge/http_server.hpp
@@ -4,6 +4,7 @@
 /// hands the exchange to another duty. Any thread may answer later; the connection sleeps until then.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -50,8 +51,9 @@
     void cut();                                                     // closes without any answer
     [[nodiscard]] bool caller_gone() const;                         // connection ended early
 
-    http_exchange(MHD_Connection* connection, std::size_t max_unsent) // made by the server only
-        : connection_(connection), max_unsent_(max_unsent) {}
+    http_exchange(MHD_Connection* connection, std::size_t max_unsent, // made by the server only
+                  const std::atomic<bool>& ending)
+        : connection_(connection), max_unsent_(max_unsent), ending_(ending) {}
 
 private:
     friend class http_server;
@@ -61,9 +63,11 @@
     void completed();
     void finish(bool cut);
     void resume();
+    void end_connection(); // the server ends: nothing may stay suspended
 
     MHD_Connection* connection_;
     std::size_t max_unsent_;
+    const std::atomic<bool>& ending_; // of the server, which outlives its connections
     http_request request_;
     mutable std::mutex mutex_;
     std::optional<http_response> answer_;
--- a/tests/contract/http_test.cpp
+++ b/tests/contract/http_test.cpp
@@ -189,3 +189,17 @@
     exchange->respond({200, {}, "done"});
     EXPECT_EQ(one.wait().body, "done");
 }
+
+TEST(http, a_server_ends_while_exchanges_wait) {
+    auto served = std::make_unique<server_under_test>();
+    caller one;
+    caller two;
+    one.send(get(served->url("/never")));
+    two.send(get(served->url("/stream")));
+    std::vector<edge::exchange_ptr> held{served->next(), served->next()};
+    held[1]->begin_stream(200, {});
+    held[1]->write_stream("half");
+    served.reset();
+    EXPECT_NE(one.wait().outcome, edge::client_outcome::answered);
+    EXPECT_NE(two.wait().outcome, edge::client_outcome::answered);
+}
