Acknowledge only the registration that was written

Cause: two administration processes that start together: one may never accept. The earlier one counted a registration as acknowledged that it had read while the write of an older acknowledgement was on its way (trace: acceptors/vm-admin-2 holds seen 1, its process stands at revision 2 and asks no more). Ruled out: a lost watch and a lost wake-up of the HTTP client; both processes stood at revision 2. Change: what was written is remembered and compared. New case: eight starts of two processes at once. Conclusion: a registration can't be passed over.

--- a/src/programs/admin/acknowledgements.cpp
+++ b/src/programs/admin/acknowledgements.cpp
@@ -75,8 +75,8 @@
     own_call_ = 0;
     if (event.call == store_call::write_ack) {
         if (event.answer.outcome == store_outcome::ok)
-            acknowledged_ = newest_registration_;
-        return; // otherwise read and written again
+            acknowledged_ = written_; // a newer registration may have been read meanwhile
+        return;                       // otherwise read and written again
     }
     if (event.answer.outcome != store_outcome::ok && event.answer.outcome != store_outcome::absent)
         return;
@@ -84,8 +84,9 @@
         acknowledged_ = newest_registration_;
         return;
     }
+    written_ = newest_registration_;
     own_call_ = store_.put(store_call::write_ack, ack_key(settings_.vm), event.answer.version,
-                           json{{"seen", newest_registration_}}.dump());
+                           json{{"seen", written_}}.dump());
 }
 
 void acknowledgements::ask_others(time_point now) {
--- a/src/programs/admin/acknowledgements.hpp
+++ b/src/programs/admin/acknowledgements.hpp
@@ -51,6 +51,7 @@
     std::int64_t own_registered_ = 0;             // revision of this process's entry; 0: none
     std::int64_t newest_registration_ = 0;        // of all entries
     std::int64_t acknowledged_ = 0;               // written to the store by this process
+    std::int64_t written_ = 0;                    // revision in the newest write of the own acknowledgement
     std::uint64_t own_call_ = 0;                  // read or write of the own acknowledgement under way
     std::uint64_t vms_call_ = 0;
     std::int64_t read_revision_ = -1; // of the book when the list was last read
--- a/tests/programs/test_admin_api.py
+++ b/tests/programs/test_admin_api.py
@@ -65,6 +65,12 @@
         d.must(404, "GET", "/v1/customers/norte")
 
 
+def test_all_that_start_at_once_accept():
+    for _ in range(8):
+        with admins() as d:
+            assert d.revision() == 2
+
+
 def test_dry_run_writes_nothing():
     with admins() as d:
         before = d.revision()
