Mend a read of freed memory in the memory ledger's test

Cause: AddressSanitizer stopped core_tests: the model of an engine looked at an entry that it had just erased. Ruled out: a fault of the ledger; the read decided nothing for an unload. Change: an unload ends the function's look at the entry.

--- a/tests/core/memory_test.cpp
+++ b/tests/core/memory_test.cpp
@@ -61,8 +61,8 @@
         if (one.kind == what::load && found == engine.end())
             engine[one.key.model] = {one.bytes, *rc::gen::arbitrary<bool>(), {}};
         if (one.kind == what::unload)
-            engine.erase(one.key.model);
-        if (found == engine.end() || !found->second.listed)
+            engine.erase(one.key.model); // `found` is gone
+        if (one.kind == what::unload || found == engine.end() || !found->second.listed)
             return;
         if (one.kind == what::adapter_load)
             found->second.adapters.emplace(one.key.name, one.bytes);
