--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -20,7 +20,8 @@
   crash_report = 60, quarantine_notice = 61,
   subscribe_config = 70, config_update = 71, config_fresh = 72, acceptor_status = 73, apply_report = 74,
   feed_elsewhere = 75,
-  bucket_handover = 80, bucket_handover_ack = 81, stood_down = 82
+  bucket_handover = 80, bucket_handover_ack = 81, stood_down = 82,
+  peer_status = 90
 }
 
 /** Whether a request's work ran at its target. */
@@ -154,3 +155,20 @@
 
 struct bucket_handover { 1: string customer, 2: i64 tokens, 3: i64 outstanding, 4: i64 fencing }
 struct bucket_handover_ack { 1: string customer, 2: bool taken }
+
+// ---- gateways among themselves, one datagram each ------------------------------------------------
+
+/** Requests of one gateway now at a target, by model ("MODEL" or "MODEL/ADAPTER"; empty at plain services). */
+struct target_use { 1: string target, 2: string model, 3: i32 running, 4: i64 idle_ms }
+/** Requests waiting at one gateway for a model, and how many a second ask for it. */
+struct model_demand { 1: string service_name, 2: string model, 3: i32 waiting, 4: i64 oldest_ms, 5: i32 priority, 6: double per_second }
+struct customer_demand { 1: string customer, 2: double tokens_per_second }
+/** What a target holds, as the giver of its orders knows. coming: models being loaded. */
+struct target_holding { 1: string target, 2: i64 born, 3: i64 sequence, 4: list<string> models, 5: list<string> coming }
+struct leaving_target { 1: string target, 2: i64 born }
+struct peer_status {
+  1: string process, 2: i64 boot, 3: i64 sequence, 4: bool leaving, 5: list<string> heard,
+  6: i64 config_version, 7: string config_address, 8: i64 centres_revision, 9: list<string> centres_out,
+  10: list<target_use> uses, 11: list<model_demand> demands, 12: list<customer_demand> customers,
+  13: list<target_holding> holdings, 14: list<leaving_target> leaving_targets, 15: list<quarantine> suspects
+}
--- /dev/null
+++ b/src/core/dispatch/target_choice.cpp
@@ -0,0 +1,113 @@
+#include "core/dispatch/target_choice.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace waxwinglb::core::dispatch {
+namespace {
+
+constexpr double failure_weight = 3.0;  // a target that fails everything looks three times as full
+constexpr double far_weight = 0.02;     // mild preference for the own data centre
+constexpr double affinity_slack = 0.15; // load share that a session's own target may be fuller than the best
+
+enum class fit { fits, wrong_model, wrong_adapter, coming };
+
+fit model_fit(const fleet::target& one, const fleet::model_wish& wish) {
+    if (wish.model.empty())
+        return fit::fits;
+    const auto loaded = one.entry.models.find(wish.model);
+    if (loaded == one.entry.models.end())
+        return one.coming.contains(wish.model) ? fit::coming : fit::wrong_model;
+    if (wish.adapter.empty())
+        return fit::fits;
+    const auto& adapters = loaded->second;
+    return std::find(adapters.begin(), adapters.end(), wish.adapter) != adapters.end() ? fit::fits
+                                                                                       : fit::wrong_adapter;
+}
+
+double fullness(const candidate& one) {
+    return static_cast<double>(one.load) / static_cast<double>(std::max(1, one.limit)) +
+           failure_weight * one.failure_rate + (one.near ? 0 : far_weight);
+}
+
+std::uint64_t affinity(const candidate& one, std::uint64_t session) {
+    return XXH3_64bits_withSeed(one.target->entry.id.data(), one.target->entry.id.size(), session);
+}
+
+/// What keeps this one target from taking the request.
+obstacle check(const candidate& one, const wish& what, common::time_point now) {
+    const fleet::target& target = *one.target;
+    const bool tried = what.tried != nullptr && what.tried->contains(target.entry.id);
+    const bool out = what.centres_out != nullptr && what.centres_out->contains(target.entry.data_centre);
+    const bool barred = what.only != nullptr && !what.only->contains(target.entry.id);
+    if (target.entry.draining || tried || barred || out || (target.gone_at && now >= *target.gone_at))
+        return obstacle::no_target;
+    switch (model_fit(target, what.model)) {
+    case fit::wrong_model:
+        return obstacle::no_model;
+    case fit::coming:
+        return obstacle::loading;
+    case fit::wrong_adapter:
+        return obstacle::no_adapter;
+    case fit::fits:
+        break;
+    }
+    if (!one.reachable)
+        return obstacle::unreachable;
+    if (!one.cold_allowance)
+        return obstacle::cold;
+    return one.load >= one.limit ? obstacle::full : obstacle::none;
+}
+
+} // namespace
+
+const char* name_of(obstacle what) {
+    switch (what) {
+    case obstacle::none:
+        return "none";
+    case obstacle::full:
+        return "full";
+    case obstacle::cold:
+        return "cold";
+    case obstacle::no_adapter:
+        return "no_adapter";
+    case obstacle::loading:
+        return "loading";
+    case obstacle::no_model:
+        return "no_model";
+    case obstacle::unreachable:
+        return "unreachable";
+    case obstacle::no_target:
+        return "no_target";
+    }
+    return "unknown";
+}
+
+choice choose(std::span<const candidate> candidates, const wish& what, common::time_point now) {
+    choice out;
+    std::vector<const candidate*> usable;
+    for (const candidate& one : candidates) {
+        const obstacle why = check(one, what, now);
+        if (why == obstacle::none)
+            usable.push_back(&one);
+        else
+            out.why = std::min(out.why, why);
+    }
+    if (usable.empty())
+        return out;
+    const candidate* best = *std::min_element(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
+        return fullness(*a) < fullness(*b);
+    });
+    if (what.session != 0) {
+        const candidate* own =
+            *std::max_element(usable.begin(), usable.end(), [&](const auto* a, const auto* b) {
+                return affinity(*a, what.session) < affinity(*b, what.session);
+            });
+        if (fullness(*own) <= fullness(*best) + affinity_slack)
+            best = own;
+    }
+    return {best, obstacle::none};
+}
+
+} // namespace waxwinglb::core::dispatch
--- /dev/null
+++ b/src/core/dispatch/target_choice.hpp
@@ -0,0 +1,50 @@
+/// Chooses the target for one request among those of its service, or says what stands in the way.
+#pragma once
+
+#include "core/fleet/directory.hpp"
+
+#include <set>
+#include <span>
+
+namespace waxwinglb::core::dispatch {
+
+/// A target as the dispatcher sees it at one moment.
+struct candidate {
+    const fleet::target* target = nullptr;
+    int load = 0;               // requests there, of all routers as far as known
+    int limit = 1;              // requests that may be there at once
+    double failure_rate = 0;    // of its latest answers, 0 to 1
+    bool reachable = true;      // false: connections to it failed a moment ago
+    bool cold_allowance = true; // false: it is cold and its rate is used up
+    bool near = false;          // in the router's own data centre
+};
+
+struct wish {
+    fleet::model_wish model;                            // model empty: a plain service
+    std::uint64_t session = 0;                          // same session, same target if it can; 0: none
+    const std::set<std::string>* tried = nullptr;       // targets not to use again
+    const std::set<std::string>* centres_out = nullptr; // data centres taken out
+    const std::set<std::string>* only = nullptr; // if set: no other targets (no attempts are left for them)
+};
+
+/// What kept a request from being sent, the mildest first.
+enum class obstacle {
+    none,
+    full,        // a target could serve it but has no room
+    cold,        // the targets that could are cold and their rate is used up
+    no_adapter,  // the model is loaded, the adapter nowhere
+    loading,     // the model is being loaded
+    no_model,    // the model is loaded nowhere
+    unreachable, // targets exist, connections to them fail
+    no_target,   // no usable target of the service is known
+};
+[[nodiscard]] const char* name_of(obstacle what);
+
+struct choice {
+    const candidate* chosen = nullptr;
+    obstacle why = obstacle::no_target; // set if nothing was chosen
+};
+
+[[nodiscard]] choice choose(std::span<const candidate> candidates, const wish& what, common::time_point now);
+
+} // namespace waxwinglb::core::dispatch
--- /dev/null
+++ b/src/core/fleet/directory.cpp
@@ -0,0 +1,114 @@
+#include "core/fleet/directory.hpp"
+
+#include <algorithm>
+
+namespace waxwinglb::core::fleet {
+
+using common::time_point;
+
+bool directory::in_outage(time_point now) const {
+    return store_away_ || (returned_at_ && now < *returned_at_ + lapse_grace);
+}
+
+void directory::store_failed(time_point) {
+    store_away_ = true;
+}
+
+void directory::store_answered(time_point now) {
+    if (!store_away_)
+        return;
+    store_away_ = false;
+    returned_at_ = now;
+    for (auto& [id, one] : targets_)
+        if (one.lapsed_until)
+            one.lapsed_until = now + lapse_grace;
+}
+
+void directory::replace_all(const std::vector<target_entry>& entries, time_point now) {
+    std::set<std::string> listed;
+    for (const target_entry& entry : entries) {
+        listed.insert(entry.id);
+        upsert(entry, now);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, one] : targets_)
+        if (!listed.contains(id) && !one.lapsed_until)
+            missing.push_back(id);
+    for (const std::string& id : missing)
+        remove(id, now);
+    loaded_ = true;
+}
+
+void directory::upsert(const target_entry& entry, time_point now) {
+    target& one = targets_[entry.id];
+    const bool same_start = one.entry.born == entry.born && !one.entry.id.empty();
+    if (!same_start)
+        one = {};
+    one.lapsed_until.reset();
+    const bool newer_known = same_start && one.entry.sequence > entry.sequence;
+    auto known_models = std::move(one.entry.models);
+    const auto known_sequence = one.entry.sequence;
+    const bool was_draining = same_start && one.entry.draining;
+    one.entry = entry;
+    one.entry.draining =
+        entry.draining || was_draining; // a target that leaves never returns under this start
+    if (newer_known || (same_start && !entry.describes_models)) {
+        one.entry.models = std::move(known_models);
+        one.entry.sequence = std::max(known_sequence, entry.sequence);
+    }
+    if (entry.cold_left.count() > 0)
+        one.cold_until = now + entry.cold_left;
+    if (entry.remaining && !one.gone_at)
+        one.gone_at = now + *entry.remaining;
+}
+
+void directory::remove(const std::string& id, time_point now) {
+    const auto found = targets_.find(id);
+    if (found == targets_.end())
+        return;
+    if (!in_outage(now) || found->second.entry.draining) {
+        targets_.erase(found);
+        return;
+    }
+    if (!found->second.lapsed_until)
+        found->second.lapsed_until = (returned_at_ && !store_away_ ? *returned_at_ : now) + lapse_grace;
+}
+
+void directory::describe(const std::string& id, std::int64_t born, std::int64_t sequence,
+                         const std::map<std::string, std::vector<std::string>>& models,
+                         const std::set<std::string>& coming) {
+    const auto found = targets_.find(id);
+    if (found == targets_.end() || found->second.entry.born != born ||
+        sequence < found->second.entry.sequence)
+        return;
+    found->second.entry.sequence = sequence;
+    found->second.entry.models = models;
+    found->second.coming = coming;
+}
+
+void directory::mark_draining(const std::string& id, std::int64_t born) {
+    const auto found = targets_.find(id);
+    if (found != targets_.end() && found->second.entry.born == born)
+        found->second.entry.draining = true;
+}
+
+std::vector<std::string> directory::expire(time_point now) {
+    std::vector<std::string> dropped;
+    for (auto one = targets_.begin(); one != targets_.end();) {
+        const auto& lapsed = one->second.lapsed_until;
+        if (!lapsed || store_away_ || now < *lapsed) {
+            ++one;
+            continue;
+        }
+        dropped.push_back(one->first);
+        one = targets_.erase(one);
+    }
+    return dropped;
+}
+
+const target* directory::find(const std::string& id) const {
+    const auto found = targets_.find(id);
+    return found == targets_.end() ? nullptr : &found->second;
+}
+
+} // namespace waxwinglb::core::fleet
--- /dev/null
+++ b/src/core/fleet/directory.hpp
@@ -0,0 +1,60 @@
+/// The targets that may be used, from the registrations in the platform's store, through its outages.
+///
+/// A registration that disappears in calm means that its target has left: it is dropped at once. One that
+/// disappears during or right after an outage of the store has merely lapsed, since its target could not
+/// renew it: it is kept until `lapse_grace` after the store's return and then dropped, unless it came back.
+#pragma once
+
+#include "core/fleet/model.hpp"
+
+#include <map>
+#include <set>
+
+namespace waxwinglb::core::fleet {
+
+constexpr common::milliseconds lapse_grace{2'000}; // the platform's bound for the return of lapsed entries
+
+/// One usable or known target and what this process believes of it.
+struct target {
+    target_entry entry;
+    std::optional<common::time_point> lapsed_until; // registration gone in an outage; dropped at that time
+    common::time_point cold_until{};                // bears only a limited rate until then
+    std::optional<common::time_point> gone_at;      // removal at short notice
+    std::set<std::string> coming;                   // models being loaded, as the order giver tells
+};
+
+class directory {
+public:
+    /// A complete list. Targets that it lacks are treated like removed ones.
+    void replace_all(const std::vector<target_entry>& entries, common::time_point now);
+    void upsert(const target_entry& entry, common::time_point now);
+    void remove(const std::string& id, common::time_point now);
+
+    // What the store's calls show of it.
+    void store_failed(common::time_point now); // a call failed or stayed without an answer
+    void store_answered(common::time_point now);
+
+    /// A newer description of what a target holds, from its own report or a peer; older ones are ignored.
+    void describe(const std::string& id, std::int64_t born, std::int64_t sequence,
+                  const std::map<std::string, std::vector<std::string>>& models,
+                  const std::set<std::string>& coming);
+    /// A peer's word that a target is leaving; holds until its registration changes.
+    void mark_draining(const std::string& id, std::int64_t born);
+
+    /// Drops what has lapsed. Returns the ids dropped.
+    std::vector<std::string> expire(common::time_point now);
+
+    [[nodiscard]] const target* find(const std::string& id) const;
+    [[nodiscard]] const std::map<std::string, target>& targets() const { return targets_; }
+    [[nodiscard]] bool loaded() const { return loaded_; } // a list has been taken in
+
+private:
+    [[nodiscard]] bool in_outage(common::time_point now) const;
+
+    std::map<std::string, target> targets_;
+    bool loaded_ = false;
+    bool store_away_ = false;
+    std::optional<common::time_point> returned_at_; // end of the newest outage
+};
+
+} // namespace waxwinglb::core::fleet
--- /dev/null
+++ b/src/core/fleet/model.hpp
@@ -0,0 +1,136 @@
+/// What the fleet is made of: routes, services, engines, customers and their limits, as one accepted version.
+/// Plain data in the units that the field comments name; sizes of models are megabytes.
+#pragma once
+
+#include "core/common/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace waxwinglb::core::fleet {
+
+enum class call_kind {
+    idempotent,     // may run more than once
+    non_idempotent, // runs at most once for each attempt of its caller
+    stream,         // events; treated as non-idempotent unless the route is resumable
+};
+
+struct destination {
+    std::string service;
+    int weight = 1; // share of the route's requests, against the other destinations' weights
+};
+
+struct route {
+    std::string name;
+    std::string host;                           // compared without case
+    std::string path_prefix;                    // begins and ends with a slash
+    call_kind kind = call_kind::non_idempotent; //
+    common::milliseconds timeout{30'000};       // longest time that a request is kept waiting
+    common::milliseconds target_latency{1'000}; // answers within it are on time; streams: the first event
+    common::milliseconds pause_target{300};     // streams: longest pause between events that is on time
+    int priority = 5;                           // 0 is the most urgent
+    int max_attempts = 1;                       // targets that one attempt of a caller may be sent to
+    bool open = false;                          // served without a key
+    bool sticky = false;                        // the same session should meet the same target
+    bool resumable = false;                     // a stream may go on at another target
+    std::vector<destination> destinations;      // at least one
+};
+
+struct model_spec {
+    std::string name;
+    double megabytes = 0;                // of its weights
+    double adapter_megabytes = 0;        // of each adapter
+    int adapters = 0;                    // how many it has
+    common::milliseconds store_load{0};  // load time from the weight store
+    common::milliseconds disk_load{0};   // from a copy on the target's disk
+    common::milliseconds memory_load{0}; // from a copy in the target's host memory
+};
+
+/// The model engine of a service; the same for each of its targets.
+struct engine_spec {
+    int slots = 1;                            // requests in one batch
+    std::int64_t cache_tokens = 0;            // memory for running requests and cached prefixes
+    double megabytes = 0;                     // for weights and adapters together
+    int adapter_places = 0;                   // adapters held at once
+    double store_loads_per_second = 0;        // of the weight store, over all targets
+    std::map<std::string, model_spec> models; // by name
+};
+
+struct service {
+    std::string name;
+    std::string health_path;
+    int max_connections = 100;         // at one target, over all callers
+    double cold_per_second = 0;        // requests a second that a cold target bears; 0: no limit
+    std::optional<engine_spec> engine; // model engines only
+};
+
+struct customer {
+    std::string name;
+    std::optional<int> priority;     // goes before the route's
+    double tokens_per_second = 0;    // over all VMs together; 0: no limit
+    double burst_tokens = 0;         //
+    double tokens_without_count = 1; // cost of a request that doesn't tell its tokens
+    std::vector<std::string> keys;   // callers' keys; never logged
+};
+
+/// What one caller's connection may take, in bytes and time.
+struct ingress_limits {
+    std::size_t max_header = 16U << 10U;
+    std::size_t max_body = 4U << 20U;
+    common::milliseconds header_timeout{3'000};
+    common::milliseconds idle_timeout{15'000};
+};
+
+struct config {
+    std::int64_t version = 0; // rises; 0: none yet
+    std::vector<route> routes;
+    std::map<std::string, service> services;      // by name
+    std::map<std::string, customer> customers;    // by name
+    std::map<std::string, std::string> key_owner; // key -> customer's name
+    ingress_limits limits;
+
+    /// The route of that host with the longest prefix that begins `path`; nullptr if none matches.
+    [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
+    [[nodiscard]] const service* find_service(const std::string& name) const;
+    [[nodiscard]] const customer* owner_of(const std::string& key) const;
+
+    /// Builds the index that find_route() uses; call once after the last change.
+    void index_routes();
+
+private:
+    std::map<std::string, std::vector<std::size_t>, std::less<>> routes_by_host_; // longest prefix first
+};
+using config_ptr = std::shared_ptr<const config>;
+
+/// A target as it registered itself.
+struct target_entry {
+    std::string id;        // of this start or, for some, of the machine
+    std::int64_t born = 0; // Unix ms of its start; another one: it knows nothing of before
+    std::string service;
+    std::string address; // "ip:port"
+    std::string data_centre;
+    int slots = 1;
+    bool draining = false;
+    common::milliseconds cold_left{0};             // how much longer it is slow
+    std::optional<common::milliseconds> remaining; // a removal at short notice: time until it is gone
+    std::int64_t sequence = 0;                     // orders that it has accepted
+    std::map<std::string, std::vector<std::string>> models; // loaded models and their adapters
+    std::vector<std::string> copies_in_memory;              // models that load fast
+    std::vector<std::string> copies_on_disk;                // models that load without the weight store
+    bool describes_models = false;                          // the fields about models were present
+};
+
+/// "MODEL" or "MODEL/ADAPTER".
+struct model_wish {
+    std::string model;
+    std::string adapter; // empty: none
+    bool operator==(const model_wish&) const = default;
+    auto operator<=>(const model_wish&) const = default;
+};
+[[nodiscard]] model_wish parse_model_wish(std::string_view text);
+
+} // namespace waxwinglb::core::fleet
--- /dev/null
+++ b/src/core/placing/planner.hpp
@@ -0,0 +1,74 @@
+/// Decides which models and adapters the targets should load or unload next, from what callers ask for now.
+///
+/// The load that it answers: many models, few of them busy at a time and those change within seconds; rare
+/// ones are asked for once in many seconds and must be back within the first-token aim. Copies on a target's
+/// disk or in its memory load in under a second, the weight store takes many seconds and few loads at once.
+/// So each model gets a copy on some target while the weight store idles, and models are swapped on demand.
+#pragma once
+
+#include "core/fleet/model.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace waxwinglb::core::placing {
+
+/// Use of one loaded model or adapter at a target.
+struct usage {
+    int running = 0;                // requests of all routers
+    common::time_point last_used{}; // or loaded
+};
+
+/// A target as the order giver knows it; of one service.
+struct target_state {
+    std::string id;
+    std::string data_centre;
+    bool takes_orders = false;           // reachable, staying, and no order of ours under way
+    bool serves = true;                  // may be sent requests: not leaving, its data centre is in
+    int running = 0;                     // requests of all routers
+    std::map<std::string, usage> models; // loaded, and those being loaded
+    std::map<fleet::model_wish, usage> adapters;
+    std::set<std::string> loading; // models among `models` that aren't ready yet
+    std::set<std::string> copies_in_memory;
+    std::set<std::string> copies_on_disk;
+};
+
+struct demand {
+    int waiting = 0;             // requests that no target can take now
+    common::time_point oldest{}; // arrival of the first of them
+    int priority = 5;            // most urgent of them
+    double per_second = 0;       // arrivals
+    int running = 0;             // requests at targets
+};
+
+struct planned_order {
+    std::string target;
+    bool load = true;
+    fleet::model_wish what;
+    bool from_weight_store = false;
+    std::string why; // for the log
+};
+
+struct planner_limits {
+    int parallel_store_loads = 4;       // loads that the weight store carries at full speed
+    int requests_per_replica = 24;      // of one model at one target before another one helps
+    double load_factor = 0.5;           // part of a target's slots that may be busy to take a new model
+    common::milliseconds settle{1'000}; // a loaded model stays at least so long
+    common::milliseconds idle_before_refill{2'000}; // a model idle for so long may give way to a first copy
+};
+
+struct planner_input {
+    const fleet::engine_spec* engine = nullptr;
+    std::vector<target_state> targets;
+    std::map<fleet::model_wish, demand> demands;
+    int store_loads_under_way = 0;
+};
+
+/// At most one order for each target.
+[[nodiscard]] std::vector<planned_order> plan(const planner_input& input, const planner_limits& limits,
+                                              common::time_point now);
+
+} // namespace waxwinglb::core::placing
--- /dev/null
+++ b/src/core/placing/target_ledger.cpp
@@ -0,0 +1,106 @@
+#include "core/placing/target_ledger.hpp"
+
+namespace waxwinglb::core::placing {
+
+using common::milliseconds;
+using common::time_point;
+
+void target_ledger::describe(std::int64_t born, std::int64_t sequence,
+                             const std::map<std::string, std::vector<std::string>>& models,
+                             time_point as_of) {
+    if (known_ && born == born_ && sequence < sequence_)
+        return;
+    const bool restarted = known_ && born != born_;
+    if (!restarted && pending_)
+        return; // the answer on its way says more
+    if (restarted)
+        *this = {};
+    const bool advanced = !known_ || sequence > sequence_;
+    // The same number shows the same orders; only a report made after the lost answer can settle it.
+    if (unsettled_ && !advanced && as_of < unsettled_at_ + report_delay)
+        return;
+    if (advanced || unsettled_) {
+        models_.clear();
+        for (const auto& [model, adapters] : models)
+            models_[model] = {adapters.begin(), adapters.end()};
+        // A model that is still being loaded isn't listed, but takes its room.
+        for (const auto& [model, at] : ready_at_)
+            if (as_of < at && !unsettled_)
+                models_.try_emplace(model);
+    }
+    known_ = true;
+    born_ = born;
+    sequence_ = sequence;
+    unsettled_ = false;
+}
+
+void target_ledger::sent(const planned_order& order, milliseconds load_time, time_point now) {
+    pending_ = pending{order, load_time, now};
+}
+
+void target_ledger::answered(answer what, time_point now) {
+    if (!pending_)
+        return;
+    const pending one = std::move(*pending_);
+    pending_.reset();
+    switch (what) {
+    case answer::accepted:
+        ++sequence_;
+        apply(one, now);
+        break;
+    case answer::holds_already:
+        apply(one, now);
+        break;
+    case answer::rejected: // busy, or the number differs: a report tells
+        unsettled_ = true;
+        unsettled_at_ = now - report_delay;
+        break;
+    case answer::unknown:
+        unsettled_ = true;
+        unsettled_at_ = now;
+        // Counted as begun until a report settles it.
+        if (one.order.from_weight_store)
+            store_load_until_ = now + one.load_time;
+        break;
+    }
+}
+
+void target_ledger::apply(const pending& one, time_point now) {
+    const auto& what = one.order.what;
+    if (one.order.load && what.adapter.empty()) {
+        models_[what.model];
+        ready_at_[what.model] = now + one.load_time;
+        if (one.order.from_weight_store)
+            store_load_until_ = now + one.load_time;
+    } else if (one.order.load) {
+        models_[what.model].insert(what.adapter);
+    } else if (what.adapter.empty()) {
+        models_.erase(what.model);
+        ready_at_.erase(what.model);
+    } else if (const auto held = models_.find(what.model); held != models_.end()) {
+        held->second.erase(what.adapter);
+    }
+}
+
+bool target_ledger::takes_orders(time_point now) const {
+    return known_ && !pending_ && !unsettled_ && loading(now).empty();
+}
+
+bool target_ledger::store_load_under_way(time_point now) const {
+    return now < store_load_until_ || (pending_ && pending_->order.from_weight_store);
+}
+
+std::set<std::string> target_ledger::loading(time_point now) const {
+    std::set<std::string> out;
+    for (const auto& [model, at] : ready_at_)
+        if (now < at && models_.contains(model))
+            out.insert(model);
+    return out;
+}
+
+time_point target_ledger::loaded_at(const std::string& model) const {
+    const auto found = ready_at_.find(model);
+    return found == ready_at_.end() ? time_point{} : found->second;
+}
+
+} // namespace waxwinglb::core::placing
--- /dev/null
+++ b/src/core/placing/target_ledger.hpp
@@ -0,0 +1,56 @@
+/// What one target holds, as the giver of its orders believes, through orders whose answers are lost.
+///
+/// Every order names the number of orders that the target has accepted. So an order without an answer is
+/// either carried out at that number or never: once a later number is seen or another order is accepted under
+/// the same one, it is settled. Until then the target is asked again and gets no other order than under the
+/// same number.
+#pragma once
+
+#include "core/placing/planner.hpp"
+
+namespace waxwinglb::core::placing {
+
+constexpr common::milliseconds report_delay{800}; // a target's report may be as old as that
+
+class target_ledger {
+public:
+    /// A description of the target, at least as new as `as_of`. Ignored if it is older than what is known.
+    void describe(std::int64_t born, std::int64_t sequence,
+                  const std::map<std::string, std::vector<std::string>>& models, common::time_point as_of);
+
+    void sent(const planned_order& order, common::milliseconds load_time, common::time_point now);
+    enum class answer { accepted, holds_already, rejected, unknown };
+    void answered(answer what, common::time_point now);
+
+    [[nodiscard]] bool
+    takes_orders(common::time_point now) const; // none under way, none unsettled, not loading
+    [[nodiscard]] bool wants_report() const { return unsettled_; }
+    [[nodiscard]] std::int64_t sequence() const { return sequence_; }
+    [[nodiscard]] std::int64_t born() const { return born_; }
+    [[nodiscard]] bool known() const { return known_; }
+    [[nodiscard]] bool store_load_under_way(common::time_point now) const;
+    /// Models and adapters that count for memory; those in `loading(now)` aren't ready yet.
+    [[nodiscard]] const std::map<std::string, std::set<std::string>>& models() const { return models_; }
+    [[nodiscard]] std::set<std::string> loading(common::time_point now) const;
+    [[nodiscard]] common::time_point loaded_at(const std::string& model) const;
+
+private:
+    struct pending {
+        planned_order order;
+        common::milliseconds load_time{0};
+        common::time_point sent_at{};
+    };
+    void apply(const pending& one, common::time_point now);
+
+    bool known_ = false;
+    std::int64_t born_ = 0;
+    std::int64_t sequence_ = 0;
+    std::map<std::string, std::set<std::string>> models_;
+    std::map<std::string, common::time_point> ready_at_; // of models loaded by orders
+    std::optional<pending> pending_;
+    bool unsettled_ = false; // the newest order's answer is lost
+    common::time_point unsettled_at_{};
+    common::time_point store_load_until_{};
+};
+
+} // namespace waxwinglb::core::placing
--- /dev/null
+++ b/src/edge/connection.cpp
@@ -0,0 +1,291 @@
+#include "edge/connection.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+
+namespace waxwinglb::edge {
+namespace {
+
+using core::common::milliseconds;
+
+constexpr std::size_t read_size = 32U << 10U; // bytes taken from a socket at once
+constexpr int reads_per_turn = 4;             // then others get their turn
+constexpr milliseconds linger_limit{1'500};   // a closing connection waits so long for its peer
+constexpr unsigned user_timeout_ms = 2'500;   // unacknowledged bytes for that long break a connection
+constexpr int accepts_per_turn = 32;
+constexpr int accept_backlog = 512;
+
+void set_options(int socket) {
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const unsigned timeout = user_timeout_ms;
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+bool would_block(int code) {
+    return code == EAGAIN || code == EWOULDBLOCK || code == EINTR;
+}
+
+} // namespace
+
+bool parse_address(const std::string& text, sockaddr_in& out) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    std::uint16_t port = 0;
+    const auto* end = text.data() + text.size();
+    const auto [stop, failure] = std::from_chars(text.data() + colon + 1, end, port);
+    if (failure != std::errc{} || stop != end)
+        return false;
+    out = {};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(port);
+    return inet_pton(AF_INET, text.substr(0, colon).c_str(), &out.sin_addr) == 1;
+}
+
+connection::connection(event_loop& loop, int socket, events handlers)
+    : loop_(loop), socket_(socket), events_(std::make_shared<const events>(std::move(handlers))) {}
+
+connection::~connection() {
+    release();
+}
+
+std::shared_ptr<connection> connection::adopt(event_loop& loop, int socket, events handlers) {
+    set_options(socket);
+    auto made = std::make_shared<connection>(loop, socket, std::move(handlers));
+    loop.reactor().register_handler(socket, made.get(), ACE_Event_Handler::READ_MASK);
+    return made;
+}
+
+std::shared_ptr<connection> connection::open(event_loop& loop, const std::string& address,
+                                             milliseconds timeout, events handlers) {
+    auto made = std::make_shared<connection>(loop, -1, std::move(handlers));
+    made->connecting_ = true;
+    const std::weak_ptr<connection> weak = made;
+    const auto fail_later = [&](core::common::time_point at) {
+        made->timer_ = loop.schedule(at, [weak] {
+            if (const auto self = weak.lock(); self && self->connecting_)
+                self->fail(close_reason::not_connected);
+        });
+    };
+    sockaddr_in peer{};
+    if (parse_address(address, peer))
+        made->socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (made->socket_ < 0) {
+        fail_later(loop.now());
+        return made;
+    }
+    set_options(made->socket_);
+    const int result = ::connect(made->socket_, reinterpret_cast<const sockaddr*>(&peer), sizeof peer);
+    if (result != 0 && errno != EINPROGRESS) {
+        fail_later(loop.now());
+        return made;
+    }
+    loop.reactor().register_handler(made->socket_, made.get(),
+                                    ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK);
+    made->writing_ = true;
+    fail_later(loop.now() + timeout);
+    return made;
+}
+
+void connection::send(std::string_view bytes) {
+    if (socket_ < 0 || closing_)
+        return;
+    unsent_.append(bytes);
+    if (!connecting_ && !writing_)
+        if (!flush()) {
+            // Reported from the loop, so that no owner is called back from inside its own call.
+            const std::weak_ptr<connection> weak = weak_from_this();
+            loop_.cancel(timer_);
+            timer_ = loop_.schedule(loop_.now(), [weak] {
+                if (const auto self = weak.lock())
+                    self->fail(close_reason::reset);
+            });
+        }
+}
+
+void connection::close() {
+    release();
+}
+
+void connection::close_when_sent() {
+    if (socket_ < 0)
+        return;
+    closing_ = true;
+    change_events({});
+    if (unsent() == 0)
+        ::shutdown(socket_, SHUT_WR);
+    resume_reading();
+    loop_.cancel(timer_);
+    timer_ = loop_.schedule(loop_.now() + linger_limit, [self = shared_from_this()] { self->release(); });
+}
+
+void connection::pause_reading() {
+    if (socket_ >= 0)
+        loop_.reactor().cancel_wakeup(socket_, ACE_Event_Handler::READ_MASK);
+}
+
+void connection::resume_reading() {
+    if (socket_ >= 0)
+        loop_.reactor().schedule_wakeup(socket_, ACE_Event_Handler::READ_MASK);
+}
+
+void connection::watch(bool writing) {
+    if (writing == writing_)
+        return;
+    writing_ = writing;
+    if (writing)
+        loop_.reactor().schedule_wakeup(socket_, ACE_Event_Handler::WRITE_MASK);
+    else
+        loop_.reactor().cancel_wakeup(socket_, ACE_Event_Handler::WRITE_MASK);
+}
+
+bool connection::flush() {
+    while (sent_ < unsent_.size()) {
+        const auto count = ::send(socket_, unsent_.data() + sent_, unsent_.size() - sent_, MSG_NOSIGNAL);
+        if (count < 0) {
+            if (!would_block(errno) && errno != ENOTCONN)
+                return false;
+            watch(true);
+            return true;
+        }
+        sent_ += static_cast<std::size_t>(count);
+        taken_ += static_cast<std::uint64_t>(count);
+    }
+    unsent_.clear();
+    sent_ = 0;
+    watch(false);
+    if (closing_)
+        ::shutdown(socket_, SHUT_WR);
+    return true;
+}
+
+int connection::handle_output(ACE_HANDLE) {
+    const auto self = shared_from_this();
+    if (socket_ < 0)
+        return 0;
+    if (connecting_) {
+        int code = 0;
+        socklen_t size = sizeof code;
+        getsockopt(socket_, SOL_SOCKET, SO_ERROR, &code, &size);
+        if (code != 0) {
+            fail(close_reason::not_connected);
+            return 0;
+        }
+        sockaddr_in peer{};
+        size = sizeof peer;
+        if (getpeername(socket_, reinterpret_cast<sockaddr*>(&peer), &size) != 0)
+            return 0; // woken early: still connecting
+        connecting_ = false;
+        loop_.cancel(timer_);
+        if (const auto handlers = events_; handlers->on_connected)
+            handlers->on_connected();
+        if (socket_ < 0)
+            return 0;
+    }
+    if (!flush()) {
+        fail(close_reason::reset);
+        return 0;
+    }
+    if (const auto handlers = events_; !writing_ && handlers->on_drained)
+        handlers->on_drained();
+    return 0;
+}
+
+int connection::handle_input(ACE_HANDLE) {
+    const auto self = shared_from_this();
+    std::array<char, read_size> bytes;
+    for (int turn = 0; turn < reads_per_turn && socket_ >= 0; ++turn) {
+        const auto count = ::recv(socket_, bytes.data(), bytes.size(), 0);
+        if (count > 0) {
+            if (const auto handlers = events_; !closing_ && handlers->on_data)
+                handlers->on_data({bytes.data(), static_cast<std::size_t>(count)});
+            if (static_cast<std::size_t>(count) < bytes.size())
+                break;
+            continue;
+        }
+        if (count < 0 && would_block(errno))
+            break;
+        if (connecting_)
+            fail(close_reason::not_connected);
+        else
+            fail(count == 0 ? close_reason::ended : close_reason::reset);
+        break;
+    }
+    return 0;
+}
+
+void connection::fail(close_reason reason) {
+    const auto self = shared_from_this();
+    if (socket_ < 0 && !connecting_)
+        return;
+    release();
+    const auto handlers = events_;
+    change_events({});
+    if (handlers->on_closed)
+        handlers->on_closed(reason);
+}
+
+void connection::release() {
+    loop_.cancel(timer_);
+    connecting_ = false;
+    if (socket_ < 0)
+        return;
+    loop_.reactor().remove_handler(socket_,
+                                   ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    ::close(socket_);
+    socket_ = -1;
+}
+
+bool acceptor::listen(const std::string& address) {
+    sockaddr_in at{};
+    if (!parse_address(address, at))
+        return false;
+    socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (::bind(socket_, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+        ::listen(socket_, accept_backlog) != 0) {
+        ::close(socket_);
+        socket_ = -1;
+        return false;
+    }
+    loop_.reactor().register_handler(socket_, this, ACE_Event_Handler::ACCEPT_MASK);
+    return true;
+}
+
+void acceptor::close() {
+    if (socket_ < 0)
+        return;
+    loop_.reactor().remove_handler(socket_,
+                                   ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    ::close(socket_);
+    socket_ = -1;
+}
+
+std::uint16_t acceptor::port() const {
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&at), &size);
+    return ntohs(at.sin_port);
+}
+
+int acceptor::handle_input(ACE_HANDLE) {
+    for (int count = 0; count < accepts_per_turn; ++count) {
+        const int socket = ::accept4(socket_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0)
+            break;
+        on_accept_(socket);
+    }
+    return 0;
+}
+
+} // namespace waxwinglb::edge
--- /dev/null
+++ b/src/edge/decision_log.hpp
@@ -0,0 +1,75 @@
+/// One structured line on standard output for each decision: JSON with time, process, event, subject, inputs,
+/// their age or version, and outcome. Bounded and never blocking: a full queue drops the oldest lines and
+/// counts them. Keys, bodies and prompts never enter it.
+#pragma once
+
+#include "core/common/time.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace waxwinglb::edge {
+
+/// The vocabulary of events; docs/OPERATIONS.md has a row for each.
+namespace events {
+inline constexpr std::string_view process_started = "process_started";
+inline constexpr std::string_view process_stopping = "process_stopping";
+inline constexpr std::string_view process_stopped = "process_stopped";
+inline constexpr std::string_view settings_reloaded = "settings_reloaded";
+inline constexpr std::string_view settings_refused = "settings_refused";
+inline constexpr std::string_view store_lost = "store_lost";
+inline constexpr std::string_view store_regained = "store_regained";
+inline constexpr std::string_view peer_lost = "peer_lost";
+inline constexpr std::string_view peer_regained = "peer_regained";
+inline constexpr std::string_view config_in_force = "config_in_force";
+inline constexpr std::string_view config_refused = "config_refused";
+inline constexpr std::string_view data_centres_out = "data_centres_out";
+inline constexpr std::string_view target_changed = "target_changed";
+inline constexpr std::string_view target_ignored = "target_ignored";
+inline constexpr std::string_view target_suspected = "target_suspected";
+inline constexpr std::string_view lease_taken = "lease_taken";
+inline constexpr std::string_view lease_lost = "lease_lost";
+inline constexpr std::string_view order_sent = "order_sent";
+inline constexpr std::string_view order_answered = "order_answered";
+inline constexpr std::string_view request_waiting = "request_waiting";
+inline constexpr std::string_view request_sent = "request_sent";
+inline constexpr std::string_view request_retried = "request_retried";
+inline constexpr std::string_view request_refused = "request_refused";
+inline constexpr std::string_view request_answered = "request_answered";
+inline constexpr std::string_view request_cut = "request_cut";
+inline constexpr std::string_view request_abandoned = "request_abandoned";
+inline constexpr std::string_view lines_dropped = "lines_dropped";
+inline constexpr std::array all{process_started,  process_stopping,  process_stopped,  settings_reloaded,
+                                settings_refused, store_lost,        store_regained,   peer_lost,
+                                peer_regained,    config_in_force,   config_refused,   data_centres_out,
+                                target_changed,   target_ignored,    target_suspected, lease_taken,
+                                lease_lost,       order_sent,        order_answered,   request_waiting,
+                                request_sent,     request_retried,   request_refused,  request_answered,
+                                request_cut,      request_abandoned, lines_dropped};
+} // namespace events
+
+class decision_log {
+public:
+    using fields = nlohmann::ordered_json;
+
+    explicit decision_log(std::string process); // writes to standard output
+    ~decision_log();                            // writes what waits
+    decision_log(const decision_log&) = delete;
+    decision_log& operator=(const decision_log&) = delete;
+    decision_log(decision_log&&) = delete;
+    decision_log& operator=(decision_log&&) = delete;
+
+    /// `subject`: request id, target, customer, … May be called from any thread.
+    void write(std::string_view event, std::string_view subject, const fields& inputs = fields::object());
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace waxwinglb::edge
--- /dev/null
+++ b/src/edge/event_loop.cpp
@@ -0,0 +1,93 @@
+#include "edge/event_loop.hpp"
+
+#include "edge/boot_clock.hpp"
+
+#include <ace/Select_Reactor.h>
+
+#include <algorithm>
+
+namespace waxwinglb::edge {
+namespace {
+
+using core::common::time_point;
+
+constexpr core::common::milliseconds longest_sleep{1'000}; // bounds a wait without timers
+
+} // namespace
+
+event_loop::event_loop(std::size_t posted_capacity)
+    : reactor_(std::make_unique<ACE_Reactor>(new ACE_Select_Reactor, true)), now_(boot_now()),
+      posted_capacity_(posted_capacity) {}
+
+event_loop::~event_loop() {
+    reactor_->purge_pending_notifications(this);
+}
+
+void event_loop::run() {
+    reactor_->owner(ACE_OS::thr_self());
+    while (!stopping_) {
+        now_ = boot_now();
+        run_posted();
+        run_timers();
+        if (stopping_)
+            break;
+        auto sleep = std::chrono::duration_cast<std::chrono::microseconds>(longest_sleep);
+        if (!timers_.empty()) {
+            const auto until = timers_.begin()->first.first - boot_now();
+            sleep = std::min(sleep, std::chrono::ceil<std::chrono::microseconds>(until));
+        }
+        ACE_Time_Value wait;
+        wait.set(std::chrono::duration<double>(std::max(sleep, std::chrono::microseconds{0})).count());
+        reactor_->handle_events(wait);
+    }
+}
+
+event_loop::timer_id event_loop::schedule(time_point at, task work) {
+    const timer_id id{at, ++last_timer_};
+    timers_.emplace(id, std::move(work));
+    return id;
+}
+
+void event_loop::cancel(timer_id& timer) {
+    timers_.erase(timer);
+    timer = {};
+}
+
+bool event_loop::post(task work) {
+    {
+        const std::scoped_lock hold{mutex_};
+        if (posted_.size() >= posted_capacity_)
+            return false;
+        posted_.push_back(std::move(work));
+        if (posted_.size() > 1)
+            return true; // a wake-up is on its way already
+    }
+    reactor_->notify(this, ACE_Event_Handler::EXCEPT_MASK);
+    return true;
+}
+
+int event_loop::handle_exception(ACE_HANDLE) {
+    now_ = boot_now();
+    run_posted();
+    return 0;
+}
+
+void event_loop::run_posted() {
+    std::vector<task> due;
+    {
+        const std::scoped_lock hold{mutex_};
+        due.swap(posted_);
+    }
+    for (task& work : due)
+        work();
+}
+
+void event_loop::run_timers() {
+    while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+        const task work = std::move(timers_.begin()->second);
+        timers_.erase(timers_.begin());
+        work();
+    }
+}
+
+} // namespace waxwinglb::edge
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -54,7 +54,8 @@
   message_kind::feed_elsewhere,
   message_kind::bucket_handover,
   message_kind::bucket_handover_ack,
-  message_kind::stood_down
+  message_kind::stood_down,
+  message_kind::peer_status
 };
 const char* _kmessage_kindNames[] = {
   "heartbeat",
@@ -97,9 +98,10 @@
   "feed_elsewhere",
   "bucket_handover",
   "bucket_handover_ack",
-  "stood_down"
+  "stood_down",
+  "peer_status"
 };
-const std::map<int, const char*> _message_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(41, _kmessage_kindValues, _kmessage_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _message_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(42, _kmessage_kindValues, _kmessage_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const message_kind::type& val) {
   std::map<int, const char*>::const_iterator it = _message_kind_VALUES_TO_NAMES.find(val);
@@ -9535,4 +9537,1426 @@
   out << ")";
 }
 
+
+target_use::~target_use() noexcept {
+}
+
+
+void target_use::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void target_use::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void target_use::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void target_use::__set_idle_ms(const int64_t val) {
+  this->idle_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const target_use& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t target_use::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->idle_ms);
+          this->__isset.idle_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t target_use::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("target_use");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idle_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->idle_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(target_use &a, target_use &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.model, b.model);
+  swap(a.running, b.running);
+  swap(a.idle_ms, b.idle_ms);
+  swap(a.__isset, b.__isset);
+}
+
+target_use::target_use(const target_use& other290) {
+  target = other290.target;
+  model = other290.model;
+  running = other290.running;
+  idle_ms = other290.idle_ms;
+  __isset = other290.__isset;
+}
+target_use::target_use(target_use&& other291) noexcept {
+  target = std::move(other291.target);
+  model = std::move(other291.model);
+  running = other291.running;
+  idle_ms = other291.idle_ms;
+  __isset = other291.__isset;
+}
+target_use& target_use::operator=(const target_use& other292) {
+  target = other292.target;
+  model = other292.model;
+  running = other292.running;
+  idle_ms = other292.idle_ms;
+  __isset = other292.__isset;
+  return *this;
+}
+target_use& target_use::operator=(target_use&& other293) noexcept {
+  target = std::move(other293.target);
+  model = std::move(other293.model);
+  running = other293.running;
+  idle_ms = other293.idle_ms;
+  __isset = other293.__isset;
+  return *this;
+}
+void target_use::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "target_use(";
+  out << "target=" << to_string(target);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "idle_ms=" << to_string(idle_ms);
+  out << ")";
+}
+
+
+model_demand::~model_demand() noexcept {
+}
+
+
+void model_demand::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void model_demand::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void model_demand::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void model_demand::__set_oldest_ms(const int64_t val) {
+  this->oldest_ms = val;
+}
+
+void model_demand::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void model_demand::__set_per_second(const double val) {
+  this->per_second = val;
+}
+std::ostream& operator<<(std::ostream& out, const model_demand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t model_demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->oldest_ms);
+          this->__isset.oldest_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_second);
+          this->__isset.per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t model_demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("model_demand");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("oldest_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->oldest_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("per_second", ::apache::thrift::protocol::T_DOUBLE, 6);
+  xfer += oprot->writeDouble(this->per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(model_demand &a, model_demand &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.model, b.model);
+  swap(a.waiting, b.waiting);
+  swap(a.oldest_ms, b.oldest_ms);
+  swap(a.priority, b.priority);
+  swap(a.per_second, b.per_second);
+  swap(a.__isset, b.__isset);
+}
+
+model_demand::model_demand(const model_demand& other294) {
+  service_name = other294.service_name;
+  model = other294.model;
+  waiting = other294.waiting;
+  oldest_ms = other294.oldest_ms;
+  priority = other294.priority;
+  per_second = other294.per_second;
+  __isset = other294.__isset;
+}
+model_demand::model_demand(model_demand&& other295) noexcept {
+  service_name = std::move(other295.service_name);
+  model = std::move(other295.model);
+  waiting = other295.waiting;
+  oldest_ms = other295.oldest_ms;
+  priority = other295.priority;
+  per_second = other295.per_second;
+  __isset = other295.__isset;
+}
+model_demand& model_demand::operator=(const model_demand& other296) {
+  service_name = other296.service_name;
+  model = other296.model;
+  waiting = other296.waiting;
+  oldest_ms = other296.oldest_ms;
+  priority = other296.priority;
+  per_second = other296.per_second;
+  __isset = other296.__isset;
+  return *this;
+}
+model_demand& model_demand::operator=(model_demand&& other297) noexcept {
+  service_name = std::move(other297.service_name);
+  model = std::move(other297.model);
+  waiting = other297.waiting;
+  oldest_ms = other297.oldest_ms;
+  priority = other297.priority;
+  per_second = other297.per_second;
+  __isset = other297.__isset;
+  return *this;
+}
+void model_demand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "model_demand(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "oldest_ms=" << to_string(oldest_ms);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "per_second=" << to_string(per_second);
+  out << ")";
+}
+
+
+customer_demand::~customer_demand() noexcept {
+}
+
+
+void customer_demand::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void customer_demand::__set_tokens_per_second(const double val) {
+  this->tokens_per_second = val;
+}
+std::ostream& operator<<(std::ostream& out, const customer_demand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t customer_demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->tokens_per_second);
+          this->__isset.tokens_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t customer_demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("customer_demand");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens_per_second", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->tokens_per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(customer_demand &a, customer_demand &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.tokens_per_second, b.tokens_per_second);
+  swap(a.__isset, b.__isset);
+}
+
+customer_demand::customer_demand(const customer_demand& other298) {
+  customer = other298.customer;
+  tokens_per_second = other298.tokens_per_second;
+  __isset = other298.__isset;
+}
+customer_demand::customer_demand(customer_demand&& other299) noexcept {
+  customer = std::move(other299.customer);
+  tokens_per_second = other299.tokens_per_second;
+  __isset = other299.__isset;
+}
+customer_demand& customer_demand::operator=(const customer_demand& other300) {
+  customer = other300.customer;
+  tokens_per_second = other300.tokens_per_second;
+  __isset = other300.__isset;
+  return *this;
+}
+customer_demand& customer_demand::operator=(customer_demand&& other301) noexcept {
+  customer = std::move(other301.customer);
+  tokens_per_second = other301.tokens_per_second;
+  __isset = other301.__isset;
+  return *this;
+}
+void customer_demand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "customer_demand(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "tokens_per_second=" << to_string(tokens_per_second);
+  out << ")";
+}
+
+
+target_holding::~target_holding() noexcept {
+}
+
+
+void target_holding::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void target_holding::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void target_holding::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void target_holding::__set_models(const std::vector<std::string> & val) {
+  this->models = val;
+}
+
+void target_holding::__set_coming(const std::vector<std::string> & val) {
+  this->coming = val;
+}
+std::ostream& operator<<(std::ostream& out, const target_holding& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t target_holding::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->models.clear();
+            uint32_t _size302;
+            ::apache::thrift::protocol::TType _etype305;
+            xfer += iprot->readListBegin(_etype305, _size302);
+            this->models.resize(_size302);
+            uint32_t _i306;
+            for (_i306 = 0; _i306 < _size302; ++_i306)
+            {
+              xfer += iprot->readString(this->models[_i306]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->coming.clear();
+            uint32_t _size307;
+            ::apache::thrift::protocol::TType _etype310;
+            xfer += iprot->readListBegin(_etype310, _size307);
+            this->coming.resize(_size307);
+            uint32_t _i311;
+            for (_i311 = 0; _i311 < _size307; ++_i311)
+            {
+              xfer += iprot->readString(this->coming[_i311]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.coming = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t target_holding::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("target_holding");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
+    std::vector<std::string> ::const_iterator _iter312;
+    for (_iter312 = this->models.begin(); _iter312 != this->models.end(); ++_iter312)
+    {
+      xfer += oprot->writeString((*_iter312));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coming.size()));
+    std::vector<std::string> ::const_iterator _iter313;
+    for (_iter313 = this->coming.begin(); _iter313 != this->coming.end(); ++_iter313)
+    {
+      xfer += oprot->writeString((*_iter313));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(target_holding &a, target_holding &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.born, b.born);
+  swap(a.sequence, b.sequence);
+  swap(a.models, b.models);
+  swap(a.coming, b.coming);
+  swap(a.__isset, b.__isset);
+}
+
+target_holding::target_holding(const target_holding& other314) {
+  target = other314.target;
+  born = other314.born;
+  sequence = other314.sequence;
+  models = other314.models;
+  coming = other314.coming;
+  __isset = other314.__isset;
+}
+target_holding::target_holding(target_holding&& other315) noexcept {
+  target = std::move(other315.target);
+  born = other315.born;
+  sequence = other315.sequence;
+  models = std::move(other315.models);
+  coming = std::move(other315.coming);
+  __isset = other315.__isset;
+}
+target_holding& target_holding::operator=(const target_holding& other316) {
+  target = other316.target;
+  born = other316.born;
+  sequence = other316.sequence;
+  models = other316.models;
+  coming = other316.coming;
+  __isset = other316.__isset;
+  return *this;
+}
+target_holding& target_holding::operator=(target_holding&& other317) noexcept {
+  target = std::move(other317.target);
+  born = other317.born;
+  sequence = other317.sequence;
+  models = std::move(other317.models);
+  coming = std::move(other317.coming);
+  __isset = other317.__isset;
+  return *this;
+}
+void target_holding::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "target_holding(";
+  out << "target=" << to_string(target);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "models=" << to_string(models);
+  out << ", " << "coming=" << to_string(coming);
+  out << ")";
+}
+
+
+leaving_target::~leaving_target() noexcept {
+}
+
+
+void leaving_target::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void leaving_target::__set_born(const int64_t val) {
+  this->born = val;
+}
+std::ostream& operator<<(std::ostream& out, const leaving_target& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t leaving_target::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t leaving_target::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("leaving_target");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(leaving_target &a, leaving_target &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.born, b.born);
+  swap(a.__isset, b.__isset);
+}
+
+leaving_target::leaving_target(const leaving_target& other318) {
+  target = other318.target;
+  born = other318.born;
+  __isset = other318.__isset;
+}
+leaving_target::leaving_target(leaving_target&& other319) noexcept {
+  target = std::move(other319.target);
+  born = other319.born;
+  __isset = other319.__isset;
+}
+leaving_target& leaving_target::operator=(const leaving_target& other320) {
+  target = other320.target;
+  born = other320.born;
+  __isset = other320.__isset;
+  return *this;
+}
+leaving_target& leaving_target::operator=(leaving_target&& other321) noexcept {
+  target = std::move(other321.target);
+  born = other321.born;
+  __isset = other321.__isset;
+  return *this;
+}
+void leaving_target::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "leaving_target(";
+  out << "target=" << to_string(target);
+  out << ", " << "born=" << to_string(born);
+  out << ")";
+}
+
+
+peer_status::~peer_status() noexcept {
+}
+
+
+void peer_status::__set_process(const std::string& val) {
+  this->process = val;
+}
+
+void peer_status::__set_boot(const int64_t val) {
+  this->boot = val;
+}
+
+void peer_status::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void peer_status::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void peer_status::__set_heard(const std::vector<std::string> & val) {
+  this->heard = val;
+}
+
+void peer_status::__set_config_version(const int64_t val) {
+  this->config_version = val;
+}
+
+void peer_status::__set_config_address(const std::string& val) {
+  this->config_address = val;
+}
+
+void peer_status::__set_centres_revision(const int64_t val) {
+  this->centres_revision = val;
+}
+
+void peer_status::__set_centres_out(const std::vector<std::string> & val) {
+  this->centres_out = val;
+}
+
+void peer_status::__set_uses(const std::vector<target_use> & val) {
+  this->uses = val;
+}
+
+void peer_status::__set_demands(const std::vector<model_demand> & val) {
+  this->demands = val;
+}
+
+void peer_status::__set_customers(const std::vector<customer_demand> & val) {
+  this->customers = val;
+}
+
+void peer_status::__set_holdings(const std::vector<target_holding> & val) {
+  this->holdings = val;
+}
+
+void peer_status::__set_leaving_targets(const std::vector<leaving_target> & val) {
+  this->leaving_targets = val;
+}
+
+void peer_status::__set_suspects(const std::vector<quarantine> & val) {
+  this->suspects = val;
+}
+std::ostream& operator<<(std::ostream& out, const peer_status& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t peer_status::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->boot);
+          this->__isset.boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->heard.clear();
+            uint32_t _size322;
+            ::apache::thrift::protocol::TType _etype325;
+            xfer += iprot->readListBegin(_etype325, _size322);
+            this->heard.resize(_size322);
+            uint32_t _i326;
+            for (_i326 = 0; _i326 < _size322; ++_i326)
+            {
+              xfer += iprot->readString(this->heard[_i326]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.heard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_version);
+          this->__isset.config_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->config_address);
+          this->__isset.config_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->centres_revision);
+          this->__isset.centres_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->centres_out.clear();
+            uint32_t _size327;
+            ::apache::thrift::protocol::TType _etype330;
+            xfer += iprot->readListBegin(_etype330, _size327);
+            this->centres_out.resize(_size327);
+            uint32_t _i331;
+            for (_i331 = 0; _i331 < _size327; ++_i331)
+            {
+              xfer += iprot->readString(this->centres_out[_i331]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.centres_out = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size332;
+            ::apache::thrift::protocol::TType _etype335;
+            xfer += iprot->readListBegin(_etype335, _size332);
+            this->uses.resize(_size332);
+            uint32_t _i336;
+            for (_i336 = 0; _i336 < _size332; ++_i336)
+            {
+              xfer += this->uses[_i336].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size337;
+            ::apache::thrift::protocol::TType _etype340;
+            xfer += iprot->readListBegin(_etype340, _size337);
+            this->demands.resize(_size337);
+            uint32_t _i341;
+            for (_i341 = 0; _i341 < _size337; ++_i341)
+            {
+              xfer += this->demands[_i341].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->customers.clear();
+            uint32_t _size342;
+            ::apache::thrift::protocol::TType _etype345;
+            xfer += iprot->readListBegin(_etype345, _size342);
+            this->customers.resize(_size342);
+            uint32_t _i346;
+            for (_i346 = 0; _i346 < _size342; ++_i346)
+            {
+              xfer += this->customers[_i346].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.customers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->holdings.clear();
+            uint32_t _size347;
+            ::apache::thrift::protocol::TType _etype350;
+            xfer += iprot->readListBegin(_etype350, _size347);
+            this->holdings.resize(_size347);
+            uint32_t _i351;
+            for (_i351 = 0; _i351 < _size347; ++_i351)
+            {
+              xfer += this->holdings[_i351].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.holdings = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving_targets.clear();
+            uint32_t _size352;
+            ::apache::thrift::protocol::TType _etype355;
+            xfer += iprot->readListBegin(_etype355, _size352);
+            this->leaving_targets.resize(_size352);
+            uint32_t _i356;
+            for (_i356 = 0; _i356 < _size352; ++_i356)
+            {
+              xfer += this->leaving_targets[_i356].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving_targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size357;
+            ::apache::thrift::protocol::TType _etype360;
+            xfer += iprot->readListBegin(_etype360, _size357);
+            this->suspects.resize(_size357);
+            uint32_t _i361;
+            for (_i361 = 0; _i361 < _size357; ++_i361)
+            {
+              xfer += this->suspects[_i361].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t peer_status::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("peer_status");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->boot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
+    std::vector<std::string> ::const_iterator _iter362;
+    for (_iter362 = this->heard.begin(); _iter362 != this->heard.end(); ++_iter362)
+    {
+      xfer += oprot->writeString((*_iter362));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_version", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->config_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("config_address", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->config_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("centres_revision", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->centres_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
+    std::vector<std::string> ::const_iterator _iter363;
+    for (_iter363 = this->centres_out.begin(); _iter363 != this->centres_out.end(); ++_iter363)
+    {
+      xfer += oprot->writeString((*_iter363));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<target_use> ::const_iterator _iter364;
+    for (_iter364 = this->uses.begin(); _iter364 != this->uses.end(); ++_iter364)
+    {
+      xfer += (*_iter364).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
+    std::vector<model_demand> ::const_iterator _iter365;
+    for (_iter365 = this->demands.begin(); _iter365 != this->demands.end(); ++_iter365)
+    {
+      xfer += (*_iter365).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
+    std::vector<customer_demand> ::const_iterator _iter366;
+    for (_iter366 = this->customers.begin(); _iter366 != this->customers.end(); ++_iter366)
+    {
+      xfer += (*_iter366).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
+    std::vector<target_holding> ::const_iterator _iter367;
+    for (_iter367 = this->holdings.begin(); _iter367 != this->holdings.end(); ++_iter367)
+    {
+      xfer += (*_iter367).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
+    std::vector<leaving_target> ::const_iterator _iter368;
+    for (_iter368 = this->leaving_targets.begin(); _iter368 != this->leaving_targets.end(); ++_iter368)
+    {
+      xfer += (*_iter368).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<quarantine> ::const_iterator _iter369;
+    for (_iter369 = this->suspects.begin(); _iter369 != this->suspects.end(); ++_iter369)
+    {
+      xfer += (*_iter369).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(peer_status &a, peer_status &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.boot, b.boot);
+  swap(a.sequence, b.sequence);
+  swap(a.leaving, b.leaving);
+  swap(a.heard, b.heard);
+  swap(a.config_version, b.config_version);
+  swap(a.config_address, b.config_address);
+  swap(a.centres_revision, b.centres_revision);
+  swap(a.centres_out, b.centres_out);
+  swap(a.uses, b.uses);
+  swap(a.demands, b.demands);
+  swap(a.customers, b.customers);
+  swap(a.holdings, b.holdings);
+  swap(a.leaving_targets, b.leaving_targets);
+  swap(a.suspects, b.suspects);
+  swap(a.__isset, b.__isset);
+}
+
+peer_status::peer_status(const peer_status& other370) {
+  process = other370.process;
+  boot = other370.boot;
+  sequence = other370.sequence;
+  leaving = other370.leaving;
+  heard = other370.heard;
+  config_version = other370.config_version;
+  config_address = other370.config_address;
+  centres_revision = other370.centres_revision;
+  centres_out = other370.centres_out;
+  uses = other370.uses;
+  demands = other370.demands;
+  customers = other370.customers;
+  holdings = other370.holdings;
+  leaving_targets = other370.leaving_targets;
+  suspects = other370.suspects;
+  __isset = other370.__isset;
+}
+peer_status::peer_status(peer_status&& other371) noexcept {
+  process = std::move(other371.process);
+  boot = other371.boot;
+  sequence = other371.sequence;
+  leaving = other371.leaving;
+  heard = std::move(other371.heard);
+  config_version = other371.config_version;
+  config_address = std::move(other371.config_address);
+  centres_revision = other371.centres_revision;
+  centres_out = std::move(other371.centres_out);
+  uses = std::move(other371.uses);
+  demands = std::move(other371.demands);
+  customers = std::move(other371.customers);
+  holdings = std::move(other371.holdings);
+  leaving_targets = std::move(other371.leaving_targets);
+  suspects = std::move(other371.suspects);
+  __isset = other371.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other372) {
+  process = other372.process;
+  boot = other372.boot;
+  sequence = other372.sequence;
+  leaving = other372.leaving;
+  heard = other372.heard;
+  config_version = other372.config_version;
+  config_address = other372.config_address;
+  centres_revision = other372.centres_revision;
+  centres_out = other372.centres_out;
+  uses = other372.uses;
+  demands = other372.demands;
+  customers = other372.customers;
+  holdings = other372.holdings;
+  leaving_targets = other372.leaving_targets;
+  suspects = other372.suspects;
+  __isset = other372.__isset;
+  return *this;
+}
+peer_status& peer_status::operator=(peer_status&& other373) noexcept {
+  process = std::move(other373.process);
+  boot = other373.boot;
+  sequence = other373.sequence;
+  leaving = other373.leaving;
+  heard = std::move(other373.heard);
+  config_version = other373.config_version;
+  config_address = std::move(other373.config_address);
+  centres_revision = other373.centres_revision;
+  centres_out = std::move(other373.centres_out);
+  uses = std::move(other373.uses);
+  demands = std::move(other373.demands);
+  customers = std::move(other373.customers);
+  holdings = std::move(other373.holdings);
+  leaving_targets = std::move(other373.leaving_targets);
+  suspects = std::move(other373.suspects);
+  __isset = other373.__isset;
+  return *this;
+}
+void peer_status::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "peer_status(";
+  out << "process=" << to_string(process);
+  out << ", " << "boot=" << to_string(boot);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "heard=" << to_string(heard);
+  out << ", " << "config_version=" << to_string(config_version);
+  out << ", " << "config_address=" << to_string(config_address);
+  out << ", " << "centres_revision=" << to_string(centres_revision);
+  out << ", " << "centres_out=" << to_string(centres_out);
+  out << ", " << "uses=" << to_string(uses);
+  out << ", " << "demands=" << to_string(demands);
+  out << ", " << "customers=" << to_string(customers);
+  out << ", " << "holdings=" << to_string(holdings);
+  out << ", " << "leaving_targets=" << to_string(leaving_targets);
+  out << ", " << "suspects=" << to_string(suspects);
+  out << ")";
+}
+
 }} // namespace
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -63,7 +63,8 @@
     feed_elsewhere = 75,
     bucket_handover = 80,
     bucket_handover_ack = 81,
-    stood_down = 82
+    stood_down = 82,
+    peer_status = 90
   };
 };
 
@@ -222,6 +223,18 @@
 
 class bucket_handover_ack;
 
+class target_use;
+
+class model_demand;
+
+class customer_demand;
+
+class target_holding;
+
+class leaving_target;
+
+class peer_status;
+
 typedef struct _header__isset {
   _header__isset() : call(false), kind(false), clock(false) {}
   bool call :1;
@@ -3814,6 +3827,471 @@
 
 std::ostream& operator<<(std::ostream& out, const bucket_handover_ack& obj);
 
+typedef struct _target_use__isset {
+  _target_use__isset() : target(false), model(false), running(false), idle_ms(false) {}
+  bool target :1;
+  bool model :1;
+  bool running :1;
+  bool idle_ms :1;
+} _target_use__isset;
+
+/**
+ * Requests of one gateway now at a target, by model ("MODEL" or "MODEL/ADAPTER"; empty at plain services).
+ */
+class target_use : public virtual ::apache::thrift::TBase {
+ public:
+
+  target_use(const target_use&);
+  target_use(target_use&&) noexcept;
+  target_use& operator=(const target_use&);
+  target_use& operator=(target_use&&) noexcept;
+  target_use() noexcept
+             : target(),
+               model(),
+               running(0),
+               idle_ms(0) {
+  }
+
+  virtual ~target_use() noexcept;
+  std::string target;
+  std::string model;
+  int32_t running;
+  int64_t idle_ms;
+
+  _target_use__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  void __set_running(const int32_t val);
+
+  void __set_idle_ms(const int64_t val);
+
+  bool operator == (const target_use & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(idle_ms == rhs.idle_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const target_use &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const target_use & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(target_use &a, target_use &b);
+
+std::ostream& operator<<(std::ostream& out, const target_use& obj);
+
+typedef struct _model_demand__isset {
+  _model_demand__isset() : service_name(false), model(false), waiting(false), oldest_ms(false), priority(false), per_second(false) {}
+  bool service_name :1;
+  bool model :1;
+  bool waiting :1;
+  bool oldest_ms :1;
+  bool priority :1;
+  bool per_second :1;
+} _model_demand__isset;
+
+/**
+ * Requests waiting at one gateway for a model, and how many a second ask for it.
+ */
+class model_demand : public virtual ::apache::thrift::TBase {
+ public:
+
+  model_demand(const model_demand&);
+  model_demand(model_demand&&) noexcept;
+  model_demand& operator=(const model_demand&);
+  model_demand& operator=(model_demand&&) noexcept;
+  model_demand() noexcept
+               : service_name(),
+                 model(),
+                 waiting(0),
+                 oldest_ms(0),
+                 priority(0),
+                 per_second(0) {
+  }
+
+  virtual ~model_demand() noexcept;
+  std::string service_name;
+  std::string model;
+  int32_t waiting;
+  int64_t oldest_ms;
+  int32_t priority;
+  double per_second;
+
+  _model_demand__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_oldest_ms(const int64_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_per_second(const double val);
+
+  bool operator == (const model_demand & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(oldest_ms == rhs.oldest_ms))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(per_second == rhs.per_second))
+      return false;
+    return true;
+  }
+  bool operator != (const model_demand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const model_demand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(model_demand &a, model_demand &b);
+
+std::ostream& operator<<(std::ostream& out, const model_demand& obj);
+
+typedef struct _customer_demand__isset {
+  _customer_demand__isset() : customer(false), tokens_per_second(false) {}
+  bool customer :1;
+  bool tokens_per_second :1;
+} _customer_demand__isset;
+
+class customer_demand : public virtual ::apache::thrift::TBase {
+ public:
+
+  customer_demand(const customer_demand&);
+  customer_demand(customer_demand&&) noexcept;
+  customer_demand& operator=(const customer_demand&);
+  customer_demand& operator=(customer_demand&&) noexcept;
+  customer_demand() noexcept
+                  : customer(),
+                    tokens_per_second(0) {
+  }
+
+  virtual ~customer_demand() noexcept;
+  std::string customer;
+  double tokens_per_second;
+
+  _customer_demand__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_tokens_per_second(const double val);
+
+  bool operator == (const customer_demand & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(tokens_per_second == rhs.tokens_per_second))
+      return false;
+    return true;
+  }
+  bool operator != (const customer_demand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const customer_demand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(customer_demand &a, customer_demand &b);
+
+std::ostream& operator<<(std::ostream& out, const customer_demand& obj);
+
+typedef struct _target_holding__isset {
+  _target_holding__isset() : target(false), born(false), sequence(false), models(false), coming(false) {}
+  bool target :1;
+  bool born :1;
+  bool sequence :1;
+  bool models :1;
+  bool coming :1;
+} _target_holding__isset;
+
+/**
+ * What a target holds, as the giver of its orders knows. coming: models being loaded.
+ */
+class target_holding : public virtual ::apache::thrift::TBase {
+ public:
+
+  target_holding(const target_holding&);
+  target_holding(target_holding&&) noexcept;
+  target_holding& operator=(const target_holding&);
+  target_holding& operator=(target_holding&&) noexcept;
+  target_holding() noexcept
+                 : target(),
+                   born(0),
+                   sequence(0) {
+  }
+
+  virtual ~target_holding() noexcept;
+  std::string target;
+  int64_t born;
+  int64_t sequence;
+  std::vector<std::string>  models;
+  std::vector<std::string>  coming;
+
+  _target_holding__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_models(const std::vector<std::string> & val);
+
+  void __set_coming(const std::vector<std::string> & val);
+
+  bool operator == (const target_holding & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(models == rhs.models))
+      return false;
+    if (!(coming == rhs.coming))
+      return false;
+    return true;
+  }
+  bool operator != (const target_holding &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const target_holding & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(target_holding &a, target_holding &b);
+
+std::ostream& operator<<(std::ostream& out, const target_holding& obj);
+
+typedef struct _leaving_target__isset {
+  _leaving_target__isset() : target(false), born(false) {}
+  bool target :1;
+  bool born :1;
+} _leaving_target__isset;
+
+class leaving_target : public virtual ::apache::thrift::TBase {
+ public:
+
+  leaving_target(const leaving_target&);
+  leaving_target(leaving_target&&) noexcept;
+  leaving_target& operator=(const leaving_target&);
+  leaving_target& operator=(leaving_target&&) noexcept;
+  leaving_target() noexcept
+                 : target(),
+                   born(0) {
+  }
+
+  virtual ~leaving_target() noexcept;
+  std::string target;
+  int64_t born;
+
+  _leaving_target__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  bool operator == (const leaving_target & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    return true;
+  }
+  bool operator != (const leaving_target &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const leaving_target & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(leaving_target &a, leaving_target &b);
+
+std::ostream& operator<<(std::ostream& out, const leaving_target& obj);
+
+typedef struct _peer_status__isset {
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false) {}
+  bool process :1;
+  bool boot :1;
+  bool sequence :1;
+  bool leaving :1;
+  bool heard :1;
+  bool config_version :1;
+  bool config_address :1;
+  bool centres_revision :1;
+  bool centres_out :1;
+  bool uses :1;
+  bool demands :1;
+  bool customers :1;
+  bool holdings :1;
+  bool leaving_targets :1;
+  bool suspects :1;
+} _peer_status__isset;
+
+class peer_status : public virtual ::apache::thrift::TBase {
+ public:
+
+  peer_status(const peer_status&);
+  peer_status(peer_status&&) noexcept;
+  peer_status& operator=(const peer_status&);
+  peer_status& operator=(peer_status&&) noexcept;
+  peer_status() noexcept
+              : process(),
+                boot(0),
+                sequence(0),
+                leaving(0),
+                config_version(0),
+                config_address(),
+                centres_revision(0) {
+  }
+
+  virtual ~peer_status() noexcept;
+  std::string process;
+  int64_t boot;
+  int64_t sequence;
+  bool leaving;
+  std::vector<std::string>  heard;
+  int64_t config_version;
+  std::string config_address;
+  int64_t centres_revision;
+  std::vector<std::string>  centres_out;
+  std::vector<target_use>  uses;
+  std::vector<model_demand>  demands;
+  std::vector<customer_demand>  customers;
+  std::vector<target_holding>  holdings;
+  std::vector<leaving_target>  leaving_targets;
+  std::vector<quarantine>  suspects;
+
+  _peer_status__isset __isset;
+
+  void __set_process(const std::string& val);
+
+  void __set_boot(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_leaving(const bool val);
+
+  void __set_heard(const std::vector<std::string> & val);
+
+  void __set_config_version(const int64_t val);
+
+  void __set_config_address(const std::string& val);
+
+  void __set_centres_revision(const int64_t val);
+
+  void __set_centres_out(const std::vector<std::string> & val);
+
+  void __set_uses(const std::vector<target_use> & val);
+
+  void __set_demands(const std::vector<model_demand> & val);
+
+  void __set_customers(const std::vector<customer_demand> & val);
+
+  void __set_holdings(const std::vector<target_holding> & val);
+
+  void __set_leaving_targets(const std::vector<leaving_target> & val);
+
+  void __set_suspects(const std::vector<quarantine> & val);
+
+  bool operator == (const peer_status & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(boot == rhs.boot))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(heard == rhs.heard))
+      return false;
+    if (!(config_version == rhs.config_version))
+      return false;
+    if (!(config_address == rhs.config_address))
+      return false;
+    if (!(centres_revision == rhs.centres_revision))
+      return false;
+    if (!(centres_out == rhs.centres_out))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
+    if (!(demands == rhs.demands))
+      return false;
+    if (!(customers == rhs.customers))
+      return false;
+    if (!(holdings == rhs.holdings))
+      return false;
+    if (!(leaving_targets == rhs.leaving_targets))
+      return false;
+    if (!(suspects == rhs.suspects))
+      return false;
+    return true;
+  }
+  bool operator != (const peer_status &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const peer_status & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(peer_status &a, peer_status &b);
+
+std::ostream& operator<<(std::ostream& out, const peer_status& obj);
+
 }} // namespace
 
 #endif
--- /dev/null
+++ b/src/programs/gateway/dispatcher.cpp
@@ -0,0 +1,301 @@
+#include "programs/gateway/dispatcher.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace waxwinglb::programs::gateway {
+namespace {
+
+using core::common::duration;
+using core::common::milliseconds;
+using core::common::time_point;
+using core::dispatch::obstacle;
+
+constexpr double failure_memory = 0.8;           // weight of what was seen before the newest answer
+constexpr milliseconds first_suspicion{300};     // a target that can't be reached is left alone so long
+constexpr milliseconds longest_suspicion{2'000}; // doubling up to this
+constexpr double arrival_memory_s = 4.0;         // time constant of the arrival rates
+constexpr double model_batch_part = 0.75;        // of an engine's slots, so that first tokens stay early
+constexpr int plain_queue = 2;                   // requests beyond its slots that a plain service may hold
+constexpr milliseconds overdue_check{20};
+constexpr milliseconds no_target_hold{500}; // a restarting service may be back within that
+constexpr milliseconds retry_after_least{200};
+
+double seconds(duration value) {
+    return std::chrono::duration<double>(value).count();
+}
+
+double decay(double sum, duration age) {
+    return sum * std::exp(-seconds(age) / arrival_memory_s);
+}
+
+} // namespace
+
+void dispatcher::submit(const call_ptr& one) {
+    if (one->order == 0) {
+        one->order = ++last_order_;
+        count_arrival(*one);
+    }
+    one->target.clear();
+    one->hold_until = {};
+    waiting_[one->order] = one;
+    if (one->not_before > context_.loop.now())
+        context_.loop.schedule(one->not_before, [this] { pump_soon(); });
+    context_.numbers.waiting.Set(static_cast<double>(waiting_.size()));
+    pump();
+}
+
+void dispatcher::withdraw(const call_ptr& one) {
+    waiting_.erase(one->order);
+    context_.numbers.waiting.Set(static_cast<double>(waiting_.size()));
+}
+
+void dispatcher::pump_soon() {
+    if (pump_planned_ || waiting_.empty())
+        return;
+    pump_planned_ = true;
+    context_.loop.schedule(context_.loop.now(), [this] {
+        pump_planned_ = false;
+        pump();
+    });
+}
+
+/// Urgent requests first, those that can still be on time before the others, then by arrival.
+void dispatcher::pump() {
+    const time_point now = context_.loop.now();
+    std::vector<std::pair<order_key, call_ptr>> order;
+    order.reserve(waiting_.size());
+    for (const auto& [number, one] : waiting_) {
+        const bool late = now > one->arrived + one->route->target_latency;
+        order.push_back({{late, one->priority, number}, one});
+    }
+    std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::map<std::string, std::vector<core::dispatch::candidate>> by_service;
+    std::map<std::pair<std::string, core::fleet::model_wish>, obstacle> blocked;
+    bool new_wait = false;
+    for (const auto& [key, one] : order) {
+        const std::pair<std::string, core::fleet::model_wish> group{one->service, one->model};
+        if (now < one->not_before)
+            continue;
+        obstacle why = obstacle::none;
+        if (const auto known = blocked.find(group); known != blocked.end() && one->sent_to.empty()) {
+            why = known->second;
+        } else {
+            auto found = by_service.find(one->service);
+            if (found == by_service.end())
+                found = by_service.emplace(one->service, candidates(one->service)).first;
+            const auto choice = core::dispatch::choose(found->second, wish_of(*one), now);
+            if (choice.chosen != nullptr) {
+                const std::string target = choice.chosen->target->entry.id;
+                auto& changed = found->second[static_cast<std::size_t>(choice.chosen - found->second.data())];
+                ++changed.load;
+                changed.cold_allowance = !(now < changed.target->cold_until);
+                withdraw(one);
+                owner_.on_send(one, target);
+                continue;
+            }
+            why = choice.why;
+            if (one->sent_to.empty())
+                blocked[group] = why;
+        }
+        if (one->hold_until == time_point{}) {
+            one->hold_until = std::min(one->deadline, now + hold_limit(*one, why));
+            new_wait = true;
+        }
+    }
+    refuse_overdue();
+    schedule_overdue();
+    if (new_wait)
+        owner_.on_new_wait();
+}
+
+core::dispatch::wish dispatcher::wish_of(const call& one) const {
+    return {one.model, one.sticky_session, &one.failed_at, &context_.centres_out,
+            one.attempts_left() ? nullptr : &one.sent_to};
+}
+
+/// How long the request may wait from now on, given what it waits for.
+duration dispatcher::hold_limit(const call& one, obstacle why) const {
+    const duration aim = one.route->target_latency;
+    switch (why) {
+    case obstacle::no_target:
+    case obstacle::unreachable:
+        return std::min<duration>(aim, no_target_hold);
+    case obstacle::no_model:
+    case obstacle::loading:
+    case obstacle::no_adapter:
+        return aim * 3 / 2;
+    default:
+        return aim;
+    }
+}
+
+void dispatcher::refuse_overdue() {
+    const time_point now = context_.loop.now();
+    std::vector<call_ptr> overdue;
+    for (const auto& [number, one] : waiting_)
+        if (now >= one->hold_until)
+            overdue.push_back(one);
+    for (const call_ptr& one : overdue) {
+        const auto found = candidates(one->service);
+        const auto choice = core::dispatch::choose(found, wish_of(*one), now);
+        withdraw(one);
+        const duration wait = std::max<duration>(retry_after_least, one->route->target_latency / 2);
+        owner_.on_refuse(one, choice.why, wait);
+    }
+}
+
+void dispatcher::schedule_overdue() {
+    if (waiting_.empty() || overdue_timer_.second != 0)
+        return;
+    overdue_timer_ = context_.loop.schedule(context_.loop.now() + overdue_check, [this] {
+        overdue_timer_ = {};
+        refuse_overdue();
+        schedule_overdue();
+    });
+}
+
+int dispatcher::limit_of(const core::fleet::target& one) const {
+    const auto* service = context_.config->find_service(one.entry.service);
+    if (service != nullptr && service->engine)
+        return std::max(1, static_cast<int>(one.entry.slots * model_batch_part));
+    return one.entry.slots + plain_queue;
+}
+
+/// A cold target's rate belongs to all gateways together: each uses an equal part of it.
+bool dispatcher::cold_allowance(const core::fleet::target& target, target_runtime& runtime) {
+    const time_point now = context_.loop.now();
+    if (now >= target.cold_until)
+        return true;
+    const auto* service = context_.config->find_service(target.entry.service);
+    if (service == nullptr || service->cold_per_second <= 0)
+        return true;
+    const double rate = service->cold_per_second / std::max(1, context_.members);
+    runtime.cold_tokens = std::min(1.0, runtime.cold_tokens + rate * seconds(now - runtime.cold_filled));
+    runtime.cold_filled = now;
+    return runtime.cold_tokens >= 1;
+}
+
+std::vector<core::dispatch::candidate> dispatcher::candidates(const std::string& service) {
+    const time_point now = context_.loop.now();
+    std::vector<core::dispatch::candidate> out;
+    for (const auto& [id, target] : context_.directory.targets()) {
+        if (target.entry.service != service)
+            continue;
+        target_runtime& runtime = runtimes_[id];
+        core::dispatch::candidate one;
+        one.target = &target;
+        one.load = runtime.running;
+        for (const auto& [peer, loads] : peer_loads_)
+            if (const auto found = loads.find(id); found != loads.end())
+                one.load += found->second;
+        one.limit = limit_of(target);
+        one.failure_rate = runtime.failure_rate;
+        one.reachable = now >= runtime.suspect_until;
+        one.cold_allowance = cold_allowance(target, runtime);
+        one.near = target.entry.data_centre == context_.settings.data_centre;
+        out.push_back(one);
+    }
+    return out;
+}
+
+void dispatcher::begin(const call_ptr& one, const std::string& target) {
+    one->target = target;
+    one->sent_at = context_.loop.now();
+    target_runtime& runtime = runtimes_[target];
+    ++runtime.running;
+    runtime.cold_tokens -= 1;
+    target_usage& use = usage_[{target, one->model}];
+    ++use.running;
+    use.last_used = context_.loop.now();
+    ++running_;
+    context_.numbers.running.Set(static_cast<double>(running_));
+}
+
+void dispatcher::end(const call_ptr& one, verdict how) {
+    if (one->target.empty())
+        return;
+    const time_point now = context_.loop.now();
+    const auto found = runtimes_.find(one->target);
+    if (const auto use = usage_.find({one->target, one->model}); use != usage_.end()) {
+        --use->second.running;
+        use->second.last_used = now;
+    }
+    --running_;
+    context_.numbers.running.Set(static_cast<double>(running_));
+    const std::string target = std::move(one->target);
+    one->target.clear();
+    if (found == runtimes_.end())
+        return;
+    target_runtime& runtime = found->second;
+    --runtime.running;
+    if (how == verdict::good || how == verdict::failed)
+        runtime.failure_rate =
+            failure_memory * runtime.failure_rate + (how == verdict::failed ? 1 - failure_memory : 0);
+    if (how == verdict::good)
+        runtime.suspicion = milliseconds{0};
+    if (how == verdict::unreachable) {
+        runtime.suspicion = std::clamp(runtime.suspicion * 2, first_suspicion, longest_suspicion);
+        runtime.suspect_until = now + runtime.suspicion;
+        context_.log.write(edge::events::target_suspected, target, {{"for_ms", runtime.suspicion.count()}});
+        context_.loop.schedule(runtime.suspect_until, [this] { pump_soon(); });
+    }
+    pump_soon();
+}
+
+std::shared_ptr<target_link> dispatcher::link(const std::string& target) {
+    const auto* known = context_.directory.find(target);
+    if (known == nullptr)
+        return nullptr;
+    target_runtime& runtime = runtimes_[target];
+    if (!runtime.link || runtime.address != known->entry.address) {
+        runtime.link = std::make_shared<target_link>(context_.loop, known->entry.address, connections_);
+        runtime.address = known->entry.address;
+    }
+    return runtime.link;
+}
+
+void dispatcher::forget(const std::string& target) {
+    const auto found = runtimes_.find(target);
+    if (found != runtimes_.end() && found->second.running == 0)
+        runtimes_.erase(found);
+    std::erase_if(usage_,
+                  [&](const auto& one) { return one.first.first == target && one.second.running == 0; });
+}
+
+void dispatcher::peer_load(const std::string& peer, std::map<std::string, int> running) {
+    peer_loads_[peer] = std::move(running);
+    pump_soon();
+}
+
+std::map<core::fleet::model_wish, dispatcher::waiting_sum> dispatcher::waiting_by_model() const {
+    std::map<core::fleet::model_wish, waiting_sum> out;
+    for (const auto& [number, one] : waiting_) {
+        if (one->model.model.empty())
+            continue;
+        waiting_sum& sum = out[one->model];
+        sum.service = one->service;
+        sum.oldest = sum.count == 0 ? one->arrived : std::min(sum.oldest, one->arrived);
+        sum.priority = std::min(sum.priority, one->priority);
+        ++sum.count;
+    }
+    return out;
+}
+
+void dispatcher::count_arrival(const call& one) {
+    if (one.model.model.empty())
+        return;
+    arrivals& sum = arrivals_[one.model];
+    sum.service = one.service;
+    sum.sum = decay(sum.sum, context_.loop.now() - sum.at) + 1;
+    sum.at = context_.loop.now();
+}
+
+std::map<core::fleet::model_wish, dispatcher::arrival_rate> dispatcher::arrival_rates() const {
+    std::map<core::fleet::model_wish, arrival_rate> out;
+    for (const auto& [wish, sum] : arrivals_)
+        out[wish] = {sum.service, decay(sum.sum, context_.loop.now() - sum.at) / arrival_memory_s};
+    return out;
+}
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/dispatcher.hpp
@@ -0,0 +1,104 @@
+/// Requests that wait, the targets as this gateway sees them, and the moment at which one goes to the other.
+#pragma once
+
+#include "core/dispatch/target_choice.hpp"
+#include "programs/gateway/call.hpp"
+#include "programs/gateway/context.hpp"
+
+#include <functional>
+#include <map>
+
+namespace waxwinglb::programs::gateway {
+
+/// Requests of one gateway at one target, by model.
+struct target_usage {
+    int running = 0;
+    core::common::time_point last_used{};
+};
+using usage_map = std::map<std::pair<std::string, core::fleet::model_wish>, target_usage>; // (target, model)
+
+class dispatcher {
+public:
+    struct owner {
+        std::function<void(const call_ptr&, const std::string& target)> on_send; // a place was found
+        std::function<void(const call_ptr&, core::dispatch::obstacle, core::common::duration retry_after)>
+            on_refuse;
+        std::function<void()> on_new_wait; // a model is waited for that wasn't before
+    };
+    dispatcher(gateway_context& context, owner to) : context_(context), owner_(std::move(to)) {}
+
+    void submit(const call_ptr& one);   // waits until on_send or on_refuse
+    void withdraw(const call_ptr& one); // it waits no longer
+    void pump_soon();                   // looks for places in the next turn of the loop
+
+    // What became of requests at targets.
+    enum class verdict { good, failed, not_run, unreachable, abandoned };
+    void begin(const call_ptr& one, const std::string& target);
+    void end(const call_ptr& one, verdict how);
+    std::shared_ptr<target_link> link(const std::string& target);
+    void forget(const std::string& target); // it is gone
+
+    /// Requests of other gateways at each target, as last told.
+    void peer_load(const std::string& peer, std::map<std::string, int> running);
+
+    /// For the order giver and the peers.
+    struct waiting_sum {
+        std::string service;
+        int count = 0;
+        core::common::time_point oldest{};
+        int priority = 9;
+    };
+    [[nodiscard]] std::map<core::fleet::model_wish, waiting_sum> waiting_by_model() const;
+    [[nodiscard]] const usage_map& usage() const { return usage_; }
+    struct arrival_rate {
+        std::string service;
+        double per_second = 0;
+    };
+    [[nodiscard]] std::map<core::fleet::model_wish, arrival_rate> arrival_rates() const;
+    [[nodiscard]] std::size_t waiting_count() const { return waiting_.size(); }
+    [[nodiscard]] std::size_t running_count() const { return running_; }
+    [[nodiscard]] const target_link::counters& connections() const { return connections_; }
+
+private:
+    struct target_runtime {
+        std::shared_ptr<target_link> link;
+        std::string address;
+        int running = 0;
+        double failure_rate = 0;
+        core::common::time_point suspect_until{};
+        core::common::milliseconds suspicion{0}; // grows with each failure in a row
+        double cold_tokens = 1;
+        core::common::time_point cold_filled{};
+    };
+    struct arrivals {
+        std::string service;
+        double sum = 0; // decaying
+        core::common::time_point at{};
+    };
+    using order_key = std::tuple<bool, int, std::uint64_t>; // late, priority, arrival
+
+    void pump();
+    [[nodiscard]] std::vector<core::dispatch::candidate> candidates(const std::string& service);
+    [[nodiscard]] int limit_of(const core::fleet::target& one) const;
+    bool cold_allowance(const core::fleet::target& target, target_runtime& runtime);
+    void count_arrival(const call& one);
+    [[nodiscard]] core::dispatch::wish wish_of(const call& one) const;
+    void refuse_overdue();
+    void schedule_overdue();
+    [[nodiscard]] core::common::duration hold_limit(const call& one, core::dispatch::obstacle why) const;
+
+    gateway_context& context_;
+    owner owner_;
+    std::map<std::uint64_t, call_ptr> waiting_;                    // by order of arrival
+    std::map<std::string, target_runtime> runtimes_;               // by target id
+    std::map<std::string, std::map<std::string, int>> peer_loads_; // peer -> target -> requests
+    usage_map usage_;
+    std::map<core::fleet::model_wish, arrivals> arrivals_;
+    std::uint64_t last_order_ = 0;
+    std::size_t running_ = 0;
+    target_link::counters connections_;
+    bool pump_planned_ = false;
+    edge::event_loop::timer_id overdue_timer_;
+};
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/gateway.hpp
@@ -0,0 +1,64 @@
+/// The parts of one gateway, and the way of a request until it waits for a target.
+#pragma once
+
+#include "edge/program.hpp"
+#include "programs/gateway/order_giver.hpp"
+
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace waxwinglb::programs::gateway {
+
+class gateway {
+public:
+    gateway(edge::program_context& program, const gateway_settings& settings);
+    bool start(); // false: an address can't be had
+    void run();   // until SIGTERM and the end of what runs
+
+private:
+    // Admission.
+    void on_request(const std::shared_ptr<caller_session>& session, edge::wire_request&& request);
+    bool find_route(const call_ptr& one);
+    bool identify_caller(const call_ptr& one);
+    bool read_deadline(const call_ptr& one);
+    bool charge(const call_ptr& one);
+    void reject(const call_ptr& one, int status, const std::string& reason,
+                core::common::duration retry_after = {});
+    void finished(const call_ptr& one);
+
+    // The process.
+    void accept(int socket);
+    void serve_readiness(const edge::exchange_ptr& exchange);
+    void serve_metrics(const edge::exchange_ptr& exchange);
+    void register_self();
+    void housekeeping();
+    void begin_drain();
+    void drain_step();
+    void update_readiness();
+
+    edge::program_context& program_;
+    gateway_settings settings_;
+    edge::decision_log log_;
+    edge::event_loop loop_;
+    gateway_context context_;
+    edge::http_client client_;
+    platform::store_client store_;
+    forwarder forwarder_;
+    dispatcher dispatcher_;
+    store_watch watch_;
+    std::int64_t boot_;
+    order_giver order_giver_;
+    peers peers_;
+    edge::acceptor acceptor_;
+    caller_session::owner session_owner_;
+    std::unordered_set<std::shared_ptr<caller_session>> sessions_;
+    std::unordered_map<caller_session*, call_ptr> calls_;
+    std::unique_ptr<edge::http_server> readiness_;
+    std::unique_ptr<edge::http_server> metrics_;
+    std::mutex config_mutex_;
+    std::string config_for_peers_; // under config_mutex_: read by the metrics server's thread
+    core::common::time_point drain_began_{};
+};
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/main.cpp
@@ -0,0 +1,22 @@
+// waxwing-gateway: takes callers' requests on the users' platform, finds a target for each and brings its
+// answer back; one of the gateways gives the targets their orders to load and unload models.
+#include "edge/program.hpp"
+#include "programs/gateway/gateway.hpp"
+
+int main(int argc, char** argv) {
+    using namespace waxwinglb;
+    programs::gateway::gateway_settings settings;
+    const edge::program_description description{"waxwing-gateway", WAXWING_VERSION,
+                                                "serves callers and places models on the users' platform"};
+    return edge::run_program(
+        argc, argv, description,
+        [&](edge::settings_section& top) { programs::gateway::read_settings(top, settings); },
+        [&](edge::program_context& context) {
+            settings.name = context.name;
+            programs::gateway::gateway one{context, settings};
+            if (!one.start())
+                return edge::exit_failed;
+            one.run();
+            return edge::exit_ok;
+        });
+}
--- /dev/null
+++ b/src/programs/gateway/order_giver.cpp
@@ -0,0 +1,439 @@
+#include "programs/gateway/order_giver.hpp"
+
+#include "platform/headers.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+
+namespace waxwinglb::programs::gateway {
+namespace {
+
+namespace leaf = boost::leaf;
+using core::common::milliseconds;
+using core::common::time_point;
+using core::fleet::model_wish;
+using core::membership::write_result;
+using core::placing::planned_order;
+using core::placing::target_ledger;
+using platform::store_result;
+
+constexpr milliseconds tick_every{40};
+constexpr milliseconds term{1'500}; // of one write of the lease
+constexpr milliseconds renewal{500};
+constexpr milliseconds margin{300}; // for clocks that run at different rates
+constexpr milliseconds read_while_holder_speaks{2'000};
+constexpr milliseconds read_while_silent{400};
+constexpr milliseconds holder_silence{700}; // without its message, the holder may be gone
+constexpr milliseconds report_every{1'000};
+constexpr milliseconds report_when_unsettled{300};
+constexpr milliseconds order_timeout{1'200};
+constexpr milliseconds report_timeout{800};
+constexpr milliseconds connect_timeout{400};
+constexpr milliseconds load_margin{40};  // a target counts as loaded so much after the expected time
+constexpr milliseconds adapter_load{25}; // adapters arrive in milliseconds
+
+std::string operation_of(const planned_order& order) {
+    return std::string{order.load ? "load" : "unload"} + (order.what.adapter.empty() ? "_model" : "_adapter");
+}
+
+} // namespace
+
+order_giver::order_giver(gateway_context& context, platform::store_client& store, edge::http_client& client,
+                         dispatcher& dispatch, std::int64_t boot)
+    : context_(context), store_(store), client_(client), dispatch_(dispatch),
+      lease_({context.settings.name, context.settings.peers, boot}, {term, margin, renewal}) {}
+
+void order_giver::start() {
+    tick();
+}
+
+void order_giver::tick() {
+    const auto now = context_.loop.now();
+    if (lease_.writing()) {
+        // an answer or its timeout comes
+    } else if (lease_.wants_read() && !reading_) {
+        read_lease();
+    } else if (lease_.renewal_due(now) && !lease_.releasing()) {
+        if (const auto write = lease_.write(lease_.record().state, now))
+            write_lease(*write);
+    } else if (!lease_.mine() && !context_.ending && lease_.takeable(now) && context_.config) {
+        if (const auto write = lease_.take(now))
+            write_lease(*write);
+    } else if (!lease_.mine() && !reading_) {
+        const auto& heard = peers_->heard();
+        const auto holder = heard.find(lease_.record().holder);
+        const bool speaks = holder != heard.end() && now - holder->second.heard_at < holder_silence;
+        if (now - checked_at_ > (speaks ? read_while_holder_speaks : read_while_silent))
+            read_lease();
+    }
+    note_lease(now);
+    follow_directory();
+    if (may_order(now)) {
+        ask_for_reports();
+        for (const auto& [name, service] : context_.config->services)
+            if (service.engine)
+                plan_service(service);
+    }
+    context_.loop.schedule(now + tick_every, [this] { tick(); });
+}
+
+// ---- the lease -------------------------------------------------------------------------------------
+
+void order_giver::read_lease() {
+    reading_ = true;
+    checked_at_ = context_.loop.now();
+    store_.read(platform::lease_kind, platform::lease_name, [this](platform::store_reply&& reply) {
+        context_.loop.post([this, reply = std::move(reply)] {
+            reading_ = false;
+            const auto now = context_.loop.now();
+            context_.numbers.count_store_call("read_lease", reply.heard() ? "heard" : "lost");
+            if (reply.result == store_result::absent)
+                lease_.saw_record(0, std::nullopt, now);
+            else if (reply.result == store_result::ok && !reply.objects.empty())
+                lease_.saw_record(reply.objects.front().revision,
+                                  core::membership::decode_lease(reply.objects.front().spec.dump()), now);
+            note_lease(now);
+        });
+    });
+}
+
+void order_giver::write_lease(const core::membership::lease_write& write) {
+    const auto done = [this, sequence = write.sequence](platform::store_reply&& reply) {
+        context_.loop.post([this, sequence, reply = std::move(reply)] {
+            const auto now = context_.loop.now();
+            context_.numbers.count_store_call("write_lease", reply.heard() ? "heard" : "lost");
+            const bool stored = reply.result == store_result::ok && !reply.objects.empty();
+            const auto result = stored                                  ? write_result::stored
+                                : reply.result == store_result::refused ? write_result::not_sent
+                                : reply.result == store_result::unknown || reply.result == store_result::ok
+                                    ? write_result::unknown
+                                    : write_result::conflict;
+            lease_.written(sequence, result, stored ? reply.objects.front().revision : 0, now);
+            note_lease(now);
+        });
+    };
+    auto spec = nlohmann::json::parse(write.value);
+    if (write.if_version == 0)
+        store_.create(platform::lease_kind, platform::lease_name, std::move(spec), done);
+    else
+        store_.replace(platform::lease_kind, platform::lease_name, write.if_version, std::move(spec), done);
+}
+
+/// Follows who may give orders, and until when another holder may have.
+void order_giver::note_lease(time_point now) {
+    if (lease_.known() && lease_.version() != seen_version_) {
+        seen_version_ = lease_.version();
+        const auto& record = lease_.record();
+        if (!lease_.mine() && record.fencing > 0)
+            other_until_ = now + (record.holder.empty() ? milliseconds{0} : record.term);
+    }
+    const bool held = lease_.held(now);
+    if (held == held_)
+        return;
+    held_ = held;
+    context_.numbers.lease_held.Set(held ? 1 : 0);
+    if (!held) {
+        context_.log.write(edge::events::lease_lost, "order_giver", {{"fencing", lease_.fencing()}});
+        targets_.clear();
+        return;
+    }
+    orders_from_ = other_until_ == time_point{} ? now : other_until_ + context_.settings.lease_term + margin;
+    context_.log.write(
+        edge::events::lease_taken, "order_giver",
+        {{"fencing", lease_.fencing()}, {"orders_in_ms", core::common::to_wire_ms(orders_from_ - now)}});
+}
+
+bool order_giver::may_order(time_point now) const {
+    return lease_.held(now) && now >= orders_from_ && context_.config && context_.directory.loaded() &&
+           !context_.ending;
+}
+
+void order_giver::release() {
+    if (const auto write = lease_.release(lease_.record().state, context_.loop.now()))
+        write_lease(*write);
+}
+
+// ---- the targets -----------------------------------------------------------------------------------
+
+void order_giver::follow_directory() {
+    if (!held_)
+        return;
+    const auto now = context_.loop.now();
+    std::erase_if(targets_, [&](const auto& one) { return context_.directory.find(one.first) == nullptr; });
+    for (const auto& [id, target] : context_.directory.targets()) {
+        const auto* service = context_.config ? context_.config->find_service(target.entry.service) : nullptr;
+        if (service == nullptr || !service->engine || !target.entry.describes_models)
+            continue;
+        known_target& known = targets_[id];
+        const bool is_news = !known.ledger.known() || known.ledger.born() != target.entry.born;
+        if (is_news) {
+            known.ledger.describe(target.entry.born, target.entry.sequence, target.entry.models, now);
+            known.copies_in_memory.clear();
+            known.copies_on_disk.clear();
+        }
+        known.copies_in_memory.insert(target.entry.copies_in_memory.begin(),
+                                      target.entry.copies_in_memory.end());
+        known.copies_on_disk.insert(target.entry.copies_on_disk.begin(), target.entry.copies_on_disk.end());
+    }
+}
+
+void order_giver::ask_for_reports() {
+    const auto now = context_.loop.now();
+    for (auto& [id, known] : targets_) {
+        const auto pause = known.ledger.wants_report() ? report_when_unsettled : report_every;
+        if (!known.asking && now - known.asked_at >= pause)
+            ask(id);
+    }
+}
+
+void order_giver::ask(const std::string& id) {
+    known_target& known = targets_[id];
+    const auto* target = context_.directory.find(id);
+    if (target == nullptr)
+        return;
+    known.asking = true;
+    known.asked_at = context_.loop.now();
+    edge::client_request request;
+    request.url = "http://" + target->entry.address + platform::report_path;
+    request.headers.push_back({std::string{platform::instance_header}, id});
+    request.timeout = report_timeout;
+    request.connect_timeout = connect_timeout;
+    client_.send(std::move(request), [this, id, at = known.asked_at](edge::client_result&& answer) {
+        context_.loop.post([this, id, at, answer = std::move(answer)] { take_report(id, answer, at); });
+    });
+}
+
+void order_giver::take_report(const std::string& id, const edge::client_result& answer, time_point asked_at) {
+    const auto found = targets_.find(id);
+    if (found == targets_.end())
+        return;
+    known_target& known = found->second;
+    known.asking = false;
+    if (answer.outcome != edge::client_outcome::answered || answer.status != 200)
+        return;
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(report, platform::decode_report(answer.body));
+            if (report.born != 0 && report.born != known.ledger.born())
+                return {}; // another start: its registration will tell
+            if (!report.busy)
+                known.ledger.describe(known.ledger.born(), report.sequence, report.models,
+                                      asked_at - core::placing::report_delay);
+            if (report.tells_copies) {
+                known.copies_in_memory = {report.copies_in_memory.begin(), report.copies_in_memory.end()};
+                known.copies_on_disk = {report.copies_on_disk.begin(), report.copies_on_disk.end()};
+            }
+            publish(id);
+            return {};
+        },
+        [&](const core::common::error& why) {
+            context_.log.write(edge::events::target_ignored, id, {{"why", describe(why)}});
+        },
+        [&] {
+            context_.log.write(edge::events::target_ignored, id, {{"why", "report"}});
+        });
+}
+
+/// Makes what the ledger knows known to this gateway's own dispatcher.
+void order_giver::publish(const std::string& id) {
+    const auto now = context_.loop.now();
+    const target_ledger& ledger = targets_.at(id).ledger;
+    const auto loading = ledger.loading(now);
+    std::map<std::string, std::vector<std::string>> models;
+    for (const auto& [model, adapters] : ledger.models())
+        if (!loading.contains(model))
+            models[model] = {adapters.begin(), adapters.end()};
+    context_.directory.describe(id, ledger.born(), ledger.sequence(), models, loading);
+    dispatch_.pump_soon();
+}
+
+std::vector<wire::target_holding> order_giver::holdings() const {
+    std::vector<wire::target_holding> out;
+    const auto now = context_.loop.now();
+    if (!held_)
+        return out;
+    for (const auto& [id, known] : targets_) {
+        wire::target_holding one;
+        one.target = id;
+        one.born = known.ledger.born();
+        one.sequence = known.ledger.sequence();
+        const auto loading = known.ledger.loading(now);
+        one.coming.assign(loading.begin(), loading.end());
+        for (const auto& [model, adapters] : known.ledger.models()) {
+            if (loading.contains(model))
+                continue;
+            one.models.push_back(model);
+            for (const std::string& adapter : adapters)
+                one.models.push_back(model + "/" + adapter);
+        }
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
+// ---- planning --------------------------------------------------------------------------------------
+
+void order_giver::add_use(core::placing::target_state& to, const model_wish& wish, int running,
+                          time_point last) const {
+    to.running += running;
+    if (const auto model = to.models.find(wish.model); model != to.models.end()) {
+        model->second.running += running;
+        model->second.last_used = std::max(model->second.last_used, last);
+    }
+    if (const auto adapter = to.adapters.find(wish); adapter != to.adapters.end()) {
+        adapter->second.running += running;
+        adapter->second.last_used = std::max(adapter->second.last_used, last);
+    }
+}
+
+core::placing::planner_input order_giver::input_for(const core::fleet::service& service) const {
+    const auto now = context_.loop.now();
+    core::placing::planner_input out;
+    out.engine = &*service.engine;
+    std::map<std::string, std::size_t> places;
+    for (const auto& [id, known] : targets_) {
+        const auto* target = context_.directory.find(id);
+        if (target == nullptr || target->entry.service != service.name)
+            continue;
+        core::placing::target_state one;
+        one.id = id;
+        one.data_centre = target->entry.data_centre;
+        one.takes_orders = known.ledger.takes_orders(now) && !target->lapsed_until;
+        one.serves = !target->entry.draining && !context_.centres_out.contains(target->entry.data_centre);
+        one.loading = known.ledger.loading(now);
+        one.copies_in_memory = known.copies_in_memory;
+        one.copies_on_disk = known.copies_on_disk;
+        for (const auto& [model, adapters] : known.ledger.models()) {
+            one.models[model].last_used = known.ledger.loaded_at(model);
+            for (const std::string& adapter : adapters)
+                one.adapters[{model, adapter}];
+        }
+        out.store_loads_under_way += known.ledger.store_load_under_way(now) ? 1 : 0;
+        places[id] = out.targets.size();
+        out.targets.push_back(std::move(one));
+    }
+    const auto use = [&](const std::string& id, const model_wish& wish, int running, time_point last) {
+        const auto place = places.find(id);
+        if (place == places.end())
+            return;
+        add_use(out.targets[place->second], wish, running, last);
+        out.demands[wish].running += running;
+    };
+    const auto want = [&](const model_wish& wish, int waiting, time_point oldest, int priority, double rate) {
+        core::placing::demand& sum = out.demands[wish];
+        if (waiting > 0) {
+            sum.oldest = sum.waiting > 0 ? std::min(sum.oldest, oldest) : oldest;
+            sum.priority = sum.waiting > 0 ? std::min(sum.priority, priority) : priority;
+        }
+        sum.waiting += waiting;
+        sum.per_second += rate;
+    };
+    for (const auto& [key, one] : dispatch_.usage())
+        use(key.first, key.second, one.running, one.last_used);
+    for (const auto& [wish, one] : dispatch_.waiting_by_model())
+        if (one.service == service.name)
+            want(wish, one.count, one.oldest, one.priority, 0);
+    for (const auto& [wish, one] : dispatch_.arrival_rates())
+        if (one.service == service.name)
+            want(wish, 0, {}, 9, one.per_second);
+    for (const auto& [name, peer] : peers_->heard()) {
+        if (now - peer.heard_at > core::limits::contact_limit)
+            continue;
+        for (const auto& one : peer.status.uses)
+            use(one.target, core::fleet::parse_model_wish(one.model), one.running,
+                peer.heard_at - milliseconds{one.idle_ms});
+        for (const auto& one : peer.status.demands)
+            if (one.service_name == service.name)
+                want(core::fleet::parse_model_wish(one.model), one.waiting,
+                     peer.heard_at - milliseconds{one.oldest_ms}, one.priority, one.per_second);
+    }
+    return out;
+}
+
+void order_giver::plan_service(const core::fleet::service& service) {
+    const auto orders =
+        core::placing::plan(input_for(service), context_.settings.placing, context_.loop.now());
+    for (const planned_order& order : orders)
+        send(order, service);
+}
+
+void order_giver::send(const planned_order& order, const core::fleet::service& service) {
+    const auto now = context_.loop.now();
+    const auto* target = context_.directory.find(order.target);
+    if (target == nullptr || !lease_.held(now))
+        return;
+    known_target& known = targets_[order.target];
+    milliseconds expected = adapter_load;
+    const auto spec = service.engine->models.find(order.what.model);
+    if (order.load && order.what.adapter.empty() && spec != service.engine->models.end()) {
+        const bool in_memory = known.copies_in_memory.contains(order.what.model);
+        expected = order.from_weight_store ? spec->second.store_load
+                   : in_memory             ? spec->second.memory_load
+                                           : spec->second.disk_load;
+        expected += load_margin;
+    }
+    known.ledger.sent(order, expected, now);
+    context_.log.write(edge::events::order_sent, order.target,
+                       {{"operation", operation_of(order)},
+                        {"model", order.what.model},
+                        {"adapter", order.what.adapter},
+                        {"why", order.why},
+                        {"weight_store", order.from_weight_store},
+                        {"sequence", known.ledger.sequence()},
+                        {"fencing", lease_.fencing()},
+                        {"expected_ms", expected.count()}});
+    edge::client_request request;
+    request.method = "POST";
+    request.url = "http://" + target->entry.address + platform::order_path;
+    request.headers = {{"Content-Type", "application/json"},
+                       {std::string{platform::instance_header}, order.target}};
+    request.body = platform::encode_order(
+        {order.load, order.what, known.ledger.sequence(), context_.settings.name, lease_.fencing()});
+    request.timeout = order_timeout;
+    request.connect_timeout = connect_timeout;
+    client_.send(std::move(request), [this, order](edge::client_result&& answer) {
+        context_.loop.post(
+            [this, order, answer = std::move(answer)] { take_answer(order.target, order, answer); });
+    });
+}
+
+void order_giver::take_answer(const std::string& id, const planned_order& order,
+                              const edge::client_result& answer) {
+    const auto found = targets_.find(id);
+    const bool answered = answer.outcome == edge::client_outcome::answered;
+    const auto result =
+        !answered ? (answer.outcome == edge::client_outcome::not_sent ? target_ledger::answer::rejected
+                                                                      : target_ledger::answer::unknown)
+        : answer.status == 202 ? target_ledger::answer::accepted
+        : answer.status == 200
+            ? (order.load ? target_ledger::answer::holds_already : target_ledger::answer::accepted)
+            : target_ledger::answer::rejected;
+    context_.numbers.count_order(operation_of(order), answered ? std::to_string(answer.status) : "no_answer");
+    context_.log.write(edge::events::order_answered, id,
+                       {{"operation", operation_of(order)},
+                        {"model", order.what.model},
+                        {"adapter", order.what.adapter},
+                        {"status", answer.status},
+                        {"why", answered ? "" : describe(answer.why)}});
+    if (found == targets_.end())
+        return;
+    const auto now = context_.loop.now();
+    found->second.ledger.answered(result, now);
+    if (result == target_ledger::answer::accepted && order.load && order.what.adapter.empty()) {
+        found->second.copies_on_disk.insert(order.what.model);
+        // The others learn that it is ready when it is.
+        const auto ready = found->second.ledger.loaded_at(order.what.model);
+        context_.loop.schedule(ready, [this, id] {
+            if (!targets_.contains(id))
+                return;
+            publish(id);
+            peers_->tell_now();
+        });
+    }
+    publish(id);
+    if (!order.what.adapter.empty())
+        peers_->tell_now();
+}
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/peers.cpp
@@ -0,0 +1,254 @@
+#include "programs/gateway/peers.hpp"
+
+#include <array>
+
+namespace waxwinglb::programs::gateway {
+namespace {
+
+using core::common::milliseconds;
+
+constexpr milliseconds tell_every{200};
+constexpr milliseconds least_pause{15};  // between two messages that new waits cause
+constexpr milliseconds fetch_pause{400}; // between two reads of a configuration from a peer
+constexpr milliseconds fetch_timeout{1'500};
+constexpr std::size_t max_datagram = 65'000; // bytes
+constexpr std::size_t length_prefix = 4;     // of a frame; a datagram tells its own length
+constexpr std::size_t most_demands = 200;    // in one message, the busiest first come by name
+constexpr double least_rate = 0.01;          // arrivals a second worth telling
+
+std::string text_of(const core::fleet::model_wish& wish) {
+    return wish.adapter.empty() ? wish.model : wish.model + "/" + wish.adapter;
+}
+
+std::int64_t ms_of(core::common::duration value) {
+    return core::common::to_wire_ms(value);
+}
+
+} // namespace
+
+peers::peers(gateway_context& context, parts with, std::int64_t boot)
+    : context_(context), parts_(std::move(with)), boot_(boot) {}
+
+peers::~peers() {
+    if (socket_.get_handle() == ACE_INVALID_HANDLE)
+        return;
+    context_.loop.reactor().remove_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
+    socket_.close();
+}
+
+bool peers::start() {
+    const ACE_INET_Addr own{context_.settings.peers.c_str()};
+    if (socket_.open(own) != 0)
+        return false;
+    socket_.enable(ACE_NONBLOCK);
+    context_.loop.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
+    tick();
+    return true;
+}
+
+void peers::change_members(const std::map<std::string, std::string>& addresses) {
+    addresses_ = addresses;
+    addresses_.erase(context_.settings.name);
+}
+
+void peers::tick() {
+    report_silent();
+    tell();
+    context_.loop.schedule(context_.loop.now() + tell_every, [this] { tick(); });
+}
+
+void peers::tell_now() {
+    if (tell_planned_)
+        return;
+    tell_planned_ = true;
+    context_.loop.schedule(std::max(context_.loop.now(), told_at_ + least_pause), [this] {
+        tell_planned_ = false;
+        tell();
+    });
+}
+
+void peers::say_leaving() {
+    leaving_ = true;
+    tell();
+}
+
+wire::peer_status peers::status() const {
+    const auto now = context_.loop.now();
+    wire::peer_status out;
+    out.process = context_.settings.name;
+    out.boot = boot_;
+    out.sequence = sequence_;
+    out.leaving = leaving_;
+    for (const auto& [name, peer] : heard_)
+        if (now - peer.heard_at <= core::limits::contact_limit)
+            out.heard.push_back(name);
+    out.config_version = context_.config ? context_.config->version : 0;
+    out.config_address = context_.settings.metrics;
+    out.centres_revision = context_.centres_revision;
+    out.centres_out.assign(context_.centres_out.begin(), context_.centres_out.end());
+    for (const auto& [key, use] : parts_.dispatch.usage()) {
+        wire::target_use one;
+        one.target = key.first;
+        one.model = text_of(key.second);
+        one.running = use.running;
+        one.idle_ms = ms_of(now - use.last_used);
+        out.uses.push_back(std::move(one));
+    }
+    const auto waiting = parts_.dispatch.waiting_by_model();
+    for (const auto& [wish, rate] : parts_.dispatch.arrival_rates()) {
+        const auto sum = waiting.find(wish);
+        if ((rate.per_second < least_rate && sum == waiting.end()) || out.demands.size() >= most_demands)
+            continue;
+        wire::model_demand one;
+        one.service_name = rate.service;
+        one.model = text_of(wish);
+        one.per_second = rate.per_second;
+        if (sum != waiting.end()) {
+            one.waiting = sum->second.count;
+            one.oldest_ms = ms_of(now - sum->second.oldest);
+            one.priority = sum->second.priority;
+        }
+        out.demands.push_back(std::move(one));
+    }
+    for (const std::string& customer : context_.quota.customers()) {
+        wire::customer_demand one;
+        one.customer = customer;
+        one.tokens_per_second = context_.quota.asked_per_second(customer, now);
+        out.customers.push_back(std::move(one));
+    }
+    out.holdings = parts_.holdings();
+    for (const auto& [id, target] : context_.directory.targets())
+        if (target.entry.draining) {
+            wire::leaving_target one;
+            one.target = id;
+            one.born = target.entry.born;
+            out.leaving_targets.push_back(std::move(one));
+        }
+    for (const auto& [fingerprint, count] : parts_.forward.breaks())
+        if (count > 1) { // one broken run is common
+            wire::quarantine one;
+            one.fingerprint = std::to_string(fingerprint);
+            one.crashes = count;
+            out.suspects.push_back(std::move(one));
+        }
+    return out;
+}
+
+void peers::tell() {
+    told_at_ = context_.loop.now();
+    if (addresses_.empty())
+        return;
+    ++sequence_;
+    const std::string frame = edge::encode_frame(wire::message_kind::peer_status, sequence_, status());
+    if (frame.size() > max_datagram)
+        return context_.log.write(edge::events::lines_dropped, "peer_status", {{"bytes", frame.size()}});
+    for (const auto& [name, address] : addresses_) {
+        const ACE_INET_Addr to{address.c_str()};
+        socket_.send(frame.data() + length_prefix, frame.size() - length_prefix, to);
+    }
+}
+
+int peers::handle_input(ACE_HANDLE) {
+    std::array<char, max_datagram> bytes;
+    for (;;) {
+        ACE_INET_Addr from;
+        const auto count = socket_.recv(bytes.data(), bytes.size(), from);
+        if (count <= 0)
+            return 0;
+        const auto frame = edge::decode_frame({bytes.data(), static_cast<std::size_t>(count)});
+        if (!frame || frame->header.kind != wire::message_kind::peer_status)
+            continue;
+        if (const auto status = edge::decode_body<wire::peer_status>(frame->body))
+            take(*status);
+    }
+}
+
+void peers::take(const wire::peer_status& status) {
+    if (status.process == context_.settings.name)
+        return;
+    const auto now = context_.loop.now();
+    peer_state& known = heard_[status.process];
+    if (known.status.boot == status.boot && status.sequence <= known.status.sequence)
+        return; // overtaken
+    if (silent_.erase(status.process) > 0)
+        context_.log.write(edge::events::peer_regained, status.process);
+    known = {status, now};
+    std::map<std::string, double> asked;
+    for (const auto& one : status.customers)
+        asked[one.customer] = one.tokens_per_second;
+    const bool hears_us =
+        std::find(status.heard.begin(), status.heard.end(), context_.settings.name) != status.heard.end();
+    context_.quota.heard(status.process, std::move(asked), hears_us, now);
+    if (status.leaving)
+        context_.quota.left(status.process);
+    std::map<std::string, int> running;
+    for (const auto& one : status.uses)
+        running[one.target] += one.running;
+    parts_.dispatch.peer_load(status.process, std::move(running));
+    for (const auto& one : status.suspects)
+        parts_.forward.heard_breaks(std::strtoull(one.fingerprint.c_str(), nullptr, 10), one.crashes);
+    take_store_news(status);
+    take_holdings(status);
+}
+
+void peers::take_store_news(const wire::peer_status& status) {
+    if (status.centres_revision > context_.centres_revision) {
+        const std::set<std::string> out{status.centres_out.begin(), status.centres_out.end()};
+        context_.centres_revision = status.centres_revision;
+        if (out != context_.centres_out) {
+            context_.centres_out = out;
+            context_.log.write(
+                edge::events::data_centres_out, "",
+                {{"out", out}, {"revision", status.centres_revision}, {"source", status.process}});
+        }
+    }
+    for (const auto& one : status.leaving_targets)
+        context_.directory.mark_draining(one.target, one.born);
+    const std::int64_t own = context_.config ? context_.config->version : 0;
+    if (status.config_version > own && context_.loop.now() >= fetched_at_ + fetch_pause)
+        fetch_config(status.config_address);
+}
+
+void peers::take_holdings(const wire::peer_status& status) {
+    for (const auto& one : status.holdings) {
+        std::map<std::string, std::vector<std::string>> models;
+        for (const std::string& text : one.models) {
+            const auto wish = core::fleet::parse_model_wish(text);
+            auto& adapters = models[wish.model];
+            if (!wish.adapter.empty())
+                adapters.push_back(wish.adapter);
+        }
+        context_.directory.describe(one.target, one.born, one.sequence, models,
+                                    {one.coming.begin(), one.coming.end()});
+    }
+    if (!status.holdings.empty())
+        parts_.dispatch.pump_soon();
+}
+
+void peers::fetch_config(const std::string& address) {
+    fetched_at_ = context_.loop.now();
+    edge::client_request request;
+    request.url = "http://" + address + "/peer/config";
+    request.timeout = fetch_timeout;
+    parts_.client.send(std::move(request), [this, address](edge::client_result&& answer) {
+        context_.loop.post([this, address, answer = std::move(answer)] {
+            if (answer.outcome != edge::client_outcome::answered || answer.status != 200)
+                return context_.log.write(edge::events::peer_lost, address, {{"step", "read configuration"}});
+            const auto document = nlohmann::json::parse(answer.body, nullptr, false);
+            parts_.watch.offer_config(document, address);
+        });
+    });
+}
+
+void peers::report_silent() {
+    const auto now = context_.loop.now();
+    for (const auto& [name, peer] : heard_)
+        if (now - peer.heard_at > core::limits::contact_limit && silent_.insert(name).second) {
+            context_.log.write(
+                edge::events::peer_lost, name,
+                {{"silent_ms", ms_of(now - peer.heard_at)}, {"said_leaving", peer.status.leaving}});
+            parts_.dispatch.peer_load(name, {});
+        }
+}
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/peers.hpp
@@ -0,0 +1,70 @@
+/// What the gateways tell each other by datagrams, several times a second: who hears whom, their use of
+/// targets and customers' rates, what they wait for, and the newest of what the store says, so that a gateway
+/// that is cut off from the store is not behind.
+#pragma once
+
+#include "edge/codec.hpp"
+#include "edge/http_client.hpp"
+#include "programs/gateway/dispatcher.hpp"
+#include "programs/gateway/forwarder.hpp"
+#include "programs/gateway/store_watch.hpp"
+
+#include <ace/SOCK_Dgram.h>
+
+namespace waxwinglb::programs::gateway {
+
+/// A peer's newest message and when it came.
+struct peer_state {
+    wire::peer_status status;
+    core::common::time_point heard_at{};
+};
+
+class peers : private ACE_Event_Handler {
+public:
+    struct parts {
+        dispatcher& dispatch;
+        forwarder& forward;
+        store_watch& watch;
+        edge::http_client& client;
+        std::function<std::vector<wire::target_holding>()> holdings; // empty unless this gateway gives orders
+    };
+    peers(gateway_context& context, parts with, std::int64_t boot);
+    ~peers() override;
+    peers(const peers&) = delete;
+    peers& operator=(const peers&) = delete;
+    peers(peers&&) = delete;
+    peers& operator=(peers&&) = delete;
+
+    bool start(); // false: the address can't be had
+    void change_members(const std::map<std::string, std::string>& addresses);
+    void tell_now(); // soon, besides the steady rate
+    void say_leaving();
+    [[nodiscard]] const std::map<std::string, peer_state>& heard() const { return heard_; }
+
+private:
+    int handle_input(ACE_HANDLE) override;
+    ACE_HANDLE get_handle() const override { return socket_.get_handle(); }
+    void tick();
+    void tell();
+    [[nodiscard]] wire::peer_status status() const;
+    void take(const wire::peer_status& status);
+    void take_store_news(const wire::peer_status& status);
+    void take_holdings(const wire::peer_status& status);
+    void fetch_config(const std::string& address);
+    void report_silent();
+
+    gateway_context& context_;
+    parts parts_;
+    std::int64_t boot_;
+    std::int64_t sequence_ = 0;
+    ACE_SOCK_Dgram socket_;
+    std::map<std::string, std::string> addresses_; // by gateway's name
+    std::map<std::string, peer_state> heard_;
+    std::set<std::string> silent_;
+    bool tell_planned_ = false;
+    bool leaving_ = false;
+    core::common::time_point told_at_{};
+    core::common::time_point fetched_at_{};
+};
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/settings.cpp
@@ -0,0 +1,29 @@
+#include "programs/gateway/settings.hpp"
+
+namespace waxwinglb::programs::gateway {
+
+void read_settings(edge::settings_section& in, gateway_settings& out) {
+    out.data_centre = in.text("data_centre");
+    out.http = in.address("http");
+    out.readiness = in.address("readiness");
+    out.metrics = in.address("metrics");
+    out.peers = in.address("peers");
+    out.store = in.address("store");
+    out.lease_term = in.span("lease_term", out.lease_term);
+    out.drain = in.span("drain", out.drain);
+    if (out.lease_term.count() < 100)
+        in.fault("lease_term", "expected 100ms or more");
+    in.section("retries", false, [&](edge::settings_section& retries) {
+        out.retries.ratio = retries.number("ratio", 0, 10, out.retries.ratio);
+        out.retries.slack = retries.number("slack", 0, 1e6, out.retries.slack);
+        out.retries.window = retries.span("window", out.retries.window);
+    });
+    in.section("placing", false, [&](edge::settings_section& placing) {
+        out.placing.parallel_store_loads = static_cast<int>(
+            placing.whole("parallel_store_loads", 1, 1'000, out.placing.parallel_store_loads));
+        out.placing.requests_per_replica = static_cast<int>(
+            placing.whole("requests_per_replica", 1, 10'000, out.placing.requests_per_replica));
+    });
+}
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/store_watch.cpp
@@ -0,0 +1,227 @@
+#include "programs/gateway/store_watch.hpp"
+
+#include "platform/documents.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace waxwinglb::programs::gateway {
+namespace {
+
+namespace leaf = boost::leaf;
+using core::common::milliseconds;
+using platform::store_reply;
+using platform::store_result;
+
+constexpr milliseconds watch_wait{2'500}; // a watch on a connection that fell silent costs no more
+constexpr milliseconds first_retry{100};  // after a failed call, doubling
+constexpr milliseconds longest_retry{800};
+constexpr milliseconds targets_pause{300};
+constexpr milliseconds rare_pause{20};
+
+const char* name_of(store_result result) {
+    switch (result) {
+    case store_result::ok:
+        return "ok";
+    case store_result::absent:
+        return "absent";
+    case store_result::conflict:
+        return "conflict";
+    case store_result::forgotten:
+        return "forgotten";
+    case store_result::refused:
+        return "refused";
+    case store_result::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+// ---- one kind --------------------------------------------------------------------------------------
+
+void kind_watch::heard(const store_reply& reply, const char* call) {
+    context_.numbers.count_store_call(call, name_of(reply.result));
+    const bool was = answering_;
+    answering_ = reply.heard();
+    failures_ = answering_ ? 0 : failures_ + 1;
+    if (answering_)
+        context_.directory.store_answered(context_.loop.now());
+    else
+        context_.directory.store_failed(context_.loop.now());
+    if (was && !answering_)
+        context_.log.write(edge::events::store_lost, kind_,
+                           {{"call", call}, {"result", name_of(reply.result)}, {"why", describe(reply.why)}});
+    if (!was && answering_)
+        context_.log.write(edge::events::store_regained, kind_, {{"call", call}});
+}
+
+void kind_watch::next(milliseconds after) {
+    context_.loop.schedule(context_.loop.now() + after, [this] { revision_ > 0 ? watch() : list(); });
+}
+
+void kind_watch::list() {
+    store_.list(kind_, [this](store_reply&& reply) {
+        context_.loop.post([this, reply = std::move(reply)] {
+            heard(reply, "list");
+            if (reply.result != store_result::ok)
+                return next(std::min(longest_retry, first_retry * (1 << std::min(failures_, 4))));
+            revision_ = reply.revision;
+            owner_.on_list(reply);
+            next(pause_);
+        });
+    });
+}
+
+void kind_watch::watch() {
+    store_.watch(kind_, revision_, watch_wait, [this](store_reply&& reply) {
+        context_.loop.post([this, reply = std::move(reply)] {
+            heard(reply, "watch");
+            if (reply.result == store_result::forgotten)
+                revision_ = 0;
+            if (reply.result != store_result::ok)
+                return next(reply.result == store_result::forgotten
+                                ? milliseconds{0}
+                                : std::min(longest_retry, first_retry * (1 << std::min(failures_, 4))));
+            if (revision_ > 0 && reply.revision > 0)
+                revision_ = reply.revision;
+            if (!reply.objects.empty())
+                owner_.on_events(reply);
+            next(reply.objects.empty() ? milliseconds{0} : pause_);
+        });
+    });
+}
+
+// ---- all kinds -------------------------------------------------------------------------------------
+
+store_watch::store_watch(gateway_context& context, platform::store_client& store, owner to)
+    : context_(context), owner_(std::move(to)),
+      config_(context, store, platform::config_kind, rare_pause,
+              {[this](const store_reply& reply) { take_config(reply); },
+               [this](const store_reply& reply) { take_config(reply); }}),
+      targets_(context, store, platform::targets_kind, targets_pause,
+               {[this](const store_reply& reply) { take_targets(reply, true); },
+                [this](const store_reply& reply) { take_targets(reply, false); }}),
+      centres_(context, store, platform::evacuations_kind, rare_pause,
+               {[this](const store_reply& reply) { take_centres(reply, true); },
+                [this](const store_reply& reply) { take_centres(reply, false); }}),
+      members_watch_(context, store, platform::routers_kind, rare_pause,
+                     {[this](const store_reply& reply) { take_members(reply, true); },
+                      [this](const store_reply& reply) { take_members(reply, false); }}) {}
+
+void store_watch::start() {
+    config_.start();
+    targets_.start();
+    centres_.start();
+    members_watch_.start();
+}
+
+void store_watch::take_config(const store_reply& reply) {
+    for (const auto& object : reply.objects)
+        if (object.name == platform::config_name && !object.removed)
+            offer_config(object.spec, "store");
+}
+
+void store_watch::offer_config(const nlohmann::json& spec, const std::string& source) {
+    auto decoded = leaf::try_handle_all(
+        [&]() -> leaf::result<core::fleet::config_ptr> {
+            BOOST_LEAF_AUTO(made, platform::decode_config(spec));
+            return std::make_shared<const core::fleet::config>(std::move(made));
+        },
+        [&](const core::common::error& why) -> core::fleet::config_ptr {
+            context_.log.write(edge::events::config_refused, source, {{"why", describe(why)}});
+            return nullptr;
+        },
+        [&]() -> core::fleet::config_ptr {
+            context_.log.write(edge::events::config_refused, source, {{"why", "unknown"}});
+            return nullptr;
+        });
+    if (!decoded || (context_.config && decoded->version <= context_.config->version))
+        return;
+    context_.config = decoded;
+    config_text_ = spec.dump();
+    context_.quota.configure(decoded->customers, context_.loop.now());
+    context_.numbers.config_version.Set(static_cast<double>(decoded->version));
+    context_.log.write(edge::events::config_in_force, std::to_string(decoded->version),
+                       {{"source", source},
+                        {"routes", decoded->routes.size()},
+                        {"services", decoded->services.size()},
+                        {"customers", decoded->customers.size()}});
+    owner_.on_config();
+}
+
+void store_watch::log_target(const core::fleet::target_entry& entry, const char* change) {
+    context_.log.write(edge::events::target_changed, entry.id,
+                       {{"change", change},
+                        {"service", entry.service},
+                        {"address", entry.address},
+                        {"data_centre", entry.data_centre},
+                        {"born", entry.born},
+                        {"sequence", entry.sequence},
+                        {"draining", entry.draining},
+                        {"cold_ms", entry.cold_left.count()},
+                        {"models", entry.models.size()}});
+}
+
+void store_watch::take_targets(const store_reply& reply, bool complete) {
+    const auto now = context_.loop.now();
+    std::vector<core::fleet::target_entry> entries;
+    for (const auto& object : reply.objects) {
+        if (object.removed) {
+            context_.log.write(edge::events::target_changed, object.name, {{"change", "removed"}});
+            context_.directory.remove(object.name, now);
+            continue;
+        }
+        const auto report = [&](const core::common::error& why) {
+            context_.log.write(edge::events::target_ignored, object.name, {{"why", describe(why)}});
+        };
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(entry, platform::decode_target(object.name, object.spec));
+                entries.push_back(std::move(entry));
+                return {};
+            },
+            report,
+            [&] {
+                report({"decode registration", object.name, "unknown"});
+            });
+    }
+    for (const auto& entry : entries)
+        log_target(entry, complete ? "listed" : "changed");
+    if (complete)
+        context_.directory.replace_all(entries, now);
+    else
+        for (const auto& entry : entries)
+            context_.directory.upsert(entry, now);
+    owner_.on_targets();
+}
+
+void store_watch::take_centres(const store_reply& reply, bool complete) {
+    auto out = complete ? std::set<std::string>{} : context_.centres_out;
+    for (const auto& object : reply.objects)
+        if (object.removed)
+            out.erase(object.name);
+        else
+            out.insert(object.name);
+    context_.centres_revision = std::max(context_.centres_revision, reply.revision);
+    if (out == context_.centres_out)
+        return;
+    context_.centres_out = out;
+    context_.log.write(edge::events::data_centres_out, "", {{"out", out}, {"revision", reply.revision}});
+    owner_.on_targets();
+}
+
+void store_watch::take_members(const store_reply& reply, bool complete) {
+    if (complete)
+        members_.clear();
+    for (const auto& object : reply.objects) {
+        const auto address = object.spec.is_object() ? object.spec.value("address", "") : std::string{};
+        if (object.removed || address.empty())
+            members_.erase(object.name);
+        else
+            members_[object.name] = address;
+    }
+    owner_.on_members(members_);
+}
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/store_watch.hpp
@@ -0,0 +1,76 @@
+/// Follows the platform's store: the configuration, the registered targets, data centres taken out, and the
+/// other gateways. Watches that end, stay silent or lose their history list again.
+#pragma once
+
+#include "platform/store_client.hpp"
+#include "programs/gateway/context.hpp"
+
+#include <functional>
+
+namespace waxwinglb::programs::gateway {
+
+/// One kind of object, followed for as long as the process runs.
+class kind_watch {
+public:
+    struct owner {
+        std::function<void(const platform::store_reply&)> on_list;
+        std::function<void(const platform::store_reply&)> on_events;
+    };
+    kind_watch(gateway_context& context, platform::store_client& store, std::string kind,
+               core::common::milliseconds pause, owner to)
+        : context_(context), store_(store), kind_(std::move(kind)), pause_(pause), owner_(std::move(to)) {}
+
+    void start() { list(); }
+    void list_again() { revision_ = 0; } // with the next call
+    [[nodiscard]] bool answering() const { return answering_; }
+
+private:
+    void list();
+    void watch();
+    void next(core::common::milliseconds after);
+    void heard(const platform::store_reply& reply, const char* call);
+
+    gateway_context& context_;
+    platform::store_client& store_;
+    std::string kind_;
+    core::common::milliseconds pause_; // between two watches, so that changes come in batches
+    owner owner_;
+    std::int64_t revision_ = 0; // to watch from; 0: list first
+    bool answering_ = true;
+    int failures_ = 0; // in a row
+};
+
+class store_watch {
+public:
+    struct owner {
+        std::function<void()> on_config;  // a newer one is in force
+        std::function<void()> on_targets; // targets or data centres changed
+        std::function<void(std::map<std::string, std::string>)>
+            on_members; // gateway's name -> peers' address
+    };
+    store_watch(gateway_context& context, platform::store_client& store, owner to);
+    void start();
+
+    /// Takes over a configuration's document from wherever it came; older ones are ignored.
+    void offer_config(const nlohmann::json& spec, const std::string& source);
+    /// Text of the configuration in force, for peers that can't reach the store.
+    [[nodiscard]] const std::string& config_text() const { return config_text_; }
+
+private:
+    void take_config(const platform::store_reply& reply);
+    void take_targets(const platform::store_reply& reply, bool complete);
+    void take_centres(const platform::store_reply& reply, bool complete);
+    void take_members(const platform::store_reply& reply, bool complete);
+    void log_target(const core::fleet::target_entry& entry, const char* change);
+
+    gateway_context& context_;
+    owner owner_;
+    kind_watch config_;
+    kind_watch targets_;
+    kind_watch centres_;
+    kind_watch members_watch_;
+    std::string config_text_;
+    std::map<std::string, std::string> members_;
+};
+
+} // namespace waxwinglb::programs::gateway
