Number orders by the target's reports; a registration counts heartbeats

Ruled out: a busy target (reports said busy false), a wrong holder or fencing number (status 409, not 412). Change: the ledger learns its number from reports alone; the directory holds the order giver's word against a registration for 3 s instead of comparing the two numbers.

--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -45,17 +45,17 @@
     if (!same_start)
         one = {};
     one.lapsed_until.reset();
-    const bool newer_known = same_start && one.entry.sequence > entry.sequence;
-    auto known_models = std::move(one.entry.models);
-    const auto known_sequence = one.entry.sequence;
+    const bool described =
+        same_start && one.described_at != time_point{} && now - one.described_at < description_term;
     const bool was_draining = same_start && one.entry.draining;
+    auto known_models = std::move(one.entry.models);
     one.entry = entry;
     one.entry.draining =
         entry.draining || was_draining; // a target that leaves never returns under this start
-    if (newer_known || (same_start && !entry.describes_models)) {
+    if (described || (same_start && !entry.describes_models))
         one.entry.models = std::move(known_models);
-        one.entry.sequence = std::max(known_sequence, entry.sequence);
-    }
+    else
+        one.coming.clear();
     if (entry.cold_left.count() > 0)
         one.cold_until = now + entry.cold_left;
     if (entry.remaining && !one.gone_at)
@@ -74,16 +74,17 @@
         found->second.lapsed_until = (returned_at_ && !store_away_ ? *returned_at_ : now) + lapse_grace;
 }
 
-void directory::describe(const std::string& id, std::int64_t born, std::int64_t sequence,
+void directory::describe(const std::string& id, std::int64_t born, std::int64_t orders,
                          const std::map<std::string, std::vector<std::string>>& models,
-                         const std::set<std::string>& coming) {
+                         const std::set<std::string>& coming, time_point now) {
     const auto found = targets_.find(id);
-    if (found == targets_.end() || found->second.entry.born != born ||
-        sequence < found->second.entry.sequence)
+    if (found == targets_.end() || found->second.entry.born != born || orders < found->second.orders)
         return;
-    found->second.entry.sequence = sequence;
-    found->second.entry.models = models;
-    found->second.coming = coming;
+    target& one = found->second;
+    one.entry.models = models;
+    one.coming = coming;
+    one.orders = orders;
+    one.described_at = now;
 }
 
 void directory::mark_draining(const std::string& id, std::int64_t born) {
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -13,6 +13,7 @@
 namespace waxwinglb::core::fleet {
 
 constexpr common::milliseconds lapse_grace{2'000}; // the platform's bound for the return of lapsed entries
+constexpr common::milliseconds description_term{3'000}; // the order giver's word goes before a registration's
 
 /// One usable or known target and what this process believes of it.
 struct target {
@@ -21,6 +22,8 @@
     common::time_point cold_until{};                // bears only a limited rate until then
     std::optional<common::time_point> gone_at;      // removal at short notice
     std::set<std::string> coming;                   // models being loaded, as the order giver tells
+    std::int64_t orders = 0;                        // that it had accepted when `described_at` was
+    common::time_point described_at{};              // the order giver's newest word on its models
 };
 
 class directory {
@@ -34,10 +37,11 @@
     void store_failed(common::time_point now); // a call failed or stayed without an answer
     void store_answered(common::time_point now);
 
-    /// A newer description of what a target holds, from its own report or a peer; older ones are ignored.
-    void describe(const std::string& id, std::int64_t born, std::int64_t sequence,
+    /// What a target holds after `orders` accepted orders, as the giver of its orders knows: newer than its
+    /// registration, which follows seconds later. Ignored if fewer orders than known.
+    void describe(const std::string& id, std::int64_t born, std::int64_t orders,
                   const std::map<std::string, std::vector<std::string>>& models,
-                  const std::set<std::string>& coming);
+                  const std::set<std::string>& coming, common::time_point now);
     /// A peer's word that a target is leaving; holds until its registration changes.
     void mark_draining(const std::string& id, std::int64_t born);
 
--- a/src/core/fleet/model.hpp
+++ b/src/core/fleet/model.hpp
@@ -117,7 +117,6 @@
     bool draining = false;
     common::milliseconds cold_left{0};             // how much longer it is slow
     std::optional<common::milliseconds> remaining; // a removal at short notice: time until it is gone
-    std::int64_t sequence = 0;                     // orders that it has accepted
     std::map<std::string, std::vector<std::string>> models; // loaded models and their adapters
     std::vector<std::string> copies_in_memory;              // models that load fast
     std::vector<std::string> copies_on_disk;                // models that load without the weight store
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -159,19 +159,15 @@
 void order_giver::follow_directory() {
     if (!held_)
         return;
-    const auto now = context_.loop.now();
     std::erase_if(targets_, [&](const auto& one) { return context_.directory.find(one.first) == nullptr; });
     for (const auto& [id, target] : context_.directory.targets()) {
         const auto* service = context_.config ? context_.config->find_service(target.entry.service) : nullptr;
         if (service == nullptr || !service->engine || !target.entry.describes_models)
             continue;
         known_target& known = targets_[id];
-        const bool is_news = !known.ledger.known() || known.ledger.born() != target.entry.born;
-        if (is_news) {
-            known.ledger.describe(target.entry.born, target.entry.sequence, target.entry.models, now);
-            known.copies_in_memory.clear();
-            known.copies_on_disk.clear();
-        }
+        if (known.born != target.entry.born)
+            known = {}; // another start: it holds nothing of before
+        known.born = target.entry.born;
         known.copies_in_memory.insert(target.entry.copies_in_memory.begin(),
                                       target.entry.copies_in_memory.end());
         known.copies_on_disk.insert(target.entry.copies_on_disk.begin(), target.entry.copies_on_disk.end());
@@ -215,10 +211,10 @@
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(report, platform::decode_report(answer.body));
-            if (report.born != 0 && report.born != known.ledger.born())
+            if (report.born != 0 && report.born != known.born)
                 return {}; // another start: its registration will tell
             if (!report.busy)
-                known.ledger.describe(known.ledger.born(), report.sequence, report.models,
+                known.ledger.describe(known.born, report.sequence, report.models,
                                       asked_at - core::placing::report_delay);
             if (report.tells_copies) {
                 known.copies_in_memory = {report.copies_in_memory.begin(), report.copies_in_memory.end()};
@@ -239,12 +235,14 @@
 void order_giver::publish(const std::string& id) {
     const auto now = context_.loop.now();
     const target_ledger& ledger = targets_.at(id).ledger;
+    if (!ledger.known())
+        return;
     const auto loading = ledger.loading(now);
     std::map<std::string, std::vector<std::string>> models;
     for (const auto& [model, adapters] : ledger.models())
         if (!loading.contains(model))
             models[model] = {adapters.begin(), adapters.end()};
-    context_.directory.describe(id, ledger.born(), ledger.sequence(), models, loading);
+    context_.directory.describe(id, ledger.born(), ledger.sequence(), models, loading, now);
     dispatch_.pump_soon();
 }
 
@@ -254,6 +252,8 @@
     if (!held_)
         return out;
     for (const auto& [id, known] : targets_) {
+        if (!known.ledger.known())
+            continue;
         wire::target_holding one;
         one.target = id;
         one.born = known.ledger.born();
@@ -296,6 +296,8 @@
         const auto* target = context_.directory.find(id);
         if (target == nullptr || target->entry.service != service.name)
             continue;
+        if (!known.ledger.known())
+            continue;
         core::placing::target_state one;
         one.id = id;
         one.data_centre = target->entry.data_centre;
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -25,7 +25,8 @@
 
 private:
     struct known_target {
-        core::placing::target_ledger ledger;
+        std::int64_t born = 0;
+        core::placing::target_ledger ledger; // known once a report has come
         std::set<std::string> copies_in_memory;
         std::set<std::string> copies_on_disk;
         core::common::time_point asked_at{}; // for a report
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -219,7 +219,7 @@
                 adapters.push_back(wish.adapter);
         }
         context_.directory.describe(one.target, one.born, one.sequence, models,
-                                    {one.coming.begin(), one.coming.end()});
+                                    {one.coming.begin(), one.coming.end()}, context_.loop.now());
     }
     if (!status.holdings.empty())
         parts_.dispatch.pump_soon();
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -157,7 +157,6 @@
                         {"address", entry.address},
                         {"data_centre", entry.data_centre},
                         {"born", entry.born},
-                        {"sequence", entry.sequence},
                         {"draining", entry.draining},
                         {"cold_ms", entry.cold_left.count()},
                         {"models", entry.models.size()}});
