--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -162,13 +162,21 @@
 struct target_use { 1: string target, 2: string model, 3: i32 running, 4: i64 idle_ms }
 /** Requests waiting at one gateway for a model, and how many a second ask for it. */
 struct model_demand { 1: string service_name, 2: string model, 3: i32 waiting, 4: i64 oldest_ms, 5: i32 priority, 6: double per_second }
-struct customer_demand { 1: string customer, 2: double tokens_per_second }
+/** Tokens that a gateway has taken from a customer's rate since its start. */
+struct customer_use { 1: string customer, 2: double tokens }
 /** What a target holds, as the giver of its orders knows. coming: models being loaded. */
 struct target_holding { 1: string target, 2: i64 born, 3: i64 sequence, 4: list<string> models, 5: list<string> coming }
 struct leaving_target { 1: string target, 2: i64 born }
+/** A target's registration, for a gateway that can't read the store. */
+struct target_registration {
+  1: string target, 2: i64 born, 3: string service_name, 4: string address, 5: string data_centre, 6: i32 slots,
+  7: bool draining, 8: i64 cold_ms
+}
+/** wants_registrations: the sender can't read the store; registrations: only while a peer wants them. */
 struct peer_status {
   1: string process, 2: i64 boot, 3: i64 sequence, 4: bool leaving, 5: list<string> heard,
   6: i64 config_version, 7: string config_address, 8: i64 centres_revision, 9: list<string> centres_out,
-  10: list<target_use> uses, 11: list<model_demand> demands, 12: list<customer_demand> customers,
-  13: list<target_holding> holdings, 14: list<leaving_target> leaving_targets, 15: list<quarantine> suspects
+  10: list<target_use> uses, 11: list<model_demand> demands, 12: list<customer_use> customers,
+  13: list<target_holding> holdings, 14: list<leaving_target> leaving_targets, 15: list<quarantine> suspects,
+  16: bool wants_registrations, 17: list<target_registration> registrations
 }
--- a/src/core/dispatch/target_choice.cpp
+++ b/src/core/dispatch/target_choice.cpp
@@ -41,7 +41,7 @@
     const bool tried = what.tried != nullptr && what.tried->contains(target.entry.id);
     const bool out = what.centres_out != nullptr && what.centres_out->contains(target.entry.data_centre);
     const bool barred = what.only != nullptr && !what.only->contains(target.entry.id);
-    if (target.entry.draining || tried || barred || out || (target.gone_at && now >= *target.gone_at))
+    if (target.leaving() || tried || barred || out || (target.gone_at && now >= *target.gone_at))
         return obstacle::no_target;
     switch (model_fit(target, what.model)) {
     case fit::wrong_model:
--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -40,6 +40,8 @@
 }
 
 void directory::upsert(const target_entry& entry, time_point now) {
+    if (!entry.draining)
+        left_.erase({entry.id, entry.born}); // it had lapsed for longer than expected
     target& one = targets_[entry.id];
     const bool same_start = one.entry.born == entry.born && !one.entry.id.empty();
     if (!same_start)
@@ -47,11 +49,8 @@
     one.lapsed_until.reset();
     const bool described =
         same_start && one.described_at != time_point{} && now - one.described_at < description_term;
-    const bool was_draining = same_start && one.entry.draining;
     auto known_models = std::move(one.entry.models);
     one.entry = entry;
-    one.entry.draining =
-        entry.draining || was_draining; // a target that leaves never returns under this start
     if (described || (same_start && !entry.describes_models))
         one.entry.models = std::move(known_models);
     else
@@ -67,6 +66,7 @@
     if (found == targets_.end())
         return;
     if (!in_outage(now) || found->second.entry.draining) {
+        left_[{id, found->second.entry.born}] = now;
         targets_.erase(found);
         return;
     }
@@ -87,13 +87,40 @@
     one.described_at = now;
 }
 
-void directory::mark_draining(const std::string& id, std::int64_t born) {
+void directory::mark_leaving(const std::string& id, std::int64_t born) {
     const auto found = targets_.find(id);
-    if (found != targets_.end() && found->second.entry.born == born)
-        found->second.entry.draining = true;
+    if (found == targets_.end() || found->second.entry.born != born)
+        return;
+    found->second.told_leaving = true;
+}
+
+void directory::adopt(const std::vector<target_entry>& entries, time_point now) {
+    std::set<std::string> listed;
+    for (const target_entry& entry : entries) {
+        listed.insert(entry.id);
+        const auto known = targets_.find(entry.id);
+        if (known == targets_.end() || known->second.entry.born != entry.born)
+            upsert(entry, now);
+        target& one = targets_[entry.id];
+        one.told_leaving = one.told_leaving || entry.draining;
+        one.entry.draining = one.entry.draining && known != targets_.end();
+    }
+    std::erase_if(targets_, [&](const auto& one) { return !listed.contains(one.first); });
+    loaded_ = loaded_ || !entries.empty();
+}
+
+std::vector<directory::leaving> directory::leaving_targets() const {
+    std::vector<leaving> out;
+    for (const auto& [start, at] : left_)
+        out.push_back({start.first, start.second});
+    for (const auto& [id, one] : targets_)
+        if (one.entry.draining && !left_.contains({id, one.entry.born}))
+            out.push_back({id, one.entry.born});
+    return out;
 }
 
 std::vector<std::string> directory::expire(time_point now) {
+    std::erase_if(left_, [&](const auto& one) { return now - one.second > left_memory; });
     std::vector<std::string> dropped;
     for (auto one = targets_.begin(); one != targets_.end();) {
         const auto& lapsed = one->second.lapsed_until;
@@ -102,6 +129,7 @@
             continue;
         }
         dropped.push_back(one->first);
+        left_[{one->first, one->second.entry.born}] = now;
         one = targets_.erase(one);
     }
     return dropped;
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -12,7 +12,8 @@
 
 namespace waxwinglb::core::fleet {
 
-constexpr common::milliseconds lapse_grace{2'000}; // the platform's bound for the return of lapsed entries
+constexpr common::milliseconds lapse_grace{2'000};  // the platform's bound for the return of lapsed entries
+constexpr common::milliseconds left_memory{30'000}; // peers are told so long that a target has left
 constexpr common::milliseconds description_term{3'000}; // the order giver's word goes before a registration's
 
 /// One usable or known target and what this process believes of it.
@@ -24,6 +25,10 @@
     std::set<std::string> coming;                   // models being loaded, as the order giver tells
     std::int64_t orders = 0;                        // that it had accepted when `described_at` was
     common::time_point described_at{};              // the order giver's newest word on its models
+    bool told_leaving = false; // by a peer; never told on, ends with a newer registration
+
+    /// Nothing more is sent to it.
+    [[nodiscard]] bool leaving() const { return entry.draining || told_leaving; }
 };
 
 class directory {
@@ -42,8 +47,17 @@
     void describe(const std::string& id, std::int64_t born, std::int64_t orders,
                   const std::map<std::string, std::vector<std::string>>& models,
                   const std::set<std::string>& coming, common::time_point now);
-    /// A peer's word that a target is leaving; holds until its registration changes.
-    void mark_draining(const std::string& id, std::int64_t born);
+    /// A peer's word that a target is leaving or has left: nothing more is sent to this start of it.
+    void mark_leaving(const std::string& id, std::int64_t born);
+    /// A peer's registrations, for a process that can't read the store itself; models are kept as known.
+    void adopt(const std::vector<target_entry>& entries, common::time_point now);
+
+    /// Starts that are leaving or have left not long ago, for the peers.
+    struct leaving {
+        std::string id;
+        std::int64_t born = 0;
+    };
+    [[nodiscard]] std::vector<leaving> leaving_targets() const;
 
     /// Drops what has lapsed. Returns the ids dropped.
     std::vector<std::string> expire(common::time_point now);
@@ -56,6 +70,7 @@
     [[nodiscard]] bool in_outage(common::time_point now) const;
 
     std::map<std::string, target> targets_;
+    std::map<std::pair<std::string, std::int64_t>, common::time_point> left_; // (id, born) -> when it left
     bool loaded_ = false;
     bool store_away_ = false;
     std::optional<common::time_point> returned_at_; // end of the newest outage
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -9916,25 +9916,25 @@
 }
 
 
-customer_demand::~customer_demand() noexcept {
+customer_use::~customer_use() noexcept {
 }
 
 
-void customer_demand::__set_customer(const std::string& val) {
+void customer_use::__set_customer(const std::string& val) {
   this->customer = val;
 }
 
-void customer_demand::__set_tokens_per_second(const double val) {
-  this->tokens_per_second = val;
+void customer_use::__set_tokens(const double val) {
+  this->tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const customer_demand& obj)
+std::ostream& operator<<(std::ostream& out, const customer_use& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t customer_demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t customer_use::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9965,8 +9965,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->tokens_per_second);
-          this->__isset.tokens_per_second = true;
+          xfer += iprot->readDouble(this->tokens);
+          this->__isset.tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9983,17 +9983,17 @@
   return xfer;
 }
 
-uint32_t customer_demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t customer_use::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("customer_demand");
+  xfer += oprot->writeStructBegin("customer_use");
 
   xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->customer);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tokens_per_second", ::apache::thrift::protocol::T_DOUBLE, 2);
-  xfer += oprot->writeDouble(this->tokens_per_second);
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->tokens);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -10001,40 +10001,40 @@
   return xfer;
 }
 
-void swap(customer_demand &a, customer_demand &b) {
+void swap(customer_use &a, customer_use &b) {
   using ::std::swap;
   swap(a.customer, b.customer);
-  swap(a.tokens_per_second, b.tokens_per_second);
+  swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
-customer_demand::customer_demand(const customer_demand& other298) {
+customer_use::customer_use(const customer_use& other298) {
   customer = other298.customer;
-  tokens_per_second = other298.tokens_per_second;
+  tokens = other298.tokens;
   __isset = other298.__isset;
 }
-customer_demand::customer_demand(customer_demand&& other299) noexcept {
+customer_use::customer_use(customer_use&& other299) noexcept {
   customer = std::move(other299.customer);
-  tokens_per_second = other299.tokens_per_second;
+  tokens = other299.tokens;
   __isset = other299.__isset;
 }
-customer_demand& customer_demand::operator=(const customer_demand& other300) {
+customer_use& customer_use::operator=(const customer_use& other300) {
   customer = other300.customer;
-  tokens_per_second = other300.tokens_per_second;
+  tokens = other300.tokens;
   __isset = other300.__isset;
   return *this;
 }
-customer_demand& customer_demand::operator=(customer_demand&& other301) noexcept {
+customer_use& customer_use::operator=(customer_use&& other301) noexcept {
   customer = std::move(other301.customer);
-  tokens_per_second = other301.tokens_per_second;
+  tokens = other301.tokens;
   __isset = other301.__isset;
   return *this;
 }
-void customer_demand::printTo(std::ostream& out) const {
+void customer_use::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "customer_demand(";
+  out << "customer_use(";
   out << "customer=" << to_string(customer);
-  out << ", " << "tokens_per_second=" << to_string(tokens_per_second);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
 
@@ -10391,6 +10391,261 @@
 }
 
 
+target_registration::~target_registration() noexcept {
+}
+
+
+void target_registration::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void target_registration::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void target_registration::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void target_registration::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void target_registration::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void target_registration::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void target_registration::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void target_registration::__set_cold_ms(const int64_t val) {
+  this->cold_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const target_registration& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t target_registration::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cold_ms);
+          this->__isset.cold_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t target_registration::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("target_registration");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cold_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->cold_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(target_registration &a, target_registration &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.born, b.born);
+  swap(a.service_name, b.service_name);
+  swap(a.address, b.address);
+  swap(a.data_centre, b.data_centre);
+  swap(a.slots, b.slots);
+  swap(a.draining, b.draining);
+  swap(a.cold_ms, b.cold_ms);
+  swap(a.__isset, b.__isset);
+}
+
+target_registration::target_registration(const target_registration& other322) {
+  target = other322.target;
+  born = other322.born;
+  service_name = other322.service_name;
+  address = other322.address;
+  data_centre = other322.data_centre;
+  slots = other322.slots;
+  draining = other322.draining;
+  cold_ms = other322.cold_ms;
+  __isset = other322.__isset;
+}
+target_registration::target_registration(target_registration&& other323) noexcept {
+  target = std::move(other323.target);
+  born = other323.born;
+  service_name = std::move(other323.service_name);
+  address = std::move(other323.address);
+  data_centre = std::move(other323.data_centre);
+  slots = other323.slots;
+  draining = other323.draining;
+  cold_ms = other323.cold_ms;
+  __isset = other323.__isset;
+}
+target_registration& target_registration::operator=(const target_registration& other324) {
+  target = other324.target;
+  born = other324.born;
+  service_name = other324.service_name;
+  address = other324.address;
+  data_centre = other324.data_centre;
+  slots = other324.slots;
+  draining = other324.draining;
+  cold_ms = other324.cold_ms;
+  __isset = other324.__isset;
+  return *this;
+}
+target_registration& target_registration::operator=(target_registration&& other325) noexcept {
+  target = std::move(other325.target);
+  born = other325.born;
+  service_name = std::move(other325.service_name);
+  address = std::move(other325.address);
+  data_centre = std::move(other325.data_centre);
+  slots = other325.slots;
+  draining = other325.draining;
+  cold_ms = other325.cold_ms;
+  __isset = other325.__isset;
+  return *this;
+}
+void target_registration::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "target_registration(";
+  out << "target=" << to_string(target);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "cold_ms=" << to_string(cold_ms);
+  out << ")";
+}
+
+
 peer_status::~peer_status() noexcept {
 }
 
@@ -10439,7 +10694,7 @@
   this->demands = val;
 }
 
-void peer_status::__set_customers(const std::vector<customer_demand> & val) {
+void peer_status::__set_customers(const std::vector<customer_use> & val) {
   this->customers = val;
 }
 
@@ -10454,6 +10709,14 @@
 void peer_status::__set_suspects(const std::vector<quarantine> & val) {
   this->suspects = val;
 }
+
+void peer_status::__set_wants_registrations(const bool val) {
+  this->wants_registrations = val;
+}
+
+void peer_status::__set_registrations(const std::vector<target_registration> & val) {
+  this->registrations = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -10518,14 +10781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size322;
-            ::apache::thrift::protocol::TType _etype325;
-            xfer += iprot->readListBegin(_etype325, _size322);
-            this->heard.resize(_size322);
-            uint32_t _i326;
-            for (_i326 = 0; _i326 < _size322; ++_i326)
+            uint32_t _size326;
+            ::apache::thrift::protocol::TType _etype329;
+            xfer += iprot->readListBegin(_etype329, _size326);
+            this->heard.resize(_size326);
+            uint32_t _i330;
+            for (_i330 = 0; _i330 < _size326; ++_i330)
             {
-              xfer += iprot->readString(this->heard[_i326]);
+              xfer += iprot->readString(this->heard[_i330]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10562,14 +10825,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size327;
-            ::apache::thrift::protocol::TType _etype330;
-            xfer += iprot->readListBegin(_etype330, _size327);
-            this->centres_out.resize(_size327);
-            uint32_t _i331;
-            for (_i331 = 0; _i331 < _size327; ++_i331)
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->centres_out.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
             {
-              xfer += iprot->readString(this->centres_out[_i331]);
+              xfer += iprot->readString(this->centres_out[_i335]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10582,14 +10845,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size332;
-            ::apache::thrift::protocol::TType _etype335;
-            xfer += iprot->readListBegin(_etype335, _size332);
-            this->uses.resize(_size332);
-            uint32_t _i336;
-            for (_i336 = 0; _i336 < _size332; ++_i336)
+            uint32_t _size336;
+            ::apache::thrift::protocol::TType _etype339;
+            xfer += iprot->readListBegin(_etype339, _size336);
+            this->uses.resize(_size336);
+            uint32_t _i340;
+            for (_i340 = 0; _i340 < _size336; ++_i340)
             {
-              xfer += this->uses[_i336].read(iprot);
+              xfer += this->uses[_i340].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10602,14 +10865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size337;
-            ::apache::thrift::protocol::TType _etype340;
-            xfer += iprot->readListBegin(_etype340, _size337);
-            this->demands.resize(_size337);
-            uint32_t _i341;
-            for (_i341 = 0; _i341 < _size337; ++_i341)
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->demands.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
             {
-              xfer += this->demands[_i341].read(iprot);
+              xfer += this->demands[_i345].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10622,14 +10885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size342;
-            ::apache::thrift::protocol::TType _etype345;
-            xfer += iprot->readListBegin(_etype345, _size342);
-            this->customers.resize(_size342);
-            uint32_t _i346;
-            for (_i346 = 0; _i346 < _size342; ++_i346)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->customers.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += this->customers[_i346].read(iprot);
+              xfer += this->customers[_i350].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10642,14 +10905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size347;
-            ::apache::thrift::protocol::TType _etype350;
-            xfer += iprot->readListBegin(_etype350, _size347);
-            this->holdings.resize(_size347);
-            uint32_t _i351;
-            for (_i351 = 0; _i351 < _size347; ++_i351)
+            uint32_t _size351;
+            ::apache::thrift::protocol::TType _etype354;
+            xfer += iprot->readListBegin(_etype354, _size351);
+            this->holdings.resize(_size351);
+            uint32_t _i355;
+            for (_i355 = 0; _i355 < _size351; ++_i355)
             {
-              xfer += this->holdings[_i351].read(iprot);
+              xfer += this->holdings[_i355].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10662,14 +10925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size352;
-            ::apache::thrift::protocol::TType _etype355;
-            xfer += iprot->readListBegin(_etype355, _size352);
-            this->leaving_targets.resize(_size352);
-            uint32_t _i356;
-            for (_i356 = 0; _i356 < _size352; ++_i356)
+            uint32_t _size356;
+            ::apache::thrift::protocol::TType _etype359;
+            xfer += iprot->readListBegin(_etype359, _size356);
+            this->leaving_targets.resize(_size356);
+            uint32_t _i360;
+            for (_i360 = 0; _i360 < _size356; ++_i360)
             {
-              xfer += this->leaving_targets[_i356].read(iprot);
+              xfer += this->leaving_targets[_i360].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10682,14 +10945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size357;
-            ::apache::thrift::protocol::TType _etype360;
-            xfer += iprot->readListBegin(_etype360, _size357);
-            this->suspects.resize(_size357);
-            uint32_t _i361;
-            for (_i361 = 0; _i361 < _size357; ++_i361)
+            uint32_t _size361;
+            ::apache::thrift::protocol::TType _etype364;
+            xfer += iprot->readListBegin(_etype364, _size361);
+            this->suspects.resize(_size361);
+            uint32_t _i365;
+            for (_i365 = 0; _i365 < _size361; ++_i365)
             {
-              xfer += this->suspects[_i361].read(iprot);
+              xfer += this->suspects[_i365].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10698,6 +10961,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_registrations);
+          this->__isset.wants_registrations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->registrations.clear();
+            uint32_t _size366;
+            ::apache::thrift::protocol::TType _etype369;
+            xfer += iprot->readListBegin(_etype369, _size366);
+            this->registrations.resize(_size366);
+            uint32_t _i370;
+            for (_i370 = 0; _i370 < _size366; ++_i370)
+            {
+              xfer += this->registrations[_i370].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.registrations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10734,10 +11025,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter362;
-    for (_iter362 = this->heard.begin(); _iter362 != this->heard.end(); ++_iter362)
+    std::vector<std::string> ::const_iterator _iter371;
+    for (_iter371 = this->heard.begin(); _iter371 != this->heard.end(); ++_iter371)
     {
-      xfer += oprot->writeString((*_iter362));
+      xfer += oprot->writeString((*_iter371));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10758,10 +11049,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter363;
-    for (_iter363 = this->centres_out.begin(); _iter363 != this->centres_out.end(); ++_iter363)
+    std::vector<std::string> ::const_iterator _iter372;
+    for (_iter372 = this->centres_out.begin(); _iter372 != this->centres_out.end(); ++_iter372)
     {
-      xfer += oprot->writeString((*_iter363));
+      xfer += oprot->writeString((*_iter372));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10770,10 +11061,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter364;
-    for (_iter364 = this->uses.begin(); _iter364 != this->uses.end(); ++_iter364)
+    std::vector<target_use> ::const_iterator _iter373;
+    for (_iter373 = this->uses.begin(); _iter373 != this->uses.end(); ++_iter373)
     {
-      xfer += (*_iter364).write(oprot);
+      xfer += (*_iter373).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10782,10 +11073,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter365;
-    for (_iter365 = this->demands.begin(); _iter365 != this->demands.end(); ++_iter365)
+    std::vector<model_demand> ::const_iterator _iter374;
+    for (_iter374 = this->demands.begin(); _iter374 != this->demands.end(); ++_iter374)
     {
-      xfer += (*_iter365).write(oprot);
+      xfer += (*_iter374).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10794,10 +11085,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_demand> ::const_iterator _iter366;
-    for (_iter366 = this->customers.begin(); _iter366 != this->customers.end(); ++_iter366)
+    std::vector<customer_use> ::const_iterator _iter375;
+    for (_iter375 = this->customers.begin(); _iter375 != this->customers.end(); ++_iter375)
     {
-      xfer += (*_iter366).write(oprot);
+      xfer += (*_iter375).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10806,10 +11097,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter367;
-    for (_iter367 = this->holdings.begin(); _iter367 != this->holdings.end(); ++_iter367)
+    std::vector<target_holding> ::const_iterator _iter376;
+    for (_iter376 = this->holdings.begin(); _iter376 != this->holdings.end(); ++_iter376)
     {
-      xfer += (*_iter367).write(oprot);
+      xfer += (*_iter376).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10818,10 +11109,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter368;
-    for (_iter368 = this->leaving_targets.begin(); _iter368 != this->leaving_targets.end(); ++_iter368)
+    std::vector<leaving_target> ::const_iterator _iter377;
+    for (_iter377 = this->leaving_targets.begin(); _iter377 != this->leaving_targets.end(); ++_iter377)
     {
-      xfer += (*_iter368).write(oprot);
+      xfer += (*_iter377).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10830,10 +11121,26 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter369;
-    for (_iter369 = this->suspects.begin(); _iter369 != this->suspects.end(); ++_iter369)
+    std::vector<quarantine> ::const_iterator _iter378;
+    for (_iter378 = this->suspects.begin(); _iter378 != this->suspects.end(); ++_iter378)
+    {
+      xfer += (*_iter378).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants_registrations", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->wants_registrations);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
+    std::vector<target_registration> ::const_iterator _iter379;
+    for (_iter379 = this->registrations.begin(); _iter379 != this->registrations.end(); ++_iter379)
     {
-      xfer += (*_iter369).write(oprot);
+      xfer += (*_iter379).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10861,81 +11168,91 @@
   swap(a.holdings, b.holdings);
   swap(a.leaving_targets, b.leaving_targets);
   swap(a.suspects, b.suspects);
+  swap(a.wants_registrations, b.wants_registrations);
+  swap(a.registrations, b.registrations);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other370) {
-  process = other370.process;
-  boot = other370.boot;
-  sequence = other370.sequence;
-  leaving = other370.leaving;
-  heard = other370.heard;
-  config_version = other370.config_version;
-  config_address = other370.config_address;
-  centres_revision = other370.centres_revision;
-  centres_out = other370.centres_out;
-  uses = other370.uses;
-  demands = other370.demands;
-  customers = other370.customers;
-  holdings = other370.holdings;
-  leaving_targets = other370.leaving_targets;
-  suspects = other370.suspects;
-  __isset = other370.__isset;
-}
-peer_status::peer_status(peer_status&& other371) noexcept {
-  process = std::move(other371.process);
-  boot = other371.boot;
-  sequence = other371.sequence;
-  leaving = other371.leaving;
-  heard = std::move(other371.heard);
-  config_version = other371.config_version;
-  config_address = std::move(other371.config_address);
-  centres_revision = other371.centres_revision;
-  centres_out = std::move(other371.centres_out);
-  uses = std::move(other371.uses);
-  demands = std::move(other371.demands);
-  customers = std::move(other371.customers);
-  holdings = std::move(other371.holdings);
-  leaving_targets = std::move(other371.leaving_targets);
-  suspects = std::move(other371.suspects);
-  __isset = other371.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other372) {
-  process = other372.process;
-  boot = other372.boot;
-  sequence = other372.sequence;
-  leaving = other372.leaving;
-  heard = other372.heard;
-  config_version = other372.config_version;
-  config_address = other372.config_address;
-  centres_revision = other372.centres_revision;
-  centres_out = other372.centres_out;
-  uses = other372.uses;
-  demands = other372.demands;
-  customers = other372.customers;
-  holdings = other372.holdings;
-  leaving_targets = other372.leaving_targets;
-  suspects = other372.suspects;
-  __isset = other372.__isset;
+peer_status::peer_status(const peer_status& other380) {
+  process = other380.process;
+  boot = other380.boot;
+  sequence = other380.sequence;
+  leaving = other380.leaving;
+  heard = other380.heard;
+  config_version = other380.config_version;
+  config_address = other380.config_address;
+  centres_revision = other380.centres_revision;
+  centres_out = other380.centres_out;
+  uses = other380.uses;
+  demands = other380.demands;
+  customers = other380.customers;
+  holdings = other380.holdings;
+  leaving_targets = other380.leaving_targets;
+  suspects = other380.suspects;
+  wants_registrations = other380.wants_registrations;
+  registrations = other380.registrations;
+  __isset = other380.__isset;
+}
+peer_status::peer_status(peer_status&& other381) noexcept {
+  process = std::move(other381.process);
+  boot = other381.boot;
+  sequence = other381.sequence;
+  leaving = other381.leaving;
+  heard = std::move(other381.heard);
+  config_version = other381.config_version;
+  config_address = std::move(other381.config_address);
+  centres_revision = other381.centres_revision;
+  centres_out = std::move(other381.centres_out);
+  uses = std::move(other381.uses);
+  demands = std::move(other381.demands);
+  customers = std::move(other381.customers);
+  holdings = std::move(other381.holdings);
+  leaving_targets = std::move(other381.leaving_targets);
+  suspects = std::move(other381.suspects);
+  wants_registrations = other381.wants_registrations;
+  registrations = std::move(other381.registrations);
+  __isset = other381.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other382) {
+  process = other382.process;
+  boot = other382.boot;
+  sequence = other382.sequence;
+  leaving = other382.leaving;
+  heard = other382.heard;
+  config_version = other382.config_version;
+  config_address = other382.config_address;
+  centres_revision = other382.centres_revision;
+  centres_out = other382.centres_out;
+  uses = other382.uses;
+  demands = other382.demands;
+  customers = other382.customers;
+  holdings = other382.holdings;
+  leaving_targets = other382.leaving_targets;
+  suspects = other382.suspects;
+  wants_registrations = other382.wants_registrations;
+  registrations = other382.registrations;
+  __isset = other382.__isset;
   return *this;
 }
-peer_status& peer_status::operator=(peer_status&& other373) noexcept {
-  process = std::move(other373.process);
-  boot = other373.boot;
-  sequence = other373.sequence;
-  leaving = other373.leaving;
-  heard = std::move(other373.heard);
-  config_version = other373.config_version;
-  config_address = std::move(other373.config_address);
-  centres_revision = other373.centres_revision;
-  centres_out = std::move(other373.centres_out);
-  uses = std::move(other373.uses);
-  demands = std::move(other373.demands);
-  customers = std::move(other373.customers);
-  holdings = std::move(other373.holdings);
-  leaving_targets = std::move(other373.leaving_targets);
-  suspects = std::move(other373.suspects);
-  __isset = other373.__isset;
+peer_status& peer_status::operator=(peer_status&& other383) noexcept {
+  process = std::move(other383.process);
+  boot = other383.boot;
+  sequence = other383.sequence;
+  leaving = other383.leaving;
+  heard = std::move(other383.heard);
+  config_version = other383.config_version;
+  config_address = std::move(other383.config_address);
+  centres_revision = other383.centres_revision;
+  centres_out = std::move(other383.centres_out);
+  uses = std::move(other383.uses);
+  demands = std::move(other383.demands);
+  customers = std::move(other383.customers);
+  holdings = std::move(other383.holdings);
+  leaving_targets = std::move(other383.leaving_targets);
+  suspects = std::move(other383.suspects);
+  wants_registrations = other383.wants_registrations;
+  registrations = std::move(other383.registrations);
+  __isset = other383.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -10956,6 +11273,8 @@
   out << ", " << "holdings=" << to_string(holdings);
   out << ", " << "leaving_targets=" << to_string(leaving_targets);
   out << ", " << "suspects=" << to_string(suspects);
+  out << ", " << "wants_registrations=" << to_string(wants_registrations);
+  out << ", " << "registrations=" << to_string(registrations);
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -227,12 +227,14 @@
 
 class model_demand;
 
-class customer_demand;
+class customer_use;
 
 class target_holding;
 
 class leaving_target;
 
+class target_registration;
+
 class peer_status;
 
 typedef struct _header__isset {
@@ -3979,47 +3981,50 @@
 
 std::ostream& operator<<(std::ostream& out, const model_demand& obj);
 
-typedef struct _customer_demand__isset {
-  _customer_demand__isset() : customer(false), tokens_per_second(false) {}
+typedef struct _customer_use__isset {
+  _customer_use__isset() : customer(false), tokens(false) {}
   bool customer :1;
-  bool tokens_per_second :1;
-} _customer_demand__isset;
+  bool tokens :1;
+} _customer_use__isset;
 
-class customer_demand : public virtual ::apache::thrift::TBase {
+/**
+ * Tokens that a gateway has taken from a customer's rate since its start.
+ */
+class customer_use : public virtual ::apache::thrift::TBase {
  public:
 
-  customer_demand(const customer_demand&);
-  customer_demand(customer_demand&&) noexcept;
-  customer_demand& operator=(const customer_demand&);
-  customer_demand& operator=(customer_demand&&) noexcept;
-  customer_demand() noexcept
-                  : customer(),
-                    tokens_per_second(0) {
+  customer_use(const customer_use&);
+  customer_use(customer_use&&) noexcept;
+  customer_use& operator=(const customer_use&);
+  customer_use& operator=(customer_use&&) noexcept;
+  customer_use() noexcept
+               : customer(),
+                 tokens(0) {
   }
 
-  virtual ~customer_demand() noexcept;
+  virtual ~customer_use() noexcept;
   std::string customer;
-  double tokens_per_second;
+  double tokens;
 
-  _customer_demand__isset __isset;
+  _customer_use__isset __isset;
 
   void __set_customer(const std::string& val);
 
-  void __set_tokens_per_second(const double val);
+  void __set_tokens(const double val);
 
-  bool operator == (const customer_demand & rhs) const
+  bool operator == (const customer_use & rhs) const
   {
     if (!(customer == rhs.customer))
       return false;
-    if (!(tokens_per_second == rhs.tokens_per_second))
+    if (!(tokens == rhs.tokens))
       return false;
     return true;
   }
-  bool operator != (const customer_demand &rhs) const {
+  bool operator != (const customer_use &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const customer_demand & ) const;
+  bool operator < (const customer_use & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -4027,9 +4032,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(customer_demand &a, customer_demand &b);
+void swap(customer_use &a, customer_use &b);
 
-std::ostream& operator<<(std::ostream& out, const customer_demand& obj);
+std::ostream& operator<<(std::ostream& out, const customer_use& obj);
 
 typedef struct _target_holding__isset {
   _target_holding__isset() : target(false), born(false), sequence(false), models(false), coming(false) {}
@@ -4157,8 +4162,105 @@
 
 std::ostream& operator<<(std::ostream& out, const leaving_target& obj);
 
+typedef struct _target_registration__isset {
+  _target_registration__isset() : target(false), born(false), service_name(false), address(false), data_centre(false), slots(false), draining(false), cold_ms(false) {}
+  bool target :1;
+  bool born :1;
+  bool service_name :1;
+  bool address :1;
+  bool data_centre :1;
+  bool slots :1;
+  bool draining :1;
+  bool cold_ms :1;
+} _target_registration__isset;
+
+/**
+ * A target's registration, for a gateway that can't read the store.
+ */
+class target_registration : public virtual ::apache::thrift::TBase {
+ public:
+
+  target_registration(const target_registration&);
+  target_registration(target_registration&&) noexcept;
+  target_registration& operator=(const target_registration&);
+  target_registration& operator=(target_registration&&) noexcept;
+  target_registration() noexcept
+                      : target(),
+                        born(0),
+                        service_name(),
+                        address(),
+                        data_centre(),
+                        slots(0),
+                        draining(0),
+                        cold_ms(0) {
+  }
+
+  virtual ~target_registration() noexcept;
+  std::string target;
+  int64_t born;
+  std::string service_name;
+  std::string address;
+  std::string data_centre;
+  int32_t slots;
+  bool draining;
+  int64_t cold_ms;
+
+  _target_registration__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_draining(const bool val);
+
+  void __set_cold_ms(const int64_t val);
+
+  bool operator == (const target_registration & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(cold_ms == rhs.cold_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const target_registration &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const target_registration & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(target_registration &a, target_registration &b);
+
+std::ostream& operator<<(std::ostream& out, const target_registration& obj);
+
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4174,8 +4276,13 @@
   bool holdings :1;
   bool leaving_targets :1;
   bool suspects :1;
+  bool wants_registrations :1;
+  bool registrations :1;
 } _peer_status__isset;
 
+/**
+ * wants_registrations: the sender can't read the store; registrations: only while a peer wants them.
+ */
 class peer_status : public virtual ::apache::thrift::TBase {
  public:
 
@@ -4190,7 +4297,8 @@
                 leaving(0),
                 config_version(0),
                 config_address(),
-                centres_revision(0) {
+                centres_revision(0),
+                wants_registrations(0) {
   }
 
   virtual ~peer_status() noexcept;
@@ -4205,10 +4313,12 @@
   std::vector<std::string>  centres_out;
   std::vector<target_use>  uses;
   std::vector<model_demand>  demands;
-  std::vector<customer_demand>  customers;
+  std::vector<customer_use>  customers;
   std::vector<target_holding>  holdings;
   std::vector<leaving_target>  leaving_targets;
   std::vector<quarantine>  suspects;
+  bool wants_registrations;
+  std::vector<target_registration>  registrations;
 
   _peer_status__isset __isset;
 
@@ -4234,7 +4344,7 @@
 
   void __set_demands(const std::vector<model_demand> & val);
 
-  void __set_customers(const std::vector<customer_demand> & val);
+  void __set_customers(const std::vector<customer_use> & val);
 
   void __set_holdings(const std::vector<target_holding> & val);
 
@@ -4242,6 +4352,10 @@
 
   void __set_suspects(const std::vector<quarantine> & val);
 
+  void __set_wants_registrations(const bool val);
+
+  void __set_registrations(const std::vector<target_registration> & val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -4274,6 +4388,10 @@
       return false;
     if (!(suspects == rhs.suspects))
       return false;
+    if (!(wants_registrations == rhs.wants_registrations))
+      return false;
+    if (!(registrations == rhs.registrations))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/fleet/directory.hpp"
-#include "core/limits/quota_shares.hpp"
+#include "core/limits/fleet_quota.hpp"
 #include "edge/decision_log.hpp"
 #include "edge/event_loop.hpp"
 #include "programs/gateway/metrics.hpp"
@@ -25,9 +25,10 @@
     core::fleet::directory directory;
     std::set<std::string> centres_out; // data centres taken out
     std::int64_t centres_revision = 0; // of the store, when centres_out was read
-    core::limits::quota_shares quota;
-    int members = 1;     // registered gateways, this one included
-    bool ending = false; // SIGTERM came
+    core::limits::fleet_quota quota;
+    int members = 1;                 // registered gateways, this one included
+    bool order_giver_speaks = false; // another gateway holds the lease and is heard
+    bool ending = false;             // SIGTERM came
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -17,10 +17,12 @@
 constexpr milliseconds store_timeout{1'000}; // of one call, besides a watch's own wait
 constexpr milliseconds housekeeping_every{100};
 constexpr milliseconds register_retry{500};
-constexpr milliseconds drain_least{2'600}; // the balancer needs two unready answers to notice
-constexpr milliseconds drain_reserve{400}; // of the allowed time, for the end itself
-constexpr milliseconds later{1'000};       // Retry-After of a gateway that knows no configuration yet
-constexpr std::size_t max_sessions = 900;  // the select reactor serves 1,024 descriptors
+constexpr milliseconds drain_least{2'600};     // the balancer needs two unready answers to notice
+constexpr milliseconds drain_accepts{2'200};   // then new requests are refused
+constexpr milliseconds drain_retry_after{100}; // other gateways serve already
+constexpr milliseconds drain_reserve{400};     // of the allowed time, for the end itself
+constexpr milliseconds later{1'000};           // Retry-After of a gateway that knows no configuration yet
+constexpr std::size_t max_sessions = 900;      // the select reactor serves 1,024 descriptors
 
 std::int64_t unix_ms() {
     return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
@@ -76,6 +78,7 @@
               [this] {
                   update_readiness();
                   dispatcher_.pump_soon();
+                  peers_.tell_now();
               },
               [this](const std::map<std::string, std::string>& members) {
                   std::vector<std::string> names;
@@ -161,6 +164,9 @@
     }
     if (one->request_id.empty())
         return reject(one, 400, "no_request_id");
+    // A request that comes late in a drain might outlast the process.
+    if (context_.ending && loop_.now() - drain_began_ > drain_accepts)
+        return reject(one, 503, "ending", drain_retry_after);
     if (!find_route(one) || !identify_caller(one) || !read_deadline(one) || !charge(one))
         return;
     one->timer = loop_.schedule(one->deadline, [this, one] { forwarder_.deadline_passed(one); });
@@ -250,8 +256,15 @@
     if (one->customer.empty())
         return true;
     const auto quota = context_.quota.take(one->customer, one->tokens, loop_.now());
-    if (!quota.granted)
+    if (!quota.granted) {
+        log_.write(edge::events::rate_refused, one->request_id,
+                   {{"customer", one->customer},
+                    {"tokens", one->tokens},
+                    {"level", context_.quota.level(one->customer)},
+                    {"available_part", context_.quota.available_part(loop_.now())},
+                    {"retry_ms", core::common::to_wire_ms(quota.retry_after)}});
         reject(one, 429, "over_rate", quota.retry_after);
+    }
     return quota.granted;
 }
 
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -61,13 +61,11 @@
         if (const auto write = lease_.take(now))
             write_lease(*write);
     } else if (!lease_.mine() && !reading_) {
-        const auto& heard = peers_->heard();
-        const auto holder = heard.find(lease_.record().holder);
-        const bool speaks = holder != heard.end() && now - holder->second.heard_at < holder_silence;
-        if (now - checked_at_ > (speaks ? read_while_holder_speaks : read_while_silent))
+        if (now - checked_at_ > (holder_speaks(now) ? read_while_holder_speaks : read_while_silent))
             read_lease();
     }
     note_lease(now);
+    context_.order_giver_speaks = holder_speaks(now);
     follow_directory();
     if (may_order(now)) {
         ask_for_reports();
@@ -78,6 +76,12 @@
     context_.loop.schedule(now + tick_every, [this] { tick(); });
 }
 
+bool order_giver::holder_speaks(time_point now) const {
+    const auto& heard = peers_->heard();
+    const auto holder = heard.find(lease_.record().holder);
+    return holder != heard.end() && now - holder->second.heard_at < holder_silence;
+}
+
 // ---- the lease -------------------------------------------------------------------------------------
 
 void order_giver::read_lease() {
@@ -302,7 +306,7 @@
         one.id = id;
         one.data_centre = target->entry.data_centre;
         one.takes_orders = known.ledger.takes_orders(now) && !target->lapsed_until;
-        one.serves = !target->entry.draining && !context_.centres_out.contains(target->entry.data_centre);
+        one.serves = !target->leaving() && !context_.centres_out.contains(target->entry.data_centre);
         one.loading = known.ledger.loading(now);
         one.copies_in_memory = known.copies_in_memory;
         one.copies_on_disk = known.copies_on_disk;
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -35,6 +35,7 @@
 
     // The lease.
     void tick();
+    [[nodiscard]] bool holder_speaks(core::common::time_point now) const; // another one, heard of late
     void read_lease();
     void write_lease(const core::membership::lease_write& write);
     void note_lease(core::common::time_point now);
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -110,20 +110,22 @@
         }
         out.demands.push_back(std::move(one));
     }
-    for (const std::string& customer : context_.quota.customers()) {
-        wire::customer_demand one;
+    for (const auto& [customer, tokens] : context_.quota.taken()) {
+        wire::customer_use one;
         one.customer = customer;
-        one.tokens_per_second = context_.quota.asked_per_second(customer, now);
+        one.tokens = tokens;
         out.customers.push_back(std::move(one));
     }
     out.holdings = parts_.holdings();
-    for (const auto& [id, target] : context_.directory.targets())
-        if (target.entry.draining) {
-            wire::leaving_target one;
-            one.target = id;
-            one.born = target.entry.born;
-            out.leaving_targets.push_back(std::move(one));
-        }
+    for (const auto& start : context_.directory.leaving_targets()) {
+        wire::leaving_target one;
+        one.target = start.id;
+        one.born = start.born;
+        out.leaving_targets.push_back(std::move(one));
+    }
+    out.wants_registrations = !parts_.watch.reads_targets();
+    if (!out.wants_registrations && registrations_wanted())
+        out.registrations = registrations();
     for (const auto& [fingerprint, count] : parts_.forward.breaks())
         if (count > 1) { // one broken run is common
             wire::quarantine one;
@@ -173,12 +175,12 @@
     if (silent_.erase(status.process) > 0)
         context_.log.write(edge::events::peer_regained, status.process);
     known = {status, now};
-    std::map<std::string, double> asked;
+    core::limits::taken_tokens taken;
     for (const auto& one : status.customers)
-        asked[one.customer] = one.tokens_per_second;
+        taken[one.customer] = one.tokens;
     const bool hears_us =
         std::find(status.heard.begin(), status.heard.end(), context_.settings.name) != status.heard.end();
-    context_.quota.heard(status.process, std::move(asked), hears_us, now);
+    context_.quota.heard(status.process, status.boot, std::move(taken), hears_us, now);
     if (status.leaving)
         context_.quota.left(status.process);
     std::map<std::string, int> running;
@@ -203,12 +205,58 @@
         }
     }
     for (const auto& one : status.leaving_targets)
-        context_.directory.mark_draining(one.target, one.born);
+        context_.directory.mark_leaving(one.target, one.born);
+    if (!status.registrations.empty() && !parts_.watch.reads_targets())
+        adopt_registrations(status);
     const std::int64_t own = context_.config ? context_.config->version : 0;
     if (status.config_version > own && context_.loop.now() >= fetched_at_ + fetch_pause)
         fetch_config(status.config_address);
 }
 
+bool peers::registrations_wanted() const {
+    const auto now = context_.loop.now();
+    return std::any_of(heard_.begin(), heard_.end(), [&](const auto& one) {
+        return one.second.status.wants_registrations &&
+               now - one.second.heard_at <= core::limits::contact_limit;
+    });
+}
+
+std::vector<wire::target_registration> peers::registrations() const {
+    const auto now = context_.loop.now();
+    std::vector<wire::target_registration> out;
+    for (const auto& [id, target] : context_.directory.targets()) {
+        wire::target_registration one;
+        one.target = id;
+        one.born = target.entry.born;
+        one.service_name = target.entry.service;
+        one.address = target.entry.address;
+        one.data_centre = target.entry.data_centre;
+        one.slots = target.entry.slots;
+        one.draining = target.leaving();
+        one.cold_ms = ms_of(target.cold_until - now);
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
+void peers::adopt_registrations(const wire::peer_status& status) {
+    std::vector<core::fleet::target_entry> entries;
+    for (const auto& one : status.registrations) {
+        core::fleet::target_entry entry;
+        entry.id = one.target;
+        entry.born = one.born;
+        entry.service = one.service_name;
+        entry.address = one.address;
+        entry.data_centre = one.data_centre;
+        entry.slots = one.slots;
+        entry.draining = one.draining;
+        entry.cold_left = milliseconds{one.cold_ms};
+        entries.push_back(std::move(entry));
+    }
+    context_.directory.adopt(entries, context_.loop.now());
+    parts_.dispatch.pump_soon();
+}
+
 void peers::take_holdings(const wire::peer_status& status) {
     for (const auto& one : status.holdings) {
         std::map<std::string, std::vector<std::string>> models;
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -49,6 +49,9 @@
     [[nodiscard]] wire::peer_status status() const;
     void take(const wire::peer_status& status);
     void take_store_news(const wire::peer_status& status);
+    [[nodiscard]] bool registrations_wanted() const;
+    [[nodiscard]] std::vector<wire::target_registration> registrations() const;
+    void adopt_registrations(const wire::peer_status& status);
     void take_holdings(const wire::peer_status& status);
     void fetch_config(const std::string& address);
     void report_silent();
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -12,11 +12,13 @@
 using platform::store_reply;
 using platform::store_result;
 
-constexpr milliseconds watch_wait{2'500}; // a watch on a connection that fell silent costs no more
-constexpr milliseconds first_retry{100};  // after a failed call, doubling
+constexpr milliseconds first_retry{100}; // after a failed call, doubling
 constexpr milliseconds longest_retry{800};
-constexpr milliseconds targets_pause{300};
-constexpr milliseconds rare_pause{20};
+// The order giver follows the targets closely and tells the others at once what it hears.
+constexpr kind_watch::follow_times targets_times{milliseconds{1'500}, milliseconds{300}, milliseconds{1'000}};
+constexpr kind_watch::follow_times config_times{milliseconds{2'500}, milliseconds{20}, milliseconds{20}};
+constexpr kind_watch::follow_times centres_times{milliseconds{4'000}, milliseconds{20}, milliseconds{20}};
+constexpr kind_watch::follow_times members_times{milliseconds{10'000}, milliseconds{500}, milliseconds{500}};
 
 const char* name_of(store_result result) {
     switch (result) {
@@ -60,6 +62,10 @@
     context_.loop.schedule(context_.loop.now() + after, [this] { revision_ > 0 ? watch() : list(); });
 }
 
+milliseconds kind_watch::pause() const {
+    return context_.order_giver_speaks ? times_.relaxed_pause : times_.pause;
+}
+
 void kind_watch::list() {
     store_.list(kind_, [this](store_reply&& reply) {
         context_.loop.post([this, reply = std::move(reply)] {
@@ -68,13 +74,13 @@
                 return next(std::min(longest_retry, first_retry * (1 << std::min(failures_, 4))));
             revision_ = reply.revision;
             owner_.on_list(reply);
-            next(pause_);
+            next(pause());
         });
     });
 }
 
 void kind_watch::watch() {
-    store_.watch(kind_, revision_, watch_wait, [this](store_reply&& reply) {
+    store_.watch(kind_, revision_, times_.wait, [this](store_reply&& reply) {
         context_.loop.post([this, reply = std::move(reply)] {
             heard(reply, "watch");
             if (reply.result == store_result::forgotten)
@@ -87,7 +93,7 @@
                 revision_ = reply.revision;
             if (!reply.objects.empty())
                 owner_.on_events(reply);
-            next(reply.objects.empty() ? milliseconds{0} : pause_);
+            next(reply.objects.empty() ? milliseconds{0} : pause());
         });
     });
 }
@@ -96,16 +102,16 @@
 
 store_watch::store_watch(gateway_context& context, platform::store_client& store, owner to)
     : context_(context), owner_(std::move(to)),
-      config_(context, store, platform::config_kind, rare_pause,
+      config_(context, store, platform::config_kind, config_times,
               {[this](const store_reply& reply) { take_config(reply); },
                [this](const store_reply& reply) { take_config(reply); }}),
-      targets_(context, store, platform::targets_kind, targets_pause,
+      targets_(context, store, platform::targets_kind, targets_times,
                {[this](const store_reply& reply) { take_targets(reply, true); },
                 [this](const store_reply& reply) { take_targets(reply, false); }}),
-      centres_(context, store, platform::evacuations_kind, rare_pause,
+      centres_(context, store, platform::evacuations_kind, centres_times,
                {[this](const store_reply& reply) { take_centres(reply, true); },
                 [this](const store_reply& reply) { take_centres(reply, false); }}),
-      members_watch_(context, store, platform::routers_kind, rare_pause,
+      members_watch_(context, store, platform::routers_kind, members_times,
                      {[this](const store_reply& reply) { take_members(reply, true); },
                       [this](const store_reply& reply) { take_members(reply, false); }}) {}
 
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -12,13 +12,18 @@
 /// One kind of object, followed for as long as the process runs.
 class kind_watch {
 public:
+    struct follow_times {
+        core::common::milliseconds wait;          // of one watch; bounds what a silent connection costs
+        core::common::milliseconds pause;         // between two watches, so that changes come in batches
+        core::common::milliseconds relaxed_pause; // while another gateway tells of changes at once
+    };
     struct owner {
         std::function<void(const platform::store_reply&)> on_list;
         std::function<void(const platform::store_reply&)> on_events;
     };
-    kind_watch(gateway_context& context, platform::store_client& store, std::string kind,
-               core::common::milliseconds pause, owner to)
-        : context_(context), store_(store), kind_(std::move(kind)), pause_(pause), owner_(std::move(to)) {}
+    kind_watch(gateway_context& context, platform::store_client& store, std::string kind, follow_times times,
+               owner to)
+        : context_(context), store_(store), kind_(std::move(kind)), times_(times), owner_(std::move(to)) {}
 
     void start() { list(); }
     void list_again() { revision_ = 0; } // with the next call
@@ -28,12 +33,13 @@
     void list();
     void watch();
     void next(core::common::milliseconds after);
+    [[nodiscard]] core::common::milliseconds pause() const;
     void heard(const platform::store_reply& reply, const char* call);
 
     gateway_context& context_;
     platform::store_client& store_;
     std::string kind_;
-    core::common::milliseconds pause_; // between two watches, so that changes come in batches
+    follow_times times_;
     owner owner_;
     std::int64_t revision_ = 0; // to watch from; 0: list first
     bool answering_ = true;
@@ -53,6 +59,7 @@
 
     /// Takes over a configuration's document from wherever it came; older ones are ignored.
     void offer_config(const nlohmann::json& spec, const std::string& source);
+    [[nodiscard]] bool reads_targets() const { return targets_.answering(); }
     /// Text of the configuration in force, for peers that can't reach the store.
     [[nodiscard]] const std::string& config_text() const { return config_text_; }
 
