--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -10,20 +10,32 @@
     return store_away_ || (returned_at_ && now < *returned_at_ + lapse_grace);
 }
 
-void directory::store_failed(time_point) {
+void directory::store_failed() {
     store_away_ = true;
 }
 
 void directory::store_answered(time_point now) {
+    const auto silent = answered_at_ ? now - *answered_at_ : common::duration::max();
+    answered_at_ = now;
     if (!store_away_)
         return;
     store_away_ = false;
+    if (silent < shortest_lapsing_outage)
+        return;
     returned_at_ = now;
     for (auto& [id, one] : targets_)
         if (one.lapsed_until)
             one.lapsed_until = now + lapse_grace;
 }
 
+void directory::apply(const std::vector<target_change>& changes, time_point now) {
+    for (const target_change& change : changes)
+        if (change.entry)
+            upsert(*change.entry, now);
+        else
+            remove(change.id, now);
+}
+
 void directory::replace_all(const std::vector<target_entry>& entries, time_point now) {
     std::set<std::string> listed;
     for (const target_entry& entry : entries) {
@@ -51,6 +63,7 @@
         same_start && one.described_at != time_point{} && now - one.described_at < description_term;
     auto known_models = std::move(one.entry.models);
     one.entry = entry;
+    one.told_leaving = false; // the registration itself says more
     if (described || (same_start && !entry.describes_models))
         one.entry.models = std::move(known_models);
     else
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -12,8 +12,11 @@
 
 namespace waxwinglb::core::fleet {
 
-constexpr common::milliseconds lapse_grace{2'000};  // the platform's bound for the return of lapsed entries
-constexpr common::milliseconds left_memory{30'000}; // peers are told so long that a target has left
+constexpr common::milliseconds lapse_grace{2'000}; // the platform's bound for the return of lapsed entries
+// Registrations are renewed about every 1.2 s and lapse after three missed renewals: a shorter outage lapses
+// none.
+constexpr common::milliseconds shortest_lapsing_outage{2'000};
+constexpr common::milliseconds left_memory{30'000};     // peers are told so long that a target has left
 constexpr common::milliseconds description_term{3'000}; // the order giver's word goes before a registration's
 
 /// One usable or known target and what this process believes of it.
@@ -31,15 +34,23 @@
     [[nodiscard]] bool leaving() const { return entry.draining || told_leaving; }
 };
 
+/// One change of a registration, as a watch reports it.
+struct target_change {
+    std::string id;
+    std::optional<target_entry> entry; // nothing: the registration was removed
+};
+
 class directory {
 public:
+    /// Changes in the order in which they were made: a target may change and be removed within one batch.
+    void apply(const std::vector<target_change>& changes, common::time_point now);
     /// A complete list. Targets that it lacks are treated like removed ones.
     void replace_all(const std::vector<target_entry>& entries, common::time_point now);
     void upsert(const target_entry& entry, common::time_point now);
     void remove(const std::string& id, common::time_point now);
 
     // What the store's calls show of it.
-    void store_failed(common::time_point now); // a call failed or stayed without an answer
+    void store_failed(); // a call failed or stayed without an answer
     void store_answered(common::time_point now);
 
     /// What a target holds after `orders` accepted orders, as the giver of its orders knows: newer than its
@@ -73,6 +84,7 @@
     std::map<std::pair<std::string, std::int64_t>, common::time_point> left_; // (id, born) -> when it left
     bool loaded_ = false;
     bool store_away_ = false;
+    std::optional<common::time_point> answered_at_; // the store's newest answer
     std::optional<common::time_point> returned_at_; // end of the newest outage
 };
 
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -50,7 +50,7 @@
     if (answering_)
         context_.directory.store_answered(context_.loop.now());
     else
-        context_.directory.store_failed(context_.loop.now());
+        context_.directory.store_failed();
     if (was && !answering_)
         context_.log.write(edge::events::store_lost, kind_,
                            {{"call", call}, {"result", name_of(reply.result)}, {"why", describe(reply.why)}});
@@ -168,36 +168,46 @@
                         {"models", entry.models.size()}});
 }
 
+/// Nothing if the registration names no target to use; the reason is logged.
+std::optional<core::fleet::target_entry> store_watch::decode_target(const platform::stored_object& object) {
+    const auto report = [&](const core::common::error& why) {
+        context_.log.write(edge::events::target_ignored, object.name, {{"why", describe(why)}});
+        return std::optional<core::fleet::target_entry>{};
+    };
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<core::fleet::target_entry>> {
+            BOOST_LEAF_AUTO(entry, platform::decode_target(object.name, object.spec));
+            return std::optional{std::move(entry)};
+        },
+        report,
+        [&] {
+            return report({"decode registration", object.name, "unknown"});
+        });
+}
+
 void store_watch::take_targets(const store_reply& reply, bool complete) {
     const auto now = context_.loop.now();
+    std::vector<core::fleet::target_change> changes;
     std::vector<core::fleet::target_entry> entries;
     for (const auto& object : reply.objects) {
         if (object.removed) {
             context_.log.write(edge::events::target_changed, object.name, {{"change", "removed"}});
-            context_.directory.remove(object.name, now);
+            changes.push_back({object.name, std::nullopt});
             continue;
         }
-        const auto report = [&](const core::common::error& why) {
-            context_.log.write(edge::events::target_ignored, object.name, {{"why", describe(why)}});
-        };
-        leaf::try_handle_all(
-            [&]() -> leaf::result<void> {
-                BOOST_LEAF_AUTO(entry, platform::decode_target(object.name, object.spec));
-                entries.push_back(std::move(entry));
-                return {};
-            },
-            report,
-            [&] {
-                report({"decode registration", object.name, "unknown"});
-            });
+        auto entry = decode_target(object);
+        if (!entry)
+            continue;
+        log_target(*entry, complete ? "listed" : "changed");
+        if (complete)
+            entries.push_back(std::move(*entry));
+        else
+            changes.push_back({object.name, std::move(entry)});
     }
-    for (const auto& entry : entries)
-        log_target(entry, complete ? "listed" : "changed");
     if (complete)
         context_.directory.replace_all(entries, now);
     else
-        for (const auto& entry : entries)
-            context_.directory.upsert(entry, now);
+        context_.directory.apply(changes, now);
     owner_.on_targets();
 }
 
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -68,6 +68,7 @@
     void take_targets(const platform::store_reply& reply, bool complete);
     void take_centres(const platform::store_reply& reply, bool complete);
     void take_members(const platform::store_reply& reply, bool complete);
+    std::optional<core::fleet::target_entry> decode_target(const platform::stored_object& object);
     void log_target(const core::fleet::target_entry& entry, const char* change);
 
     gateway_context& context_;
