Spread busy models over more targets; ask a target again while it unloads

Cause (slow swaps): 83 of 167 loads met the unload before them (409) and waited a second for a report. Ruled out: waiting here (5 waited over 700 ms), preemption (none), slow relaying (processor 0.018 of a core).

--- a/src/core/placing/planner.cpp
+++ b/src/core/placing/planner.cpp
@@ -179,7 +179,7 @@
                 continue;
             // A busy target serves the new model more slowly; an unload costs a round trip.
             double cost = static_cast<double>(load_time(model, copy).count());
-            cost += 1'000.0 * one.running / engine_.slots;
+            cost += static_cast<double>(limits_.running_cost.count()) * one.running;
             cost += 30.0 * static_cast<double>(victims->size());
             for (const std::string& victim : *victims)
                 cost += 300.0 * wanted(victim);
--- a/src/core/placing/target_ledger.cpp
+++ b/src/core/placing/target_ledger.cpp
@@ -46,12 +46,17 @@
     switch (what) {
     case answer::accepted:
         ++sequence_;
+        accepted_at_ = now;
         apply(one, now);
         break;
     case answer::holds_already:
         apply(one, now);
         break;
-    case answer::rejected: // busy, or the number differs: a report tells
+    case answer::rejected: // busy, or the number differs
+        if (accepted_at_ != time_point{} && now - accepted_at_ < busy_limit) {
+            not_before_ = now + busy_pause; // most likely still at the order before
+            break;
+        }
         unsettled_ = true;
         unsettled_at_ = now - report_delay;
         break;
@@ -83,7 +88,7 @@
 }
 
 bool target_ledger::takes_orders(time_point now) const {
-    return known_ && !pending_ && !unsettled_ && loading(now).empty();
+    return known_ && !pending_ && !unsettled_ && now >= not_before_ && loading(now).empty();
 }
 
 bool target_ledger::store_load_under_way(time_point now) const {
--- a/src/core/placing/target_ledger.hpp
+++ b/src/core/placing/target_ledger.hpp
@@ -10,6 +10,9 @@
 
 namespace waxwinglb::core::placing {
 
+constexpr common::milliseconds busy_pause{
+    50}; // until a target that still carries out an order is asked again
+constexpr common::milliseconds busy_limit{600};   // an unload lasts no longer; then a report must tell
 constexpr common::milliseconds report_delay{800}; // a target's report may be as old as that
 
 class target_ledger {
@@ -48,7 +51,9 @@
     std::map<std::string, std::set<std::string>> models_;
     std::map<std::string, common::time_point> ready_at_; // of models loaded by orders
     std::optional<pending> pending_;
-    bool unsettled_ = false; // the newest order's answer is lost
+    common::time_point accepted_at_{}; // of the newest order
+    common::time_point not_before_{};  // the target is still at it
+    bool unsettled_ = false;           // the newest order's answer is lost
     common::time_point unsettled_at_{};
     common::time_point store_load_until_{};
 };
--- a/src/programs/gateway/call.hpp
+++ b/src/programs/gateway/call.hpp
@@ -41,11 +41,15 @@
     edge::event_loop::timer_id timer; // its deadline
 
     // Its answer.
-    edge::answer_head head; // of the target that answers
-    std::string body;       // collected: whole answers, or the incomplete event of a stream
-    bool streaming = false; // passed on as it comes
-    bool complete = false;  // answered, refused or given up: nothing more is done
-    std::string last_event; // id of the last event passed on; empty: none
+    edge::answer_head head;                 // of the target that answers
+    std::string body;                       // collected: whole answers, or the incomplete event of a stream
+    bool streaming = false;                 // passed on as it comes
+    bool complete = false;                  // answered, refused or given up: nothing more is done
+    std::string answered_by;                // target of the newest send
+    core::common::time_point first_piece{}; // when the answer began to be passed on
+    core::common::time_point last_piece{};
+    core::common::duration longest_pause{}; // between two pieces
+    std::string last_event;                 // id of the last event passed on; empty: none
 
     [[nodiscard]] bool attempts_left() const {
         return static_cast<int>(sent_to.size()) < route->max_attempts;
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -185,10 +185,7 @@
         target_runtime& runtime = runtimes_[id];
         core::dispatch::candidate one;
         one.target = &target;
-        one.load = runtime.running;
-        for (const auto& [peer, loads] : peer_loads_)
-            if (const auto found = loads.find(id); found != loads.end())
-                one.load += found->second;
+        one.load = load_of(id);
         one.limit = limit_of(target);
         one.failure_rate = runtime.failure_rate;
         one.reachable = now >= runtime.suspect_until;
@@ -255,6 +252,15 @@
     return runtime.link;
 }
 
+int dispatcher::load_of(const std::string& target) const {
+    const auto own = runtimes_.find(target);
+    int sum = own == runtimes_.end() ? 0 : own->second.running;
+    for (const auto& [peer, loads] : peer_loads_)
+        if (const auto found = loads.find(target); found != loads.end())
+            sum += found->second;
+    return sum;
+}
+
 void dispatcher::forget(const std::string& target) {
     const auto found = runtimes_.find(target);
     if (found != runtimes_.end() && found->second.running == 0)
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -36,7 +36,8 @@
     void begin(const call_ptr& one, const std::string& target);
     void end(const call_ptr& one, verdict how);
     std::shared_ptr<target_link> link(const std::string& target);
-    void forget(const std::string& target); // it is gone
+    [[nodiscard]] int load_of(const std::string& target) const; // requests there, of all gateways
+    void forget(const std::string& target);                     // it is gone
 
     /// Requests of other gateways at each target, as last told.
     void peer_load(const std::string& peer, std::map<std::string, int> running);
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -111,12 +111,14 @@
     ++one->sends;
     one->sent_to.insert(target);
     one->body.clear();
+    one->answered_by = target;
     dispatcher_->begin(one, target);
     const auto waited = context_.loop.now() - one->arrived;
     if (one->sends == 1)
         context_.numbers.observe_wait(name_of(one->route->kind), waited);
     context_.log.write(edge::events::request_sent, one->request_id,
                        {{"target", target},
+                        {"load", dispatcher_->load_of(target)},
                         {"send", one->sends},
                         {"waited_ms", whole_ms(waited).count()},
                         {"left_ms", whole_ms(one->deadline - context_.loop.now()).count()},
@@ -192,6 +194,12 @@
         context_.numbers.observe_first_byte(name_of(one->route->kind), waited);
         one->session->begin_answer(one->head.status, passed_on(one->head.fields));
     }
+    const time_point now = context_.loop.now();
+    if (one->first_piece == time_point{})
+        one->first_piece = now;
+    else
+        one->longest_pause = std::max(one->longest_pause, now - one->last_piece);
+    one->last_piece = now;
     one->session->write(events);
     if (std::string id = last_event_id(events); !id.empty())
         one->last_event = std::move(id);
@@ -329,6 +337,8 @@
         return;
     one->complete = true;
     context_.loop.cancel(one->timer);
+    const bool begun = one->first_piece != time_point{};
+    const std::int64_t first_ms = begun ? whole_ms(one->first_piece - one->arrived).count() : -1;
     const std::string kind = name_of(one->route->kind);
     context_.numbers.count_request(kind, outcome, reason);
     context_.log.write(event, one->request_id,
@@ -340,6 +350,9 @@
                         {"adapter", one->model.adapter},
                         {"status", one->head.status},
                         {"sends", one->sends},
+                        {"target", one->answered_by},
+                        {"first_ms", first_ms},
+                        {"pause_ms", whole_ms(one->longest_pause).count()},
                         {"ms", whole_ms(context_.loop.now() - one->arrived).count()},
                         {"config", one->config->version}});
     on_done_(one);
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -21,6 +21,9 @@
     in.section("placing", false, [&](edge::settings_section& placing) {
         out.placing.parallel_store_loads = static_cast<int>(
             placing.whole("parallel_store_loads", 1, 1'000, out.placing.parallel_store_loads));
+        out.placing.load_factor = placing.number("load_factor", 0, 1, out.placing.load_factor);
+        out.placing.settle = placing.span("settle", out.placing.settle);
+        out.placing.running_cost = placing.span("running_cost", out.placing.running_cost);
         out.placing.requests_per_replica = static_cast<int>(
             placing.whole("requests_per_replica", 1, 10'000, out.placing.requests_per_replica));
     });
--- a/tests/core/placing_test.cpp
+++ b/tests/core/placing_test.cpp
@@ -278,3 +278,18 @@
         }
     }
 }
+
+// On Cámara's quiet day half of all loads met the unload before them and then waited a second for a report.
+TEST(ledger, a_target_still_at_its_unload_is_asked_again_soon) {
+    target_ledger one;
+    one.describe(1, 4, {{"m0", {}}}, start);
+    one.sent({"t1", false, {"m0", ""}, false, ""}, 25ms, start);
+    one.answered(target_ledger::answer::accepted, start);
+    one.sent({"t1", true, {"m1", ""}, false, ""}, 800ms, start);
+    one.answered(target_ledger::answer::rejected, start + 10ms);
+    EXPECT_FALSE(one.takes_orders(start + 10ms));
+    EXPECT_TRUE(one.takes_orders(start + 10ms + placing::busy_pause));
+    one.sent({"t1", true, {"m1", ""}, false, ""}, 800ms, start + 700ms);
+    one.answered(target_ledger::answer::rejected, start + 700ms);
+    EXPECT_TRUE(one.wants_report()); // too long for an unload: the number may differ
+}
