Let requests wait on for a model that is being loaded; run timers set for now in the next turn

Cause: 17 of 165 requests for rare models were refused after 1.5 aims while their model was on its way (6 s from the weight store, 25 s deadline); 25 were refused although a target could take them, in a pause after a rejection. Change: such a request waits while six tenths of its time are not used up; sessions yield sooner to load.

--- a/src/core/dispatch/target_choice.cpp
+++ b/src/core/dispatch/target_choice.cpp
@@ -9,7 +9,7 @@
 
 constexpr double failure_weight = 3.0;  // a target that fails everything looks three times as full
 constexpr double far_weight = 0.02;     // mild preference for the own data centre
-constexpr double affinity_slack = 0.15; // load share that a session's own target may be fuller than the best
+constexpr double affinity_slack = 0.06; // load share that a session's own target may be fuller than the best
 
 enum class fit { fits, wrong_model, wrong_adapter, coming };
 
--- a/src/core/placing/planner.hpp
+++ b/src/core/placing/planner.hpp
@@ -53,11 +53,11 @@
 };
 
 struct planner_limits {
-    int parallel_store_loads = 4;       // loads that the weight store carries at full speed
-    int requests_per_replica = 24;      // of one model at one target before another one helps
-    double load_factor = 0.5;           // part of a target's slots that may be busy to take a new model
-    common::milliseconds running_cost{16};          // load time that one request at a target outweighs
-    common::milliseconds settle{1'000}; // a loaded model stays at least so long
+    int parallel_store_loads = 4;          // loads that the weight store carries at full speed
+    int requests_per_replica = 24;         // of one model at one target before another one helps
+    double load_factor = 0.5;              // part of a target's slots that may be busy to take a new model
+    common::milliseconds running_cost{16}; // load time that one request at a target outweighs
+    common::milliseconds settle{1'000};    // a loaded model stays at least so long
     common::milliseconds idle_before_refill{2'000}; // a model idle for so long may give way to a first copy
 };
 
--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -83,7 +83,10 @@
 }
 
 void event_loop::run_timers() {
-    while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+    // Timers that these set for now run in the next turn, after the sockets: none may keep the loop to
+    // itself.
+    const timer_id last{now_, last_timer_};
+    while (!timers_.empty() && timers_.begin()->first <= last) {
         const task work = std::move(timers_.begin()->second);
         timers_.erase(timers_.begin());
         work();
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -18,6 +18,8 @@
 constexpr double model_batch_part = 0.75;        // of an engine's slots, so that first tokens stay early
 constexpr int plain_queue = 2;                   // requests beyond its slots that a plain service may hold
 constexpr milliseconds overdue_check{20};
+constexpr milliseconds load_check{200};     // how often a request that waits for a load is looked at
+constexpr int answer_parts = 4;             // tenths of its whole time that a request needs for its answer
 constexpr milliseconds no_target_hold{500}; // a restarting service may be back within that
 constexpr milliseconds retry_after_least{200};
 
@@ -130,6 +132,16 @@
     }
 }
 
+/// A request for a model that is being loaded waits on while that still leaves time for its answer.
+bool dispatcher::prolong_for_load(call& one) const {
+    const time_point now = context_.loop.now();
+    const auto last = one.deadline - (one.deadline - one.arrived) * answer_parts / 10;
+    if (now >= last)
+        return false;
+    one.hold_until = std::min<time_point>(last, now + load_check);
+    return true;
+}
+
 void dispatcher::refuse_overdue() {
     const time_point now = context_.loop.now();
     std::vector<call_ptr> overdue;
@@ -139,6 +151,13 @@
     for (const call_ptr& one : overdue) {
         const auto found = candidates(one->service);
         const auto choice = core::dispatch::choose(found, wish_of(*one), now);
+        if (choice.chosen != nullptr && now < one->deadline) { // it pauses, or a place has come free just now
+            one->hold_until = std::max(now, one->not_before) + overdue_check;
+            pump_soon();
+            continue;
+        }
+        if (choice.why == obstacle::loading && prolong_for_load(*one))
+            continue;
         withdraw(one);
         const duration wait = std::max<duration>(retry_after_least, one->route->target_latency / 2);
         owner_.on_refuse(one, choice.why, wait);
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -84,6 +84,7 @@
     bool cold_allowance(const core::fleet::target& target, target_runtime& runtime);
     void count_arrival(const call& one);
     [[nodiscard]] core::dispatch::wish wish_of(const call& one) const;
+    bool prolong_for_load(call& one) const;
     void refuse_overdue();
     void schedule_overdue();
     [[nodiscard]] core::common::duration hold_limit(const call& one, core::dispatch::obstacle why) const;
