--- a/src/core/dispatch/target_choice.cpp
+++ b/src/core/dispatch/target_choice.cpp
@@ -53,6 +53,8 @@
     case fit::fits:
         break;
     }
+    if (one.lacks_model)
+        return obstacle::loading;
     if (!one.reachable)
         return obstacle::unreachable;
     if (!one.cold_allowance)
--- a/src/core/dispatch/target_choice.hpp
+++ b/src/core/dispatch/target_choice.hpp
@@ -16,6 +16,7 @@
     double failure_rate = 0;    // of its latest answers, 0 to 1
     bool reachable = true;      // false: connections to it failed a moment ago
     bool cold_allowance = true; // false: it is cold and its rate is used up
+    bool lacks_model = false;   // it said a moment ago that it doesn't hold what is wished
     bool near = false;          // in the router's own data centre
 };
 
--- a/src/core/placing/target_ledger.cpp
+++ b/src/core/placing/target_ledger.cpp
@@ -1,5 +1,7 @@
 #include "core/placing/target_ledger.hpp"
 
+#include <algorithm>
+
 namespace waxwinglb::core::placing {
 
 using common::milliseconds;
@@ -15,6 +17,8 @@
         return; // the answer on its way says more
     if (restarted)
         *this = {};
+    confirm(models);
+    drop_failed_loads(models, as_of);
     const bool advanced = !known_ || sequence > sequence_;
     // The same number shows the same orders; only a report made after the lost answer can settle it.
     if (unsettled_ && !advanced && as_of < unsettled_at_ + report_delay)
@@ -34,6 +38,28 @@
     unsettled_ = false;
 }
 
+/// A load that should have ended long before a report that doesn't list it has failed.
+void target_ledger::drop_failed_loads(const std::map<std::string, std::vector<std::string>>& models,
+                                      time_point as_of) {
+    std::erase_if(unconfirmed_, [&](const std::string& one) {
+        const bool failed = !models.contains(one) && as_of >= loaded_at(one) + long_load;
+        if (failed) {
+            models_.erase(one);
+            ready_at_.erase(one);
+        }
+        return failed;
+    });
+}
+
+void target_ledger::confirm(const std::map<std::string, std::vector<std::string>>& models) {
+    std::erase_if(unconfirmed_, [&](const std::string& one) { return models.contains(one); });
+}
+
+bool target_ledger::wants_report(time_point now) const {
+    return unsettled_ || std::any_of(unconfirmed_.begin(), unconfirmed_.end(),
+                                     [&](const std::string& one) { return now >= loaded_at(one); });
+}
+
 void target_ledger::sent(const planned_order& order, milliseconds load_time, time_point now) {
     pending_ = pending{order, load_time, now};
 }
@@ -75,6 +101,8 @@
     if (one.order.load && what.adapter.empty()) {
         models_[what.model];
         ready_at_[what.model] = now + one.load_time;
+        if (one.load_time >= long_load)
+            unconfirmed_.insert(what.model);
         if (one.order.from_weight_store)
             store_load_until_ = now + one.load_time;
     } else if (one.order.load) {
@@ -82,6 +110,7 @@
     } else if (what.adapter.empty()) {
         models_.erase(what.model);
         ready_at_.erase(what.model);
+        unconfirmed_.erase(what.model);
     } else if (const auto held = models_.find(what.model); held != models_.end()) {
         held->second.erase(what.adapter);
     }
--- a/src/core/placing/target_ledger.hpp
+++ b/src/core/placing/target_ledger.hpp
@@ -15,19 +15,25 @@
 constexpr common::milliseconds busy_limit{600};   // an unload lasts no longer; then a report must tell
 constexpr common::milliseconds report_delay{800}; // a target's report may be as old as that
 
+constexpr common::milliseconds long_load{
+    2'000}; // the weight store may be slower than foretold: a report must confirm it
+
 class target_ledger {
 public:
     /// A description of the target, at least as new as `as_of`. Ignored if it is older than what is known.
     void describe(std::int64_t born, std::int64_t sequence,
                   const std::map<std::string, std::vector<std::string>>& models, common::time_point as_of);
 
+    /// A report lists these models as loaded, whatever else it says.
+    void confirm(const std::map<std::string, std::vector<std::string>>& models);
+
     void sent(const planned_order& order, common::milliseconds load_time, common::time_point now);
     enum class answer { accepted, holds_already, rejected, unknown };
     void answered(answer what, common::time_point now);
 
     [[nodiscard]] bool
     takes_orders(common::time_point now) const; // none under way, none unsettled, not loading
-    [[nodiscard]] bool wants_report() const { return unsettled_; }
+    [[nodiscard]] bool wants_report(common::time_point now) const; // something is unsettled or unconfirmed
     [[nodiscard]] std::int64_t sequence() const { return sequence_; }
     [[nodiscard]] std::int64_t born() const { return born_; }
     [[nodiscard]] bool known() const { return known_; }
@@ -43,6 +49,8 @@
         common::milliseconds load_time{0};
         common::time_point sent_at{};
     };
+    void drop_failed_loads(const std::map<std::string, std::vector<std::string>>& models,
+                           common::time_point as_of);
     void apply(const pending& one, common::time_point now);
 
     bool known_ = false;
@@ -50,6 +58,7 @@
     std::int64_t sequence_ = 0;
     std::map<std::string, std::set<std::string>> models_;
     std::map<std::string, common::time_point> ready_at_; // of models loaded by orders
+    std::set<std::string> unconfirmed_;                  // long loads that no report lists yet
     std::optional<pending> pending_;
     common::time_point accepted_at_{}; // of the newest order
     common::time_point not_before_{};  // the target is still at it
--- /dev/null
+++ b/src/core/timeline/story.cpp
@@ -0,0 +1,183 @@
+#include "core/timeline/story.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace waxwinglb::core::timeline {
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr int counter_bits = 16;       // below the milliseconds of a hybrid clock
+constexpr std::int64_t margin_ms = 50; // clocks of two VMs differ by about so much
+
+struct reason_text {
+    std::string_view reason;
+    std::string_view cause;
+};
+
+/// Reasons of request_* events and the cause that each stands for.
+constexpr std::array reasons{
+    reason_text{"whole", "Its target's answer was passed on whole."},
+    reason_text{"target_error", "Its target ran it and answered with an error of its own."},
+    reason_text{"no_configuration", "This gateway had not read any configuration yet."},
+    reason_text{"no_route", "No route of the configuration in force matches its host and path."},
+    reason_text{"no_request_id", "It came without an id."},
+    reason_text{"no_key", "It came without a key, on a route that needs one."},
+    reason_text{"unknown_key", "Its key is in no customer's list of the configuration in force."},
+    reason_text{"malformed_deadline", "Its deadline is no number."},
+    reason_text{"malformed_token_count", "Its count of tokens is malformed."},
+    reason_text{"deadline_passed", "Its deadline had passed when it came."},
+    reason_text{"over_rate", "Its customer had used up its rate and burst over all gateways."},
+    reason_text{"condemned", "The same request had broken the connections of three targets that ran it."},
+    reason_text{"ending", "This gateway was about to end and took nothing new."},
+    reason_text{"none", "A target had become free in the moment in which it was refused."},
+    reason_text{"full", "Every target that could serve it had as many requests as it bears."},
+    reason_text{"cold", "The targets that could serve it had just started and bear a few requests a second."},
+    reason_text{"no_adapter", "Its adapter was loaded on no target in time."},
+    reason_text{"loading", "Its model was still being loaded when its time ran out."},
+    reason_text{"no_model", "Its model was on no target, and no load of it had begun in time."},
+    reason_text{"unreachable", "Connections to the targets that could serve it had just failed."},
+    reason_text{"no_target",
+                "No target of its service was registered, staying, and in a data centre in use."},
+    reason_text{"target_unreachable", "The connection to its target could not be opened."},
+    reason_text{"wrong_target", "Its target no longer held the model, or another one had the address."},
+    reason_text{"target_full", "Its target said that it has not run it."},
+    reason_text{"connection_broken", "The connection to its target broke while it may have been running."},
+    reason_text{"answer_malformed", "What its target sent was no answer to it."},
+    reason_text{"answer_without_signature", "Its target's success bore no signature or was encoded."},
+    reason_text{"answer_too_large", "Its answer was larger than what is passed on in one piece."},
+    reason_text{"resumption_failed", "Its stream broke, and another target did not go on with it."},
+    reason_text{"deadline_passed_waiting", "No target took it before its deadline or its route's timeout."},
+    reason_text{"deadline_passed_running",
+                "Its target did not finish before its deadline or its route's timeout."},
+    reason_text{"caller_left", "Its caller closed the connection."},
+};
+
+bool ends_request(const std::string& event) {
+    return event == "request_answered" || event == "request_refused" || event == "request_cut" ||
+           event == "request_abandoned";
+}
+
+bool concerns_fleet(const std::string& event) {
+    return event.starts_with("lease_") || event.starts_with("store_") || event.starts_with("peer_") ||
+           event.starts_with("config_") || event == "data_centres_out" || event.starts_with("process_") ||
+           event == "lines_dropped";
+}
+
+std::string text_of(const ordered_json& value) {
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+std::optional<decision> parse_line(const std::string& line) {
+    const auto begin = line.find('{');
+    if (begin == std::string::npos)
+        return std::nullopt;
+    const ordered_json parsed =
+        ordered_json::parse(line.begin() + static_cast<std::ptrdiff_t>(begin), line.end(), nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("event") || !parsed.contains("unix_ms") ||
+        !parsed["event"].is_string() || !parsed["unix_ms"].is_number_integer())
+        return std::nullopt;
+    decision out;
+    for (const auto& [name, value] : parsed.items()) {
+        if (name == "unix_ms")
+            out.unix_ms = value.get<std::int64_t>();
+        else if (name == "process")
+            out.process = text_of(value);
+        else if (name == "event")
+            out.event = text_of(value);
+        else if (name == "subject")
+            out.subject = text_of(value);
+        else
+            out.inputs.append(out.inputs.empty() ? "" : " ").append(name).append("=").append(text_of(value));
+        if (name == "reason")
+            out.reason = text_of(value);
+        if (name == "target")
+            out.target = text_of(value);
+        if (name == "model")
+            out.model = text_of(value);
+    }
+    return out;
+}
+
+const decision* end_of(const std::vector<decision>& story, const std::string& request) {
+    const auto found = std::find_if(story.rbegin(), story.rend(), [&](const decision& one) {
+        return one.subject == request && ends_request(one.event);
+    });
+    return found == story.rend() ? nullptr : &*found;
+}
+
+} // namespace
+
+std::vector<decision> read_decisions(std::istream& from) {
+    std::vector<decision> out;
+    for (std::string line; std::getline(from, line);)
+        if (auto one = parse_line(line))
+            out.push_back(std::move(*one));
+    std::stable_sort(out.begin(), out.end(),
+                     [](const decision& a, const decision& b) { return a.unix_ms < b.unix_ms; });
+    return out;
+}
+
+std::vector<decision> story_of(const std::vector<decision>& all, const std::string& request) {
+    std::set<std::string> targets;
+    std::set<std::string> models;
+    std::int64_t first = 0;
+    std::int64_t last = 0;
+    for (const decision& one : all) {
+        if (one.subject != request)
+            continue;
+        first = first == 0 ? one.unix_ms : std::min(first, one.unix_ms);
+        last = std::max(last, one.unix_ms);
+        // The end tells how long the request was open; its arrival has no line of its own.
+        if (ends_request(one.event))
+            if (const auto at = (" " + one.inputs).find(" ms="); at != std::string::npos)
+                first = std::min<std::int64_t>(first, one.unix_ms - std::atoll(one.inputs.c_str() + at + 3));
+        if (!one.target.empty())
+            targets.insert(one.target);
+        if (!one.model.empty())
+            models.insert(one.model);
+    }
+    std::vector<decision> out;
+    if (first == 0)
+        return out;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(out), [&](const decision& one) {
+        if (one.subject == request)
+            return true;
+        if (one.unix_ms < first - margin_ms || one.unix_ms > last + margin_ms)
+            return false;
+        const bool of_target = targets.contains(one.subject) && !one.event.starts_with("request_");
+        const bool of_model = one.event.starts_with("order_") && models.contains(one.model);
+        return of_target || of_model || concerns_fleet(one.event);
+    });
+    return out;
+}
+
+std::string cause_of(const std::vector<decision>& story, const std::string& request) {
+    const decision* end = end_of(story, request);
+    if (end == nullptr)
+        return story.empty() ? "No line names this request."
+                             : "Its end is not in these logs: lines were dropped, or the process was lost.";
+    const auto found = std::find_if(reasons.begin(), reasons.end(),
+                                    [&](const reason_text& one) { return one.reason == end->reason; });
+    return found == reasons.end() ? "Unknown reason: " + end->reason : std::string{found->cause};
+}
+
+std::vector<event> as_events(const std::vector<decision>& story) {
+    std::vector<event> out;
+    std::int64_t sequence = 0;
+    for (const decision& one : story)
+        out.push_back({one.unix_ms << counter_bits,
+                       one.process,
+                       ++sequence,
+                       one.event == "lines_dropped" ? "gap" : one.event,
+                       one.subject,
+                       {},
+                       one.inputs});
+    return out;
+}
+
+} // namespace waxwinglb::core::timeline
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -14,6 +14,8 @@
 constexpr double failure_memory = 0.8;           // weight of what was seen before the newest answer
 constexpr milliseconds first_suspicion{300};     // a target that can't be reached is left alone so long
 constexpr milliseconds longest_suspicion{2'000}; // doubling up to this
+constexpr milliseconds first_absence{150};       // a target that lacks the model is left alone so long for it
+constexpr milliseconds longest_absence{1'200};   // doubling up to this
 constexpr double arrival_memory_s = 4.0;         // time constant of the arrival rates
 constexpr double model_batch_part = 0.75;        // of an engine's slots, so that first tokens stay early
 constexpr int plain_queue = 2;                   // requests beyond its slots that a plain service may hold
@@ -72,7 +74,8 @@
         order.push_back({{late, one->priority, number}, one});
     }
     std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    std::map<std::string, std::vector<core::dispatch::candidate>> by_service;
+    std::map<std::pair<std::string, core::fleet::model_wish>, std::vector<core::dispatch::candidate>>
+        by_group;
     std::map<std::pair<std::string, core::fleet::model_wish>, obstacle> blocked;
     bool new_wait = false;
     for (const auto& [key, one] : order) {
@@ -83,17 +86,15 @@
         if (const auto known = blocked.find(group); known != blocked.end() && one->sent_to.empty()) {
             why = known->second;
         } else {
-            auto found = by_service.find(one->service);
-            if (found == by_service.end())
-                found = by_service.emplace(one->service, candidates(one->service)).first;
+            auto found = by_group.find(group);
+            if (found == by_group.end())
+                found = by_group.emplace(group, candidates(one->service, one->model)).first;
             const auto choice = core::dispatch::choose(found->second, wish_of(*one), now);
             if (choice.chosen != nullptr) {
                 const std::string target = choice.chosen->target->entry.id;
-                auto& changed = found->second[static_cast<std::size_t>(choice.chosen - found->second.data())];
-                ++changed.load;
-                changed.cold_allowance = !(now < changed.target->cold_until);
                 withdraw(one);
                 owner_.on_send(one, target);
+                by_group.clear(); // the loads have changed
                 continue;
             }
             why = choice.why;
@@ -132,6 +133,14 @@
     }
 }
 
+void dispatcher::refuse_all(duration retry_after) {
+    const auto all = waiting_;
+    for (const auto& [number, one] : all) {
+        withdraw(one);
+        owner_.on_refuse(one, obstacle::none, retry_after);
+    }
+}
+
 /// A request for a model that is being loaded waits on while that still leaves time for its answer.
 bool dispatcher::prolong_for_load(call& one) const {
     const time_point now = context_.loop.now();
@@ -149,7 +158,7 @@
         if (now >= one->hold_until)
             overdue.push_back(one);
     for (const call_ptr& one : overdue) {
-        const auto found = candidates(one->service);
+        const auto found = candidates(one->service, one->model);
         const auto choice = core::dispatch::choose(found, wish_of(*one), now);
         if (choice.chosen != nullptr && now < one->deadline) { // it pauses, or a place has come free just now
             one->hold_until = std::max(now, one->not_before) + overdue_check;
@@ -195,7 +204,8 @@
     return runtime.cold_tokens >= 1;
 }
 
-std::vector<core::dispatch::candidate> dispatcher::candidates(const std::string& service) {
+std::vector<core::dispatch::candidate> dispatcher::candidates(const std::string& service,
+                                                              const core::fleet::model_wish& wish) {
     const time_point now = context_.loop.now();
     std::vector<core::dispatch::candidate> out;
     for (const auto& [id, target] : context_.directory.targets()) {
@@ -209,6 +219,8 @@
         one.failure_rate = runtime.failure_rate;
         one.reachable = now >= runtime.suspect_until;
         one.cold_allowance = cold_allowance(target, runtime);
+        if (const auto absent = runtime.lacking.find(wish); absent != runtime.lacking.end())
+            one.lacks_model = now < absent->second.until;
         one.near = target.entry.data_centre == context_.settings.data_centre;
         out.push_back(one);
     }
@@ -248,6 +260,14 @@
     if (how == verdict::good || how == verdict::failed)
         runtime.failure_rate =
             failure_memory * runtime.failure_rate + (how == verdict::failed ? 1 - failure_memory : 0);
+    if (how == verdict::lacks_model) {
+        auto& absent = runtime.lacking[one->model];
+        absent.pause = std::clamp(absent.pause * 2, first_absence, longest_absence);
+        absent.until = now + absent.pause;
+        context_.loop.schedule(absent.until, [this] { pump_soon(); });
+    }
+    if (how == verdict::good)
+        runtime.lacking.erase(one->model);
     if (how == verdict::good)
         runtime.suspicion = milliseconds{0};
     if (how == verdict::unreachable) {
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -27,12 +27,13 @@
     };
     dispatcher(gateway_context& context, owner to) : context_(context), owner_(std::move(to)) {}
 
-    void submit(const call_ptr& one);   // waits until on_send or on_refuse
-    void withdraw(const call_ptr& one); // it waits no longer
-    void pump_soon();                   // looks for places in the next turn of the loop
+    void submit(const call_ptr& one);                    // waits until on_send or on_refuse
+    void withdraw(const call_ptr& one);                  // it waits no longer
+    void refuse_all(core::common::duration retry_after); // the process ends: others serve them
+    void pump_soon();                                    // looks for places in the next turn of the loop
 
     // What became of requests at targets.
-    enum class verdict { good, failed, not_run, unreachable, abandoned };
+    enum class verdict { good, failed, not_run, lacks_model, unreachable, abandoned };
     void begin(const call_ptr& one, const std::string& target);
     void end(const call_ptr& one, verdict how);
     std::shared_ptr<target_link> link(const std::string& target);
@@ -68,6 +69,11 @@
         double failure_rate = 0;
         core::common::time_point suspect_until{};
         core::common::milliseconds suspicion{0}; // grows with each failure in a row
+        struct absence {
+            core::common::time_point until{};
+            core::common::milliseconds pause{0};
+        };
+        std::map<core::fleet::model_wish, absence> lacking; // what it said that it doesn't hold
         double cold_tokens = 1;
         core::common::time_point cold_filled{};
     };
@@ -79,7 +85,8 @@
     using order_key = std::tuple<bool, int, std::uint64_t>; // late, priority, arrival
 
     void pump();
-    [[nodiscard]] std::vector<core::dispatch::candidate> candidates(const std::string& service);
+    [[nodiscard]] std::vector<core::dispatch::candidate> candidates(const std::string& service,
+                                                                    const core::fleet::model_wish& wish);
     [[nodiscard]] int limit_of(const core::fleet::target& one) const;
     bool cold_allowance(const core::fleet::target& target, target_runtime& runtime);
     void count_arrival(const call& one);
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -146,7 +146,8 @@
 
 void forwarder::on_head(const call_ptr& one, const edge::answer_head& head) {
     if (says_not_run(head))
-        return rejected(one, head.status == platform::wrong_target_status ? "wrong_target" : "target_full");
+        return rejected(one, head.status == platform::wrong_target_status ? dispatcher::verdict::lacks_model
+                                                                          : dispatcher::verdict::not_run);
     one->may_have_run = true;
     const bool success = head.status >= 200 && head.status < 300;
     const bool genuine = edge::find_field(head.fields, platform::signature_header) != nullptr &&
@@ -259,8 +260,9 @@
     lost(one, how == exchange_failure::broken ? "connection_broken" : "answer_malformed");
 }
 
-void forwarder::rejected(const call_ptr& one, const char* reason) {
-    give_up_at_target(one, dispatcher::verdict::not_run);
+void forwarder::rejected(const call_ptr& one, dispatcher::verdict how) {
+    const char* reason = how == dispatcher::verdict::lacks_model ? "wrong_target" : "target_full";
+    give_up_at_target(one, how);
     one->not_before = context_.loop.now() + rejection_pause;
     if (try_again(one, reason, true))
         return;
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -33,8 +33,8 @@
 
     void relay_events(const call_ptr& one, bool last);
     void answer_whole(const call_ptr& one);
-    void rejected(const call_ptr& one, const char* reason); // the target has not run it
-    void lost(const call_ptr& one, const char* reason);     // it may have run
+    void rejected(const call_ptr& one, dispatcher::verdict how); // the target has not run it
+    void lost(const call_ptr& one, const char* reason);          // it may have run
     bool try_again(const call_ptr& one, const char* reason, bool spend_budget);
     void give_up_at_target(const call_ptr& one, dispatcher::verdict how);
     void fail(const call_ptr& one, int status, const std::string& reason);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -358,6 +358,8 @@
 
 void gateway::drain_step() {
     const auto lasted = loop_.now() - drain_began_;
+    if (lasted > drain_accepts)
+        dispatcher_.refuse_all(drain_retry_after);
     const bool out_of_time = lasted > settings_.drain - drain_reserve;
     if (!out_of_time && (lasted < drain_least || !calls_.empty()))
         return;
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -181,7 +181,7 @@
 void order_giver::ask_for_reports() {
     const auto now = context_.loop.now();
     for (auto& [id, known] : targets_) {
-        const auto pause = known.ledger.wants_report() ? report_when_unsettled : report_every;
+        const auto pause = known.ledger.wants_report(now) ? report_when_unsettled : report_every;
         if (!known.asking && now - known.asked_at >= pause)
             ask(id);
     }
@@ -217,6 +217,7 @@
             BOOST_LEAF_AUTO(report, platform::decode_report(answer.body));
             if (report.born != 0 && report.born != known.born)
                 return {}; // another start: its registration will tell
+            known.ledger.confirm(report.models);
             if (!report.busy)
                 known.ledger.describe(known.born, report.sequence, report.models,
                                       asked_at - core::placing::report_delay);
--- a/src/programs/timeline/command_line.cpp
+++ b/src/programs/timeline/command_line.cpp
@@ -14,11 +14,13 @@
 void print_help() {
     std::cout << R"(waxwing-timeline - merges the time lines of all processes
 
-Usage: waxwing-timeline [options] IP:PORT...
+Usage: waxwing-timeline [options] [IP:PORT...]
 
   -s, --subject NAME           only what concerns a request, SERVICE/MODEL, customer, shard or revision
   -o, --output text|jsonl|html default: text
       --saved FILE             a /timeline page saved earlier; may be given more than once
+  -l, --log FILE               decision logs of gateways, of several processes in any mix; "-": standard input.
+                               With --subject REQUEST: its story, and the cause of its end in the last line
   -h, --help
   -V, --version
 
@@ -31,7 +33,8 @@
 
 parsed_line parse_command_line(int argc, char** argv, const std::string& version) {
     constexpr int saved_option = 1'000;
-    const std::array<option, 6> options{{{"subject", required_argument, nullptr, 's'},
+    const std::array<option, 7> options{{{"log", required_argument, nullptr, 'l'},
+                                         {"subject", required_argument, nullptr, 's'},
                                          {"output", required_argument, nullptr, 'o'},
                                          {"saved", required_argument, nullptr, saved_option},
                                          {"help", no_argument, nullptr, 'h'},
@@ -39,12 +42,14 @@
                                          {nullptr, 0, nullptr, 0}}};
     command_line out;
     for (;;) {
-        const int next = getopt_long(argc, argv, "s:o:hV", options.data(), nullptr);
+        const int next = getopt_long(argc, argv, "s:o:l:hV", options.data(), nullptr);
         if (next == -1)
             break;
         const std::string value = optarg == nullptr ? "" : optarg;
         if (next == 's')
             out.subject = value;
+        else if (next == 'l')
+            out.logs.push_back(value);
         else if (next == saved_option)
             out.files.push_back(value);
         else if (next == 'o' && (value == "text" || value == "jsonl" || value == "html"))
@@ -64,8 +69,8 @@
     }
     for (int i = optind; i < argc; ++i)
         out.pages.emplace_back(argv[i]);
-    if (out.pages.empty() && out.files.empty()) {
-        std::cerr << "waxwing-timeline: at least one IP:PORT is needed; see --help\n";
+    if (out.pages.empty() && out.files.empty() && out.logs.empty()) {
+        std::cerr << "waxwing-timeline: at least one IP:PORT or --log FILE is needed; see --help\n";
         return {{}, exit_usage};
     }
     return {std::move(out), std::nullopt};
--- a/src/programs/timeline/command_line.hpp
+++ b/src/programs/timeline/command_line.hpp
@@ -12,6 +12,7 @@
 struct command_line {
     std::vector<std::string> pages; // "ip:port" of each process's operations pages
     std::vector<std::string> files; // pages saved earlier, of processes that are gone
+    std::vector<std::string> logs;  // decision logs of gateways; "-": standard input
     std::string subject;            // request id, "service/model", customer, shard or revision; empty: all
     output_form output = output_form::text;
 };
--- a/src/programs/timeline/main.cpp
+++ b/src/programs/timeline/main.cpp
@@ -1,26 +1,71 @@
 /// waxwing-timeline: merges the time lines of all processes into one.
+#include "core/timeline/story.hpp"
 #include "programs/timeline/collect.hpp"
 #include "programs/timeline/command_line.hpp"
 #include "programs/timeline/writers.hpp"
 
 #include <chrono>
+#include <fstream>
 #include <iostream>
+#include <sstream>
+
+namespace {
+
+namespace timeline = waxwinglb::programs::timeline;
+namespace story = waxwinglb::core::timeline;
+
+constexpr int exit_nobody = 1;
+
+std::string write(const std::vector<story::event>& events, timeline::output_form form) {
+    switch (form) {
+    case timeline::output_form::html:
+        return timeline::write_html(events);
+    case timeline::output_form::jsonl:
+        return timeline::write_jsonl(events);
+    case timeline::output_form::text:
+        break;
+    }
+    return timeline::write_text(events);
+}
+
+/// Decision logs; 1 if one can't be read or none of their lines concerns the subject.
+int show_logs(const timeline::command_line& line) {
+    std::stringstream text;
+    for (const std::string& name : line.logs) {
+        std::ifstream file{name};
+        if (name != "-" && !file) {
+            std::cerr << "waxwing-timeline: can't read " << name << "\n";
+            return exit_nobody;
+        }
+        text << (name == "-" ? std::cin.rdbuf() : file.rdbuf()) << "\n";
+    }
+    auto decisions = story::read_decisions(text);
+    if (line.subject.empty()) {
+        std::cout << write(story::as_events(decisions), line.output);
+        return decisions.empty() ? exit_nobody : 0;
+    }
+    const auto about = story::story_of(decisions, line.subject);
+    std::cout << write(story::as_events(about), line.output);
+    if (line.output == timeline::output_form::text)
+        std::cout << "cause: " << story::cause_of(about, line.subject) << "\n";
+    return about.empty() ? exit_nobody : 0;
+}
+
+} // namespace
 
 int main(int argc, char** argv) {
     using namespace waxwinglb;
-    namespace timeline = programs::timeline;
     const timeline::parsed_line parsed = timeline::parse_command_line(argc, argv, WAXWING_VERSION);
     if (parsed.exit)
         return *parsed.exit;
+    if (!parsed.line.logs.empty())
+        return show_logs(parsed.line);
     const timeline::collected all = timeline::collect(parsed.line.pages, parsed.line.files);
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     auto events = core::timeline::merge(all.pages, all.silent,
                                         std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
     if (!parsed.line.subject.empty())
         events = core::timeline::follow(events, parsed.line.subject);
-    std::cout << (parsed.line.output == timeline::output_form::html    ? timeline::write_html(events)
-                  : parsed.line.output == timeline::output_form::jsonl ? timeline::write_jsonl(events)
-                                                                       : timeline::write_text(events));
-    constexpr int exit_nobody = 1;
+    std::cout << write(events, parsed.line.output);
     return all.pages.empty() ? exit_nobody : 0;
 }
--- a/tests/core/placing_test.cpp
+++ b/tests/core/placing_test.cpp
@@ -177,6 +177,9 @@
     one.describe(1, 5, {}, start + 1s); // a report during the load lists it nowhere
     EXPECT_TRUE(one.models().contains("m0"));
     EXPECT_TRUE(one.loading(start + 6s).empty());
+    EXPECT_TRUE(one.wants_report(start + 6s)); // the weight store may be slower than foretold
+    one.confirm({{"m0", {}}});
+    EXPECT_FALSE(one.wants_report(start + 6s));
 }
 
 TEST(ledger, another_start_holds_nothing) {
@@ -291,5 +294,17 @@
     EXPECT_TRUE(one.takes_orders(start + 10ms + placing::busy_pause));
     one.sent({"t1", true, {"m1", ""}, false, ""}, 800ms, start + 700ms);
     one.answered(target_ledger::answer::rejected, start + 700ms);
-    EXPECT_TRUE(one.wants_report()); // too long for an unload: the number may differ
+    EXPECT_TRUE(one.wants_report(start + 700ms)); // too long for an unload: the number may differ
+}
+
+TEST(ledger, a_long_load_that_no_report_lists_has_failed) {
+    target_ledger one;
+    one.describe(1, 4, {}, start);
+    one.sent({"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
+    one.answered(target_ledger::answer::accepted, start);
+    one.describe(1, 5, {}, start + 7s);
+    EXPECT_TRUE(one.models().contains("m0"));
+    one.describe(1, 5, {}, start + 6s + placing::long_load);
+    EXPECT_FALSE(one.models().contains("m0"));
+    EXPECT_TRUE(one.takes_orders(start + 9s));
 }
--- /dev/null
+++ b/tests/core/story_test.cpp
@@ -0,0 +1,56 @@
+// One request's story out of decision logs of several processes.
+#include "core/timeline/story.hpp"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+using namespace waxwinglb::core::timeline;
+
+namespace {
+
+std::vector<decision> read(const std::string& text) {
+    std::istringstream in{text};
+    return read_decisions(in);
+}
+
+const char* const two_processes = R"(
+noise before it  {"unix_ms":2000,"process":"g1","event":"request_sent","subject":"r1","target":"t1","load":3}
+{"unix_ms":1900,"process":"g2","event":"order_sent","subject":"t9","operation":"load_model","model":"m1"}
+{"unix_ms":1950,"process":"g2","event":"order_sent","subject":"t9","operation":"load_model","model":"m2"}
+{"unix_ms":2300,"process":"g1","event":"request_cut","subject":"r1","reason":"connection_broken","model":"m1","ms":500}
+{"unix_ms":2200,"process":"g2","event":"target_changed","subject":"t1","change":"removed"}
+{"unix_ms":2200,"process":"g2","event":"target_changed","subject":"t2","change":"removed"}
+{"unix_ms":2250,"process":"g2","event":"lease_lost","subject":"order_giver"}
+{"unix_ms":9000,"process":"g2","event":"lease_taken","subject":"order_giver"}
+{"unix_ms":2100,"process":"g1","event":"request_sent","subject":"r2","target":"t1"}
+{"unix_ms":2100,"process":"g1"}
+not a line {
+)";
+
+} // namespace
+
+TEST(story, it_holds_what_bears_on_the_request_in_order_of_time) {
+    const auto story = story_of(read(two_processes), "r1");
+    std::string order;
+    for (const decision& one : story)
+        order += one.event + ":" + one.subject + " ";
+    EXPECT_EQ(order,
+              "order_sent:t9 request_sent:r1 target_changed:t1 lease_lost:order_giver request_cut:r1 ");
+    EXPECT_EQ(cause_of(story, "r1"), "The connection to its target broke while it may have been running.");
+}
+
+TEST(story, a_request_without_an_end_or_without_a_line_is_said_so) {
+    const auto all = read(two_processes);
+    EXPECT_EQ(cause_of(story_of(all, "r2"), "r2"),
+              "Its end is not in these logs: lines were dropped, or the process was lost.");
+    EXPECT_EQ(cause_of(story_of(all, "r3"), "r3"), "No line names this request.");
+}
+
+TEST(story, dropped_lines_become_gaps) {
+    const auto events =
+        as_events(read(R"({"unix_ms":1,"process":"g","event":"lines_dropped","subject":"","count":4})"));
+    ASSERT_EQ(events.size(), 1U);
+    EXPECT_EQ(events[0].kind, "gap");
+    EXPECT_EQ(events[0].what, "count=4");
+}
