Renew the lease through a peer while the store turns its holder away; follow the store closely in one place

Change: lease calls go through a peer for 2 s after a direct one failed; the order giver's watches last 1 s, the others' longer while they hear it.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -14,7 +14,8 @@
 using core::common::milliseconds;
 using core::common::time_point;
 
-constexpr milliseconds store_timeout{1'000}; // of one call, besides a watch's own wait
+constexpr milliseconds lease_timeout{400}; // of a call for the lease: time must be left for another way
+constexpr milliseconds store_timeout{600}; // of one call, besides a watch's own wait
 constexpr milliseconds housekeeping_every{100};
 constexpr milliseconds register_retry{500};
 constexpr milliseconds drain_least{2'600};     // the balancer needs two unready answers to notice
@@ -59,6 +60,7 @@
 gateway::gateway(edge::program_context& program, const gateway_settings& settings)
     : program_(program), settings_(settings), log_(settings.name),
       context_(settings_, loop_, log_, *program.metrics), store_(client_, settings.store, store_timeout),
+      lease_calls_(client_, settings.store, lease_timeout),
       forwarder_(context_, [this](const call_ptr& one) { finished(one); }),
       dispatcher_(context_,
                   {[this](const call_ptr& one, const std::string& target) { forwarder_.send(one, target); },
@@ -90,7 +92,7 @@
                   peers_.change_members(members);
                   forwarder_.change_members();
               }}),
-      boot_(unix_ms()), order_giver_(context_, store_, client_, dispatcher_, boot_),
+      boot_(unix_ms()), order_giver_(context_, lease_calls_, client_, dispatcher_, boot_),
       peers_(context_, {dispatcher_, forwarder_, watch_, client_, [this] { return order_giver_.holdings(); }},
              boot_),
       acceptor_(loop_, [this](int socket) { accept(socket); }) {
@@ -304,6 +306,8 @@
         exchange->respond({config_for_peers_.empty() ? 503 : 200, {}, config_for_peers_});
         return;
     }
+    if (exchange->request().path == "/peer/lease")
+        return order_giver_.leases().serve(exchange);
     if (!edge::answer_operations(exchange, program_))
         exchange->respond({404, {}, ""});
 }
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -44,6 +44,7 @@
     gateway_context context_;
     edge::http_client client_;
     platform::store_client store_;
+    platform::store_client lease_calls_; // with a shorter timeout
     forwarder forwarder_;
     dispatcher dispatcher_;
     store_watch watch_;
--- /dev/null
+++ b/src/programs/gateway/lease_store.hpp
@@ -0,0 +1,40 @@
+/// Reads and writes of the order giver's lease, directly or, while the store does not answer this gateway,
+/// through a peer that it answers. A holder that is cut off from the store alone so keeps its lease, and its
+/// targets their orders.
+#pragma once
+
+#include "platform/store_client.hpp"
+#include "programs/gateway/peers.hpp"
+
+namespace waxwinglb::programs::gateway {
+
+class lease_store {
+public:
+    using on_reply = std::function<void(platform::store_reply&&)>; // on the event loop
+
+    lease_store(gateway_context& context, platform::store_client& store, edge::http_client& client)
+        : context_(context), store_(store), client_(client) {}
+    void attach(peers& others) { peers_ = &others; }
+
+    void read(on_reply done);
+    void write(std::int64_t if_version, const std::string& value, on_reply done); // if_version 0: creates it
+
+    /// A peer's call, from the metrics server's thread. Answers once the store has.
+    void serve(const edge::exchange_ptr& exchange);
+
+private:
+    void direct_read(platform::store_client::on_reply done);
+    void direct_write(std::int64_t if_version, const std::string& value,
+                      platform::store_client::on_reply done);
+    void through_peer(const std::string& address, std::string method, std::string body, on_reply done);
+    void finish(bool direct, platform::store_reply&& reply, const on_reply& done);
+    [[nodiscard]] std::string peer_to_ask() const; // address; empty: directly
+
+    gateway_context& context_;
+    platform::store_client& store_;
+    edge::http_client& client_;
+    peers* peers_ = nullptr;
+    core::common::time_point avoid_direct_until_{};
+};
+
+} // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds term{1'500}; // of one write of the lease
 constexpr milliseconds renewal{500};
 constexpr milliseconds margin{300}; // for clocks that run at different rates
-constexpr milliseconds read_while_holder_speaks{2'000};
+constexpr milliseconds read_while_holder_speaks{8'000};
 constexpr milliseconds read_while_silent{400};
 constexpr milliseconds holder_silence{700}; // without its message, the holder may be gone
 constexpr milliseconds report_every{1'000};
@@ -41,7 +41,7 @@
 
 order_giver::order_giver(gateway_context& context, platform::store_client& store, edge::http_client& client,
                          dispatcher& dispatch, std::int64_t boot)
-    : context_(context), store_(store), client_(client), dispatch_(dispatch),
+    : context_(context), client_(client), dispatch_(dispatch), leases_(context, store, client),
       lease_({context.settings.name, context.settings.peers, boot}, {term, margin, renewal}) {}
 
 void order_giver::start() {
@@ -79,7 +79,8 @@
 bool order_giver::holder_speaks(time_point now) const {
     const auto& heard = peers_->heard();
     const auto holder = heard.find(lease_.record().holder);
-    return holder != heard.end() && now - holder->second.heard_at < holder_silence;
+    return holder != heard.end() && now - holder->second.heard_at < holder_silence &&
+           !holder->second.status.wants_registrations;
 }
 
 // ---- the lease -------------------------------------------------------------------------------------
@@ -87,41 +88,43 @@
 void order_giver::read_lease() {
     reading_ = true;
     checked_at_ = context_.loop.now();
-    store_.read(platform::lease_kind, platform::lease_name, [this](platform::store_reply&& reply) {
-        context_.loop.post([this, reply = std::move(reply)] {
-            reading_ = false;
-            const auto now = context_.loop.now();
-            context_.numbers.count_store_call("read_lease", reply.heard() ? "heard" : "lost");
-            if (reply.result == store_result::absent)
-                lease_.saw_record(0, std::nullopt, now);
-            else if (reply.result == store_result::ok && !reply.objects.empty())
-                lease_.saw_record(reply.objects.front().revision,
-                                  core::membership::decode_lease(reply.objects.front().spec.dump()), now);
-            note_lease(now);
-        });
+    leases_.read([this](platform::store_reply&& reply) {
+        reading_ = false;
+        const auto now = context_.loop.now();
+        context_.numbers.count_store_call("read_lease", reply.heard() ? "heard" : "lost");
+        if (reply.result == store_result::absent)
+            lease_.saw_record(0, std::nullopt, now);
+        else if (reply.result == store_result::ok && !reply.objects.empty())
+            lease_.saw_record(reply.objects.front().revision,
+                              core::membership::decode_lease(reply.objects.front().spec.dump()), now);
+        note_lease(now);
     });
 }
 
+/// What a reply says about a conditional write of the lease.
+write_result order_giver::result_of(const platform::store_reply& reply) {
+    switch (reply.result) {
+    case store_result::ok:
+        return reply.objects.empty() ? write_result::unknown : write_result::stored;
+    case store_result::refused:
+        return write_result::not_sent;
+    case store_result::unknown:
+        return write_result::unknown;
+    default:
+        return write_result::conflict;
+    }
+}
+
 void order_giver::write_lease(const core::membership::lease_write& write) {
-    const auto done = [this, sequence = write.sequence](platform::store_reply&& reply) {
-        context_.loop.post([this, sequence, reply = std::move(reply)] {
-            const auto now = context_.loop.now();
-            context_.numbers.count_store_call("write_lease", reply.heard() ? "heard" : "lost");
-            const bool stored = reply.result == store_result::ok && !reply.objects.empty();
-            const auto result = stored                                  ? write_result::stored
-                                : reply.result == store_result::refused ? write_result::not_sent
-                                : reply.result == store_result::unknown || reply.result == store_result::ok
-                                    ? write_result::unknown
-                                    : write_result::conflict;
-            lease_.written(sequence, result, stored ? reply.objects.front().revision : 0, now);
-            note_lease(now);
-        });
-    };
-    auto spec = nlohmann::json::parse(write.value);
-    if (write.if_version == 0)
-        store_.create(platform::lease_kind, platform::lease_name, std::move(spec), done);
-    else
-        store_.replace(platform::lease_kind, platform::lease_name, write.if_version, std::move(spec), done);
+    leases_.write(write.if_version, write.value,
+                  [this, sequence = write.sequence](platform::store_reply&& reply) {
+                      const auto now = context_.loop.now();
+                      context_.numbers.count_store_call("write_lease", reply.heard() ? "heard" : "lost");
+                      const auto result = result_of(reply);
+                      const bool stored = result == write_result::stored;
+                      lease_.written(sequence, result, stored ? reply.objects.front().revision : 0, now);
+                      note_lease(now);
+                  });
 }
 
 /// Follows who may give orders, and until when another holder may have.
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -8,7 +8,7 @@
 #include "core/membership/lease.hpp"
 #include "core/placing/target_ledger.hpp"
 #include "platform/documents.hpp"
-#include "programs/gateway/peers.hpp"
+#include "programs/gateway/lease_store.hpp"
 
 namespace waxwinglb::programs::gateway {
 
@@ -16,7 +16,11 @@
 public:
     order_giver(gateway_context& context, platform::store_client& store, edge::http_client& client,
                 dispatcher& dispatch, std::int64_t boot);
-    void attach(peers& others) { peers_ = &others; }
+    void attach(peers& others) {
+        peers_ = &others;
+        leases_.attach(others);
+    }
+    [[nodiscard]] lease_store& leases() { return leases_; } // for peers' calls
     void start();
     void release(); // the process ends: a successor need not wait for the term
 
@@ -36,6 +40,7 @@
     // The lease.
     void tick();
     [[nodiscard]] bool holder_speaks(core::common::time_point now) const; // another one, heard of late
+    [[nodiscard]] static core::membership::write_result result_of(const platform::store_reply& reply);
     void read_lease();
     void write_lease(const core::membership::lease_write& write);
     void note_lease(core::common::time_point now);
@@ -57,9 +62,9 @@
     void publish(const std::string& id);
 
     gateway_context& context_;
-    platform::store_client& store_;
     edge::http_client& client_;
     dispatcher& dispatch_;
+    lease_store leases_;
     peers* peers_ = nullptr;
     core::membership::shard_lease lease_;
     bool reading_ = false;
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -14,11 +14,19 @@
 
 constexpr milliseconds first_retry{100}; // after a failed call, doubling
 constexpr milliseconds longest_retry{800};
-// The order giver follows the targets closely and tells the others at once what it hears.
-constexpr kind_watch::follow_times targets_times{milliseconds{1'500}, milliseconds{300}, milliseconds{1'000}};
-constexpr kind_watch::follow_times config_times{milliseconds{2'500}, milliseconds{20}, milliseconds{20}};
-constexpr kind_watch::follow_times centres_times{milliseconds{4'000}, milliseconds{20}, milliseconds{20}};
-constexpr kind_watch::follow_times members_times{milliseconds{10'000}, milliseconds{500}, milliseconds{500}};
+// A connection that fell silent shows only when its watch's time is over. One gateway, the order giver,
+// watches for so short a time that it is behind by no more than the platform's tightest bound (2 s, for a
+// target that leaves and for a configuration); the others rely on its word, and follow as closely themselves
+// while they don't hear it.
+constexpr milliseconds close_wait{1'000};
+constexpr kind_watch::follow_times targets_times{close_wait, milliseconds{250}, milliseconds{1'500},
+                                                 milliseconds{1'000}};
+constexpr kind_watch::follow_times config_times{close_wait, milliseconds{20}, milliseconds{3'000},
+                                                milliseconds{20}};
+constexpr kind_watch::follow_times centres_times{close_wait, milliseconds{20}, milliseconds{4'000},
+                                                 milliseconds{20}};
+constexpr kind_watch::follow_times members_times{milliseconds{5'000}, milliseconds{500}, milliseconds{10'000},
+                                                 milliseconds{500}};
 
 const char* name_of(store_result result) {
     switch (result) {
@@ -66,6 +74,10 @@
     return context_.order_giver_speaks ? times_.relaxed_pause : times_.pause;
 }
 
+milliseconds kind_watch::wait() const {
+    return context_.order_giver_speaks ? times_.relaxed_wait : times_.wait;
+}
+
 void kind_watch::list() {
     store_.list(kind_, [this](store_reply&& reply) {
         context_.loop.post([this, reply = std::move(reply)] {
@@ -80,7 +92,7 @@
 }
 
 void kind_watch::watch() {
-    store_.watch(kind_, revision_, times_.wait, [this](store_reply&& reply) {
+    store_.watch(kind_, revision_, wait(), [this](store_reply&& reply) {
         context_.loop.post([this, reply = std::move(reply)] {
             heard(reply, "watch");
             if (reply.result == store_result::forgotten)
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -13,9 +13,10 @@
 class kind_watch {
 public:
     struct follow_times {
-        core::common::milliseconds wait;          // of one watch; bounds what a silent connection costs
-        core::common::milliseconds pause;         // between two watches, so that changes come in batches
-        core::common::milliseconds relaxed_pause; // while another gateway tells of changes at once
+        core::common::milliseconds wait;         // of one watch; bounds what a silent connection costs
+        core::common::milliseconds pause;        // between two watches, so that changes come in batches
+        core::common::milliseconds relaxed_wait; // both while the order giver is heard
+        core::common::milliseconds relaxed_pause;
     };
     struct owner {
         std::function<void(const platform::store_reply&)> on_list;
@@ -34,6 +35,7 @@
     void watch();
     void next(core::common::milliseconds after);
     [[nodiscard]] core::common::milliseconds pause() const;
+    [[nodiscard]] core::common::milliseconds wait() const;
     void heard(const platform::store_reply& reply, const char* call);
 
     gateway_context& context_;
