--- a/src/edge/event_loop.hpp
+++ b/src/edge/event_loop.hpp
@@ -32,6 +32,7 @@
 
     void run(); // until stop()
     void stop() { stopping_ = true; }
+    void resume() { stopping_ = false; } // run() may be called again
 
     timer_id schedule(core::common::time_point at, task work); // runs `work` once, at or soon after `at`
     void cancel(timer_id& timer);                              // harmless if it ran; resets `timer`
--- /dev/null
+++ b/tests/contract/platform_test.cpp
@@ -0,0 +1,251 @@
+// The platform's documents and its store, against answers that are late, lost, odd or refused.
+#include "platform/documents.hpp"
+#include "platform/store_client.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <future>
+
+using namespace waxwinglb;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using platform::store_result;
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+template<class decoder>
+auto value_of(decoder&& decode) {
+    using value = std::decay_t<decltype(*decode())>;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<value>> {
+            BOOST_LEAF_AUTO(made, decode());
+            return std::optional<value>{std::move(made)};
+        },
+        [] { return std::optional<value>{}; });
+}
+
+std::optional<core::fleet::target_entry> target(const json& spec) {
+    return value_of([&] { return platform::decode_target("t1", spec); });
+}
+
+const json good_target{{"service", "s"},
+                       {"address", "10.0.0.1:80"},
+                       {"zone", "z"},
+                       {"slots", 64},
+                       {"state", "ready"},
+                       {"cold_left_ms", 500},
+                       {"born", 7},
+                       {"sequence", 4},
+                       {"models", json::array({{{"name", "m"}, {"adapters", {"a1", "a2@3"}}}})},
+                       {"at_hand", {{"in_memory", {"m"}}, {"on_disk", {"m", "n"}}}}};
+
+} // namespace
+
+TEST(platform_documents, a_registration_is_read_into_what_the_fields_hold) {
+    const auto one = target(good_target);
+    ASSERT_TRUE(one.has_value());
+    EXPECT_EQ(one->data_centre, "z");
+    EXPECT_EQ(one->cold_left, 500ms);
+    EXPECT_EQ(one->born, 7);
+    EXPECT_EQ(one->models.at("m"), (std::vector<std::string>{"a1", "a2"}));
+    EXPECT_EQ(one->copies_on_disk, (std::vector<std::string>{"m", "n"}));
+    EXPECT_FALSE(one->draining);
+}
+
+TEST(platform_documents, a_registration_with_missing_or_odd_fields_names_no_target) {
+    for (const char* field : {"service", "address", "state", "slots"}) {
+        json odd = good_target;
+        odd.erase(field);
+        EXPECT_FALSE(target(odd).has_value()) << field;
+        odd[field] = json::array({1});
+        EXPECT_FALSE(target(odd).has_value()) << field;
+    }
+    json odd = good_target;
+    odd["state"] = "resting";
+    EXPECT_FALSE(target(odd).has_value());
+    odd = good_target;
+    odd["born"] = 1.5;
+    EXPECT_FALSE(target(odd).has_value());
+    EXPECT_FALSE(target("text").has_value());
+    EXPECT_FALSE(target(nullptr).has_value());
+}
+
+TEST(platform_documents, a_configuration_is_read_in_the_products_words) {
+    const json spec{
+        {"version", 7},
+        {"routes", json::array({{{"name", "r"},
+                                 {"host", "h"},
+                                 {"path_prefix", "/a/"},
+                                 {"kind", "streaming"},
+                                 {"resumable", true},
+                                 {"timeout_ms", 12000},
+                                 {"gap_aim_ms", 300},
+                                 {"max_attempts", 2},
+                                 {"backends", json::array({{{"service", "s"}, {"weight", 90}},
+                                                           {{"service", "t"}, {"weight", 10}}})}},
+                                {{"name", "q"},
+                                 {"host", "h"},
+                                 {"path_prefix", "/b/"},
+                                 {"kind", "unheard_of"},
+                                 {"service", "s"}}})},
+        {"services", json::array({{{"name", "s"},
+                                   {"cold_per_s", 13.0},
+                                   {"engine",
+                                    {{"slots", 64},
+                                     {"weights_mb", 230000.0},
+                                     {"adapter_slots", 8},
+                                     {"models", json::array({{{"name", "m"},
+                                                              {"weights_mb", 65100.0},
+                                                              {"load_time_s", 6.0},
+                                                              {"disk_s", 0.78},
+                                                              {"warm_s", 0.6},
+                                                              {"adapters", 2}}})}}}}})},
+        {"tenants",
+         json::array({{{"name", "c"}, {"api_keys", {"k1", "k2"}}, {"rate_per_s", 10}, {"burst", 20}}})},
+        {"limits", {{"max_header_bytes", 100}, {"idle_timeout_ms", 9000}}},
+        {"unheard_of", 1}};
+    const auto one = value_of([&] { return platform::decode_config(spec); });
+    ASSERT_TRUE(one.has_value());
+    EXPECT_EQ(one->routes[0].destinations.size(), 2U);
+    EXPECT_EQ(one->routes[0].kind, core::fleet::call_kind::stream);
+    EXPECT_EQ(one->routes[1].kind, core::fleet::call_kind::non_idempotent); // unknown: nothing is repeated
+    EXPECT_EQ(one->services.at("s").engine->models.at("m").disk_load, 780ms);
+    EXPECT_EQ(one->owner_of("k2")->name, "c");
+    EXPECT_EQ(one->owner_of("k3"), nullptr);
+    EXPECT_EQ(one->limits.idle_timeout, 9s);
+    EXPECT_FALSE(value_of([&] {
+                     return platform::decode_config(json{{"routes", json::array()}});
+                 }).has_value());
+    EXPECT_FALSE(value_of([&] { return platform::decode_config(json::array()); }).has_value());
+}
+
+TEST(platform_documents, a_report_counts_adapters_on_their_way) {
+    const auto one = value_of([] {
+        return platform::decode_report(
+            R"({"models":[{"name":"m","adapters":["a1"]}],"coming":["m/a2@1"],"busy":true,
+                                           "sequence":5,"born":7})");
+    });
+    ASSERT_TRUE(one.has_value());
+    EXPECT_EQ(one->models.at("m"), (std::vector<std::string>{"a1", "a2"}));
+    EXPECT_TRUE(one->busy);
+    EXPECT_FALSE(one->tells_copies);
+    EXPECT_FALSE(value_of([] { return platform::decode_report("\x80\x81"); }).has_value());
+}
+
+TEST(platform_documents, an_order_names_its_number_holder_and_fencing) {
+    const json one = json::parse(platform::encode_order({true, {"m", "a1"}, 4, "vm-1", 9}));
+    EXPECT_EQ(one, (json{{"operation", "model_load"},
+                         {"model", "m"},
+                         {"adapter", "a1"},
+                         {"expect", 4},
+                         {"holder", "vm-1"},
+                         {"fencing_token", 9}}));
+}
+
+namespace {
+
+/// A store that answers what the test says.
+struct scripted_store {
+    explicit scripted_store(std::function<void(const edge::exchange_ptr&)> answer)
+        : server(edge::http_server_options{}, std::move(answer)) {
+        EXPECT_TRUE(server.start());
+        address = "127.0.0.1:" + std::to_string(server.port());
+    }
+    platform::store_reply
+    ask(const std::function<void(platform::store_client&, platform::store_client::on_reply)>& send,
+        core::common::milliseconds timeout = 10s) {
+        platform::store_client store{client, address, timeout};
+        std::promise<platform::store_reply> got;
+        auto future = got.get_future();
+        send(store, [&](platform::store_reply&& reply) { got.set_value(std::move(reply)); });
+        return future.get();
+    }
+    edge::http_server server;
+    edge::http_client client;
+    std::string address;
+};
+
+json object(const std::string& name, std::int64_t revision) {
+    return {{"metadata", {{"name", name}, {"revision", revision}}}, {"spec", {{"x", 1}}}};
+}
+
+void read_one(platform::store_client& store, platform::store_client::on_reply done) {
+    store.read("kind", "name", std::move(done));
+}
+
+} // namespace
+
+TEST(platform_store, each_status_has_its_meaning) {
+    const std::pair<int, store_result> cases[] = {
+        {404, store_result::absent},  {409, store_result::conflict}, {410, store_result::forgotten},
+        {429, store_result::refused}, {503, store_result::refused},  {500, store_result::unknown}};
+    for (const auto& [status, result] : cases) {
+        scripted_store one{[status = status](const edge::exchange_ptr& got) {
+            got->respond({status, {}, "{}"});
+        }};
+        EXPECT_EQ(one.ask(read_one).result, result) << status;
+    }
+}
+
+TEST(platform_store, a_list_follows_its_pages_and_is_watched_from_the_first) {
+    scripted_store one{[](const edge::exchange_ptr& got) {
+        const bool second = got->request().query.contains("after");
+        EXPECT_EQ(second ? got->request().query.at("after") : "", second ? "a" : "");
+        got->respond({200,
+                      {},
+                      json{{"items", json::array({object(second ? "b" : "a", 3)})},
+                           {"more_pages", !second},
+                           {"current_rev", second ? 9 : 5}}
+                          .dump()});
+    }};
+    const auto reply = one.ask([](auto& store, auto done) { store.list("kind", done); });
+    ASSERT_EQ(reply.result, store_result::ok);
+    ASSERT_EQ(reply.objects.size(), 2U);
+    EXPECT_EQ(reply.revision, 5);
+}
+
+TEST(platform_store, a_watch_tells_changes_and_removals) {
+    scripted_store one{[](const edge::exchange_ptr& got) {
+        EXPECT_EQ(got->request().query.at("watch"), "5");
+        got->respond({200,
+                      {},
+                      json{{"events", json::array({{{"object", object("a", 6)}, {"removed", false}},
+                                                   {{"object", object("a", 7)}, {"removed", true}},
+                                                   {{"object", "odd"}},
+                                                   4})},
+                           {"current_rev", 7}}
+                          .dump()});
+    }};
+    const auto reply = one.ask([](auto& store, auto done) { store.watch("kind", 5, 1s, done); });
+    ASSERT_EQ(reply.objects.size(), 2U);
+    EXPECT_FALSE(reply.objects[0].removed);
+    EXPECT_TRUE(reply.objects[1].removed);
+    EXPECT_EQ(reply.revision, 7);
+}
+
+TEST(platform_store, a_write_whose_answer_is_lost_or_late_is_unknown) {
+    scripted_store cut{[](const edge::exchange_ptr& got) { got->cut(); }};
+    const auto write = [](auto& store, auto done) { store.replace("kind", "name", 3, json{{"x", 2}}, done); };
+    EXPECT_EQ(cut.ask(write).result, store_result::unknown);
+    edge::exchange_ptr held;
+    scripted_store silent{[&](const edge::exchange_ptr& got) { held = got; }};
+    EXPECT_EQ(silent.ask(write, 100ms).result, store_result::unknown);
+}
+
+TEST(platform_store, a_store_that_is_away_was_never_asked) {
+    edge::http_client client;
+    platform::store_client store{client, "127.0.0.1:1", 1s};
+    std::promise<platform::store_reply> got;
+    store.create("kind", "name", json::object(),
+                 [&](platform::store_reply&& reply) { got.set_value(std::move(reply)); });
+    EXPECT_EQ(got.get_future().get().result, store_result::refused);
+}
+
+TEST(platform_store, an_answer_that_is_no_document_is_not_taken_for_one) {
+    scripted_store one{[](const edge::exchange_ptr& got) { got->respond({200, {}, "\x80 no"}); }};
+    EXPECT_EQ(one.ask(read_one).result, store_result::unknown);
+}
