Test the gateway on stand-ins of the platform: faults, refusals, and causes from the logs alone

Cause found on the way: a gateway that starts while the store turns it away heard its peers but could not tell them that it needs registrations, since it knew their addresses from the store alone. Change: a peer's message names where it takes answers; 11 cases with the real program, three of them walk from a failed request's id to its cause (overload, a target lost at a change of the order giver, a model too late).

--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10717,6 +10717,10 @@
 void peer_status::__set_registrations(const std::vector<target_registration> & val) {
   this->registrations = val;
 }
+
+void peer_status::__set_address(const std::string& val) {
+  this->address = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -10989,6 +10993,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11146,6 +11158,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 18);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11170,6 +11186,7 @@
   swap(a.suspects, b.suspects);
   swap(a.wants_registrations, b.wants_registrations);
   swap(a.registrations, b.registrations);
+  swap(a.address, b.address);
   swap(a.__isset, b.__isset);
 }
 
@@ -11191,6 +11208,7 @@
   suspects = other380.suspects;
   wants_registrations = other380.wants_registrations;
   registrations = other380.registrations;
+  address = other380.address;
   __isset = other380.__isset;
 }
 peer_status::peer_status(peer_status&& other381) noexcept {
@@ -11211,6 +11229,7 @@
   suspects = std::move(other381.suspects);
   wants_registrations = other381.wants_registrations;
   registrations = std::move(other381.registrations);
+  address = std::move(other381.address);
   __isset = other381.__isset;
 }
 peer_status& peer_status::operator=(const peer_status& other382) {
@@ -11231,6 +11250,7 @@
   suspects = other382.suspects;
   wants_registrations = other382.wants_registrations;
   registrations = other382.registrations;
+  address = other382.address;
   __isset = other382.__isset;
   return *this;
 }
@@ -11252,6 +11272,7 @@
   suspects = std::move(other383.suspects);
   wants_registrations = other383.wants_registrations;
   registrations = std::move(other383.registrations);
+  address = std::move(other383.address);
   __isset = other383.__isset;
   return *this;
 }
@@ -11275,6 +11296,7 @@
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "wants_registrations=" << to_string(wants_registrations);
   out << ", " << "registrations=" << to_string(registrations);
+  out << ", " << "address=" << to_string(address);
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -4260,7 +4260,7 @@
 std::ostream& operator<<(std::ostream& out, const target_registration& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4278,10 +4278,11 @@
   bool suspects :1;
   bool wants_registrations :1;
   bool registrations :1;
+  bool address :1;
 } _peer_status__isset;
 
 /**
- * wants_registrations: the sender can't read the store; registrations: only while a peer wants them.
+ * address: where the sender takes these; wants_registrations: the sender can't read the store; registrations: only while a peer wants them.
  */
 class peer_status : public virtual ::apache::thrift::TBase {
  public:
@@ -4298,7 +4299,8 @@
                 config_version(0),
                 config_address(),
                 centres_revision(0),
-                wants_registrations(0) {
+                wants_registrations(0),
+                address() {
   }
 
   virtual ~peer_status() noexcept;
@@ -4319,6 +4321,7 @@
   std::vector<quarantine>  suspects;
   bool wants_registrations;
   std::vector<target_registration>  registrations;
+  std::string address;
 
   _peer_status__isset __isset;
 
@@ -4356,6 +4359,8 @@
 
   void __set_registrations(const std::vector<target_registration> & val);
 
+  void __set_address(const std::string& val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -4392,6 +4397,8 @@
       return false;
     if (!(registrations == rhs.registrations))
       return false;
+    if (!(address == rhs.address))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -76,6 +76,7 @@
     const auto now = context_.loop.now();
     wire::peer_status out;
     out.process = context_.settings.name;
+    out.address = context_.settings.peers;
     out.boot = boot_;
     out.sequence = sequence_;
     out.leaving = leaving_;
@@ -171,7 +172,9 @@
     const auto now = context_.loop.now();
     peer_state& known = heard_[status.process];
     if (known.status.boot == status.boot && status.sequence <= known.status.sequence)
-        return; // overtaken
+        return;                  // overtaken
+    if (!status.address.empty()) // one that can't read the store knows no other way to it
+        addresses_[status.process] = status.address;
     if (silent_.erase(status.process) > 0)
         context_.log.write(edge::events::peer_regained, status.process);
     known = {status, now};
--- /dev/null
+++ b/tests/programs/test_gateway.py
@@ -0,0 +1,294 @@
+#!/usr/bin/env python3
+"""waxwing-gateway on stand-ins of the users' platform: requests, refusals, faults, and each failed request's cause
+from the logs alone."""
+import http.client
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+
+from gateway_standins import Store, Target, configuration
+from harness import STOP_LIMIT_S, Failure, Ports, Program, arguments, request, run_cases, wait_until
+
+ARGUMENTS = arguments(__doc__)
+KEY = "k-norte"
+
+
+class Fleet:
+    """A store, targets and gateways; everything is ended at the end."""
+
+    def __init__(self, gateways=1, lease_term="3s"):
+        self.temporary, self.ports, self.gateways, self.lease_term = tempfile.TemporaryDirectory(), Ports(), [], lease_term
+        self.store = Store(self.ports.address())
+        self.store.put("config", "main", configuration())
+        self.number = 0
+        for number in range(gateways):
+            self.add_gateway(f"g{number + 1}")
+
+    def add_gateway(self, name):
+        settings = {"name": name, "data_centre": "a", "store": self.store.address, "lease_term": self.lease_term,
+                    **{one: self.ports.address() for one in ("http", "readiness", "metrics", "peers")}}
+        binary = pathlib.Path(ARGUMENTS.bin) / "waxwing-gateway"
+        self.gateways.append(Program(binary, self.temporary.name, settings, settings["metrics"]))
+
+    def target(self, name, service, **more):
+        return Target(self.store, self.ports.address(), name, service, **more)
+
+    def __enter__(self):
+        return self
+
+    def start(self):
+        for one in self.gateways:
+            one.start()
+        for one in self.gateways:
+            wait_until(lambda one=one: self.readiness(one) == 200, f"{one.name} is ready")
+        return self
+
+    def __exit__(self, *unused):
+        for one in self.gateways:
+            if one.running():
+                one.kill()
+        for door in [self.store.door]:
+            door.shutdown()
+        self.temporary.cleanup()
+
+    @staticmethod
+    def readiness(gateway):
+        return request(gateway.settings["readiness"], "GET", "/readiness", timeout=5).status
+
+    def headers(self, model=None, **more):
+        self.number += 1
+        out = {"Host": "shop.example", "Request-Id": f"r{self.number}", "X-Api-Key": KEY, "Deadline-Remaining": "10000"}
+        if model:
+            out.update({"Model": model, "Token-Count": "100,40", "Prompt-Prefix": "aa:50,bb:50"})
+        out.update({name.replace("_", "-"): value for name, value in more.items()})
+        return out
+
+    def ask(self, path, headers, body=b"x", method="POST", gateway=0):
+        return request(self.gateways[gateway].settings["http"], method, path, body, headers)
+
+    def events(self, name, gateway=None):
+        """Lines of an event, of all gateways or one."""
+        lines = "".join(one.log_text() for one in self.gateways if gateway in (None, one.name)).splitlines()
+        decoded = [json.loads(line) for line in lines if line.startswith("{")]
+        return [one for one in decoded if one["event"] == name]
+
+    def cause(self, request_id):
+        """What waxwing-timeline says of the request, from the logs of all gateways."""
+        logs = sum((["--log", str(one.log)] for one in self.gateways), [])
+        tool = pathlib.Path(ARGUMENTS.bin) / "waxwing-timeline"
+        wait_until(lambda: any(one["subject"] == request_id for name in ("request_refused", "request_cut", "request_answered")
+                               for one in self.events(name)), f"the end of {request_id} is in the log")
+        return subprocess.run([str(tool), *logs, "--subject", request_id], capture_output=True, text=True, check=True).stdout
+
+
+def expect(got, wanted, what):
+    if got != wanted:
+        raise Failure(f"{what}: expected {wanted!r}, got {got!r}")
+
+
+def requests_reach_their_targets_and_carry_what_they_should():
+    with Fleet() as fleet:
+        engine, ledger = fleet.target("t1", "engine", models=["m0"]), fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        wait_until(lambda: len(fleet.events("target_changed")) >= 2, "both targets are known")
+        headers = fleet.headers("m0", Tenant="forged", Kv_From="forged", Hold="forged")
+        answer = fleet.ask("/notes/1?q=2", headers)
+        expect(answer.status, 200, "the stream")
+        expect(answer.text.count("data:"), 10, "events")
+        expect(answer.headers["response-signature"], "sig-" + headers["Request-Id"], "the signature")
+        seen = {name.lower(): value for name, value in engine.runs[0][1].items()}
+        expect(seen["tenant"], "norte", "the customer's name")
+        expect(seen["target-instance"], "t1", "the instance")
+        for name in ("x-api-key", "kv-from", "hold"):
+            expect(seen.get(name), None, name)
+        if not 0 < int(seen["deadline-remaining"]) <= 10000:
+            raise Failure(f"deadline passed on as {seen['deadline-remaining']}")
+        expect(fleet.ask("/cert/1", fleet.headers(), b"lot").text, "recorded lot", "the registration")
+        expect(len(ledger.runs), 1, "runs of the registration")
+        logs = fleet.gateways[0].log_text()
+        for secret in (KEY, "recorded lot", "piece 3"):
+            if secret in logs:
+                raise Failure(f"{secret!r} stands in the log")
+
+
+def what_the_configuration_does_not_allow_is_refused_at_once():
+    with Fleet() as fleet:
+        fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        expect(fleet.ask("/elsewhere/", fleet.headers()).status, 404, "unknown path")
+        expect(fleet.ask("/cert/1", fleet.headers(Host="other.example")).status, 404, "unknown host")
+        expect(fleet.ask("/cert/1", fleet.headers(X_Api_Key="stolen")).status, 401, "unknown key")
+        expect(fleet.ask("/cert/1", fleet.headers(Deadline_Remaining="soon")).status, 400, "malformed deadline")
+        expect(fleet.ask("/cert/1", fleet.headers(), b"x" * 70_000).status, 413, "a large body")
+        expect(fleet.ask("/cert/1", fleet.headers(X_Long="x" * 20_000)).status, 431, "a large header")
+        fleet.store.put("config", "main", configuration(version=5, keys=("k-new",)))
+        wait_until(lambda: fleet.ask("/cert/1", fleet.headers()).status == 401, "the key is withdrawn")
+        expect(fleet.ask("/cert/1", fleet.headers(X_Api_Key="k-new")).status, 200, "the new key")
+        fleet.store.put("config", "main", configuration(version=4))
+        fleet.store.put("servers", "odd", {"service": 4})
+        wait_until(lambda: fleet.events("target_ignored"), "the odd registration is read")
+        expect(fleet.ask("/cert/1", fleet.headers()).status, 401, "an older configuration")
+
+
+def a_caller_that_leaves_is_given_up():
+    with Fleet() as fleet:
+        ledger = fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        ledger.hold.clear()
+        host, port = fleet.gateways[0].settings["http"].split(":")
+        caller = http.client.HTTPConnection(host, int(port))
+        caller.request("POST", "/cert/1", b"x", fleet.headers())
+        wait_until(lambda: ledger.runs, "the request runs")
+        caller.close()
+        wait_until(lambda: fleet.events("request_abandoned"), "the gateway notices")
+        ledger.hold.set()
+        expect(fleet.ask("/cert/2", fleet.headers()).status, 200, "another caller")
+
+
+def a_stream_that_breaks_goes_on_at_another_target():
+    with Fleet() as fleet:
+        first = fleet.target("t1", "engine", models=["m0"])
+        fleet.start()
+        wait_until(lambda: fleet.events("target_changed"), "the target is known")
+        first.cut_after = 4
+        second = fleet.target("t2", "engine", models=["m0"])
+        wait_until(lambda: len(fleet.events("target_changed")) >= 2, "the other target is known")
+        for _ in range(6):   # until one meets the target that breaks off
+            answer = fleet.ask("/notes/1", fleet.headers("m0", Prompt_Prefix=f"a{fleet.number}:9"))
+            expect(answer.text, "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, 11)), "the whole stream, once")
+        if not any(one[1].get("Last-Event-Id") for one in second.runs):
+            raise Failure("no stream went on at the other target")
+
+
+def refused_in_overload_the_cause_is_found():
+    with Fleet() as fleet:
+        fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        fleet.store.put("config", "main", configuration(version=3, rate=100))
+        wait_until(lambda: any(one["subject"] == "3" for one in fleet.events("config_in_force")), "the lower rate")
+        wait_until(lambda: fleet.ask("/cert/1", fleet.headers()).status == 429, "the rate is used up")
+        headers = fleet.headers()
+        refused = fleet.ask("/cert/1", headers)
+        expect(refused.status, 429, "beyond the rate")
+        if not 0 < float(refused.headers["retry-after"]) < 10:
+            raise Failure(f"Retry-After: {refused.headers['retry-after']}")
+        told = fleet.cause(headers["Request-Id"])
+        for part in ("rate_refused", "cause: Its customer had used up its rate and burst over all gateways."):
+            if part not in told:
+                raise Failure(f"{part!r} is not in:\n{told}")
+
+
+def broken_off_at_a_change_of_the_order_giver_the_cause_is_found():
+    with Fleet(gateways=2) as fleet:
+        target = fleet.target("t1", "engine", models=["m0"])
+        fleet.start()
+        taken = wait_until(lambda: fleet.events("lease_taken"), "a gateway gives orders")
+        holder = next(one for one in fleet.gateways if one.name == taken[0]["process"])
+        other = next(number for number, one in enumerate(fleet.gateways) if one is not holder)
+        wait_until(lambda: fleet.events("target_changed", fleet.gateways[other].name), "the target is known")
+        target.hold.clear()
+        target.cut_after = 2
+        headers, answers = fleet.headers("m0"), []
+
+        def ask():
+            try:
+                answers.append(fleet.ask("/dossier/1", headers, gateway=other).status)
+            except (OSError, http.client.HTTPException) as error:
+                answers.append(type(error).__name__)
+        caller = threading.Thread(target=ask)
+        caller.start()
+        wait_until(lambda: target.runs, "the request runs")
+        holder.kill()
+        wait_until(lambda: len(fleet.events("lease_taken")) == 2, "the other gateway gives orders")
+        target.hold.set()
+        caller.join()
+        expect(answers, ["IncompleteRead"], "a stream that broke must not look whole")
+        told = fleet.cause(headers["Request-Id"])
+        for part in ("lease_taken", "cause: The connection to its target broke while it may have been running."):
+            if part not in told:
+                raise Failure(f"{part!r} is not in:\n{told}")
+
+
+def waited_for_a_model_that_came_too_late_the_cause_is_found():
+    with Fleet() as fleet:
+        fleet.target("t1", "engine", models=["m0"])
+        fleet.start()
+        wait_until(lambda: fleet.events("lease_taken"), "the gateway gives orders")
+        headers = fleet.headers("m3", Deadline_Remaining="4000")
+        refused = fleet.ask("/dossier/1", headers)
+        expect(refused.status, 503, "a model that only the weight store has")
+        told = fleet.cause(headers["Request-Id"])
+        for part in ("operation=load_model model=m3", "cause: Its model was still being loaded when its time ran out."):
+            if part not in told:
+                raise Failure(f"{part!r} is not in:\n{told}")
+        expect(fleet.ask("/dossier/1", fleet.headers("m0")).status, 200, "a loaded model meanwhile")
+
+
+def a_model_on_disk_is_loaded_on_demand_and_an_adapter_beside_it():
+    with Fleet() as fleet:
+        fleet.target("t1", "engine", models=["m0", "m1", "m2"], on_disk=["m3", "m4"])
+        fleet.start()
+        expect(fleet.ask("/dossier/1", fleet.headers("m4")).status, 200, "a model that is not loaded")
+        expect(fleet.ask("/notes/1", fleet.headers("m4/a2")).status, 200, "an adapter of it")
+
+
+def a_gateway_that_the_store_turns_away_learns_from_its_peer():
+    with Fleet(gateways=2) as fleet:
+        fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        wait_until(lambda: all(fleet.events("target_changed", one.name) for one in fleet.gateways), "all know the target")
+        fleet.gateways[1].kill()
+        settings = dict(fleet.gateways[1].settings, store="127.0.0.1:1")
+        fleet.gateways[1].config.write_text(json.dumps(settings))
+        fleet.gateways[1].start()
+        wait_until(lambda: fleet.ask("/cert/1", fleet.headers(), gateway=1).status == 200,
+                   "configuration and registrations have come from the peer")
+
+
+def sigterm_finishes_what_runs_and_refuses_what_comes_late():
+    with Fleet() as fleet:
+        ledger = fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        ledger.hold.clear()
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(fleet.ask("/cert/1", fleet.headers()).status))
+        caller.start()
+        wait_until(lambda: ledger.runs, "the request runs")
+        fleet.gateways[0].terminate()
+        wait_until(lambda: fleet.readiness(fleet.gateways[0]) == 503, "it is not ready")
+        ledger.hold.set()
+        caller.join()
+        expect(answers, [200], "the request that ran")
+        expect(fleet.gateways[0].process.wait(STOP_LIMIT_S), 0, "exit code")
+        for event in ("process_stopping", "process_stopped"):
+            expect(len(fleet.events(event)), 1, event)
+
+
+def wrong_settings_are_refused_with_path_and_form():
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "wrong.yaml"
+        path.write_text('name: g1\ndata_centre: a\nhttp: nowhere\nlease_term: 5\nsurplus: 1\n')
+        binary = str(pathlib.Path(ARGUMENTS.bin) / "waxwing-gateway")
+        got = subprocess.run([binary, "--config", str(path), "--check"], capture_output=True, text=True, check=False)
+        expect(got.returncode, 3, "exit code")
+        for part in ("http", "lease_term", "surplus", "store"):
+            if part not in got.stderr:
+                raise Failure(f"{part!r} is not named in {got.stderr!r}")
+
+
+if __name__ == "__main__":
+    run_cases([requests_reach_their_targets_and_carry_what_they_should,
+               what_the_configuration_does_not_allow_is_refused_at_once,
+               a_caller_that_leaves_is_given_up,
+               a_stream_that_breaks_goes_on_at_another_target,
+               refused_in_overload_the_cause_is_found,
+               broken_off_at_a_change_of_the_order_giver_the_cause_is_found,
+               waited_for_a_model_that_came_too_late_the_cause_is_found,
+               a_model_on_disk_is_loaded_on_demand_and_an_adapter_beside_it,
+               a_gateway_that_the_store_turns_away_learns_from_its_peer,
+               sigterm_finishes_what_runs_and_refuses_what_comes_late,
+               wrong_settings_are_refused_with_path_and_form])
+    sys.exit(0)
