--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -164,8 +164,9 @@
 struct model_demand { 1: string service_name, 2: string model, 3: i32 waiting, 4: i64 oldest_ms, 5: i32 priority, 6: double per_second }
 /** Tokens that a gateway has taken from a customer's rate since its start. */
 struct customer_use { 1: string customer, 2: double tokens }
+struct coming_model { 1: string model, 2: i64 ready_ms }
 /** What a target holds, as the giver of its orders knows. coming: models being loaded. */
-struct target_holding { 1: string target, 2: i64 born, 3: i64 sequence, 4: list<string> models, 5: list<string> coming }
+struct target_holding { 1: string target, 2: i64 born, 3: i64 sequence, 4: list<string> models, 5: list<coming_model> coming }
 struct leaving_target { 1: string target, 2: i64 born }
 /** A target's registration, for a gateway that can't read the store. */
 struct target_registration {
--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -89,7 +89,7 @@
 
 void directory::describe(const std::string& id, std::int64_t born, std::int64_t orders,
                          const std::map<std::string, std::vector<std::string>>& models,
-                         const std::set<std::string>& coming, time_point now) {
+                         const std::map<std::string, time_point>& coming, time_point now) {
     const auto found = targets_.find(id);
     if (found == targets_.end() || found->second.entry.born != born || orders < found->second.orders)
         return;
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -22,12 +22,12 @@
 /// One usable or known target and what this process believes of it.
 struct target {
     target_entry entry;
-    std::optional<common::time_point> lapsed_until; // registration gone in an outage; dropped at that time
-    common::time_point cold_until{};                // bears only a limited rate until then
-    std::optional<common::time_point> gone_at;      // removal at short notice
-    std::set<std::string> coming;                   // models being loaded, as the order giver tells
-    std::int64_t orders = 0;                        // that it had accepted when `described_at` was
-    common::time_point described_at{};              // the order giver's newest word on its models
+    std::optional<common::time_point> lapsed_until;   // registration gone in an outage; dropped at that time
+    common::time_point cold_until{};                  // bears only a limited rate until then
+    std::optional<common::time_point> gone_at;        // removal at short notice
+    std::map<std::string, common::time_point> coming; // models being loaded and when they are expected
+    std::int64_t orders = 0;                          // that it had accepted when `described_at` was
+    common::time_point described_at{};                // the order giver's newest word on its models
     bool told_leaving = false; // by a peer; never told on, ends with a newer registration
 
     /// Nothing more is sent to it.
@@ -57,7 +57,7 @@
     /// registration, which follows seconds later. Ignored if fewer orders than known.
     void describe(const std::string& id, std::int64_t born, std::int64_t orders,
                   const std::map<std::string, std::vector<std::string>>& models,
-                  const std::set<std::string>& coming, common::time_point now);
+                  const std::map<std::string, common::time_point>& coming, common::time_point now);
     /// A peer's word that a target is leaving or has left: nothing more is sent to this start of it.
     void mark_leaving(const std::string& id, std::int64_t born);
     /// A peer's registrations, for a process that can't read the store itself; models are kept as known.
--- a/src/core/fleet/model.hpp
+++ b/src/core/fleet/model.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace waxwinglb::core::fleet {
@@ -128,7 +129,9 @@
     std::string model;
     std::string adapter; // empty: none
     bool operator==(const model_wish&) const = default;
-    auto operator<=>(const model_wish&) const = default;
+    bool operator<(const model_wish& other) const {
+        return std::tie(model, adapter) < std::tie(other.model, other.adapter);
+    }
 };
 [[nodiscard]] model_wish parse_model_wish(std::string_view text);
 
--- a/src/core/placing/planner.cpp
+++ b/src/core/placing/planner.cpp
@@ -217,7 +217,9 @@
 
     /// Busy models get another replica where targets have room.
     void add_replicas() {
-        for (const auto& [model, all] : by_model()) {
+        for (const auto& entry : by_model()) {
+            const std::string& model = entry.first;
+            const demand& all = entry.second;
             const int replicas = replicas_of(model);
             const int concurrent = all.running + all.waiting;
             if (replicas == 0 || !engine_.models.contains(model) ||
@@ -235,7 +237,8 @@
 
     /// While the weight store idles, models without any copy get one.
     void make_first_copies() {
-        for (const auto& [model, spec] : engine_.models) {
+        for (const auto& entry : engine_.models) {
+            const std::string& model = entry.first;
             if (store_loads_ >= limits_.parallel_store_loads)
                 return;
             const bool somewhere =
--- a/src/core/placing/target_ledger.cpp
+++ b/src/core/placing/target_ledger.cpp
@@ -132,6 +132,13 @@
     return out;
 }
 
+std::map<std::string, time_point> target_ledger::coming(time_point now) const {
+    std::map<std::string, time_point> out;
+    for (const std::string& model : loading(now))
+        out[model] = loaded_at(model);
+    return out;
+}
+
 time_point target_ledger::loaded_at(const std::string& model) const {
     const auto found = ready_at_.find(model);
     return found == ready_at_.end() ? time_point{} : found->second;
--- a/src/core/placing/target_ledger.hpp
+++ b/src/core/placing/target_ledger.hpp
@@ -41,6 +41,7 @@
     /// Models and adapters that count for memory; those in `loading(now)` aren't ready yet.
     [[nodiscard]] const std::map<std::string, std::set<std::string>>& models() const { return models_; }
     [[nodiscard]] std::set<std::string> loading(common::time_point now) const;
+    [[nodiscard]] std::map<std::string, common::time_point> coming(common::time_point now) const; // and when
     [[nodiscard]] common::time_point loaded_at(const std::string& model) const;
 
 private:
--- a/src/edge/program.cpp
+++ b/src/edge/program.cpp
@@ -29,7 +29,8 @@
               << "  -h, --help         prints this text\n"
               << "  -V, --version      prints the version\n\n"
               << "Exit codes: 0 ended as asked, 1 failed, 2 wrong command line, 3 faulty settings.\n"
-              << "SIGTERM drains: no new work, what runs is finished.\n";
+              << "SIGTERM drains: no new work, what runs is finished. SIGHUP reads the settings again,\n"
+                 "in programs that can change them while they run.\n";
 }
 
 command_line parse(int argc, char** argv, const program_description& description) {
@@ -64,12 +65,13 @@
     return out;
 }
 
-/// SIGTERM and SIGINT are taken by one thread; all others block them.
+/// SIGTERM, SIGINT and SIGHUP are taken by one thread; all others block them.
 sigset_t block_stop_signals() {
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return set;
@@ -88,6 +90,7 @@
     if (line.exit_code >= 0)
         return line.exit_code;
     program_context context;
+    context.config = line.config;
     const auto faults = settings_file::load(line.config, [&](settings_section& top) {
         context.name = top.text("name");
         set_log_level(top.text("log_level", "info"));
@@ -103,12 +106,18 @@
     }
     const sigset_t set = block_stop_signals();
     std::thread{[set, &context] {
-        int which = 0;
-        sigwait(&set, &which);
-        context.stopping = true;
-        context.stopping.notify_all();
-        sigwait(&set, &which); // a second signal ends the process at once
-        std::_Exit(exit_failed);
+        for (;;) {
+            int which = 0;
+            sigwait(&set, &which);
+            if (which == SIGHUP) {
+                ++context.reloads;
+                continue;
+            }
+            if (context.stopping)
+                std::_Exit(exit_failed); // a second signal ends the process at once
+            context.stopping = true;
+            context.stopping.notify_all();
+        }
     }}.detach();
     return run(context);
 }
--- a/src/edge/program.hpp
+++ b/src/edge/program.hpp
@@ -17,6 +17,8 @@
 /// State that the parts of one process share.
 struct program_context {
     std::string name;                  // process name from the settings
+    std::string config;                // path of the settings file
+    std::atomic<int> reloads{0};       // SIGHUPs so far: the settings file has changed
     std::atomic<bool> stopping{false}; // set by SIGTERM or SIGINT; the program drains
     std::atomic<bool> ready{false};    // answer of /readyz
     std::shared_ptr<prometheus::Registry> metrics = std::make_shared<prometheus::Registry>();
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10039,6 +10039,129 @@
 }
 
 
+coming_model::~coming_model() noexcept {
+}
+
+
+void coming_model::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void coming_model::__set_ready_ms(const int64_t val) {
+  this->ready_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const coming_model& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t coming_model::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ready_ms);
+          this->__isset.ready_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t coming_model::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("coming_model");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ready_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ready_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(coming_model &a, coming_model &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.ready_ms, b.ready_ms);
+  swap(a.__isset, b.__isset);
+}
+
+coming_model::coming_model(const coming_model& other302) {
+  model = other302.model;
+  ready_ms = other302.ready_ms;
+  __isset = other302.__isset;
+}
+coming_model::coming_model(coming_model&& other303) noexcept {
+  model = std::move(other303.model);
+  ready_ms = other303.ready_ms;
+  __isset = other303.__isset;
+}
+coming_model& coming_model::operator=(const coming_model& other304) {
+  model = other304.model;
+  ready_ms = other304.ready_ms;
+  __isset = other304.__isset;
+  return *this;
+}
+coming_model& coming_model::operator=(coming_model&& other305) noexcept {
+  model = std::move(other305.model);
+  ready_ms = other305.ready_ms;
+  __isset = other305.__isset;
+  return *this;
+}
+void coming_model::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "coming_model(";
+  out << "model=" << to_string(model);
+  out << ", " << "ready_ms=" << to_string(ready_ms);
+  out << ")";
+}
+
+
 target_holding::~target_holding() noexcept {
 }
 
@@ -10059,7 +10182,7 @@
   this->models = val;
 }
 
-void target_holding::__set_coming(const std::vector<std::string> & val) {
+void target_holding::__set_coming(const std::vector<coming_model> & val) {
   this->coming = val;
 }
 std::ostream& operator<<(std::ostream& out, const target_holding& obj)
@@ -10118,14 +10241,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size302;
-            ::apache::thrift::protocol::TType _etype305;
-            xfer += iprot->readListBegin(_etype305, _size302);
-            this->models.resize(_size302);
-            uint32_t _i306;
-            for (_i306 = 0; _i306 < _size302; ++_i306)
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->models.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
             {
-              xfer += iprot->readString(this->models[_i306]);
+              xfer += iprot->readString(this->models[_i310]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10138,14 +10261,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size307;
-            ::apache::thrift::protocol::TType _etype310;
-            xfer += iprot->readListBegin(_etype310, _size307);
-            this->coming.resize(_size307);
-            uint32_t _i311;
-            for (_i311 = 0; _i311 < _size307; ++_i311)
+            uint32_t _size311;
+            ::apache::thrift::protocol::TType _etype314;
+            xfer += iprot->readListBegin(_etype314, _size311);
+            this->coming.resize(_size311);
+            uint32_t _i315;
+            for (_i315 = 0; _i315 < _size311; ++_i315)
             {
-              xfer += iprot->readString(this->coming[_i311]);
+              xfer += this->coming[_i315].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10186,10 +10309,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter312;
-    for (_iter312 = this->models.begin(); _iter312 != this->models.end(); ++_iter312)
+    std::vector<std::string> ::const_iterator _iter316;
+    for (_iter316 = this->models.begin(); _iter316 != this->models.end(); ++_iter316)
     {
-      xfer += oprot->writeString((*_iter312));
+      xfer += oprot->writeString((*_iter316));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10197,11 +10320,11 @@
 
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 5);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->coming.size()));
-    std::vector<std::string> ::const_iterator _iter313;
-    for (_iter313 = this->coming.begin(); _iter313 != this->coming.end(); ++_iter313)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
+    std::vector<coming_model> ::const_iterator _iter317;
+    for (_iter317 = this->coming.begin(); _iter317 != this->coming.end(); ++_iter317)
     {
-      xfer += oprot->writeString((*_iter313));
+      xfer += (*_iter317).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10222,38 +10345,38 @@
   swap(a.__isset, b.__isset);
 }
 
-target_holding::target_holding(const target_holding& other314) {
-  target = other314.target;
-  born = other314.born;
-  sequence = other314.sequence;
-  models = other314.models;
-  coming = other314.coming;
-  __isset = other314.__isset;
-}
-target_holding::target_holding(target_holding&& other315) noexcept {
-  target = std::move(other315.target);
-  born = other315.born;
-  sequence = other315.sequence;
-  models = std::move(other315.models);
-  coming = std::move(other315.coming);
-  __isset = other315.__isset;
-}
-target_holding& target_holding::operator=(const target_holding& other316) {
-  target = other316.target;
-  born = other316.born;
-  sequence = other316.sequence;
-  models = other316.models;
-  coming = other316.coming;
-  __isset = other316.__isset;
+target_holding::target_holding(const target_holding& other318) {
+  target = other318.target;
+  born = other318.born;
+  sequence = other318.sequence;
+  models = other318.models;
+  coming = other318.coming;
+  __isset = other318.__isset;
+}
+target_holding::target_holding(target_holding&& other319) noexcept {
+  target = std::move(other319.target);
+  born = other319.born;
+  sequence = other319.sequence;
+  models = std::move(other319.models);
+  coming = std::move(other319.coming);
+  __isset = other319.__isset;
+}
+target_holding& target_holding::operator=(const target_holding& other320) {
+  target = other320.target;
+  born = other320.born;
+  sequence = other320.sequence;
+  models = other320.models;
+  coming = other320.coming;
+  __isset = other320.__isset;
   return *this;
 }
-target_holding& target_holding::operator=(target_holding&& other317) noexcept {
-  target = std::move(other317.target);
-  born = other317.born;
-  sequence = other317.sequence;
-  models = std::move(other317.models);
-  coming = std::move(other317.coming);
-  __isset = other317.__isset;
+target_holding& target_holding::operator=(target_holding&& other321) noexcept {
+  target = std::move(other321.target);
+  born = other321.born;
+  sequence = other321.sequence;
+  models = std::move(other321.models);
+  coming = std::move(other321.coming);
+  __isset = other321.__isset;
   return *this;
 }
 void target_holding::printTo(std::ostream& out) const {
@@ -10360,26 +10483,26 @@
   swap(a.__isset, b.__isset);
 }
 
-leaving_target::leaving_target(const leaving_target& other318) {
-  target = other318.target;
-  born = other318.born;
-  __isset = other318.__isset;
+leaving_target::leaving_target(const leaving_target& other322) {
+  target = other322.target;
+  born = other322.born;
+  __isset = other322.__isset;
 }
-leaving_target::leaving_target(leaving_target&& other319) noexcept {
-  target = std::move(other319.target);
-  born = other319.born;
-  __isset = other319.__isset;
+leaving_target::leaving_target(leaving_target&& other323) noexcept {
+  target = std::move(other323.target);
+  born = other323.born;
+  __isset = other323.__isset;
 }
-leaving_target& leaving_target::operator=(const leaving_target& other320) {
-  target = other320.target;
-  born = other320.born;
-  __isset = other320.__isset;
+leaving_target& leaving_target::operator=(const leaving_target& other324) {
+  target = other324.target;
+  born = other324.born;
+  __isset = other324.__isset;
   return *this;
 }
-leaving_target& leaving_target::operator=(leaving_target&& other321) noexcept {
-  target = std::move(other321.target);
-  born = other321.born;
-  __isset = other321.__isset;
+leaving_target& leaving_target::operator=(leaving_target&& other325) noexcept {
+  target = std::move(other325.target);
+  born = other325.born;
+  __isset = other325.__isset;
   return *this;
 }
 void leaving_target::printTo(std::ostream& out) const {
@@ -10585,50 +10708,50 @@
   swap(a.__isset, b.__isset);
 }
 
-target_registration::target_registration(const target_registration& other322) {
-  target = other322.target;
-  born = other322.born;
-  service_name = other322.service_name;
-  address = other322.address;
-  data_centre = other322.data_centre;
-  slots = other322.slots;
-  draining = other322.draining;
-  cold_ms = other322.cold_ms;
-  __isset = other322.__isset;
-}
-target_registration::target_registration(target_registration&& other323) noexcept {
-  target = std::move(other323.target);
-  born = other323.born;
-  service_name = std::move(other323.service_name);
-  address = std::move(other323.address);
-  data_centre = std::move(other323.data_centre);
-  slots = other323.slots;
-  draining = other323.draining;
-  cold_ms = other323.cold_ms;
-  __isset = other323.__isset;
-}
-target_registration& target_registration::operator=(const target_registration& other324) {
-  target = other324.target;
-  born = other324.born;
-  service_name = other324.service_name;
-  address = other324.address;
-  data_centre = other324.data_centre;
-  slots = other324.slots;
-  draining = other324.draining;
-  cold_ms = other324.cold_ms;
-  __isset = other324.__isset;
+target_registration::target_registration(const target_registration& other326) {
+  target = other326.target;
+  born = other326.born;
+  service_name = other326.service_name;
+  address = other326.address;
+  data_centre = other326.data_centre;
+  slots = other326.slots;
+  draining = other326.draining;
+  cold_ms = other326.cold_ms;
+  __isset = other326.__isset;
+}
+target_registration::target_registration(target_registration&& other327) noexcept {
+  target = std::move(other327.target);
+  born = other327.born;
+  service_name = std::move(other327.service_name);
+  address = std::move(other327.address);
+  data_centre = std::move(other327.data_centre);
+  slots = other327.slots;
+  draining = other327.draining;
+  cold_ms = other327.cold_ms;
+  __isset = other327.__isset;
+}
+target_registration& target_registration::operator=(const target_registration& other328) {
+  target = other328.target;
+  born = other328.born;
+  service_name = other328.service_name;
+  address = other328.address;
+  data_centre = other328.data_centre;
+  slots = other328.slots;
+  draining = other328.draining;
+  cold_ms = other328.cold_ms;
+  __isset = other328.__isset;
   return *this;
 }
-target_registration& target_registration::operator=(target_registration&& other325) noexcept {
-  target = std::move(other325.target);
-  born = other325.born;
-  service_name = std::move(other325.service_name);
-  address = std::move(other325.address);
-  data_centre = std::move(other325.data_centre);
-  slots = other325.slots;
-  draining = other325.draining;
-  cold_ms = other325.cold_ms;
-  __isset = other325.__isset;
+target_registration& target_registration::operator=(target_registration&& other329) noexcept {
+  target = std::move(other329.target);
+  born = other329.born;
+  service_name = std::move(other329.service_name);
+  address = std::move(other329.address);
+  data_centre = std::move(other329.data_centre);
+  slots = other329.slots;
+  draining = other329.draining;
+  cold_ms = other329.cold_ms;
+  __isset = other329.__isset;
   return *this;
 }
 void target_registration::printTo(std::ostream& out) const {
@@ -10785,14 +10908,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size326;
-            ::apache::thrift::protocol::TType _etype329;
-            xfer += iprot->readListBegin(_etype329, _size326);
-            this->heard.resize(_size326);
-            uint32_t _i330;
-            for (_i330 = 0; _i330 < _size326; ++_i330)
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->heard.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
             {
-              xfer += iprot->readString(this->heard[_i330]);
+              xfer += iprot->readString(this->heard[_i334]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10829,14 +10952,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size331;
-            ::apache::thrift::protocol::TType _etype334;
-            xfer += iprot->readListBegin(_etype334, _size331);
-            this->centres_out.resize(_size331);
-            uint32_t _i335;
-            for (_i335 = 0; _i335 < _size331; ++_i335)
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->centres_out.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += iprot->readString(this->centres_out[_i335]);
+              xfer += iprot->readString(this->centres_out[_i339]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10849,14 +10972,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size336;
-            ::apache::thrift::protocol::TType _etype339;
-            xfer += iprot->readListBegin(_etype339, _size336);
-            this->uses.resize(_size336);
-            uint32_t _i340;
-            for (_i340 = 0; _i340 < _size336; ++_i340)
+            uint32_t _size340;
+            ::apache::thrift::protocol::TType _etype343;
+            xfer += iprot->readListBegin(_etype343, _size340);
+            this->uses.resize(_size340);
+            uint32_t _i344;
+            for (_i344 = 0; _i344 < _size340; ++_i344)
             {
-              xfer += this->uses[_i340].read(iprot);
+              xfer += this->uses[_i344].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10869,14 +10992,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size341;
-            ::apache::thrift::protocol::TType _etype344;
-            xfer += iprot->readListBegin(_etype344, _size341);
-            this->demands.resize(_size341);
-            uint32_t _i345;
-            for (_i345 = 0; _i345 < _size341; ++_i345)
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->demands.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
             {
-              xfer += this->demands[_i345].read(iprot);
+              xfer += this->demands[_i349].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10889,14 +11012,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size346;
-            ::apache::thrift::protocol::TType _etype349;
-            xfer += iprot->readListBegin(_etype349, _size346);
-            this->customers.resize(_size346);
-            uint32_t _i350;
-            for (_i350 = 0; _i350 < _size346; ++_i350)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->customers.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += this->customers[_i350].read(iprot);
+              xfer += this->customers[_i354].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10909,14 +11032,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size351;
-            ::apache::thrift::protocol::TType _etype354;
-            xfer += iprot->readListBegin(_etype354, _size351);
-            this->holdings.resize(_size351);
-            uint32_t _i355;
-            for (_i355 = 0; _i355 < _size351; ++_i355)
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->holdings.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
             {
-              xfer += this->holdings[_i355].read(iprot);
+              xfer += this->holdings[_i359].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10929,14 +11052,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size356;
-            ::apache::thrift::protocol::TType _etype359;
-            xfer += iprot->readListBegin(_etype359, _size356);
-            this->leaving_targets.resize(_size356);
-            uint32_t _i360;
-            for (_i360 = 0; _i360 < _size356; ++_i360)
+            uint32_t _size360;
+            ::apache::thrift::protocol::TType _etype363;
+            xfer += iprot->readListBegin(_etype363, _size360);
+            this->leaving_targets.resize(_size360);
+            uint32_t _i364;
+            for (_i364 = 0; _i364 < _size360; ++_i364)
             {
-              xfer += this->leaving_targets[_i360].read(iprot);
+              xfer += this->leaving_targets[_i364].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10949,14 +11072,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size361;
-            ::apache::thrift::protocol::TType _etype364;
-            xfer += iprot->readListBegin(_etype364, _size361);
-            this->suspects.resize(_size361);
-            uint32_t _i365;
-            for (_i365 = 0; _i365 < _size361; ++_i365)
+            uint32_t _size365;
+            ::apache::thrift::protocol::TType _etype368;
+            xfer += iprot->readListBegin(_etype368, _size365);
+            this->suspects.resize(_size365);
+            uint32_t _i369;
+            for (_i369 = 0; _i369 < _size365; ++_i369)
             {
-              xfer += this->suspects[_i365].read(iprot);
+              xfer += this->suspects[_i369].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10977,14 +11100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size366;
-            ::apache::thrift::protocol::TType _etype369;
-            xfer += iprot->readListBegin(_etype369, _size366);
-            this->registrations.resize(_size366);
-            uint32_t _i370;
-            for (_i370 = 0; _i370 < _size366; ++_i370)
+            uint32_t _size370;
+            ::apache::thrift::protocol::TType _etype373;
+            xfer += iprot->readListBegin(_etype373, _size370);
+            this->registrations.resize(_size370);
+            uint32_t _i374;
+            for (_i374 = 0; _i374 < _size370; ++_i374)
             {
-              xfer += this->registrations[_i370].read(iprot);
+              xfer += this->registrations[_i374].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11037,10 +11160,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter371;
-    for (_iter371 = this->heard.begin(); _iter371 != this->heard.end(); ++_iter371)
+    std::vector<std::string> ::const_iterator _iter375;
+    for (_iter375 = this->heard.begin(); _iter375 != this->heard.end(); ++_iter375)
     {
-      xfer += oprot->writeString((*_iter371));
+      xfer += oprot->writeString((*_iter375));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11061,10 +11184,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter372;
-    for (_iter372 = this->centres_out.begin(); _iter372 != this->centres_out.end(); ++_iter372)
+    std::vector<std::string> ::const_iterator _iter376;
+    for (_iter376 = this->centres_out.begin(); _iter376 != this->centres_out.end(); ++_iter376)
     {
-      xfer += oprot->writeString((*_iter372));
+      xfer += oprot->writeString((*_iter376));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11073,10 +11196,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter373;
-    for (_iter373 = this->uses.begin(); _iter373 != this->uses.end(); ++_iter373)
+    std::vector<target_use> ::const_iterator _iter377;
+    for (_iter377 = this->uses.begin(); _iter377 != this->uses.end(); ++_iter377)
     {
-      xfer += (*_iter373).write(oprot);
+      xfer += (*_iter377).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11085,10 +11208,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter374;
-    for (_iter374 = this->demands.begin(); _iter374 != this->demands.end(); ++_iter374)
+    std::vector<model_demand> ::const_iterator _iter378;
+    for (_iter378 = this->demands.begin(); _iter378 != this->demands.end(); ++_iter378)
     {
-      xfer += (*_iter374).write(oprot);
+      xfer += (*_iter378).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11097,10 +11220,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter375;
-    for (_iter375 = this->customers.begin(); _iter375 != this->customers.end(); ++_iter375)
+    std::vector<customer_use> ::const_iterator _iter379;
+    for (_iter379 = this->customers.begin(); _iter379 != this->customers.end(); ++_iter379)
     {
-      xfer += (*_iter375).write(oprot);
+      xfer += (*_iter379).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11109,10 +11232,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter376;
-    for (_iter376 = this->holdings.begin(); _iter376 != this->holdings.end(); ++_iter376)
+    std::vector<target_holding> ::const_iterator _iter380;
+    for (_iter380 = this->holdings.begin(); _iter380 != this->holdings.end(); ++_iter380)
     {
-      xfer += (*_iter376).write(oprot);
+      xfer += (*_iter380).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11121,10 +11244,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter377;
-    for (_iter377 = this->leaving_targets.begin(); _iter377 != this->leaving_targets.end(); ++_iter377)
+    std::vector<leaving_target> ::const_iterator _iter381;
+    for (_iter381 = this->leaving_targets.begin(); _iter381 != this->leaving_targets.end(); ++_iter381)
     {
-      xfer += (*_iter377).write(oprot);
+      xfer += (*_iter381).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11133,10 +11256,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter378;
-    for (_iter378 = this->suspects.begin(); _iter378 != this->suspects.end(); ++_iter378)
+    std::vector<quarantine> ::const_iterator _iter382;
+    for (_iter382 = this->suspects.begin(); _iter382 != this->suspects.end(); ++_iter382)
     {
-      xfer += (*_iter378).write(oprot);
+      xfer += (*_iter382).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11149,10 +11272,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter379;
-    for (_iter379 = this->registrations.begin(); _iter379 != this->registrations.end(); ++_iter379)
+    std::vector<target_registration> ::const_iterator _iter383;
+    for (_iter383 = this->registrations.begin(); _iter383 != this->registrations.end(); ++_iter383)
     {
-      xfer += (*_iter379).write(oprot);
+      xfer += (*_iter383).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11190,90 +11313,90 @@
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other380) {
-  process = other380.process;
-  boot = other380.boot;
-  sequence = other380.sequence;
-  leaving = other380.leaving;
-  heard = other380.heard;
-  config_version = other380.config_version;
-  config_address = other380.config_address;
-  centres_revision = other380.centres_revision;
-  centres_out = other380.centres_out;
-  uses = other380.uses;
-  demands = other380.demands;
-  customers = other380.customers;
-  holdings = other380.holdings;
-  leaving_targets = other380.leaving_targets;
-  suspects = other380.suspects;
-  wants_registrations = other380.wants_registrations;
-  registrations = other380.registrations;
-  address = other380.address;
-  __isset = other380.__isset;
-}
-peer_status::peer_status(peer_status&& other381) noexcept {
-  process = std::move(other381.process);
-  boot = other381.boot;
-  sequence = other381.sequence;
-  leaving = other381.leaving;
-  heard = std::move(other381.heard);
-  config_version = other381.config_version;
-  config_address = std::move(other381.config_address);
-  centres_revision = other381.centres_revision;
-  centres_out = std::move(other381.centres_out);
-  uses = std::move(other381.uses);
-  demands = std::move(other381.demands);
-  customers = std::move(other381.customers);
-  holdings = std::move(other381.holdings);
-  leaving_targets = std::move(other381.leaving_targets);
-  suspects = std::move(other381.suspects);
-  wants_registrations = other381.wants_registrations;
-  registrations = std::move(other381.registrations);
-  address = std::move(other381.address);
-  __isset = other381.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other382) {
-  process = other382.process;
-  boot = other382.boot;
-  sequence = other382.sequence;
-  leaving = other382.leaving;
-  heard = other382.heard;
-  config_version = other382.config_version;
-  config_address = other382.config_address;
-  centres_revision = other382.centres_revision;
-  centres_out = other382.centres_out;
-  uses = other382.uses;
-  demands = other382.demands;
-  customers = other382.customers;
-  holdings = other382.holdings;
-  leaving_targets = other382.leaving_targets;
-  suspects = other382.suspects;
-  wants_registrations = other382.wants_registrations;
-  registrations = other382.registrations;
-  address = other382.address;
-  __isset = other382.__isset;
+peer_status::peer_status(const peer_status& other384) {
+  process = other384.process;
+  boot = other384.boot;
+  sequence = other384.sequence;
+  leaving = other384.leaving;
+  heard = other384.heard;
+  config_version = other384.config_version;
+  config_address = other384.config_address;
+  centres_revision = other384.centres_revision;
+  centres_out = other384.centres_out;
+  uses = other384.uses;
+  demands = other384.demands;
+  customers = other384.customers;
+  holdings = other384.holdings;
+  leaving_targets = other384.leaving_targets;
+  suspects = other384.suspects;
+  wants_registrations = other384.wants_registrations;
+  registrations = other384.registrations;
+  address = other384.address;
+  __isset = other384.__isset;
+}
+peer_status::peer_status(peer_status&& other385) noexcept {
+  process = std::move(other385.process);
+  boot = other385.boot;
+  sequence = other385.sequence;
+  leaving = other385.leaving;
+  heard = std::move(other385.heard);
+  config_version = other385.config_version;
+  config_address = std::move(other385.config_address);
+  centres_revision = other385.centres_revision;
+  centres_out = std::move(other385.centres_out);
+  uses = std::move(other385.uses);
+  demands = std::move(other385.demands);
+  customers = std::move(other385.customers);
+  holdings = std::move(other385.holdings);
+  leaving_targets = std::move(other385.leaving_targets);
+  suspects = std::move(other385.suspects);
+  wants_registrations = other385.wants_registrations;
+  registrations = std::move(other385.registrations);
+  address = std::move(other385.address);
+  __isset = other385.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other386) {
+  process = other386.process;
+  boot = other386.boot;
+  sequence = other386.sequence;
+  leaving = other386.leaving;
+  heard = other386.heard;
+  config_version = other386.config_version;
+  config_address = other386.config_address;
+  centres_revision = other386.centres_revision;
+  centres_out = other386.centres_out;
+  uses = other386.uses;
+  demands = other386.demands;
+  customers = other386.customers;
+  holdings = other386.holdings;
+  leaving_targets = other386.leaving_targets;
+  suspects = other386.suspects;
+  wants_registrations = other386.wants_registrations;
+  registrations = other386.registrations;
+  address = other386.address;
+  __isset = other386.__isset;
   return *this;
 }
-peer_status& peer_status::operator=(peer_status&& other383) noexcept {
-  process = std::move(other383.process);
-  boot = other383.boot;
-  sequence = other383.sequence;
-  leaving = other383.leaving;
-  heard = std::move(other383.heard);
-  config_version = other383.config_version;
-  config_address = std::move(other383.config_address);
-  centres_revision = other383.centres_revision;
-  centres_out = std::move(other383.centres_out);
-  uses = std::move(other383.uses);
-  demands = std::move(other383.demands);
-  customers = std::move(other383.customers);
-  holdings = std::move(other383.holdings);
-  leaving_targets = std::move(other383.leaving_targets);
-  suspects = std::move(other383.suspects);
-  wants_registrations = other383.wants_registrations;
-  registrations = std::move(other383.registrations);
-  address = std::move(other383.address);
-  __isset = other383.__isset;
+peer_status& peer_status::operator=(peer_status&& other387) noexcept {
+  process = std::move(other387.process);
+  boot = other387.boot;
+  sequence = other387.sequence;
+  leaving = other387.leaving;
+  heard = std::move(other387.heard);
+  config_version = other387.config_version;
+  config_address = std::move(other387.config_address);
+  centres_revision = other387.centres_revision;
+  centres_out = std::move(other387.centres_out);
+  uses = std::move(other387.uses);
+  demands = std::move(other387.demands);
+  customers = std::move(other387.customers);
+  holdings = std::move(other387.holdings);
+  leaving_targets = std::move(other387.leaving_targets);
+  suspects = std::move(other387.suspects);
+  wants_registrations = other387.wants_registrations;
+  registrations = std::move(other387.registrations);
+  address = std::move(other387.address);
+  __isset = other387.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -229,6 +229,8 @@
 
 class customer_use;
 
+class coming_model;
+
 class target_holding;
 
 class leaving_target;
@@ -4036,6 +4038,58 @@
 
 std::ostream& operator<<(std::ostream& out, const customer_use& obj);
 
+typedef struct _coming_model__isset {
+  _coming_model__isset() : model(false), ready_ms(false) {}
+  bool model :1;
+  bool ready_ms :1;
+} _coming_model__isset;
+
+class coming_model : public virtual ::apache::thrift::TBase {
+ public:
+
+  coming_model(const coming_model&);
+  coming_model(coming_model&&) noexcept;
+  coming_model& operator=(const coming_model&);
+  coming_model& operator=(coming_model&&) noexcept;
+  coming_model() noexcept
+               : model(),
+                 ready_ms(0) {
+  }
+
+  virtual ~coming_model() noexcept;
+  std::string model;
+  int64_t ready_ms;
+
+  _coming_model__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_ready_ms(const int64_t val);
+
+  bool operator == (const coming_model & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(ready_ms == rhs.ready_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const coming_model &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const coming_model & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(coming_model &a, coming_model &b);
+
+std::ostream& operator<<(std::ostream& out, const coming_model& obj);
+
 typedef struct _target_holding__isset {
   _target_holding__isset() : target(false), born(false), sequence(false), models(false), coming(false) {}
   bool target :1;
@@ -4066,7 +4120,7 @@
   int64_t born;
   int64_t sequence;
   std::vector<std::string>  models;
-  std::vector<std::string>  coming;
+  std::vector<coming_model>  coming;
 
   _target_holding__isset __isset;
 
@@ -4078,7 +4132,7 @@
 
   void __set_models(const std::vector<std::string> & val);
 
-  void __set_coming(const std::vector<std::string> & val);
+  void __set_coming(const std::vector<coming_model> & val);
 
   bool operator == (const target_holding & rhs) const
   {
--- a/src/programs/gateway/call.hpp
+++ b/src/programs/gateway/call.hpp
@@ -33,6 +33,7 @@
     core::common::time_point not_before{}; // after a target's rejection
     int sends = 0;                         // including those that targets rejected
     bool may_have_run = false;             // no promise of "not run" any more
+    core::common::time_point waiting_since{};
     core::common::time_point hold_until{}; // then it is refused if it still waits
     std::uint64_t order = 0;               // of arrival
     std::string target;                    // where it runs; empty: it waits
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -20,10 +20,6 @@
 constexpr double model_batch_part = 0.75;        // of an engine's slots, so that first tokens stay early
 constexpr int plain_queue = 2;                   // requests beyond its slots that a plain service may hold
 constexpr milliseconds overdue_check{20};
-constexpr milliseconds load_check{200};     // how often a request that waits for a load is looked at
-constexpr int answer_parts = 4;             // tenths of its whole time that a request needs for its answer
-constexpr milliseconds no_target_hold{500}; // a restarting service may be back within that
-constexpr milliseconds retry_after_least{200};
 
 double seconds(duration value) {
     return std::chrono::duration<double>(value).count();
@@ -41,6 +37,7 @@
         count_arrival(*one);
     }
     one->target.clear();
+    one->waiting_since = {};
     one->hold_until = {};
     waiting_[one->order] = one;
     if (one->not_before > context_.loop.now())
@@ -77,6 +74,8 @@
     std::map<std::pair<std::string, core::fleet::model_wish>, std::vector<core::dispatch::candidate>>
         by_group;
     std::map<std::pair<std::string, core::fleet::model_wish>, obstacle> blocked;
+    static const std::vector<core::dispatch::candidate> no_candidates;
+    std::vector<std::tuple<call_ptr, obstacle, duration>> refused;
     bool new_wait = false;
     for (const auto& [key, one] : order) {
         const std::pair<std::string, core::fleet::model_wish> group{one->service, one->model};
@@ -101,12 +100,20 @@
             if (one->sent_to.empty())
                 blocked[group] = why;
         }
-        if (one->hold_until == time_point{}) {
-            one->hold_until = std::min(one->deadline, now + hold_limit(*one, why));
-            new_wait = true;
-        }
+        const bool first = one->waiting_since == time_point{};
+        if (first)
+            one->waiting_since = now;
+        new_wait = new_wait || first;
+        const auto found = by_group.find(group);
+        const auto patience = patience_of(*one, why, found == by_group.end() ? no_candidates : found->second);
+        one->hold_until = patience.until;
+        if (now >= patience.until)
+            refused.emplace_back(one, why, patience.retry_after);
+    }
+    for (const auto& [one, why, retry_after] : refused) {
+        withdraw(one);
+        owner_.on_refuse(one, why, retry_after);
     }
-    refuse_overdue();
     schedule_overdue();
     if (new_wait)
         owner_.on_new_wait();
@@ -117,20 +124,17 @@
             one.attempts_left() ? nullptr : &one.sent_to};
 }
 
-/// How long the request may wait from now on, given what it waits for.
-duration dispatcher::hold_limit(const call& one, obstacle why) const {
-    const duration aim = one.route->target_latency;
-    switch (why) {
-    case obstacle::no_target:
-    case obstacle::unreachable:
-        return std::min<duration>(aim, no_target_hold);
-    case obstacle::no_model:
-    case obstacle::loading:
-    case obstacle::no_adapter:
-        return aim * 3 / 2;
-    default:
-        return aim;
-    }
+core::dispatch::patience dispatcher::patience_of(const call& one, obstacle why,
+                                                 const std::vector<core::dispatch::candidate>& among) const {
+    const time_point now = context_.loop.now();
+    core::dispatch::waiting_facts facts{one.waiting_since,         one.arrived,  one.deadline,
+                                        one.route->target_latency, std::nullopt, one.order};
+    const auto* service = context_.config->find_service(one.service);
+    if (service != nullptr && service->engine)
+        if (const auto spec = service->engine->models.find(one.model.model);
+            spec != service->engine->models.end())
+            facts.model_ready = core::dispatch::earliest_ready(among, spec->second, now);
+    return core::dispatch::patience_for(why, facts, now);
 }
 
 void dispatcher::refuse_all(duration retry_after) {
@@ -141,45 +145,18 @@
     }
 }
 
-/// A request for a model that is being loaded waits on while that still leaves time for its answer.
-bool dispatcher::prolong_for_load(call& one) const {
-    const time_point now = context_.loop.now();
-    const auto last = one.deadline - (one.deadline - one.arrived) * answer_parts / 10;
-    if (now >= last)
-        return false;
-    one.hold_until = std::min<time_point>(last, now + load_check);
-    return true;
-}
-
-void dispatcher::refuse_overdue() {
-    const time_point now = context_.loop.now();
-    std::vector<call_ptr> overdue;
-    for (const auto& [number, one] : waiting_)
-        if (now >= one->hold_until)
-            overdue.push_back(one);
-    for (const call_ptr& one : overdue) {
-        const auto found = candidates(one->service, one->model);
-        const auto choice = core::dispatch::choose(found, wish_of(*one), now);
-        if (choice.chosen != nullptr && now < one->deadline) { // it pauses, or a place has come free just now
-            one->hold_until = std::max(now, one->not_before) + overdue_check;
-            pump_soon();
-            continue;
-        }
-        if (choice.why == obstacle::loading && prolong_for_load(*one))
-            continue;
-        withdraw(one);
-        const duration wait = std::max<duration>(retry_after_least, one->route->target_latency / 2);
-        owner_.on_refuse(one, choice.why, wait);
-    }
-}
-
+/// Looks again when the first waiting request may have waited long enough.
 void dispatcher::schedule_overdue() {
-    if (waiting_.empty() || overdue_timer_.second != 0)
+    context_.loop.cancel(overdue_timer_);
+    if (waiting_.empty())
         return;
-    overdue_timer_ = context_.loop.schedule(context_.loop.now() + overdue_check, [this] {
+    time_point next = time_point::max();
+    for (const auto& [number, one] : waiting_)
+        next = std::min(next, std::max(one->hold_until, one->not_before));
+    next = std::max(next, context_.loop.now() + overdue_check);
+    overdue_timer_ = context_.loop.schedule(next, [this] {
         overdue_timer_ = {};
-        refuse_overdue();
-        schedule_overdue();
+        pump();
     });
 }
 
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -1,7 +1,7 @@
 /// Requests that wait, the targets as this gateway sees them, and the moment at which one goes to the other.
 #pragma once
 
-#include "core/dispatch/target_choice.hpp"
+#include "core/dispatch/patience.hpp"
 #include "programs/gateway/call.hpp"
 #include "programs/gateway/context.hpp"
 
@@ -91,10 +91,10 @@
     bool cold_allowance(const core::fleet::target& target, target_runtime& runtime);
     void count_arrival(const call& one);
     [[nodiscard]] core::dispatch::wish wish_of(const call& one) const;
-    bool prolong_for_load(call& one) const;
-    void refuse_overdue();
     void schedule_overdue();
-    [[nodiscard]] core::common::duration hold_limit(const call& one, core::dispatch::obstacle why) const;
+    [[nodiscard]] core::dispatch::patience
+    patience_of(const call& one, core::dispatch::obstacle why,
+                const std::vector<core::dispatch::candidate>& among) const;
 
     gateway_context& context_;
     owner owner_;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/gateway.hpp"
 
 #include "edge/boot_clock.hpp"
+#include "edge/log.hpp"
 #include "platform/headers.hpp"
 
 #include <xxhash.h>
@@ -17,6 +18,7 @@
 constexpr milliseconds lease_timeout{400}; // of a call for the lease: time must be left for another way
 constexpr milliseconds store_timeout{600}; // of one call, besides a watch's own wait
 constexpr milliseconds housekeeping_every{100};
+constexpr milliseconds settings_check_every{1'000};
 constexpr milliseconds register_retry{500};
 constexpr milliseconds drain_least{2'600};     // the balancer needs two unready answers to notice
 constexpr milliseconds drain_accepts{2'200};   // then new requests are refused
@@ -346,6 +348,7 @@
     }
     context_.numbers.connections_opened.Set(static_cast<double>(dispatcher_.connections().opened));
     context_.numbers.connections_reused.Set(static_cast<double>(dispatcher_.connections().reused));
+    reload_if_changed();
     if (program_.stopping && !context_.ending)
         begin_drain();
     if (context_.ending)
@@ -353,6 +356,45 @@
     loop_.schedule(now + housekeeping_every, [this] { housekeeping(); });
 }
 
+/// The settings file may change with a SIGHUP or without one.
+void gateway::reload_if_changed() {
+    const auto now = loop_.now();
+    const int asked = program_.reloads;
+    if (asked == reloads_seen_ && now - settings_checked_ < settings_check_every)
+        return;
+    std::error_code failure;
+    const auto written = std::filesystem::last_write_time(program_.config, failure);
+    const bool changed = !failure && written != settings_written_;
+    const bool first = settings_checked_ == time_point{};
+    settings_checked_ = now;
+    settings_written_ = failure ? settings_written_ : written;
+    if (asked != reloads_seen_ || (changed && !first))
+        reload();
+    reloads_seen_ = asked;
+}
+
+/// Takes over what can change while the process runs; faulty settings change nothing.
+void gateway::reload() {
+    gateway_settings fresh;
+    const auto faults = edge::settings_file::load(program_.config, [&](edge::settings_section& top) {
+        fresh.name = top.text("name");
+        edge::set_log_level(top.text("log_level", "info"));
+        read_settings(top, fresh);
+    });
+    if (!faults.empty())
+        return log_.write(edge::events::settings_refused, program_.config,
+                          {{"why", edge::describe(program_.config, faults)}});
+    const bool needs_restart = fresh.http != settings_.http || fresh.readiness != settings_.readiness ||
+                               fresh.metrics != settings_.metrics || fresh.peers != settings_.peers ||
+                               fresh.store != settings_.store || fresh.name != settings_.name;
+    settings_.lease_term = fresh.lease_term;
+    settings_.drain = fresh.drain;
+    settings_.retries = fresh.retries;
+    settings_.placing = fresh.placing;
+    forwarder_.change_members();
+    log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
+}
+
 void gateway::begin_drain() {
     context_.ending = true;
     drain_began_ = loop_.now();
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -4,7 +4,9 @@
 #include "edge/program.hpp"
 #include "programs/gateway/order_giver.hpp"
 
+#include <filesystem>
 #include <memory>
+#include <mutex>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -36,6 +38,8 @@
     void begin_drain();
     void drain_step();
     void update_readiness();
+    void reload_if_changed();
+    void reload();
 
     edge::program_context& program_;
     gateway_settings settings_;
@@ -60,6 +64,9 @@
     std::mutex config_mutex_;
     std::string config_for_peers_; // under config_mutex_: read by the metrics server's thread
     core::common::time_point drain_began_{};
+    int reloads_seen_ = 0;
+    std::filesystem::file_time_type settings_written_{};
+    core::common::time_point settings_checked_{};
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -250,7 +250,7 @@
     for (const auto& [model, adapters] : ledger.models())
         if (!loading.contains(model))
             models[model] = {adapters.begin(), adapters.end()};
-    context_.directory.describe(id, ledger.born(), ledger.sequence(), models, loading, now);
+    context_.directory.describe(id, ledger.born(), ledger.sequence(), models, ledger.coming(now), now);
     dispatch_.pump_soon();
 }
 
@@ -266,10 +266,15 @@
         one.target = id;
         one.born = known.ledger.born();
         one.sequence = known.ledger.sequence();
-        const auto loading = known.ledger.loading(now);
-        one.coming.assign(loading.begin(), loading.end());
+        const auto coming = known.ledger.coming(now);
+        for (const auto& [model, at] : coming) {
+            wire::coming_model load;
+            load.model = model;
+            load.ready_ms = core::common::to_wire_ms(at - now);
+            one.coming.push_back(std::move(load));
+        }
         for (const auto& [model, adapters] : known.ledger.models()) {
-            if (loading.contains(model))
+            if (coming.contains(model))
                 continue;
             one.models.push_back(model);
             for (const std::string& adapter : adapters)
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -269,8 +269,11 @@
             if (!wish.adapter.empty())
                 adapters.push_back(wish.adapter);
         }
-        context_.directory.describe(one.target, one.born, one.sequence, models,
-                                    {one.coming.begin(), one.coming.end()}, context_.loop.now());
+        const auto now = context_.loop.now();
+        std::map<std::string, core::common::time_point> coming;
+        for (const auto& load : one.coming)
+            coming[load.model] = now + milliseconds{load.ready_ms};
+        context_.directory.describe(one.target, one.born, one.sequence, models, coming, now);
     }
     if (!status.holdings.empty())
         parts_.dispatch.pump_soon();
