--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -107,6 +107,12 @@
         const auto found = by_group.find(group);
         const auto patience = patience_of(*one, why, found == by_group.end() ? no_candidates : found->second);
         one->hold_until = patience.until;
+        if (first && now < patience.until)
+            context_.log.write(edge::events::request_waiting, one->request_id,
+                               {{"why", core::dispatch::name_of(why)},
+                                {"model", one->model.model},
+                                {"adapter", one->model.adapter},
+                                {"at_most_ms", core::common::to_wire_ms(patience.until - now)}});
         if (now >= patience.until)
             refused.emplace_back(one, why, patience.retry_after);
     }
--- a/tests/contract/target_link_test.cpp
+++ b/tests/contract/target_link_test.cpp
@@ -32,8 +32,8 @@
         sockaddr_in at{};
         at.sin_family = AF_INET;
         at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at);
-        ::listen(listener_, 16);
+        EXPECT_EQ(::bind(listener_, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+        EXPECT_EQ(::listen(listener_, 16), 0);
         socklen_t size = sizeof at;
         getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
         address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
--- a/tests/core/dispatch_test.cpp
+++ b/tests/core/dispatch_test.cpp
@@ -9,7 +9,6 @@
 using namespace std::chrono_literals;
 using common::time_point;
 using dispatch::candidate;
-using dispatch::obstacle;
 
 namespace {
 
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -11,6 +11,7 @@
 
 EVENT_PAUSE_S = 0.03         # between two events of a stream
 STORE_LOAD_S = 60.0          # a load from the weight store lasts longer than any request here
+FORETOLD_LOAD_S = 2.0        # and than the configuration says
 
 
 class Door(http.server.ThreadingHTTPServer):
@@ -201,7 +202,7 @@
 
 def configuration(version=2, keys=("k-norte",), rate=1_000_000):
     engine = {"slots": 64, "kv_capacity": 100000, "weights_mb": 230000.0, "adapter_slots": 8, "loads_per_s": 4.0,
-              "models": [{"name": f"m{number}", "weights_mb": 70000.0, "load_time_s": STORE_LOAD_S, "adapters": 4,
+              "models": [{"name": f"m{number}", "weights_mb": 70000.0, "load_time_s": FORETOLD_LOAD_S, "adapters": 4,
                           "adapter_mb": 12.0, "warm_s": 0.05, "disk_s": 0.05} for number in range(5)]}
     return {"version": version,
             "routes": [route("notes", "/notes/", "streaming", "engine", resumable=True),
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -228,6 +228,20 @@
         expect(fleet.ask("/dossier/1", fleet.headers("m0")).status, 200, "a loaded model meanwhile")
 
 
+def what_is_known_to_come_too_late_is_refused_at_once():
+    with Fleet() as fleet:
+        fleet.target("t1", "engine", models=["m0"])
+        fleet.start()
+        wait_until(lambda: fleet.events("lease_taken"), "the gateway gives orders")
+        headers = fleet.headers("m3", Deadline_Remaining="1000")
+        refused = fleet.ask("/dossier/1", headers)
+        expect(refused.status, 503, "a model that takes two seconds, wanted within one")
+        if not 1.9 <= float(refused.headers["retry-after"]) < 2.5:
+            raise Failure(f"Retry-After: {refused.headers['retry-after']}")
+        if "request_waiting" in fleet.cause(headers["Request-Id"]):
+            raise Failure("it was held")
+
+
 def a_model_on_disk_is_loaded_on_demand_and_an_adapter_beside_it():
     with Fleet() as fleet:
         fleet.target("t1", "engine", models=["m0", "m1", "m2"], on_disk=["m3", "m4"])
@@ -303,6 +317,7 @@
                refused_in_overload_the_cause_is_found,
                broken_off_at_a_change_of_the_order_giver_the_cause_is_found,
                waited_for_a_model_that_came_too_late_the_cause_is_found,
+               what_is_known_to_come_too_late_is_refused_at_once,
                a_model_on_disk_is_loaded_on_demand_and_an_adapter_beside_it,
                a_gateway_that_the_store_turns_away_learns_from_its_peer,
                sigterm_finishes_what_runs_and_refuses_what_comes_late,
