--- a/src/core/fleet/model.cpp
+++ b/src/core/fleet/model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 
 namespace waxwinglb::core::fleet {
 namespace {
@@ -55,4 +56,17 @@
     return {std::string{text.substr(0, slash)}, std::string{text.substr(slash + 1)}};
 }
 
+bool offers(const engine_spec& engine, const model_wish& wish) {
+    const auto model = engine.models.find(wish.model);
+    if (model == engine.models.end())
+        return false;
+    if (wish.adapter.empty())
+        return true;
+    const char* end = wish.adapter.data() + wish.adapter.size();
+    int number = 0;
+    const auto [stop, failure] = std::from_chars(wish.adapter.data() + 1, end, number);
+    return wish.adapter.front() == 'a' && failure == std::errc{} && stop == end && number >= 1 &&
+           number <= model->second.adapters;
+}
+
 } // namespace waxwinglb::core::fleet
--- a/src/core/timeline/story.cpp
+++ b/src/core/timeline/story.cpp
@@ -32,6 +32,8 @@
     reason_text{"malformed_token_count", "Its count of tokens is malformed."},
     reason_text{"deadline_passed", "Its deadline had passed when it came."},
     reason_text{"over_rate", "Its customer had used up its rate and burst over all gateways."},
+    reason_text{"unknown_model",
+                "Its service's engine has no such model or adapter in the configuration in force."},
     reason_text{"condemned", "The same request had broken the connections of three targets that ran it."},
     reason_text{"ending", "This gateway was about to end and took nothing new."},
     reason_text{"none", "A target had become free in the moment in which it was refused."},
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -283,12 +283,13 @@
     return sum;
 }
 
-void dispatcher::forget(const std::string& target) {
-    const auto found = runtimes_.find(target);
-    if (found != runtimes_.end() && found->second.running == 0)
-        runtimes_.erase(found);
+void dispatcher::forget_missing() {
+    const auto missing = [&](const std::string& target) {
+        return context_.directory.find(target) == nullptr;
+    };
+    std::erase_if(runtimes_, [&](const auto& one) { return one.second.running == 0 && missing(one.first); });
     std::erase_if(usage_,
-                  [&](const auto& one) { return one.first.first == target && one.second.running == 0; });
+                  [&](const auto& one) { return one.second.running == 0 && missing(one.first.first); });
 }
 
 void dispatcher::peer_load(const std::string& peer, std::map<std::string, int> running) {
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -38,7 +38,7 @@
     void end(const call_ptr& one, verdict how);
     std::shared_ptr<target_link> link(const std::string& target);
     [[nodiscard]] int load_of(const std::string& target) const; // requests there, of all gateways
-    void forget(const std::string& target);                     // it is gone
+    void forget_missing(); // targets that are no longer in the directory
 
     /// Requests of other gateways at each target, as last told.
     void peer_load(const std::string& peer, std::map<std::string, int> running);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -241,6 +241,10 @@
     const auto* service = one->config->find_service(one->service);
     if (service == nullptr || !service->engine)
         one->model = {};
+    else if (!one->model.model.empty() && !core::fleet::offers(*service->engine, one->model)) {
+        reject(one, 503, "unknown_model");
+        return false;
+    }
     if (const std::string* text = edge::find_field(fields, platform::tokens_header)) {
         const auto tokens = tokens_of(*text);
         if (!tokens) {
@@ -344,8 +348,8 @@
     const auto now = loop_.now();
     for (const std::string& id : context_.directory.expire(now)) {
         log_.write(edge::events::target_changed, id, {{"change", "lapsed"}});
-        dispatcher_.forget(id);
     }
+    dispatcher_.forget_missing();
     context_.numbers.connections_opened.Set(static_cast<double>(dispatcher_.connections().opened));
     context_.numbers.connections_reused.Set(static_cast<double>(dispatcher_.connections().reused));
     reload_if_changed();
--- a/tests/core/fleet_test.cpp
+++ b/tests/core/fleet_test.cpp
@@ -185,3 +185,12 @@
     one.remove("t1", start + 600ms);
     EXPECT_EQ(one.find("t1"), nullptr);
 }
+
+TEST(fleet_config, an_engine_offers_its_models_and_their_numbered_adapters) {
+    fleet::engine_spec engine;
+    engine.models["m"].adapters = 2;
+    for (const char* wish : {"m", "m/a1", "m/a2"})
+        EXPECT_TRUE(fleet::offers(engine, fleet::parse_model_wish(wish))) << wish;
+    for (const char* wish : {"n", "m/a0", "m/a3", "m/b1", "m/a1x", "m/a", "m/a-1"})
+        EXPECT_FALSE(fleet::offers(engine, fleet::parse_model_wish(wish))) << wish;
+}
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -122,6 +122,7 @@
         expect(fleet.ask("/elsewhere/", fleet.headers()).status, 404, "unknown path")
         expect(fleet.ask("/cert/1", fleet.headers(Host="other.example")).status, 404, "unknown host")
         expect(fleet.ask("/cert/1", fleet.headers(X_Api_Key="stolen")).status, 401, "unknown key")
+        expect(fleet.ask("/notes/1", fleet.headers("m99")).status, 503, "a model that the configuration does not have")
         expect(fleet.ask("/cert/1", fleet.headers(Deadline_Remaining="soon")).status, 400, "malformed deadline")
         expect(fleet.ask("/cert/1", fleet.headers(), b"x" * 70_000).status, 413, "a large body")
         expect(fleet.ask("/cert/1", fleet.headers(X_Long="x" * 20_000)).status, 431, "a large header")
