Split the dispatcher's pass into steps; keep the platform's field names in platform/

Change: in_order, place_or_wait and wait_on; cold_rate. Ruled out: a change of behaviour (programs.test_gateway: 13 cases pass).

--- a/src/core/fleet/model.hpp
+++ b/src/core/fleet/model.hpp
@@ -65,7 +65,7 @@
     std::string name;
     std::string health_path;
     int max_connections = 100;         // at one target, over all callers
-    double cold_per_second = 0;        // requests a second that a cold target bears; 0: no limit
+    double cold_rate = 0;              // requests a second that a cold target bears; 0: no limit
     std::optional<engine_spec> engine; // model engines only
 };
 
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -62,76 +62,87 @@
 }
 
 /// Urgent requests first, those that can still be on time before the others, then by arrival.
-void dispatcher::pump() {
+std::vector<call_ptr> dispatcher::in_order() const {
     const time_point now = context_.loop.now();
-    std::vector<std::pair<order_key, call_ptr>> order;
-    order.reserve(waiting_.size());
+    std::vector<std::pair<order_key, call_ptr>> keyed;
+    keyed.reserve(waiting_.size());
     for (const auto& [number, one] : waiting_) {
         const bool late = now > one->arrived + one->route->target_latency;
-        order.push_back({{late, one->priority, number}, one});
-    }
-    std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    std::map<std::pair<std::string, core::fleet::model_wish>, std::vector<core::dispatch::candidate>>
-        by_group;
-    std::map<std::pair<std::string, core::fleet::model_wish>, obstacle> blocked;
-    static const std::vector<core::dispatch::candidate> no_candidates;
-    std::vector<std::tuple<call_ptr, obstacle, duration>> refused;
-    bool new_wait = false;
-    for (const auto& [key, one] : order) {
-        const std::pair<std::string, core::fleet::model_wish> group{one->service, one->model};
-        if (now < one->not_before)
-            continue;
-        obstacle why = obstacle::none;
-        if (const auto known = blocked.find(group); known != blocked.end() && one->sent_to.empty()) {
-            why = known->second;
-        } else {
-            auto found = by_group.find(group);
-            if (found == by_group.end())
-                found = by_group.emplace(group, candidates(one->service, one->model)).first;
-            const auto choice = core::dispatch::choose(found->second, wish_of(*one), now);
-            if (choice.chosen != nullptr) {
-                const std::string target = choice.chosen->target->entry.id;
-                withdraw(one);
-                owner_.on_send(one, target);
-                by_group.clear(); // the loads have changed
-                continue;
-            }
-            why = choice.why;
-            if (one->sent_to.empty())
-                blocked[group] = why;
-        }
-        const bool first = one->waiting_since == time_point{};
-        if (first)
-            one->waiting_since = now;
-        new_wait = new_wait || first;
-        const auto found = by_group.find(group);
-        const auto patience = patience_of(*one, why, found == by_group.end() ? no_candidates : found->second);
-        one->hold_until = patience.until;
-        if (first && now < patience.until)
-            context_.log.write(edge::events::request_waiting, one->request_id,
-                               {{"why", core::dispatch::name_of(why)},
-                                {"model", one->model.model},
-                                {"adapter", one->model.adapter},
-                                {"at_most_ms", core::common::to_wire_ms(patience.until - now)}});
-        if (now >= patience.until)
-            refused.emplace_back(one, why, patience.retry_after);
+        keyed.push_back({{late, one->priority, number}, one});
     }
-    for (const auto& [one, why, retry_after] : refused) {
+    std::sort(keyed.begin(), keyed.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<call_ptr> out;
+    out.reserve(keyed.size());
+    for (auto& [key, one] : keyed)
+        out.push_back(std::move(one));
+    return out;
+}
+
+/// Looks for a place for each waiting request, and refuses those that have waited long enough.
+void dispatcher::pump() {
+    pass state;
+    for (const call_ptr& one : in_order())
+        if (context_.loop.now() >= one->not_before)
+            place_or_wait(one, state);
+    for (const auto& [one, why, retry_after] : state.refused) {
         withdraw(one);
         owner_.on_refuse(one, why, retry_after);
     }
     schedule_overdue();
-    if (new_wait)
+    if (state.new_wait)
         owner_.on_new_wait();
 }
 
+void dispatcher::place_or_wait(const call_ptr& one, pass& state) {
+    const group_key group{one->service, one->model};
+    // What stood in the way of one request stands in the way of all that want the same and were never sent.
+    const auto known = state.blocked.find(group);
+    if (known != state.blocked.end() && one->sent_to.empty())
+        return wait_on(one, known->second, state);
+    auto found = state.by_group.find(group);
+    if (found == state.by_group.end())
+        found = state.by_group.emplace(group, candidates(one->service, one->model)).first;
+    const auto choice = core::dispatch::choose(found->second, wish_of(*one), context_.loop.now());
+    if (choice.chosen == nullptr) {
+        if (one->sent_to.empty())
+            state.blocked[group] = choice.why;
+        return wait_on(one, choice.why, state);
+    }
+    const std::string target = choice.chosen->target->entry.id;
+    withdraw(one);
+    owner_.on_send(one, target);
+    state.by_group.clear(); // the loads have changed
+}
+
+void dispatcher::wait_on(const call_ptr& one, obstacle why, pass& state) {
+    const time_point now = context_.loop.now();
+    const bool first = one->waiting_since == time_point{};
+    if (first)
+        one->waiting_since = now;
+    state.new_wait = state.new_wait || first;
+    const auto found = state.by_group.find({one->service, one->model});
+    const auto patience =
+        patience_of(*one, why, found == state.by_group.end() ? candidate_list{} : found->second);
+    one->hold_until = patience.until;
+    if (now >= patience.until) {
+        state.refused.emplace_back(one, why, patience.retry_after);
+        return;
+    }
+    if (first)
+        context_.log.write(edge::events::request_waiting, one->request_id,
+                           {{"why", core::dispatch::name_of(why)},
+                            {"model", one->model.model},
+                            {"adapter", one->model.adapter},
+                            {"at_most_ms", core::common::to_wire_ms(patience.until - now)}});
+}
+
 core::dispatch::wish dispatcher::wish_of(const call& one) const {
     return {one.model, one.sticky_session, &one.failed_at, &context_.centres_out,
             one.attempts_left() ? nullptr : &one.sent_to};
 }
 
 core::dispatch::patience dispatcher::patience_of(const call& one, obstacle why,
-                                                 const std::vector<core::dispatch::candidate>& among) const {
+                                                 const candidate_list& among) const {
     const time_point now = context_.loop.now();
     core::dispatch::waiting_facts facts{one.waiting_since,         one.arrived,  one.deadline,
                                         one.route->target_latency, std::nullopt, one.order};
@@ -179,18 +190,18 @@
     if (now >= target.cold_until)
         return true;
     const auto* service = context_.config->find_service(target.entry.service);
-    if (service == nullptr || service->cold_per_second <= 0)
+    if (service == nullptr || service->cold_rate <= 0)
         return true;
-    const double rate = service->cold_per_second / std::max(1, context_.members);
+    const double rate = service->cold_rate / std::max(1, context_.members);
     runtime.cold_tokens = std::min(1.0, runtime.cold_tokens + rate * seconds(now - runtime.cold_filled));
     runtime.cold_filled = now;
     return runtime.cold_tokens >= 1;
 }
 
-std::vector<core::dispatch::candidate> dispatcher::candidates(const std::string& service,
-                                                              const core::fleet::model_wish& wish) {
+dispatcher::candidate_list dispatcher::candidates(const std::string& service,
+                                                  const core::fleet::model_wish& wish) {
     const time_point now = context_.loop.now();
-    std::vector<core::dispatch::candidate> out;
+    candidate_list out;
     for (const auto& [id, target] : context_.directory.targets()) {
         if (target.entry.service != service)
             continue;
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <map>
+#include <tuple>
+#include <vector>
 
 namespace waxwinglb::programs::gateway {
 
@@ -38,7 +40,7 @@
     void end(const call_ptr& one, verdict how);
     std::shared_ptr<target_link> link(const std::string& target);
     [[nodiscard]] int load_of(const std::string& target) const; // requests there, of all gateways
-    void forget_missing(); // targets that are no longer in the directory
+    void forget_missing();                                      // targets that are no longer in the directory
 
     /// Requests of other gateways at each target, as last told.
     void peer_load(const std::string& peer, std::map<std::string, int> running);
@@ -84,17 +86,29 @@
     };
     using order_key = std::tuple<bool, int, std::uint64_t>; // late, priority, arrival
 
+    using group_key = std::pair<std::string, core::fleet::model_wish>; // service, what is wished of it
+    using candidate_list = std::vector<core::dispatch::candidate>;
+
+    /// What one look at all waiting requests has found out so far.
+    struct pass {
+        std::map<group_key, candidate_list> by_group;
+        std::map<group_key, core::dispatch::obstacle> blocked;
+        std::vector<std::tuple<call_ptr, core::dispatch::obstacle, core::common::duration>> refused;
+        bool new_wait = false;
+    };
+
     void pump();
-    [[nodiscard]] std::vector<core::dispatch::candidate> candidates(const std::string& service,
-                                                                    const core::fleet::model_wish& wish);
+    [[nodiscard]] std::vector<call_ptr> in_order() const;
+    void place_or_wait(const call_ptr& one, pass& state);
+    void wait_on(const call_ptr& one, core::dispatch::obstacle why, pass& state);
+    [[nodiscard]] candidate_list candidates(const std::string& service, const core::fleet::model_wish& wish);
     [[nodiscard]] int limit_of(const core::fleet::target& one) const;
     bool cold_allowance(const core::fleet::target& target, target_runtime& runtime);
     void count_arrival(const call& one);
     [[nodiscard]] core::dispatch::wish wish_of(const call& one) const;
     void schedule_overdue();
-    [[nodiscard]] core::dispatch::patience
-    patience_of(const call& one, core::dispatch::obstacle why,
-                const std::vector<core::dispatch::candidate>& among) const;
+    [[nodiscard]] core::dispatch::patience patience_of(const call& one, core::dispatch::obstacle why,
+                                                       const candidate_list& among) const;
 
     gateway_context& context_;
     owner owner_;
