--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -278,7 +278,7 @@
                 continue;
             one.models.push_back(model);
             for (const std::string& adapter : adapters)
-                one.models.push_back(model + "/" + adapter);
+                one.models.push_back(std::string{model}.append("/").append(adapter));
         }
         out.push_back(std::move(one));
     }
