Remove two accessors that nothing calls

Cause: the last read of the whole change found exchange::on_kept_connection and kind_watch::list_again without a caller. Change: both are gone; behaviour stays as it is.

--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -27,7 +27,6 @@
         : context_(context), store_(store), kind_(std::move(kind)), times_(times), owner_(std::move(to)) {}
 
     void start() { list(); }
-    void list_again() { revision_ = 0; } // with the next call
     [[nodiscard]] bool answering() const { return answering_; }
 
 private:
--- a/src/programs/gateway/target_link.hpp
+++ b/src/programs/gateway/target_link.hpp
@@ -38,7 +38,6 @@
     void cancel(); // closes the connection; no event follows
     void pause();  // backpressure of a slow caller
     void resume();
-    [[nodiscard]] bool on_kept_connection() const { return kept_; }
 
 private:
     friend class target_link;
