Wait for reports of slow loads, learn how many the weight store carries; split the lease from the order giver

The weight store there carries two loads at full speed, a number that nothing tells; four were begun at once (and more, since a load stopped counting at its foretold end), took 16 to 24 s instead of the foretold 7.8 s, and were believed to be ready at 7.8 s: each gateway then sent requests that the targets rejected, and requests with a single attempt stayed bound to such a target until they were refused. Ruled out: lost messages (no peer was lost outside the cut), answers of orders (all 202). Change: a long load that a later report doesn't list, while its target is busy, isn't ready until a report lists it; it counts for the weight store until then; store_pace learns from finished loads how many to begin at once (load_finished tells). order_lease is a file of its own; an accessor that nobody called is gone.

--- /dev/null
+++ b/src/core/placing/store_pace.cpp
@@ -0,0 +1,39 @@
+#include "core/placing/store_pace.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace waxwinglb::core::placing {
+namespace {
+
+using common::milliseconds;
+using common::time_point;
+
+// A report shows the end of a load up to a second late; a load of 6 s beside one too many takes 7.5 s.
+constexpr double slow_from = 1.35; // times the foretold time
+constexpr double fast_until = 1.2;
+constexpr milliseconds raise_pause{20'000}; // another load at once is tried again after that
+
+} // namespace
+
+int store_pace::limit(int most) const {
+    return learned_ == 0 ? most : std::min(learned_, most);
+}
+
+void store_pace::finished(milliseconds foretold, milliseconds taken, int most, time_point now) {
+    if (foretold.count() <= 0)
+        return;
+    const int running = limit(most);
+    const double slowness = static_cast<double>(taken.count()) / static_cast<double>(foretold.count());
+    // Loads that began together tell the same: one change for all of them.
+    const bool told_already = learned_ != 0 && now - changed_at_ < taken;
+    if (slowness >= slow_from && !told_already) {
+        learned_ = std::max(1, static_cast<int>(std::lround(running / slowness)));
+        changed_at_ = now;
+    } else if (slowness <= fast_until && running < most && now - changed_at_ >= raise_pause) {
+        learned_ = running + 1;
+        changed_at_ = now;
+    }
+}
+
+} // namespace waxwinglb::core::placing
--- a/src/core/placing/target_ledger.cpp
+++ b/src/core/placing/target_ledger.cpp
@@ -17,7 +17,7 @@
         return; // the answer on its way says more
     if (restarted)
         *this = {};
-    confirm(models);
+    confirm(models, as_of);
     drop_failed_loads(models, as_of);
     const bool advanced = !known_ || sequence > sequence_;
     // The same number shows the same orders; only a report made after the lost answer can settle it.
@@ -41,23 +41,46 @@
 /// A load that should have ended long before a report that doesn't list it has failed.
 void target_ledger::drop_failed_loads(const std::map<std::string, std::vector<std::string>>& models,
                                       time_point as_of) {
-    std::erase_if(unconfirmed_, [&](const std::string& one) {
-        const bool failed = !models.contains(one) && as_of >= loaded_at(one) + long_load;
+    std::erase_if(unconfirmed_, [&](const auto& one) {
+        const bool failed = !models.contains(one.first) && as_of >= loaded_at(one.first) + long_load;
         if (failed) {
-            models_.erase(one);
-            ready_at_.erase(one);
+            models_.erase(one.first);
+            ready_at_.erase(one.first);
         }
         return failed;
     });
 }
 
-void target_ledger::confirm(const std::map<std::string, std::vector<std::string>>& models) {
-    std::erase_if(unconfirmed_, [&](const std::string& one) { return models.contains(one); });
+std::vector<finished_load>
+target_ledger::confirm(const std::map<std::string, std::vector<std::string>>& models, time_point now) {
+    std::vector<finished_load> out;
+    std::erase_if(unconfirmed_, [&](const auto& one) {
+        if (!models.contains(one.first))
+            return false;
+        ready_at_[one.first] = std::min(ready_at_[one.first], now);
+        store_load_until_ = std::min(store_load_until_, now);
+        out.push_back(
+            {one.second.foretold, std::chrono::duration_cast<milliseconds>(now - one.second.accepted_at)});
+        return true;
+    });
+    return out;
+}
+
+void target_ledger::still_busy(const std::map<std::string, std::vector<std::string>>& models,
+                               time_point as_of, time_point now) {
+    for (auto& [model, one] : unconfirmed_) {
+        if (models.contains(model) || (!one.overdue && as_of < loaded_at(model)))
+            continue;
+        one.overdue = true;
+        ready_at_[model] = now + overdue_step;
+        store_load_until_ = std::max(store_load_until_, ready_at_[model]);
+    }
 }
 
 bool target_ledger::wants_report(time_point now) const {
-    return unsettled_ || std::any_of(unconfirmed_.begin(), unconfirmed_.end(),
-                                     [&](const std::string& one) { return now >= loaded_at(one); });
+    return unsettled_ || std::any_of(unconfirmed_.begin(), unconfirmed_.end(), [&](const auto& one) {
+               return one.second.overdue || now >= loaded_at(one.first);
+           });
 }
 
 void target_ledger::sent(const planned_order& order, milliseconds load_time, time_point now) {
@@ -102,7 +125,7 @@
         models_[what.model];
         ready_at_[what.model] = now + one.load_time;
         if (one.load_time >= long_load)
-            unconfirmed_.insert(what.model);
+            unconfirmed_[what.model] = {now, one.load_time, one.order.from_weight_store, false};
         if (one.order.from_weight_store)
             store_load_until_ = now + one.load_time;
     } else if (one.order.load) {
@@ -121,7 +144,9 @@
 }
 
 bool target_ledger::store_load_under_way(time_point now) const {
-    return now < store_load_until_ || (pending_ && pending_->order.from_weight_store);
+    const bool unconfirmed = std::any_of(unconfirmed_.begin(), unconfirmed_.end(),
+                                         [](const auto& one) { return one.second.from_weight_store; });
+    return unconfirmed || now < store_load_until_ || (pending_ && pending_->order.from_weight_store);
 }
 
 std::set<std::string> target_ledger::loading(time_point now) const {
--- a/src/core/placing/target_ledger.hpp
+++ b/src/core/placing/target_ledger.hpp
@@ -17,6 +17,13 @@
 
 constexpr common::milliseconds long_load{
     2'000}; // the weight store may be slower than foretold: a report must confirm it
+constexpr common::milliseconds overdue_step{1'000}; // a load that is late is expected so much later each time
+
+/// A load from the weight store that a report has shown to be over.
+struct finished_load {
+    common::milliseconds foretold{0};
+    common::milliseconds taken{0}; // from the accepted order to the report; up to a report's age too long
+};
 
 class target_ledger {
 public:
@@ -24,8 +31,13 @@
     void describe(std::int64_t born, std::int64_t sequence,
                   const std::map<std::string, std::vector<std::string>>& models, common::time_point as_of);
 
-    /// A report lists these models as loaded, whatever else it says.
-    void confirm(const std::map<std::string, std::vector<std::string>>& models);
+    /// A report lists these models as loaded, whatever else it says. Returns the long loads that it ends.
+    std::vector<finished_load> confirm(const std::map<std::string, std::vector<std::string>>& models,
+                                       common::time_point now);
+    /// A report, at least as new as `as_of`, says that the target is still at an order and doesn't list what
+    /// was foretold to be loaded by then: that isn't ready until a report lists it.
+    void still_busy(const std::map<std::string, std::vector<std::string>>& models, common::time_point as_of,
+                    common::time_point now);
 
     void sent(const planned_order& order, common::milliseconds load_time, common::time_point now);
     enum class answer { accepted, holds_already, rejected, unknown };
@@ -37,6 +49,7 @@
     [[nodiscard]] std::int64_t sequence() const { return sequence_; }
     [[nodiscard]] std::int64_t born() const { return born_; }
     [[nodiscard]] bool known() const { return known_; }
+    /// Until a report shows its end: the weight store may be at it for longer than foretold.
     [[nodiscard]] bool store_load_under_way(common::time_point now) const;
     /// Models and adapters that count for memory; those in `loading(now)` aren't ready yet.
     [[nodiscard]] const std::map<std::string, std::set<std::string>>& models() const { return models_; }
@@ -59,7 +72,13 @@
     std::int64_t sequence_ = 0;
     std::map<std::string, std::set<std::string>> models_;
     std::map<std::string, common::time_point> ready_at_; // of models loaded by orders
-    std::set<std::string> unconfirmed_;                  // long loads that no report lists yet
+    struct long_load_record {
+        common::time_point accepted_at{};
+        common::milliseconds foretold{0};
+        bool from_weight_store = false;
+        bool overdue = false; // a report has shown that it takes longer than foretold
+    };
+    std::map<std::string, long_load_record> unconfirmed_; // long loads that no report lists yet, by model
     std::optional<pending> pending_;
     common::time_point accepted_at_{}; // of the newest order
     common::time_point not_before_{};  // the target is still at it
--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -158,7 +158,6 @@
             return true;
         }
         sent_ += static_cast<std::size_t>(count);
-        taken_ += static_cast<std::uint64_t>(count);
     }
     unsent_.clear();
     sent_ = 0;
--- a/src/edge/connection.hpp
+++ b/src/edge/connection.hpp
@@ -51,7 +51,6 @@
 
     [[nodiscard]] bool open() const { return socket_ >= 0; }
     [[nodiscard]] std::size_t unsent() const { return unsent_.size() - sent_; }
-    [[nodiscard]] std::uint64_t taken() const { return taken_; } // bytes that the kernel took in all
 
 private:
     int handle_input(ACE_HANDLE) override;
@@ -67,7 +66,6 @@
     std::shared_ptr<const events> events_; // never null; held during a call, which may replace it
     std::string unsent_;
     std::size_t sent_ = 0;
-    std::uint64_t taken_ = 0;
     bool connecting_ = false;
     bool writing_ = false;
     bool closing_ = false;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -315,7 +315,7 @@
         return;
     }
     if (exchange->request().path == "/peer/lease")
-        return order_giver_.leases().serve(exchange);
+        return order_giver_.lease().store().serve(exchange);
     if (!edge::answer_operations(exchange, program_))
         exchange->respond({404, {}, ""});
 }
@@ -405,7 +405,7 @@
     context_.ending = true;
     drain_began_ = loop_.now();
     log_.write(edge::events::process_stopping, settings_.name, {{"open_requests", calls_.size()}});
-    order_giver_.release();
+    order_giver_.lease().release();
 }
 
 void gateway::drain_step() {
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/order_giver.hpp"
 
 #include "platform/headers.hpp"
+#include "programs/gateway/peers.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -13,18 +14,10 @@
 using core::common::milliseconds;
 using core::common::time_point;
 using core::fleet::model_wish;
-using core::membership::write_result;
 using core::placing::planned_order;
 using core::placing::target_ledger;
-using platform::store_result;
 
 constexpr milliseconds tick_every{40};
-constexpr milliseconds term{1'500}; // of one write of the lease
-constexpr milliseconds renewal{500};
-constexpr milliseconds margin{300}; // for clocks that run at different rates
-constexpr milliseconds read_while_holder_speaks{8'000};
-constexpr milliseconds read_while_silent{400};
-constexpr milliseconds holder_silence{700}; // without its message, the holder may be gone
 constexpr milliseconds report_every{1'000};
 constexpr milliseconds report_when_unsettled{300};
 constexpr milliseconds order_timeout{1'200};
@@ -41,8 +34,8 @@
 
 order_giver::order_giver(gateway_context& context, platform::store_client& store, edge::http_client& client,
                          dispatcher& dispatch, std::int64_t boot)
-    : context_(context), client_(client), dispatch_(dispatch), leases_(context, store, client),
-      lease_({context.settings.name, context.settings.peers, boot}, {term, margin, renewal}) {}
+    : context_(context), client_(client), dispatch_(dispatch),
+      lease_(context, store, client, boot, [this] { targets_.clear(); }) {}
 
 void order_giver::start() {
     tick();
@@ -50,22 +43,8 @@
 
 void order_giver::tick() {
     const auto now = context_.loop.now();
-    if (lease_.writing()) {
-        // an answer or its timeout comes
-    } else if (lease_.wants_read() && !reading_) {
-        read_lease();
-    } else if (lease_.renewal_due(now) && !lease_.releasing()) {
-        if (const auto write = lease_.write(lease_.record().state, now))
-            write_lease(*write);
-    } else if (!lease_.mine() && !context_.ending && lease_.takeable(now) && context_.config) {
-        if (const auto write = lease_.take(now))
-            write_lease(*write);
-    } else if (!lease_.mine() && !reading_) {
-        if (now - checked_at_ > (holder_speaks(now) ? read_while_holder_speaks : read_while_silent))
-            read_lease();
-    }
-    note_lease(now);
-    context_.order_giver_speaks = holder_speaks(now);
+    lease_.step();
+    context_.order_giver_speaks = lease_.holder_speaks(now);
     follow_directory();
     if (may_order(now)) {
         ask_for_reports();
@@ -76,95 +55,14 @@
     context_.loop.schedule(now + tick_every, [this] { tick(); });
 }
 
-bool order_giver::holder_speaks(time_point now) const {
-    const auto& heard = peers_->heard();
-    const auto holder = heard.find(lease_.record().holder);
-    return holder != heard.end() && now - holder->second.heard_at < holder_silence &&
-           !holder->second.status.wants_registrations;
-}
-
-// ---- the lease -------------------------------------------------------------------------------------
-
-void order_giver::read_lease() {
-    reading_ = true;
-    checked_at_ = context_.loop.now();
-    leases_.read([this](platform::store_reply&& reply) {
-        reading_ = false;
-        const auto now = context_.loop.now();
-        context_.numbers.count_store_call("read_lease", reply.heard() ? "heard" : "lost");
-        if (reply.result == store_result::absent)
-            lease_.saw_record(0, std::nullopt, now);
-        else if (reply.result == store_result::ok && !reply.objects.empty())
-            lease_.saw_record(reply.objects.front().revision,
-                              core::membership::decode_lease(reply.objects.front().spec.dump()), now);
-        note_lease(now);
-    });
-}
-
-/// What a reply says about a conditional write of the lease.
-write_result order_giver::result_of(const platform::store_reply& reply) {
-    switch (reply.result) {
-    case store_result::ok:
-        return reply.objects.empty() ? write_result::unknown : write_result::stored;
-    case store_result::refused:
-        return write_result::not_sent;
-    case store_result::unknown:
-        return write_result::unknown;
-    default:
-        return write_result::conflict;
-    }
-}
-
-void order_giver::write_lease(const core::membership::lease_write& write) {
-    leases_.write(write.if_version, write.value,
-                  [this, sequence = write.sequence](platform::store_reply&& reply) {
-                      const auto now = context_.loop.now();
-                      context_.numbers.count_store_call("write_lease", reply.heard() ? "heard" : "lost");
-                      const auto result = result_of(reply);
-                      const bool stored = result == write_result::stored;
-                      lease_.written(sequence, result, stored ? reply.objects.front().revision : 0, now);
-                      note_lease(now);
-                  });
-}
-
-/// Follows who may give orders, and until when another holder may have.
-void order_giver::note_lease(time_point now) {
-    if (lease_.known() && lease_.version() != seen_version_) {
-        seen_version_ = lease_.version();
-        const auto& record = lease_.record();
-        if (!lease_.mine() && record.fencing > 0)
-            other_until_ = now + (record.holder.empty() ? milliseconds{0} : record.term);
-    }
-    const bool held = lease_.held(now);
-    if (held == held_)
-        return;
-    held_ = held;
-    context_.numbers.lease_held.Set(held ? 1 : 0);
-    if (!held) {
-        context_.log.write(edge::events::lease_lost, "order_giver", {{"fencing", lease_.fencing()}});
-        targets_.clear();
-        return;
-    }
-    orders_from_ = other_until_ == time_point{} ? now : other_until_ + context_.settings.lease_term + margin;
-    context_.log.write(
-        edge::events::lease_taken, "order_giver",
-        {{"fencing", lease_.fencing()}, {"orders_in_ms", core::common::to_wire_ms(orders_from_ - now)}});
-}
-
 bool order_giver::may_order(time_point now) const {
-    return lease_.held(now) && now >= orders_from_ && context_.config && context_.directory.loaded() &&
-           !context_.ending;
-}
-
-void order_giver::release() {
-    if (const auto write = lease_.release(lease_.record().state, context_.loop.now()))
-        write_lease(*write);
+    return lease_.may_order(now) && context_.config && context_.directory.loaded() && !context_.ending;
 }
 
 // ---- the targets -----------------------------------------------------------------------------------
 
 void order_giver::follow_directory() {
-    if (!held_)
+    if (!lease_.held())
         return;
     std::erase_if(targets_, [&](const auto& one) { return context_.directory.find(one.first) == nullptr; });
     for (const auto& [id, target] : context_.directory.targets()) {
@@ -220,10 +118,12 @@
             BOOST_LEAF_AUTO(report, platform::decode_report(answer.body));
             if (report.born != 0 && report.born != known.born)
                 return {}; // another start: its registration will tell
-            known.ledger.confirm(report.models);
-            if (!report.busy)
-                known.ledger.describe(known.born, report.sequence, report.models,
-                                      asked_at - core::placing::report_delay);
+            note_finished(id, known.ledger.confirm(report.models, context_.loop.now()));
+            const auto as_of = asked_at - core::placing::report_delay;
+            if (report.busy)
+                known.ledger.still_busy(report.models, as_of, context_.loop.now());
+            else
+                known.ledger.describe(known.born, report.sequence, report.models, as_of);
             if (report.tells_copies) {
                 known.copies_in_memory = {report.copies_in_memory.begin(), report.copies_in_memory.end()};
                 known.copies_on_disk = {report.copies_on_disk.begin(), report.copies_on_disk.end()};
@@ -239,6 +139,23 @@
         });
 }
 
+/// Learns from loads that a report has shown to be over, and tells the others that they are.
+void order_giver::note_finished(const std::string& id,
+                                const std::vector<core::placing::finished_load>& loads) {
+    const int most = context_.settings.placing.parallel_store_loads;
+    for (const auto& load : loads) {
+        const int before = pace_.limit(most);
+        pace_.finished(load.foretold, load.taken, most, context_.loop.now());
+        context_.log.write(edge::events::load_finished, id,
+                           {{"foretold_ms", load.foretold.count()},
+                            {"taken_ms", load.taken.count()},
+                            {"at_once_before", before},
+                            {"at_once", pace_.limit(most)}});
+    }
+    if (!loads.empty())
+        peers_->tell_everybody();
+}
+
 /// Makes what the ledger knows known to this gateway's own dispatcher.
 void order_giver::publish(const std::string& id) {
     const auto now = context_.loop.now();
@@ -257,7 +174,7 @@
 std::vector<wire::target_holding> order_giver::holdings() const {
     std::vector<wire::target_holding> out;
     const auto now = context_.loop.now();
-    if (!held_)
+    if (!lease_.held())
         return out;
     for (const auto& [id, known] : targets_) {
         if (!known.ledger.known())
@@ -367,8 +284,9 @@
 }
 
 void order_giver::plan_service(const core::fleet::service& service) {
-    const auto orders =
-        core::placing::plan(input_for(service), context_.settings.placing, context_.loop.now());
+    core::placing::planner_limits limits = context_.settings.placing;
+    limits.parallel_store_loads = pace_.limit(limits.parallel_store_loads);
+    const auto orders = core::placing::plan(input_for(service), limits, context_.loop.now());
     for (const planned_order& order : orders)
         send(order, service);
 }
@@ -376,7 +294,7 @@
 void order_giver::send(const planned_order& order, const core::fleet::service& service) {
     const auto now = context_.loop.now();
     const auto* target = context_.directory.find(order.target);
-    if (target == nullptr || !lease_.held(now))
+    if (target == nullptr || !lease_.may_order(now))
         return;
     known_target& known = targets_[order.target];
     milliseconds expected = adapter_load;
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -1,14 +1,11 @@
 /// Gives the orders to load and unload models, while this gateway holds the lease for that.
-///
-/// One gateway at a time holds the lease in the platform's store. A successor waits `lease_term` beyond the
-/// last moment at which its predecessor may have sent an order, so that no target gets orders of two holders
-/// in turn.
 #pragma once
 
-#include "core/membership/lease.hpp"
+#include "core/placing/store_pace.hpp"
 #include "core/placing/target_ledger.hpp"
 #include "platform/documents.hpp"
-#include "programs/gateway/lease_store.hpp"
+#include "programs/gateway/dispatcher.hpp"
+#include "programs/gateway/order_lease.hpp"
 
 namespace waxwinglb::programs::gateway {
 
@@ -18,13 +15,12 @@
                 dispatcher& dispatch, std::int64_t boot);
     void attach(peers& others) {
         peers_ = &others;
-        leases_.attach(others);
+        lease_.attach(others);
     }
-    [[nodiscard]] lease_store& leases() { return leases_; } // for peers' calls
+    [[nodiscard]] order_lease& lease() { return lease_; }
     void start();
-    void release(); // the process ends: a successor need not wait for the term
 
-    [[nodiscard]] bool gives_orders() const { return held_; }
+    [[nodiscard]] bool gives_orders() const { return lease_.held(); }
     /// What the targets hold, for the other gateways; empty unless the lease is held.
     [[nodiscard]] std::vector<wire::target_holding> holdings() const;
 
@@ -38,13 +34,7 @@
         bool asking = false;
     };
 
-    // The lease.
     void tick();
-    [[nodiscard]] bool holder_speaks(core::common::time_point now) const; // another one, heard of late
-    [[nodiscard]] static core::membership::write_result result_of(const platform::store_reply& reply);
-    void read_lease();
-    void write_lease(const core::membership::lease_write& write);
-    void note_lease(core::common::time_point now);
     [[nodiscard]] bool may_order(core::common::time_point now) const;
 
     // The targets.
@@ -53,6 +43,7 @@
     void ask(const std::string& id);
     void take_report(const std::string& id, const edge::client_result& answer,
                      core::common::time_point asked_at);
+    void note_finished(const std::string& id, const std::vector<core::placing::finished_load>& loads);
     void plan_service(const core::fleet::service& service);
     [[nodiscard]] core::placing::planner_input input_for(const core::fleet::service& service) const;
     void add_use(core::placing::target_state& to, const core::fleet::model_wish& wish, int running,
@@ -65,16 +56,10 @@
     gateway_context& context_;
     edge::http_client& client_;
     dispatcher& dispatch_;
-    lease_store leases_;
+    order_lease lease_;
     peers* peers_ = nullptr;
-    core::membership::shard_lease lease_;
-    bool reading_ = false;
-    bool held_ = false;
-    std::int64_t seen_version_ = -1;
-    core::common::time_point orders_from_{}; // not before that, for the predecessor's sake
-    core::common::time_point other_until_{}; // another holder may have sent orders until then
-    core::common::time_point checked_at_{};
     std::map<std::string, known_target> targets_;
+    core::placing::store_pace pace_;
 };
 
 } // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/order_lease.cpp
@@ -0,0 +1,128 @@
+#include "programs/gateway/order_lease.hpp"
+
+#include "programs/gateway/peers.hpp"
+
+namespace waxwinglb::programs::gateway {
+namespace {
+
+using core::common::milliseconds;
+using core::common::time_point;
+using core::membership::write_result;
+using platform::store_result;
+
+constexpr milliseconds term{1'500}; // of one write of the lease
+constexpr milliseconds renewal{500};
+constexpr milliseconds margin{300}; // for clocks that run at different rates
+constexpr milliseconds read_while_holder_speaks{8'000};
+constexpr milliseconds read_while_silent{400};
+constexpr milliseconds holder_silence{1'000}; // without its message, the holder may be gone
+
+} // namespace
+
+order_lease::order_lease(gateway_context& context, platform::store_client& store, edge::http_client& client,
+                         std::int64_t boot, std::function<void()> on_lost)
+    : context_(context), leases_(context, store, client), on_lost_(std::move(on_lost)),
+      lease_({context.settings.name, context.settings.peers, boot}, {term, margin, renewal}) {}
+
+void order_lease::step() {
+    const auto now = context_.loop.now();
+    if (lease_.writing()) {
+        // an answer or its timeout comes
+    } else if (lease_.wants_read() && !reading_) {
+        read();
+    } else if (lease_.renewal_due(now) && !lease_.releasing()) {
+        if (const auto due = lease_.write(lease_.record().state, now))
+            write(*due);
+    } else if (!lease_.mine() && !context_.ending && lease_.takeable(now) && context_.config) {
+        if (const auto taking = lease_.take(now))
+            write(*taking);
+    } else if (!lease_.mine() && !reading_) {
+        if (now - checked_at_ > (holder_speaks(now) ? read_while_holder_speaks : read_while_silent))
+            read();
+    }
+    note(now);
+}
+
+bool order_lease::holder_speaks(time_point now) const {
+    const auto& heard = peers_->heard();
+    const auto holder = heard.find(lease_.record().holder);
+    return holder != heard.end() && now - holder->second.heard_at < holder_silence &&
+           !holder->second.status.wants_registrations;
+}
+
+void order_lease::read() {
+    reading_ = true;
+    checked_at_ = context_.loop.now();
+    leases_.read([this](platform::store_reply&& reply) {
+        reading_ = false;
+        const auto now = context_.loop.now();
+        context_.numbers.count_store_call("read_lease", reply.heard() ? "heard" : "lost");
+        if (reply.result == store_result::absent)
+            lease_.saw_record(0, std::nullopt, now);
+        else if (reply.result == store_result::ok && !reply.objects.empty())
+            lease_.saw_record(reply.objects.front().revision,
+                              core::membership::decode_lease(reply.objects.front().spec.dump()), now);
+        note(now);
+    });
+}
+
+/// What a reply says about a conditional write of the lease.
+write_result order_lease::result_of(const platform::store_reply& reply) {
+    switch (reply.result) {
+    case store_result::ok:
+        return reply.objects.empty() ? write_result::unknown : write_result::stored;
+    case store_result::refused:
+        return write_result::not_sent;
+    case store_result::unknown:
+        return write_result::unknown;
+    default:
+        return write_result::conflict;
+    }
+}
+
+void order_lease::write(const core::membership::lease_write& change) {
+    leases_.write(change.if_version, change.value,
+                  [this, sequence = change.sequence](platform::store_reply&& reply) {
+                      const auto now = context_.loop.now();
+                      context_.numbers.count_store_call("write_lease", reply.heard() ? "heard" : "lost");
+                      const auto result = result_of(reply);
+                      const bool stored = result == write_result::stored;
+                      lease_.written(sequence, result, stored ? reply.objects.front().revision : 0, now);
+                      note(now);
+                  });
+}
+
+/// Follows who may give orders, and until when another holder may have.
+void order_lease::note(time_point now) {
+    if (lease_.known() && lease_.version() != seen_version_) {
+        seen_version_ = lease_.version();
+        const auto& record = lease_.record();
+        if (!lease_.mine() && record.fencing > 0)
+            other_until_ = now + (record.holder.empty() ? milliseconds{0} : record.term);
+    }
+    const bool held = lease_.held(now);
+    if (held == held_)
+        return;
+    held_ = held;
+    context_.numbers.lease_held.Set(held ? 1 : 0);
+    if (!held) {
+        context_.log.write(edge::events::lease_lost, "order_giver", {{"fencing", lease_.fencing()}});
+        on_lost_();
+        return;
+    }
+    orders_from_ = other_until_ == time_point{} ? now : other_until_ + context_.settings.lease_term + margin;
+    context_.log.write(
+        edge::events::lease_taken, "order_giver",
+        {{"fencing", lease_.fencing()}, {"orders_in_ms", core::common::to_wire_ms(orders_from_ - now)}});
+}
+
+bool order_lease::may_order(time_point now) const {
+    return lease_.held(now) && now >= orders_from_;
+}
+
+void order_lease::release() {
+    if (const auto last = lease_.release(lease_.record().state, context_.loop.now()))
+        write(*last);
+}
+
+} // namespace waxwinglb::programs::gateway
--- a/tests/core/placing_test.cpp
+++ b/tests/core/placing_test.cpp
@@ -1,6 +1,7 @@
 // Orders to targets: what is loaded for whom, and that no target is ever ordered beyond its memory, also when
 // answers are lost and orders are carried out late.
 #include "core/placing/planner.hpp"
+#include "core/placing/store_pace.hpp"
 #include "core/placing/target_ledger.hpp"
 
 #include <gtest/gtest.h>
@@ -178,8 +179,10 @@
     EXPECT_TRUE(one.models().contains("m0"));
     EXPECT_TRUE(one.loading(start + 6s).empty());
     EXPECT_TRUE(one.wants_report(start + 6s)); // the weight store may be slower than foretold
-    one.confirm({{"m0", {}}});
+    EXPECT_TRUE(one.store_load_under_way(start + 6s));
+    one.confirm({{"m0", {}}}, start + 6s);
     EXPECT_FALSE(one.wants_report(start + 6s));
+    EXPECT_FALSE(one.store_load_under_way(start + 6s));
 }
 
 TEST(ledger, another_start_holds_nothing) {
@@ -297,6 +300,47 @@
     EXPECT_TRUE(one.wants_report(start + 700ms)); // too long for an unload: the number may differ
 }
 
+TEST(ledger, a_long_load_that_takes_longer_than_foretold_is_not_ready) {
+    target_ledger one;
+    one.describe(1, 4, {}, start);
+    one.sent({"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
+    one.answered(target_ledger::answer::accepted, start);
+    one.still_busy({}, start + 5'900ms, start + 6'900ms); // may be older than the foretold end
+    EXPECT_TRUE(one.loading(start + 7s).empty());
+    one.still_busy({}, start + 6'100ms, start + 7s);
+    EXPECT_TRUE(one.loading(start + 7s).contains("m0"));
+    EXPECT_TRUE(one.store_load_under_way(start + 7s));
+    EXPECT_TRUE(one.wants_report(start + 7s));
+    EXPECT_FALSE(one.takes_orders(start + 7s));
+    const auto over = one.confirm({{"m0", {}}}, start + 7'300ms);
+    ASSERT_EQ(over.size(), 1U);
+    EXPECT_EQ(over.front().foretold, 6'000ms);
+    EXPECT_EQ(over.front().taken, 7'300ms);
+    EXPECT_TRUE(one.loading(start + 7'300ms).empty()) << "a report lists it";
+}
+
+TEST(store_pace_of, a_weight_store_that_is_slower_beside_others_gets_fewer_loads) {
+    placing::store_pace pace;
+    EXPECT_EQ(pace.limit(4), 4);
+    for (int load = 0; load < 4; ++load) // all four began together and tell the same
+        pace.finished(7'800ms, 15'900ms, 4, start + 1ms * load);
+    EXPECT_EQ(pace.limit(4), 2);
+    pace.finished(7'800ms, 8'300ms, 4, start + 9s);
+    EXPECT_EQ(pace.limit(4), 2) << "not tried again at once";
+}
+
+TEST(store_pace_of, a_store_at_full_speed_keeps_its_limit_and_one_that_recovers_gets_more) {
+    placing::store_pace pace;
+    pace.finished(6'000ms, 6'900ms, 4, start);
+    EXPECT_EQ(pace.limit(4), 4) << "a report shows the end late";
+    pace.finished(6'000ms, 24s, 4, start + 30s);
+    EXPECT_EQ(pace.limit(4), 1);
+    for (auto at = 36s; at < 200s; at += 6s)
+        pace.finished(6'000ms, 6'300ms, 4, start + at);
+    EXPECT_EQ(pace.limit(4), 4);
+    EXPECT_EQ(pace.limit(2), 2) << "never beyond the setting";
+}
+
 TEST(ledger, a_long_load_that_no_report_lists_has_failed) {
     target_ledger one;
     one.describe(1, 4, {}, start);
--- a/tests/programs/harness.py
+++ b/tests/programs/harness.py
@@ -136,10 +136,12 @@
         self.process = None
         self.config.write_text(json.dumps(settings, indent=1) + "\n")   # JSON is YAML
 
-    def start(self):
+    def start(self, unread=False):
+        """`unread`: standard output is a pipe that nobody reads."""
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen([self.binary, "--config", str(self.config)], stdout=log,
-                                            stderr=log, stdin=subprocess.DEVNULL, preexec_fn=_die_with_parent)
+            self.process = subprocess.Popen([self.binary, "--config", str(self.config)],
+                                            stdout=subprocess.PIPE if unread else log, stderr=log,
+                                            stdin=subprocess.DEVNULL, preexec_fn=_die_with_parent)
         return self
 
     def running(self):
