--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -20,7 +20,7 @@
   crash_report = 60, quarantine_notice = 61,
   subscribe_config = 70, config_update = 71, config_fresh = 72, acceptor_status = 73, apply_report = 74,
   feed_elsewhere = 75,
-  bucket_handover = 80, bucket_handover_ack = 81, stood_down = 82,
+  stood_down = 82,
   peer_status = 90
 }
 
@@ -153,9 +153,6 @@
 /** A deposed holder grants nothing any more for this shard; ends the halving of rates at its successor. */
 struct stood_down { 1: i32 shard, 2: string holder, 3: i64 boot, 4: i64 fencing }
 
-struct bucket_handover { 1: string customer, 2: i64 tokens, 3: i64 outstanding, 4: i64 fencing }
-struct bucket_handover_ack { 1: string customer, 2: bool taken }
-
 // ---- gateways among themselves, one datagram each ------------------------------------------------
 
 /** Requests of one gateway now at a target, by model ("MODEL" or "MODEL/ADAPTER"; empty at plain services). */
@@ -178,7 +175,8 @@
 /**
  * address: where the sender takes these. loads: to everybody. uses, demands: only to gateways that give orders.
  * holdings: from the gateway that gives orders; what changed lately, and each target again every few seconds.
- * wants_registrations: the sender can't read the store; registrations: only to such a peer.
+ * starts: from the same gateway, registrations of targets that started or became cold, as holdings.
+ * wants_registrations: the sender can't read the store; registrations: only to such a peer, all of them.
  */
 struct peer_status {
   1: string process, 2: i64 boot, 3: i64 sequence, 4: bool leaving, 5: list<string> heard,
@@ -186,5 +184,5 @@
   10: list<target_use> uses, 11: list<model_demand> demands, 12: list<customer_use> customers,
   13: list<target_holding> holdings, 14: list<leaving_target> leaving_targets, 15: list<quarantine> suspects,
   16: bool wants_registrations, 17: list<target_registration> registrations, 18: string address,
-  19: list<target_load> loads, 20: bool gives_orders
+  19: list<target_load> loads, 20: bool gives_orders, 21: list<target_registration> starts
 }
--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -11,11 +11,19 @@
 }
 
 void directory::store_failed() {
+    if (!store_away_)
+        away_since_ = answered_at_;
+    store_away_ = true;
+}
+
+void directory::store_doubted(time_point now) {
+    if (!store_away_)
+        away_since_ = now - doubt_delay;
     store_away_ = true;
 }
 
 void directory::store_answered(time_point now) {
-    const auto silent = answered_at_ ? now - *answered_at_ : common::duration::max();
+    const auto silent = away_since_ ? now - *away_since_ : common::duration::max();
     answered_at_ = now;
     if (!store_away_)
         return;
@@ -107,6 +115,16 @@
     found->second.told_leaving = true;
 }
 
+void directory::hear_of(const target_entry& entry, time_point now) {
+    if (entry.draining || left_.contains({entry.id, entry.born}))
+        return;
+    const auto known = targets_.find(entry.id);
+    if (known == targets_.end() || known->second.entry.born < entry.born)
+        upsert(entry, now);
+    else if (known->second.entry.born == entry.born)
+        known->second.cold_until = std::max(known->second.cold_until, now + entry.cold_left);
+}
+
 void directory::adopt(const std::vector<target_entry>& entries, time_point now) {
     std::set<std::string> listed;
     for (const target_entry& entry : entries) {
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -16,7 +16,8 @@
 // Registrations are renewed about every 1.2 s and lapse after three missed renewals: a shorter outage lapses
 // none.
 constexpr common::milliseconds shortest_lapsing_outage{2'000};
-constexpr common::milliseconds left_memory{30'000};     // peers are told so long that a target has left
+constexpr common::milliseconds doubt_delay{1'600};  // from the store's last answer to the order giver's word
+constexpr common::milliseconds left_memory{30'000}; // peers are told so long that a target has left
 constexpr common::milliseconds description_term{3'000}; // the order giver's word goes before a registration's
 
 /// One usable or known target and what this process believes of it.
@@ -52,6 +53,8 @@
     // What the store's calls show of it.
     void store_failed(); // a call failed or stayed without an answer
     void store_answered(common::time_point now);
+    /// The order giver, which watches closely, says that the store doesn't answer it: perhaps an outage.
+    void store_doubted(common::time_point now);
 
     /// What a target holds after `orders` accepted orders, as the giver of its orders knows: newer than its
     /// registration, which follows seconds later. Ignored if fewer orders than known.
@@ -60,6 +63,9 @@
                   const std::map<std::string, common::time_point>& coming, common::time_point now);
     /// A peer's word that a target is leaving or has left: nothing more is sent to this start of it.
     void mark_leaving(const std::string& id, std::int64_t born);
+    /// A peer's word of a target that started or became cold: taken over where it is newer than what is
+    /// known.
+    void hear_of(const target_entry& entry, common::time_point now);
     /// A peer's registrations, for a process that can't read the store itself; models are kept as known.
     void adopt(const std::vector<target_entry>& entries, common::time_point now);
 
@@ -85,6 +91,7 @@
     bool loaded_ = false;
     bool store_away_ = false;
     std::optional<common::time_point> answered_at_; // the store's newest answer
+    std::optional<common::time_point> away_since_;  // the store answered until then, as far as known
     std::optional<common::time_point> returned_at_; // end of the newest outage
 };
 
--- a/src/core/membership/peer_news.cpp
+++ b/src/core/membership/peer_news.cpp
@@ -11,11 +11,10 @@
 using common::time_point;
 
 constexpr milliseconds shortest_period{200};
-constexpr milliseconds longest_period{350};     // two messages in a row may be lost within the contact limit
-constexpr milliseconds share_of_member{12};     // keeps a gateway at about 80 messages a second
-constexpr std::ptrdiff_t informants = 2;        // one may be lost
-constexpr milliseconds repeated_for{500};       // after a change
-constexpr milliseconds told_again_every{1'000}; // what is told is believed for 3 s
+constexpr milliseconds longest_period{350}; // two messages in a row may be lost within the contact limit
+constexpr milliseconds share_of_member{12}; // keeps a gateway at about 80 messages a second
+constexpr std::ptrdiff_t informants = 2;    // one may be lost
+constexpr milliseconds repeated_for{500};   // after a change
 constexpr milliseconds forgotten_after{10'000};
 
 std::uint64_t rank(const std::string& name, const std::string& asker) {
@@ -43,7 +42,7 @@
         one.content = content;
         one.changed_at = now;
     }
-    if (now - one.changed_at > repeated_for && now - one.told_at < told_again_every)
+    if (now - one.changed_at > repeated_for && now - one.told_at < again_after_)
         return false;
     one.told_at = now;
     return true;
--- a/src/core/membership/peer_news.hpp
+++ b/src/core/membership/peer_news.hpp
@@ -26,6 +26,8 @@
 /// everything once in a while, for peers that started in between.
 class news {
 public:
+    /// `again_after`: what did not change is told again after that time.
+    explicit news(common::milliseconds again_after) : again_after_(again_after) {}
     /// Whether to tell `subject`, which now stands at `content` (a hash), in the message that is sent now.
     [[nodiscard]] bool due(const std::string& subject, std::uint64_t content, common::time_point now);
     void forget_old(common::time_point now); // subjects that were not asked about for a while
@@ -37,6 +39,7 @@
         common::time_point told_at{};
         common::time_point asked_at{};
     };
+    common::milliseconds again_after_;
     std::map<std::string, entry> entries_;
 };
 
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -52,8 +52,6 @@
   message_kind::acceptor_status,
   message_kind::apply_report,
   message_kind::feed_elsewhere,
-  message_kind::bucket_handover,
-  message_kind::bucket_handover_ack,
   message_kind::stood_down,
   message_kind::peer_status
 };
@@ -96,12 +94,10 @@
   "acceptor_status",
   "apply_report",
   "feed_elsewhere",
-  "bucket_handover",
-  "bucket_handover_ack",
   "stood_down",
   "peer_status"
 };
-const std::map<int, const char*> _message_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(42, _kmessage_kindValues, _kmessage_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _message_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(40, _kmessage_kindValues, _kmessage_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const message_kind::type& val) {
   std::map<int, const char*>::const_iterator it = _message_kind_VALUES_TO_NAMES.find(val);
@@ -9248,296 +9244,6 @@
 }
 
 
-bucket_handover::~bucket_handover() noexcept {
-}
-
-
-void bucket_handover::__set_customer(const std::string& val) {
-  this->customer = val;
-}
-
-void bucket_handover::__set_tokens(const int64_t val) {
-  this->tokens = val;
-}
-
-void bucket_handover::__set_outstanding(const int64_t val) {
-  this->outstanding = val;
-}
-
-void bucket_handover::__set_fencing(const int64_t val) {
-  this->fencing = val;
-}
-std::ostream& operator<<(std::ostream& out, const bucket_handover& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t bucket_handover::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->customer);
-          this->__isset.customer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->tokens);
-          this->__isset.tokens = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->outstanding);
-          this->__isset.outstanding = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fencing);
-          this->__isset.fencing = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t bucket_handover::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("bucket_handover");
-
-  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->customer);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->tokens);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("outstanding", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->outstanding);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("fencing", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->fencing);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(bucket_handover &a, bucket_handover &b) {
-  using ::std::swap;
-  swap(a.customer, b.customer);
-  swap(a.tokens, b.tokens);
-  swap(a.outstanding, b.outstanding);
-  swap(a.fencing, b.fencing);
-  swap(a.__isset, b.__isset);
-}
-
-bucket_handover::bucket_handover(const bucket_handover& other282) {
-  customer = other282.customer;
-  tokens = other282.tokens;
-  outstanding = other282.outstanding;
-  fencing = other282.fencing;
-  __isset = other282.__isset;
-}
-bucket_handover::bucket_handover(bucket_handover&& other283) noexcept {
-  customer = std::move(other283.customer);
-  tokens = other283.tokens;
-  outstanding = other283.outstanding;
-  fencing = other283.fencing;
-  __isset = other283.__isset;
-}
-bucket_handover& bucket_handover::operator=(const bucket_handover& other284) {
-  customer = other284.customer;
-  tokens = other284.tokens;
-  outstanding = other284.outstanding;
-  fencing = other284.fencing;
-  __isset = other284.__isset;
-  return *this;
-}
-bucket_handover& bucket_handover::operator=(bucket_handover&& other285) noexcept {
-  customer = std::move(other285.customer);
-  tokens = other285.tokens;
-  outstanding = other285.outstanding;
-  fencing = other285.fencing;
-  __isset = other285.__isset;
-  return *this;
-}
-void bucket_handover::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "bucket_handover(";
-  out << "customer=" << to_string(customer);
-  out << ", " << "tokens=" << to_string(tokens);
-  out << ", " << "outstanding=" << to_string(outstanding);
-  out << ", " << "fencing=" << to_string(fencing);
-  out << ")";
-}
-
-
-bucket_handover_ack::~bucket_handover_ack() noexcept {
-}
-
-
-void bucket_handover_ack::__set_customer(const std::string& val) {
-  this->customer = val;
-}
-
-void bucket_handover_ack::__set_taken(const bool val) {
-  this->taken = val;
-}
-std::ostream& operator<<(std::ostream& out, const bucket_handover_ack& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t bucket_handover_ack::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->customer);
-          this->__isset.customer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->taken);
-          this->__isset.taken = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t bucket_handover_ack::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("bucket_handover_ack");
-
-  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->customer);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("taken", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->taken);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(bucket_handover_ack &a, bucket_handover_ack &b) {
-  using ::std::swap;
-  swap(a.customer, b.customer);
-  swap(a.taken, b.taken);
-  swap(a.__isset, b.__isset);
-}
-
-bucket_handover_ack::bucket_handover_ack(const bucket_handover_ack& other286) {
-  customer = other286.customer;
-  taken = other286.taken;
-  __isset = other286.__isset;
-}
-bucket_handover_ack::bucket_handover_ack(bucket_handover_ack&& other287) noexcept {
-  customer = std::move(other287.customer);
-  taken = other287.taken;
-  __isset = other287.__isset;
-}
-bucket_handover_ack& bucket_handover_ack::operator=(const bucket_handover_ack& other288) {
-  customer = other288.customer;
-  taken = other288.taken;
-  __isset = other288.__isset;
-  return *this;
-}
-bucket_handover_ack& bucket_handover_ack::operator=(bucket_handover_ack&& other289) noexcept {
-  customer = std::move(other289.customer);
-  taken = other289.taken;
-  __isset = other289.__isset;
-  return *this;
-}
-void bucket_handover_ack::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "bucket_handover_ack(";
-  out << "customer=" << to_string(customer);
-  out << ", " << "taken=" << to_string(taken);
-  out << ")";
-}
-
-
 target_use::~target_use() noexcept {
 }
 
@@ -9664,34 +9370,34 @@
   swap(a.__isset, b.__isset);
 }
 
-target_use::target_use(const target_use& other290) {
-  target = other290.target;
-  model = other290.model;
-  running = other290.running;
-  idle_ms = other290.idle_ms;
-  __isset = other290.__isset;
+target_use::target_use(const target_use& other282) {
+  target = other282.target;
+  model = other282.model;
+  running = other282.running;
+  idle_ms = other282.idle_ms;
+  __isset = other282.__isset;
 }
-target_use::target_use(target_use&& other291) noexcept {
-  target = std::move(other291.target);
-  model = std::move(other291.model);
-  running = other291.running;
-  idle_ms = other291.idle_ms;
-  __isset = other291.__isset;
+target_use::target_use(target_use&& other283) noexcept {
+  target = std::move(other283.target);
+  model = std::move(other283.model);
+  running = other283.running;
+  idle_ms = other283.idle_ms;
+  __isset = other283.__isset;
 }
-target_use& target_use::operator=(const target_use& other292) {
-  target = other292.target;
-  model = other292.model;
-  running = other292.running;
-  idle_ms = other292.idle_ms;
-  __isset = other292.__isset;
+target_use& target_use::operator=(const target_use& other284) {
+  target = other284.target;
+  model = other284.model;
+  running = other284.running;
+  idle_ms = other284.idle_ms;
+  __isset = other284.__isset;
   return *this;
 }
-target_use& target_use::operator=(target_use&& other293) noexcept {
-  target = std::move(other293.target);
-  model = std::move(other293.model);
-  running = other293.running;
-  idle_ms = other293.idle_ms;
-  __isset = other293.__isset;
+target_use& target_use::operator=(target_use&& other285) noexcept {
+  target = std::move(other285.target);
+  model = std::move(other285.model);
+  running = other285.running;
+  idle_ms = other285.idle_ms;
+  __isset = other285.__isset;
   return *this;
 }
 void target_use::printTo(std::ostream& out) const {
@@ -9865,42 +9571,42 @@
   swap(a.__isset, b.__isset);
 }
 
-model_demand::model_demand(const model_demand& other294) {
-  service_name = other294.service_name;
-  model = other294.model;
-  waiting = other294.waiting;
-  oldest_ms = other294.oldest_ms;
-  priority = other294.priority;
-  per_second = other294.per_second;
-  __isset = other294.__isset;
+model_demand::model_demand(const model_demand& other286) {
+  service_name = other286.service_name;
+  model = other286.model;
+  waiting = other286.waiting;
+  oldest_ms = other286.oldest_ms;
+  priority = other286.priority;
+  per_second = other286.per_second;
+  __isset = other286.__isset;
 }
-model_demand::model_demand(model_demand&& other295) noexcept {
-  service_name = std::move(other295.service_name);
-  model = std::move(other295.model);
-  waiting = other295.waiting;
-  oldest_ms = other295.oldest_ms;
-  priority = other295.priority;
-  per_second = other295.per_second;
-  __isset = other295.__isset;
+model_demand::model_demand(model_demand&& other287) noexcept {
+  service_name = std::move(other287.service_name);
+  model = std::move(other287.model);
+  waiting = other287.waiting;
+  oldest_ms = other287.oldest_ms;
+  priority = other287.priority;
+  per_second = other287.per_second;
+  __isset = other287.__isset;
 }
-model_demand& model_demand::operator=(const model_demand& other296) {
-  service_name = other296.service_name;
-  model = other296.model;
-  waiting = other296.waiting;
-  oldest_ms = other296.oldest_ms;
-  priority = other296.priority;
-  per_second = other296.per_second;
-  __isset = other296.__isset;
+model_demand& model_demand::operator=(const model_demand& other288) {
+  service_name = other288.service_name;
+  model = other288.model;
+  waiting = other288.waiting;
+  oldest_ms = other288.oldest_ms;
+  priority = other288.priority;
+  per_second = other288.per_second;
+  __isset = other288.__isset;
   return *this;
 }
-model_demand& model_demand::operator=(model_demand&& other297) noexcept {
-  service_name = std::move(other297.service_name);
-  model = std::move(other297.model);
-  waiting = other297.waiting;
-  oldest_ms = other297.oldest_ms;
-  priority = other297.priority;
-  per_second = other297.per_second;
-  __isset = other297.__isset;
+model_demand& model_demand::operator=(model_demand&& other289) noexcept {
+  service_name = std::move(other289.service_name);
+  model = std::move(other289.model);
+  waiting = other289.waiting;
+  oldest_ms = other289.oldest_ms;
+  priority = other289.priority;
+  per_second = other289.per_second;
+  __isset = other289.__isset;
   return *this;
 }
 void model_demand::printTo(std::ostream& out) const {
@@ -10008,26 +9714,26 @@
   swap(a.__isset, b.__isset);
 }
 
-customer_use::customer_use(const customer_use& other298) {
-  customer = other298.customer;
-  tokens = other298.tokens;
-  __isset = other298.__isset;
+customer_use::customer_use(const customer_use& other290) {
+  customer = other290.customer;
+  tokens = other290.tokens;
+  __isset = other290.__isset;
 }
-customer_use::customer_use(customer_use&& other299) noexcept {
-  customer = std::move(other299.customer);
-  tokens = other299.tokens;
-  __isset = other299.__isset;
+customer_use::customer_use(customer_use&& other291) noexcept {
+  customer = std::move(other291.customer);
+  tokens = other291.tokens;
+  __isset = other291.__isset;
 }
-customer_use& customer_use::operator=(const customer_use& other300) {
-  customer = other300.customer;
-  tokens = other300.tokens;
-  __isset = other300.__isset;
+customer_use& customer_use::operator=(const customer_use& other292) {
+  customer = other292.customer;
+  tokens = other292.tokens;
+  __isset = other292.__isset;
   return *this;
 }
-customer_use& customer_use::operator=(customer_use&& other301) noexcept {
-  customer = std::move(other301.customer);
-  tokens = other301.tokens;
-  __isset = other301.__isset;
+customer_use& customer_use::operator=(customer_use&& other293) noexcept {
+  customer = std::move(other293.customer);
+  tokens = other293.tokens;
+  __isset = other293.__isset;
   return *this;
 }
 void customer_use::printTo(std::ostream& out) const {
@@ -10131,26 +9837,26 @@
   swap(a.__isset, b.__isset);
 }
 
-coming_model::coming_model(const coming_model& other302) {
-  model = other302.model;
-  ready_ms = other302.ready_ms;
-  __isset = other302.__isset;
+coming_model::coming_model(const coming_model& other294) {
+  model = other294.model;
+  ready_ms = other294.ready_ms;
+  __isset = other294.__isset;
 }
-coming_model::coming_model(coming_model&& other303) noexcept {
-  model = std::move(other303.model);
-  ready_ms = other303.ready_ms;
-  __isset = other303.__isset;
+coming_model::coming_model(coming_model&& other295) noexcept {
+  model = std::move(other295.model);
+  ready_ms = other295.ready_ms;
+  __isset = other295.__isset;
 }
-coming_model& coming_model::operator=(const coming_model& other304) {
-  model = other304.model;
-  ready_ms = other304.ready_ms;
-  __isset = other304.__isset;
+coming_model& coming_model::operator=(const coming_model& other296) {
+  model = other296.model;
+  ready_ms = other296.ready_ms;
+  __isset = other296.__isset;
   return *this;
 }
-coming_model& coming_model::operator=(coming_model&& other305) noexcept {
-  model = std::move(other305.model);
-  ready_ms = other305.ready_ms;
-  __isset = other305.__isset;
+coming_model& coming_model::operator=(coming_model&& other297) noexcept {
+  model = std::move(other297.model);
+  ready_ms = other297.ready_ms;
+  __isset = other297.__isset;
   return *this;
 }
 void coming_model::printTo(std::ostream& out) const {
@@ -10241,14 +9947,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->models.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _etype301;
+            xfer += iprot->readListBegin(_etype301, _size298);
+            this->models.resize(_size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              xfer += iprot->readString(this->models[_i310]);
+              xfer += iprot->readString(this->models[_i302]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10261,14 +9967,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->coming.clear();
-            uint32_t _size311;
-            ::apache::thrift::protocol::TType _etype314;
-            xfer += iprot->readListBegin(_etype314, _size311);
-            this->coming.resize(_size311);
-            uint32_t _i315;
-            for (_i315 = 0; _i315 < _size311; ++_i315)
+            uint32_t _size303;
+            ::apache::thrift::protocol::TType _etype306;
+            xfer += iprot->readListBegin(_etype306, _size303);
+            this->coming.resize(_size303);
+            uint32_t _i307;
+            for (_i307 = 0; _i307 < _size303; ++_i307)
             {
-              xfer += this->coming[_i315].read(iprot);
+              xfer += this->coming[_i307].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10309,10 +10015,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter316;
-    for (_iter316 = this->models.begin(); _iter316 != this->models.end(); ++_iter316)
+    std::vector<std::string> ::const_iterator _iter308;
+    for (_iter308 = this->models.begin(); _iter308 != this->models.end(); ++_iter308)
     {
-      xfer += oprot->writeString((*_iter316));
+      xfer += oprot->writeString((*_iter308));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10321,10 +10027,10 @@
   xfer += oprot->writeFieldBegin("coming", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coming.size()));
-    std::vector<coming_model> ::const_iterator _iter317;
-    for (_iter317 = this->coming.begin(); _iter317 != this->coming.end(); ++_iter317)
+    std::vector<coming_model> ::const_iterator _iter309;
+    for (_iter309 = this->coming.begin(); _iter309 != this->coming.end(); ++_iter309)
     {
-      xfer += (*_iter317).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10345,38 +10051,38 @@
   swap(a.__isset, b.__isset);
 }
 
-target_holding::target_holding(const target_holding& other318) {
-  target = other318.target;
-  born = other318.born;
-  sequence = other318.sequence;
-  models = other318.models;
-  coming = other318.coming;
-  __isset = other318.__isset;
-}
-target_holding::target_holding(target_holding&& other319) noexcept {
-  target = std::move(other319.target);
-  born = other319.born;
-  sequence = other319.sequence;
-  models = std::move(other319.models);
-  coming = std::move(other319.coming);
-  __isset = other319.__isset;
-}
-target_holding& target_holding::operator=(const target_holding& other320) {
-  target = other320.target;
-  born = other320.born;
-  sequence = other320.sequence;
-  models = other320.models;
-  coming = other320.coming;
-  __isset = other320.__isset;
+target_holding::target_holding(const target_holding& other310) {
+  target = other310.target;
+  born = other310.born;
+  sequence = other310.sequence;
+  models = other310.models;
+  coming = other310.coming;
+  __isset = other310.__isset;
+}
+target_holding::target_holding(target_holding&& other311) noexcept {
+  target = std::move(other311.target);
+  born = other311.born;
+  sequence = other311.sequence;
+  models = std::move(other311.models);
+  coming = std::move(other311.coming);
+  __isset = other311.__isset;
+}
+target_holding& target_holding::operator=(const target_holding& other312) {
+  target = other312.target;
+  born = other312.born;
+  sequence = other312.sequence;
+  models = other312.models;
+  coming = other312.coming;
+  __isset = other312.__isset;
   return *this;
 }
-target_holding& target_holding::operator=(target_holding&& other321) noexcept {
-  target = std::move(other321.target);
-  born = other321.born;
-  sequence = other321.sequence;
-  models = std::move(other321.models);
-  coming = std::move(other321.coming);
-  __isset = other321.__isset;
+target_holding& target_holding::operator=(target_holding&& other313) noexcept {
+  target = std::move(other313.target);
+  born = other313.born;
+  sequence = other313.sequence;
+  models = std::move(other313.models);
+  coming = std::move(other313.coming);
+  __isset = other313.__isset;
   return *this;
 }
 void target_holding::printTo(std::ostream& out) const {
@@ -10483,26 +10189,26 @@
   swap(a.__isset, b.__isset);
 }
 
-leaving_target::leaving_target(const leaving_target& other322) {
-  target = other322.target;
-  born = other322.born;
-  __isset = other322.__isset;
+leaving_target::leaving_target(const leaving_target& other314) {
+  target = other314.target;
+  born = other314.born;
+  __isset = other314.__isset;
 }
-leaving_target::leaving_target(leaving_target&& other323) noexcept {
-  target = std::move(other323.target);
-  born = other323.born;
-  __isset = other323.__isset;
+leaving_target::leaving_target(leaving_target&& other315) noexcept {
+  target = std::move(other315.target);
+  born = other315.born;
+  __isset = other315.__isset;
 }
-leaving_target& leaving_target::operator=(const leaving_target& other324) {
-  target = other324.target;
-  born = other324.born;
-  __isset = other324.__isset;
+leaving_target& leaving_target::operator=(const leaving_target& other316) {
+  target = other316.target;
+  born = other316.born;
+  __isset = other316.__isset;
   return *this;
 }
-leaving_target& leaving_target::operator=(leaving_target&& other325) noexcept {
-  target = std::move(other325.target);
-  born = other325.born;
-  __isset = other325.__isset;
+leaving_target& leaving_target::operator=(leaving_target&& other317) noexcept {
+  target = std::move(other317.target);
+  born = other317.born;
+  __isset = other317.__isset;
   return *this;
 }
 void leaving_target::printTo(std::ostream& out) const {
@@ -10708,50 +10414,50 @@
   swap(a.__isset, b.__isset);
 }
 
-target_registration::target_registration(const target_registration& other326) {
-  target = other326.target;
-  born = other326.born;
-  service_name = other326.service_name;
-  address = other326.address;
-  data_centre = other326.data_centre;
-  slots = other326.slots;
-  draining = other326.draining;
-  cold_ms = other326.cold_ms;
-  __isset = other326.__isset;
-}
-target_registration::target_registration(target_registration&& other327) noexcept {
-  target = std::move(other327.target);
-  born = other327.born;
-  service_name = std::move(other327.service_name);
-  address = std::move(other327.address);
-  data_centre = std::move(other327.data_centre);
-  slots = other327.slots;
-  draining = other327.draining;
-  cold_ms = other327.cold_ms;
-  __isset = other327.__isset;
-}
-target_registration& target_registration::operator=(const target_registration& other328) {
-  target = other328.target;
-  born = other328.born;
-  service_name = other328.service_name;
-  address = other328.address;
-  data_centre = other328.data_centre;
-  slots = other328.slots;
-  draining = other328.draining;
-  cold_ms = other328.cold_ms;
-  __isset = other328.__isset;
+target_registration::target_registration(const target_registration& other318) {
+  target = other318.target;
+  born = other318.born;
+  service_name = other318.service_name;
+  address = other318.address;
+  data_centre = other318.data_centre;
+  slots = other318.slots;
+  draining = other318.draining;
+  cold_ms = other318.cold_ms;
+  __isset = other318.__isset;
+}
+target_registration::target_registration(target_registration&& other319) noexcept {
+  target = std::move(other319.target);
+  born = other319.born;
+  service_name = std::move(other319.service_name);
+  address = std::move(other319.address);
+  data_centre = std::move(other319.data_centre);
+  slots = other319.slots;
+  draining = other319.draining;
+  cold_ms = other319.cold_ms;
+  __isset = other319.__isset;
+}
+target_registration& target_registration::operator=(const target_registration& other320) {
+  target = other320.target;
+  born = other320.born;
+  service_name = other320.service_name;
+  address = other320.address;
+  data_centre = other320.data_centre;
+  slots = other320.slots;
+  draining = other320.draining;
+  cold_ms = other320.cold_ms;
+  __isset = other320.__isset;
   return *this;
 }
-target_registration& target_registration::operator=(target_registration&& other329) noexcept {
-  target = std::move(other329.target);
-  born = other329.born;
-  service_name = std::move(other329.service_name);
-  address = std::move(other329.address);
-  data_centre = std::move(other329.data_centre);
-  slots = other329.slots;
-  draining = other329.draining;
-  cold_ms = other329.cold_ms;
-  __isset = other329.__isset;
+target_registration& target_registration::operator=(target_registration&& other321) noexcept {
+  target = std::move(other321.target);
+  born = other321.born;
+  service_name = std::move(other321.service_name);
+  address = std::move(other321.address);
+  data_centre = std::move(other321.data_centre);
+  slots = other321.slots;
+  draining = other321.draining;
+  cold_ms = other321.cold_ms;
+  __isset = other321.__isset;
   return *this;
 }
 void target_registration::printTo(std::ostream& out) const {
@@ -10861,26 +10567,26 @@
   swap(a.__isset, b.__isset);
 }
 
-target_load::target_load(const target_load& other330) {
-  target = other330.target;
-  running = other330.running;
-  __isset = other330.__isset;
+target_load::target_load(const target_load& other322) {
+  target = other322.target;
+  running = other322.running;
+  __isset = other322.__isset;
 }
-target_load::target_load(target_load&& other331) noexcept {
-  target = std::move(other331.target);
-  running = other331.running;
-  __isset = other331.__isset;
+target_load::target_load(target_load&& other323) noexcept {
+  target = std::move(other323.target);
+  running = other323.running;
+  __isset = other323.__isset;
 }
-target_load& target_load::operator=(const target_load& other332) {
-  target = other332.target;
-  running = other332.running;
-  __isset = other332.__isset;
+target_load& target_load::operator=(const target_load& other324) {
+  target = other324.target;
+  running = other324.running;
+  __isset = other324.__isset;
   return *this;
 }
-target_load& target_load::operator=(target_load&& other333) noexcept {
-  target = std::move(other333.target);
-  running = other333.running;
-  __isset = other333.__isset;
+target_load& target_load::operator=(target_load&& other325) noexcept {
+  target = std::move(other325.target);
+  running = other325.running;
+  __isset = other325.__isset;
   return *this;
 }
 void target_load::printTo(std::ostream& out) const {
@@ -10975,6 +10681,10 @@
 void peer_status::__set_gives_orders(const bool val) {
   this->gives_orders = val;
 }
+
+void peer_status::__set_starts(const std::vector<target_registration> & val) {
+  this->starts = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -11039,14 +10749,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size334;
-            ::apache::thrift::protocol::TType _etype337;
-            xfer += iprot->readListBegin(_etype337, _size334);
-            this->heard.resize(_size334);
-            uint32_t _i338;
-            for (_i338 = 0; _i338 < _size334; ++_i338)
+            uint32_t _size326;
+            ::apache::thrift::protocol::TType _etype329;
+            xfer += iprot->readListBegin(_etype329, _size326);
+            this->heard.resize(_size326);
+            uint32_t _i330;
+            for (_i330 = 0; _i330 < _size326; ++_i330)
             {
-              xfer += iprot->readString(this->heard[_i338]);
+              xfer += iprot->readString(this->heard[_i330]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11083,14 +10793,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size339;
-            ::apache::thrift::protocol::TType _etype342;
-            xfer += iprot->readListBegin(_etype342, _size339);
-            this->centres_out.resize(_size339);
-            uint32_t _i343;
-            for (_i343 = 0; _i343 < _size339; ++_i343)
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->centres_out.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
             {
-              xfer += iprot->readString(this->centres_out[_i343]);
+              xfer += iprot->readString(this->centres_out[_i335]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11103,14 +10813,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->uses.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            uint32_t _size336;
+            ::apache::thrift::protocol::TType _etype339;
+            xfer += iprot->readListBegin(_etype339, _size336);
+            this->uses.resize(_size336);
+            uint32_t _i340;
+            for (_i340 = 0; _i340 < _size336; ++_i340)
             {
-              xfer += this->uses[_i348].read(iprot);
+              xfer += this->uses[_i340].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11123,14 +10833,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size349;
-            ::apache::thrift::protocol::TType _etype352;
-            xfer += iprot->readListBegin(_etype352, _size349);
-            this->demands.resize(_size349);
-            uint32_t _i353;
-            for (_i353 = 0; _i353 < _size349; ++_i353)
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->demands.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
             {
-              xfer += this->demands[_i353].read(iprot);
+              xfer += this->demands[_i345].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11143,14 +10853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size354;
-            ::apache::thrift::protocol::TType _etype357;
-            xfer += iprot->readListBegin(_etype357, _size354);
-            this->customers.resize(_size354);
-            uint32_t _i358;
-            for (_i358 = 0; _i358 < _size354; ++_i358)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->customers.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += this->customers[_i358].read(iprot);
+              xfer += this->customers[_i350].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11163,14 +10873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size359;
-            ::apache::thrift::protocol::TType _etype362;
-            xfer += iprot->readListBegin(_etype362, _size359);
-            this->holdings.resize(_size359);
-            uint32_t _i363;
-            for (_i363 = 0; _i363 < _size359; ++_i363)
+            uint32_t _size351;
+            ::apache::thrift::protocol::TType _etype354;
+            xfer += iprot->readListBegin(_etype354, _size351);
+            this->holdings.resize(_size351);
+            uint32_t _i355;
+            for (_i355 = 0; _i355 < _size351; ++_i355)
             {
-              xfer += this->holdings[_i363].read(iprot);
+              xfer += this->holdings[_i355].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11183,14 +10893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size364;
-            ::apache::thrift::protocol::TType _etype367;
-            xfer += iprot->readListBegin(_etype367, _size364);
-            this->leaving_targets.resize(_size364);
-            uint32_t _i368;
-            for (_i368 = 0; _i368 < _size364; ++_i368)
+            uint32_t _size356;
+            ::apache::thrift::protocol::TType _etype359;
+            xfer += iprot->readListBegin(_etype359, _size356);
+            this->leaving_targets.resize(_size356);
+            uint32_t _i360;
+            for (_i360 = 0; _i360 < _size356; ++_i360)
             {
-              xfer += this->leaving_targets[_i368].read(iprot);
+              xfer += this->leaving_targets[_i360].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11203,14 +10913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size369;
-            ::apache::thrift::protocol::TType _etype372;
-            xfer += iprot->readListBegin(_etype372, _size369);
-            this->suspects.resize(_size369);
-            uint32_t _i373;
-            for (_i373 = 0; _i373 < _size369; ++_i373)
+            uint32_t _size361;
+            ::apache::thrift::protocol::TType _etype364;
+            xfer += iprot->readListBegin(_etype364, _size361);
+            this->suspects.resize(_size361);
+            uint32_t _i365;
+            for (_i365 = 0; _i365 < _size361; ++_i365)
             {
-              xfer += this->suspects[_i373].read(iprot);
+              xfer += this->suspects[_i365].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11231,14 +10941,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size374;
-            ::apache::thrift::protocol::TType _etype377;
-            xfer += iprot->readListBegin(_etype377, _size374);
-            this->registrations.resize(_size374);
-            uint32_t _i378;
-            for (_i378 = 0; _i378 < _size374; ++_i378)
+            uint32_t _size366;
+            ::apache::thrift::protocol::TType _etype369;
+            xfer += iprot->readListBegin(_etype369, _size366);
+            this->registrations.resize(_size366);
+            uint32_t _i370;
+            for (_i370 = 0; _i370 < _size366; ++_i370)
             {
-              xfer += this->registrations[_i378].read(iprot);
+              xfer += this->registrations[_i370].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11259,14 +10969,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->loads.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size371;
+            ::apache::thrift::protocol::TType _etype374;
+            xfer += iprot->readListBegin(_etype374, _size371);
+            this->loads.resize(_size371);
+            uint32_t _i375;
+            for (_i375 = 0; _i375 < _size371; ++_i375)
             {
-              xfer += this->loads[_i383].read(iprot);
+              xfer += this->loads[_i375].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11283,6 +10993,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->starts.clear();
+            uint32_t _size376;
+            ::apache::thrift::protocol::TType _etype379;
+            xfer += iprot->readListBegin(_etype379, _size376);
+            this->starts.resize(_size376);
+            uint32_t _i380;
+            for (_i380 = 0; _i380 < _size376; ++_i380)
+            {
+              xfer += this->starts[_i380].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.starts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11319,10 +11049,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter384;
-    for (_iter384 = this->heard.begin(); _iter384 != this->heard.end(); ++_iter384)
+    std::vector<std::string> ::const_iterator _iter381;
+    for (_iter381 = this->heard.begin(); _iter381 != this->heard.end(); ++_iter381)
     {
-      xfer += oprot->writeString((*_iter384));
+      xfer += oprot->writeString((*_iter381));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11343,10 +11073,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter385;
-    for (_iter385 = this->centres_out.begin(); _iter385 != this->centres_out.end(); ++_iter385)
+    std::vector<std::string> ::const_iterator _iter382;
+    for (_iter382 = this->centres_out.begin(); _iter382 != this->centres_out.end(); ++_iter382)
     {
-      xfer += oprot->writeString((*_iter385));
+      xfer += oprot->writeString((*_iter382));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11355,10 +11085,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter386;
-    for (_iter386 = this->uses.begin(); _iter386 != this->uses.end(); ++_iter386)
+    std::vector<target_use> ::const_iterator _iter383;
+    for (_iter383 = this->uses.begin(); _iter383 != this->uses.end(); ++_iter383)
     {
-      xfer += (*_iter386).write(oprot);
+      xfer += (*_iter383).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11367,10 +11097,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter387;
-    for (_iter387 = this->demands.begin(); _iter387 != this->demands.end(); ++_iter387)
+    std::vector<model_demand> ::const_iterator _iter384;
+    for (_iter384 = this->demands.begin(); _iter384 != this->demands.end(); ++_iter384)
     {
-      xfer += (*_iter387).write(oprot);
+      xfer += (*_iter384).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11379,10 +11109,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter388;
-    for (_iter388 = this->customers.begin(); _iter388 != this->customers.end(); ++_iter388)
+    std::vector<customer_use> ::const_iterator _iter385;
+    for (_iter385 = this->customers.begin(); _iter385 != this->customers.end(); ++_iter385)
     {
-      xfer += (*_iter388).write(oprot);
+      xfer += (*_iter385).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11391,10 +11121,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter389;
-    for (_iter389 = this->holdings.begin(); _iter389 != this->holdings.end(); ++_iter389)
+    std::vector<target_holding> ::const_iterator _iter386;
+    for (_iter386 = this->holdings.begin(); _iter386 != this->holdings.end(); ++_iter386)
     {
-      xfer += (*_iter389).write(oprot);
+      xfer += (*_iter386).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11403,10 +11133,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter390;
-    for (_iter390 = this->leaving_targets.begin(); _iter390 != this->leaving_targets.end(); ++_iter390)
+    std::vector<leaving_target> ::const_iterator _iter387;
+    for (_iter387 = this->leaving_targets.begin(); _iter387 != this->leaving_targets.end(); ++_iter387)
     {
-      xfer += (*_iter390).write(oprot);
+      xfer += (*_iter387).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11415,10 +11145,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter391;
-    for (_iter391 = this->suspects.begin(); _iter391 != this->suspects.end(); ++_iter391)
+    std::vector<quarantine> ::const_iterator _iter388;
+    for (_iter388 = this->suspects.begin(); _iter388 != this->suspects.end(); ++_iter388)
     {
-      xfer += (*_iter391).write(oprot);
+      xfer += (*_iter388).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11431,10 +11161,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter392;
-    for (_iter392 = this->registrations.begin(); _iter392 != this->registrations.end(); ++_iter392)
+    std::vector<target_registration> ::const_iterator _iter389;
+    for (_iter389 = this->registrations.begin(); _iter389 != this->registrations.end(); ++_iter389)
     {
-      xfer += (*_iter392).write(oprot);
+      xfer += (*_iter389).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11447,10 +11177,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter393;
-    for (_iter393 = this->loads.begin(); _iter393 != this->loads.end(); ++_iter393)
+    std::vector<target_load> ::const_iterator _iter390;
+    for (_iter390 = this->loads.begin(); _iter390 != this->loads.end(); ++_iter390)
     {
-      xfer += (*_iter393).write(oprot);
+      xfer += (*_iter390).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11460,6 +11190,18 @@
   xfer += oprot->writeBool(this->gives_orders);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
+    std::vector<target_registration> ::const_iterator _iter391;
+    for (_iter391 = this->starts.begin(); _iter391 != this->starts.end(); ++_iter391)
+    {
+      xfer += (*_iter391).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11487,10 +11229,59 @@
   swap(a.address, b.address);
   swap(a.loads, b.loads);
   swap(a.gives_orders, b.gives_orders);
+  swap(a.starts, b.starts);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other394) {
+peer_status::peer_status(const peer_status& other392) {
+  process = other392.process;
+  boot = other392.boot;
+  sequence = other392.sequence;
+  leaving = other392.leaving;
+  heard = other392.heard;
+  config_version = other392.config_version;
+  config_address = other392.config_address;
+  centres_revision = other392.centres_revision;
+  centres_out = other392.centres_out;
+  uses = other392.uses;
+  demands = other392.demands;
+  customers = other392.customers;
+  holdings = other392.holdings;
+  leaving_targets = other392.leaving_targets;
+  suspects = other392.suspects;
+  wants_registrations = other392.wants_registrations;
+  registrations = other392.registrations;
+  address = other392.address;
+  loads = other392.loads;
+  gives_orders = other392.gives_orders;
+  starts = other392.starts;
+  __isset = other392.__isset;
+}
+peer_status::peer_status(peer_status&& other393) noexcept {
+  process = std::move(other393.process);
+  boot = other393.boot;
+  sequence = other393.sequence;
+  leaving = other393.leaving;
+  heard = std::move(other393.heard);
+  config_version = other393.config_version;
+  config_address = std::move(other393.config_address);
+  centres_revision = other393.centres_revision;
+  centres_out = std::move(other393.centres_out);
+  uses = std::move(other393.uses);
+  demands = std::move(other393.demands);
+  customers = std::move(other393.customers);
+  holdings = std::move(other393.holdings);
+  leaving_targets = std::move(other393.leaving_targets);
+  suspects = std::move(other393.suspects);
+  wants_registrations = other393.wants_registrations;
+  registrations = std::move(other393.registrations);
+  address = std::move(other393.address);
+  loads = std::move(other393.loads);
+  gives_orders = other393.gives_orders;
+  starts = std::move(other393.starts);
+  __isset = other393.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other394) {
   process = other394.process;
   boot = other394.boot;
   sequence = other394.sequence;
@@ -11511,9 +11302,11 @@
   address = other394.address;
   loads = other394.loads;
   gives_orders = other394.gives_orders;
+  starts = other394.starts;
   __isset = other394.__isset;
+  return *this;
 }
-peer_status::peer_status(peer_status&& other395) noexcept {
+peer_status& peer_status::operator=(peer_status&& other395) noexcept {
   process = std::move(other395.process);
   boot = other395.boot;
   sequence = other395.sequence;
@@ -11534,54 +11327,8 @@
   address = std::move(other395.address);
   loads = std::move(other395.loads);
   gives_orders = other395.gives_orders;
+  starts = std::move(other395.starts);
   __isset = other395.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other396) {
-  process = other396.process;
-  boot = other396.boot;
-  sequence = other396.sequence;
-  leaving = other396.leaving;
-  heard = other396.heard;
-  config_version = other396.config_version;
-  config_address = other396.config_address;
-  centres_revision = other396.centres_revision;
-  centres_out = other396.centres_out;
-  uses = other396.uses;
-  demands = other396.demands;
-  customers = other396.customers;
-  holdings = other396.holdings;
-  leaving_targets = other396.leaving_targets;
-  suspects = other396.suspects;
-  wants_registrations = other396.wants_registrations;
-  registrations = other396.registrations;
-  address = other396.address;
-  loads = other396.loads;
-  gives_orders = other396.gives_orders;
-  __isset = other396.__isset;
-  return *this;
-}
-peer_status& peer_status::operator=(peer_status&& other397) noexcept {
-  process = std::move(other397.process);
-  boot = other397.boot;
-  sequence = other397.sequence;
-  leaving = other397.leaving;
-  heard = std::move(other397.heard);
-  config_version = other397.config_version;
-  config_address = std::move(other397.config_address);
-  centres_revision = other397.centres_revision;
-  centres_out = std::move(other397.centres_out);
-  uses = std::move(other397.uses);
-  demands = std::move(other397.demands);
-  customers = std::move(other397.customers);
-  holdings = std::move(other397.holdings);
-  leaving_targets = std::move(other397.leaving_targets);
-  suspects = std::move(other397.suspects);
-  wants_registrations = other397.wants_registrations;
-  registrations = std::move(other397.registrations);
-  address = std::move(other397.address);
-  loads = std::move(other397.loads);
-  gives_orders = other397.gives_orders;
-  __isset = other397.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -11607,6 +11354,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "gives_orders=" << to_string(gives_orders);
+  out << ", " << "starts=" << to_string(starts);
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -61,8 +61,6 @@
     acceptor_status = 73,
     apply_report = 74,
     feed_elsewhere = 75,
-    bucket_handover = 80,
-    bucket_handover_ack = 81,
     stood_down = 82,
     peer_status = 90
   };
@@ -219,10 +217,6 @@
 
 class stood_down;
 
-class bucket_handover;
-
-class bucket_handover_ack;
-
 class target_use;
 
 class model_demand;
@@ -3715,124 +3709,6 @@
 
 std::ostream& operator<<(std::ostream& out, const stood_down& obj);
 
-typedef struct _bucket_handover__isset {
-  _bucket_handover__isset() : customer(false), tokens(false), outstanding(false), fencing(false) {}
-  bool customer :1;
-  bool tokens :1;
-  bool outstanding :1;
-  bool fencing :1;
-} _bucket_handover__isset;
-
-class bucket_handover : public virtual ::apache::thrift::TBase {
- public:
-
-  bucket_handover(const bucket_handover&);
-  bucket_handover(bucket_handover&&) noexcept;
-  bucket_handover& operator=(const bucket_handover&);
-  bucket_handover& operator=(bucket_handover&&) noexcept;
-  bucket_handover() noexcept
-                  : customer(),
-                    tokens(0),
-                    outstanding(0),
-                    fencing(0) {
-  }
-
-  virtual ~bucket_handover() noexcept;
-  std::string customer;
-  int64_t tokens;
-  int64_t outstanding;
-  int64_t fencing;
-
-  _bucket_handover__isset __isset;
-
-  void __set_customer(const std::string& val);
-
-  void __set_tokens(const int64_t val);
-
-  void __set_outstanding(const int64_t val);
-
-  void __set_fencing(const int64_t val);
-
-  bool operator == (const bucket_handover & rhs) const
-  {
-    if (!(customer == rhs.customer))
-      return false;
-    if (!(tokens == rhs.tokens))
-      return false;
-    if (!(outstanding == rhs.outstanding))
-      return false;
-    if (!(fencing == rhs.fencing))
-      return false;
-    return true;
-  }
-  bool operator != (const bucket_handover &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const bucket_handover & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(bucket_handover &a, bucket_handover &b);
-
-std::ostream& operator<<(std::ostream& out, const bucket_handover& obj);
-
-typedef struct _bucket_handover_ack__isset {
-  _bucket_handover_ack__isset() : customer(false), taken(false) {}
-  bool customer :1;
-  bool taken :1;
-} _bucket_handover_ack__isset;
-
-class bucket_handover_ack : public virtual ::apache::thrift::TBase {
- public:
-
-  bucket_handover_ack(const bucket_handover_ack&);
-  bucket_handover_ack(bucket_handover_ack&&) noexcept;
-  bucket_handover_ack& operator=(const bucket_handover_ack&);
-  bucket_handover_ack& operator=(bucket_handover_ack&&) noexcept;
-  bucket_handover_ack() noexcept
-                      : customer(),
-                        taken(0) {
-  }
-
-  virtual ~bucket_handover_ack() noexcept;
-  std::string customer;
-  bool taken;
-
-  _bucket_handover_ack__isset __isset;
-
-  void __set_customer(const std::string& val);
-
-  void __set_taken(const bool val);
-
-  bool operator == (const bucket_handover_ack & rhs) const
-  {
-    if (!(customer == rhs.customer))
-      return false;
-    if (!(taken == rhs.taken))
-      return false;
-    return true;
-  }
-  bool operator != (const bucket_handover_ack &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const bucket_handover_ack & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(bucket_handover_ack &a, bucket_handover_ack &b);
-
-std::ostream& operator<<(std::ostream& out, const bucket_handover_ack& obj);
-
 typedef struct _target_use__isset {
   _target_use__isset() : target(false), model(false), running(false), idle_ms(false) {}
   bool target :1;
@@ -4371,7 +4247,7 @@
 std::ostream& operator<<(std::ostream& out, const target_load& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4392,12 +4268,14 @@
   bool address :1;
   bool loads :1;
   bool gives_orders :1;
+  bool starts :1;
 } _peer_status__isset;
 
 /**
  * address: where the sender takes these. loads: to everybody. uses, demands: only to gateways that give orders.
  * holdings: from the gateway that gives orders; what changed lately, and each target again every few seconds.
- * wants_registrations: the sender can't read the store; registrations: only to such a peer.
+ * starts: from the same gateway, registrations of targets that started or became cold, as holdings.
+ * wants_registrations: the sender can't read the store; registrations: only to such a peer, all of them.
  */
 class peer_status : public virtual ::apache::thrift::TBase {
  public:
@@ -4440,6 +4318,7 @@
   std::string address;
   std::vector<target_load>  loads;
   bool gives_orders;
+  std::vector<target_registration>  starts;
 
   _peer_status__isset __isset;
 
@@ -4483,6 +4362,8 @@
 
   void __set_gives_orders(const bool val);
 
+  void __set_starts(const std::vector<target_registration> & val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -4525,6 +4406,8 @@
       return false;
     if (!(gives_orders == rhs.gives_orders))
       return false;
+    if (!(starts == rhs.starts))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -29,6 +29,7 @@
     int members = 1;                 // registered gateways, this one included
     bool order_giver_speaks = false; // another gateway holds the lease and is heard
     bool ending = false;             // SIGTERM came
+    core::common::time_point ending_since{};
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -4,10 +4,6 @@
 #include "edge/log.hpp"
 #include "platform/headers.hpp"
 
-#include <xxhash.h>
-
-#include <charconv>
-
 namespace waxwinglb::programs::gateway {
 namespace {
 
@@ -20,56 +16,29 @@
 constexpr milliseconds housekeeping_every{100};
 constexpr milliseconds settings_check_every{1'000};
 constexpr milliseconds register_retry{500};
-constexpr milliseconds drain_least{2'600};     // the balancer needs two unready answers to notice
-constexpr milliseconds drain_accepts{2'200};   // then new requests are refused
-constexpr milliseconds drain_retry_after{100}; // other gateways serve already
-constexpr milliseconds drain_reserve{400};     // of the allowed time, for the end itself
-constexpr milliseconds later{1'000};           // Retry-After of a gateway that knows no configuration yet
-constexpr std::size_t max_sessions = 900;      // the select reactor serves 1,024 descriptors
+constexpr milliseconds drain_least{2'600}; // the balancer needs two unready answers to notice
+constexpr milliseconds drain_reserve{400}; // of the allowed time, for the end itself
+constexpr std::size_t max_sessions = 900;  // the select reactor serves 1,024 descriptors
 
 std::int64_t unix_ms() {
     return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
         .count();
 }
 
-std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0) {
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
-/// The last part of a prompt's prefix names its session.
-std::uint64_t session_of(const std::string& prefix) {
-    const auto comma = prefix.rfind(',');
-    const std::string_view last = std::string_view{prefix}.substr(comma == std::string::npos ? 0 : comma + 1);
-    return hash_of(last.substr(0, last.find(':')));
-}
-
-/// Sum of "PROMPT,MOST_OUTPUT"; nullopt if malformed.
-std::optional<double> tokens_of(const std::string& text) {
-    const auto comma = text.find(',');
-    std::int64_t first = 0;
-    std::int64_t second = 0;
-    if (comma == std::string::npos)
-        return std::nullopt;
-    const auto one = std::from_chars(text.data(), text.data() + comma, first);
-    const auto two = std::from_chars(text.data() + comma + 1, text.data() + text.size(), second);
-    if (one.ec != std::errc{} || two.ec != std::errc{} || first < 0 || second < 0)
-        return std::nullopt;
-    return static_cast<double>(first + second);
-}
-
 } // namespace
 
 gateway::gateway(edge::program_context& program, const gateway_settings& settings)
     : program_(program), settings_(settings), log_(settings.name),
       context_(settings_, loop_, log_, *program.metrics), store_(client_, settings.store, store_timeout),
       lease_calls_(client_, settings.store, lease_timeout),
-      forwarder_(context_, [this](const call_ptr& one) { finished(one); }),
+      forwarder_(context_, [this](const call_ptr& one) { admission_.finished(one); }),
       dispatcher_(context_,
                   {[this](const call_ptr& one, const std::string& target) { forwarder_.send(one, target); },
                    [this](const call_ptr& one, core::dispatch::obstacle why, duration retry_after) {
                        forwarder_.refuse(one, 503, core::dispatch::name_of(why), retry_after);
                    },
                    [this] { peers_.tell_order_giver(); }}),
+      admission_(context_, forwarder_, dispatcher_),
       watch_(context_, store_,
              {[this] {
                   {
@@ -103,18 +72,10 @@
     forwarder_.attach(dispatcher_);
     order_giver_.attach(peers_);
     session_owner_.on_request = [this](const auto& session, edge::wire_request&& request) {
-        on_request(session, std::move(request));
-    };
-    session_owner_.on_gone = [this](caller_session& session) {
-        const auto found = calls_.find(&session);
-        if (found != calls_.end())
-            forwarder_.abandon(call_ptr{found->second});
-    };
-    session_owner_.on_drained = [this](caller_session& session) {
-        const auto found = calls_.find(&session);
-        if (found != calls_.end())
-            forwarder_.caller_drained(found->second);
+        admission_.take(session, std::move(request));
     };
+    session_owner_.on_gone = [this](caller_session& session) { admission_.caller_left(session); };
+    session_owner_.on_drained = [this](caller_session& session) { admission_.caller_drained(session); };
     session_owner_.on_closed = [this](caller_session& session) {
         sessions_.erase(session.shared_from_this());
     };
@@ -140,153 +101,14 @@
         return false;
     watch_.start();
     register_self();
-    order_giver_.start();
+    order_giver_.start([this] { watch_.follow_closely(); });
     housekeeping();
     return true;
 }
 
 void gateway::run() {
     loop_.run();
-    log_.write(edge::events::process_stopped, settings_.name, {{"open_requests", calls_.size()}});
-}
-
-// ---- admission -------------------------------------------------------------------------------------
-
-void gateway::on_request(const std::shared_ptr<caller_session>& session, edge::wire_request&& request) {
-    static const core::fleet::route no_route;
-    auto one = std::make_shared<call>();
-    one->session = session;
-    one->request = std::move(request);
-    one->config = context_.config;
-    one->route = &no_route;
-    one->arrived = loop_.now();
-    one->deadline = one->arrived + later;
-    calls_[session.get()] = one;
-    if (const std::string* id = edge::find_field(one->request.fields, platform::request_id_header))
-        one->request_id = *id;
-    if (!one->config) {
-        one->config = std::make_shared<const core::fleet::config>();
-        return reject(one, 503, "no_configuration", later);
-    }
-    if (one->request_id.empty())
-        return reject(one, 400, "no_request_id");
-    // A request that comes late in a drain might outlast the process.
-    if (context_.ending && loop_.now() - drain_began_ > drain_accepts)
-        return reject(one, 503, "ending", drain_retry_after);
-    if (!find_route(one) || !identify_caller(one) || !read_deadline(one) || !charge(one))
-        return;
-    one->timer = loop_.schedule(one->deadline, [this, one] { forwarder_.deadline_passed(one); });
-    dispatcher_.submit(one);
-}
-
-bool gateway::find_route(const call_ptr& one) {
-    const std::string* host = edge::find_field(one->request.fields, "Host");
-    const auto* route = host == nullptr ? nullptr : one->config->find_route(*host, one->request.path());
-    if (route == nullptr || route->destinations.empty()) {
-        reject(one, 404, "no_route");
-        return false;
-    }
-    one->route = route;
-    one->priority = route->priority;
-    int sum = 0;
-    for (const auto& destination : route->destinations)
-        sum += std::max(0, destination.weight);
-    int place = sum > 0 ? static_cast<int>(hash_of(one->request_id) % static_cast<std::uint64_t>(sum)) : 0;
-    for (const auto& destination : route->destinations) {
-        place -= std::max(0, destination.weight);
-        if (place < 0 || sum == 0) {
-            one->service = destination.service;
-            break;
-        }
-    }
-    return true;
-}
-
-bool gateway::identify_caller(const call_ptr& one) {
-    if (one->route->open || one->config->customers.empty())
-        return true;
-    const std::string* key = edge::find_field(one->request.fields, platform::key_header);
-    const auto* customer = key == nullptr ? nullptr : one->config->owner_of(*key);
-    if (customer == nullptr) {
-        reject(one, 401, key == nullptr ? "no_key" : "unknown_key");
-        return false;
-    }
-    one->customer = customer->name;
-    one->priority = customer->priority.value_or(one->priority);
-    one->tokens = customer->tokens_without_count;
-    return true;
-}
-
-bool gateway::read_deadline(const call_ptr& one) {
-    auto left = one->route->timeout;
-    if (const std::string* text = edge::find_field(one->request.fields, platform::deadline_header)) {
-        std::int64_t value = 0;
-        const auto [end, failure] = std::from_chars(text->data(), text->data() + text->size(), value);
-        if (failure != std::errc{} || end != text->data() + text->size()) {
-            reject(one, 400, "malformed_deadline");
-            return false;
-        }
-        left = std::min(left, milliseconds{value});
-    }
-    one->deadline = one->arrived + left;
-    if (left.count() > 0)
-        return true;
-    reject(one, 503, "deadline_passed");
-    return false;
-}
-
-/// Reads what the request asks for and takes its tokens from the customer's rate.
-bool gateway::charge(const call_ptr& one) {
-    const auto& fields = one->request.fields;
-    if (const std::string* model = edge::find_field(fields, platform::model_header))
-        one->model = core::fleet::parse_model_wish(*model);
-    const auto* service = one->config->find_service(one->service);
-    if (service == nullptr || !service->engine)
-        one->model = {};
-    else if (!one->model.model.empty() && !core::fleet::offers(*service->engine, one->model)) {
-        reject(one, 503, "unknown_model");
-        return false;
-    }
-    if (const std::string* text = edge::find_field(fields, platform::tokens_header)) {
-        const auto tokens = tokens_of(*text);
-        if (!tokens) {
-            reject(one, 400, "malformed_token_count");
-            return false;
-        }
-        one->tokens = *tokens;
-    }
-    if (const std::string* prefix = edge::find_field(fields, platform::prefix_header);
-        prefix && one->route->sticky)
-        one->sticky_session = session_of(*prefix);
-    one->fingerprint = hash_of(one->request.body, hash_of(one->request.target, hash_of(one->customer)));
-    if (forwarder_.condemned(one->fingerprint)) {
-        reject(one, 503, "condemned");
-        return false;
-    }
-    if (one->customer.empty())
-        return true;
-    const auto quota = context_.quota.take(one->customer, one->tokens, loop_.now());
-    if (!quota.granted) {
-        log_.write(edge::events::rate_refused, one->request_id,
-                   {{"customer", one->customer},
-                    {"tokens", one->tokens},
-                    {"level", context_.quota.level(one->customer)},
-                    {"available_part", context_.quota.available_part(loop_.now())},
-                    {"retry_ms", core::common::to_wire_ms(quota.retry_after)}});
-        reject(one, 429, "over_rate", quota.retry_after);
-    }
-    return quota.granted;
-}
-
-void gateway::reject(const call_ptr& one, int status, const std::string& reason, duration retry_after) {
-    one->tokens = 0;
-    forwarder_.refuse(one, status, reason, retry_after);
-}
-
-void gateway::finished(const call_ptr& one) {
-    if (one->sends == 0 && one->tokens > 0)
-        context_.quota.give_back(one->customer, one->tokens);
-    calls_.erase(one->session.get());
+    log_.write(edge::events::process_stopped, settings_.name, {{"open_requests", admission_.open_calls()}});
 }
 
 // ---- the process -----------------------------------------------------------------------------------
@@ -403,17 +225,17 @@
 
 void gateway::begin_drain() {
     context_.ending = true;
-    drain_began_ = loop_.now();
-    log_.write(edge::events::process_stopping, settings_.name, {{"open_requests", calls_.size()}});
+    context_.ending_since = loop_.now();
+    log_.write(edge::events::process_stopping, settings_.name, {{"open_requests", admission_.open_calls()}});
     order_giver_.lease().release();
 }
 
 void gateway::drain_step() {
-    const auto lasted = loop_.now() - drain_began_;
+    const auto lasted = loop_.now() - context_.ending_since;
     if (lasted > drain_accepts)
         dispatcher_.refuse_all(drain_retry_after);
     const bool out_of_time = lasted > settings_.drain - drain_reserve;
-    if (!out_of_time && (lasted < drain_least || !calls_.empty()))
+    if (!out_of_time && (lasted < drain_least || admission_.open_calls() > 0))
         return;
     peers_.say_leaving();
     const auto open = sessions_;
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -1,13 +1,13 @@
-/// The parts of one gateway, and the way of a request until it waits for a target.
+/// The parts of one gateway, and what concerns the whole process: start, pages, reload, end.
 #pragma once
 
 #include "edge/program.hpp"
+#include "programs/gateway/admission.hpp"
 #include "programs/gateway/order_giver.hpp"
 
 #include <filesystem>
 #include <memory>
 #include <mutex>
-#include <unordered_map>
 #include <unordered_set>
 
 namespace waxwinglb::programs::gateway {
@@ -19,17 +19,6 @@
     void run();   // until SIGTERM and the end of what runs
 
 private:
-    // Admission.
-    void on_request(const std::shared_ptr<caller_session>& session, edge::wire_request&& request);
-    bool find_route(const call_ptr& one);
-    bool identify_caller(const call_ptr& one);
-    bool read_deadline(const call_ptr& one);
-    bool charge(const call_ptr& one);
-    void reject(const call_ptr& one, int status, const std::string& reason,
-                core::common::duration retry_after = {});
-    void finished(const call_ptr& one);
-
-    // The process.
     void accept(int socket);
     void serve_readiness(const edge::exchange_ptr& exchange);
     void serve_metrics(const edge::exchange_ptr& exchange);
@@ -51,6 +40,7 @@
     platform::store_client lease_calls_; // with a shorter timeout
     forwarder forwarder_;
     dispatcher dispatcher_;
+    admission admission_;
     store_watch watch_;
     std::int64_t boot_;
     order_giver order_giver_;
@@ -58,12 +48,10 @@
     edge::acceptor acceptor_;
     caller_session::owner session_owner_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
-    std::unordered_map<caller_session*, call_ptr> calls_;
     std::unique_ptr<edge::http_server> readiness_;
     std::unique_ptr<edge::http_server> metrics_;
     std::mutex config_mutex_;
     std::string config_for_peers_; // under config_mutex_: read by the metrics server's thread
-    core::common::time_point drain_began_{};
     int reloads_seen_ = 0;
     std::filesystem::file_time_type settings_written_{};
     core::common::time_point settings_checked_{};
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -37,14 +37,17 @@
     : context_(context), client_(client), dispatch_(dispatch),
       lease_(context, store, client, boot, [this] { targets_.clear(); }) {}
 
-void order_giver::start() {
+void order_giver::start(std::function<void()> on_silence) {
+    on_silence_ = std::move(on_silence);
     tick();
 }
 
 void order_giver::tick() {
     const auto now = context_.loop.now();
     lease_.step();
-    context_.order_giver_speaks = lease_.holder_speaks(now);
+    const bool spoke = std::exchange(context_.order_giver_speaks, lease_.holder_speaks(now));
+    if (spoke && !context_.order_giver_speaks)
+        on_silence_();
     follow_directory();
     if (may_order(now)) {
         ask_for_reports();
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -18,7 +18,8 @@
         lease_.attach(others);
     }
     [[nodiscard]] order_lease& lease() { return lease_; }
-    void start();
+    void
+    start(std::function<void()> on_silence); // called when another gateway that gave orders is heard no more
 
     [[nodiscard]] bool gives_orders() const { return lease_.held(); }
     /// What the targets hold, for the other gateways; empty unless the lease is held.
@@ -58,6 +59,7 @@
     dispatcher& dispatch_;
     order_lease lease_;
     peers* peers_ = nullptr;
+    std::function<void()> on_silence_;
     std::map<std::string, known_target> targets_;
     core::placing::store_pace pace_;
 };
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -23,6 +23,19 @@
     return core::common::to_wire_ms(value);
 }
 
+core::fleet::target_entry decode(const wire::target_registration& one) {
+    core::fleet::target_entry out;
+    out.id = one.target;
+    out.born = one.born;
+    out.service = one.service_name;
+    out.address = one.address;
+    out.data_centre = one.data_centre;
+    out.slots = one.slots;
+    out.draining = one.draining;
+    out.cold_left = milliseconds{one.cold_ms};
+    return out;
+}
+
 } // namespace
 
 peers::peers(gateway_context& context, parts with, std::int64_t boot)
@@ -53,6 +66,7 @@
 void peers::tick() {
     report_silent();
     told_holdings_.forget_old(context_.loop.now());
+    told_starts_.forget_old(context_.loop.now());
     tell(audience::everybody);
     const auto period = core::membership::tell_period(addresses_.size() + 1);
     context_.loop.schedule(context_.loop.now() + period, [this] { tick(); });
@@ -149,7 +163,7 @@
     return out;
 }
 
-/// What targets hold, as far as it is worth telling now.
+/// What targets hold, and which started or became cold, as far as it is worth telling now.
 void peers::add_news(wire::peer_status& to) {
     const auto now = context_.loop.now();
     for (auto& one : parts_.holdings()) {
@@ -161,6 +175,11 @@
         if (told_holdings_.due(one.target, XXH3_64bits(content.data(), content.size()), now))
             to.holdings.push_back(std::move(one));
     }
+    for (auto& one : registrations()) {
+        const std::string content = std::to_string(one.born) + one.address + (one.cold_ms > 0 ? " cold" : "");
+        if (!one.draining && told_starts_.due(one.target, XXH3_64bits(content.data(), content.size()), now))
+            to.starts.push_back(std::move(one));
+    }
 }
 
 /// What the gateway that gives orders needs to plan.
@@ -276,6 +295,8 @@
     parts_.dispatch.peer_load(status.process, std::move(running));
     for (const auto& one : status.suspects)
         parts_.forward.heard_breaks(std::strtoull(one.fingerprint.c_str(), nullptr, 10), one.crashes);
+    if (status.gives_orders && status.wants_registrations && parts_.watch.reads_targets())
+        context_.directory.store_doubted(now);
     take_store_news(status);
     take_holdings(status);
 }
@@ -293,6 +314,8 @@
     }
     for (const auto& one : status.leaving_targets)
         context_.directory.mark_leaving(one.target, one.born);
+    for (const auto& one : status.starts)
+        context_.directory.hear_of(decode(one), context_.loop.now());
     if (!status.registrations.empty() && !parts_.watch.reads_targets())
         adopt_registrations(status);
     const std::int64_t own = context_.config ? context_.config->version : 0;
@@ -328,7 +351,7 @@
         one.data_centre = target.entry.data_centre;
         one.slots = target.entry.slots;
         one.draining = target.leaving();
-        one.cold_ms = ms_of(target.cold_until - now);
+        one.cold_ms = std::max<std::int64_t>(0, ms_of(target.cold_until - now));
         out.push_back(std::move(one));
     }
     return out;
@@ -336,18 +359,8 @@
 
 void peers::adopt_registrations(const wire::peer_status& status) {
     std::vector<core::fleet::target_entry> entries;
-    for (const auto& one : status.registrations) {
-        core::fleet::target_entry entry;
-        entry.id = one.target;
-        entry.born = one.born;
-        entry.service = one.service_name;
-        entry.address = one.address;
-        entry.data_centre = one.data_centre;
-        entry.slots = one.slots;
-        entry.draining = one.draining;
-        entry.cold_left = milliseconds{one.cold_ms};
-        entries.push_back(std::move(entry));
-    }
+    for (const auto& one : status.registrations)
+        entries.push_back(decode(one));
     context_.directory.adopt(entries, context_.loop.now());
     parts_.dispatch.pump_soon();
 }
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -77,7 +77,8 @@
     std::map<std::string, std::string> addresses_; // by gateway's name
     std::map<std::string, peer_state> heard_;
     std::set<std::string> silent_;
-    core::membership::news told_holdings_;
+    core::membership::news told_holdings_{core::common::milliseconds{1'000}}; // they are believed for 3 s
+    core::membership::news told_starts_{core::common::milliseconds{5'000}};
     std::uint64_t told_departures_ = 0; // hash
     bool tell_planned_ = false;
     audience planned_to_ = audience::order_giver;
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -19,11 +19,12 @@
 // target that leaves and for a configuration); the others rely on its word, and follow as closely themselves
 // while they don't hear it.
 constexpr milliseconds close_wait{1'000};
-constexpr kind_watch::follow_times targets_times{close_wait, milliseconds{250}, milliseconds{1'500},
-                                                 milliseconds{1'000}};
-constexpr kind_watch::follow_times config_times{close_wait, milliseconds{20}, milliseconds{3'000},
-                                                milliseconds{20}};
-constexpr kind_watch::follow_times centres_times{close_wait, milliseconds{20}, milliseconds{4'000},
+// The pause stays within that bound too, for the moment at which the order giver is lost.
+constexpr milliseconds relaxed_wait{8'000};
+constexpr kind_watch::follow_times targets_times{close_wait, milliseconds{250}, relaxed_wait,
+                                                 milliseconds{1'400}};
+constexpr kind_watch::follow_times config_times{close_wait, milliseconds{20}, relaxed_wait, milliseconds{20}};
+constexpr kind_watch::follow_times centres_times{close_wait, milliseconds{20}, relaxed_wait,
                                                  milliseconds{20}};
 constexpr kind_watch::follow_times members_times{milliseconds{5'000}, milliseconds{500}, milliseconds{10'000},
                                                  milliseconds{500}};
@@ -67,15 +68,17 @@
 }
 
 void kind_watch::next(milliseconds after) {
-    context_.loop.schedule(context_.loop.now() + after, [this] { revision_ > 0 ? watch() : list(); });
-}
-
-milliseconds kind_watch::pause() const {
-    return context_.order_giver_speaks ? times_.relaxed_pause : times_.pause;
+    context_.loop.schedule(context_.loop.now() + after, [this, generation = generation_] {
+        if (generation == generation_)
+            revision_ > 0 ? watch() : list();
+    });
 }
 
-milliseconds kind_watch::wait() const {
-    return context_.order_giver_speaks ? times_.relaxed_wait : times_.wait;
+void kind_watch::follow_closely() {
+    if (!relaxed_)
+        return;
+    ++generation_;
+    watch();
 }
 
 void kind_watch::list() {
@@ -86,30 +89,41 @@
                 return next(std::min(longest_retry, first_retry * (1 << std::min(failures_, 4))));
             revision_ = reply.revision;
             owner_.on_list(reply);
-            next(pause());
+            next(times_.pause);
         });
     });
 }
 
 void kind_watch::watch() {
-    store_.watch(kind_, revision_, wait(), [this](store_reply&& reply) {
-        context_.loop.post([this, reply = std::move(reply)] {
-            heard(reply, "watch");
-            if (reply.result == store_result::forgotten)
-                revision_ = 0;
-            if (reply.result != store_result::ok)
-                return next(reply.result == store_result::forgotten
-                                ? milliseconds{0}
-                                : std::min(longest_retry, first_retry * (1 << std::min(failures_, 4))));
-            if (revision_ > 0 && reply.revision > 0)
-                revision_ = reply.revision;
-            if (!reply.objects.empty())
-                owner_.on_events(reply);
-            next(reply.objects.empty() ? milliseconds{0} : pause());
+    relaxed_ = context_.order_giver_speaks;
+    const auto wait = relaxed_ ? times_.relaxed_wait : times_.wait;
+    store_.watch(kind_, revision_, wait, [this, generation = generation_](store_reply&& reply) {
+        context_.loop.post([this, generation, reply = std::move(reply)] {
+            if (generation == generation_)
+                take(reply);
         });
     });
 }
 
+/// The answer of a watch.
+void kind_watch::take(const store_reply& reply) {
+    heard(reply, "watch");
+    relaxed_ = false;
+    if (reply.result == store_result::forgotten) {
+        revision_ = 0;
+        return next(milliseconds{0});
+    }
+    if (reply.result != store_result::ok)
+        return next(std::min(longest_retry, first_retry * (1 << std::min(failures_, 4))));
+    if (revision_ > 0 && reply.revision > 0)
+        revision_ = reply.revision;
+    if (reply.objects.empty())
+        return next(milliseconds{0});
+    owner_.on_events(reply);
+    relaxed_ = context_.order_giver_speaks;
+    next(relaxed_ ? times_.relaxed_pause : times_.pause);
+}
+
 // ---- all kinds -------------------------------------------------------------------------------------
 
 store_watch::store_watch(gateway_context& context, platform::store_client& store, owner to)
@@ -134,6 +148,11 @@
     members_watch_.start();
 }
 
+void store_watch::follow_closely() {
+    for (kind_watch* one : {&config_, &targets_, &centres_, &members_watch_})
+        one->follow_closely();
+}
+
 void store_watch::take_config(const store_reply& reply) {
     for (const auto& object : reply.objects)
         if (object.name == platform::config_name && !object.removed)
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -27,14 +27,14 @@
         : context_(context), store_(store), kind_(std::move(kind)), times_(times), owner_(std::move(to)) {}
 
     void start() { list(); }
+    void follow_closely(); // the order giver isn't heard any more: ends a long watch or pause
     [[nodiscard]] bool answering() const { return answering_; }
 
 private:
     void list();
     void watch();
+    void take(const platform::store_reply& reply);
     void next(core::common::milliseconds after);
-    [[nodiscard]] core::common::milliseconds pause() const;
-    [[nodiscard]] core::common::milliseconds wait() const;
     void heard(const platform::store_reply& reply, const char* call);
 
     gateway_context& context_;
@@ -44,7 +44,9 @@
     owner owner_;
     std::int64_t revision_ = 0; // to watch from; 0: list first
     bool answering_ = true;
-    int failures_ = 0; // in a row
+    int failures_ = 0;             // in a row
+    bool relaxed_ = false;         // the watch or pause under way relies on the order giver's word
+    std::uint64_t generation_ = 0; // of calls and pauses: what an older one brings is ignored
 };
 
 class store_watch {
@@ -57,6 +59,7 @@
     };
     store_watch(gateway_context& context, platform::store_client& store, owner to);
     void start();
+    void follow_closely(); // all kinds
 
     /// Takes over a configuration's document from wherever it came; older ones are ignored.
     void offer_config(const nlohmann::json& spec, const std::string& source);
--- a/tests/core/fleet_test.cpp
+++ b/tests/core/fleet_test.cpp
@@ -155,6 +155,26 @@
     EXPECT_NE(one.find("t3"), nullptr);
 }
 
+TEST(target_directory, a_peers_word_of_a_start_is_taken_over_if_it_is_newer) {
+    directory all;
+    all.replace_all({entry("t1", 5), entry("t2", 5), entry("t3", 5)}, start);
+    all.remove("t3", start);
+    auto cold = entry("t1", 5);
+    cold.cold_left = 3'000ms;
+    all.hear_of(cold, start);
+    EXPECT_EQ(all.find("t1")->cold_until, start + 3s) << "it became cold again";
+    cold = entry("t2", 6);
+    cold.address = "10.0.0.9:80";
+    all.hear_of(cold, start);
+    EXPECT_EQ(all.find("t2")->entry.address, "10.0.0.9:80");
+    all.hear_of(entry("t2", 5), start + 1s);
+    EXPECT_EQ(all.find("t2")->entry.born, 6) << "an older start";
+    all.hear_of(entry("t3", 5), start + 1s);
+    EXPECT_EQ(all.find("t3"), nullptr) << "that start has left";
+    all.hear_of(entry("t3", 6), start + 1s);
+    EXPECT_NE(all.find("t3"), nullptr);
+}
+
 TEST(target_directory, a_removal_at_short_notice_names_its_end) {
     directory one;
     auto leaving = entry("t1");
@@ -186,6 +206,28 @@
     EXPECT_EQ(one.find("t1"), nullptr);
 }
 
+TEST(target_directory, an_outage_that_only_the_order_giver_has_noticed_lapses_registrations_too) {
+    directory all;
+    all.store_answered(start);
+    all.replace_all({entry("t1"), entry("t2")}, start);
+    all.store_doubted(start + 10s); // this gateway's own watch has waited since `start` for an event
+    all.store_answered(start + 11s);
+    all.remove("t1", start + 11s);
+    EXPECT_NE(all.find("t1"), nullptr) << "it could not renew its registration";
+    all.expire(start + 13'100ms);
+    EXPECT_EQ(all.find("t1"), nullptr);
+}
+
+TEST(target_directory, a_doubt_that_the_stores_answer_ends_at_once_lapses_nothing) {
+    directory all;
+    all.store_answered(start);
+    all.replace_all({entry("t1")}, start);
+    all.store_doubted(start + 10s);
+    all.store_answered(start + 10'100ms);
+    all.remove("t1", start + 10'200ms);
+    EXPECT_EQ(all.find("t1"), nullptr);
+}
+
 TEST(fleet_config, an_engine_offers_its_models_and_their_numbered_adapters) {
     fleet::engine_spec engine;
     engine.models["m"].adapters = 2;
--- a/tests/core/peer_news_test.cpp
+++ b/tests/core/peer_news_test.cpp
@@ -63,7 +63,7 @@
 }
 
 TEST(news_of, a_target_is_told_at_once_and_again_for_half_a_second) {
-    news all;
+    news all{1'000ms};
     const time_point start{10s};
     EXPECT_TRUE(all.due("t", 1, start));
     EXPECT_TRUE(all.due("t", 1, start + 200ms));
@@ -72,7 +72,7 @@
 }
 
 TEST(news_of, an_unchanged_target_is_told_again_often_enough_to_be_believed) {
-    news all;
+    news all{1'000ms};
     time_point last{10s};
     int told = 0;
     for (time_point at{10s}; at < time_point{30s}; at += 200ms) {
@@ -86,7 +86,7 @@
 }
 
 TEST(news_of, a_target_that_was_forgotten_is_new_again) {
-    news all;
+    news all{1'000ms};
     EXPECT_TRUE(all.due("t", 1, time_point{10s}));
     all.forget_old(time_point{30s});
     EXPECT_TRUE(all.due("t", 1, time_point{31s}));
