Notice targets that have lost power within 1.5 to 2.5 s; tell a silent target from a caller that just left; test condemnation and cold rates

Where bytes were unacknowledged the connection broke after 2.5 s, and the second target's first event came too late. Ruled out: the directory (a registration lapses after 3.6 s at the earliest, and a target without one may still serve). Change: connections to targets are probed after a second without bytes and given up after 1.5 s without an answer from the peer's kernel; the end of a request tells how long its target had sent nothing, and waxwing-timeline names that as the cause. Tests: condemnation at all gateways, a cold target's rate, the new cause.

--- a/src/core/timeline/story.cpp
+++ b/src/core/timeline/story.cpp
@@ -11,7 +11,9 @@
 
 using nlohmann::ordered_json;
 
-constexpr int counter_bits = 16;       // below the milliseconds of a hybrid clock
+constexpr int counter_bits = 16; // below the milliseconds of a hybrid clock
+constexpr std::int64_t notable_silence_ms =
+    1'000;                             // an event of a stream follows the one before within 300 ms
 constexpr std::int64_t margin_ms = 50; // clocks of two VMs differ by about so much
 
 struct reason_text {
@@ -97,6 +99,8 @@
             out.subject = text_of(value);
         else
             out.inputs.append(out.inputs.empty() ? "" : " ").append(name).append("=").append(text_of(value));
+        if (name == "silent_ms" && value.is_number_integer())
+            out.silent_ms = value.get<std::int64_t>();
         if (name == "reason")
             out.reason = text_of(value);
         if (name == "target")
@@ -165,6 +169,9 @@
     if (end == nullptr)
         return story.empty() ? "No line names this request."
                              : "Its end is not in these logs: lines were dropped, or the process was lost.";
+    if (end->reason == "caller_left" && end->silent_ms >= notable_silence_ms)
+        return "Its target had sent nothing for " + std::to_string(end->silent_ms) +
+               " ms when its caller closed the connection.";
     const auto found = std::find_if(reasons.begin(), reasons.end(),
                                     [&](const reason_text& one) { return one.reason == end->reason; });
     return found == reasons.end() ? "Unknown reason: " + end->reason : std::string{found->cause};
--- a/src/core/timeline/story.hpp
+++ b/src/core/timeline/story.hpp
@@ -14,12 +14,13 @@
 struct decision {
     std::int64_t unix_ms = 0;
     std::string process;
-    std::string event;   // one of the vocabulary of edge/decision_log.hpp
-    std::string subject; // request id, target, …
-    std::string reason;  // empty if the line has none
-    std::string target;  // that the line names; empty: none
-    std::string model;   // that the line names; empty: none
-    std::string inputs;  // all other fields, as "name=value name=value"
+    std::string event;          // one of the vocabulary of edge/decision_log.hpp
+    std::string subject;        // request id, target, …
+    std::string reason;         // empty if the line has none
+    std::string target;         // that the line names; empty: none
+    std::string model;          // that the line names; empty: none
+    std::int64_t silent_ms = 0; // that its target had sent nothing at the request's end
+    std::string inputs;         // all other fields, as "name=value name=value"
 };
 
 /// Reads all lines that are decisions, from several processes in any mix; they are sorted by time.
--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -19,15 +19,26 @@
 constexpr std::size_t read_size = 32U << 10U; // bytes taken from a socket at once
 constexpr int reads_per_turn = 4;             // then others get their turn
 constexpr milliseconds linger_limit{1'500};   // a closing connection waits so long for its peer
-constexpr unsigned user_timeout_ms = 2'500;   // unacknowledged bytes for that long break a connection
+// Unacknowledged bytes or probes for that long break a connection. Callers may sit behind worse links; a
+// target that has lost power must be given up before its callers leave (3.2 s for an aim of 0.8 s).
+constexpr unsigned caller_silence_ms = 2'500;
+constexpr unsigned target_silence_ms = 1'500;
+constexpr int probe_pause_s = 1; // of a connection to a target on which nothing is sent
 constexpr int accepts_per_turn = 32;
 constexpr int accept_backlog = 512;
 
-void set_options(int socket) {
+void set_options(int socket, unsigned silence_ms) {
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const unsigned timeout = user_timeout_ms;
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof silence_ms);
+}
+
+/// Finds out about a peer that has lost power or its links while nothing is sent to it.
+void probe_when_silent(int socket) {
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &probe_pause_s, sizeof probe_pause_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probe_pause_s, sizeof probe_pause_s);
 }
 
 bool would_block(int code) {
@@ -59,7 +70,7 @@
 }
 
 std::shared_ptr<connection> connection::adopt(event_loop& loop, int socket, events handlers) {
-    set_options(socket);
+    set_options(socket, caller_silence_ms);
     auto made = std::make_shared<connection>(loop, socket, std::move(handlers));
     loop.reactor().register_handler(socket, made.get(), ACE_Event_Handler::READ_MASK);
     return made;
@@ -83,7 +94,8 @@
         fail_later(loop.now());
         return made;
     }
-    set_options(made->socket_);
+    set_options(made->socket_, target_silence_ms);
+    probe_when_silent(made->socket_);
     const int result = ::connect(made->socket_, reinterpret_cast<const sockaddr*>(&peer), sizeof peer);
     if (result != 0 && errno != EINPROGRESS) {
         fail_later(loop.now());
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -71,6 +71,13 @@
     return text.data();
 }
 
+/// How long its target has sent nothing to pass on; 0 if it waits for a target.
+milliseconds silence_of(const call& one, time_point now) {
+    if (one.sends == 0 || one.sent_at < one.waiting_since)
+        return milliseconds{0};
+    return std::chrono::duration_cast<milliseconds>(now - std::max(one.sent_at, one.last_piece));
+}
+
 } // namespace
 
 // ---- sending ---------------------------------------------------------------------------------------
@@ -355,6 +362,7 @@
                         {"target", one->answered_by},
                         {"first_ms", first_ms},
                         {"pause_ms", whole_ms(one->longest_pause).count()},
+                        {"silent_ms", silence_of(*one, context_.loop.now()).count()},
                         {"ms", whole_ms(context_.loop.now() - one->arrived).count()},
                         {"config", one->config->version}});
     on_done_(one);
--- a/tests/core/story_test.cpp
+++ b/tests/core/story_test.cpp
@@ -40,6 +40,17 @@
     EXPECT_EQ(cause_of(story, "r1"), "The connection to its target broke while it may have been running.");
 }
 
+TEST(story, a_caller_that_left_a_silent_target_is_told_from_one_that_just_left) {
+    const auto all = read(R"(
+{"unix_ms":2000,"process":"g1","event":"request_sent","subject":"r1","target":"t1","load":3}
+{"unix_ms":5200,"process":"g1","event":"request_abandoned","subject":"r1","reason":"caller_left","silent_ms":3200}
+{"unix_ms":2100,"process":"g1","event":"request_abandoned","subject":"r2","reason":"caller_left","silent_ms":40}
+)");
+    EXPECT_EQ(cause_of(story_of(all, "r1"), "r1"),
+              "Its target had sent nothing for 3200 ms when its caller closed the connection.");
+    EXPECT_EQ(cause_of(story_of(all, "r2"), "r2"), "Its caller closed the connection.");
+}
+
 TEST(story, a_request_without_an_end_or_without_a_line_is_said_so) {
     const auto all = read(two_processes);
     EXPECT_EQ(cause_of(story_of(all, "r2"), "r2"),
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -126,6 +126,8 @@
         self.coming = None           # a model whose load ends at busy_until
         self.runs = []               # ids of the requests that ran
         self.cut_after = None        # events after which every stream breaks off
+        self.breaks_on = None        # a body that breaks the connection as soon as it runs
+        self.cold_ms = 0             # as registered
         self.hold = threading.Event()
         self.hold.set()              # cleared: runs wait
         self.door = Door(address, Handler, self)
@@ -133,7 +135,7 @@
 
     def register(self, state="ready"):
         spec = {"service": self.service, "address": self.address, "zone": "a", "version": "v1", "slots": self.slots,
-                "state": state, "cold_left_ms": 0, "born": self.born, "sequence": 1, "models": self.holding(),
+                "state": state, "cold_left_ms": self.cold_ms, "born": self.born, "sequence": 1, "models": self.holding(),
                 "at_hand": {"in_memory": [], "on_disk": sorted(self.on_disk)}}
         self.store.put("servers", self.name, spec)
 
@@ -174,6 +176,9 @@
             return call.answer(421, {}, [("Instance-Id", self.name)])
         self.runs.append((identity, dict(call.headers), body))
         self.hold.wait()
+        if self.breaks_on is not None and body == self.breaks_on:
+            call.close_connection = True
+            return call.connection.shutdown(socket.SHUT_RDWR)
         signed = [("Request-Id", identity), ("Response-Signature", "sig-" + identity)]
         if not wish:
             return call.answer(200, b"recorded " + body, signed)
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -10,12 +10,14 @@
 import sys
 import tempfile
 import threading
+import time
 
 from gateway_standins import Store, Target, configuration
 from harness import STOP_LIMIT_S, Failure, Ports, Program, arguments, request, run_cases, wait_until
 
 ARGUMENTS = arguments(__doc__)
 KEY = "k-norte"
+COLD_PER_S, COLD_OVER, COLD_SLACK = 13, 1.5, 5      # stated: FAILBACK's bound is COLD_PER_S * COLD_OVER + COLD_SLACK a second
 # Of one datagram to a peer that asks for nothing: 5 % of a link of 10 Mbit/s, in a fleet of 31 gateways that hear each
 # other every 350 ms.
 MEAN_DATAGRAM_BYTES = 10_000_000 / 8 * 0.05 * 0.35 / 30
@@ -293,6 +295,45 @@
                 raise Failure("what targets hold is not told again")
 
 
+def a_request_that_breaks_its_targets_is_condemned_at_all_gateways():
+    with Fleet(gateways=2) as fleet:
+        ledger = fleet.target("l1", "ledger", slots=6)
+        ledger.breaks_on = b"poison"
+        fleet.start()
+        wait_until(lambda: all(fleet.events("target_changed", one.name) for one in fleet.gateways), "all know the target")
+        answers = [fleet.ask("/cert/1", fleet.headers(), b"poison", gateway=0).status for _ in range(3)]
+        expect(answers, [502, 502, 502], "it may have run: no promise of the contrary")
+        expect(fleet.ask("/cert/1", fleet.headers(), b"poison", gateway=0).status, 503, "the fourth is not run")
+        wait_until(lambda: fleet.ask("/cert/1", fleet.headers(), b"poison", gateway=1).status == 503, "the peer has been told")
+        runs = len(ledger.runs)
+        for gateway in (0, 1):
+            expect(fleet.ask("/cert/1", fleet.headers(), b"poison", gateway=gateway).status, 503, "it stays condemned")
+        expect(len(ledger.runs), runs, "runs after all have been told")
+        expect(fleet.ask("/cert/1", fleet.headers(), b"harmless", gateway=1).status, 200, "others are served")
+
+
+def a_cold_target_gets_no_more_than_its_rate():
+    with Fleet() as fleet:
+        configuration_ = configuration()
+        configuration_["services"][1]["cold_per_s"] = COLD_PER_S
+        fleet.store.put("config", "main", configuration_)
+        ledger = fleet.target("l1", "ledger", slots=64)
+        ledger.cold_ms = 60_000
+        ledger.register()
+        fleet.start()
+        callers = [threading.Thread(target=lambda: [fleet.ask("/lookup/1", fleet.headers()) for _ in range(10)])
+                   for _ in range(8)]
+        begun = time.monotonic()
+        for one in callers:
+            one.start()
+        for one in callers:
+            one.join()
+        lasted = time.monotonic() - begun
+        most = COLD_PER_S * (lasted + 1) * COLD_OVER + COLD_SLACK
+        if not 0 < len(ledger.runs) <= most:
+            raise Failure(f"{len(ledger.runs)} runs within {lasted:.1f} s, wanted 1 to {most:.0f}")
+
+
 def sigterm_finishes_what_runs_and_refuses_what_comes_late():
     with Fleet() as fleet:
         ledger = fleet.target("l1", "ledger", slots=6)
@@ -351,6 +392,8 @@
                a_model_on_disk_is_loaded_on_demand_and_an_adapter_beside_it,
                a_gateway_that_the_store_turns_away_learns_from_its_peer,
                a_peer_that_asks_for_nothing_is_told_little,
+               a_request_that_breaks_its_targets_is_condemned_at_all_gateways,
+               a_cold_target_gets_no_more_than_its_rate,
                sigterm_finishes_what_runs_and_refuses_what_comes_late,
                wrong_settings_are_refused_with_path_and_form,
                settings_are_read_again_and_faulty_ones_kept_out])
