--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED       ?= 1
 JOBS       ?= $(shell nproc)
 
-.PHONY: help install build test demo format lint generate sanitize soak bench capacity clean
+.PHONY: help install build test demo format lint generate sanitize soak bench cost capacity clean
 help:            ## lists the targets
 	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
 install:         ## installs the Debian packages that are missing
@@ -27,6 +27,10 @@
 	@scripts/soak $(BUILD) $(SEED)
 bench: build     ## runs the micro benchmarks
 	@$(BUILD)/waxwing-bench
+cost:            ## measures processor time for a request beside a bare relay loop, and the log
+	@cmake -S . -B $(BUILD)/release -DCMAKE_BUILD_TYPE=Release >/dev/null
+	@cmake --build $(BUILD)/release -j $(JOBS) --target waxwing-gateway waxwing-bench-relay
+	@bench/request-cost --bin $(BUILD)/release
 capacity: build  ## measures the slopes that docs/CAPACITY.md uses
 	@scripts/capacity $(BUILD)
 	@scripts/capacity-processes $(BUILD)
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -18,8 +18,8 @@
         lease_.attach(others);
     }
     [[nodiscard]] order_lease& lease() { return lease_; }
-    void
-    start(std::function<void()> on_silence); // called when another gateway that gave orders is heard no more
+    /// on_silence: called when another gateway that gave orders is heard no more.
+    void start(std::function<void()> on_silence);
 
     [[nodiscard]] bool gives_orders() const { return lease_.held(); }
     /// What the targets hold, for the other gateways; empty unless the lease is held.
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -242,7 +242,7 @@
     for (const auto& [name, address] : addresses_) {
         const bool details = gives_orders(name);
         if (details || to == audience::everybody)
-            send(address, shapes.find(*this, details, answers(name)));
+            send(address, shapes.find(*this, details, sends_registrations_to(name)));
     }
 }
 
@@ -324,7 +324,7 @@
 }
 
 /// Whether `peer` can't read the store and this gateway is one of the few that tell it what the store says.
-bool peers::answers(const std::string& peer) const {
+bool peers::sends_registrations_to(const std::string& peer) const {
     const auto asker = heard_.find(peer);
     if (!parts_.watch.reads_targets() || asker == heard_.end() || !asker->second.status.wants_registrations ||
         !in_contact(asker->second))
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -14,6 +14,9 @@
 
 namespace waxwinglb::programs::gateway {
 
+constexpr core::common::milliseconds holdings_told_again{1'000}; // receivers believe them for 3 s
+constexpr core::common::milliseconds starts_told_again{5'000};   // each gateway's own watch tells them too
+
 /// A peer's newest message and when it came.
 struct peer_state {
     wire::peer_status status;
@@ -62,7 +65,7 @@
     [[nodiscard]] bool gives_orders(const std::string& peer) const;
     void take(const wire::peer_status& status);
     void take_store_news(const wire::peer_status& status);
-    [[nodiscard]] bool answers(const std::string& peer) const; // by registrations
+    [[nodiscard]] bool sends_registrations_to(const std::string& peer) const;
     [[nodiscard]] std::vector<wire::target_registration> registrations() const;
     void adopt_registrations(const wire::peer_status& status);
     void take_holdings(const wire::peer_status& status);
@@ -77,8 +80,8 @@
     std::map<std::string, std::string> addresses_; // by gateway's name
     std::map<std::string, peer_state> heard_;
     std::set<std::string> silent_;
-    core::membership::news told_holdings_{core::common::milliseconds{1'000}}; // they are believed for 3 s
-    core::membership::news told_starts_{core::common::milliseconds{5'000}};
+    core::membership::news told_holdings_{holdings_told_again};
+    core::membership::news told_starts_{starts_told_again};
     std::uint64_t told_departures_ = 0; // hash
     bool tell_planned_ = false;
     audience planned_to_ = audience::order_giver;
