Use one hash, one contact check and one way to drop a socket; tell nobody nothing

The same XXH3 call stood in seven files, two of them with a rendezvous rank of their own; whether a peer is in contact was worked out in four places, one with < instead of <=; a gateway whose own requests wait built its whole status for the order giver also where no peer gives orders, so the order giver did so on each of its own new waits; the equal part of the retries and the bound of kept breaks were each written twice. Change: core/common/hash (also for the router and the stores of answers that had the call before), peer_state:: in_contact, connection's drop_socket, forwarder's own_part and breaks_of; tell() returns before any work if nobody is to hear it. Gone: three accessors without a caller, and a 504 that refuse() always turned into 502. test_gateway's repeated waits and checks have one name each; every assertion is as it was. Behaviour: the same, but for a peer heard exactly at the contact limit, which the lease's calls now count as in contact as everybody else did. Ruled out: other hash values (seed 0 is the plain XXH3).

--- a/src/core/answers/store.cpp
+++ b/src/core/answers/store.cpp
@@ -1,6 +1,6 @@
 #include "core/answers/store.hpp"
 
-#include <xxhash.h>
+#include "core/common/hash.hpp"
 
 #include <algorithm>
 
@@ -8,8 +8,7 @@
 namespace {
 
 std::uint64_t digest_of(const attempt_key& key) {
-    return XXH3_64bits_withSeed(key.request_id.data(), key.request_id.size(),
-                                static_cast<XXH64_hash_t>(key.attempt));
+    return common::hash_of(key.request_id, static_cast<std::uint64_t>(key.attempt));
 }
 
 bool is_final(phase at) {
--- a/src/core/dispatch/target_choice.cpp
+++ b/src/core/dispatch/target_choice.cpp
@@ -1,6 +1,6 @@
 #include "core/dispatch/target_choice.hpp"
 
-#include <xxhash.h>
+#include "core/common/hash.hpp"
 
 #include <algorithm>
 
@@ -32,7 +32,7 @@
 }
 
 std::uint64_t affinity(const candidate& one, std::uint64_t session) {
-    return XXH3_64bits_withSeed(one.target->entry.id.data(), one.target->entry.id.size(), session);
+    return common::hash_of(one.target->entry.id, session);
 }
 
 /// What keeps this one target from taking the request.
--- a/src/core/membership/peer_news.cpp
+++ b/src/core/membership/peer_news.cpp
@@ -1,6 +1,6 @@
 #include "core/membership/peer_news.hpp"
 
-#include <xxhash.h>
+#include "core/common/hash.hpp"
 
 #include <algorithm>
 
@@ -17,10 +17,6 @@
 constexpr milliseconds repeated_for{500};   // after a change
 constexpr milliseconds forgotten_after{10'000};
 
-std::uint64_t rank(const std::string& name, const std::string& asker) {
-    return XXH3_64bits_withSeed(name.data(), name.size(), XXH3_64bits(asker.data(), asker.size()));
-}
-
 } // namespace
 
 milliseconds tell_period(std::size_t members) {
@@ -28,9 +24,10 @@
 }
 
 bool informs(const std::string& self, const std::string& asker, std::span<const std::string> others) {
-    const auto own = rank(self, asker);
-    const auto before = std::count_if(others.begin(), others.end(),
-                                      [&](const std::string& one) { return rank(one, asker) > own; });
+    const auto own = common::rendezvous_rank(self, asker);
+    const auto before = std::count_if(others.begin(), others.end(), [&](const std::string& one) {
+        return common::rendezvous_rank(one, asker) > own;
+    });
     return before < informants;
 }
 
--- a/src/core/membership/shard.cpp
+++ b/src/core/membership/shard.cpp
@@ -1,6 +1,6 @@
 #include "core/membership/shard.hpp"
 
-#include <xxhash.h>
+#include "core/common/hash.hpp"
 
 namespace waxwinglb::core::membership {
 namespace {
@@ -17,7 +17,7 @@
 } // namespace
 
 int shard_of(std::string_view name, int shard_count) {
-    return static_cast<int>(XXH3_64bits(name.data(), name.size()) % static_cast<unsigned>(shard_count));
+    return static_cast<int>(common::hash_of(name) % static_cast<unsigned>(shard_count));
 }
 
 std::string bucket_name(std::string_view customer) {
--- a/src/core/routing/choice.cpp
+++ b/src/core/routing/choice.cpp
@@ -1,6 +1,6 @@
 #include "core/routing/choice.hpp"
 
-#include <xxhash.h>
+#include "core/common/hash.hpp"
 
 #include <algorithm>
 
@@ -22,10 +22,6 @@
     return load_of(one) + (remote ? remote_penalty : 0);
 }
 
-std::uint64_t rendezvous_weight(const std::string& adapter, const std::string& target) {
-    return XXH3_64bits_withSeed(target.data(), target.size(), XXH3_64bits(adapter.data(), adapter.size()));
-}
-
 /// The adapter's highest-ranked target whose load is within the bound; never empty-handed.
 const replica* choose_by_adapter(const std::vector<const replica*>& candidates, const std::string& adapter) {
     double total = 0;
@@ -34,7 +30,7 @@
     const double bound = std::max(spare_load, bounded_load * total / static_cast<double>(candidates.size()));
     std::vector<const replica*> ranked = candidates;
     std::sort(ranked.begin(), ranked.end(), [&](const replica* a, const replica* b) {
-        return rendezvous_weight(adapter, a->target) > rendezvous_weight(adapter, b->target);
+        return common::rendezvous_rank(a->target, adapter) > common::rendezvous_rank(b->target, adapter);
     });
     const auto found = std::find_if(ranked.begin(), ranked.end(),
                                     [&](const replica* one) { return load_of(*one) <= bound; });
--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -41,6 +41,15 @@
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probe_pause_s, sizeof probe_pause_s);
 }
 
+/// Takes a socket off its loop and closes it; does nothing to one that is closed already.
+void drop_socket(event_loop& loop, int& socket) {
+    if (socket < 0)
+        return;
+    loop.reactor().remove_handler(socket, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    ::close(socket);
+    socket = -1;
+}
+
 bool would_block(int code) {
     return code == EAGAIN || code == EWOULDBLOCK || code == EINTR;
 }
@@ -248,12 +257,7 @@
 void connection::release() {
     loop_.cancel(timer_);
     connecting_ = false;
-    if (socket_ < 0)
-        return;
-    loop_.reactor().remove_handler(socket_,
-                                   ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-    ::close(socket_);
-    socket_ = -1;
+    drop_socket(loop_, socket_);
 }
 
 bool acceptor::listen(const std::string& address) {
@@ -274,12 +278,7 @@
 }
 
 void acceptor::close() {
-    if (socket_ < 0)
-        return;
-    loop_.reactor().remove_handler(socket_,
-                                   ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-    ::close(socket_);
-    socket_ = -1;
+    drop_socket(loop_, socket_);
 }
 
 std::uint16_t acceptor::port() const {
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -1,23 +1,19 @@
 #include "programs/gateway/admission.hpp"
 
+#include "core/common/hash.hpp"
 #include "platform/headers.hpp"
 
-#include <xxhash.h>
-
 #include <charconv>
 
 namespace waxwinglb::programs::gateway {
 namespace {
 
 using core::common::duration;
+using core::common::hash_of;
 using core::common::milliseconds;
 
 constexpr milliseconds later{1'000}; // Retry-After of a gateway that knows no configuration yet
 
-std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0) {
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
 /// The last part of a prompt's prefix names its session.
 std::uint64_t session_of(const std::string& prefix) {
     const auto comma = prefix.rfind(',');
--- a/src/programs/gateway/caller_session.hpp
+++ b/src/programs/gateway/caller_session.hpp
@@ -34,7 +34,6 @@
     void end_answer();
     void abort(); // closes at once: an answer under way must not look complete
 
-    [[nodiscard]] bool answer_open() const { return busy_; }
     [[nodiscard]] bool answer_begun() const { return begun_; }
     [[nodiscard]] std::size_t unsent() const { return connection_ ? connection_->unsent() : 0; }
     void close_if_idle(); // at the end of the process
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -60,8 +60,6 @@
         double per_second = 0;
     };
     [[nodiscard]] std::map<core::fleet::model_wish, arrival_rate> arrival_rates() const;
-    [[nodiscard]] std::size_t waiting_count() const { return waiting_.size(); }
-    [[nodiscard]] std::size_t running_count() const { return running_; }
     [[nodiscard]] const target_link::counters& connections() const { return connections_; }
 
 private:
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -75,7 +75,7 @@
 milliseconds silence_of(const call& one, time_point now) {
     if (one.sends == 0 || one.sent_at < one.waiting_since)
         return milliseconds{0};
-    return std::chrono::duration_cast<milliseconds>(now - std::max(one.sent_at, one.last_piece));
+    return whole_ms(now - std::max(one.sent_at, one.last_piece));
 }
 
 } // namespace
@@ -259,11 +259,8 @@
         return;
     }
     one->may_have_run = true;
-    if (how == exchange_failure::broken) {
-        if (breaks_.size() > max_breaks_kept)
-            breaks_.clear();
-        ++breaks_[one->fingerprint];
-    }
+    if (how == exchange_failure::broken)
+        ++breaks_of(one->fingerprint);
     lost(one, how == exchange_failure::broken ? "connection_broken" : "answer_malformed");
 }
 
@@ -333,7 +330,7 @@
 void forwarder::deadline_passed(const call_ptr& one) {
     if (one->target.empty()) {
         dispatcher_->withdraw(one);
-        return refuse(one, one->may_have_run ? 504 : 503, "deadline_passed_waiting", {});
+        return refuse(one, 503, "deadline_passed_waiting", {}); // 502 if it may have run
     }
     one->may_have_run = true;
     give_up_at_target(one, dispatcher::verdict::abandoned);
@@ -370,28 +367,37 @@
 
 // ---- bounds ----------------------------------------------------------------------------------------
 
-core::retries::window_budget& forwarder::budget(const std::string& service) {
+/// An equal part of what all gateways together may repeat.
+core::retries::window_limits forwarder::own_part() const {
     auto limits = context_.settings.retries;
     limits.slack /= std::max(1, context_.members);
-    return budgets_.try_emplace(service, limits).first->second;
+    return limits;
+}
+
+core::retries::window_budget& forwarder::budget(const std::string& service) {
+    return budgets_.try_emplace(service, own_part()).first->second;
 }
 
 void forwarder::change_members() {
-    auto limits = context_.settings.retries;
-    limits.slack /= std::max(1, context_.members);
+    const auto limits = own_part();
     for (auto& [service, one] : budgets_)
         one.change(limits);
 }
 
+/// Counted breaks of a request's runs; all are forgotten once too many requests are known.
+int& forwarder::breaks_of(std::uint64_t fingerprint) {
+    if (breaks_.size() > max_breaks_kept)
+        breaks_.clear();
+    return breaks_[fingerprint];
+}
+
 bool forwarder::condemned(std::uint64_t fingerprint) const {
     const auto found = breaks_.find(fingerprint);
     return found != breaks_.end() && found->second >= breaks_that_condemn;
 }
 
 void forwarder::heard_breaks(std::uint64_t fingerprint, int count) {
-    if (breaks_.size() > max_breaks_kept)
-        breaks_.clear();
-    int& known = breaks_[fingerprint];
+    int& known = breaks_of(fingerprint);
     known = std::max(known, count);
 }
 
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -41,7 +41,9 @@
     void done(const call_ptr& one, std::string_view event, const std::string& outcome,
               const std::string& reason);
     [[nodiscard]] std::string request_text(const call& one, const std::string& target) const;
+    [[nodiscard]] core::retries::window_limits own_part() const;
     core::retries::window_budget& budget(const std::string& service);
+    int& breaks_of(std::uint64_t fingerprint);
 
     gateway_context& context_;
     std::function<void(const call_ptr&)> on_done_;
--- a/src/programs/gateway/lease_store.cpp
+++ b/src/programs/gateway/lease_store.cpp
@@ -45,8 +45,7 @@
     if (now >= avoid_direct_until_)
         return {};
     for (const auto& [name, peer] : peers_->heard())
-        if (now - peer.heard_at < core::limits::contact_limit && !peer.status.wants_registrations &&
-            !peer.status.leaving)
+        if (peer.in_contact(now) && !peer.status.wants_registrations && !peer.status.leaving)
             return peer.status.config_address;
     return {};
 }
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -273,7 +273,7 @@
         if (one.service == service.name)
             want(wish, 0, {}, 9, one.per_second);
     for (const auto& [name, peer] : peers_->heard()) {
-        if (now - peer.heard_at > core::limits::contact_limit)
+        if (!peer.in_contact(now))
             continue;
         for (const auto& one : peer.status.uses)
             use(one.target, core::fleet::parse_model_wish(one.model), one.running,
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -1,6 +1,6 @@
 #include "programs/gateway/peers.hpp"
 
-#include <xxhash.h>
+#include "core/common/hash.hpp"
 
 #include <array>
 
@@ -98,7 +98,7 @@
         all.append(start.id).append(" ").append(std::to_string(start.born)).append(" ");
     for (const std::string& centre : context_.centres_out)
         all.append(centre).append(" ");
-    const std::uint64_t now_told = XXH3_64bits(all.data(), all.size());
+    const std::uint64_t now_told = core::common::hash_of(all);
     if (std::exchange(told_departures_, now_told) != now_told)
         tell_everybody();
 }
@@ -108,10 +108,6 @@
     tell(audience::everybody);
 }
 
-bool peers::in_contact(const peer_state& peer) const {
-    return context_.loop.now() - peer.heard_at <= core::limits::contact_limit;
-}
-
 bool peers::gives_orders(const std::string& peer) const {
     const auto known = heard_.find(peer);
     return known != heard_.end() && known->second.status.gives_orders &&
@@ -128,7 +124,7 @@
     out.leaving = leaving_;
     out.gives_orders = parts_.gives_orders();
     for (const auto& [name, peer] : heard_)
-        if (in_contact(peer))
+        if (peer.in_contact(context_.loop.now()))
             out.heard.push_back(name);
     out.config_version = context_.config ? context_.config->version : 0;
     out.config_address = context_.settings.metrics;
@@ -172,12 +168,12 @@
             content.append(" ").append(model);
         for (const auto& load : one.coming)
             content.append(" +").append(load.model);
-        if (told_holdings_.due(one.target, XXH3_64bits(content.data(), content.size()), now))
+        if (told_holdings_.due(one.target, core::common::hash_of(content), now))
             to.holdings.push_back(std::move(one));
     }
     for (auto& one : registrations()) {
         const std::string content = std::to_string(one.born) + one.address + (one.cold_ms > 0 ? " cold" : "");
-        if (!one.draining && told_starts_.due(one.target, XXH3_64bits(content.data(), content.size()), now))
+        if (!one.draining && told_starts_.due(one.target, core::common::hash_of(content), now))
             to.starts.push_back(std::move(one));
     }
 }
@@ -232,7 +228,11 @@
 
 void peers::tell(audience to) {
     told_at_ = context_.loop.now();
-    if (addresses_.empty())
+    const bool heard_by_anyone = to == audience::everybody
+                                     ? !addresses_.empty()
+                                     : std::any_of(addresses_.begin(), addresses_.end(),
+                                                   [&](const auto& one) { return gives_orders(one.first); });
+    if (!heard_by_anyone)
         return;
     ++sequence_;
     wire::peer_status base = status();
@@ -327,12 +327,12 @@
 bool peers::sends_registrations_to(const std::string& peer) const {
     const auto asker = heard_.find(peer);
     if (!parts_.watch.reads_targets() || asker == heard_.end() || !asker->second.status.wants_registrations ||
-        !in_contact(asker->second))
+        !asker->second.in_contact(context_.loop.now()))
         return false;
     std::vector<std::string> others;
     for (const auto& [name, one] : heard_) {
         const auto& heard = one.status.heard;
-        if (in_contact(one) && !one.status.wants_registrations &&
+        if (one.in_contact(context_.loop.now()) && !one.status.wants_registrations &&
             std::find(heard.begin(), heard.end(), peer) != heard.end())
             others.push_back(name);
     }
@@ -402,7 +402,7 @@
 void peers::report_silent() {
     const auto now = context_.loop.now();
     for (const auto& [name, peer] : heard_)
-        if (now - peer.heard_at > core::limits::contact_limit && silent_.insert(name).second) {
+        if (!peer.in_contact(now) && silent_.insert(name).second) {
             context_.log.write(
                 edge::events::peer_lost, name,
                 {{"silent_ms", ms_of(now - peer.heard_at)}, {"said_leaving", peer.status.leaving}});
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -21,6 +21,10 @@
 struct peer_state {
     wire::peer_status status;
     core::common::time_point heard_at{};
+
+    [[nodiscard]] bool in_contact(core::common::time_point now) const {
+        return now - heard_at <= core::limits::contact_limit;
+    }
 };
 
 class peers : private ACE_Event_Handler {
@@ -61,7 +65,6 @@
     void add_news(wire::peer_status& to);
     void add_details(wire::peer_status& to) const;
     void send(const std::string& address, const std::string& frame);
-    [[nodiscard]] bool in_contact(const peer_state& peer) const;
     [[nodiscard]] bool gives_orders(const std::string& peer) const;
     void take(const wire::peer_status& status);
     void take_store_news(const wire::peer_status& status);
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -82,6 +82,12 @@
         decoded = [json.loads(line) for line in lines if line.startswith("{")]
         return [one for one in decoded if one["event"] == name]
 
+    def wait_for_a_target(self):
+        wait_until(lambda: all(self.events("target_changed", one.name) for one in self.gateways), "all know the target")
+
+    def wait_for_orders(self):
+        return wait_until(lambda: self.events("lease_taken"), "a gateway gives orders")
+
     def cause(self, request_id):
         """What waxwing-timeline says of the request, from the logs of all gateways."""
         logs = sum((["--log", str(one.log)] for one in self.gateways), [])
@@ -96,6 +102,12 @@
         raise Failure(f"{what}: expected {wanted!r}, got {got!r}")
 
 
+def expect_told(told, *parts):
+    for part in parts:
+        if part not in told:
+            raise Failure(f"{part!r} is not in:\n{told}")
+
+
 def requests_reach_their_targets_and_carry_what_they_should():
     with Fleet() as fleet:
         engine, ledger = fleet.target("t1", "engine", models=["m0"]), fleet.target("l1", "ledger", slots=6)
@@ -183,17 +195,14 @@
         expect(refused.status, 429, "beyond the rate")
         if not 0 < float(refused.headers["retry-after"]) < 10:
             raise Failure(f"Retry-After: {refused.headers['retry-after']}")
-        told = fleet.cause(headers["Request-Id"])
-        for part in ("rate_refused", "cause: Its customer had used up its rate and burst over all gateways."):
-            if part not in told:
-                raise Failure(f"{part!r} is not in:\n{told}")
+        expect_told(fleet.cause(headers["Request-Id"]), "rate_refused", "cause: Its customer had used up its rate and burst over all gateways.")
 
 
 def broken_off_at_a_change_of_the_order_giver_the_cause_is_found():
     with Fleet(gateways=2) as fleet:
         target = fleet.target("t1", "engine", models=["m0"])
         fleet.start()
-        taken = wait_until(lambda: fleet.events("lease_taken"), "a gateway gives orders")
+        taken = fleet.wait_for_orders()
         holder = next(one for one in fleet.gateways if one.name == taken[0]["process"])
         other = next(number for number, one in enumerate(fleet.gateways) if one is not holder)
         wait_until(lambda: fleet.events("target_changed", fleet.gateways[other].name), "the target is known")
@@ -214,24 +223,18 @@
         target.hold.set()
         caller.join()
         expect(answers, ["IncompleteRead"], "a stream that broke must not look whole")
-        told = fleet.cause(headers["Request-Id"])
-        for part in ("lease_taken", "cause: The connection to its target broke while it may have been running."):
-            if part not in told:
-                raise Failure(f"{part!r} is not in:\n{told}")
+        expect_told(fleet.cause(headers["Request-Id"]), "lease_taken", "cause: The connection to its target broke while it may have been running.")
 
 
 def waited_for_a_model_that_came_too_late_the_cause_is_found():
     with Fleet() as fleet:
         fleet.target("t1", "engine", models=["m0"])
         fleet.start()
-        wait_until(lambda: fleet.events("lease_taken"), "the gateway gives orders")
+        fleet.wait_for_orders()
         headers = fleet.headers("m3", Deadline_Remaining="4000")
         refused = fleet.ask("/dossier/1", headers)
         expect(refused.status, 503, "a model that only the weight store has")
-        told = fleet.cause(headers["Request-Id"])
-        for part in ("operation=load_model model=m3", "cause: Its model was still being loaded when its time ran out, or could not be loaded in time."):
-            if part not in told:
-                raise Failure(f"{part!r} is not in:\n{told}")
+        expect_told(fleet.cause(headers["Request-Id"]), "operation=load_model model=m3", "cause: Its model was still being loaded when its time ran out, or could not be loaded in time.")
         expect(fleet.ask("/dossier/1", fleet.headers("m0")).status, 200, "a loaded model meanwhile")
 
 
@@ -239,7 +242,7 @@
     with Fleet() as fleet:
         fleet.target("t1", "engine", models=["m0"])
         fleet.start()
-        wait_until(lambda: fleet.events("lease_taken"), "the gateway gives orders")
+        fleet.wait_for_orders()
         headers = fleet.headers("m3", Deadline_Remaining="1000")
         refused = fleet.ask("/dossier/1", headers)
         expect(refused.status, 503, "a model that takes two seconds, wanted within one")
@@ -261,7 +264,7 @@
     with Fleet(gateways=2) as fleet:
         fleet.target("l1", "ledger", slots=6)
         fleet.start()
-        wait_until(lambda: all(fleet.events("target_changed", one.name) for one in fleet.gateways), "all know the target")
+        fleet.wait_for_a_target()
         fleet.gateways[1].kill()
         settings = dict(fleet.gateways[1].settings, store="127.0.0.1:1")
         fleet.gateways[1].config.write_text(json.dumps(settings))
@@ -279,7 +282,7 @@
             listener.settimeout(10)
             fleet.store.put("waxwinglb-routers", "listener", {"address": "127.0.0.1:%d" % listener.getsockname()[1], "boot": 1})
             fleet.start()
-            wait_until(lambda: fleet.events("lease_taken"), "it gives orders")
+            fleet.wait_for_orders()
             told = set()
 
             def all_are_told():
@@ -300,7 +303,7 @@
         ledger = fleet.target("l1", "ledger", slots=6)
         ledger.breaks_on = b"poison"
         fleet.start()
-        wait_until(lambda: all(fleet.events("target_changed", one.name) for one in fleet.gateways), "all know the target")
+        fleet.wait_for_a_target()
         answers = [fleet.ask("/cert/1", fleet.headers(), b"poison", gateway=0).status for _ in range(3)]
         expect(answers, [502, 502, 502], "it may have run: no promise of the contrary")
         expect(fleet.ask("/cert/1", fleet.headers(), b"poison", gateway=0).status, 503, "the fourth is not run")
