Send an answer to every router that asks for it; wait for fed routers in the outage test

Cause 1 (a fault of ours): an agent kept one link for a request's answer. A repeat of a claimed call at another router collects the running answer, and that turned the answer away from the router whose call had begun the run. The collecting router stored the outcome and acknowledged it, so the agent dropped the body; after its progress timeout of 1 s the first router asked again, was told that the answer is no longer kept, and told its caller 502 target_lost although the answer was there. Ruled out: a broken link, the order of the claim's answers (one batch answers in order), the registry. Change: a request has a list of listeners, one for each link; the collecting router is added instead of put in place of the first.

Cause 2 (the test's): the test waited until every process that a steward feeds has the configuration. The test now waits for each router's readiness first and prints the answer that it did not expect; what it checks is unchanged.

--- a/src/programs/agent/reports.cpp
+++ b/src/programs/agent/reports.cpp
@@ -110,18 +110,16 @@
     }
 }
 
-void send_accepted(state& all, const request& one) {
+void send_accepted(state& all, const listener& to, const attempt_key& key) {
     wire::run_accepted out;
-    out.request_id = one.key.request_id;
-    out.attempt = one.key.attempt;
+    out.request_id = key.request_id;
+    out.attempt = key.attempt;
     out.agent_boot = all.boot;
-    all.hub.send(one.link, kind::run_accepted, one.call, out);
+    all.hub.send(to.link, kind::run_accepted, to.call, out);
 }
 
-void send_chunk(state& all, edge::link_id link, std::int64_t call, const attempt_key& key,
-                std::int64_t offset, std::string_view data) {
-    if (link == 0)
-        return;
+void send_chunk(state& all, const listener& to, const attempt_key& key, std::int64_t offset,
+                std::string_view data) {
     while (!data.empty()) {
         wire::run_chunk out;
         out.request_id = key.request_id;
@@ -130,14 +128,12 @@
         out.data = std::string{data.substr(0, chunk_bytes)};
         data.remove_prefix(out.data.size());
         offset += static_cast<std::int64_t>(out.data.size());
-        all.hub.send(link, kind::run_chunk, call, out);
+        all.hub.send(to.link, kind::run_chunk, to.call, out);
     }
 }
 
-void send_finished(state& all, edge::link_id link, std::int64_t call, const attempt_key& key,
+void send_finished(state& all, const listener& to, const attempt_key& key,
                    const core::answers::answer& kept) {
-    if (link == 0)
-        return;
     wire::run_finished out;
     out.request_id = key.request_id;
     out.attempt = key.attempt;
@@ -151,13 +147,10 @@
         out.headers.push_back(field);
     }
     out.load = load_of(all);
-    all.hub.send(link, kind::run_finished, call, out);
+    all.hub.send(to.link, kind::run_finished, to.call, out);
 }
 
-void send_refused(state& all, edge::link_id link, std::int64_t call, const attempt_key& key,
-                  const core::answers::refusal& why) {
-    if (link == 0)
-        return;
+void send_refused(state& all, const listener& to, const attempt_key& key, const core::answers::refusal& why) {
     wire::run_refused out;
     out.request_id = key.request_id;
     out.attempt = key.attempt;
@@ -167,7 +160,7 @@
     out.detail = why.detail;
     out.suspect = why.suspect;
     out.load = load_of(all);
-    all.hub.send(link, kind::run_refused, call, out);
+    all.hub.send(to.link, kind::run_refused, to.call, out);
 }
 
 } // namespace waxwinglb::programs::agent
--- a/src/programs/agent/requests.cpp
+++ b/src/programs/agent/requests.cpp
@@ -99,6 +99,11 @@
     all.awaiting_adapter.push_back(one.id);
 }
 
+void tell_accepted(state& all, const request& one) {
+    for (const listener& to : one.listeners)
+        send_accepted(all, to, one.key);
+}
+
 void admit(state& all, request& one, time_point now) {
     one.alone = runs_alone(all, one, now);
     if (one.alone && count_alone(all) > most_waiting_alone)
@@ -107,7 +112,7 @@
                                    "Too many requests wait to run alone.", retry_soon),
                       now);
     if (all.settings.kind == target_kind::plain) {
-        send_accepted(all, one);
+        tell_accepted(all, one);
         return push_waiting(all, one);
     }
     one.holds_model = all.ledger.acquire(one.message.model, now);
@@ -116,38 +121,42 @@
                       make_refusal(reason::model_not_loaded, run_truth::not_run, "The model is not loaded.",
                                    retry_elsewhere),
                       now);
-    send_accepted(all, one);
+    tell_accepted(all, one);
     queue_with_adapter(all, one, now);
 }
 
 /// Sends what is kept of an attempt from an offset on, and its end if it has one.
-void send_kept(state& all, edge::link_id link, std::int64_t call, const attempt_key& key, std::int64_t offset,
-               core::answers::answer& kept) {
+void send_kept(state& all, const listener& to, const attempt_key& key, std::int64_t offset,
+               const core::answers::answer& kept) {
     if (kept.at == phase::refused || kept.at == phase::cancelled) {
         auto why = kept.why;
         if (kept.at == phase::cancelled)
             why = make_refusal(reason::tombstoned, run_truth::not_run, "The attempt was cancelled.");
-        return send_refused(all, link, call, key, why);
+        return send_refused(all, to, key, why);
     }
     if (kept.body_dropped || offset < 0 || offset > kept.length)
         return send_refused(
-            all, link, call, key,
+            all, to, key,
             make_refusal(reason::unknown_request, run_truth::run, "The answer is no longer kept."));
-    send_chunk(all, link, call, key, offset,
-               std::string_view{kept.body}.substr(static_cast<std::size_t>(offset)));
+    send_chunk(all, to, key, offset, std::string_view{kept.body}.substr(static_cast<std::size_t>(offset)));
     if (kept.at == phase::finished)
-        send_finished(all, link, call, key, kept);
+        send_finished(all, to, key, kept);
 }
 
-/// Turns a live request's answer to another link.
-void redirect(state& all, const attempt_key& key, edge::link_id link, std::int64_t call) {
+/// Sends a live request's answer to this link too. The others keep getting it: the call that began the run
+/// still waits at its own router.
+void add_listener(state& all, const attempt_key& key, const listener& added) {
     const auto found = all.by_key.find(key);
     if (found == all.by_key.end())
         return;
     request& one = all.requests.at(found->second);
-    one.link = link;
-    one.call = call;
-    send_accepted(all, one);
+    std::erase_if(one.listeners, [&](const listener& known) { return known.link == added.link; });
+    one.listeners.push_back(added);
+    send_accepted(all, added, key);
+}
+
+void forget_listener(request& one, edge::link_id link) {
+    std::erase_if(one.listeners, [&](const listener& known) { return known.link == link; });
 }
 
 /// Gives back everything that the request held.
@@ -205,17 +214,18 @@
     const attempt_key key{message.request_id, message.attempt};
     const auto deadline = now + milliseconds{std::clamp<std::int64_t>(message.remaining_ms, 0, 3'600'000)};
     const auto begun = all.answers.begin(key, deadline, now);
+    const listener from{link, call};
     if (begun == begin_result::duplicate || begun == begin_result::cancelled) {
-        redirect(all, key, link, call);
-        return send_kept(all, link, call, key, 0, *all.answers.find(key));
+        add_listener(all, key, from);
+        return send_kept(all, from, key, 0, *all.answers.find(key));
     }
     if (begun == begin_result::forgotten)
         return send_refused(
-            all, link, call, key,
+            all, from, key,
             make_refusal(reason::duplicate, run_truth::unknown, "The attempt was here before."));
     if (begun == begin_result::full)
         return send_refused(
-            all, link, call, key,
+            all, from, key,
             make_refusal(reason::overloaded, run_truth::not_run, "Too many answers are kept.", retry_soon));
     request& one = all.requests[++all.last_request];
     one.id = all.last_request;
@@ -223,8 +233,7 @@
     one.message = std::move(message);
     one.arrived = now;
     one.deadline = deadline;
-    one.link = link;
-    one.call = call;
+    one.listeners = {from};
     all.by_key[key] = one.id;
     if (auto why = objection(all, one.message, now))
         return refuse(all, one, *why, now);
@@ -233,13 +242,14 @@
 
 void take_resume(state& all, edge::link_id link, std::int64_t call, const wire::resume_request& message) {
     const attempt_key key{message.request_id, message.attempt};
-    auto* kept = all.answers.find(key);
+    const listener from{link, call};
+    const auto* kept = all.answers.find(key);
     if (kept == nullptr)
         return send_refused(
-            all, link, call, key,
+            all, from, key,
             make_refusal(reason::unknown_request, run_truth::unknown, "Nothing is known of the attempt."));
-    redirect(all, key, link, call);
-    send_kept(all, link, call, key, message.offset, *kept);
+    add_listener(all, key, from);
+    send_kept(all, from, key, message.offset, *kept);
 }
 
 void take_cancel(state& all, edge::link_id link, std::int64_t call, const wire::cancel_request& message,
@@ -261,8 +271,8 @@
         return;
     request& one = all.requests.at(live->second);
     if (one.running && all.settings.kind == target_kind::plain)
-        return;   // goes on: its caller may still collect the answer
-    one.link = 0; // cancel_result was the answer
+        return;                 // goes on: its caller may still collect the answer
+    forget_listener(one, link); // cancel_result was the answer
     refuse(all, one, make_refusal(reason::tombstoned, ran, "The attempt was cancelled."), now);
 }
 
@@ -272,8 +282,7 @@
 
 void forget_link(state& all, edge::link_id link) {
     for (auto& [id, one] : all.requests)
-        if (one.link == link)
-            one.link = 0;
+        forget_listener(one, link);
 }
 
 void start_waiting(state& all, time_point now) {
@@ -363,12 +372,12 @@
         cancel_call(all, one);
         all.ramp.failed(now);
     }
-    const edge::link_id link = one.link;
-    const std::int64_t call = one.call;
+    const auto listeners = std::move(one.listeners);
     const attempt_key key = one.key;
     all.answers.refuse(key, why, now);
     remove(all, one, now);
-    send_refused(all, link, call, key, why);
+    for (const listener& to : listeners)
+        send_refused(all, to, key, why);
 }
 
 void finish(state& all, request& one, int status, const std::vector<edge::http_field>& headers,
@@ -387,11 +396,11 @@
     for (const edge::http_field& field : headers)
         kept->headers.emplace_back(field.name, field.value);
     all.answers.finish(one.key, now);
-    const edge::link_id link = one.link;
-    const std::int64_t call = one.call;
+    const auto listeners = std::move(one.listeners);
     const attempt_key key = one.key;
     remove(all, one, now);
-    send_finished(all, link, call, key, *kept);
+    for (const listener& to : listeners)
+        send_finished(all, to, key, *kept);
 }
 
 } // namespace waxwinglb::programs::agent
--- a/src/programs/agent/state.hpp
+++ b/src/programs/agent/state.hpp
@@ -66,22 +66,28 @@
 // ---- state ---------------------------------------------------------------------------------------
 
 /// A request between its acceptance and its end.
+/// A router's link that gets an attempt's answer: the router that sent it, and those that collect it for a
+/// repeat of the same call.
+struct listener {
+    edge::link_id link = 0;
+    std::int64_t call = 0; // call number that the messages to it carry
+};
+
 struct request {
     std::uint64_t id = 0;
     attempt_key key;
     wire::run_request message;
     time_point arrived;
     time_point deadline;
-    edge::link_id link = 0;        // where the answer goes; 0: nowhere at present
-    std::int64_t call = 0;         // call number that answers carry
-    bool alone = false;            // must run with nothing beside it
-    bool holds_model = false;      // acquired in the ledger
-    bool holds_adapter = false;    // acquired in the ledger
-    bool running = false;          // started at the target
-    bool settling = false;         // its call broke; a later probe will tell what that means
-    bool stream_lost = false;      // the engine doesn't know the stream any more
-    std::uint64_t broke_at = 0;    // last probe that had been sent when its call broke
-    std::uint64_t target_call = 0; // number of its present HTTP call
+    std::vector<listener> listeners; // one for each link; none: the answer is only kept
+    bool alone = false;              // must run with nothing beside it
+    bool holds_model = false;        // acquired in the ledger
+    bool holds_adapter = false;      // acquired in the ledger
+    bool running = false;            // started at the target
+    bool settling = false;           // its call broke; a later probe will tell what that means
+    bool stream_lost = false;        // the engine doesn't know the stream any more
+    std::uint64_t broke_at = 0;      // last probe that had been sent when its call broke
+    std::uint64_t target_call = 0;   // number of its present HTTP call
     edge::client_call http = 0;
     time_point started;
     bool any_data = false;    // the target answered something
--- a/src/programs/agent/streams.cpp
+++ b/src/programs/agent/streams.cpp
@@ -42,7 +42,8 @@
     const std::int64_t offset = all.answers.find(one.key)->length;
     if (!all.answers.append(one.key, data))
         return false;
-    send_chunk(all, one.link, one.call, one.key, offset, data);
+    for (const listener& to : one.listeners)
+        send_chunk(all, to, one.key, offset, data);
     return true;
 }
 
--- a/tests/programs/test_router_faults.py
+++ b/tests/programs/test_router_faults.py
@@ -36,6 +36,18 @@
         assert certifications(d, "other") == 0
 
 
+def test_answer_collected_at_another_router_reaches_its_first_caller_too():
+    """The registry answers within a router's progress timeout of 1 s, so that no silence moves the answer back."""
+    with fleet() as d, concurrent.futures.ThreadPoolExecutor(1) as pool:
+        registry_fault(d, "slow", "POST /certifications", 700)
+        first = pool.submit(d.certify, "shared", 0, "key-shared")
+        wait_until(lambda: certifications(d, "shared", 1) == 1, "the run has begun")
+        again = d.certify("shared", 1, "key-shared")
+        assert again.status == 201, again
+        assert (first.result().status, first.result().text) == (201, again.text), first.result()
+        assert certifications(d, "shared") == 1
+
+
 def test_lost_answer_is_told_as_unknown_and_never_repeated():
     with fleet() as d, concurrent.futures.ThreadPoolExecutor(8) as pool:
         for kind in ("answer_lost", "crash_after"):
--- a/tests/programs/test_store_outage.py
+++ b/tests/programs/test_store_outage.py
@@ -24,6 +24,9 @@
         if answer.status != 201:
             raise Failure(f"{path} was not accepted: {answer}")
     key = deployment.grant_key("norte")[1]
+    # A router that no steward feeds yet isn't asked for in_force, and refuses all calls.
+    for one in deployment.routers:
+        wait_until(deployment.programs[one["name"]].ready, f"{one['name']} is ready")
     wait_until(deployment.in_force, "the configuration is in force everywhere")
     return key
 
@@ -47,7 +50,8 @@
     with Deployment(ARGUMENTS.bin, small_layout()) as deployment:
         deployment.start()
         key = configure(deployment)
-        assert deployment.chat("m1", "hello", key, max_tokens=5).status == 200
+        answer = deployment.chat("m1", "hello", key, max_tokens=5)
+        assert answer.status == 200, answer
         first = certify(deployment, key, "before")
         assert first.status == 201, first
         deployment.fault("down")
