Match an order's answer to that order; a ledger forgotten in between no longer takes it for the next one

Answers took 0.1 to 0.8 s there. An answer on its way was then given to the new ledger, which applied it to whatever order it awaited: order A (load adapter a37) accepted, and order B (unload a13) counted as done. B's own answer, 409, found nothing awaited. The ledger then knew one adapter too few and ordered a ninth.

Change: the order giver numbers its orders, a ledger takes only the answer of the order that it awaits.

Test: the property of the ledger now plays adapters, reports up to 800 ms old, orders and answers on their way, and ledgers forgotten at random. The simulated target is as strict as before, its limit on adapters is new.

--- a/src/core/placing/target_ledger.cpp
+++ b/src/core/placing/target_ledger.cpp
@@ -83,12 +83,13 @@
            });
 }
 
-void target_ledger::sent(const planned_order& order, milliseconds load_time, time_point now) {
-    pending_ = pending{order, load_time, now};
+void target_ledger::sent(std::int64_t number, const planned_order& order, milliseconds load_time,
+                         time_point now) {
+    pending_ = pending{number, order, load_time, now};
 }
 
-void target_ledger::answered(answer what, time_point now) {
-    if (!pending_)
+void target_ledger::answered(std::int64_t number, answer what, time_point now) {
+    if (!pending_ || pending_->number != number)
         return;
     const pending one = std::move(*pending_);
     pending_.reset();
--- a/src/core/placing/target_ledger.hpp
+++ b/src/core/placing/target_ledger.hpp
@@ -39,9 +39,12 @@
     void still_busy(const std::map<std::string, std::vector<std::string>>& models, common::time_point as_of,
                     common::time_point now);
 
-    void sent(const planned_order& order, common::milliseconds load_time, common::time_point now);
+    /// `number` is this order's alone, also among the orders of a ledger that was forgotten meanwhile.
+    void sent(std::int64_t number, const planned_order& order, common::milliseconds load_time,
+              common::time_point now);
     enum class answer { accepted, holds_already, rejected, unknown };
-    void answered(answer what, common::time_point now);
+    /// The answer to the order of that number; one to an order that isn't awaited any more tells nothing.
+    void answered(std::int64_t number, answer what, common::time_point now);
 
     [[nodiscard]] bool
     takes_orders(common::time_point now) const; // none under way, none unsettled, not loading
@@ -59,6 +62,7 @@
 
 private:
     struct pending {
+        std::int64_t number = 0;
         planned_order order;
         common::milliseconds load_time{0};
         common::time_point sent_at{};
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -309,7 +309,8 @@
                                            : spec->second.disk_load;
         expected += load_margin;
     }
-    known.ledger.sent(order, expected, now);
+    const std::int64_t number = ++last_order_;
+    known.ledger.sent(number, order, expected, now);
     context_.log.write(edge::events::order_sent, order.target,
                        {{"operation", operation_of(order)},
                         {"model", order.what.model},
@@ -328,14 +329,15 @@
         {order.load, order.what, known.ledger.sequence(), context_.settings.name, lease_.fencing()});
     request.timeout = order_timeout;
     request.connect_timeout = connect_timeout;
-    client_.send(std::move(request), [this, order](edge::client_result&& answer) {
+    client_.send(std::move(request), [this, number, order](edge::client_result&& answer) {
         context_.loop.post(
-            [this, order, answer = std::move(answer)] { take_answer(order.target, order, answer); });
+            [this, number, order, answer = std::move(answer)] { take_answer(number, order, answer); });
     });
 }
 
-void order_giver::take_answer(const std::string& id, const planned_order& order,
+void order_giver::take_answer(std::int64_t number, const planned_order& order,
                               const edge::client_result& answer) {
+    const std::string& id = order.target;
     const auto found = targets_.find(id);
     const bool answered = answer.outcome == edge::client_outcome::answered;
     const auto result =
@@ -355,7 +357,7 @@
     if (found == targets_.end())
         return;
     const auto now = context_.loop.now();
-    found->second.ledger.answered(result, now);
+    found->second.ledger.answered(number, result, now);
     if (result == target_ledger::answer::accepted && order.load && order.what.adapter.empty()) {
         found->second.copies_on_disk.insert(order.what.model);
         // The others learn that it is ready when it is.
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -50,7 +50,7 @@
     void add_use(core::placing::target_state& to, const core::fleet::model_wish& wish, int running,
                  core::common::time_point last) const;
     void send(const core::placing::planned_order& order, const core::fleet::service& service);
-    void take_answer(const std::string& id, const core::placing::planned_order& order,
+    void take_answer(std::int64_t number, const core::placing::planned_order& order,
                      const edge::client_result& answer);
     void publish(const std::string& id);
 
@@ -61,6 +61,7 @@
     peers* peers_ = nullptr;
     std::function<void()> on_silence_;
     std::map<std::string, known_target> targets_;
+    std::int64_t last_order_ = 0; // number; told apart from orders of before the lease was lost
     core::placing::store_pace pace_;
 };
 
--- a/tests/core/placing_test.cpp
+++ b/tests/core/placing_test.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <random>
 
 using namespace waxwinglb::core;
@@ -157,8 +158,8 @@
     target_ledger one;
     one.describe(1, 4, {}, start);
     ASSERT_TRUE(one.takes_orders(start));
-    one.sent({"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
-    one.answered(target_ledger::answer::unknown, start + 1s);
+    one.sent(1, {"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
+    one.answered(1, target_ledger::answer::unknown, start + 1s);
     EXPECT_FALSE(one.takes_orders(start + 2s));
     EXPECT_TRUE(one.store_load_under_way(start + 2s)); // counted as begun
     one.describe(1, 4, {}, start + 1'100ms);           // may be older than the lost answer
@@ -170,8 +171,8 @@
 TEST(ledger, a_loading_model_takes_its_room_but_serves_nobody_yet) {
     target_ledger one;
     one.describe(1, 4, {}, start);
-    one.sent({"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
-    one.answered(target_ledger::answer::accepted, start);
+    one.sent(1, {"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
+    one.answered(1, target_ledger::answer::accepted, start);
     EXPECT_TRUE(one.models().contains("m0"));
     EXPECT_TRUE(one.loading(start + 5s).contains("m0"));
     EXPECT_FALSE(one.takes_orders(start + 5s));
@@ -195,116 +196,194 @@
 
 namespace {
 
-/// A target as the protocol describes it: checks the expected number when an order is carried out.
+/// An order on its way to a target.
+struct sent_order {
+    time_point arrives{};
+    std::int64_t number = 0;
+    planned_order order;
+    std::int64_t expected = 0;
+    bool loses_answer = false;
+};
+
+struct answer_on_its_way {
+    time_point arrives{};
+    std::int64_t number = 0;
+    target_ledger::answer what = target_ledger::answer::unknown;
+};
+
+struct target_report {
+    time_point made{};
+    std::int64_t sequence = 0;
+    bool busy = false;
+    std::map<std::string, std::vector<std::string>> models;
+};
+
+/// A target as the protocol describes it: checks the expected number when an order is carried out, and
+/// reports what it held some time ago.
 struct simulated_target {
     std::int64_t sequence = 1;
     std::set<std::string> models;
+    std::set<model_wish> adapters;
     time_point busy_until{};
-    struct late_order {
-        time_point at;
-        planned_order order;
-        std::int64_t expected;
-    };
-    std::vector<late_order> late;
-
-    bool accept(const planned_order& order, std::int64_t expected, time_point now) {
+    std::deque<target_report> reports; // oldest first, not older than report_delay
+    std::vector<sent_order> orders;
+    std::vector<answer_on_its_way> answers;
+
+    bool accept(const planned_order& order, std::int64_t expected, const fleet::engine_spec& spec,
+                time_point now) {
         if (expected != sequence || now < busy_until)
             return false;
         ++sequence;
-        if (order.load) {
+        carry_out(order, now);
+        RC_ASSERT(static_cast<double>(models.size()) * 72'700.0 <= spec.megabytes);
+        RC_ASSERT(static_cast<int>(adapters.size()) <= spec.adapter_places);
+        return true;
+    }
+    void carry_out(const planned_order& order, time_point now) {
+        if (!order.what.adapter.empty() && order.load) {
+            adapters.insert(order.what);
+        } else if (!order.what.adapter.empty()) {
+            adapters.erase(order.what);
+        } else if (order.load) {
             models.insert(order.what.model);
             busy_until = now + 700ms;
         } else {
             models.erase(order.what.model);
+            std::erase_if(adapters, [&](const model_wish& one) { return one.model == order.what.model; });
         }
-        RC_ASSERT(models.size() * 72'700.0 <= 230'000.0);
-        return true;
     }
-    void pass_time(time_point now) {
-        std::erase_if(late, [&](const late_order& one) {
-            if (one.at > now)
+    void pass_time(const fleet::engine_spec& spec, time_point now) {
+        std::erase_if(orders, [&](const sent_order& one) {
+            if (one.arrives > now)
+                return false;
+            const bool taken = accept(one.order, one.expected, spec, now);
+            if (!one.loses_answer)
+                answers.push_back(
+                    {now + 200ms, one.number,
+                     taken ? target_ledger::answer::accepted : target_ledger::answer::rejected});
+            return true;
+        });
+        target_report report{now, sequence, now < busy_until, {}};
+        for (const auto& model : models)
+            report.models[model];
+        for (const auto& [model, adapter] : adapters)
+            report.models[model].push_back(adapter);
+        reports.push_back(std::move(report));
+        while (reports.front().made + placing::report_delay < now)
+            reports.pop_front();
+    }
+    /// Tells a ledger the answers that have arrived.
+    void deliver_answers(target_ledger& to, time_point now) {
+        std::erase_if(answers, [&](const answer_on_its_way& one) {
+            if (one.arrives > now)
                 return false;
-            accept(one.order, one.expected, now);
+            to.answered(one.number, one.what, now);
             return true;
         });
     }
 };
 
+void tell_report(target_ledger& to, const target_report& report, time_point now) {
+    const time_point as_of = now - placing::report_delay;
+    if (report.busy)
+        to.still_busy(report.models, as_of, now);
+    else
+        to.describe(1, report.sequence, report.models, as_of);
+}
+
+/// What the planner is told about a target.
+target_state state_of(const target_ledger& known, std::size_t at, const std::set<std::string>& copies,
+                      time_point now) {
+    target_state out;
+    out.id = std::to_string(at);
+    out.takes_orders = known.takes_orders(now);
+    out.loading = known.loading(now);
+    out.copies_on_disk = copies;
+    for (const auto& [model, adapters] : known.models()) {
+        out.models[model].last_used = known.loaded_at(model);
+        for (const std::string& adapter : adapters)
+            out.adapters[{model, adapter}];
+    }
+    return out;
+}
+
 } // namespace
 
+// Ledgers are forgotten now and then, as by an order giver that lost its lease or by an entry that lapsed,
+// while orders of before and their answers are still on their way.
 RC_GTEST_PROP(placing, no_target_is_ordered_beyond_its_memory_when_answers_are_lost_or_late,
               (std::uint64_t seed)) {
     std::mt19937_64 random{seed};
-    const auto spec = engine(10);
+    auto spec = engine(10);
+    spec.adapter_places = 2;
     std::vector<simulated_target> real(3);
     std::vector<target_ledger> known(3);
     std::vector<std::set<std::string>> copies(3);
+    std::int64_t last_order = 0;
     time_point now = start;
     for (int step = 0; step < 600; ++step) {
         now += 100ms;
         planner_input in{&spec, {}, {}, 0};
         for (std::size_t at = 0; at < real.size(); ++at) {
-            real[at].pass_time(now);
-            if (random() % 5 == 0) {
-                std::map<std::string, std::vector<std::string>> held;
-                for (const auto& model : real[at].models)
-                    held[model];
-                known[at].describe(1, real[at].sequence, held, now);
-            }
-            target_state state;
-            state.id = std::to_string(at);
-            state.takes_orders = known[at].takes_orders(now);
-            state.loading = known[at].loading(now);
-            for (const auto& [model, adapters] : known[at].models())
-                state.models[model].last_used = known[at].loaded_at(model);
-            state.copies_on_disk = copies[at];
-            in.targets.push_back(state);
+            real[at].pass_time(spec, now);
+            real[at].deliver_answers(known[at], now);
+            if (random() % 20 == 0)
+                known[at] = {};
+            if (random() % 5 == 0)
+                tell_report(known[at], real[at].reports[random() % real[at].reports.size()], now);
+            in.targets.push_back(state_of(known[at], at, copies[at], now));
         }
         in.demands[{"m" + std::to_string(random() % 10), ""}] = waiting(1);
+        in.demands[{"m0", "a" + std::to_string(random() % 6)}] = waiting(1);
         for (const planned_order& order : placing::plan(in, limits, now)) {
             const auto at = std::stoul(order.target);
-            const auto expected = known[at].sequence();
-            known[at].sent(order, 700ms, now);
             const auto luck = random() % 10;
-            if (luck < 2) { // no answer, carried out seconds later if its number still holds
-                real[at].late.push_back(
-                    {now + 2s + std::chrono::milliseconds{random() % 10'000}, order, expected});
-                known[at].answered(target_ledger::answer::unknown, now);
-                continue;
-            }
-            const bool taken = real[at].accept(order, expected, now);
-            if (luck < 3) { // carried out, and the answer lost
-                known[at].answered(target_ledger::answer::unknown, now);
-                continue;
-            }
-            known[at].answered(taken ? target_ledger::answer::accepted : target_ledger::answer::rejected,
-                               now);
-            if (taken && order.load)
+            sent_order sent{now + std::chrono::milliseconds{random() % 400}, ++last_order, order,
+                            known[at].sequence(), luck < 3};
+            if (luck < 2) // carried out seconds later, if its number still holds
+                sent.arrives = now + 2s + std::chrono::milliseconds{random() % 10'000};
+            known[at].sent(sent.number, order, 700ms, now);
+            if (sent.loses_answer)
+                real[at].answers.push_back({now + 1'200ms, sent.number, target_ledger::answer::unknown});
+            if (order.load && order.what.adapter.empty())
                 copies[at].insert(order.what.model);
+            real[at].orders.push_back(std::move(sent));
         }
     }
 }
 
+TEST(ledger, an_answer_to_an_order_of_before_settles_no_newer_one) {
+    target_ledger one;
+    one.describe(1, 4, {{"m0", {"a1", "a2"}}}, start);
+    one.sent(7, {"t1", false, {"m0", "a1"}, false, ""}, 25ms, start); // order 6 was sent by a former ledger
+    one.answered(6, target_ledger::answer::accepted, start + 100ms);
+    EXPECT_FALSE(one.takes_orders(start + 100ms));
+    EXPECT_EQ(one.sequence(), 4);
+    EXPECT_TRUE(one.models().at("m0").contains("a1"));
+    one.answered(7, target_ledger::answer::rejected, start + 200ms);
+    EXPECT_TRUE(one.wants_report(start + 200ms));
+}
+
 // On Cámara's quiet day half of all loads met the unload before them and then waited a second for a report.
 TEST(ledger, a_target_still_at_its_unload_is_asked_again_soon) {
     target_ledger one;
     one.describe(1, 4, {{"m0", {}}}, start);
-    one.sent({"t1", false, {"m0", ""}, false, ""}, 25ms, start);
-    one.answered(target_ledger::answer::accepted, start);
-    one.sent({"t1", true, {"m1", ""}, false, ""}, 800ms, start);
-    one.answered(target_ledger::answer::rejected, start + 10ms);
+    one.sent(1, {"t1", false, {"m0", ""}, false, ""}, 25ms, start);
+    one.answered(1, target_ledger::answer::accepted, start);
+    one.sent(2, {"t1", true, {"m1", ""}, false, ""}, 800ms, start);
+    one.answered(2, target_ledger::answer::rejected, start + 10ms);
     EXPECT_FALSE(one.takes_orders(start + 10ms));
     EXPECT_TRUE(one.takes_orders(start + 10ms + placing::busy_pause));
-    one.sent({"t1", true, {"m1", ""}, false, ""}, 800ms, start + 700ms);
-    one.answered(target_ledger::answer::rejected, start + 700ms);
+    one.sent(3, {"t1", true, {"m1", ""}, false, ""}, 800ms, start + 700ms);
+    one.answered(3, target_ledger::answer::rejected, start + 700ms);
     EXPECT_TRUE(one.wants_report(start + 700ms)); // too long for an unload: the number may differ
 }
 
 TEST(ledger, a_long_load_that_takes_longer_than_foretold_is_not_ready) {
     target_ledger one;
     one.describe(1, 4, {}, start);
-    one.sent({"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
-    one.answered(target_ledger::answer::accepted, start);
+    one.sent(1, {"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
+    one.answered(1, target_ledger::answer::accepted, start);
     one.still_busy({}, start + 5'900ms, start + 6'900ms); // may be older than the foretold end
     EXPECT_TRUE(one.loading(start + 7s).empty());
     one.still_busy({}, start + 6'100ms, start + 7s);
@@ -344,8 +423,8 @@
 TEST(ledger, a_long_load_that_no_report_lists_has_failed) {
     target_ledger one;
     one.describe(1, 4, {}, start);
-    one.sent({"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
-    one.answered(target_ledger::answer::accepted, start);
+    one.sent(1, {"t1", true, {"m0", ""}, true, ""}, 6'000ms, start);
+    one.answered(1, target_ledger::answer::accepted, start);
     one.describe(1, 5, {}, start + 7s);
     EXPECT_TRUE(one.models().contains("m0"));
     one.describe(1, 5, {}, start + 6s + placing::long_load);
