Cut log lines about requests to a rate and count the rest; metrics by service, data centre and watch age

The log's queue was bounded, but a flood of refused requests could push every other line out of it, and nothing told which lines were missing.

Change: core/timeline/line_limit holds each kind of line about requests to `log.request_lines_per_second` (500, a setting that a reload takes over) and counts what it leaves out; the log tells the count by kind (lines_left_out) once a second is over and at the end of the process. Lines about processes, leases, peers, targets and orders are never cut. Metrics: every series carries its data centre; requests, waits and first bytes carry their service; new are the age of each watch, the part of the customers' rates in use, gateways in contact, and finished loads by result. Weighed and left: `metrics` in deploy/system.toml takes a fixed port; the internal ports are 7600 to 7615 on two sites and 7400 to 7415 on the others, so no one port serves all.

--- a/src/edge/decision_log.cpp
+++ b/src/edge/decision_log.cpp
@@ -1,21 +1,30 @@
 #include "edge/decision_log.hpp"
 
+#include "core/timeline/line_limit.hpp"
+
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <algorithm>
 #include <chrono>
+#include <mutex>
 
 namespace waxwinglb::edge {
 namespace {
 
 constexpr std::size_t waiting_lines = 8'192; // beyond, the oldest are dropped and counted
 
+bool concerns_request(std::string_view event) {
+    return std::find(events::about_requests.begin(), events::about_requests.end(), event) !=
+           events::about_requests.end();
+}
+
 } // namespace
 
 class decision_log::impl {
 public:
-    explicit impl(std::string process)
-        : process_(std::move(process)),
+    impl(std::string process, int request_lines_per_second)
+        : process_(std::move(process)), limit_(request_lines_per_second),
           pool_(std::make_shared<spdlog::details::thread_pool>(waiting_lines, 1)),
           logger_(std::make_shared<spdlog::async_logger>(
               "decisions", std::make_shared<spdlog::sinks::stdout_sink_mt>(), pool_,
@@ -24,9 +33,23 @@
         logger_->set_level(spdlog::level::info);
     }
 
+    ~impl() {
+        const std::scoped_lock hold{limit_mutex_};
+        report_left_out(limit_.take_all());
+    }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    impl(impl&&) = delete;
+    impl& operator=(impl&&) = delete;
+
     void write(std::string_view event, std::string_view subject, const fields& inputs) {
         report_dropped();
-        logger_->info(line(event, subject, inputs));
+        if (admit(event, core::common::clock::now()))
+            logger_->info(line(event, subject, inputs));
+    }
+    void limit_request_lines(int per_second) {
+        const std::scoped_lock hold{limit_mutex_};
+        limit_.change(per_second);
     }
 
 private:
@@ -38,6 +61,16 @@
         out.update(inputs);
         return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
+    bool admit(std::string_view event, core::common::time_point now) {
+        const std::scoped_lock hold{limit_mutex_};
+        report_left_out(limit_.take_left_out(now));
+        return !concerns_request(event) || limit_.admit(event, now);
+    }
+    void report_left_out(const std::vector<core::timeline::line_limit::left_out>& all) {
+        for (const auto& one : all)
+            logger_->info(line(events::lines_left_out, one.event,
+                               {{"count", one.lines}, {"per_second", limit_.lines_per_second()}}));
+    }
     void report_dropped() {
         const std::size_t dropped = pool_->overrun_counter();
         const std::size_t before = reported_.exchange(dropped);
@@ -46,14 +79,21 @@
     }
 
     std::string process_;
+    std::mutex limit_mutex_;
+    core::timeline::line_limit limit_;
     std::shared_ptr<spdlog::details::thread_pool> pool_;
     std::shared_ptr<spdlog::async_logger> logger_;
     std::atomic<std::size_t> reported_{0};
 };
 
-decision_log::decision_log(std::string process) : impl_(std::make_unique<impl>(std::move(process))) {}
+decision_log::decision_log(std::string process, int request_lines_per_second)
+    : impl_(std::make_unique<impl>(std::move(process), request_lines_per_second)) {}
 decision_log::~decision_log() = default;
 
+void decision_log::limit_request_lines(int per_second) {
+    impl_->limit_request_lines(per_second);
+}
+
 void decision_log::write(std::string_view event, std::string_view subject, const fields& inputs) {
     impl_->write(event, subject, inputs);
 }
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -1,6 +1,6 @@
 /// One structured line on standard output for each decision: JSON with time, process, event, subject, inputs,
 /// their age or version, and outcome. Bounded and never blocking: a full queue drops the oldest lines and
-/// counts them. Keys, bodies and prompts never enter it.
+/// counts them, and lines about requests are cut to a rate. Keys, bodies and prompts never enter it.
 #pragma once
 
 #include "core/common/time.hpp"
@@ -45,6 +45,7 @@
 inline constexpr std::string_view request_answered = "request_answered";
 inline constexpr std::string_view request_cut = "request_cut";
 inline constexpr std::string_view request_abandoned = "request_abandoned";
+inline constexpr std::string_view lines_left_out = "lines_left_out";
 inline constexpr std::string_view lines_dropped = "lines_dropped";
 inline constexpr std::array all{
     process_started,  process_stopping, process_stopped,   settings_reloaded, settings_refused,
@@ -52,20 +53,26 @@
     config_refused,   data_centres_out, target_changed,    target_ignored,    target_suspected,
     lease_taken,      lease_lost,       order_sent,        order_answered,    load_finished,
     request_waiting,  request_sent,     request_retried,   request_refused,   rate_refused,
-    request_answered, request_cut,      request_abandoned, lines_dropped};
+    request_answered, request_cut,      request_abandoned, lines_left_out,    lines_dropped};
+/// Cut to a rate under load, each for itself.
+inline constexpr std::array about_requests{request_waiting, request_sent,     request_retried,
+                                           request_refused, rate_refused,     request_answered,
+                                           request_cut,     request_abandoned};
 } // namespace events
 
 class decision_log {
 public:
     using fields = nlohmann::ordered_json;
 
-    explicit decision_log(std::string process); // writes to standard output
-    ~decision_log();                            // writes what waits
+    /// Writes to standard output, of each kind of line about requests at most so many a second.
+    decision_log(std::string process, int request_lines_per_second);
+    ~decision_log(); // writes what waits
     decision_log(const decision_log&) = delete;
     decision_log& operator=(const decision_log&) = delete;
     decision_log(decision_log&&) = delete;
     decision_log& operator=(decision_log&&) = delete;
 
+    void limit_request_lines(int per_second);
     /// `subject`: request id, target, customer, … May be called from any thread.
     void write(std::string_view event, std::string_view subject, const fields& inputs = fields::object());
 
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -15,7 +15,7 @@
 struct gateway_context {
     gateway_context(const gateway_settings& from, edge::event_loop& on, edge::decision_log& to,
                     prometheus::Registry& registry)
-        : settings(from), loop(on), log(to), numbers(registry), quota(from.name) {}
+        : settings(from), loop(on), log(to), numbers(registry, from.data_centre), quota(from.name) {}
 
     const gateway_settings& settings;
     edge::event_loop& loop;
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -65,6 +65,10 @@
     return std::string{value};
 }
 
+gateway_metrics::request_kind metric_kind(const call& one) {
+    return {name_of(one.route->kind), one.service};
+}
+
 std::string seconds_text(duration value) {
     std::array<char, 32> text{};
     std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(value).count());
@@ -122,7 +126,7 @@
     dispatcher_->begin(one, target);
     const auto waited = context_.loop.now() - one->arrived;
     if (one->sends == 1)
-        context_.numbers.observe_wait(name_of(one->route->kind), waited);
+        context_.numbers.observe_wait(metric_kind(*one), waited);
     context_.log.write(edge::events::request_sent, one->request_id,
                        {{"target", target},
                         {"load", dispatcher_->load_of(target)},
@@ -199,7 +203,7 @@
     const std::string_view events{one->body.data(), whole};
     if (!one->session->answer_begun()) {
         const auto waited = context_.loop.now() - one->arrived;
-        context_.numbers.observe_first_byte(name_of(one->route->kind), waited);
+        context_.numbers.observe_first_byte(metric_kind(*one), waited);
         one->session->begin_answer(one->head.status, passed_on(one->head.fields));
     }
     const time_point now = context_.loop.now();
@@ -237,7 +241,7 @@
 
 void forwarder::answer_whole(const call_ptr& one) {
     const bool failed = one->head.status >= 500;
-    context_.numbers.observe_first_byte(name_of(one->route->kind), context_.loop.now() - one->arrived);
+    context_.numbers.observe_first_byte(metric_kind(*one), context_.loop.now() - one->arrived);
     one->session->answer(one->head.status, passed_on(one->head.fields), one->body);
     give_up_at_target(one, failed ? dispatcher::verdict::failed : dispatcher::verdict::good);
     done(one, edge::events::request_answered, failed ? "failed" : "answered",
@@ -346,7 +350,7 @@
     const bool begun = one->first_piece != time_point{};
     const std::int64_t first_ms = begun ? whole_ms(one->first_piece - one->arrived).count() : -1;
     const std::string kind = name_of(one->route->kind);
-    context_.numbers.count_request(kind, outcome, reason);
+    context_.numbers.count_request(metric_kind(*one), outcome, reason);
     context_.log.write(event, one->request_id,
                        {{"reason", reason},
                         {"route", one->route->name},
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -4,6 +4,8 @@
 #include "edge/log.hpp"
 #include "platform/headers.hpp"
 
+#include <algorithm>
+
 namespace waxwinglb::programs::gateway {
 namespace {
 
@@ -28,7 +30,7 @@
 } // namespace
 
 gateway::gateway(edge::program_context& program, const gateway_settings& settings)
-    : program_(program), settings_(settings), log_(settings.name),
+    : program_(program), settings_(settings), log_(settings.name, settings.request_lines),
       context_(settings_, loop_, log_, *program.metrics), store_(client_, settings.store, store_timeout),
       lease_calls_(client_, settings.store, lease_timeout),
       forwarder_(context_, [this](const call_ptr& one) { admission_.finished(one); }),
@@ -174,8 +176,7 @@
         log_.write(edge::events::target_changed, id, {{"change", "lapsed"}});
     }
     dispatcher_.forget_missing();
-    context_.numbers.connections_opened.Set(static_cast<double>(dispatcher_.connections().opened));
-    context_.numbers.connections_reused.Set(static_cast<double>(dispatcher_.connections().reused));
+    tell_metrics(now);
     reload_if_changed();
     if (program_.stopping && !context_.ending)
         begin_drain();
@@ -184,6 +185,17 @@
     loop_.schedule(now + housekeeping_every, [this] { housekeeping(); });
 }
 
+void gateway::tell_metrics(time_point now) {
+    context_.numbers.connections_opened.Set(static_cast<double>(dispatcher_.connections().opened));
+    context_.numbers.connections_reused.Set(static_cast<double>(dispatcher_.connections().reused));
+    const auto& peers = peers_.heard();
+    const auto heard = std::count_if(peers.begin(), peers.end(),
+                                     [&](const auto& one) { return one.second.in_contact(now); });
+    context_.numbers.gateways_heard.Set(static_cast<double>(heard));
+    context_.numbers.rate_part.Set(context_.quota.available_part(now));
+    watch_.tell_ages(now);
+}
+
 /// The settings file may change with a SIGHUP or without one.
 void gateway::reload_if_changed() {
     const auto now = loop_.now();
@@ -219,6 +231,8 @@
     settings_.drain = fresh.drain;
     settings_.retries = fresh.retries;
     settings_.placing = fresh.placing;
+    settings_.request_lines = fresh.request_lines;
+    log_.limit_request_lines(fresh.request_lines);
     forwarder_.change_members();
     log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
 }
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -24,6 +24,7 @@
     void serve_metrics(const edge::exchange_ptr& exchange);
     void register_self();
     void housekeeping();
+    void tell_metrics(core::common::time_point now);
     void begin_drain();
     void drain_step();
     void update_readiness();
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -6,8 +6,32 @@
 const prometheus::Histogram::BucketBoundaries second_buckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
                                                              0.5,   1,    2.5,   5,    10,  25};
 
-prometheus::Gauge& gauge(prometheus::Registry& registry, const char* name, const char* help) {
-    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+prometheus::Family<prometheus::Gauge>& gauges(prometheus::Registry& registry, const std::string& data_centre,
+                                              const char* name, const char* help) {
+    return prometheus::BuildGauge()
+        .Name(name)
+        .Help(help)
+        .Labels({{"data_centre", data_centre}})
+        .Register(registry);
+}
+
+prometheus::Family<prometheus::Counter>&
+counters(prometheus::Registry& registry, const std::string& data_centre, const char* name, const char* help) {
+    return prometheus::BuildCounter()
+        .Name(name)
+        .Help(help)
+        .Labels({{"data_centre", data_centre}})
+        .Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>& histograms(prometheus::Registry& registry,
+                                                      const std::string& data_centre, const char* name,
+                                                      const char* help) {
+    return prometheus::BuildHistogram()
+        .Name(name)
+        .Help(help)
+        .Labels({{"data_centre", data_centre}})
+        .Register(registry);
 }
 
 double seconds(core::common::duration value) {
@@ -16,52 +40,54 @@
 
 } // namespace
 
-gateway_metrics::gateway_metrics(prometheus::Registry& registry)
-    : waiting(gauge(registry, "waxwing_requests_waiting", "Requests that wait for a target")),
-      running(gauge(registry, "waxwing_requests_running", "Requests at targets")),
-      lease_held(gauge(registry, "waxwing_order_lease_held", "1 while this gateway gives orders to targets")),
-      config_version(gauge(registry, "waxwing_config_version", "Version of the configuration in force")),
-      connections_opened(gauge(registry, "waxwing_target_connections_opened",
-                               "Connections opened to targets since the start")),
-      connections_reused(gauge(registry, "waxwing_target_connections_reused",
-                               "Requests sent on kept connections since the start")),
-      peer_bytes(prometheus::BuildCounter()
-                     .Name("waxwing_peer_bytes_total")
-                     .Help("Bytes of the datagrams sent to other gateways")
-                     .Register(registry)
-                     .Add({})),
-      requests_(prometheus::BuildCounter()
-                    .Name("waxwing_requests_total")
-                    .Help("Requests by kind of call, outcome and reason")
-                    .Register(registry)),
-      waits_(prometheus::BuildHistogram()
-                 .Name("waxwing_request_wait_seconds")
-                 .Help("Time from arrival until a request was sent to a target")
-                 .Register(registry)),
-      first_bytes_(prometheus::BuildHistogram()
-                       .Name("waxwing_first_byte_seconds")
-                       .Help("Time from arrival until the answer began")
-                       .Register(registry)),
-      store_calls_(prometheus::BuildCounter()
-                       .Name("waxwing_store_calls_total")
-                       .Help("Calls to the platform's store by call and result")
-                       .Register(registry)),
-      orders_(prometheus::BuildCounter()
-                  .Name("waxwing_orders_total")
-                  .Help("Orders to targets by operation and result")
-                  .Register(registry)) {}
-
-void gateway_metrics::count_request(const std::string& kind, const std::string& outcome,
+gateway_metrics::gateway_metrics(prometheus::Registry& registry, const std::string& at)
+    : waiting(gauges(registry, at, "waxwing_requests_waiting", "Requests that wait for a target").Add({})),
+      running(gauges(registry, at, "waxwing_requests_running", "Requests at targets").Add({})),
+      lease_held(
+          gauges(registry, at, "waxwing_order_lease_held", "1 while this gateway gives orders to targets")
+              .Add({})),
+      config_version(
+          gauges(registry, at, "waxwing_config_version", "Version of the configuration in force").Add({})),
+      connections_opened(gauges(registry, at, "waxwing_target_connections_opened",
+                                "Connections opened to targets since the start")
+                             .Add({})),
+      connections_reused(gauges(registry, at, "waxwing_target_connections_reused",
+                                "Requests sent on kept connections since the start")
+                             .Add({})),
+      gateways_heard(gauges(registry, at, "waxwing_gateways_heard", "Other gateways in contact").Add({})),
+      rate_part(
+          gauges(registry, at, "waxwing_rate_part", "Part of each customer's rate that this gateway may use")
+              .Add({})),
+      peer_bytes(
+          counters(registry, at, "waxwing_peer_bytes_total", "Bytes of the datagrams sent to other gateways")
+              .Add({})),
+      requests_(counters(registry, at, "waxwing_requests_total",
+                         "Requests by kind of call, service, outcome and reason")),
+      waits_(histograms(registry, at, "waxwing_request_wait_seconds",
+                        "Time from arrival until a request was sent to a target")),
+      first_bytes_(
+          histograms(registry, at, "waxwing_first_byte_seconds", "Time from arrival until the answer began")),
+      store_calls_(counters(registry, at, "waxwing_store_calls_total",
+                            "Calls to the platform's store by call and result")),
+      orders_(counters(registry, at, "waxwing_orders_total", "Orders to targets by operation and result")),
+      finished_loads_(counters(registry, at, "waxwing_finished_loads_total",
+                               "Loads from the weight store that a report has shown to be over")),
+      watch_ages_(gauges(registry, at, "waxwing_watch_age_seconds",
+                         "Time since the store last answered the watch of a kind of object")) {}
+
+void gateway_metrics::count_request(const request_kind& kind, const std::string& outcome,
                                     const std::string& reason) {
-    requests_.Add({{"kind", kind}, {"outcome", outcome}, {"reason", reason}}).Increment();
+    requests_.Add({{"kind", kind.call}, {"service", kind.service}, {"outcome", outcome}, {"reason", reason}})
+        .Increment();
 }
 
-void gateway_metrics::observe_wait(const std::string& kind, core::common::duration value) {
-    waits_.Add({{"kind", kind}}, second_buckets).Observe(seconds(value));
+void gateway_metrics::observe_wait(const request_kind& kind, core::common::duration value) {
+    waits_.Add({{"kind", kind.call}, {"service", kind.service}}, second_buckets).Observe(seconds(value));
 }
 
-void gateway_metrics::observe_first_byte(const std::string& kind, core::common::duration value) {
-    first_bytes_.Add({{"kind", kind}}, second_buckets).Observe(seconds(value));
+void gateway_metrics::observe_first_byte(const request_kind& kind, core::common::duration value) {
+    first_bytes_.Add({{"kind", kind.call}, {"service", kind.service}}, second_buckets)
+        .Observe(seconds(value));
 }
 
 void gateway_metrics::count_store_call(const std::string& call, const std::string& result) {
@@ -72,4 +98,12 @@
     orders_.Add({{"operation", operation}, {"result", result}}).Increment();
 }
 
+void gateway_metrics::count_finished_load(bool late) {
+    finished_loads_.Add({{"result", late ? "late" : "in_time"}}).Increment();
+}
+
+void gateway_metrics::tell_watch_age(const std::string& kind, core::common::duration age) {
+    watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
+}
+
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -1,4 +1,5 @@
-/// Counters and histograms of one gateway; every label has a small, fixed set of values.
+/// Counters and histograms of one gateway. All series carry its data centre; every label has a small set of
+/// values, fixed by the code or by the configuration (services).
 #pragma once
 
 #include "core/common/time.hpp"
@@ -14,14 +15,20 @@
 
 class gateway_metrics {
 public:
-    explicit gateway_metrics(prometheus::Registry& registry);
-
-    /// `kind`: of call. `outcome`: answered, refused, failed, cut, abandoned. `reason`: a name from the code.
-    void count_request(const std::string& kind, const std::string& outcome, const std::string& reason);
-    void observe_wait(const std::string& kind, core::common::duration value);       // until it was sent
-    void observe_first_byte(const std::string& kind, core::common::duration value); // from arrival
+    gateway_metrics(prometheus::Registry& registry, const std::string& data_centre);
+
+    struct request_kind {
+        std::string call; // kind of call
+        std::string service;
+    };
+    /// `outcome`: answered, refused, failed, cut, abandoned. `reason`: a name from the code.
+    void count_request(const request_kind& kind, const std::string& outcome, const std::string& reason);
+    void observe_wait(const request_kind& kind, core::common::duration value);       // until it was sent
+    void observe_first_byte(const request_kind& kind, core::common::duration value); // from arrival
     void count_store_call(const std::string& call, const std::string& result);
     void count_order(const std::string& operation, const std::string& result);
+    void count_finished_load(bool late);                                      // from the weight store
+    void tell_watch_age(const std::string& kind, core::common::duration age); // since the store answered
 
     prometheus::Gauge& waiting;    // requests
     prometheus::Gauge& running;    // requests at targets
@@ -29,7 +36,9 @@
     prometheus::Gauge& config_version;
     prometheus::Gauge& connections_opened; // to targets, since the start
     prometheus::Gauge& connections_reused;
-    prometheus::Counter& peer_bytes; // of datagrams to other gateways
+    prometheus::Gauge& gateways_heard; // other gateways in contact
+    prometheus::Gauge& rate_part;      // of each customer's rate that is this gateway's to use, 0 to 1
+    prometheus::Counter& peer_bytes;   // of datagrams to other gateways
 
 private:
     prometheus::Family<prometheus::Counter>& requests_;
@@ -37,6 +46,8 @@
     prometheus::Family<prometheus::Histogram>& first_bytes_;
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Family<prometheus::Counter>& orders_;
+    prometheus::Family<prometheus::Counter>& finished_loads_;
+    prometheus::Family<prometheus::Gauge>& watch_ages_;
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -148,6 +148,7 @@
     const int most = context_.settings.placing.parallel_store_loads;
     for (const auto& load : loads) {
         const int before = pace_.limit(most);
+        context_.numbers.count_finished_load(load.taken > load.foretold + core::placing::long_load);
         pace_.finished(load.foretold, load.taken, most, context_.loop.now());
         context_.log.write(edge::events::load_finished, id,
                            {{"foretold_ms", load.foretold.count()},
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -13,6 +13,10 @@
     out.drain = in.span("drain", out.drain);
     if (out.lease_term.count() < 100)
         in.fault("lease_term", "expected 100ms or more");
+    in.section("log", false, [&](edge::settings_section& log) {
+        out.request_lines =
+            static_cast<int>(log.whole("request_lines_per_second", 1, 1'000'000, out.request_lines));
+    });
     in.section("retries", false, [&](edge::settings_section& retries) {
         out.retries.ratio = retries.number("ratio", 0, 10, out.retries.ratio);
         out.retries.slack = retries.number("slack", 0, 1e6, out.retries.slack);
--- a/src/programs/gateway/settings.hpp
+++ b/src/programs/gateway/settings.hpp
@@ -19,6 +19,7 @@
     std::string store;                            // "ip:port" of the platform's store
     core::common::milliseconds lease_term{3'000}; // orders of two holders are at least that far apart
     core::common::milliseconds drain{8'000};      // SIGTERM: requests may run for so long
+    int request_lines{500};                       // a second of each kind of log line about requests
     core::retries::window_limits retries;         // of the whole fleet
     core::placing::planner_limits placing;
 };
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -51,15 +51,22 @@
 
 // ---- one kind --------------------------------------------------------------------------------------
 
+void kind_watch::start() {
+    answered_at_ = context_.loop.now();
+    list();
+}
+
 void kind_watch::heard(const store_reply& reply, const char* call) {
     context_.numbers.count_store_call(call, name_of(reply.result));
     const bool was = answering_;
     answering_ = reply.heard();
     failures_ = answering_ ? 0 : failures_ + 1;
-    if (answering_)
-        context_.directory.store_answered(context_.loop.now());
-    else
+    if (answering_) {
+        answered_at_ = context_.loop.now();
+        context_.directory.store_answered(answered_at_);
+    } else {
         context_.directory.store_failed();
+    }
     if (was && !answering_)
         context_.log.write(edge::events::store_lost, kind_,
                            {{"call", call}, {"result", name_of(reply.result)}, {"why", describe(reply.why)}});
@@ -148,6 +155,11 @@
     members_watch_.start();
 }
 
+void store_watch::tell_ages(core::common::time_point now) {
+    for (const kind_watch* one : {&config_, &targets_, &centres_, &members_watch_})
+        context_.numbers.tell_watch_age(one->kind(), now - one->answered_at());
+}
+
 void store_watch::follow_closely() {
     for (kind_watch* one : {&config_, &targets_, &centres_, &members_watch_})
         one->follow_closely();
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -26,9 +26,11 @@
                owner to)
         : context_(context), store_(store), kind_(std::move(kind)), times_(times), owner_(std::move(to)) {}
 
-    void start() { list(); }
+    void start();
     void follow_closely(); // the order giver isn't heard any more: ends a long watch or pause
     [[nodiscard]] bool answering() const { return answering_; }
+    [[nodiscard]] const std::string& kind() const { return kind_; }
+    [[nodiscard]] core::common::time_point answered_at() const { return answered_at_; }
 
 private:
     void list();
@@ -44,9 +46,10 @@
     owner owner_;
     std::int64_t revision_ = 0; // to watch from; 0: list first
     bool answering_ = true;
-    int failures_ = 0;             // in a row
-    bool relaxed_ = false;         // the watch or pause under way relies on the order giver's word
-    std::uint64_t generation_ = 0; // of calls and pauses: what an older one brings is ignored
+    core::common::time_point answered_at_{}; // by the store; the start's before its first answer
+    int failures_ = 0;                       // in a row
+    bool relaxed_ = false;                   // the watch or pause under way relies on the order giver's word
+    std::uint64_t generation_ = 0;           // of calls and pauses: what an older one brings is ignored
 };
 
 class store_watch {
@@ -59,7 +62,8 @@
     };
     store_watch(gateway_context& context, platform::store_client& store, owner to);
     void start();
-    void follow_closely(); // all kinds
+    void follow_closely();                        // all kinds
+    void tell_ages(core::common::time_point now); // to the metrics
 
     /// Takes over a configuration's document from wherever it came; older ones are ignored.
     void offer_config(const nlohmann::json& spec, const std::string& source);
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -12,6 +12,8 @@
 import threading
 import time
 
+from prometheus_client.parser import text_string_to_metric_families
+
 from gateway_standins import Store, Target, configuration
 from harness import STOP_LIMIT_S, Failure, Ports, Program, arguments, request, run_cases, wait_until
 
@@ -26,8 +28,10 @@
 class Fleet:
     """A store, targets and gateways; everything is ended at the end."""
 
-    def __init__(self, gateways=1, lease_term="3s"):
-        self.temporary, self.ports, self.gateways, self.lease_term = tempfile.TemporaryDirectory(), Ports(), [], lease_term
+    def __init__(self, gateways=1, **settings):
+        """`settings`: of every gateway, beside its name and addresses."""
+        self.temporary, self.ports, self.gateways = tempfile.TemporaryDirectory(), Ports(), []
+        self.settings = {"lease_term": "3s", **settings}
         self.store = Store(self.ports.address())
         self.store.put("config", "main", configuration())
         self.number = 0
@@ -35,7 +39,7 @@
             self.add_gateway(f"g{number + 1}")
 
     def add_gateway(self, name):
-        settings = {"name": name, "data_centre": "a", "store": self.store.address, "lease_term": self.lease_term,
+        settings = {"name": name, "data_centre": "a", "store": self.store.address, **self.settings,
                     **{one: self.ports.address() for one in ("http", "readiness", "metrics", "peers")}}
         binary = pathlib.Path(ARGUMENTS.bin) / "waxwing-gateway"
         self.gateways.append(Program(binary, self.temporary.name, settings, settings["metrics"]))
@@ -383,6 +387,47 @@
         expect(fleet.ask("/cert/1", fleet.headers()).status, 200, "service goes on")
 
 
+def lines_about_requests_are_cut_to_a_rate_and_the_rest_is_counted():
+    calls, per_second = 40, 5
+    with Fleet(log={"request_lines_per_second": per_second}) as fleet:
+        fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        begun = time.monotonic()
+        for _ in range(calls):
+            expect(fleet.ask("/cert/1", fleet.headers()).status, 200, "service")
+        seconds = int(time.monotonic() - begun) + 1
+        fleet.gateways[0].terminate()
+        wait_until(lambda: not fleet.gateways[0].running(), "the gateway has ended")
+        for event in ("request_sent", "request_answered"):
+            written = len(fleet.events(event))
+            left_out = [one for one in fleet.events("lines_left_out") if one["subject"] == event]
+            expect(written + sum(one["count"] for one in left_out), calls, f"{event}, written and left out")
+            if not 0 < written <= per_second * (seconds + 1) or any(one["per_second"] != per_second for one in left_out):
+                raise Failure(f"{event}: {written} lines in {seconds} s, left out: {left_out}")
+        expect(len(fleet.events("process_stopped")), 1, "other lines are never cut")
+
+
+def metrics_are_read_by_a_prometheus_parser():
+    with Fleet(gateways=2) as fleet:
+        fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        expect(fleet.ask("/cert/1", fleet.headers()).status, 200, "service")
+        expect(fleet.ask("/cert/1", fleet.headers(X_Api_Key="k-unknown")).status, 401, "an unknown key")
+        page = request(fleet.gateways[0].settings["metrics"], "GET", "/metrics").text
+        families = {one.name: one for one in text_string_to_metric_families(page)}
+        served = [one for one in families["waxwing_requests"].samples if one.labels["outcome"] == "answered"]
+        expect([(one.labels["service"], one.labels["data_centre"], one.value) for one in served], [("ledger", "a", 1)], "counted")
+        for name in ("waxwing_request_wait_seconds", "waxwing_first_byte_seconds"):
+            expect(families[name].type, "histogram", name)
+        ages = {one.labels["kind"]: one.value for one in families["waxwing_watch_age_seconds"].samples}
+        if len(ages) != 4 or not all(0 <= age < 30 for age in ages.values()):
+            raise Failure(f"ages of the watches: {ages}")
+        for name in ("waxwing_rate_part", "waxwing_gateways_heard", "waxwing_order_lease_held", "waxwing_config_version"):
+            expect(families[name].type, "gauge", name)
+        unnamed = [name for name, one in families.items() if not one.documentation]
+        expect(unnamed, [], "families without a description")
+
+
 if __name__ == "__main__":
     run_cases([requests_reach_their_targets_and_carry_what_they_should,
                what_the_configuration_does_not_allow_is_refused_at_once,
@@ -399,5 +444,7 @@
                a_cold_target_gets_no_more_than_its_rate,
                sigterm_finishes_what_runs_and_refuses_what_comes_late,
                wrong_settings_are_refused_with_path_and_form,
-               settings_are_read_again_and_faulty_ones_kept_out])
+               settings_are_read_again_and_faulty_ones_kept_out,
+               lines_about_requests_are_cut_to_a_rate_and_the_rest_is_counted,
+               metrics_are_read_by_a_prometheus_parser])
     sys.exit(0)
