Let a restarted order giver retake its own lease at once; name a change of the order giver as the cause of a missing load

No order was given from 19.8 to 25.6 s, though the same gateway was back at 20.6 s: it waited for the term of the record of its own earlier start, and then `lease_ms` more for that predecessor's orders.

Ruled out: a shorter term (more calls, and lost while the store is slow); the wait itself where the predecessor is another machine, since turns of two holders within lease_ms are a broken rule.

Change: a lease whose record bears this process's name and address is free at once for a process that runs there alone (lease_identity::retakes_own; the gateways say so, stewards don't). A gateway writes in its renewals under which fencing number it has given orders; only if its earlier start had begun to does the new one skip the wait, else a third holder's orders could be near. The same name at another address is another machine and waits. waxwing-timeline adds to a request that waited for a load that no gateway gave orders then, and until when.

Tests: the lease's property now restarts its processes; a unit test for the same name at another address; a restarted gateway tells orders_in_ms 0 (the old binary fails it); the story's cause.

--- a/src/core/membership/lease.cpp
+++ b/src/core/membership/lease.cpp
@@ -46,7 +46,13 @@
 bool shard_lease::takeable(time_point now) const {
     if (!known_ || in_flight_)
         return false;
-    return record_.holder.empty() || (!mine_ && free_for(now) >= common::duration::zero());
+    return record_.holder.empty() || of_earlier_start() ||
+           (!mine_ && free_for(now) >= common::duration::zero());
+}
+
+bool shard_lease::of_earlier_start() const {
+    return self_.retakes_own && known_ && !mine_ && record_.holder == self_.holder &&
+           record_.address == self_.address;
 }
 
 common::duration shard_lease::free_for(time_point now) const {
--- a/src/core/membership/lease.hpp
+++ b/src/core/membership/lease.hpp
@@ -34,6 +34,9 @@
     std::string holder;    // process name
     std::string address;   // of its links
     std::int64_t boot = 0; // unique for each start of each process
+    /// At most one process ever runs under this name and address, so one that starts knows that the one
+    /// before it has ended: a record of an earlier start of its own is free at once.
+    bool retakes_own = false;
 };
 
 struct lease_times {
@@ -66,6 +69,8 @@
     }
     /// True while the newest known record is this process's own, even past its term.
     [[nodiscard]] bool mine() const { return mine_; }
+    /// True while the newest known record is one of an earlier start of this process, which has ended.
+    [[nodiscard]] bool of_earlier_start() const;
     [[nodiscard]] std::int64_t fencing() const { return record_.fencing; }
     [[nodiscard]] const lease_record& record() const { return record_; } // content of version()
     [[nodiscard]] std::int64_t version() const { return version_; }      // newest one known; 0: absent
@@ -73,7 +78,8 @@
 
     /// True if record() must be read before anything can be decided.
     [[nodiscard]] bool wants_read() const { return !known_; }
-    /// True once nobody else can hold the shard: it is free, or its term and margin have passed here.
+    /// True once nobody else can hold the shard: it is free, an earlier start of this process held it, or its
+    /// term and margin have passed here.
     [[nodiscard]] bool takeable(common::time_point now) const;
     [[nodiscard]] common::duration free_for(common::time_point now) const; // since it became takeable
     [[nodiscard]] bool writing() const { return in_flight_; }
--- a/src/core/timeline/story.cpp
+++ b/src/core/timeline/story.cpp
@@ -101,6 +101,8 @@
             out.inputs.append(out.inputs.empty() ? "" : " ").append(name).append("=").append(text_of(value));
         if (name == "silent_ms" && value.is_number_integer())
             out.silent_ms = value.get<std::int64_t>();
+        if (name == "orders_in_ms" && value.is_number_integer())
+            out.orders_in_ms = value.get<std::int64_t>();
         if (name == "reason")
             out.reason = text_of(value);
         if (name == "target")
@@ -111,6 +113,16 @@
     return out;
 }
 
+/// No gateway gave orders at some moment between `first` and `last`, since one had just taken the lease.
+bool kept_orders_back(const decision& one, std::int64_t first, std::int64_t last) {
+    return one.event == "lease_taken" && one.unix_ms <= last && one.unix_ms + one.orders_in_ms > first;
+}
+
+bool waits_for_load(const std::string& reason) {
+    return reason == "no_model" || reason == "no_adapter" || reason == "loading" ||
+           reason == "deadline_passed_waiting";
+}
+
 const decision* end_of(const std::vector<decision>& story, const std::string& request) {
     const auto found = std::find_if(story.rbegin(), story.rend(), [&](const decision& one) {
         return one.subject == request && ends_request(one.event);
@@ -118,6 +130,23 @@
     return found == story.rend() ? nullptr : &*found;
 }
 
+/// Why no load came for a request that waited for one, if a change of the order giver is why.
+std::string missing_orders(const std::vector<decision>& story, const std::string& request,
+                           const decision& end) {
+    if (!waits_for_load(end.reason))
+        return {};
+    const auto begun =
+        std::find_if(story.begin(), story.end(), [&](const decision& one) { return one.subject == request; });
+    const auto lease = std::find_if(story.rbegin(), story.rend(), [&](const decision& one) {
+        return one.orders_in_ms > 0 && kept_orders_back(one, begun->unix_ms, end.unix_ms);
+    });
+    if (lease == story.rend())
+        return {};
+    const std::int64_t until = lease->unix_ms + lease->orders_in_ms - begun->unix_ms;
+    return " No gateway gave orders then: " + lease->process + " had taken that lease and might give them " +
+           std::to_string(until) + " ms after the request came.";
+}
+
 } // namespace
 
 std::vector<decision> read_decisions(std::istream& from) {
@@ -155,6 +184,8 @@
     std::copy_if(all.begin(), all.end(), std::back_inserter(out), [&](const decision& one) {
         if (one.subject == request)
             return true;
+        if (one.orders_in_ms > 0 && kept_orders_back(one, first, last))
+            return true;
         if (one.unix_ms < first - margin_ms || one.unix_ms > last + margin_ms)
             return false;
         const bool of_target = targets.contains(one.subject) && !one.event.starts_with("request_");
@@ -174,7 +205,9 @@
                " ms when its caller closed the connection.";
     const auto found = std::find_if(reasons.begin(), reasons.end(),
                                     [&](const reason_text& one) { return one.reason == end->reason; });
-    return found == reasons.end() ? "Unknown reason: " + end->reason : std::string{found->cause};
+    if (found == reasons.end())
+        return "Unknown reason: " + end->reason;
+    return std::string{found->cause} + missing_orders(story, request, *end);
 }
 
 std::vector<event> as_events(const std::vector<decision>& story) {
--- a/src/programs/gateway/order_lease.cpp
+++ b/src/programs/gateway/order_lease.cpp
@@ -2,6 +2,8 @@
 
 #include "programs/gateway/peers.hpp"
 
+#include <nlohmann/json.hpp>
+
 namespace waxwinglb::programs::gateway {
 namespace {
 
@@ -16,13 +18,15 @@
 constexpr milliseconds read_while_holder_speaks{8'000};
 constexpr milliseconds read_while_silent{400};
 constexpr milliseconds holder_silence{1'000}; // without its message, the holder may be gone
+constexpr const char* orders_under =
+    "orders_under"; // in the record: fencing number under which orders were given
 
 } // namespace
 
 order_lease::order_lease(gateway_context& context, platform::store_client& store, edge::http_client& client,
                          std::int64_t boot, std::function<void()> on_lost)
     : context_(context), leases_(context, store, client), on_lost_(std::move(on_lost)),
-      lease_({context.settings.name, context.settings.peers, boot}, {term, margin, renewal}) {}
+      lease_({context.settings.name, context.settings.peers, boot, true}, {term, margin, renewal}) {}
 
 void order_lease::step() {
     const auto now = context_.loop.now();
@@ -31,7 +35,7 @@
     } else if (lease_.wants_read() && !reading_) {
         read();
     } else if (lease_.renewal_due(now) && !lease_.releasing()) {
-        if (const auto due = lease_.write(lease_.record().state, now))
+        if (const auto due = lease_.write(state_to_write(now), now))
             write(*due);
     } else if (!lease_.mine() && !context_.ending && lease_.takeable(now) && context_.config) {
         if (const auto taking = lease_.take(now))
@@ -92,12 +96,30 @@
                   });
 }
 
+/// Tells a later start of this gateway whether orders were given under this holding of the lease.
+std::string order_lease::state_to_write(time_point now) const {
+    if (!may_order(now))
+        return lease_.record().state;
+    return nlohmann::json{{orders_under, lease_.fencing()}}.dump();
+}
+
+/// An earlier start of this gateway held the lease and had waited for its predecessor.
+bool order_lease::gave_orders_before() const {
+    if (!lease_.of_earlier_start())
+        return false;
+    const auto state = nlohmann::json::parse(lease_.record().state, nullptr, false);
+    if (!state.is_object() || !state.contains(orders_under))
+        return false;
+    const auto& fencing = state[orders_under];
+    return fencing.is_number_integer() && fencing.get<std::int64_t>() == lease_.record().fencing;
+}
+
 /// Follows who may give orders, and until when another holder may have.
 void order_lease::note(time_point now) {
     if (lease_.known() && lease_.version() != seen_version_) {
         seen_version_ = lease_.version();
         const auto& record = lease_.record();
-        if (!lease_.mine() && record.fencing > 0)
+        if (!lease_.mine() && record.fencing > 0 && !gave_orders_before())
             other_until_ = now + (record.holder.empty() ? milliseconds{0} : record.term);
     }
     const bool held = lease_.held(now);
--- a/src/programs/gateway/order_lease.hpp
+++ b/src/programs/gateway/order_lease.hpp
@@ -1,7 +1,8 @@
 /// The lease that makes one gateway at a time the giver of orders, and who holds it.
 ///
 /// A successor waits `lease_term` beyond the last moment at which its predecessor may have sent an order, so
-/// that no target gets orders of two holders in turn.
+/// that no target gets orders of two holders in turn. A gateway that held it, died and started again on the
+/// same VM is the same holder and waits for nobody, if its record shows that it gave orders already.
 #pragma once
 
 #include "core/membership/lease.hpp"
@@ -34,6 +35,8 @@
     void read();
     void write(const core::membership::lease_write& write);
     void note(core::common::time_point now);
+    [[nodiscard]] std::string state_to_write(core::common::time_point now) const;
+    [[nodiscard]] bool gave_orders_before() const;
 
     gateway_context& context_;
     lease_store leases_;
--- a/tests/core/lease_test.cpp
+++ b/tests/core/lease_test.cpp
@@ -61,8 +61,9 @@
 };
 
 struct actor {
-    explicit actor(const std::string& name, std::int64_t boot, common::duration clock_offset)
-        : lease({name, name + ":1", boot}, {}), offset(clock_offset) {}
+    explicit actor(const std::string& own_name, std::int64_t boot, common::duration clock_offset)
+        : name(own_name), lease({name, name + ":1", boot, true}, {}), offset(clock_offset) {}
+    std::string name;
     shard_lease lease;
     common::duration offset; // steady clocks of two machines have nothing in common
     bool paused = false;
@@ -73,7 +74,7 @@
 public:
     world(std::uint64_t seed, int stewards) : random_(seed) {
         for (int i = 0; i < stewards; ++i)
-            actors_.emplace_back("s" + std::to_string(i), 100 + i, std::chrono::hours{pick(1'000)});
+            actors_.emplace_back("s" + std::to_string(i), ++last_boot_, std::chrono::hours{pick(1'000)});
     }
     void run(int steps) {
         for (int i = 0; i < steps; ++i) {
@@ -94,6 +95,8 @@
 
     void step() {
         now_ += std::chrono::milliseconds{pick(150)};
+        if (pick(500) == 0)
+            return restart(pick(static_cast<int>(actors_.size())));
         const int what = pick(100);
         if (what < 2)
             return pause_or_wake();
@@ -111,6 +114,13 @@
         if (pick(2) == 0)
             now_ += 4s; // past a whole term
     }
+    /// A process dies and starts again; what it sent may still reach the store, no answer reaches it.
+    void restart(int index) {
+        for (message& one : messages_)
+            one.answered = one.answered || one.sender == index;
+        actor& one = actors_[static_cast<std::size_t>(index)];
+        one = actor{one.name, ++last_boot_, std::chrono::hours{pick(1'000)}};
+    }
     void act(int index) {
         actor& one = actors_[static_cast<std::size_t>(index)];
         if (one.paused)
@@ -183,6 +193,7 @@
     std::vector<actor> actors_;
     std::vector<message> messages_;
     bool held_ever_ = false;
+    std::int64_t last_boot_ = 100;
 };
 
 shard_lease make_lease(const std::string& name, std::int64_t boot) {
@@ -226,6 +237,25 @@
     EXPECT_EQ(membership::decode_lease(taken->value)->fencing, 2);
 }
 
+TEST(lease, a_restarted_process_takes_its_own_lease_at_once_and_nobody_elses) {
+    const time_point start{1h};
+    shard_lease before = make_lease("a", 1);
+    before.saw_record(0, std::nullopt, start);
+    const auto record = membership::decode_lease(before.take(start)->value);
+    shard_lease again{{"a", "a:1", 2, true}, {}};
+    again.saw_record(1, record, start);
+    EXPECT_TRUE(again.of_earlier_start());
+    const auto taken = again.take(start);
+    ASSERT_TRUE(taken.has_value());
+    EXPECT_EQ(membership::decode_lease(taken->value)->fencing, 2);
+    shard_lease replaced{{"a", "b:1", 3, true}, {}}; // the name at another address: both may be alive
+    replaced.saw_record(1, record, start);
+    EXPECT_FALSE(replaced.take(start).has_value());
+    shard_lease unsure = make_lease("a", 4);
+    unsure.saw_record(1, record, start);
+    EXPECT_FALSE(unsure.take(start).has_value()) << "only if it is told that no two run at once";
+}
+
 TEST(lease, deposed_holder_is_refused_and_stands_down) {
     shard_lease holder = make_lease("a", 1);
     const time_point start{1h};
--- a/tests/core/story_test.cpp
+++ b/tests/core/story_test.cpp
@@ -51,6 +51,20 @@
     EXPECT_EQ(cause_of(story_of(all, "r2"), "r2"), "Its caller closed the connection.");
 }
 
+TEST(story, a_request_that_no_order_could_help_since_the_order_giver_had_just_changed_is_said_so) {
+    const auto all = read(R"(
+{"unix_ms":1000,"process":"g2","event":"lease_taken","subject":"order_giver","fencing":2,"orders_in_ms":3000}
+{"unix_ms":2500,"process":"g1","event":"request_waiting","subject":"r1","why":"no_adapter","model":"m1"}
+{"unix_ms":3700,"process":"g1","event":"request_refused","subject":"r1","reason":"no_adapter","model":"m1"}
+{"unix_ms":4100,"process":"g1","event":"request_waiting","subject":"r2","why":"no_adapter","model":"m1"}
+{"unix_ms":5300,"process":"g1","event":"request_refused","subject":"r2","reason":"no_adapter","model":"m1"}
+)");
+    EXPECT_EQ(cause_of(story_of(all, "r1"), "r1"),
+              "Its adapter was loaded on no target in time. No gateway gave orders then: g2 had taken that "
+              "lease and might give them 1500 ms after the request came.");
+    EXPECT_EQ(cause_of(story_of(all, "r2"), "r2"), "Its adapter was loaded on no target in time.");
+}
+
 TEST(story, a_request_without_an_end_or_without_a_line_is_said_so) {
     const auto all = read(two_processes);
     EXPECT_EQ(cause_of(story_of(all, "r2"), "r2"),
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -230,6 +230,19 @@
         expect_told(fleet.cause(headers["Request-Id"]), "lease_taken", "cause: The connection to its target broke while it may have been running.")
 
 
+def a_restarted_order_giver_goes_on_without_waiting_for_itself():
+    with Fleet() as fleet:
+        fleet.target("t1", "engine", models=["m0"])
+        fleet.start()
+        fleet.wait_for_orders()
+        wait_until(lambda: "orders_under" in json.dumps(list(fleet.store.objects.values())), "the lease tells of orders")
+        fleet.gateways[0].kill()
+        fleet.gateways[0].start()
+        wait_until(lambda: len(fleet.events("lease_taken")) == 2, "it gives orders again")
+        again = fleet.events("lease_taken")[1]
+        expect((again["orders_in_ms"], again["fencing"]), (0, 2), "no other gateway's orders can meet its own")
+
+
 def waited_for_a_model_that_came_too_late_the_cause_is_found():
     with Fleet() as fleet:
         fleet.target("t1", "engine", models=["m0"])
@@ -435,6 +448,7 @@
                a_stream_that_breaks_goes_on_at_another_target,
                refused_in_overload_the_cause_is_found,
                broken_off_at_a_change_of_the_order_giver_the_cause_is_found,
+               a_restarted_order_giver_goes_on_without_waiting_for_itself,
                waited_for_a_model_that_came_too_late_the_cause_is_found,
                what_is_known_to_come_too_late_is_refused_at_once,
                a_model_on_disk_is_loaded_on_demand_and_an_adapter_beside_it,
