Send an engine no more prompts than it reads between two events that are on time

An engine reads prompts between the tokens of all that it runs, up to 4,096 tokens a step (185 ms at 22 tokens a ms), and an event holds four steps: a backlog of prompts holds up everybody's events, and nobody's first event comes sooner for it.

Change: a gateway counts the prompt tokens that it has sent to an engine and that have no first event yet; beyond `dispatch.prompt_tokens_at_once` a request goes to another replica or waits (obstacle `reading`, to the last moment at which its answer can be in time, since a place comes with every prompt read). One prompt is always taken.

--- a/src/core/dispatch/patience.cpp
+++ b/src/core/dispatch/patience.cpp
@@ -28,6 +28,7 @@
     case obstacle::unreachable:
         return facts.since + std::min<duration>(aim, missing_target_wait);
     case obstacle::loading:
+    case obstacle::reading: // a place comes as soon as a prompt is read
         return last_start(facts);
     case obstacle::no_model:
     case obstacle::no_adapter:
--- a/src/core/dispatch/target_choice.cpp
+++ b/src/core/dispatch/target_choice.cpp
@@ -9,6 +9,7 @@
 
 constexpr double failure_weight = 3.0;  // a target that fails everything looks three times as full
 constexpr double far_weight = 0.02;     // mild preference for the own data centre
+constexpr double reading_weight = 0.1;  // a target with all the prompts that it may have looks a tenth fuller
 constexpr double affinity_slack = 0.06; // load share that a session's own target may be fuller than the best
 
 enum class fit { fits, wrong_model, wrong_adapter, coming };
@@ -28,7 +29,13 @@
 
 double fullness(const candidate& one) {
     return static_cast<double>(one.load) / static_cast<double>(std::max(1, one.limit)) +
-           failure_weight * one.failure_rate + (one.near ? 0 : far_weight);
+           failure_weight * one.failure_rate + (one.near ? 0 : far_weight) +
+           reading_weight * one.reading / std::max(1, one.reading_limit);
+}
+
+/// A target reads prompts between the steps of all that it runs: too many at once hold up everybody's tokens.
+bool reads_enough(const candidate& one, int prompt_tokens) {
+    return one.reading_limit > 0 && one.reading > 0 && one.reading + prompt_tokens > one.reading_limit;
 }
 
 std::uint64_t affinity(const candidate& one, std::uint64_t session) {
@@ -59,7 +66,9 @@
         return obstacle::unreachable;
     if (!one.cold_allowance)
         return obstacle::cold;
-    return one.load >= one.limit ? obstacle::full : obstacle::none;
+    if (one.load >= one.limit)
+        return obstacle::full;
+    return reads_enough(one, what.prompt_tokens) ? obstacle::reading : obstacle::none;
 }
 
 } // namespace
@@ -68,6 +77,8 @@
     switch (what) {
     case obstacle::none:
         return "none";
+    case obstacle::reading:
+        return "reading";
     case obstacle::full:
         return "full";
     case obstacle::cold:
--- a/src/core/dispatch/target_choice.hpp
+++ b/src/core/dispatch/target_choice.hpp
@@ -18,6 +18,8 @@
     bool cold_allowance = true; // false: it is cold and its rate is used up
     bool lacks_model = false;   // it said a moment ago that it doesn't hold what is wished
     bool near = false;          // in the router's own data centre
+    int reading = 0;            // tokens of prompts sent there that have no first event yet
+    int reading_limit = 0;      // of these tokens; 0: none
 };
 
 struct wish {
@@ -26,11 +28,13 @@
     const std::set<std::string>* tried = nullptr;       // targets not to use again
     const std::set<std::string>* centres_out = nullptr; // data centres taken out
     const std::set<std::string>* only = nullptr; // if set: no other targets (no attempts are left for them)
+    int prompt_tokens = 0;                       // of a request to an engine
 };
 
 /// What kept a request from being sent, the mildest first.
 enum class obstacle {
     none,
+    reading,     // a target could serve it but still reads the prompts of others
     full,        // a target could serve it but has no room
     cold,        // the targets that could are cold and their rate is used up
     no_adapter,  // the model is loaded, the adapter nowhere
--- a/src/core/timeline/story.cpp
+++ b/src/core/timeline/story.cpp
@@ -39,6 +39,7 @@
     reason_text{"condemned", "The same request had broken the connections of three targets that ran it."},
     reason_text{"ending", "This gateway was about to end and took nothing new."},
     reason_text{"none", "A target had become free in the moment in which it was refused."},
+    reason_text{"reading", "The targets that could serve it were still reading the prompts of others."},
     reason_text{"full", "Every target that could serve it had as many requests as it bears."},
     reason_text{"cold", "The targets that could serve it had just started and bear a few requests a second."},
     reason_text{"no_adapter", "Its adapter was loaded on no target in time."},
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -12,6 +12,7 @@
 using core::common::hash_of;
 using core::common::milliseconds;
 
+constexpr std::int64_t most_prompt_tokens = 1'000'000; // counted of one request
 constexpr milliseconds later{1'000}; // Retry-After of a gateway that knows no configuration yet
 
 /// The last part of a prompt's prefix names its session.
@@ -21,18 +22,23 @@
     return hash_of(last.substr(0, last.find(':')));
 }
 
-/// Sum of "PROMPT,MOST_OUTPUT"; nullopt if malformed.
-std::optional<double> tokens_of(const std::string& text) {
+/// What a request says of its size.
+struct token_count {
+    std::int64_t prompt = 0;
+    std::int64_t most_output = 0;
+};
+
+/// Reads "PROMPT,MOST_OUTPUT"; nullopt if malformed.
+std::optional<token_count> tokens_of(const std::string& text) {
     const auto comma = text.find(',');
-    std::int64_t first = 0;
-    std::int64_t second = 0;
+    token_count out;
     if (comma == std::string::npos)
         return std::nullopt;
-    const auto one = std::from_chars(text.data(), text.data() + comma, first);
-    const auto two = std::from_chars(text.data() + comma + 1, text.data() + text.size(), second);
-    if (one.ec != std::errc{} || two.ec != std::errc{} || first < 0 || second < 0)
+    const auto one = std::from_chars(text.data(), text.data() + comma, out.prompt);
+    const auto two = std::from_chars(text.data() + comma + 1, text.data() + text.size(), out.most_output);
+    if (one.ec != std::errc{} || two.ec != std::errc{} || out.prompt < 0 || out.most_output < 0)
         return std::nullopt;
-    return static_cast<double>(first + second);
+    return out;
 }
 
 } // namespace
@@ -138,7 +144,8 @@
             reject(one, 400, "malformed_token_count");
             return false;
         }
-        one->tokens = *tokens;
+        one->tokens = static_cast<double>(tokens->prompt) + static_cast<double>(tokens->most_output);
+        one->prompt_tokens = static_cast<int>(std::min<std::int64_t>(tokens->prompt, most_prompt_tokens));
     }
     if (const std::string* prefix = edge::find_field(fields, platform::prefix_header);
         prefix && one->route->sticky)
--- a/src/programs/gateway/call.hpp
+++ b/src/programs/gateway/call.hpp
@@ -20,6 +20,7 @@
     std::string customer;             // empty on open routes
     core::fleet::model_wish model;    // model empty at plain services
     double tokens = 0;                // taken from the customer's rate
+    int prompt_tokens = 0;            // of these, as far as it told them apart
     std::uint64_t sticky_session = 0; // hash of the session that it belongs to; 0: none
     std::uint64_t fingerprint = 0;    // of path, customer and body: the same for a repeated request
     int priority = 5;                 // 0 is the most urgent
@@ -36,6 +37,7 @@
     core::common::time_point waiting_since{};
     core::common::time_point hold_until{}; // then it is refused if it still waits
     std::uint64_t order = 0;               // of arrival
+    int reading = 0;                       // tokens of its prompt that its target counts as not yet read
     std::string target;                    // where it runs; empty: it waits
     std::unique_ptr<exchange> at_target;
     core::common::time_point sent_at{};
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -137,8 +137,14 @@
 }
 
 core::dispatch::wish dispatcher::wish_of(const call& one) const {
-    return {one.model, one.sticky_session, &one.failed_at, &context_.centres_out,
-            one.attempts_left() ? nullptr : &one.sent_to};
+    core::dispatch::wish out;
+    out.model = one.model;
+    out.session = one.sticky_session;
+    out.tried = &one.failed_at;
+    out.centres_out = &context_.centres_out;
+    out.only = one.attempts_left() ? nullptr : &one.sent_to;
+    out.prompt_tokens = one.prompt_tokens;
+    return out;
 }
 
 core::dispatch::patience dispatcher::patience_of(const call& one, obstacle why,
@@ -211,6 +217,8 @@
         one.load = load_of(id);
         one.limit = limit_of(target);
         one.failure_rate = runtime.failure_rate;
+        one.reading = runtime.reading;
+        one.reading_limit = wish.model.empty() ? 0 : context_.settings.prompt_tokens_at_once;
         one.reachable = now >= runtime.suspect_until;
         one.cold_allowance = cold_allowance(target, runtime);
         if (const auto absent = runtime.lacking.find(wish); absent != runtime.lacking.end())
@@ -227,6 +235,8 @@
     target_runtime& runtime = runtimes_[target];
     ++runtime.running;
     runtime.cold_tokens -= 1;
+    one->reading = one->model.model.empty() ? 0 : one->prompt_tokens;
+    runtime.reading += one->reading;
     target_usage& use = usage_[{target, one->model}];
     ++use.running;
     use.last_used = context_.loop.now();
@@ -234,9 +244,19 @@
     context_.numbers.running.Set(static_cast<double>(running_));
 }
 
+void dispatcher::began_to_answer(const call_ptr& one) {
+    if (one->reading == 0)
+        return;
+    if (const auto found = runtimes_.find(one->target); found != runtimes_.end())
+        found->second.reading -= one->reading;
+    one->reading = 0;
+    pump_soon();
+}
+
 void dispatcher::end(const call_ptr& one, verdict how) {
     if (one->target.empty())
         return;
+    began_to_answer(one);
     const time_point now = context_.loop.now();
     const auto found = runtimes_.find(one->target);
     if (const auto use = usage_.find({one->target, one->model}); use != usage_.end()) {
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -38,6 +38,7 @@
     enum class verdict { good, failed, not_run, lacks_model, unreachable, abandoned };
     void begin(const call_ptr& one, const std::string& target);
     void end(const call_ptr& one, verdict how);
+    void began_to_answer(const call_ptr& one); // its target has read its prompt
     std::shared_ptr<target_link> link(const std::string& target);
     [[nodiscard]] int load_of(const std::string& target) const; // requests there, of all gateways
     void forget_missing();                                      // targets that are no longer in the directory
@@ -67,6 +68,7 @@
         std::shared_ptr<target_link> link;
         std::string address;
         int running = 0;
+        int reading = 0; // tokens of prompts that it hasn't read yet
         double failure_rate = 0;
         core::common::time_point suspect_until{};
         core::common::milliseconds suspicion{0}; // grows with each failure in a row
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -212,6 +212,7 @@
     else
         one->longest_pause = std::max(one->longest_pause, now - one->last_piece);
     one->last_piece = now;
+    dispatcher_->began_to_answer(one);
     one->session->write(events);
     if (std::string id = last_event_id(events); !id.empty())
         one->last_event = std::move(id);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -232,6 +232,7 @@
     settings_.retries = fresh.retries;
     settings_.placing = fresh.placing;
     settings_.request_lines = fresh.request_lines;
+    settings_.prompt_tokens_at_once = fresh.prompt_tokens_at_once;
     log_.limit_request_lines(fresh.request_lines);
     forwarder_.change_members();
     log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -17,6 +17,10 @@
         out.request_lines =
             static_cast<int>(log.whole("request_lines_per_second", 1, 1'000'000, out.request_lines));
     });
+    in.section("dispatch", false, [&](edge::settings_section& dispatch) {
+        out.prompt_tokens_at_once = static_cast<int>(
+            dispatch.whole("prompt_tokens_at_once", 0, 1'000'000, out.prompt_tokens_at_once));
+    });
     in.section("retries", false, [&](edge::settings_section& retries) {
         out.retries.ratio = retries.number("ratio", 0, 10, out.retries.ratio);
         out.retries.slack = retries.number("slack", 0, 1e6, out.retries.slack);
--- a/src/programs/gateway/settings.hpp
+++ b/src/programs/gateway/settings.hpp
@@ -20,7 +20,8 @@
     core::common::milliseconds lease_term{3'000}; // orders of two holders are at least that far apart
     core::common::milliseconds drain{8'000};      // SIGTERM: requests may run for so long
     int request_lines{500};                       // a second of each kind of log line about requests
-    core::retries::window_limits retries;         // of the whole fleet
+    int prompt_tokens_at_once{0};         // of prompts not yet read at one engine, sent from here; 0: any
+    core::retries::window_limits retries; // of the whole fleet
     core::placing::planner_limits placing;
 };
 
--- a/tests/core/dispatch_test.cpp
+++ b/tests/core/dispatch_test.cpp
@@ -43,6 +43,26 @@
 
 } // namespace
 
+// On Cámara's scale-1 a tenth of the streams paused for longer than 300 ms while others' prompts were read.
+TEST(target_choice, a_target_gets_no_more_prompts_than_it_reads_between_two_events) {
+    world one;
+    one.add("t1").entry.models["m"];
+    one.candidates[0].reading_limit = 2'000;
+    auto wish = model("m");
+    wish.prompt_tokens = 5'000;
+    EXPECT_EQ(one.chosen(wish), "t1") << "one is always taken, however long";
+    one.candidates[0].reading = 1'500;
+    EXPECT_EQ(one.chosen(wish), "reading");
+    wish.prompt_tokens = 500;
+    EXPECT_EQ(one.chosen(wish), "t1");
+    one.add("t2").entry.models["m"];
+    EXPECT_EQ(one.chosen(wish), "t2") << "of two alike, the one that reads less";
+    one.candidates.pop_back();
+    one.candidates[0].reading_limit = 0;
+    wish.prompt_tokens = 5'000;
+    EXPECT_EQ(one.chosen(wish), "t1") << "no limit";
+}
+
 TEST(target_choice, the_mildest_obstacle_is_named) {
     world one;
     EXPECT_EQ(one.chosen({}), "no_target");
