--- a/src/core/placing/planner.cpp
+++ b/src/core/placing/planner.cpp
@@ -48,16 +48,8 @@
 
     [[nodiscard]] std::map<std::string, demand> by_model() const {
         std::map<std::string, demand> out;
-        for (const auto& [wish, one] : demands_) {
-            demand& sum = out[wish.model];
-            if (one.waiting > 0) {
-                sum.oldest = sum.waiting > 0 ? std::min(sum.oldest, one.oldest) : one.oldest;
-                sum.priority = std::min(sum.priority, one.priority);
-            }
-            sum.waiting += one.waiting;
-            sum.per_second += one.per_second;
-            sum.running += one.running;
-        }
+        for (const auto& [wish, one] : demands_)
+            add_demand(out[wish.model], one);
         return out;
     }
 
--- /dev/null
+++ b/src/core/placing/planner_input.cpp
@@ -0,0 +1,39 @@
+#include "core/placing/planner_input.hpp"
+
+#include <algorithm>
+
+namespace waxwinglb::core::placing {
+namespace {
+
+void add(usage& to, const usage& more) {
+    to.running += more.running;
+    to.last_used = std::max(to.last_used, more.last_used);
+}
+
+} // namespace
+
+void add_use(planner_input& to, const std::string& target, const fleet::model_wish& wish, const usage& use) {
+    const auto found =
+        std::lower_bound(to.targets.begin(), to.targets.end(), target,
+                         [](const target_state& one, const std::string& id) { return one.id < id; });
+    if (found == to.targets.end() || found->id != target)
+        return;
+    found->running += use.running;
+    if (const auto model = found->models.find(wish.model); model != found->models.end())
+        add(model->second, use);
+    if (const auto adapter = found->adapters.find(wish); adapter != found->adapters.end())
+        add(adapter->second, use);
+    to.demands[wish].running += use.running;
+}
+
+void add_demand(demand& to, const demand& more) {
+    if (more.waiting > 0) {
+        to.oldest = to.waiting > 0 ? std::min(to.oldest, more.oldest) : more.oldest;
+        to.priority = to.waiting > 0 ? std::min(to.priority, more.priority) : more.priority;
+    }
+    to.waiting += more.waiting;
+    to.per_second += more.per_second;
+    to.running += more.running;
+}
+
+} // namespace waxwinglb::core::placing
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -13,7 +13,6 @@
 namespace leaf = boost::leaf;
 using core::common::milliseconds;
 using core::common::time_point;
-using core::fleet::model_wish;
 using core::placing::planned_order;
 using core::placing::target_ledger;
 
@@ -25,6 +24,7 @@
 constexpr milliseconds connect_timeout{400};
 constexpr milliseconds load_margin{40};  // a target counts as loaded so much after the expected time
 constexpr milliseconds adapter_load{25}; // adapters arrive in milliseconds
+constexpr int least_urgent = 9;          // of the priorities of requests
 
 std::string operation_of(const planned_order& order) {
     return std::string{order.load ? "load" : "unload"} + (order.what.adapter.empty() ? "_model" : "_adapter");
@@ -208,85 +208,74 @@
 
 // ---- planning --------------------------------------------------------------------------------------
 
-void order_giver::add_use(core::placing::target_state& to, const model_wish& wish, int running,
-                          time_point last) const {
-    to.running += running;
-    if (const auto model = to.models.find(wish.model); model != to.models.end()) {
-        model->second.running += running;
-        model->second.last_used = std::max(model->second.last_used, last);
-    }
-    if (const auto adapter = to.adapters.find(wish); adapter != to.adapters.end()) {
-        adapter->second.running += running;
-        adapter->second.last_used = std::max(adapter->second.last_used, last);
+/// What the planner is told of a target; nothing before its first report.
+std::optional<core::placing::target_state> order_giver::state_of(const std::string& id,
+                                                                 const known_target& known) const {
+    const auto now = context_.loop.now();
+    const auto* target = context_.directory.find(id);
+    if (target == nullptr || !known.ledger.known())
+        return std::nullopt;
+    core::placing::target_state out;
+    out.id = id;
+    out.data_centre = target->entry.data_centre;
+    out.takes_orders = known.ledger.takes_orders(now) && !target->lapsed_until;
+    if (!target->lapsed_until)
+        out.takes_orders_at = known.ledger.takes_orders_at(now);
+    out.coming = known.ledger.coming(now);
+    out.serves = !target->leaving() && !context_.centres_out.contains(target->entry.data_centre);
+    out.copies_in_memory = known.copies_in_memory;
+    out.copies_on_disk = known.copies_on_disk;
+    for (const auto& [model, adapters] : known.ledger.models()) {
+        out.models[model].last_used = known.ledger.loaded_at(model);
+        for (const std::string& adapter : adapters)
+            out.adapters[{model, adapter}];
     }
+    return out;
 }
 
 core::placing::planner_input order_giver::input_for(const core::fleet::service& service) const {
-    const auto now = context_.loop.now();
     core::placing::planner_input out;
     out.engine = &*service.engine;
-    std::map<std::string, std::size_t> places;
     for (const auto& [id, known] : targets_) {
         const auto* target = context_.directory.find(id);
         if (target == nullptr || target->entry.service != service.name)
             continue;
-        if (!known.ledger.known())
+        auto state = state_of(id, known);
+        if (!state)
             continue;
-        core::placing::target_state one;
-        one.id = id;
-        one.data_centre = target->entry.data_centre;
-        one.takes_orders = known.ledger.takes_orders(now) && !target->lapsed_until;
-        one.serves = !target->leaving() && !context_.centres_out.contains(target->entry.data_centre);
-        if (!target->lapsed_until)
-            one.takes_orders_at = known.ledger.takes_orders_at(now);
-        one.coming = known.ledger.coming(now);
-        one.copies_in_memory = known.copies_in_memory;
-        one.copies_on_disk = known.copies_on_disk;
-        for (const auto& [model, adapters] : known.ledger.models()) {
-            one.models[model].last_used = known.ledger.loaded_at(model);
-            for (const std::string& adapter : adapters)
-                one.adapters[{model, adapter}];
-        }
-        out.store_loads_under_way += known.ledger.store_load_under_way(now) ? 1 : 0;
-        places[id] = out.targets.size();
-        out.targets.push_back(std::move(one));
+        out.store_loads_under_way += known.ledger.store_load_under_way(context_.loop.now()) ? 1 : 0;
+        out.targets.push_back(std::move(*state));
     }
-    const auto use = [&](const std::string& id, const model_wish& wish, int running, time_point last) {
-        const auto place = places.find(id);
-        if (place == places.end())
-            return;
-        add_use(out.targets[place->second], wish, running, last);
-        out.demands[wish].running += running;
-    };
-    const auto want = [&](const model_wish& wish, int waiting, time_point oldest, int priority, double rate) {
-        core::placing::demand& sum = out.demands[wish];
-        if (waiting > 0) {
-            sum.oldest = sum.waiting > 0 ? std::min(sum.oldest, oldest) : oldest;
-            sum.priority = sum.waiting > 0 ? std::min(sum.priority, priority) : priority;
-        }
-        sum.waiting += waiting;
-        sum.per_second += rate;
-    };
+    add_own(service.name, out);
+    for (const auto& [name, peer] : peers_->heard())
+        if (peer.in_contact(context_.loop.now()))
+            add_peer(service.name, peer, out);
+    return out;
+}
+
+/// What this gateway's own requests use and wait for.
+void order_giver::add_own(const std::string& service, core::placing::planner_input& to) const {
     for (const auto& [key, one] : dispatch_.usage())
-        use(key.first, key.second, one.running, one.last_used);
+        core::placing::add_use(to, key.first, key.second, {one.running, one.last_used});
     for (const auto& [wish, one] : dispatch_.waiting_by_model())
-        if (one.service == service.name)
-            want(wish, one.count, one.oldest, one.priority, 0);
+        if (one.service == service)
+            core::placing::add_demand(to.demands[wish], {one.count, one.oldest, one.priority, 0, 0});
     for (const auto& [wish, one] : dispatch_.arrival_rates())
-        if (one.service == service.name)
-            want(wish, 0, {}, 9, one.per_second);
-    for (const auto& [name, peer] : peers_->heard()) {
-        if (!peer.in_contact(now))
-            continue;
-        for (const auto& one : peer.status.uses)
-            use(one.target, core::fleet::parse_model_wish(one.model), one.running,
-                peer.heard_at - milliseconds{one.idle_ms});
-        for (const auto& one : peer.status.demands)
-            if (one.service_name == service.name)
-                want(core::fleet::parse_model_wish(one.model), one.waiting,
-                     peer.heard_at - milliseconds{one.oldest_ms}, one.priority, one.per_second);
-    }
-    return out;
+        if (one.service == service)
+            core::placing::add_demand(to.demands[wish], {0, {}, least_urgent, one.per_second, 0});
+}
+
+/// What another gateway told of its requests.
+void order_giver::add_peer(const std::string& service, const peer_state& peer,
+                           core::placing::planner_input& to) const {
+    for (const auto& one : peer.status.uses)
+        core::placing::add_use(to, one.target, core::fleet::parse_model_wish(one.model),
+                               {one.running, peer.heard_at - milliseconds{one.idle_ms}});
+    for (const auto& one : peer.status.demands)
+        if (one.service_name == service)
+            core::placing::add_demand(
+                to.demands[core::fleet::parse_model_wish(one.model)],
+                {one.waiting, peer.heard_at - milliseconds{one.oldest_ms}, one.priority, one.per_second, 0});
 }
 
 void order_giver::plan_service(const core::fleet::service& service) {
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -7,6 +7,8 @@
 #include "programs/gateway/dispatcher.hpp"
 #include "programs/gateway/order_lease.hpp"
 
+#include <optional>
+
 namespace waxwinglb::programs::gateway {
 
 class order_giver {
@@ -46,9 +48,12 @@
                      core::common::time_point asked_at);
     void note_finished(const std::string& id, const std::vector<core::placing::finished_load>& loads);
     void plan_service(const core::fleet::service& service);
+    // What the planner is told.
     [[nodiscard]] core::placing::planner_input input_for(const core::fleet::service& service) const;
-    void add_use(core::placing::target_state& to, const core::fleet::model_wish& wish, int running,
-                 core::common::time_point last) const;
+    [[nodiscard]] std::optional<core::placing::target_state> state_of(const std::string& id,
+                                                                      const known_target& known) const;
+    void add_own(const std::string& service, core::placing::planner_input& to) const;
+    void add_peer(const std::string& service, const peer_state& peer, core::placing::planner_input& to) const;
     void send(const core::placing::planned_order& order, const core::fleet::service& service);
     void take_answer(std::int64_t number, const core::placing::planned_order& order,
                      const edge::client_result& answer);
--- a/tests/core/placing_test.cpp
+++ b/tests/core/placing_test.cpp
@@ -71,6 +71,32 @@
 
 } // namespace
 
+TEST(planner_input, what_several_gateways_tell_is_added_up) {
+    placing::demand sum;
+    placing::add_demand(sum, {0, {}, 9, 1.5, 2}); // nothing waits: its priority says nothing
+    placing::add_demand(sum, {2, start + 1s, 7, 0.5, 0});
+    placing::add_demand(sum, {1, start, 8, 0, 1});
+    EXPECT_EQ(sum.waiting, 3);
+    EXPECT_EQ(sum.oldest, start);
+    EXPECT_EQ(sum.priority, 7);
+    EXPECT_DOUBLE_EQ(sum.per_second, 2.0);
+    EXPECT_EQ(sum.running, 3);
+}
+
+TEST(planner_input,
+     use_counts_for_the_target_the_model_and_the_adapter_and_nowhere_if_the_target_is_unknown) {
+    planner_input in{nullptr, {target("t1", {"m0"}), target("t2", {"m0", "m1"})}, {}, 0};
+    in.targets[1].adapters[{"m0", "a1"}];
+    placing::add_use(in, "t2", {"m0", "a1"}, {3, start});
+    placing::add_use(in, "t3", {"m0", "a1"}, {5, start});
+    EXPECT_EQ(in.targets[0].running, 0);
+    EXPECT_EQ(in.targets[1].running, 3);
+    EXPECT_EQ(in.targets[1].models.at("m0").running, 3);
+    EXPECT_EQ(in.targets[1].models.at("m0").last_used, start);
+    EXPECT_EQ((in.targets[1].adapters.at({"m0", "a1"}).running), 3);
+    EXPECT_EQ((in.demands.at({"m0", "a1"}).running), 3);
+}
+
 TEST(planner, a_rare_model_is_loaded_where_a_copy_is_at_hand) {
     const auto spec = engine(8);
     planner_input in{&spec, {target("t1", {"m0", "m1"}), target("t2", {"m2", "m3"})}, {}, 0};
