Name the planner's costs; one builder of metric families; one way to take left-out lines

Read as a newcomer would: two bare weights in best_target, a comment that said 'soonest' where a cost decides, three copies of the same builder chain, two of the same loop.

--- a/src/core/placing/planner.cpp
+++ b/src/core/placing/planner.cpp
@@ -14,6 +14,8 @@
 
 constexpr milliseconds unload_time{100}; // mostly two round trips; longer while runs of the model finish
 constexpr milliseconds adapter_time{50}; // a round trip; adapters arrive in milliseconds
+constexpr double unload_cost_ms = 30.0;  // of each model that has to be unloaded first
+constexpr double victim_cost_ms = 300.0; // for each arrival a second of such a model
 
 /// One planning pass over a copy of the input, which it changes as it decides.
 class pass {
@@ -176,7 +178,8 @@
         bool may_wait = true; // for a target that has a copy and takes no order yet
     };
 
-    /// The target that would have it soonest.
+    /// The target at which it costs least: in milliseconds until it is there, and in what that does to
+    /// others.
     [[nodiscard]] std::optional<candidate> best_target(const std::string& model, const search& where) {
         std::optional<candidate> best;
         for (target_state& one : targets_) {
@@ -194,12 +197,12 @@
             auto victims = victims_for(one, model, where.idle);
             if (!victims)
                 continue;
-            // A busy target serves the new model more slowly; an unload costs a round trip.
+            // A busy target serves the new model more slowly.
             double cost = static_cast<double>((*wait + load_time(model, copy)).count());
             cost += static_cast<double>(limits_.running_cost.count()) * one.running;
-            cost += 30.0 * static_cast<double>(victims->size());
+            cost += unload_cost_ms * static_cast<double>(victims->size());
             for (const std::string& victim : *victims)
-                cost += 300.0 * wanted(victim);
+                cost += victim_cost_ms * wanted(victim);
             if (!best || cost < best->cost_ms)
                 best = candidate{&one, copy, std::move(*victims), *wait, cost};
         }
@@ -214,8 +217,10 @@
 
     void give(const candidate& chosen, const std::string& model, const std::string& why) {
         target_state& one = *chosen.target;
-        if (chosen.wait > milliseconds{0}) { // sooner than from anywhere else, once its target takes orders
-            one.takes_orders_at += load_time(model, chosen.copy); // the next model waits for that load too
+        if (chosen.wait > milliseconds{0}) {
+            // No order yet: its copy there is the cheapest way once the target takes orders. Whatever else
+            // waits for that target waits for this load too.
+            one.takes_orders_at += load_time(model, chosen.copy);
             return;
         }
         const milliseconds load = load_time(model, chosen.copy);
@@ -259,7 +264,7 @@
         }
         return out;
     }
-    /// A target that was foretold to be free soon may never be.
+    /// A target that was foretold to take orders soon may never do so: then any other way is taken.
     [[nodiscard]] bool waited_too_long(const model_need& need) const {
         return now_ - need.all.oldest > load_time(need.model, copy_place::store);
     }
--- a/src/core/timeline/line_limit.cpp
+++ b/src/core/timeline/line_limit.cpp
@@ -7,7 +7,7 @@
 using common::time_point;
 
 bool line_limit::window::over(time_point now) const {
-    return now - begun >= std::chrono::seconds{1};
+    return now >= begun + std::chrono::seconds{1};
 }
 
 bool line_limit::admit(std::string_view event, time_point now) {
@@ -36,11 +36,7 @@
 }
 
 std::vector<line_limit::left_out> line_limit::take_all() {
-    std::vector<left_out> out;
-    for (auto& [event, one] : windows_)
-        if (one.left_out > 0)
-            out.push_back({event, std::exchange(one.left_out, 0)});
-    return out;
+    return take_left_out(time_point::max());
 }
 
 } // namespace waxwinglb::core::timeline
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -6,32 +6,27 @@
 const prometheus::Histogram::BucketBoundaries second_buckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
                                                              0.5,   1,    2.5,   5,    10,  25};
 
+/// A family of series; all of them carry the gateway's data centre.
+template<class builder_type>
+auto& family(builder_type made, prometheus::Registry& registry, const std::string& data_centre,
+             const char* name, const char* help) {
+    return made.Name(name).Help(help).Labels({{"data_centre", data_centre}}).Register(registry);
+}
+
 prometheus::Family<prometheus::Gauge>& gauges(prometheus::Registry& registry, const std::string& data_centre,
                                               const char* name, const char* help) {
-    return prometheus::BuildGauge()
-        .Name(name)
-        .Help(help)
-        .Labels({{"data_centre", data_centre}})
-        .Register(registry);
+    return family(prometheus::BuildGauge(), registry, data_centre, name, help);
 }
 
 prometheus::Family<prometheus::Counter>&
 counters(prometheus::Registry& registry, const std::string& data_centre, const char* name, const char* help) {
-    return prometheus::BuildCounter()
-        .Name(name)
-        .Help(help)
-        .Labels({{"data_centre", data_centre}})
-        .Register(registry);
+    return family(prometheus::BuildCounter(), registry, data_centre, name, help);
 }
 
 prometheus::Family<prometheus::Histogram>& histograms(prometheus::Registry& registry,
                                                       const std::string& data_centre, const char* name,
                                                       const char* help) {
-    return prometheus::BuildHistogram()
-        .Name(name)
-        .Help(help)
-        .Labels({{"data_centre", data_centre}})
-        .Register(registry);
+    return family(prometheus::BuildHistogram(), registry, data_centre, name, help);
 }
 
 double seconds(core::common::duration value) {
