Drop a target that leaves in time while only the order giver lacks the store

From 2.5 to 11.5 s the store turned away two gateways, the order giver among them, and answered the others. A gateway that hears from the order giver that it lacks the store treats registrations that go missing as lapsed, for 2 s after the store's return. The order giver says so five times a second, and each word began a new outage that the gateway's own next answer ended, so the 2 s began again and again; and 2 s after learning of a removal is too late by what it takes to learn of it.

Change: the directory takes the order giver's word once, until it says that it reads the store again; what goes missing under such a doubt alone is kept for 1.5 s (drain bound 2 s less the watch's pause of 0.25 s and the way).

--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -7,19 +7,28 @@
 using common::time_point;
 
 bool directory::in_outage(time_point now) const {
-    return store_away_ || (returned_at_ && now < *returned_at_ + lapse_grace);
+    return store_away_ || (returned_at_ && now < *returned_at_ + grace());
 }
 
 void directory::store_failed() {
     if (!store_away_)
         away_since_ = answered_at_;
     store_away_ = true;
+    only_doubted_ = false;
 }
 
-void directory::store_doubted(time_point now) {
-    if (!store_away_)
-        away_since_ = now - doubt_delay;
+void directory::order_giver_reads_store(bool reads, time_point now) {
+    const bool news = !reads && !order_giver_lacks_;
+    order_giver_lacks_ = !reads;
+    if (!news || store_away_)
+        return;
+    away_since_ = now - doubt_delay;
     store_away_ = true;
+    only_doubted_ = true;
+}
+
+common::milliseconds directory::grace() const {
+    return only_doubted_ ? doubted_lapse_grace : lapse_grace;
 }
 
 void directory::store_answered(time_point now) {
@@ -33,7 +42,7 @@
     returned_at_ = now;
     for (auto& [id, one] : targets_)
         if (one.lapsed_until)
-            one.lapsed_until = now + lapse_grace;
+            one.lapsed_until = now + grace();
 }
 
 void directory::apply(const std::vector<target_change>& changes, time_point now) {
@@ -92,7 +101,7 @@
         return;
     }
     if (!found->second.lapsed_until)
-        found->second.lapsed_until = (returned_at_ && !store_away_ ? *returned_at_ : now) + lapse_grace;
+        found->second.lapsed_until = (returned_at_ && !store_away_ ? *returned_at_ : now) + grace();
 }
 
 void directory::describe(const std::string& id, std::int64_t born, std::int64_t orders,
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -16,6 +16,9 @@
 // Registrations are renewed about every 1.2 s and lapse after three missed renewals: a shorter outage lapses
 // none.
 constexpr common::milliseconds shortest_lapsing_outage{2'000};
+// An outage that only the order giver has seen may concern it alone: then a registration that is gone has
+// left, and nothing may reach its target 2 s later. Less what it takes to learn of that and to reach it.
+constexpr common::milliseconds doubted_lapse_grace{1'500};
 constexpr common::milliseconds doubt_delay{1'600};  // from the store's last answer to the order giver's word
 constexpr common::milliseconds left_memory{30'000}; // peers are told so long that a target has left
 constexpr common::milliseconds description_term{3'000}; // the order giver's word goes before a registration's
@@ -53,8 +56,9 @@
     // What the store's calls show of it.
     void store_failed(); // a call failed or stayed without an answer
     void store_answered(common::time_point now);
-    /// The order giver, which watches closely, says that the store doesn't answer it: perhaps an outage.
-    void store_doubted(common::time_point now);
+    /// The order giver, which watches closely, says whether the store answers it. If it first says no, that
+    /// may be an outage which this process hasn't noticed; its further words of the same tell nothing new.
+    void order_giver_reads_store(bool reads, common::time_point now);
 
     /// What a target holds after `orders` accepted orders, as the giver of its orders knows: newer than its
     /// registration, which follows seconds later. Ignored if fewer orders than known.
@@ -89,7 +93,10 @@
     std::map<std::string, target> targets_;
     std::map<std::pair<std::string, std::int64_t>, common::time_point> left_; // (id, born) -> when it left
     bool loaded_ = false;
+    [[nodiscard]] common::milliseconds grace() const; // for what has lapsed
     bool store_away_ = false;
+    bool only_doubted_ = false; // the newest outage is the order giver's word; no call of this process failed
+    bool order_giver_lacks_ = false;                // its newest word
     std::optional<common::time_point> answered_at_; // the store's newest answer
     std::optional<common::time_point> away_since_;  // the store answered until then, as far as known
     std::optional<common::time_point> returned_at_; // end of the newest outage
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -295,8 +295,8 @@
     parts_.dispatch.peer_load(status.process, std::move(running));
     for (const auto& one : status.suspects)
         parts_.forward.heard_breaks(std::strtoull(one.fingerprint.c_str(), nullptr, 10), one.crashes);
-    if (status.gives_orders && status.wants_registrations && parts_.watch.reads_targets())
-        context_.directory.store_doubted(now);
+    if (status.gives_orders && parts_.watch.reads_targets())
+        context_.directory.order_giver_reads_store(!status.wants_registrations, now);
     take_store_news(status);
     take_holdings(status);
 }
--- a/tests/core/fleet_test.cpp
+++ b/tests/core/fleet_test.cpp
@@ -206,11 +206,30 @@
     EXPECT_EQ(one.find("t1"), nullptr);
 }
 
+// On Cámara's trouble-1 the store turned the order giver away for nine seconds while it answered this
+// gateway; a target that left got a request 2,027 ms later.
+TEST(target_directory, a_target_that_leaves_while_only_the_order_giver_lacks_the_store_is_dropped_in_time) {
+    directory all;
+    all.replace_all({entry("t1")}, start);
+    all.store_answered(start);
+    all.order_giver_reads_store(false, start + 10s);
+    all.store_answered(start + 10'900ms); // the answer that brings the removal
+    all.remove("t1", start + 10'900ms);
+    EXPECT_NE(all.find("t1"), nullptr) << "perhaps it has merely lapsed";
+    for (auto now = start + 11s; now < start + 12'400ms; now += 200ms) {
+        all.order_giver_reads_store(false, now); // it goes on saying so
+        all.store_answered(now + 100ms);
+    }
+    all.expire(start + 12'400ms);
+    EXPECT_EQ(all.find("t1"), nullptr);
+}
+
 TEST(target_directory, an_outage_that_only_the_order_giver_has_noticed_lapses_registrations_too) {
     directory all;
     all.store_answered(start);
     all.replace_all({entry("t1"), entry("t2")}, start);
-    all.store_doubted(start + 10s); // this gateway's own watch has waited since `start` for an event
+    all.order_giver_reads_store(
+        false, start + 10s); // this gateway's own watch has waited since `start` for an event
     all.store_answered(start + 11s);
     all.remove("t1", start + 11s);
     EXPECT_NE(all.find("t1"), nullptr) << "it could not renew its registration";
@@ -222,7 +241,7 @@
     directory all;
     all.store_answered(start);
     all.replace_all({entry("t1")}, start);
-    all.store_doubted(start + 10s);
+    all.order_giver_reads_store(false, start + 10s);
     all.store_answered(start + 10'100ms);
     all.remove("t1", start + 10'200ms);
     EXPECT_EQ(all.find("t1"), nullptr);
