--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -2,7 +2,8 @@
 ///
 /// A registration that disappears in calm means that its target has left: it is dropped at once. One that
 /// disappears during or right after an outage of the store has merely lapsed, since its target could not
-/// renew it: it is kept until `lapse_grace` after the store's return and then dropped, unless it came back.
+/// renew it: it is kept until `lapse_grace` after the store's return and then dropped, unless it came back;
+/// for less long if this process knows of the outage by hearsay alone.
 #pragma once
 
 #include "core/fleet/model.hpp"
@@ -89,11 +90,11 @@
 
 private:
     [[nodiscard]] bool in_outage(common::time_point now) const;
+    [[nodiscard]] common::milliseconds grace() const; // for what has lapsed
 
     std::map<std::string, target> targets_;
     std::map<std::pair<std::string, std::int64_t>, common::time_point> left_; // (id, born) -> when it left
     bool loaded_ = false;
-    [[nodiscard]] common::milliseconds grace() const; // for what has lapsed
     bool store_away_ = false;
     bool only_doubted_ = false; // the newest outage is the order giver's word; no call of this process failed
     bool order_giver_lacks_ = false;                // its newest word
