Take over no lease while the store is out of reach, nor just after

Cause: test_store_outage failed once ("an outage of the store alone changes no holder"): a steward took a shard of another living one in the moment of the store's return. Holders were given time to come back only after the first list that the store answered; takes were tried all through the outage, and one got through before a list. At gateways there was no such time at all: after each outage any of them became the order giver, and then waited 4.8 s for its predecessor. They also tried to take the lease 1.8 s after each read while its holder spoke, which ended in a conflict and another read, since they read it every 8 s only. Change: core/membership/store_contact decides for both when leases of others may be taken: the store answers and has done so for the grace; a gateway takes only what it has read within 600 ms. A peer counts as order giver only while it says that it gives orders.

--- a/src/programs/gateway/order_lease.cpp
+++ b/src/programs/gateway/order_lease.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds margin{300}; // for clocks that run at different rates
 constexpr milliseconds read_while_holder_speaks{8'000};
 constexpr milliseconds read_while_silent{400};
+constexpr milliseconds fresh_record{600};    // a record read longer ago says nothing of whether it is renewed
+constexpr milliseconds shortest_outage{800}; // of the store; calls that fail for less end no term
+constexpr milliseconds comeback{1'000};      // holders renew within that after an outage
 constexpr milliseconds holder_silence{1'000}; // without its message, the holder may be gone
 constexpr const char* orders_under =
     "orders_under"; // in the record: fencing number under which orders were given
@@ -26,7 +29,8 @@
 order_lease::order_lease(gateway_context& context, platform::store_client& store, edge::http_client& client,
                          std::int64_t boot, std::function<void()> on_lost)
     : context_(context), leases_(context, store, client), on_lost_(std::move(on_lost)),
-      lease_({context.settings.name, context.settings.peers, boot, true}, {term, margin, renewal}) {}
+      lease_({context.settings.name, context.settings.peers, boot, true}, {term, margin, renewal}),
+      contact_({shortest_outage, comeback}) {}
 
 void order_lease::step() {
     const auto now = context_.loop.now();
@@ -37,7 +41,7 @@
     } else if (lease_.renewal_due(now) && !lease_.releasing()) {
         if (const auto due = lease_.write(state_to_write(now), now))
             write(*due);
-    } else if (!lease_.mine() && !context_.ending && lease_.takeable(now) && context_.config) {
+    } else if (may_take(now)) {
         if (const auto taking = lease_.take(now))
             write(*taking);
     } else if (!lease_.mine() && !reading_) {
@@ -47,11 +51,30 @@
     note(now);
 }
 
+/// A holder that speaks is asked for seldom, so its record is old and seems to have run out.
+bool order_lease::may_take(time_point now) const {
+    if (lease_.mine() || context_.ending || !context_.config || !lease_.takeable(now))
+        return false;
+    if (lease_.record().holder.empty() || lease_.of_earlier_start())
+        return true;
+    return now - read_at_ <= fresh_record && contact_.may_take_over(now);
+}
+
+/// What a call tells of the store: counted, and whether it answers.
+void order_lease::note_call(const char* call, const platform::store_reply& reply) {
+    const auto now = context_.loop.now();
+    context_.numbers.count_store_call(call, reply.heard() ? "heard" : "lost");
+    if (reply.heard())
+        contact_.answered(now);
+    else
+        contact_.failed(now);
+}
+
 bool order_lease::holder_speaks(time_point now) const {
     const auto& heard = peers_->heard();
     const auto holder = heard.find(lease_.record().holder);
     return holder != heard.end() && now - holder->second.heard_at < holder_silence &&
-           !holder->second.status.wants_registrations;
+           holder->second.status.gives_orders && !holder->second.status.wants_registrations;
 }
 
 void order_lease::read() {
@@ -60,7 +83,9 @@
     leases_.read([this](platform::store_reply&& reply) {
         reading_ = false;
         const auto now = context_.loop.now();
-        context_.numbers.count_store_call("read_lease", reply.heard() ? "heard" : "lost");
+        note_call("read_lease", reply);
+        if (reply.heard())
+            read_at_ = now;
         if (reply.result == store_result::absent)
             lease_.saw_record(0, std::nullopt, now);
         else if (reply.result == store_result::ok && !reply.objects.empty())
@@ -88,7 +113,7 @@
     leases_.write(change.if_version, change.value,
                   [this, sequence = change.sequence](platform::store_reply&& reply) {
                       const auto now = context_.loop.now();
-                      context_.numbers.count_store_call("write_lease", reply.heard() ? "heard" : "lost");
+                      note_call("write_lease", reply);
                       const auto result = result_of(reply);
                       const bool stored = result == write_result::stored;
                       lease_.written(sequence, result, stored ? reply.objects.front().revision : 0, now);
--- a/src/programs/gateway/order_lease.hpp
+++ b/src/programs/gateway/order_lease.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "core/membership/lease.hpp"
+#include "core/membership/store_contact.hpp"
 #include "programs/gateway/lease_store.hpp"
 
 #include <functional>
@@ -32,7 +33,9 @@
 
 private:
     [[nodiscard]] static core::membership::write_result result_of(const platform::store_reply& reply);
+    [[nodiscard]] bool may_take(core::common::time_point now) const;
     void read();
+    void note_call(const char* call, const platform::store_reply& reply);
     void write(const core::membership::lease_write& write);
     void note(core::common::time_point now);
     [[nodiscard]] std::string state_to_write(core::common::time_point now) const;
@@ -43,12 +46,14 @@
     std::function<void()> on_lost_;
     peers* peers_ = nullptr;
     core::membership::shard_lease lease_;
+    core::membership::store_contact contact_; // by the calls for the lease
     bool reading_ = false;
     bool held_ = false;
     std::int64_t seen_version_ = -1;
     core::common::time_point orders_from_{}; // not before that, for the predecessor's sake
     core::common::time_point other_until_{}; // another holder may have sent orders until then
-    core::common::time_point checked_at_{};
+    core::common::time_point checked_at_{};  // when it was last asked for
+    core::common::time_point read_at_{};     // when that was last answered
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/steward/shards.cpp
+++ b/src/programs/steward/shards.cpp
@@ -42,7 +42,7 @@
 shard_keeper::shard_keeper(const steward_settings& settings, const core::membership::lease_identity& self,
                            store& store, state_of state, state_of final_state)
     : term_(settings.lease_term), store_(store), state_(std::move(state)),
-      final_state_(std::move(final_state)) {
+      final_state_(std::move(final_state)), contact_({list_gap, term_}) {
     core::membership::lease_times times;
     times.term = term_;
     times.margin = term_ / 10;
@@ -136,9 +136,8 @@
     if (one.lease.renewal_due(now) || (one.generation > one.sent_generation && one.was_held))
         return write_state(shard, now);
     const bool overdue = one.lease.takeable(now) && one.lease.free_for(now) >= overdue_after;
-    // After an outage of the store the holders come back first: their terms ended only for want of answers.
     const bool silent_holder = !one.lease.record().holder.empty();
-    if (silent_holder && now < list_resumed_at_ + term_)
+    if (silent_holder && !contact_.may_take_over(now))
         return;
     if (one.lease.takeable(now) && now >= began_ + first_take_after && (held < share || overdue))
         if (const auto write = one.lease.take(now))
@@ -174,10 +173,8 @@
         listing_ = false;
         const auto listed = answer.heard() ? edge::decode_objects(answer.body) : std::nullopt;
         if (!listed)
-            return;
-        if (now - list_heard_at_ > list_gap)
-            list_resumed_at_ = now;
-        list_heard_at_ = now;
+            return contact_.failed(now);
+        contact_.answered(now);
         std::map<std::string, std::int64_t> versions;
         for (const edge::listed_object& object : *listed)
             versions[object.key] = object.version;
--- a/src/programs/steward/shards.hpp
+++ b/src/programs/steward/shards.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/membership/lease.hpp"
+#include "core/membership/store_contact.hpp"
 #include "programs/steward/settings.hpp"
 #include "programs/steward/store.hpp"
 
@@ -34,8 +35,9 @@
 constexpr core::common::milliseconds lease_list_every{500};   // versions of all shards, one call
 constexpr core::common::milliseconds lease_read_every{1'000}; // content of one shard held elsewhere
 constexpr core::common::milliseconds first_take_after{
-    500};                                             // after the start: links to other stewards open first
-constexpr core::common::milliseconds list_gap{1'500}; // without a list for longer, the store was out of reach
+    500}; // after the start: links to other stewards open first
+constexpr core::common::milliseconds list_gap{
+    1'000}; // lists that fail for longer: the store was out of reach
 constexpr core::common::milliseconds overdue_after{2'000}; // a shard free for longer is taken over the share
 
 class shard_keeper {
@@ -102,8 +104,7 @@
     std::vector<entry> shards_;
     std::vector<shard_change> changes_;
     core::common::time_point listed_at_{};
-    core::common::time_point list_heard_at_{};
-    core::common::time_point list_resumed_at_{}; // first list after the store was out of reach
+    core::membership::store_contact contact_; // by the lists
     bool listing_ = false;
     bool stopping_ = false;
     core::common::time_point began_{}; // first tick
--- /dev/null
+++ b/tests/core/store_contact_test.cpp
@@ -0,0 +1,79 @@
+// Who takes a lease after an outage of the store: its holder, if it lives.
+#include "core/membership/lease.hpp"
+#include "core/membership/store_contact.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace waxwinglb::core;
+using namespace std::chrono_literals;
+using common::time_point;
+using membership::shard_lease;
+using membership::store_contact;
+using membership::write_result;
+
+namespace {
+
+constexpr time_point start{1h};
+
+/// Two processes that know of one lease, held by the first under version 1 since `start`.
+struct two_processes {
+    two_processes() {
+        holder.saw_record(0, std::nullopt, start);
+        const auto write = holder.take(start);
+        holder.written(write->sequence, write_result::stored, 1, start);
+        other.saw_record(1, membership::decode_lease(write->value), start);
+    }
+    shard_lease holder{{"a", "a:1", 1}, {}};
+    shard_lease other{{"b", "b:1", 2}, {}};
+    store_contact contact{{1s, 1s}}; // of the other one
+};
+
+} // namespace
+
+TEST(store_contact, a_holder_that_only_lacked_the_store_comes_back_before_anybody_takes_its_lease) {
+    two_processes both;
+    both.contact.failed(start + 1s);
+    ASSERT_TRUE(both.other.takeable(start + 5s)) << "its term is over for all that the other one knows";
+    EXPECT_FALSE(both.contact.may_take_over(start + 5s)) << "the store may be back at any moment";
+    const time_point back = start + 6s;
+    both.contact.answered(back);
+    EXPECT_FALSE(both.contact.may_take_over(back));
+    const auto renewal = both.holder.write("1", back + 300ms);
+    ASSERT_TRUE(renewal.has_value());
+    both.holder.written(renewal->sequence, write_result::stored, 2, back + 310ms);
+    both.other.saw_version(2, back + 500ms);
+    ASSERT_TRUE(both.contact.may_take_over(back + 1s));
+    EXPECT_FALSE(both.other.takeable(back + 1s));
+    EXPECT_TRUE(both.holder.held(back + 1s));
+    EXPECT_EQ(both.holder.fencing(), 1);
+}
+
+TEST(store_contact, a_holder_that_is_lost_in_an_outage_is_followed_after_the_grace) {
+    two_processes both;
+    both.contact.failed(start + 1s);
+    both.contact.answered(start + 6s);
+    both.other.saw_version(1, start + 6s);
+    EXPECT_FALSE(both.contact.may_take_over(start + 6'999ms));
+    EXPECT_TRUE(both.contact.may_take_over(start + 7s));
+    EXPECT_TRUE(both.other.takeable(start + 7s));
+}
+
+TEST(store_contact, calls_that_fail_for_a_moment_delay_nobody) {
+    store_contact contact{{1s, 1s}};
+    EXPECT_TRUE(contact.may_take_over(start)) << "nothing has failed yet";
+    contact.failed(start);
+    contact.answered(start + 999ms);
+    EXPECT_TRUE(contact.may_take_over(start + 999ms));
+}
+
+TEST(store_contact, an_outage_lasts_from_the_first_call_that_fails) {
+    store_contact contact{{1s, 1s}};
+    contact.failed(start);
+    contact.failed(start + 900ms);
+    contact.answered(start + 1s);
+    EXPECT_FALSE(contact.may_take_over(start + 1s));
+    contact.failed(start + 1'100ms);
+    contact.answered(start + 1'200ms);
+    EXPECT_FALSE(contact.may_take_over(start + 1'900ms)) << "of the outage before";
+    EXPECT_TRUE(contact.may_take_over(start + 2s));
+}
