--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -21,7 +21,7 @@
   subscribe_config = 70, config_update = 71, config_fresh = 72, acceptor_status = 73, apply_report = 74,
   feed_elsewhere = 75,
   stood_down = 82,
-  peer_status = 90
+  peer_status = 90, turn_request = 91, turn_answer = 92, turn_use = 93
 }
 
 /** Whether a request's work ran at its target. */
@@ -186,3 +186,10 @@
   16: bool wants_registrations, 17: list<target_registration> registrations, 18: string address,
   19: list<target_load> loads, 20: bool gives_orders, 21: list<target_registration> starts
 }
+
+/** A gateway asks the keeper of a target for a turn to send it a prompt. */
+struct turn_request { 1: string process, 2: string target, 3: i64 number, 4: i32 tokens }
+/** given: the turn begins now; else it comes after about wait_ms. */
+struct turn_answer { 1: string process, 2: string target, 3: i64 number, 4: bool given, 5: i64 wait_ms }
+/** What was sent in a turn, where it is not what was asked for; tokens 0: nothing. */
+struct turn_use { 1: string process, 2: string target, 3: i64 number, 4: i32 tokens }
--- a/src/core/dispatch/target_choice.cpp
+++ b/src/core/dispatch/target_choice.cpp
@@ -68,7 +68,7 @@
         return obstacle::cold;
     if (one.load >= one.limit)
         return obstacle::full;
-    return reads_enough(one, what.prompt_tokens) ? obstacle::reading : obstacle::none;
+    return one.turn_queued || reads_enough(one, what.prompt_tokens) ? obstacle::reading : obstacle::none;
 }
 
 } // namespace
--- a/src/core/dispatch/target_choice.hpp
+++ b/src/core/dispatch/target_choice.hpp
@@ -20,6 +20,7 @@
     bool near = false;          // in the router's own data centre
     int reading = 0;            // tokens of prompts sent there that have no first event yet
     int reading_limit = 0;      // of these tokens; 0: none
+    bool turn_queued = false;   // the turn to send it a prompt is some time off
 };
 
 struct wish {
@@ -34,7 +35,7 @@
 /// What kept a request from being sent, the mildest first.
 enum class obstacle {
     none,
-    reading,     // a target could serve it but still reads the prompts of others
+    reading,     // a target could serve it but reads the prompts of others, or is to be sent some first
     full,        // a target could serve it but has no room
     cold,        // the targets that could are cold and their rate is used up
     no_adapter,  // the model is loaded, the adapter nowhere
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -38,6 +38,7 @@
 inline constexpr std::string_view order_answered = "order_answered";
 inline constexpr std::string_view load_finished = "load_finished";
 inline constexpr std::string_view request_waiting = "request_waiting";
+inline constexpr std::string_view turn_missed = "turn_missed";
 inline constexpr std::string_view request_sent = "request_sent";
 inline constexpr std::string_view request_retried = "request_retried";
 inline constexpr std::string_view request_refused = "request_refused";
@@ -47,17 +48,18 @@
 inline constexpr std::string_view request_abandoned = "request_abandoned";
 inline constexpr std::string_view lines_left_out = "lines_left_out";
 inline constexpr std::string_view lines_dropped = "lines_dropped";
-inline constexpr std::array all{
-    process_started,  process_stopping, process_stopped,   settings_reloaded, settings_refused,
-    store_lost,       store_regained,   peer_lost,         peer_regained,     config_in_force,
-    config_refused,   data_centres_out, target_changed,    target_ignored,    target_suspected,
-    lease_taken,      lease_lost,       order_sent,        order_answered,    load_finished,
-    request_waiting,  request_sent,     request_retried,   request_refused,   rate_refused,
-    request_answered, request_cut,      request_abandoned, lines_left_out,    lines_dropped};
+inline constexpr std::array all{process_started,   process_stopping, process_stopped,  settings_reloaded,
+                                settings_refused,  store_lost,       store_regained,   peer_lost,
+                                peer_regained,     config_in_force,  config_refused,   data_centres_out,
+                                target_changed,    target_ignored,   target_suspected, lease_taken,
+                                lease_lost,        order_sent,       order_answered,   load_finished,
+                                request_waiting,   turn_missed,      request_sent,     request_retried,
+                                request_refused,   rate_refused,     request_answered, request_cut,
+                                request_abandoned, lines_left_out,   lines_dropped};
 /// Cut to a rate under load, each for itself.
-inline constexpr std::array about_requests{request_waiting, request_sent,     request_retried,
-                                           request_refused, rate_refused,     request_answered,
-                                           request_cut,     request_abandoned};
+inline constexpr std::array about_requests{request_waiting,  turn_missed,     request_sent,
+                                           request_retried,  request_refused, rate_refused,
+                                           request_answered, request_cut,     request_abandoned};
 } // namespace events
 
 class decision_log {
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -53,7 +53,10 @@
   message_kind::apply_report,
   message_kind::feed_elsewhere,
   message_kind::stood_down,
-  message_kind::peer_status
+  message_kind::peer_status,
+  message_kind::turn_request,
+  message_kind::turn_answer,
+  message_kind::turn_use
 };
 const char* _kmessage_kindNames[] = {
   "heartbeat",
@@ -95,9 +98,12 @@
   "apply_report",
   "feed_elsewhere",
   "stood_down",
-  "peer_status"
+  "peer_status",
+  "turn_request",
+  "turn_answer",
+  "turn_use"
 };
-const std::map<int, const char*> _message_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(40, _kmessage_kindValues, _kmessage_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _message_kind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(43, _kmessage_kindValues, _kmessage_kindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const message_kind::type& val) {
   std::map<int, const char*>::const_iterator it = _message_kind_VALUES_TO_NAMES.find(val);
@@ -11358,4 +11364,527 @@
   out << ")";
 }
 
+
+turn_request::~turn_request() noexcept {
+}
+
+
+void turn_request::__set_process(const std::string& val) {
+  this->process = val;
+}
+
+void turn_request::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void turn_request::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void turn_request::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const turn_request& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t turn_request::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t turn_request::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("turn_request");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(turn_request &a, turn_request &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.target, b.target);
+  swap(a.number, b.number);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+turn_request::turn_request(const turn_request& other396) {
+  process = other396.process;
+  target = other396.target;
+  number = other396.number;
+  tokens = other396.tokens;
+  __isset = other396.__isset;
+}
+turn_request::turn_request(turn_request&& other397) noexcept {
+  process = std::move(other397.process);
+  target = std::move(other397.target);
+  number = other397.number;
+  tokens = other397.tokens;
+  __isset = other397.__isset;
+}
+turn_request& turn_request::operator=(const turn_request& other398) {
+  process = other398.process;
+  target = other398.target;
+  number = other398.number;
+  tokens = other398.tokens;
+  __isset = other398.__isset;
+  return *this;
+}
+turn_request& turn_request::operator=(turn_request&& other399) noexcept {
+  process = std::move(other399.process);
+  target = std::move(other399.target);
+  number = other399.number;
+  tokens = other399.tokens;
+  __isset = other399.__isset;
+  return *this;
+}
+void turn_request::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "turn_request(";
+  out << "process=" << to_string(process);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
+turn_answer::~turn_answer() noexcept {
+}
+
+
+void turn_answer::__set_process(const std::string& val) {
+  this->process = val;
+}
+
+void turn_answer::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void turn_answer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void turn_answer::__set_given(const bool val) {
+  this->given = val;
+}
+
+void turn_answer::__set_wait_ms(const int64_t val) {
+  this->wait_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const turn_answer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t turn_answer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->given);
+          this->__isset.given = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_ms);
+          this->__isset.wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t turn_answer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("turn_answer");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("given", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->given);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(turn_answer &a, turn_answer &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.target, b.target);
+  swap(a.number, b.number);
+  swap(a.given, b.given);
+  swap(a.wait_ms, b.wait_ms);
+  swap(a.__isset, b.__isset);
+}
+
+turn_answer::turn_answer(const turn_answer& other400) {
+  process = other400.process;
+  target = other400.target;
+  number = other400.number;
+  given = other400.given;
+  wait_ms = other400.wait_ms;
+  __isset = other400.__isset;
+}
+turn_answer::turn_answer(turn_answer&& other401) noexcept {
+  process = std::move(other401.process);
+  target = std::move(other401.target);
+  number = other401.number;
+  given = other401.given;
+  wait_ms = other401.wait_ms;
+  __isset = other401.__isset;
+}
+turn_answer& turn_answer::operator=(const turn_answer& other402) {
+  process = other402.process;
+  target = other402.target;
+  number = other402.number;
+  given = other402.given;
+  wait_ms = other402.wait_ms;
+  __isset = other402.__isset;
+  return *this;
+}
+turn_answer& turn_answer::operator=(turn_answer&& other403) noexcept {
+  process = std::move(other403.process);
+  target = std::move(other403.target);
+  number = other403.number;
+  given = other403.given;
+  wait_ms = other403.wait_ms;
+  __isset = other403.__isset;
+  return *this;
+}
+void turn_answer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "turn_answer(";
+  out << "process=" << to_string(process);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "given=" << to_string(given);
+  out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ")";
+}
+
+
+turn_use::~turn_use() noexcept {
+}
+
+
+void turn_use::__set_process(const std::string& val) {
+  this->process = val;
+}
+
+void turn_use::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void turn_use::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void turn_use::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const turn_use& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t turn_use::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t turn_use::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("turn_use");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(turn_use &a, turn_use &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.target, b.target);
+  swap(a.number, b.number);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+turn_use::turn_use(const turn_use& other404) {
+  process = other404.process;
+  target = other404.target;
+  number = other404.number;
+  tokens = other404.tokens;
+  __isset = other404.__isset;
+}
+turn_use::turn_use(turn_use&& other405) noexcept {
+  process = std::move(other405.process);
+  target = std::move(other405.target);
+  number = other405.number;
+  tokens = other405.tokens;
+  __isset = other405.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other406) {
+  process = other406.process;
+  target = other406.target;
+  number = other406.number;
+  tokens = other406.tokens;
+  __isset = other406.__isset;
+  return *this;
+}
+turn_use& turn_use::operator=(turn_use&& other407) noexcept {
+  process = std::move(other407.process);
+  target = std::move(other407.target);
+  number = other407.number;
+  tokens = other407.tokens;
+  __isset = other407.__isset;
+  return *this;
+}
+void turn_use::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "turn_use(";
+  out << "process=" << to_string(process);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
 }} // namespace
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -62,7 +62,10 @@
     apply_report = 74,
     feed_elsewhere = 75,
     stood_down = 82,
-    peer_status = 90
+    peer_status = 90,
+    turn_request = 91,
+    turn_answer = 92,
+    turn_use = 93
   };
 };
 
@@ -235,6 +238,12 @@
 
 class peer_status;
 
+class turn_request;
+
+class turn_answer;
+
+class turn_use;
+
 typedef struct _header__isset {
   _header__isset() : call(false), kind(false), clock(false) {}
   bool call :1;
@@ -4426,6 +4435,220 @@
 
 std::ostream& operator<<(std::ostream& out, const peer_status& obj);
 
+typedef struct _turn_request__isset {
+  _turn_request__isset() : process(false), target(false), number(false), tokens(false) {}
+  bool process :1;
+  bool target :1;
+  bool number :1;
+  bool tokens :1;
+} _turn_request__isset;
+
+/**
+ * A gateway asks the keeper of a target for a turn to send it a prompt.
+ */
+class turn_request : public virtual ::apache::thrift::TBase {
+ public:
+
+  turn_request(const turn_request&);
+  turn_request(turn_request&&) noexcept;
+  turn_request& operator=(const turn_request&);
+  turn_request& operator=(turn_request&&) noexcept;
+  turn_request() noexcept
+               : process(),
+                 target(),
+                 number(0),
+                 tokens(0) {
+  }
+
+  virtual ~turn_request() noexcept;
+  std::string process;
+  std::string target;
+  int64_t number;
+  int32_t tokens;
+
+  _turn_request__isset __isset;
+
+  void __set_process(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_tokens(const int32_t val);
+
+  bool operator == (const turn_request & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const turn_request &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const turn_request & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(turn_request &a, turn_request &b);
+
+std::ostream& operator<<(std::ostream& out, const turn_request& obj);
+
+typedef struct _turn_answer__isset {
+  _turn_answer__isset() : process(false), target(false), number(false), given(false), wait_ms(false) {}
+  bool process :1;
+  bool target :1;
+  bool number :1;
+  bool given :1;
+  bool wait_ms :1;
+} _turn_answer__isset;
+
+/**
+ * given: the turn begins now; else it comes after about wait_ms.
+ */
+class turn_answer : public virtual ::apache::thrift::TBase {
+ public:
+
+  turn_answer(const turn_answer&);
+  turn_answer(turn_answer&&) noexcept;
+  turn_answer& operator=(const turn_answer&);
+  turn_answer& operator=(turn_answer&&) noexcept;
+  turn_answer() noexcept
+              : process(),
+                target(),
+                number(0),
+                given(0),
+                wait_ms(0) {
+  }
+
+  virtual ~turn_answer() noexcept;
+  std::string process;
+  std::string target;
+  int64_t number;
+  bool given;
+  int64_t wait_ms;
+
+  _turn_answer__isset __isset;
+
+  void __set_process(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_given(const bool val);
+
+  void __set_wait_ms(const int64_t val);
+
+  bool operator == (const turn_answer & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(given == rhs.given))
+      return false;
+    if (!(wait_ms == rhs.wait_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const turn_answer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const turn_answer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(turn_answer &a, turn_answer &b);
+
+std::ostream& operator<<(std::ostream& out, const turn_answer& obj);
+
+typedef struct _turn_use__isset {
+  _turn_use__isset() : process(false), target(false), number(false), tokens(false) {}
+  bool process :1;
+  bool target :1;
+  bool number :1;
+  bool tokens :1;
+} _turn_use__isset;
+
+/**
+ * What was sent in a turn, where it is not what was asked for; tokens 0: nothing.
+ */
+class turn_use : public virtual ::apache::thrift::TBase {
+ public:
+
+  turn_use(const turn_use&);
+  turn_use(turn_use&&) noexcept;
+  turn_use& operator=(const turn_use&);
+  turn_use& operator=(turn_use&&) noexcept;
+  turn_use() noexcept
+           : process(),
+             target(),
+             number(0),
+             tokens(0) {
+  }
+
+  virtual ~turn_use() noexcept;
+  std::string process;
+  std::string target;
+  int64_t number;
+  int32_t tokens;
+
+  _turn_use__isset __isset;
+
+  void __set_process(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_tokens(const int32_t val);
+
+  bool operator == (const turn_use & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const turn_use &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const turn_use & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(turn_use &a, turn_use &b);
+
+std::ostream& operator<<(std::ostream& out, const turn_use& obj);
+
 }} // namespace
 
 #endif
--- a/src/programs/experiment/experiments.hpp
+++ b/src/programs/experiment/experiments.hpp
@@ -23,4 +23,8 @@
 /// A refusal is wrongful if one exact bucket over all routers would have admitted the request.
 [[nodiscard]] std::vector<outcome> run_rates(std::uint64_t seed);
 
+/// Five gateways that send prompts to the one engine that holds a model: sent at once, with few prompts
+/// unread, and in turns that one of them gives. Shares of all requests.
+[[nodiscard]] std::vector<outcome> run_reading(std::uint64_t seed, double arrivals_per_s);
+
 } // namespace waxwinglb::programs::experiment
--- a/src/programs/experiment/main.cpp
+++ b/src/programs/experiment/main.cpp
@@ -74,6 +74,13 @@
         seldom.push_back(run_idle(seed, seldom_per_s));
         rates.push_back(run_rates(seed));
     }
+    for (const double arrivals_per_s : {6.0, 9.0, 12.0, 16.0, 24.0}) {
+        std::vector<std::vector<outcome>> reading;
+        for (unsigned long seed = first; seed < first + static_cast<unsigned long>(seeds); ++seed)
+            reading.push_back(run_reading(seed, arrivals_per_s));
+        const auto title = std::to_string(static_cast<int>(arrivals_per_s)) + " prompts/s for one engine";
+        print(title.c_str(), reading);
+    }
     print("idle replicas over a day, 5 requests/s", busy);
     print("idle replicas over a day, 0.2 requests/s", seldom);
     print("a customer at 80 % of its rate, 70 % of it at one of four routers", rates);
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -99,10 +99,7 @@
     const auto known = state.blocked.find(group);
     if (known != state.blocked.end() && one->sent_to.empty())
         return wait_on(one, known->second, state);
-    auto found = state.by_group.find(group);
-    if (found == state.by_group.end())
-        found = state.by_group.emplace(group, candidates(one->service, one->model)).first;
-    const auto choice = core::dispatch::choose(found->second, wish_of(*one), context_.loop.now());
+    const auto choice = choose_for(*one, state);
     if (choice.chosen == nullptr) {
         if (one->sent_to.empty())
             state.blocked[group] = choice.why;
@@ -114,6 +111,26 @@
     state.by_group.clear(); // the loads have changed
 }
 
+/// The target to send it to now. A prompt for an engine also needs a turn there: where that is not now,
+/// another target is looked for.
+core::dispatch::choice dispatcher::choose_for(const call& one, pass& state) {
+    const group_key group{one.service, one.model};
+    for (;;) {
+        auto found = state.by_group.find(group);
+        if (found == state.by_group.end())
+            found = state.by_group.emplace(group, candidates(one.service, one.model)).first;
+        const auto choice = core::dispatch::choose(found->second, wish_of(one), context_.loop.now());
+        if (choice.chosen == nullptr || one.model.model.empty())
+            return choice;
+        const std::string target = choice.chosen->target->entry.id;
+        if (turns_->may_send(target, one.prompt_tokens))
+            return choice;
+        if (!turns_->queued(target))
+            return {nullptr, obstacle::reading}; // the keeper's word comes in a moment
+        state.by_group.erase(found);
+    }
+}
+
 void dispatcher::wait_on(const call_ptr& one, obstacle why, pass& state) {
     const time_point now = context_.loop.now();
     const bool first = one->waiting_since == time_point{};
@@ -219,6 +236,7 @@
         one.failure_rate = runtime.failure_rate;
         one.reading = runtime.reading;
         one.reading_limit = wish.model.empty() ? 0 : context_.settings.prompt_tokens_at_once;
+        one.turn_queued = !wish.model.empty() && turns_->queued(id);
         one.reachable = now >= runtime.suspect_until;
         one.cold_allowance = cold_allowance(target, runtime);
         if (const auto absent = runtime.lacking.find(wish); absent != runtime.lacking.end())
@@ -236,6 +254,8 @@
     ++runtime.running;
     runtime.cold_tokens -= 1;
     one->reading = one->model.model.empty() ? 0 : one->prompt_tokens;
+    if (!one->model.model.empty())
+        turns_->sent(target, one->prompt_tokens);
     runtime.reading += one->reading;
     target_usage& use = usage_[{target, one->model}];
     ++use.running;
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "core/dispatch/patience.hpp"
 #include "programs/gateway/call.hpp"
 #include "programs/gateway/context.hpp"
+#include "programs/gateway/reading_turns.hpp"
 
 #include <functional>
 #include <map>
@@ -28,10 +29,12 @@
         std::function<void()> on_new_wait; // a model is waited for that wasn't before
     };
     dispatcher(gateway_context& context, owner to) : context_(context), owner_(std::move(to)) {}
+    void attach(reading_turns& turns) { turns_ = &turns; }
 
     void submit(const call_ptr& one);                    // waits until on_send or on_refuse
     void withdraw(const call_ptr& one);                  // it waits no longer
     void refuse_all(core::common::duration retry_after); // the process ends: others serve them
+    void pump();                                         // looks for places now
     void pump_soon();                                    // looks for places in the next turn of the loop
 
     // What became of requests at targets.
@@ -98,9 +101,9 @@
         bool new_wait = false;
     };
 
-    void pump();
     [[nodiscard]] std::vector<call_ptr> in_order() const;
     void place_or_wait(const call_ptr& one, pass& state);
+    [[nodiscard]] core::dispatch::choice choose_for(const call& one, pass& state);
     void wait_on(const call_ptr& one, core::dispatch::obstacle why, pass& state);
     [[nodiscard]] candidate_list candidates(const std::string& service, const core::fleet::model_wish& wish);
     [[nodiscard]] int limit_of(const core::fleet::target& one) const;
@@ -113,6 +116,7 @@
 
     gateway_context& context_;
     owner owner_;
+    reading_turns* turns_ = nullptr;
     std::map<std::uint64_t, call_ptr> waiting_;                    // by order of arrival
     std::map<std::string, target_runtime> runtimes_;               // by target id
     std::map<std::string, std::map<std::string, int>> peer_loads_; // peer -> target -> requests
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -70,8 +70,13 @@
              {dispatcher_, forwarder_, watch_, client_, [this] { return order_giver_.gives_orders(); },
               [this] { return order_giver_.holdings(); }},
              boot_),
+      turns_(context_,
+             {[this](const std::string& to, const std::string& frame) { peers_.send_to(to, frame); },
+              [this] { return peers_.gateways_in_contact(); }, [this] { dispatcher_.pump(); }}),
       acceptor_(loop_, [this](int socket) { accept(socket); }) {
     forwarder_.attach(dispatcher_);
+    dispatcher_.attach(turns_);
+    peers_.attach(turns_);
     order_giver_.attach(peers_);
     session_owner_.on_request = [this](const auto& session, edge::wire_request&& request) {
         admission_.take(session, std::move(request));
@@ -175,6 +180,7 @@
         log_.write(edge::events::target_changed, id, {{"change", "lapsed"}});
     }
     dispatcher_.forget_missing();
+    turns_.forget_missing();
     tell_metrics(now);
     reload_if_changed();
     if (program_.stopping && !context_.ending)
@@ -232,6 +238,7 @@
     settings_.placing = fresh.placing;
     settings_.request_lines = fresh.request_lines;
     settings_.prompt_tokens_at_once = fresh.prompt_tokens_at_once;
+    settings_.prompt_tokens_per_second = fresh.prompt_tokens_per_second;
     log_.limit_request_lines(fresh.request_lines);
     forwarder_.change_members();
     log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -46,6 +46,7 @@
     std::int64_t boot_;
     order_giver order_giver_;
     peers peers_;
+    reading_turns turns_;
     edge::acceptor acceptor_;
     caller_session::owner session_owner_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -65,6 +65,8 @@
       store_calls_(counters(registry, at, "waxwing_store_calls_total",
                             "Calls to the platform's store by call and result")),
       orders_(counters(registry, at, "waxwing_orders_total", "Orders to targets by operation and result")),
+      turns_(counters(registry, at, "waxwing_reading_turns_total",
+                      "Turns to send a prompt to a target, by what became of them")),
       finished_loads_(counters(registry, at, "waxwing_finished_loads_total",
                                "Loads from the weight store that a report has shown to be over")),
       watch_ages_(gauges(registry, at, "waxwing_watch_age_seconds",
@@ -93,6 +95,10 @@
     orders_.Add({{"operation", operation}, {"result", result}}).Increment();
 }
 
+void gateway_metrics::count_turn(const std::string& result) {
+    turns_.Add({{"result", result}}).Increment();
+}
+
 void gateway_metrics::count_finished_load(bool late) {
     finished_loads_.Add({{"result", late ? "late" : "in_time"}}).Increment();
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -27,7 +27,8 @@
     void observe_first_byte(const request_kind& kind, core::common::duration value); // from arrival
     void count_store_call(const std::string& call, const std::string& result);
     void count_order(const std::string& operation, const std::string& result);
-    void count_finished_load(bool late);                                      // from the weight store
+    void count_turn(const std::string& result); // to send a prompt: given, missed, unused
+    void count_finished_load(bool late);        // from the weight store
     void tell_watch_age(const std::string& kind, core::common::duration age); // since the store answered
 
     prometheus::Gauge& waiting;    // requests
@@ -46,6 +47,7 @@
     prometheus::Family<prometheus::Histogram>& first_bytes_;
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Family<prometheus::Counter>& orders_;
+    prometheus::Family<prometheus::Counter>& turns_;
     prometheus::Family<prometheus::Counter>& finished_loads_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
 };
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -108,6 +108,23 @@
     tell(audience::everybody);
 }
 
+void peers::send_to(const std::string& peer, const std::string& frame) {
+    if (const auto known = addresses_.find(peer); known != addresses_.end())
+        send(known->second, frame);
+}
+
+std::vector<std::string> peers::gateways_in_contact() const {
+    const auto now = context_.loop.now();
+    std::vector<std::string> out{context_.settings.name};
+    for (const auto& [name, peer] : heard_) {
+        const auto& heard = peer.status.heard;
+        const bool mutual = std::find(heard.begin(), heard.end(), context_.settings.name) != heard.end();
+        if (mutual && peer.in_contact(now) && !peer.status.leaving)
+            out.push_back(name);
+    }
+    return out;
+}
+
 bool peers::gives_orders(const std::string& peer) const {
     const auto known = heard_.find(peer);
     return known != heard_.end() && known->second.status.gives_orders &&
@@ -261,11 +278,28 @@
         const auto count = socket_.recv(bytes.data(), bytes.size(), from);
         if (count <= 0)
             return 0;
-        const auto frame = edge::decode_frame({bytes.data(), static_cast<std::size_t>(count)});
-        if (!frame || frame->header.kind != wire::message_kind::peer_status)
-            continue;
-        if (const auto status = edge::decode_body<wire::peer_status>(frame->body))
-            take(*status);
+        if (const auto frame = edge::decode_frame({bytes.data(), static_cast<std::size_t>(count)}))
+            take(*frame);
+    }
+}
+
+/// Datagrams that are malformed or of an unknown kind are left out.
+void peers::take(const edge::frame& frame) {
+    const auto decode_for = [&]<class message_type>(auto& taker, message_type*) {
+        if (const auto message = edge::decode_body<message_type>(frame.body))
+            taker.take(*message);
+    };
+    switch (frame.header.kind) {
+    case wire::message_kind::peer_status:
+        return decode_for(*this, static_cast<wire::peer_status*>(nullptr));
+    case wire::message_kind::turn_request:
+        return decode_for(*turns_, static_cast<wire::turn_request*>(nullptr));
+    case wire::message_kind::turn_answer:
+        return decode_for(*turns_, static_cast<wire::turn_answer*>(nullptr));
+    case wire::message_kind::turn_use:
+        return decode_for(*turns_, static_cast<wire::turn_use*>(nullptr));
+    default:
+        return;
     }
 }
 
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -8,6 +8,7 @@
 #include "edge/http_client.hpp"
 #include "programs/gateway/dispatcher.hpp"
 #include "programs/gateway/forwarder.hpp"
+#include "programs/gateway/reading_turns.hpp"
 #include "programs/gateway/store_watch.hpp"
 
 #include <ace/SOCK_Dgram.h>
@@ -44,6 +45,7 @@
     peers(peers&&) = delete;
     peers& operator=(peers&&) = delete;
 
+    void attach(reading_turns& turns) { turns_ = &turns; }
     bool start(); // false: the address can't be had
     void change_members(const std::map<std::string, std::string>& addresses);
     // Soon, besides the steady rate:
@@ -51,6 +53,9 @@
     void tell_order_giver();   // a model is waited for that wasn't before
     void tell_of_departures(); // if targets that leave or data centres taken out have changed
     void say_leaving();
+    void send_to(const std::string& peer,
+                 const std::string& frame); // nothing happens if its address is unknown
+    [[nodiscard]] std::vector<std::string> gateways_in_contact() const; // that stay; this one included
     [[nodiscard]] const std::map<std::string, peer_state>& heard() const { return heard_; }
 
 private:
@@ -66,6 +71,7 @@
     void add_details(wire::peer_status& to) const;
     void send(const std::string& address, const std::string& frame);
     [[nodiscard]] bool gives_orders(const std::string& peer) const;
+    void take(const edge::frame& frame);
     void take(const wire::peer_status& status);
     void take_store_news(const wire::peer_status& status);
     [[nodiscard]] bool sends_registrations_to(const std::string& peer) const;
@@ -77,6 +83,7 @@
 
     gateway_context& context_;
     parts parts_;
+    reading_turns* turns_ = nullptr;
     std::int64_t boot_;
     std::int64_t sequence_ = 0;
     ACE_SOCK_Dgram socket_;
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -20,6 +20,8 @@
     in.section("dispatch", false, [&](edge::settings_section& dispatch) {
         out.prompt_tokens_at_once = static_cast<int>(
             dispatch.whole("prompt_tokens_at_once", 0, 1'000'000, out.prompt_tokens_at_once));
+        out.prompt_tokens_per_second = static_cast<int>(
+            dispatch.whole("prompt_tokens_per_second", 0, 10'000'000, out.prompt_tokens_per_second));
     });
     in.section("retries", false, [&](edge::settings_section& retries) {
         out.retries.ratio = retries.number("ratio", 0, 10, out.retries.ratio);
--- a/src/programs/gateway/settings.hpp
+++ b/src/programs/gateway/settings.hpp
@@ -21,6 +21,7 @@
     core::common::milliseconds drain{8'000};      // SIGTERM: requests may run for so long
     int request_lines{500};                       // a second of each kind of log line about requests
     int prompt_tokens_at_once{0};         // of prompts not yet read at one engine, sent from here; 0: any
+    int prompt_tokens_per_second{0};      // of prompts to one engine, from all gateways; 0: any
     core::retries::window_limits retries; // of the whole fleet
     core::placing::planner_limits placing;
 };
--- /dev/null
+++ b/src/simulation/reading.hpp
@@ -0,0 +1,234 @@
+/// Many gateways that send prompts to the one engine that holds a model: what their callers get.
+///
+/// Arrivals are Poisson; prompts and answers have the lengths of the users' sheets. Each gateway knows its
+/// own streams alone, and decides by a policy when the next prompt may go.
+#pragma once
+
+#include "core/dispatch/read_turns.hpp"
+#include "simulation/engine.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace waxwinglb::simulation {
+
+/// When one gateway may send its next prompt to one target.
+template<class T>
+concept sending_policy = requires(T policy, int tokens, core::common::time_point now) {
+    {
+        policy.may_send(tokens, tokens, now)
+        } -> std::same_as<bool>; // unread there and its own, of this gateway
+    policy.sent(tokens);
+};
+
+struct reading_load {
+    int gateways = 5;
+    double arrivals_per_s = 10;
+    core::common::milliseconds length{30'000};    // of the run
+    core::common::milliseconds first_aim{800};    // first events within it are on time
+    core::common::milliseconds pause_aim{300};    // between two events
+    core::common::milliseconds last_start{7'200}; // a request that waits for longer is refused
+};
+
+/// What became of the requests.
+struct reading_result {
+    int asked = 0;
+    int on_time = 0;
+    int late_first = 0; // first event after its aim
+    int paused = 0;     // first event on time, a pause too long
+    int refused = 0;
+};
+
+/// One run; `make` gives each gateway its policy.
+template<sending_policy Policy>
+class reading_run {
+public:
+    reading_run(const reading_load& load, std::uint64_t seed, std::function<Policy()> make)
+        : load_(load), random_(seed), engine_(engine_speed{}) {
+        for (int i = 0; i < load.gateways; ++i)
+            gateways_.push_back({make(), {}, 0});
+    }
+    reading_result run();
+
+private:
+    using time_point = core::common::time_point;
+    using duration = core::common::duration;
+    struct request {
+        generation what;
+        std::size_t gateway = 0;
+        time_point arrived{};
+        std::optional<time_point> last_event;
+        bool first_on_time = false;
+        bool paused = false;
+    };
+    struct gateway {
+        Policy policy;
+        std::vector<int> waiting; // in order of arrival
+        int unread = 0;           // prompt tokens at the engine without a first event
+    };
+    void arrive(time_point now);
+    void pump(gateway& one, time_point now);
+    void take_event(const engine_event& event, time_point now);
+    [[nodiscard]] int length(double mean, double spread, double most);
+
+    static constexpr time_point start{std::chrono::hours{1}};
+    static constexpr core::common::milliseconds look_again{5};
+    reading_load load_;
+    std::mt19937_64 random_;
+    engine engine_;
+    std::vector<gateway> gateways_;
+    std::vector<request> requests_;
+    reading_result result_;
+};
+
+template<sending_policy Policy>
+reading_result reading_run<Policy>::run() {
+    std::exponential_distribution<double> gap(load_.arrivals_per_s);
+    const auto next_gap = [&] {
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(random_)));
+    };
+    time_point arrival = start + next_gap();
+    time_point step_end = time_point::max();
+    time_point look = start;
+    for (time_point now = start; now < start + load_.length; now = std::min({arrival, step_end, look})) {
+        if (now == step_end) {
+            for (const engine_event& event : engine_.end_step())
+                take_event(event, now);
+            step_end = time_point::max();
+        }
+        if (now >= arrival) {
+            arrive(now);
+            arrival = now + next_gap();
+        }
+        for (gateway& one : gateways_)
+            pump(one, now);
+        look = now + look_again;
+        if (!engine_.busy())
+            step_end = engine_.begin_step(now);
+    }
+    return result_;
+}
+
+template<sending_policy Policy>
+void reading_run<Policy>::arrive(time_point now) {
+    request one;
+    one.what.number = static_cast<int>(requests_.size());
+    one.what.prompt_tokens = 350 + length(1'110, 1.0, 3'790); // a part that is shared, and its own
+    one.what.events = length(43, 0.89, 150);
+    one.gateway = std::uniform_int_distribution<std::size_t>{0, gateways_.size() - 1}(random_);
+    one.arrived = now;
+    gateways_[one.gateway].waiting.push_back(one.what.number);
+    requests_.push_back(one);
+    ++result_.asked;
+}
+
+/// Those that can still be on time go first, as at a gateway.
+template<sending_policy Policy>
+void reading_run<Policy>::pump(gateway& one, time_point now) {
+    std::erase_if(one.waiting, [&](int number) {
+        const bool overdue = now - requests_[static_cast<std::size_t>(number)].arrived >= load_.last_start;
+        result_.refused += overdue ? 1 : 0;
+        return overdue;
+    });
+    std::stable_partition(one.waiting.begin(), one.waiting.end(), [&](int number) {
+        return now - requests_[static_cast<std::size_t>(number)].arrived < load_.first_aim;
+    });
+    while (!one.waiting.empty()) {
+        const generation& first = requests_[static_cast<std::size_t>(one.waiting.front())].what;
+        if (!one.policy.may_send(one.unread, first.prompt_tokens, now))
+            return;
+        one.policy.sent(first.prompt_tokens);
+        one.unread += first.prompt_tokens;
+        engine_.submit(first);
+        one.waiting.erase(one.waiting.begin());
+    }
+}
+
+template<sending_policy Policy>
+void reading_run<Policy>::take_event(const engine_event& event, time_point now) {
+    request& one = requests_[static_cast<std::size_t>(event.number)];
+    gateway& owner = gateways_[one.gateway];
+    if (!one.last_event) {
+        owner.unread -= one.what.prompt_tokens;
+        one.first_on_time = now - one.arrived <= load_.first_aim;
+    } else {
+        const duration pause = now - *one.last_event;
+        one.paused = one.paused || pause > load_.pause_aim;
+    }
+    one.last_event = now;
+    if (!event.last)
+        return;
+    result_.late_first += one.first_on_time ? 0 : 1;
+    result_.paused += one.first_on_time && one.paused ? 1 : 0;
+    result_.on_time += one.first_on_time && !one.paused ? 1 : 0;
+}
+
+/// Log-normal with that mean; `spread` is the standard deviation of its logarithm.
+template<sending_policy Policy>
+int reading_run<Policy>::length(double mean, double spread, double most) {
+    std::lognormal_distribution<double> draw(std::log(mean) - spread * spread / 2, spread);
+    return std::max(1, static_cast<int>(std::min(most, draw(random_))));
+}
+
+// ---- policies ----------------------------------------------------------------------------------------
+
+/// Sends at once: the baseline.
+struct no_bound {
+    [[nodiscard]] bool may_send(int, int, core::common::time_point) const { return true; }
+    void sent(int) {}
+};
+
+/// At most so many prompt tokens unread, of this gateway's.
+struct own_window {
+    int most = 2'000;
+    [[nodiscard]] bool may_send(int unread, int tokens, core::common::time_point) const {
+        return unread == 0 || unread + tokens <= most;
+    }
+    void sent(int) {}
+};
+
+/// Turns that one of the gateways gives; messages between gateways arrive at once.
+class turn_taking {
+public:
+    /// What the gateways of one run share.
+    struct exchange {
+        core::dispatch::turn_keeper keeper;
+        std::map<std::string, turn_taking*> gateways;
+        double tokens_per_ms = 16;
+        int last = 0; // gateway, by number
+    };
+    explicit turn_taking(std::shared_ptr<exchange> with)
+        : with_(std::move(with)), name_("g" + std::to_string(with_->last++)) {}
+
+    [[nodiscard]] bool may_send(int, int tokens, core::common::time_point now) {
+        using step = core::dispatch::turn_seeker::step;
+        with_->gateways[name_] = this;
+        if (seeker_.next(now) == step::ask) {
+            const auto number = seeker_.ask(tokens, now);
+            const auto wait = with_->keeper.ask({name_, number}, tokens, with_->tokens_per_ms, now);
+            seeker_.queued(number, wait, now);
+        }
+        while (const auto turn = with_->keeper.next(with_->tokens_per_ms, now))
+            with_->gateways.at(turn->gateway)->seeker_.given(turn->number);
+        return seeker_.next(now) == step::send;
+    }
+    void sent(int tokens) {
+        if (const auto number = seeker_.sent(tokens))
+            with_->keeper.sent({name_, *number}, tokens, with_->tokens_per_ms);
+    }
+
+private:
+    std::shared_ptr<exchange> with_;
+    std::string name_;
+    core::dispatch::turn_seeker seeker_;
+};
+
+} // namespace waxwinglb::simulation
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -125,6 +125,7 @@
         self.born, self.sequence, self.busy_until = int(time.time() * 1000), 1, 0.0
         self.coming = None           # a model whose load ends at busy_until
         self.runs = []               # ids of the requests that ran
+        self.run_times = []          # when each of them came, in seconds
         self.cut_after = None        # events after which every stream breaks off
         self.breaks_on = None        # a body that breaks the connection as soon as it runs
         self.cold_ms = 0             # as registered
@@ -175,6 +176,7 @@
         if call.headers.get("Target-Instance") != self.name or wish and wish not in self.models:
             return call.answer(421, {}, [("Instance-Id", self.name)])
         self.runs.append((identity, dict(call.headers), body))
+        self.run_times.append(time.monotonic())
         self.hold.wait()
         if self.breaks_on is not None and body == self.breaks_on:
             call.close_connection = True
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -14,106 +14,19 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
-from gateway_standins import Store, Target, configuration
-from harness import STOP_LIMIT_S, Failure, Ports, Program, arguments, request, run_cases, wait_until
+from gateway_fleet import KEY, Fleet, expect, expect_told
+from gateway_standins import configuration
+from harness import STOP_LIMIT_S, Failure, arguments, request, run_cases, wait_until
 
 ARGUMENTS = arguments(__doc__)
-KEY = "k-norte"
 COLD_PER_S, COLD_OVER, COLD_SLACK = 13, 1.5, 5      # stated: FAILBACK's bound is COLD_PER_S * COLD_OVER + COLD_SLACK a second
 # Of one datagram to a peer that asks for nothing: 5 % of a link of 10 Mbit/s, in a fleet of 31 gateways that hear each
 # other every 350 ms.
 MEAN_DATAGRAM_BYTES = 10_000_000 / 8 * 0.05 * 0.35 / 30
 
 
-class Fleet:
-    """A store, targets and gateways; everything is ended at the end."""
-
-    def __init__(self, gateways=1, **settings):
-        """`settings`: of every gateway, beside its name and addresses."""
-        self.temporary, self.ports, self.gateways = tempfile.TemporaryDirectory(), Ports(), []
-        self.settings = {"lease_term": "3s", **settings}
-        self.store = Store(self.ports.address())
-        self.store.put("config", "main", configuration())
-        self.number = 0
-        for number in range(gateways):
-            self.add_gateway(f"g{number + 1}")
-
-    def add_gateway(self, name):
-        settings = {"name": name, "data_centre": "a", "store": self.store.address, **self.settings,
-                    **{one: self.ports.address() for one in ("http", "readiness", "metrics", "peers")}}
-        binary = pathlib.Path(ARGUMENTS.bin) / "waxwing-gateway"
-        self.gateways.append(Program(binary, self.temporary.name, settings, settings["metrics"]))
-
-    def target(self, name, service, **more):
-        return Target(self.store, self.ports.address(), name, service, **more)
-
-    def __enter__(self):
-        return self
-
-    def start(self):
-        for one in self.gateways:
-            one.start()
-        for one in self.gateways:
-            wait_until(lambda one=one: self.readiness(one) == 200, f"{one.name} is ready")
-        return self
-
-    def __exit__(self, *unused):
-        for one in self.gateways:
-            if one.running():
-                one.kill()
-        for door in [self.store.door]:
-            door.shutdown()
-        self.temporary.cleanup()
-
-    @staticmethod
-    def readiness(gateway):
-        return request(gateway.settings["readiness"], "GET", "/readiness", timeout=5).status
-
-    def headers(self, model=None, **more):
-        self.number += 1
-        out = {"Host": "shop.example", "Request-Id": f"r{self.number}", "X-Api-Key": KEY, "Deadline-Remaining": "10000"}
-        if model:
-            out.update({"Model": model, "Token-Count": "100,40", "Prompt-Prefix": "aa:50,bb:50"})
-        out.update({name.replace("_", "-"): value for name, value in more.items()})
-        return out
-
-    def ask(self, path, headers, body=b"x", method="POST", gateway=0):
-        return request(self.gateways[gateway].settings["http"], method, path, body, headers)
-
-    def events(self, name, gateway=None):
-        """Lines of an event, of all gateways or one."""
-        lines = "".join(one.log_text() for one in self.gateways if gateway in (None, one.name)).splitlines()
-        decoded = [json.loads(line) for line in lines if line.startswith("{")]
-        return [one for one in decoded if one["event"] == name]
-
-    def wait_for_a_target(self):
-        wait_until(lambda: all(self.events("target_changed", one.name) for one in self.gateways), "all know the target")
-
-    def wait_for_orders(self):
-        return wait_until(lambda: self.events("lease_taken"), "a gateway gives orders")
-
-    def cause(self, request_id):
-        """What waxwing-timeline says of the request, from the logs of all gateways."""
-        logs = sum((["--log", str(one.log)] for one in self.gateways), [])
-        tool = pathlib.Path(ARGUMENTS.bin) / "waxwing-timeline"
-        wait_until(lambda: any(one["subject"] == request_id for name in ("request_refused", "request_cut", "request_answered")
-                               for one in self.events(name)), f"the end of {request_id} is in the log")
-        return subprocess.run([str(tool), *logs, "--subject", request_id], capture_output=True, text=True, check=True).stdout
-
-
-def expect(got, wanted, what):
-    if got != wanted:
-        raise Failure(f"{what}: expected {wanted!r}, got {got!r}")
-
-
-def expect_told(told, *parts):
-    for part in parts:
-        if part not in told:
-            raise Failure(f"{part!r} is not in:\n{told}")
-
-
 def requests_reach_their_targets_and_carry_what_they_should():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         engine, ledger = fleet.target("t1", "engine", models=["m0"]), fleet.target("l1", "ledger", slots=6)
         fleet.start()
         wait_until(lambda: len(fleet.events("target_changed")) >= 2, "both targets are known")
@@ -138,7 +51,7 @@
 
 
 def what_the_configuration_does_not_allow_is_refused_at_once():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         fleet.target("l1", "ledger", slots=6)
         fleet.start()
         expect(fleet.ask("/elsewhere/", fleet.headers()).status, 404, "unknown path")
@@ -158,7 +71,7 @@
 
 
 def a_caller_that_leaves_is_given_up():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         ledger = fleet.target("l1", "ledger", slots=6)
         fleet.start()
         ledger.hold.clear()
@@ -173,7 +86,7 @@
 
 
 def a_stream_that_breaks_goes_on_at_another_target():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         first = fleet.target("t1", "engine", models=["m0"])
         fleet.start()
         wait_until(lambda: fleet.events("target_changed"), "the target is known")
@@ -188,7 +101,7 @@
 
 
 def refused_in_overload_the_cause_is_found():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         fleet.target("l1", "ledger", slots=6)
         fleet.start()
         fleet.store.put("config", "main", configuration(version=3, rate=100))
@@ -203,7 +116,7 @@
 
 
 def broken_off_at_a_change_of_the_order_giver_the_cause_is_found():
-    with Fleet(gateways=2) as fleet:
+    with Fleet(ARGUMENTS.bin, gateways=2) as fleet:
         target = fleet.target("t1", "engine", models=["m0"])
         fleet.start()
         taken = fleet.wait_for_orders()
@@ -231,7 +144,7 @@
 
 
 def a_restarted_order_giver_goes_on_without_waiting_for_itself():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         fleet.target("t1", "engine", models=["m0"])
         fleet.start()
         fleet.wait_for_orders()
@@ -244,7 +157,7 @@
 
 
 def waited_for_a_model_that_came_too_late_the_cause_is_found():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         fleet.target("t1", "engine", models=["m0"])
         fleet.start()
         fleet.wait_for_orders()
@@ -256,7 +169,7 @@
 
 
 def what_is_known_to_come_too_late_is_refused_at_once():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         fleet.target("t1", "engine", models=["m0"])
         fleet.start()
         fleet.wait_for_orders()
@@ -270,7 +183,7 @@
 
 
 def a_model_on_disk_is_loaded_on_demand_and_an_adapter_beside_it():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         fleet.target("t1", "engine", models=["m0", "m1", "m2"], on_disk=["m3", "m4"])
         fleet.start()
         expect(fleet.ask("/dossier/1", fleet.headers("m4")).status, 200, "a model that is not loaded")
@@ -278,7 +191,7 @@
 
 
 def a_gateway_that_the_store_turns_away_learns_from_its_peer():
-    with Fleet(gateways=2) as fleet:
+    with Fleet(ARGUMENTS.bin, gateways=2) as fleet:
         fleet.target("l1", "ledger", slots=6)
         fleet.start()
         fleet.wait_for_a_target()
@@ -291,7 +204,7 @@
 
 
 def a_peer_that_asks_for_nothing_is_told_little():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         for number in range(20):
             fleet.target(f"engine-{number}", "engine", models=[f"model-{number}-{one}" for one in "abc"])
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as listener:
@@ -316,7 +229,7 @@
 
 
 def a_request_that_breaks_its_targets_is_condemned_at_all_gateways():
-    with Fleet(gateways=2) as fleet:
+    with Fleet(ARGUMENTS.bin, gateways=2) as fleet:
         ledger = fleet.target("l1", "ledger", slots=6)
         ledger.breaks_on = b"poison"
         fleet.start()
@@ -333,7 +246,7 @@
 
 
 def a_cold_target_gets_no_more_than_its_rate():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         configuration_ = configuration()
         configuration_["services"][1]["cold_per_s"] = COLD_PER_S
         fleet.store.put("config", "main", configuration_)
@@ -355,7 +268,7 @@
 
 
 def sigterm_finishes_what_runs_and_refuses_what_comes_late():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         ledger = fleet.target("l1", "ledger", slots=6)
         fleet.start()
         ledger.hold.clear()
@@ -386,7 +299,7 @@
 
 
 def settings_are_read_again_and_faulty_ones_kept_out():
-    with Fleet() as fleet:
+    with Fleet(ARGUMENTS.bin) as fleet:
         fleet.target("l1", "ledger", slots=6)
         fleet.start()
         gateway = fleet.gateways[0]
@@ -402,7 +315,7 @@
 
 def lines_about_requests_are_cut_to_a_rate_and_the_rest_is_counted():
     calls, per_second = 40, 5
-    with Fleet(log={"request_lines_per_second": per_second}) as fleet:
+    with Fleet(ARGUMENTS.bin, log={"request_lines_per_second": per_second}) as fleet:
         fleet.target("l1", "ledger", slots=6)
         fleet.start()
         begun = time.monotonic()
@@ -421,7 +334,7 @@
 
 
 def metrics_are_read_by_a_prometheus_parser():
-    with Fleet(gateways=2) as fleet:
+    with Fleet(ARGUMENTS.bin, gateways=2) as fleet:
         fleet.target("l1", "ledger", slots=6)
         fleet.start()
         expect(fleet.ask("/cert/1", fleet.headers()).status, 200, "service")
