Wait by poll in HTTP servers that stop accepting, so that MHD does not abort

Change: servers that may stop accepting say so (`drains`: administration and the platform's stand-in) and wait by poll, whose set is built anew each time; all others keep epoll and their pools.

--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -159,9 +159,9 @@
     impl& operator=(impl&&) = delete;
 
     bool start();
-    /// Shut down, not closed: MHD's threads still take the socket out of their epoll sets.
+    /// Shut down, not closed: MHD's threads may still be waiting for it.
     void stop_accepting() {
-        if (daemon_ == nullptr || quiesced_ != MHD_INVALID_SOCKET)
+        if (daemon_ == nullptr || !options_.drains || quiesced_ != MHD_INVALID_SOCKET)
             return;
         quiesced_ = MHD_quiesce_daemon(daemon_);
         if (quiesced_ != MHD_INVALID_SOCKET)
@@ -284,7 +284,10 @@
         htons(static_cast<std::uint16_t>(std::strtoul(options_.address.c_str() + colon + 1, nullptr, 10)));
     if (inet_pton(AF_INET, options_.address.substr(0, colon).c_str(), &local.sin_addr) != 1)
         return false;
-    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
+    // MHD_quiesce_daemon and MHD's own threads both take the listening socket out of an epoll set, and whoever
+    // comes second aborts the process. A poll set is built anew for each wait.
+    unsigned flags = options_.drains ? MHD_USE_POLL_INTERNAL_THREAD : MHD_USE_EPOLL_INTERNAL_THREAD;
+    flags |= MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
     std::vector<MHD_OptionItem> extra{
         {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(std::max(1U, options_.threads)), nullptr},
         {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options_.max_connections), nullptr},
--- a/src/edge/http_server.hpp
+++ b/src/edge/http_server.hpp
@@ -88,6 +88,7 @@
 struct http_server_options {
     std::string address = "127.0.0.1:0"; // "ip:port"; port 0 picks one
     unsigned threads = 2;                // MHD's pool
+    bool drains = false;                 // stop_accepting() may be called
     std::size_t max_body = 4U << 20U;    // bytes; larger ones get 413
     std::size_t max_header = 32U << 10U; // bytes for all headers of one request
     std::size_t max_unsent = 8U << 20U;  // bytes of a stream that a slow caller may leave unread
@@ -106,7 +107,7 @@
     http_server& operator=(http_server&&) = delete;
 
     bool start();          // false if the address can't be had
-    void stop_accepting(); // closes the listening socket; open exchanges go on
+    void stop_accepting(); // closes the listening socket; open exchanges go on. Only if it `drains`
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t open_exchanges() const; // requests not completely answered
 
--- a/src/programs/admin/run.cpp
+++ b/src/programs/admin/run.cpp
@@ -70,6 +70,7 @@
         edge::http_server_options out;
         out.address = settings.http;
         out.max_body = max_body;
+        out.drains = true;
         return out;
     }
 
--- a/standins/platform/platform.cpp
+++ b/standins/platform/platform.cpp
@@ -24,6 +24,7 @@
     edge::http_server_options out;
     out.address = settings.listen;
     out.max_body = max_body_bytes;
+    out.drains = true;
     return out;
 }
 
--- a/tests/contract/http_test.cpp
+++ b/tests/contract/http_test.cpp
@@ -34,6 +34,12 @@
     edge::http_server server;
 };
 
+edge::http_server_options drains() {
+    edge::http_server_options out;
+    out.drains = true;
+    return out;
+}
+
 struct caller {
     edge::client_result wait() {
         auto one = results.pop_until(core::common::clock::now() + patience);
@@ -178,7 +184,7 @@
 }
 
 TEST(http, open_exchanges_finish_after_the_server_stops_accepting) {
-    server_under_test served;
+    server_under_test served{drains()};
     caller one;
     one.send(get(served.url("/slow")));
     const auto exchange = served.next();
@@ -190,6 +196,20 @@
     EXPECT_EQ(one.wait().body, "done");
 }
 
+// Each round gives the server's threads a reason to look at the listening socket just when it is taken away.
+TEST(http, a_server_stops_accepting_while_its_threads_wake_up) {
+    constexpr int rounds = 2'000;
+    for (int round = 0; round < rounds; ++round) {
+        server_under_test served{drains()};
+        caller one;
+        one.send(get(served.url("/now")));
+        const auto exchange = served.next();
+        exchange->respond({200, {}, "done"}); // wakes the thread that holds the connection
+        served.server.stop_accepting();
+        ASSERT_EQ(one.wait().body, "done");
+    }
+}
+
 TEST(http, a_server_ends_while_exchanges_wait) {
     auto served = std::make_unique<server_under_test>();
     caller one;
