--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -284,8 +284,8 @@
         htons(static_cast<std::uint16_t>(std::strtoul(options_.address.c_str() + colon + 1, nullptr, 10)));
     if (inet_pton(AF_INET, options_.address.substr(0, colon).c_str(), &local.sin_addr) != 1)
         return false;
-    // MHD_quiesce_daemon and MHD's own threads both take the listening socket out of an epoll set, and whoever
-    // comes second aborts the process. A poll set is built anew for each wait.
+    // MHD_quiesce_daemon and MHD's own threads both take the listening socket out of an epoll set, and
+    // whoever comes second aborts the process. A poll set is built anew for each wait.
     unsigned flags = options_.drains ? MHD_USE_POLL_INTERNAL_THREAD : MHD_USE_EPOLL_INTERNAL_THREAD;
     flags |= MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
     std::vector<MHD_OptionItem> extra{
