--- a/src/programs/gateway/reading_turns.cpp
+++ b/src/programs/gateway/reading_turns.cpp
@@ -4,7 +4,6 @@
 
 using core::common::duration;
 using core::common::milliseconds;
-using core::dispatch::turn_keeper;
 using core::dispatch::turn_seeker;
 using wire::message_kind;
 
--- a/tests/programs/test_steward_leases.py
+++ b/tests/programs/test_steward_leases.py
@@ -2,6 +2,7 @@
 """Control shards over real stewards: planned handover, death, a freeze past the term, a store that goes away."""
 import json
 import sys
+from collections import Counter
 
 from harness import Deployment, arguments, request, run_cases, small_layout, wait_until
 
@@ -49,13 +50,18 @@
         """True once every shard is held and exactly these stewards hold them."""
         return {value["holder"] for value in self.leases()} == set(names)
 
+    def wait_halves(self):
+        """Until each steward holds half of the shards: nothing is on its way from one to the other any more."""
+        wait_until(lambda: sorted(Counter(value["holder"] for value in self.leases()).items()) ==
+                   [("steward-1", SHARDS // 2), ("steward-2", SHARDS // 2)], "halves are held")
+
     def wait_held_by(self, *names):
         wait_until(lambda: self.held_by(*names), f"shards are held by {names}")
 
 
 def planned_stop_hands_over():
     with Stewards() as all_:
-        wait_until(lambda: [v["holder"] for v in all_.leases()].count("steward-1") == SHARDS // 2, "halves are held")
+        all_.wait_halves()
         before = {shard: value["fencing"] for shard, value in enumerate(all_.leases())
                   if value["holder"] == "steward-1"}
         assert all_.program("steward-1").stop() == 0
@@ -90,7 +96,7 @@
 
 def leases_survive_lost_answers():
     with Stewards() as all_:
-        all_.wait_held_by("steward-1", "steward-2")
+        all_.wait_halves()
         held = [(value["holder"], value["fencing"]) for value in all_.leases()]
         all_.deployment.fault("lose_answer", match="shards/", count=40)
         for _ in range(30):
