--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	@thrift -r --gen cpp:no_skeleton,moveable_types -out src/gen idl/waxwing.thrift
 sanitize: install ## runs the tests under AddressSanitizer/UBSan, then ThreadSanitizer
 	@scripts/sanitize
-soak: build      ## runs the property tests longer: make soak SEED=7
+soak: build      ## runs the property tests longer, then the gateway under random faults: make soak SEED=7
 	@scripts/soak $(BUILD) $(SEED)
 bench: build     ## runs the micro benchmarks
 	@$(BUILD)/waxwing-bench
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -128,6 +128,7 @@
         self.run_times = []          # when each of them came, in seconds
         self.cut_after = None        # events after which every stream breaks off
         self.breaks_on = None        # a body that breaks the connection as soon as it runs
+        self.breaks_all = False      # every body does
         self.cold_ms = 0             # as registered
         self.hold = threading.Event()
         self.hold.set()              # cleared: runs wait
@@ -178,7 +179,7 @@
         self.runs.append((identity, dict(call.headers), body))
         self.run_times.append(time.monotonic())
         self.hold.wait()
-        if self.breaks_on is not None and body == self.breaks_on:
+        if self.breaks_all or self.breaks_on is not None and body == self.breaks_on:
             call.close_connection = True
             return call.connection.shutdown(socket.SHUT_RDWR)
         signed = [("Request-Id", identity), ("Response-Signature", "sig-" + identity)]
