Keep turns defined when their pace is set to none; name what a newcomer stumbles over

Cause, found in the last read: with prompt_tokens_per_second set to 0 while turns are under way, a turn's length was divided by zero. Change: such turns take no time (new test; without the guard it gets a length that is not a number). Behaviour as before.

--- a/src/core/dispatch/read_turns.cpp
+++ b/src/core/dispatch/read_turns.cpp
@@ -14,7 +14,10 @@
 constexpr milliseconds answer_limit{40}; // a round trip between gateways takes a few milliseconds
 constexpr milliseconds turn_slack{150}; // beyond the time foretold; then the turn, or the word of it, is lost
 
+/// None if turns are not spaced any more: the setting may change while some are under way.
 duration reading_time(int tokens, double tokens_per_ms) {
+    if (tokens <= 0 || tokens_per_ms <= 0)
+        return duration::zero();
     const std::chrono::duration<double, std::milli> out{tokens / tokens_per_ms};
     return std::chrono::duration_cast<duration>(out);
 }
--- a/src/programs/experiment/reading.cpp
+++ b/src/programs/experiment/reading.cpp
@@ -21,8 +21,8 @@
 std::vector<outcome> run_reading(std::uint64_t seed, double arrivals_per_s) {
     simulation::reading_load load;
     load.arrivals_per_s = arrivals_per_s;
-    const auto play = [&]<simulation::sending_policy Policy>(std::function<Policy()> make) {
-        return simulation::reading_run<Policy>{load, seed, std::move(make)}.run();
+    const auto play = [&]<simulation::sending_policy policy_type>(std::function<policy_type()> make) {
+        return simulation::reading_run<policy_type>{load, seed, std::move(make)}.run();
     };
     const auto exchange = std::make_shared<simulation::turn_taking::exchange>();
     const auto take_turns = [&] { return simulation::turn_taking{exchange}; };
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -285,19 +285,23 @@
 
 /// Datagrams that are malformed or of an unknown kind are left out.
 void peers::take(const edge::frame& frame) {
-    const auto decode_for = [&]<class message_type>(auto& taker, message_type*) {
-        if (const auto message = edge::decode_body<message_type>(frame.body))
-            taker.take(*message);
-    };
     switch (frame.header.kind) {
     case wire::message_kind::peer_status:
-        return decode_for(*this, static_cast<wire::peer_status*>(nullptr));
+        if (const auto status = edge::decode_body<wire::peer_status>(frame.body))
+            take(*status);
+        return;
     case wire::message_kind::turn_request:
-        return decode_for(*turns_, static_cast<wire::turn_request*>(nullptr));
+        if (const auto question = edge::decode_body<wire::turn_request>(frame.body))
+            turns_->take(*question);
+        return;
     case wire::message_kind::turn_answer:
-        return decode_for(*turns_, static_cast<wire::turn_answer*>(nullptr));
+        if (const auto answer = edge::decode_body<wire::turn_answer>(frame.body))
+            turns_->take(*answer);
+        return;
     case wire::message_kind::turn_use:
-        return decode_for(*turns_, static_cast<wire::turn_use*>(nullptr));
+        if (const auto use = edge::decode_body<wire::turn_use>(frame.body))
+            turns_->take(*use);
+        return;
     default:
         return;
     }
--- a/src/simulation/engine.hpp
+++ b/src/simulation/engine.hpp
@@ -46,7 +46,6 @@
     /// What the step made that ends now.
     std::vector<engine_event> end_step();
     [[nodiscard]] bool busy() const { return busy_; }
-    [[nodiscard]] int unread() const { return static_cast<int>(waiting_.size()); } // prompts
 
 private:
     struct unread_prompt {
--- a/src/simulation/reading.hpp
+++ b/src/simulation/reading.hpp
@@ -20,12 +20,11 @@
 
 namespace waxwinglb::simulation {
 
-/// When one gateway may send its next prompt to one target.
-template<class T>
-concept sending_policy = requires(T policy, int tokens, core::common::time_point now) {
-    {
-        policy.may_send(tokens, tokens, now)
-        } -> std::same_as<bool>; // unread there and its own, of this gateway
+/// When one gateway may send its next prompt to one target: of so many tokens, while so many of the prompts
+/// that it has sent there are unread.
+template<class policy_type>
+concept sending_policy = requires(policy_type policy, int tokens, core::common::time_point now) {
+    { policy.may_send(tokens, tokens, now) } -> std::same_as<bool>; // unread, of the next prompt
     policy.sent(tokens);
 };
 
@@ -48,10 +47,10 @@
 };
 
 /// One run; `make` gives each gateway its policy.
-template<sending_policy Policy>
+template<sending_policy policy_type>
 class reading_run {
 public:
-    reading_run(const reading_load& load, std::uint64_t seed, std::function<Policy()> make)
+    reading_run(const reading_load& load, std::uint64_t seed, std::function<policy_type()> make)
         : load_(load), random_(seed), engine_(engine_speed{}) {
         for (int i = 0; i < load.gateways; ++i)
             gateways_.push_back({make(), {}, 0});
@@ -70,7 +69,7 @@
         bool paused = false;
     };
     struct gateway {
-        Policy policy;
+        policy_type policy;
         std::vector<int> waiting; // in order of arrival
         int unread = 0;           // prompt tokens at the engine without a first event
     };
@@ -89,8 +88,8 @@
     reading_result result_;
 };
 
-template<sending_policy Policy>
-reading_result reading_run<Policy>::run() {
+template<sending_policy policy_type>
+reading_result reading_run<policy_type>::run() {
     std::exponential_distribution<double> gap(load_.arrivals_per_s);
     const auto next_gap = [&] {
         return std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(random_)));
@@ -117,8 +116,8 @@
     return result_;
 }
 
-template<sending_policy Policy>
-void reading_run<Policy>::arrive(time_point now) {
+template<sending_policy policy_type>
+void reading_run<policy_type>::arrive(time_point now) {
     request one;
     one.what.number = static_cast<int>(requests_.size());
     one.what.prompt_tokens = 350 + length(1'110, 1.0, 3'790); // a part that is shared, and its own
@@ -131,8 +130,8 @@
 }
 
 /// Those that can still be on time go first, as at a gateway.
-template<sending_policy Policy>
-void reading_run<Policy>::pump(gateway& one, time_point now) {
+template<sending_policy policy_type>
+void reading_run<policy_type>::pump(gateway& one, time_point now) {
     std::erase_if(one.waiting, [&](int number) {
         const bool overdue = now - requests_[static_cast<std::size_t>(number)].arrived >= load_.last_start;
         result_.refused += overdue ? 1 : 0;
@@ -152,8 +151,8 @@
     }
 }
 
-template<sending_policy Policy>
-void reading_run<Policy>::take_event(const engine_event& event, time_point now) {
+template<sending_policy policy_type>
+void reading_run<policy_type>::take_event(const engine_event& event, time_point now) {
     request& one = requests_[static_cast<std::size_t>(event.number)];
     gateway& owner = gateways_[one.gateway];
     if (!one.last_event) {
@@ -172,8 +171,8 @@
 }
 
 /// Log-normal with that mean; `spread` is the standard deviation of its logarithm.
-template<sending_policy Policy>
-int reading_run<Policy>::length(double mean, double spread, double most) {
+template<sending_policy policy_type>
+int reading_run<policy_type>::length(double mean, double spread, double most) {
     std::lognormal_distribution<double> draw(std::log(mean) - spread * spread / 2, spread);
     return std::max(1, static_cast<int>(std::min(most, draw(random_))));
 }
--- a/tests/core/read_turns_test.cpp
+++ b/tests/core/read_turns_test.cpp
@@ -71,6 +71,18 @@
     EXPECT_EQ(given(one, now + 399ms), "none");
 }
 
+TEST(turn_keeper, gives_turns_at_once_when_they_are_not_spaced_any_more) {
+    turn_keeper one;
+    one.ask({"a", 1}, 1'000, pace, now);
+    EXPECT_EQ(given(one, now), "a");
+    one.ask({"b", 1}, 1'000, 0, now);
+    one.sent({"a", 1}, 2'000, 0);
+    const auto turn = one.next(0, now);
+    ASSERT_TRUE(turn.has_value());
+    EXPECT_EQ(turn->gateway, "b");
+    EXPECT_EQ(one.free_at(), now);
+}
+
 TEST(turn_seeker, a_silent_keeper_is_not_waited_for) {
     turn_seeker one;
     EXPECT_EQ(one.next(now), turn_seeker::step::ask);
