--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -165,6 +165,8 @@
 /** What a target holds, as known to the gateway that sends it orders. coming: models being loaded. */
 struct target_holding { 1: string target, 2: i64 born, 3: i64 sequence, 4: list<string> models, 5: list<coming_model> coming }
 struct leaving_target { 1: string target, 2: i64 born }
+/** A data centre that stays out for so long, although the store, restored from an older copy, lacks its entry. */
+struct held_centre { 1: string data_centre, 2: i64 left_ms }
 /** A target's registration, for a gateway that can't read the store. */
 struct target_registration {
   1: string target, 2: i64 born, 3: string service_name, 4: string address, 5: string data_centre, 6: i32 slots,
@@ -186,7 +188,8 @@
   10: list<target_use> uses, 11: list<model_demand> demands, 12: list<customer_use> customers,
   13: list<target_holding> holdings, 14: list<leaving_target> leaving_targets, 15: list<quarantine> suspects,
   16: bool wants_registrations, 17: list<target_registration> registrations, 18: string address,
-  19: list<target_load> loads, 20: bool gives_orders, 21: list<target_registration> starts
+  19: list<target_load> loads, 20: bool gives_orders, 21: list<target_registration> starts,
+  22: i64 centres_era, 23: list<held_centre> centres_held, 24: bool informed
 }
 
 /** A gateway asks the gateway that schedules a target's prompts (its keeper) for a turn to send it a prompt. */
--- a/src/core/claims/claim_log.cpp
+++ b/src/core/claims/claim_log.cpp
@@ -128,13 +128,13 @@
     if (!segments_to_remove_.empty()) {
         const std::int64_t segment = segments_to_remove_.back();
         segments_to_remove_.pop_back();
-        return step{step_kind::remove_segment, segment, 0, {}};
+        return step{step_kind::remove_segment, segment, {}, {}};
     }
     if (call_in_flight_ || now < pause_until_)
         return std::nullopt;
     std::optional<step> out;
     if (phase_ == phase::unread)
-        out = step{step_kind::read_head, 0, 0, {}};
+        out = step{step_kind::read_head, 0, {}, {}};
     else if (phase_ == phase::reading_segments)
         out = read_next_segment();
     else
@@ -145,7 +145,7 @@
 }
 
 std::optional<step> claim_log::read_next_segment() {
-    return step{step_kind::read_segment, head_.segments[segments_read_], 0, {}};
+    return step{step_kind::read_segment, head_.segments[segments_read_], {}, {}};
 }
 
 std::optional<step> claim_log::seal() {
@@ -154,7 +154,7 @@
            unnamed_segments_.end())
         ++*sealing_segment_;
     segment_stored_ = false;
-    return step{step_kind::create_segment, *sealing_segment_, 0, encode_segment(head_.records)};
+    return step{step_kind::create_segment, *sealing_segment_, {}, encode_segment(head_.records)};
 }
 
 std::optional<step> claim_log::write_batch(unix_time wall) {
@@ -174,7 +174,7 @@
     next.read_only = !writes;
     batch_ = std::move(next);
     if (batch_->read_only)
-        return step{step_kind::read_head, 0, 0, {}};
+        return step{step_kind::read_head, 0, {}, {}};
     return step{step_kind::write_head, 0, version_, encode(batch_->head)};
 }
 
@@ -216,7 +216,7 @@
     pause_until_ = now + options_.retry_after;
 }
 
-void claim_log::head_read(store_result result, std::int64_t version, const std::string& body,
+void claim_log::head_read(store_result result, common::store_position version, const std::string& body,
                           time_point now) {
     call_in_flight_ = false;
     auto head = result == store_result::absent ? log_head{} : decode_log_head(body).value_or(log_head{});
@@ -270,7 +270,7 @@
     phase_ = phase::ready;
 }
 
-void claim_log::head_written(store_result result, std::int64_t version, time_point now) {
+void claim_log::head_written(store_result result, common::store_position version, time_point now) {
     call_in_flight_ = false;
     if (result != store_result::ok) {
         if (result == store_result::failed || result == store_result::unknown)
--- a/src/core/claims/claim_log.hpp
+++ b/src/core/claims/claim_log.hpp
@@ -14,6 +14,7 @@
 #pragma once
 
 #include "core/claims/record.hpp"
+#include "core/common/store_position.hpp"
 #include "core/common/time.hpp"
 
 #include <cstdint>
@@ -40,9 +41,9 @@
 /// A call to the store. At most one is in flight, apart from removals.
 struct step {
     step_kind kind = step_kind::read_head;
-    std::int64_t segment = 0;    // for the segment calls
-    std::int64_t if_version = 0; // for write_head; 0: the head must be absent
-    std::string body;            // for the writes
+    std::int64_t segment = 0;          // for the segment calls
+    common::store_position if_version; // for write_head; revision 0: the head must be absent
+    std::string body;                  // for the writes
 };
 
 enum class store_result { ok, absent, conflict, failed, unknown };
@@ -74,10 +75,10 @@
     /// The next call to carry out; nullopt while a call is in flight or none is due.
     std::optional<step> next_step(common::time_point now, common::unix_time wall);
     // Results of the step in flight. `version` and `body` are those of the object that was read or written.
-    void head_read(store_result result, std::int64_t version, const std::string& body,
+    void head_read(store_result result, common::store_position version, const std::string& body,
                    common::time_point now);
     void segment_read(store_result result, const std::string& body, common::time_point now);
-    void head_written(store_result result, std::int64_t version, common::time_point now);
+    void head_written(store_result result, common::store_position version, common::time_point now);
     void segment_created(store_result result, common::time_point now);
 
     std::vector<answer> take_answers() { return std::exchange(answers_, {}); }
@@ -124,7 +125,7 @@
     bool call_in_flight_ = false;
     bool failing_ = false; // the last call to the store failed or its answer was lost
     common::time_point pause_until_{};
-    std::int64_t version_ = 0; // of head_
+    common::store_position version_; // of head_
     log_head head_;
     std::map<std::string, claim> records_;                    // all records, by key
     std::map<std::int64_t, std::int64_t> segment_kept_until_; // Unix ms, by segment
--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -37,8 +37,11 @@
     if (!in_store_outage_)
         return;
     in_store_outage_ = false;
-    if (unanswered_for < shortest_lapsing_outage)
-        return;
+    if (unanswered_for >= shortest_lapsing_outage)
+        begin_lapse_grace(now);
+}
+
+void directory::begin_lapse_grace(time_point now) {
     outage_ended_at_ = now;
     for (auto& [id, known] : targets_)
         if (known.lapsed_until)
@@ -53,11 +56,17 @@
             remove(change.id, now);
 }
 
-void directory::replace_all(const std::vector<target_entry>& entries, time_point now) {
+void directory::replace_all(const std::vector<target_entry>& entries, time_point now, list_source source) {
+    if (source == list_source::restored_store) {
+        in_store_outage_ = outage_reported_only_ = false;
+        begin_lapse_grace(now);
+    }
     std::set<std::string> listed;
     for (const target_entry& entry : entries) {
         listed.insert(entry.id);
-        upsert(entry, now);
+        const auto used = source == list_source::store ? entry : corrected(entry);
+        if (used)
+            upsert(*used, now);
     }
     std::vector<std::string> missing;
     for (const auto& [id, known] : targets_)
@@ -68,13 +77,26 @@
     loaded_ = true;
 }
 
+std::optional<target_entry> directory::corrected(const target_entry& entry) const {
+    const target* known = find(entry.id);
+    if (left_.contains({entry.id, entry.born}) || (known != nullptr && known->entry.born > entry.born))
+        return std::nullopt;
+    target_entry out = entry;
+    if (known != nullptr && known->entry.born == entry.born)
+        out.draining = entry.draining || known->entry.draining || known->leaving_by_peer;
+    return out;
+}
+
 void directory::upsert(const target_entry& entry, time_point now) {
+    const target_start start{entry.id, entry.born};
     if (!entry.draining)
-        left_.erase({entry.id, entry.born}); // its registration had lapsed for longer than the grace
+        left_.erase(start); // its registration had lapsed for longer than the grace
     target& known = targets_[entry.id];
     const bool same_start = known.entry.born == entry.born && !known.entry.id.empty();
     if (!same_start)
         known = {};
+    if (const auto said = said_leaving_.find(start); said != said_leaving_.end())
+        known.said_leaving_at = said->second;
     known.lapsed_until.reset();
     const bool described =
         same_start && known.described_at != time_point{} && now - known.described_at < description_term;
@@ -95,7 +117,7 @@
     const auto found = targets_.find(id);
     if (found == targets_.end())
         return;
-    if (!in_outage(now) || found->second.entry.draining) {
+    if (!in_outage(now) || found->second.entry.draining || found->second.said_leaving_at) {
         left_[{id, found->second.entry.born}] = now;
         targets_.erase(found);
         return;
@@ -118,11 +140,25 @@
     known.described_at = now;
 }
 
-void directory::mark_leaving(const std::string& id, std::int64_t born) {
-    const auto found = targets_.find(id);
-    if (found == targets_.end() || found->second.entry.born != born)
-        return;
-    found->second.leaving_by_peer = true;
+void directory::mark_leaving(const target_start& start) {
+    const auto found = targets_.find(start.id);
+    if (found != targets_.end() && found->second.entry.born == start.born)
+        found->second.leaving_by_peer = true;
+}
+
+bool directory::note_said_leaving(const target_start& start, time_point now) {
+    const auto found = targets_.find(start.id);
+    if (found == targets_.end() || found->second.entry.born != start.born || found->second.said_leaving_at)
+        return false;
+    found->second.said_leaving_at = now;
+    said_leaving_[start] = now;
+    return true;
+}
+
+void directory::note_pause(const target_start& start, common::milliseconds length, time_point now) {
+    const auto found = targets_.find(start.id);
+    if (found != targets_.end() && found->second.entry.born == start.born)
+        found->second.pause = target_pause{now, now + length};
 }
 
 void directory::merge_from_peer(const target_entry& entry, time_point now) {
@@ -150,18 +186,20 @@
     loaded_ = loaded_ || !entries.empty();
 }
 
-std::vector<directory::leaving> directory::leaving_targets() const {
-    std::vector<leaving> result;
+std::vector<target_start> directory::leaving_targets() const {
+    std::vector<target_start> result;
     for (const auto& [start, at] : left_)
-        result.push_back({start.first, start.second});
+        result.push_back(start);
     for (const auto& [id, known] : targets_)
-        if (known.entry.draining && !left_.contains({id, known.entry.born}))
+        if ((known.entry.draining || known.said_leaving_at) && !left_.contains({id, known.entry.born}))
             result.push_back({id, known.entry.born});
     return result;
 }
 
 std::vector<std::string> directory::expire(time_point now) {
     std::erase_if(left_, [&](const auto& entry) { return now - entry.second > left_retention; });
+    std::erase_if(said_leaving_,
+                  [&](const auto& entry) { return now - entry.second > said_leaving_retention; });
     std::vector<std::string> dropped;
     for (auto known = targets_.begin(); known != targets_.end();) {
         const auto& lapsed_until = known->second.lapsed_until;
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -6,6 +6,12 @@
 /// target could not renew it: the target is kept until `lapse_grace` after the end of the outage and then
 /// dropped, unless its registration is back. The grace is shorter if only the order giver has reported the
 /// outage and no call of this process failed.
+///
+/// A store that was restored from an older copy lists registrations as they were some seconds ago. Until a
+/// target writes its registration again, what was known before the restore holds.
+///
+/// A target also speaks for itself in its answers: that it is leaving, or that it wants no requests from this
+/// process for some time. Both hold for the start of the target that said so.
 #pragma once
 
 #include "core/fleet/model.hpp"
@@ -26,6 +32,13 @@
 constexpr common::milliseconds outage_report_delay{1'600}; // from the store's last answer to that report
 constexpr common::milliseconds left_retention{30'000};     // how long peers are told that a target has left
 constexpr common::milliseconds description_term{3'000};    // order giver's data overrides registrations
+constexpr common::milliseconds said_leaving_retention{600'000}; // longer than any target takes to leave
+
+/// A time for which a target wants no requests from this process.
+struct target_pause {
+    common::time_point since{};
+    common::time_point until{};
+};
 
 /// One target and what this process knows of it.
 struct target {
@@ -37,9 +50,12 @@
     std::int64_t orders = 0;                          // accepted orders, as of `described_at`
     common::time_point described_at{};                // time of the order giver's last description
     bool leaving_by_peer = false; // a peer says so; never passed on, reset by the next registration
+    std::optional<common::time_point> said_leaving_at; // by an answer of the target; holds for this start
+    std::optional<target_pause> pause;                 // the latest that the target asked for
 
     /// True if no more requests may be sent to it.
-    [[nodiscard]] bool leaving() const { return entry.draining || leaving_by_peer; }
+    [[nodiscard]] bool leaving() const { return entry.draining || leaving_by_peer || said_leaving_at; }
+    [[nodiscard]] bool paused(common::time_point now) const { return pause && now < pause->until; }
 };
 
 /// One change of a registration, as a watch reports it.
@@ -48,12 +64,26 @@
     std::optional<target_entry> entry; // nullopt: the registration was removed
 };
 
+/// Where a complete list of registrations comes from.
+enum class list_source {
+    store,
+    restored_store, // the first list after the store was restored from an older copy
+};
+
+/// One start of a target.
+struct target_start {
+    std::string id;
+    std::int64_t born = 0;
+    auto operator<=>(const target_start&) const = default;
+};
+
 class directory {
 public:
     /// Applies changes in the order in which they were made; one batch may both change and remove a target.
     void apply(const std::vector<target_change>& changes, common::time_point now);
     /// Applies a complete list. Targets that it lacks are treated like removed ones.
-    void replace_all(const std::vector<target_entry>& entries, common::time_point now);
+    void replace_all(const std::vector<target_entry>& entries, common::time_point now,
+                     list_source source = list_source::store);
     void upsert(const target_entry& entry, common::time_point now);
     void remove(const std::string& id, common::time_point now);
 
@@ -72,18 +102,19 @@
                   const std::map<std::string, std::vector<std::string>>& models,
                   const std::map<std::string, common::time_point>& coming, common::time_point now);
     /// A peer reports that a target is leaving or has left: no more requests are sent to this start of it.
-    void mark_leaving(const std::string& id, std::int64_t born);
+    void mark_leaving(const target_start& start);
+
+    // What a target said in an answer to this process. No effect if another start has taken its place.
+    bool note_said_leaving(const target_start& start, common::time_point now); // true: this is new
+    void note_pause(const target_start& start, common::milliseconds length, common::time_point now);
+
     /// A peer reports a target that has started or become cold. Applied only where newer than what is known.
     void merge_from_peer(const target_entry& entry, common::time_point now);
     /// Replaces the list by a peer's, for a process that can't read the store itself. Known models are kept.
     void adopt(const std::vector<target_entry>& entries, common::time_point now);
 
     /// Starts of targets that are leaving or have left recently, to tell the peers.
-    struct leaving {
-        std::string id;
-        std::int64_t born = 0;
-    };
-    [[nodiscard]] std::vector<leaving> leaving_targets() const;
+    [[nodiscard]] std::vector<target_start> leaving_targets() const;
 
     /// Drops targets whose grace has ended. Returns their ids.
     std::vector<std::string> expire(common::time_point now);
@@ -95,9 +126,13 @@
 private:
     [[nodiscard]] bool in_outage(common::time_point now) const;
     [[nodiscard]] common::milliseconds grace() const; // for lapsed registrations
+    /// The entry of a restored store's list, corrected by what is known; nullopt: it must not be used.
+    [[nodiscard]] std::optional<target_entry> corrected(const target_entry& entry) const;
+    void begin_lapse_grace(common::time_point now);
 
     std::map<std::string, target> targets_;
-    std::map<std::pair<std::string, std::int64_t>, common::time_point> left_; // (id, born) -> when it left
+    std::map<target_start, common::time_point> left_;         // -> when it left
+    std::map<target_start, common::time_point> said_leaving_; // -> when it said so; kept while it lapses
     bool loaded_ = false;
     bool in_store_outage_ = false;
     bool outage_reported_only_ = false;      // in the last outage: by the order giver; no own call failed
--- a/src/core/membership/lease.cpp
+++ b/src/core/membership/lease.cpp
@@ -1,5 +1,7 @@
 #include "core/membership/lease.hpp"
 
+#include "core/membership/store_eras.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -7,6 +9,7 @@
 namespace waxwinglb::core::membership {
 namespace {
 
+using common::store_position;
 using common::time_point;
 using nlohmann::json;
 
@@ -46,17 +49,16 @@
 bool shard_lease::takeable(time_point now) const {
     if (!known_ || write_in_flight_)
         return false;
-    return record_.holder.empty() || held_by_previous_start() ||
-           (!mine_ && free_for(now) >= common::duration::zero());
+    return held_by_previous_start() || (!mine_ && free_for(now) >= common::duration::zero());
 }
 
 bool shard_lease::held_by_previous_start() const {
-    return self_.reclaims_own_lease && known_ && !mine_ && record_.holder == self_.holder &&
-           record_.address == self_.address;
+    return self_.reclaims_own_lease && known_ && !mine_ && !from_earlier_era() &&
+           record_.holder == self_.holder && record_.address == self_.address;
 }
 
 common::duration shard_lease::free_for(time_point now) const {
-    if (record_.holder.empty())
+    if (record_.holder.empty() && !may_be_held_in_earlier_era())
         return now - changed_at_;
     return now - (changed_at_ + std::max(record_.term, times_.term) + times_.margin);
 }
@@ -69,7 +71,7 @@
     if (!takeable(now))
         return std::nullopt;
     lease_record next = record_;
-    next.fencing += 1;
+    next.fencing = std::max(record_.fencing, fencing_floor(version_.era)) + 1;
     next.holder = self_.holder;
     next.address = self_.address;
     releasing_ = false;
@@ -108,7 +110,8 @@
     return out;
 }
 
-void shard_lease::written(std::int64_t sequence, write_result result, std::int64_t version, time_point now) {
+void shard_lease::written(std::int64_t sequence, write_result result, store_position version,
+                          time_point now) {
     if (sequence == last_sequence_)
         write_in_flight_ = false;
     const auto found =
@@ -131,13 +134,13 @@
     adopt(record);
 }
 
-void shard_lease::observe_version(std::int64_t version, time_point now) {
+void shard_lease::observe_version(store_position version, time_point now) {
     if (observed_ && version <= version_)
         return; // unchanged, or an outdated answer
     advance(version, now);
 }
 
-void shard_lease::observe_record(std::int64_t version, const std::optional<lease_record>& record,
+void shard_lease::observe_record(store_position version, const std::optional<lease_record>& record,
                                  time_point now) {
     if (observed_ && version < version_)
         return;
@@ -146,18 +149,41 @@
     adopt(record.value_or(lease_record{}));
 }
 
-void shard_lease::advance(std::int64_t version, time_point now) {
+void shard_lease::enter_era(std::int64_t era, time_point now) {
+    if (era > version_.era)
+        advance({era, 0}, now);
+}
+
+void shard_lease::advance(store_position version, time_point now) {
+    if (version.era > version_.era) {
+        held_before_era_ = mine_ && !releasing_ && now < held_until_;
+        pending_writes_.clear(); // lost with the old era, or without effect on what this process holds
+        mine_ = false;
+        releasing_ = false;
+        write_in_flight_ = false;
+        held_until_ = {};
+    }
     version_ = version;
     changed_at_ = now;
     observed_ = true;
     known_ = false;
 }
 
+/// A store that states eras and has no record of the lease may have lost one. Its holder may not know yet.
+bool shard_lease::may_be_held_in_earlier_era() const {
+    return version_.era > 0 && version_.revision == 0 && !held_before_era_;
+}
+
+bool shard_lease::from_earlier_era() const {
+    return record_.fencing > 0 && record_.fencing < fencing_floor(version_.era);
+}
+
 /// Sets `record` as the content of version_. If this process wrote it, the term of that write is valid.
 void shard_lease::adopt(const lease_record& record) {
     record_ = record;
     known_ = true;
-    mine_ = record.boot == self_.boot && record.holder == self_.holder && !record.holder.empty();
+    mine_ = record.boot == self_.boot && record.holder == self_.holder && !record.holder.empty() &&
+            !from_earlier_era();
     if (!mine_) {
         held_until_ = {};
         releasing_ = false;
--- a/src/core/membership/lease.hpp
+++ b/src/core/membership/lease.hpp
@@ -5,8 +5,13 @@
 /// from before it sent the write; another process waits a whole term plus a margin, on its own clock, after
 /// it last saw the version change. After a write whose answer is lost, reading the object shows whether it
 /// took effect.
+///
+/// A restore of the store from an older copy ends all leases: a record from an earlier era, which its low
+/// fencing number shows, has no holder, and the former holder must take the lease again. The others first
+/// wait until its term must have ended, since it may not know of the restore.
 #pragma once
 
+#include "core/common/store_position.hpp"
 #include "core/common/time.hpp"
 
 #include <cstdint>
@@ -55,7 +60,7 @@
 
 /// A conditional update that the caller executes. Its result is reported to shard_lease::written.
 struct lease_write {
-    std::int64_t if_version = 0; // 0: the object must be absent
+    common::store_position if_version; // revision 0: the object must be absent
     std::int64_t sequence = 0;
     std::string value;
 };
@@ -73,8 +78,8 @@
     /// True while an earlier start of this process, which has ended, holds the lease.
     [[nodiscard]] bool held_by_previous_start() const;
     [[nodiscard]] std::int64_t fencing() const { return record_.fencing; }
-    [[nodiscard]] const lease_record& record() const { return record_; } // content of version()
-    [[nodiscard]] std::int64_t version() const { return version_; }      // newest known version; 0: absent
+    [[nodiscard]] const lease_record& record() const { return record_; }      // content of version()
+    [[nodiscard]] common::store_position version() const { return version_; } // newest; revision 0: absent
     [[nodiscard]] bool known() const { return known_; } // record() is the content of version()
 
     /// True if record() must be read before anything can be decided.
@@ -93,29 +98,37 @@
     std::optional<lease_write> release(std::string state, common::time_point now);
 
     // Results and observations from the store.
-    void written(std::int64_t sequence, write_result result, std::int64_t version, common::time_point now);
-    void observe_version(std::int64_t version, common::time_point now); // from a list; 0: absent
-    void observe_record(std::int64_t version, const std::optional<lease_record>& record,
+    void written(std::int64_t sequence, write_result result, common::store_position version,
+                 common::time_point now);
+    void observe_version(common::store_position version, common::time_point now); // from a list
+    void observe_record(common::store_position version, const std::optional<lease_record>& record,
                         common::time_point now);
+    /// The store was restored: this process holds nothing until it has taken the lease again.
+    void enter_era(std::int64_t era, common::time_point now);
+    /// True if this process held the lease until it learned of the current era: no other process did.
+    [[nodiscard]] bool held_before_era() const { return held_before_era_; }
 
 private:
     struct pending_write {
-        std::int64_t if_version;
+        common::store_position if_version;
         common::time_point sent_at;
         lease_record record;
     };
     lease_write send(lease_record record, common::time_point now);
-    void advance(std::int64_t version, common::time_point now);
+    void advance(common::store_position version, common::time_point now);
+    [[nodiscard]] bool may_be_held_in_earlier_era() const;
+    [[nodiscard]] bool from_earlier_era() const; // record_ was written before the last restore
     void adopt(const lease_record& record);
 
     lease_identity self_;
     lease_times times_;
-    std::int64_t version_ = 0;
+    common::store_position version_;
     bool known_ = false; // record_ is the content of version_
     lease_record record_;
     common::time_point changed_at_{}; // when version_ was first seen here
     bool observed_ = false;           // any version was seen so far
     bool mine_ = false;
+    bool held_before_era_ = false; // held when it learned of the current era: nobody else did
     bool releasing_ = false;
     bool write_in_flight_ = false;
     common::time_point held_until_{};
--- a/src/core/timeline/request_trace.cpp
+++ b/src/core/timeline/request_trace.cpp
@@ -25,6 +25,7 @@
     reason_text{"whole", "Its target's answer was forwarded completely."},
     reason_text{"target_error", "Its target ran it and answered with an error of its own."},
     reason_text{"no_configuration", "This gateway had not read any configuration yet."},
+    reason_text{"starting", "This gateway had just started, and the store might have been behind the fleet."},
     reason_text{"no_route", "No route of the configuration in force matches its host and path."},
     reason_text{"no_request_id", "It had no id."},
     reason_text{"no_key", "It had no key, on a route that requires one."},
@@ -43,6 +44,7 @@
     reason_text{
         "cold",
         "The targets that could serve it had just started and accepted only a few requests a second."},
+    reason_text{"paused", "The targets that could serve it had asked for a time without requests."},
     reason_text{"no_adapter", "Its adapter was loaded on no target in time."},
     reason_text{"loading",
                 "Its model was still being loaded when its time ran out, or could not be loaded in time."},
@@ -73,8 +75,8 @@
 
 bool is_fleet_event(const std::string& event) {
     return event.starts_with("lease_") || event.starts_with("store_") || event.starts_with("peer_") ||
-           event.starts_with("config_") || event == "data_centres_out" || event.starts_with("process_") ||
-           event == "lines_dropped";
+           event.starts_with("config_") || event == "data_centres_out" || event == "target_leaving" ||
+           event == "target_paused" || event.starts_with("process_") || event == "lines_dropped";
 }
 
 std::string text_of(const ordered_json& value) {
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -24,6 +24,7 @@
 inline constexpr std::string_view settings_refused = "settings_refused";
 inline constexpr std::string_view store_lost = "store_lost";
 inline constexpr std::string_view store_regained = "store_regained";
+inline constexpr std::string_view store_restored = "store_restored";
 inline constexpr std::string_view peer_lost = "peer_lost";
 inline constexpr std::string_view peer_regained = "peer_regained";
 inline constexpr std::string_view config_in_force = "config_in_force";
@@ -32,6 +33,9 @@
 inline constexpr std::string_view target_changed = "target_changed";
 inline constexpr std::string_view target_ignored = "target_ignored";
 inline constexpr std::string_view target_suspected = "target_suspected";
+inline constexpr std::string_view target_leaving = "target_leaving";
+inline constexpr std::string_view target_paused = "target_paused";
+inline constexpr std::string_view target_notice_ignored = "target_notice_ignored";
 inline constexpr std::string_view lease_taken = "lease_taken";
 inline constexpr std::string_view lease_lost = "lease_lost";
 inline constexpr std::string_view order_sent = "order_sent";
@@ -48,13 +52,14 @@
 inline constexpr std::string_view request_abandoned = "request_abandoned";
 inline constexpr std::string_view lines_left_out = "lines_left_out";
 inline constexpr std::string_view lines_dropped = "lines_dropped";
-inline constexpr std::array all{process_started,   process_stopping, process_stopped,  settings_reloaded,
-                                settings_refused,  store_lost,       store_regained,   peer_lost,
-                                peer_regained,     config_in_force,  config_refused,   data_centres_out,
-                                target_changed,    target_ignored,   target_suspected, lease_taken,
-                                lease_lost,        order_sent,       order_answered,   load_finished,
-                                request_waiting,   turn_missed,      request_sent,     request_retried,
-                                request_refused,   rate_refused,     request_answered, request_cut,
+inline constexpr std::array all{process_started,   process_stopping, process_stopped,       settings_reloaded,
+                                settings_refused,  store_lost,       store_regained,        store_restored,
+                                target_leaving,    target_paused,    target_notice_ignored, peer_lost,
+                                peer_regained,     config_in_force,  config_refused,        data_centres_out,
+                                target_changed,    target_ignored,   target_suspected,      lease_taken,
+                                lease_lost,        order_sent,       order_answered,        load_finished,
+                                request_waiting,   turn_missed,      request_sent,          request_retried,
+                                request_refused,   rate_refused,     request_answered,      request_cut,
                                 request_abandoned, lines_left_out,   lines_dropped};
 /// Events about requests; each of them has its own rate limit.
 inline constexpr std::array about_requests{request_waiting,  turn_missed,     request_sent,
--- a/src/edge/platform_client.cpp
+++ b/src/edge/platform_client.cpp
@@ -1,31 +1,30 @@
 #include "edge/platform_client.hpp"
 
-#include <nlohmann/json.hpp>
+#include "edge/http_reader.hpp"
 
-#include <charconv>
+#include <nlohmann/json.hpp>
 
 namespace waxwinglb::edge {
 namespace {
 
 using core::common::milliseconds;
+using core::common::store_position;
 using nlohmann::json;
 
 constexpr int status_precondition_failed = 412;
 constexpr int status_too_large = 413;
 
-/// Returns the number in an entity tag such as "17"; 0 without an ETag header.
-std::int64_t version_of(const std::vector<http_field>& headers) {
-    for (const http_field& field : headers) {
-        if (field.name != "etag")
-            continue;
-        std::string_view text{field.value};
-        while (!text.empty() && (text.front() < '0' || text.front() > '9'))
-            text.remove_prefix(1);
-        std::int64_t out = 0;
-        std::from_chars(text.data(), text.data() + text.size(), out);
-        return out;
-    }
-    return 0;
+/// Returns the position in an entity tag such as "17" or "2.17"; none without a valid ETag header.
+store_position version_of(const std::vector<http_field>& headers) {
+    const std::string* tag = find_field(headers, "etag");
+    if (tag == nullptr || tag->size() < 2)
+        return {};
+    return core::common::parse_store_position(std::string_view{*tag}.substr(1, tag->size() - 2))
+        .value_or(store_position{});
+}
+
+std::string make_tag(const store_position& version) {
+    return '"' + core::common::to_text(version) + '"';
 }
 
 store_outcome outcome_of(const client_result& result, bool writes) {
@@ -51,6 +50,14 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
 }
 
+/// A listed object's version: a number in era 0, "ERA.REVISION" in others.
+std::optional<store_position> decode_version(const json& item) {
+    const auto found = item.find("version");
+    if (found != item.end() && found->is_number_integer())
+        return store_position{0, found->get<std::int64_t>()};
+    return core::common::parse_store_position(string_field(item, "version"));
+}
+
 } // namespace
 
 std::optional<std::vector<listed_object>> decode_objects(const std::string& body) {
@@ -59,9 +66,10 @@
         return std::nullopt;
     std::vector<listed_object> out;
     for (const json& item : parsed) {
-        if (!item.is_object() || !item.contains("version") || !item["version"].is_number_integer())
+        const auto version = item.is_object() ? decode_version(item) : std::nullopt;
+        if (!version)
             return std::nullopt;
-        out.push_back({string_field(item, "key"), item["version"].get<std::int64_t>()});
+        out.push_back({string_field(item, "key"), *version});
     }
     return out;
 }
@@ -113,9 +121,11 @@
     send(make_request("GET", "/objects/" + key), std::move(done));
 }
 
-void platform_client::watch(const std::string& key, std::int64_t version, milliseconds wait, on_answer done) {
-    client_request request = make_request("GET", "/objects/" + key + "?watch=" + std::to_string(version) +
-                                                     "&wait_ms=" + std::to_string(wait.count()));
+void platform_client::watch(const std::string& key, store_position version, milliseconds wait,
+                            on_answer done) {
+    client_request request =
+        make_request("GET", "/objects/" + key + "?watch=" + core::common::to_text(version) +
+                                "&wait_ms=" + std::to_string(wait.count()));
     request.timeout = timeout_ + wait;
     send(std::move(request), std::move(done));
 }
@@ -124,19 +134,19 @@
     send(make_request("GET", "/objects?prefix=" + prefix), std::move(done));
 }
 
-void platform_client::put(const std::string& key, std::int64_t if_version, std::string body, on_answer done) {
+void platform_client::put(const std::string& key, store_position if_version, std::string body,
+                          on_answer done) {
     client_request request = make_request("PUT", "/objects/" + key);
-    request.headers.push_back(if_version == 0
-                                  ? http_field{"If-None-Match", "*"}
-                                  : http_field{"If-Match", '"' + std::to_string(if_version) + '"'});
+    request.headers.push_back(if_version.revision == 0 ? http_field{"If-None-Match", "*"}
+                                                       : http_field{"If-Match", make_tag(if_version)});
     request.headers.push_back({"Content-Type", "application/json"});
     request.body = std::move(body);
     send(std::move(request), std::move(done));
 }
 
-void platform_client::remove(const std::string& key, std::int64_t if_version, on_answer done) {
+void platform_client::remove(const std::string& key, store_position if_version, on_answer done) {
     client_request request = make_request("DELETE", "/objects/" + key);
-    request.headers.push_back({"If-Match", '"' + std::to_string(if_version) + '"'});
+    request.headers.push_back({"If-Match", make_tag(if_version)});
     send(std::move(request), std::move(done));
 }
 
--- a/src/edge/platform_client.hpp
+++ b/src/edge/platform_client.hpp
@@ -2,12 +2,16 @@
 /// key, with versions, conditional writes and watches, and a list of VMs. The gateway uses another store,
 /// whose client is platform/store_client.hpp.
 ///
+/// Versions are positions in the store's history: a store that is restored from an older copy has a new era,
+/// and a condition on a version of an earlier one never holds.
+///
 /// This client never retries; libcurl may still resend a request on a new connection if a reused one turns
 /// out to be closed. A write that ends as `unknown` may have taken effect or may still do so; the caller
 /// finds out by reading the object again.
 #pragma once
 
 #include "core/common/error.hpp"
+#include "core/common/store_position.hpp"
 #include "core/common/time.hpp"
 #include "edge/http_client.hpp"
 
@@ -31,7 +35,7 @@
 
 struct store_answer {
     store_outcome outcome = store_outcome::unavailable;
-    std::int64_t version = 0; // 0: absent
+    core::common::store_position version; // revision 0: absent
     std::string body;
     core::common::error why; // set for unavailable and unknown
 
@@ -43,7 +47,7 @@
 
 struct listed_object {
     std::string key;
-    std::int64_t version = 0;
+    core::common::store_position version;
 };
 
 /// One entry of the platform's VM list, which lags behind the actual state.
@@ -68,10 +72,13 @@
     platform_client(http_client& client, const std::string& address, core::common::milliseconds timeout);
 
     void read(const std::string& key, on_answer done);
-    void watch(const std::string& key, std::int64_t version, core::common::milliseconds wait, on_answer done);
+    void watch(const std::string& key, core::common::store_position version, core::common::milliseconds wait,
+               on_answer done);
     void list(const std::string& prefix, on_answer done);
-    void put(const std::string& key, std::int64_t if_version, std::string body, on_answer done); // 0: create
-    void remove(const std::string& key, std::int64_t if_version, on_answer done);
+    /// A condition with revision 0 creates the object.
+    void put(const std::string& key, core::common::store_position if_version, std::string body,
+             on_answer done);
+    void remove(const std::string& key, core::common::store_position if_version, on_answer done);
     void vms(on_answer done);
 
 private:
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10226,6 +10226,129 @@
 }
 
 
+held_centre::~held_centre() noexcept {
+}
+
+
+void held_centre::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void held_centre::__set_left_ms(const int64_t val) {
+  this->left_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const held_centre& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t held_centre::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->left_ms);
+          this->__isset.left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t held_centre::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("held_centre");
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(held_centre &a, held_centre &b) {
+  using ::std::swap;
+  swap(a.data_centre, b.data_centre);
+  swap(a.left_ms, b.left_ms);
+  swap(a.__isset, b.__isset);
+}
+
+held_centre::held_centre(const held_centre& other318) {
+  data_centre = other318.data_centre;
+  left_ms = other318.left_ms;
+  __isset = other318.__isset;
+}
+held_centre::held_centre(held_centre&& other319) noexcept {
+  data_centre = std::move(other319.data_centre);
+  left_ms = other319.left_ms;
+  __isset = other319.__isset;
+}
+held_centre& held_centre::operator=(const held_centre& other320) {
+  data_centre = other320.data_centre;
+  left_ms = other320.left_ms;
+  __isset = other320.__isset;
+  return *this;
+}
+held_centre& held_centre::operator=(held_centre&& other321) noexcept {
+  data_centre = std::move(other321.data_centre);
+  left_ms = other321.left_ms;
+  __isset = other321.__isset;
+  return *this;
+}
+void held_centre::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "held_centre(";
+  out << "data_centre=" << to_string(data_centre);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ")";
+}
+
+
 target_registration::~target_registration() noexcept {
 }
 
@@ -10420,50 +10543,50 @@
   swap(a.__isset, b.__isset);
 }
 
-target_registration::target_registration(const target_registration& other318) {
-  target = other318.target;
-  born = other318.born;
-  service_name = other318.service_name;
-  address = other318.address;
-  data_centre = other318.data_centre;
-  slots = other318.slots;
-  draining = other318.draining;
-  cold_ms = other318.cold_ms;
-  __isset = other318.__isset;
+target_registration::target_registration(const target_registration& other322) {
+  target = other322.target;
+  born = other322.born;
+  service_name = other322.service_name;
+  address = other322.address;
+  data_centre = other322.data_centre;
+  slots = other322.slots;
+  draining = other322.draining;
+  cold_ms = other322.cold_ms;
+  __isset = other322.__isset;
 }
-target_registration::target_registration(target_registration&& other319) noexcept {
-  target = std::move(other319.target);
-  born = other319.born;
-  service_name = std::move(other319.service_name);
-  address = std::move(other319.address);
-  data_centre = std::move(other319.data_centre);
-  slots = other319.slots;
-  draining = other319.draining;
-  cold_ms = other319.cold_ms;
-  __isset = other319.__isset;
+target_registration::target_registration(target_registration&& other323) noexcept {
+  target = std::move(other323.target);
+  born = other323.born;
+  service_name = std::move(other323.service_name);
+  address = std::move(other323.address);
+  data_centre = std::move(other323.data_centre);
+  slots = other323.slots;
+  draining = other323.draining;
+  cold_ms = other323.cold_ms;
+  __isset = other323.__isset;
 }
-target_registration& target_registration::operator=(const target_registration& other320) {
-  target = other320.target;
-  born = other320.born;
-  service_name = other320.service_name;
-  address = other320.address;
-  data_centre = other320.data_centre;
-  slots = other320.slots;
-  draining = other320.draining;
-  cold_ms = other320.cold_ms;
-  __isset = other320.__isset;
+target_registration& target_registration::operator=(const target_registration& other324) {
+  target = other324.target;
+  born = other324.born;
+  service_name = other324.service_name;
+  address = other324.address;
+  data_centre = other324.data_centre;
+  slots = other324.slots;
+  draining = other324.draining;
+  cold_ms = other324.cold_ms;
+  __isset = other324.__isset;
   return *this;
 }
-target_registration& target_registration::operator=(target_registration&& other321) noexcept {
-  target = std::move(other321.target);
-  born = other321.born;
-  service_name = std::move(other321.service_name);
-  address = std::move(other321.address);
-  data_centre = std::move(other321.data_centre);
-  slots = other321.slots;
-  draining = other321.draining;
-  cold_ms = other321.cold_ms;
-  __isset = other321.__isset;
+target_registration& target_registration::operator=(target_registration&& other325) noexcept {
+  target = std::move(other325.target);
+  born = other325.born;
+  service_name = std::move(other325.service_name);
+  address = std::move(other325.address);
+  data_centre = std::move(other325.data_centre);
+  slots = other325.slots;
+  draining = other325.draining;
+  cold_ms = other325.cold_ms;
+  __isset = other325.__isset;
   return *this;
 }
 void target_registration::printTo(std::ostream& out) const {
@@ -10573,26 +10696,26 @@
   swap(a.__isset, b.__isset);
 }
 
-target_load::target_load(const target_load& other322) {
-  target = other322.target;
-  running = other322.running;
-  __isset = other322.__isset;
+target_load::target_load(const target_load& other326) {
+  target = other326.target;
+  running = other326.running;
+  __isset = other326.__isset;
 }
-target_load::target_load(target_load&& other323) noexcept {
-  target = std::move(other323.target);
-  running = other323.running;
-  __isset = other323.__isset;
+target_load::target_load(target_load&& other327) noexcept {
+  target = std::move(other327.target);
+  running = other327.running;
+  __isset = other327.__isset;
 }
-target_load& target_load::operator=(const target_load& other324) {
-  target = other324.target;
-  running = other324.running;
-  __isset = other324.__isset;
+target_load& target_load::operator=(const target_load& other328) {
+  target = other328.target;
+  running = other328.running;
+  __isset = other328.__isset;
   return *this;
 }
-target_load& target_load::operator=(target_load&& other325) noexcept {
-  target = std::move(other325.target);
-  running = other325.running;
-  __isset = other325.__isset;
+target_load& target_load::operator=(target_load&& other329) noexcept {
+  target = std::move(other329.target);
+  running = other329.running;
+  __isset = other329.__isset;
   return *this;
 }
 void target_load::printTo(std::ostream& out) const {
@@ -10691,6 +10814,18 @@
 void peer_status::__set_starts(const std::vector<target_registration> & val) {
   this->starts = val;
 }
+
+void peer_status::__set_centres_era(const int64_t val) {
+  this->centres_era = val;
+}
+
+void peer_status::__set_centres_held(const std::vector<held_centre> & val) {
+  this->centres_held = val;
+}
+
+void peer_status::__set_informed(const bool val) {
+  this->informed = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -10755,14 +10890,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size326;
-            ::apache::thrift::protocol::TType _etype329;
-            xfer += iprot->readListBegin(_etype329, _size326);
-            this->heard.resize(_size326);
-            uint32_t _i330;
-            for (_i330 = 0; _i330 < _size326; ++_i330)
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->heard.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
             {
-              xfer += iprot->readString(this->heard[_i330]);
+              xfer += iprot->readString(this->heard[_i334]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10799,14 +10934,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size331;
-            ::apache::thrift::protocol::TType _etype334;
-            xfer += iprot->readListBegin(_etype334, _size331);
-            this->centres_out.resize(_size331);
-            uint32_t _i335;
-            for (_i335 = 0; _i335 < _size331; ++_i335)
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->centres_out.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += iprot->readString(this->centres_out[_i335]);
+              xfer += iprot->readString(this->centres_out[_i339]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10819,14 +10954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size336;
-            ::apache::thrift::protocol::TType _etype339;
-            xfer += iprot->readListBegin(_etype339, _size336);
-            this->uses.resize(_size336);
-            uint32_t _i340;
-            for (_i340 = 0; _i340 < _size336; ++_i340)
+            uint32_t _size340;
+            ::apache::thrift::protocol::TType _etype343;
+            xfer += iprot->readListBegin(_etype343, _size340);
+            this->uses.resize(_size340);
+            uint32_t _i344;
+            for (_i344 = 0; _i344 < _size340; ++_i344)
             {
-              xfer += this->uses[_i340].read(iprot);
+              xfer += this->uses[_i344].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10839,14 +10974,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size341;
-            ::apache::thrift::protocol::TType _etype344;
-            xfer += iprot->readListBegin(_etype344, _size341);
-            this->demands.resize(_size341);
-            uint32_t _i345;
-            for (_i345 = 0; _i345 < _size341; ++_i345)
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->demands.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
             {
-              xfer += this->demands[_i345].read(iprot);
+              xfer += this->demands[_i349].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10859,14 +10994,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size346;
-            ::apache::thrift::protocol::TType _etype349;
-            xfer += iprot->readListBegin(_etype349, _size346);
-            this->customers.resize(_size346);
-            uint32_t _i350;
-            for (_i350 = 0; _i350 < _size346; ++_i350)
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readListBegin(_etype353, _size350);
+            this->customers.resize(_size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
             {
-              xfer += this->customers[_i350].read(iprot);
+              xfer += this->customers[_i354].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10879,14 +11014,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size351;
-            ::apache::thrift::protocol::TType _etype354;
-            xfer += iprot->readListBegin(_etype354, _size351);
-            this->holdings.resize(_size351);
-            uint32_t _i355;
-            for (_i355 = 0; _i355 < _size351; ++_i355)
+            uint32_t _size355;
+            ::apache::thrift::protocol::TType _etype358;
+            xfer += iprot->readListBegin(_etype358, _size355);
+            this->holdings.resize(_size355);
+            uint32_t _i359;
+            for (_i359 = 0; _i359 < _size355; ++_i359)
             {
-              xfer += this->holdings[_i355].read(iprot);
+              xfer += this->holdings[_i359].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10899,14 +11034,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size356;
-            ::apache::thrift::protocol::TType _etype359;
-            xfer += iprot->readListBegin(_etype359, _size356);
-            this->leaving_targets.resize(_size356);
-            uint32_t _i360;
-            for (_i360 = 0; _i360 < _size356; ++_i360)
+            uint32_t _size360;
+            ::apache::thrift::protocol::TType _etype363;
+            xfer += iprot->readListBegin(_etype363, _size360);
+            this->leaving_targets.resize(_size360);
+            uint32_t _i364;
+            for (_i364 = 0; _i364 < _size360; ++_i364)
             {
-              xfer += this->leaving_targets[_i360].read(iprot);
+              xfer += this->leaving_targets[_i364].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10919,14 +11054,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size361;
-            ::apache::thrift::protocol::TType _etype364;
-            xfer += iprot->readListBegin(_etype364, _size361);
-            this->suspects.resize(_size361);
-            uint32_t _i365;
-            for (_i365 = 0; _i365 < _size361; ++_i365)
+            uint32_t _size365;
+            ::apache::thrift::protocol::TType _etype368;
+            xfer += iprot->readListBegin(_etype368, _size365);
+            this->suspects.resize(_size365);
+            uint32_t _i369;
+            for (_i369 = 0; _i369 < _size365; ++_i369)
             {
-              xfer += this->suspects[_i365].read(iprot);
+              xfer += this->suspects[_i369].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10947,14 +11082,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size366;
-            ::apache::thrift::protocol::TType _etype369;
-            xfer += iprot->readListBegin(_etype369, _size366);
-            this->registrations.resize(_size366);
-            uint32_t _i370;
-            for (_i370 = 0; _i370 < _size366; ++_i370)
+            uint32_t _size370;
+            ::apache::thrift::protocol::TType _etype373;
+            xfer += iprot->readListBegin(_etype373, _size370);
+            this->registrations.resize(_size370);
+            uint32_t _i374;
+            for (_i374 = 0; _i374 < _size370; ++_i374)
             {
-              xfer += this->registrations[_i370].read(iprot);
+              xfer += this->registrations[_i374].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10975,14 +11110,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size371;
-            ::apache::thrift::protocol::TType _etype374;
-            xfer += iprot->readListBegin(_etype374, _size371);
-            this->loads.resize(_size371);
-            uint32_t _i375;
-            for (_i375 = 0; _i375 < _size371; ++_i375)
+            uint32_t _size375;
+            ::apache::thrift::protocol::TType _etype378;
+            xfer += iprot->readListBegin(_etype378, _size375);
+            this->loads.resize(_size375);
+            uint32_t _i379;
+            for (_i379 = 0; _i379 < _size375; ++_i379)
             {
-              xfer += this->loads[_i375].read(iprot);
+              xfer += this->loads[_i379].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11003,14 +11138,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size376;
-            ::apache::thrift::protocol::TType _etype379;
-            xfer += iprot->readListBegin(_etype379, _size376);
-            this->starts.resize(_size376);
-            uint32_t _i380;
-            for (_i380 = 0; _i380 < _size376; ++_i380)
+            uint32_t _size380;
+            ::apache::thrift::protocol::TType _etype383;
+            xfer += iprot->readListBegin(_etype383, _size380);
+            this->starts.resize(_size380);
+            uint32_t _i384;
+            for (_i384 = 0; _i384 < _size380; ++_i384)
             {
-              xfer += this->starts[_i380].read(iprot);
+              xfer += this->starts[_i384].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11019,6 +11154,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->centres_era);
+          this->__isset.centres_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->centres_held.clear();
+            uint32_t _size385;
+            ::apache::thrift::protocol::TType _etype388;
+            xfer += iprot->readListBegin(_etype388, _size385);
+            this->centres_held.resize(_size385);
+            uint32_t _i389;
+            for (_i389 = 0; _i389 < _size385; ++_i389)
+            {
+              xfer += this->centres_held[_i389].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.centres_held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->informed);
+          this->__isset.informed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11055,10 +11226,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter381;
-    for (_iter381 = this->heard.begin(); _iter381 != this->heard.end(); ++_iter381)
+    std::vector<std::string> ::const_iterator _iter390;
+    for (_iter390 = this->heard.begin(); _iter390 != this->heard.end(); ++_iter390)
     {
-      xfer += oprot->writeString((*_iter381));
+      xfer += oprot->writeString((*_iter390));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11079,10 +11250,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter382;
-    for (_iter382 = this->centres_out.begin(); _iter382 != this->centres_out.end(); ++_iter382)
+    std::vector<std::string> ::const_iterator _iter391;
+    for (_iter391 = this->centres_out.begin(); _iter391 != this->centres_out.end(); ++_iter391)
     {
-      xfer += oprot->writeString((*_iter382));
+      xfer += oprot->writeString((*_iter391));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11091,10 +11262,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter383;
-    for (_iter383 = this->uses.begin(); _iter383 != this->uses.end(); ++_iter383)
+    std::vector<target_use> ::const_iterator _iter392;
+    for (_iter392 = this->uses.begin(); _iter392 != this->uses.end(); ++_iter392)
     {
-      xfer += (*_iter383).write(oprot);
+      xfer += (*_iter392).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11103,10 +11274,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter384;
-    for (_iter384 = this->demands.begin(); _iter384 != this->demands.end(); ++_iter384)
+    std::vector<model_demand> ::const_iterator _iter393;
+    for (_iter393 = this->demands.begin(); _iter393 != this->demands.end(); ++_iter393)
     {
-      xfer += (*_iter384).write(oprot);
+      xfer += (*_iter393).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11115,10 +11286,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter385;
-    for (_iter385 = this->customers.begin(); _iter385 != this->customers.end(); ++_iter385)
+    std::vector<customer_use> ::const_iterator _iter394;
+    for (_iter394 = this->customers.begin(); _iter394 != this->customers.end(); ++_iter394)
     {
-      xfer += (*_iter385).write(oprot);
+      xfer += (*_iter394).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11127,10 +11298,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter386;
-    for (_iter386 = this->holdings.begin(); _iter386 != this->holdings.end(); ++_iter386)
+    std::vector<target_holding> ::const_iterator _iter395;
+    for (_iter395 = this->holdings.begin(); _iter395 != this->holdings.end(); ++_iter395)
     {
-      xfer += (*_iter386).write(oprot);
+      xfer += (*_iter395).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11139,10 +11310,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter387;
-    for (_iter387 = this->leaving_targets.begin(); _iter387 != this->leaving_targets.end(); ++_iter387)
+    std::vector<leaving_target> ::const_iterator _iter396;
+    for (_iter396 = this->leaving_targets.begin(); _iter396 != this->leaving_targets.end(); ++_iter396)
     {
-      xfer += (*_iter387).write(oprot);
+      xfer += (*_iter396).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11151,10 +11322,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter388;
-    for (_iter388 = this->suspects.begin(); _iter388 != this->suspects.end(); ++_iter388)
+    std::vector<quarantine> ::const_iterator _iter397;
+    for (_iter397 = this->suspects.begin(); _iter397 != this->suspects.end(); ++_iter397)
     {
-      xfer += (*_iter388).write(oprot);
+      xfer += (*_iter397).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11167,10 +11338,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter389;
-    for (_iter389 = this->registrations.begin(); _iter389 != this->registrations.end(); ++_iter389)
+    std::vector<target_registration> ::const_iterator _iter398;
+    for (_iter398 = this->registrations.begin(); _iter398 != this->registrations.end(); ++_iter398)
     {
-      xfer += (*_iter389).write(oprot);
+      xfer += (*_iter398).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11183,10 +11354,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter390;
-    for (_iter390 = this->loads.begin(); _iter390 != this->loads.end(); ++_iter390)
+    std::vector<target_load> ::const_iterator _iter399;
+    for (_iter399 = this->loads.begin(); _iter399 != this->loads.end(); ++_iter399)
     {
-      xfer += (*_iter390).write(oprot);
+      xfer += (*_iter399).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11199,15 +11370,35 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<target_registration> ::const_iterator _iter391;
-    for (_iter391 = this->starts.begin(); _iter391 != this->starts.end(); ++_iter391)
+    std::vector<target_registration> ::const_iterator _iter400;
+    for (_iter400 = this->starts.begin(); _iter400 != this->starts.end(); ++_iter400)
+    {
+      xfer += (*_iter400).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("centres_era", ::apache::thrift::protocol::T_I64, 22);
+  xfer += oprot->writeI64(this->centres_era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("centres_held", ::apache::thrift::protocol::T_LIST, 23);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->centres_held.size()));
+    std::vector<held_centre> ::const_iterator _iter401;
+    for (_iter401 = this->centres_held.begin(); _iter401 != this->centres_held.end(); ++_iter401)
     {
-      xfer += (*_iter391).write(oprot);
+      xfer += (*_iter401).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("informed", ::apache::thrift::protocol::T_BOOL, 24);
+  xfer += oprot->writeBool(this->informed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11236,105 +11427,120 @@
   swap(a.loads, b.loads);
   swap(a.gives_orders, b.gives_orders);
   swap(a.starts, b.starts);
+  swap(a.centres_era, b.centres_era);
+  swap(a.centres_held, b.centres_held);
+  swap(a.informed, b.informed);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other392) {
-  process = other392.process;
-  boot = other392.boot;
-  sequence = other392.sequence;
-  leaving = other392.leaving;
-  heard = other392.heard;
-  config_version = other392.config_version;
-  config_address = other392.config_address;
-  centres_revision = other392.centres_revision;
-  centres_out = other392.centres_out;
-  uses = other392.uses;
-  demands = other392.demands;
-  customers = other392.customers;
-  holdings = other392.holdings;
-  leaving_targets = other392.leaving_targets;
-  suspects = other392.suspects;
-  wants_registrations = other392.wants_registrations;
-  registrations = other392.registrations;
-  address = other392.address;
-  loads = other392.loads;
-  gives_orders = other392.gives_orders;
-  starts = other392.starts;
-  __isset = other392.__isset;
-}
-peer_status::peer_status(peer_status&& other393) noexcept {
-  process = std::move(other393.process);
-  boot = other393.boot;
-  sequence = other393.sequence;
-  leaving = other393.leaving;
-  heard = std::move(other393.heard);
-  config_version = other393.config_version;
-  config_address = std::move(other393.config_address);
-  centres_revision = other393.centres_revision;
-  centres_out = std::move(other393.centres_out);
-  uses = std::move(other393.uses);
-  demands = std::move(other393.demands);
-  customers = std::move(other393.customers);
-  holdings = std::move(other393.holdings);
-  leaving_targets = std::move(other393.leaving_targets);
-  suspects = std::move(other393.suspects);
-  wants_registrations = other393.wants_registrations;
-  registrations = std::move(other393.registrations);
-  address = std::move(other393.address);
-  loads = std::move(other393.loads);
-  gives_orders = other393.gives_orders;
-  starts = std::move(other393.starts);
-  __isset = other393.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other394) {
-  process = other394.process;
-  boot = other394.boot;
-  sequence = other394.sequence;
-  leaving = other394.leaving;
-  heard = other394.heard;
-  config_version = other394.config_version;
-  config_address = other394.config_address;
-  centres_revision = other394.centres_revision;
-  centres_out = other394.centres_out;
-  uses = other394.uses;
-  demands = other394.demands;
-  customers = other394.customers;
-  holdings = other394.holdings;
-  leaving_targets = other394.leaving_targets;
-  suspects = other394.suspects;
-  wants_registrations = other394.wants_registrations;
-  registrations = other394.registrations;
-  address = other394.address;
-  loads = other394.loads;
-  gives_orders = other394.gives_orders;
-  starts = other394.starts;
-  __isset = other394.__isset;
+peer_status::peer_status(const peer_status& other402) {
+  process = other402.process;
+  boot = other402.boot;
+  sequence = other402.sequence;
+  leaving = other402.leaving;
+  heard = other402.heard;
+  config_version = other402.config_version;
+  config_address = other402.config_address;
+  centres_revision = other402.centres_revision;
+  centres_out = other402.centres_out;
+  uses = other402.uses;
+  demands = other402.demands;
+  customers = other402.customers;
+  holdings = other402.holdings;
+  leaving_targets = other402.leaving_targets;
+  suspects = other402.suspects;
+  wants_registrations = other402.wants_registrations;
+  registrations = other402.registrations;
+  address = other402.address;
+  loads = other402.loads;
+  gives_orders = other402.gives_orders;
+  starts = other402.starts;
+  centres_era = other402.centres_era;
+  centres_held = other402.centres_held;
+  informed = other402.informed;
+  __isset = other402.__isset;
+}
+peer_status::peer_status(peer_status&& other403) noexcept {
+  process = std::move(other403.process);
+  boot = other403.boot;
+  sequence = other403.sequence;
+  leaving = other403.leaving;
+  heard = std::move(other403.heard);
+  config_version = other403.config_version;
+  config_address = std::move(other403.config_address);
+  centres_revision = other403.centres_revision;
+  centres_out = std::move(other403.centres_out);
+  uses = std::move(other403.uses);
+  demands = std::move(other403.demands);
+  customers = std::move(other403.customers);
+  holdings = std::move(other403.holdings);
+  leaving_targets = std::move(other403.leaving_targets);
+  suspects = std::move(other403.suspects);
+  wants_registrations = other403.wants_registrations;
+  registrations = std::move(other403.registrations);
+  address = std::move(other403.address);
+  loads = std::move(other403.loads);
+  gives_orders = other403.gives_orders;
+  starts = std::move(other403.starts);
+  centres_era = other403.centres_era;
+  centres_held = std::move(other403.centres_held);
+  informed = other403.informed;
+  __isset = other403.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other404) {
+  process = other404.process;
+  boot = other404.boot;
+  sequence = other404.sequence;
+  leaving = other404.leaving;
+  heard = other404.heard;
+  config_version = other404.config_version;
+  config_address = other404.config_address;
+  centres_revision = other404.centres_revision;
+  centres_out = other404.centres_out;
+  uses = other404.uses;
+  demands = other404.demands;
+  customers = other404.customers;
+  holdings = other404.holdings;
+  leaving_targets = other404.leaving_targets;
+  suspects = other404.suspects;
+  wants_registrations = other404.wants_registrations;
+  registrations = other404.registrations;
+  address = other404.address;
+  loads = other404.loads;
+  gives_orders = other404.gives_orders;
+  starts = other404.starts;
+  centres_era = other404.centres_era;
+  centres_held = other404.centres_held;
+  informed = other404.informed;
+  __isset = other404.__isset;
   return *this;
 }
-peer_status& peer_status::operator=(peer_status&& other395) noexcept {
-  process = std::move(other395.process);
-  boot = other395.boot;
-  sequence = other395.sequence;
-  leaving = other395.leaving;
-  heard = std::move(other395.heard);
-  config_version = other395.config_version;
-  config_address = std::move(other395.config_address);
-  centres_revision = other395.centres_revision;
-  centres_out = std::move(other395.centres_out);
-  uses = std::move(other395.uses);
-  demands = std::move(other395.demands);
-  customers = std::move(other395.customers);
-  holdings = std::move(other395.holdings);
-  leaving_targets = std::move(other395.leaving_targets);
-  suspects = std::move(other395.suspects);
-  wants_registrations = other395.wants_registrations;
-  registrations = std::move(other395.registrations);
-  address = std::move(other395.address);
-  loads = std::move(other395.loads);
-  gives_orders = other395.gives_orders;
-  starts = std::move(other395.starts);
-  __isset = other395.__isset;
+peer_status& peer_status::operator=(peer_status&& other405) noexcept {
+  process = std::move(other405.process);
+  boot = other405.boot;
+  sequence = other405.sequence;
+  leaving = other405.leaving;
+  heard = std::move(other405.heard);
+  config_version = other405.config_version;
+  config_address = std::move(other405.config_address);
+  centres_revision = other405.centres_revision;
+  centres_out = std::move(other405.centres_out);
+  uses = std::move(other405.uses);
+  demands = std::move(other405.demands);
+  customers = std::move(other405.customers);
+  holdings = std::move(other405.holdings);
+  leaving_targets = std::move(other405.leaving_targets);
+  suspects = std::move(other405.suspects);
+  wants_registrations = other405.wants_registrations;
+  registrations = std::move(other405.registrations);
+  address = std::move(other405.address);
+  loads = std::move(other405.loads);
+  gives_orders = other405.gives_orders;
+  starts = std::move(other405.starts);
+  centres_era = other405.centres_era;
+  centres_held = std::move(other405.centres_held);
+  informed = other405.informed;
+  __isset = other405.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -11361,6 +11567,9 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "gives_orders=" << to_string(gives_orders);
   out << ", " << "starts=" << to_string(starts);
+  out << ", " << "centres_era=" << to_string(centres_era);
+  out << ", " << "centres_held=" << to_string(centres_held);
+  out << ", " << "informed=" << to_string(informed);
   out << ")";
 }
 
@@ -11491,34 +11700,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_request::turn_request(const turn_request& other396) {
-  process = other396.process;
-  target = other396.target;
-  number = other396.number;
-  tokens = other396.tokens;
-  __isset = other396.__isset;
-}
-turn_request::turn_request(turn_request&& other397) noexcept {
-  process = std::move(other397.process);
-  target = std::move(other397.target);
-  number = other397.number;
-  tokens = other397.tokens;
-  __isset = other397.__isset;
-}
-turn_request& turn_request::operator=(const turn_request& other398) {
-  process = other398.process;
-  target = other398.target;
-  number = other398.number;
-  tokens = other398.tokens;
-  __isset = other398.__isset;
+turn_request::turn_request(const turn_request& other406) {
+  process = other406.process;
+  target = other406.target;
+  number = other406.number;
+  tokens = other406.tokens;
+  __isset = other406.__isset;
+}
+turn_request::turn_request(turn_request&& other407) noexcept {
+  process = std::move(other407.process);
+  target = std::move(other407.target);
+  number = other407.number;
+  tokens = other407.tokens;
+  __isset = other407.__isset;
+}
+turn_request& turn_request::operator=(const turn_request& other408) {
+  process = other408.process;
+  target = other408.target;
+  number = other408.number;
+  tokens = other408.tokens;
+  __isset = other408.__isset;
   return *this;
 }
-turn_request& turn_request::operator=(turn_request&& other399) noexcept {
-  process = std::move(other399.process);
-  target = std::move(other399.target);
-  number = other399.number;
-  tokens = other399.tokens;
-  __isset = other399.__isset;
+turn_request& turn_request::operator=(turn_request&& other409) noexcept {
+  process = std::move(other409.process);
+  target = std::move(other409.target);
+  number = other409.number;
+  tokens = other409.tokens;
+  __isset = other409.__isset;
   return *this;
 }
 void turn_request::printTo(std::ostream& out) const {
@@ -11675,38 +11884,38 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_answer::turn_answer(const turn_answer& other400) {
-  process = other400.process;
-  target = other400.target;
-  number = other400.number;
-  given = other400.given;
-  wait_ms = other400.wait_ms;
-  __isset = other400.__isset;
-}
-turn_answer::turn_answer(turn_answer&& other401) noexcept {
-  process = std::move(other401.process);
-  target = std::move(other401.target);
-  number = other401.number;
-  given = other401.given;
-  wait_ms = other401.wait_ms;
-  __isset = other401.__isset;
-}
-turn_answer& turn_answer::operator=(const turn_answer& other402) {
-  process = other402.process;
-  target = other402.target;
-  number = other402.number;
-  given = other402.given;
-  wait_ms = other402.wait_ms;
-  __isset = other402.__isset;
+turn_answer::turn_answer(const turn_answer& other410) {
+  process = other410.process;
+  target = other410.target;
+  number = other410.number;
+  given = other410.given;
+  wait_ms = other410.wait_ms;
+  __isset = other410.__isset;
+}
+turn_answer::turn_answer(turn_answer&& other411) noexcept {
+  process = std::move(other411.process);
+  target = std::move(other411.target);
+  number = other411.number;
+  given = other411.given;
+  wait_ms = other411.wait_ms;
+  __isset = other411.__isset;
+}
+turn_answer& turn_answer::operator=(const turn_answer& other412) {
+  process = other412.process;
+  target = other412.target;
+  number = other412.number;
+  given = other412.given;
+  wait_ms = other412.wait_ms;
+  __isset = other412.__isset;
   return *this;
 }
-turn_answer& turn_answer::operator=(turn_answer&& other403) noexcept {
-  process = std::move(other403.process);
-  target = std::move(other403.target);
-  number = other403.number;
-  given = other403.given;
-  wait_ms = other403.wait_ms;
-  __isset = other403.__isset;
+turn_answer& turn_answer::operator=(turn_answer&& other413) noexcept {
+  process = std::move(other413.process);
+  target = std::move(other413.target);
+  number = other413.number;
+  given = other413.given;
+  wait_ms = other413.wait_ms;
+  __isset = other413.__isset;
   return *this;
 }
 void turn_answer::printTo(std::ostream& out) const {
@@ -11847,34 +12056,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_use::turn_use(const turn_use& other404) {
-  process = other404.process;
-  target = other404.target;
-  number = other404.number;
-  tokens = other404.tokens;
-  __isset = other404.__isset;
-}
-turn_use::turn_use(turn_use&& other405) noexcept {
-  process = std::move(other405.process);
-  target = std::move(other405.target);
-  number = other405.number;
-  tokens = other405.tokens;
-  __isset = other405.__isset;
-}
-turn_use& turn_use::operator=(const turn_use& other406) {
-  process = other406.process;
-  target = other406.target;
-  number = other406.number;
-  tokens = other406.tokens;
-  __isset = other406.__isset;
+turn_use::turn_use(const turn_use& other414) {
+  process = other414.process;
+  target = other414.target;
+  number = other414.number;
+  tokens = other414.tokens;
+  __isset = other414.__isset;
+}
+turn_use::turn_use(turn_use&& other415) noexcept {
+  process = std::move(other415.process);
+  target = std::move(other415.target);
+  number = other415.number;
+  tokens = other415.tokens;
+  __isset = other415.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other416) {
+  process = other416.process;
+  target = other416.target;
+  number = other416.number;
+  tokens = other416.tokens;
+  __isset = other416.__isset;
   return *this;
 }
-turn_use& turn_use::operator=(turn_use&& other407) noexcept {
-  process = std::move(other407.process);
-  target = std::move(other407.target);
-  number = other407.number;
-  tokens = other407.tokens;
-  __isset = other407.__isset;
+turn_use& turn_use::operator=(turn_use&& other417) noexcept {
+  process = std::move(other417.process);
+  target = std::move(other417.target);
+  number = other417.number;
+  tokens = other417.tokens;
+  __isset = other417.__isset;
   return *this;
 }
 void turn_use::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -232,6 +232,8 @@
 
 class leaving_target;
 
+class held_centre;
+
 class target_registration;
 
 class target_load;
@@ -4103,6 +4105,61 @@
 
 std::ostream& operator<<(std::ostream& out, const leaving_target& obj);
 
+typedef struct _held_centre__isset {
+  _held_centre__isset() : data_centre(false), left_ms(false) {}
+  bool data_centre :1;
+  bool left_ms :1;
+} _held_centre__isset;
+
+/**
+ * A data centre that stays out for so long, although the store, restored from an older copy, lacks its entry.
+ */
+class held_centre : public virtual ::apache::thrift::TBase {
+ public:
+
+  held_centre(const held_centre&);
+  held_centre(held_centre&&) noexcept;
+  held_centre& operator=(const held_centre&);
+  held_centre& operator=(held_centre&&) noexcept;
+  held_centre() noexcept
+              : data_centre(),
+                left_ms(0) {
+  }
+
+  virtual ~held_centre() noexcept;
+  std::string data_centre;
+  int64_t left_ms;
+
+  _held_centre__isset __isset;
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_left_ms(const int64_t val);
+
+  bool operator == (const held_centre & rhs) const
+  {
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const held_centre &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const held_centre & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(held_centre &a, held_centre &b);
+
+std::ostream& operator<<(std::ostream& out, const held_centre& obj);
+
 typedef struct _target_registration__isset {
   _target_registration__isset() : target(false), born(false), service_name(false), address(false), data_centre(false), slots(false), draining(false), cold_ms(false) {}
   bool target :1;
@@ -4256,7 +4313,7 @@
 std::ostream& operator<<(std::ostream& out, const target_load& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4278,6 +4335,9 @@
   bool loads :1;
   bool gives_orders :1;
   bool starts :1;
+  bool centres_era :1;
+  bool centres_held :1;
+  bool informed :1;
 } _peer_status__isset;
 
 /**
@@ -4305,7 +4365,9 @@
                 centres_revision(0),
                 wants_registrations(0),
                 address(),
-                gives_orders(0) {
+                gives_orders(0),
+                centres_era(0),
+                informed(0) {
   }
 
   virtual ~peer_status() noexcept;
@@ -4330,6 +4392,9 @@
   std::vector<target_load>  loads;
   bool gives_orders;
   std::vector<target_registration>  starts;
+  int64_t centres_era;
+  std::vector<held_centre>  centres_held;
+  bool informed;
 
   _peer_status__isset __isset;
 
@@ -4375,6 +4440,12 @@
 
   void __set_starts(const std::vector<target_registration> & val);
 
+  void __set_centres_era(const int64_t val);
+
+  void __set_centres_held(const std::vector<held_centre> & val);
+
+  void __set_informed(const bool val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -4419,6 +4490,12 @@
       return false;
     if (!(starts == rhs.starts))
       return false;
+    if (!(centres_era == rhs.centres_era))
+      return false;
+    if (!(centres_held == rhs.centres_held))
+      return false;
+    if (!(informed == rhs.informed))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/admin/acceptor.cpp
+++ b/src/programs/admin/acceptor.cpp
@@ -257,7 +257,7 @@
     if (batch_->next_part < batch_->parts.size()) {
         step_ = step::writing_parts;
         const auto& [key, text] = batch_->parts[batch_->next_part];
-        awaited_call_ = store_.put(store_call::write_part, key, 0, text);
+        awaited_call_ = store_.put(store_call::write_part, key, {}, text);
         return;
     }
     step_ = step::writing_head;
--- a/src/programs/admin/acceptor.hpp
+++ b/src/programs/admin/acceptor.hpp
@@ -79,7 +79,7 @@
         std::vector<judged_submission> submissions;
         core::acceptance::head_document document;               // the new head
         std::int64_t nonce = 0;                                 // identifies the batch in `batches`
-        std::int64_t replaced_version = 0;                      // object version of the head to replace
+        core::common::store_position replaced_version;          // object version of the head to replace
         std::vector<std::pair<std::string, std::string>> parts; // objects that are written before the head
         std::size_t next_part = 0;
         core::common::time_point started_at{};
@@ -114,8 +114,8 @@
     edge::logger log_ = edge::make_logger("admin.acceptor");
     head_copy head_;
     step step_ = step::idle;
-    std::uint64_t awaited_call_ = 0;   // number of the call that the current step waits for
-    std::int64_t version_at_read_ = 0; // object version of head_ when read_head() was called
+    std::uint64_t awaited_call_ = 0;               // number of the call that the current step waits for
+    core::common::store_position version_at_read_; // object version of head_ when read_head() was called
     core::common::time_point retry_at_{};
     std::deque<submission> queue_;
     std::optional<batch> batch_;
--- a/src/programs/admin/head_copy.cpp
+++ b/src/programs/admin/head_copy.cpp
@@ -27,15 +27,16 @@
         known_ = true;
 }
 
-bool head_copy::apply_answer(const edge::store_answer& answer, std::int64_t version_when_asked) {
+bool head_copy::apply_answer(const edge::store_answer& answer,
+                             core::common::store_position version_when_asked) {
     if (answer.outcome == store_outcome::absent) {
         if (version_when_asked != version_)
             return true; // outdated answer: the object has been created since
-        if (version_ != 0)
+        if (version_.revision != 0)
             log_->error("The store has no config/head any more; revision {} stays in force.",
                         entries_.revision());
         known_ = true;
-        return version_ == 0;
+        return version_.revision == 0;
     }
     if (answer.version == version_ && known_)
         return !snapshot_fetch_;
@@ -43,8 +44,8 @@
         return true; // outdated: a newer version is known
     auto document = core::acceptance::decode_head(answer.body);
     if (!document || document->revision < entries_.revision()) {
-        log_->error("config/head of object version {} is {}; revision {} stays in force.", answer.version,
-                    document ? "older" : "malformed", entries_.revision());
+        log_->error("config/head of object version {} is {}; revision {} stays in force.",
+                    to_text(answer.version), document ? "older" : "malformed", entries_.revision());
         return false;
     }
     if (document->snapshot.base <= entries_.revision()) {
@@ -88,7 +89,7 @@
     adopt(fetched.version, std::move(fetched.document));
 }
 
-void head_copy::adopt(std::int64_t version, head_document document) {
+void head_copy::adopt(core::common::store_position version, head_document document) {
     known_ = true;
     version_ = version;
     document_ = std::move(document);
--- a/src/programs/admin/head_copy.hpp
+++ b/src/programs/admin/head_copy.hpp
@@ -26,19 +26,20 @@
 
     /// Applies a head that was requested when this copy had object version `version_when_asked`. Returns
     /// false if a snapshot has to be fetched first, or if the head is lost, malformed or older.
-    bool apply_answer(const edge::store_answer& answer, std::int64_t version_when_asked);
-    void adopt(std::int64_t version, core::acceptance::head_document document); // read or written here
+    bool apply_answer(const edge::store_answer& answer, core::common::store_position version_when_asked);
+    /// Takes over a document that was read or written here.
+    void adopt(core::common::store_position version, core::acceptance::head_document document);
 
     [[nodiscard]] bool known() const { return known_; } // the store has answered about the head at least once
     [[nodiscard]] bool fetching() const { return snapshot_fetch_.has_value(); }
-    [[nodiscard]] std::int64_t version() const { return version_; } // of the object; 0: absent
+    [[nodiscard]] core::common::store_position version() const { return version_; } // of the object
     [[nodiscard]] const core::acceptance::head_document& document() const { return document_; }
     [[nodiscard]] const core::acceptance::accepted_config& entries() const { return entries_; }
     [[nodiscard]] std::vector<core::acceptance::audit_record> tail() const; // with the values replaced
 
 private:
     struct snapshot_fetch {
-        std::int64_t version = 0;
+        core::common::store_position version;
         core::acceptance::head_document document;
         int next_part = 0;
         std::uint64_t number = 0; // of the read in progress
@@ -51,9 +52,9 @@
     edge::logger log_ = edge::make_logger("admin.head");
     bool known_ = false;
     bool watching_ = false;
-    std::int64_t version_when_watched_ = 0; // version_ when the current watch was sent
+    core::common::store_position version_when_watched_; // version_ when the current watch was sent
     core::common::time_point next_watch_{};
-    std::int64_t version_ = 0;
+    core::common::store_position version_;
     core::acceptance::head_document document_;
     core::acceptance::accepted_config entries_;
     std::map<std::int64_t, std::string> previous_values_; // value before each change of the tail, by revision
--- a/src/programs/admin/store.hpp
+++ b/src/programs/admin/store.hpp
@@ -19,14 +19,15 @@
     std::uint64_t read(store_call call, const std::string& key) {
         return start_call(call, [&](auto&& done) { client_.read(key, done); });
     }
-    std::uint64_t watch(store_call call, const std::string& key, std::int64_t version,
+    std::uint64_t watch(store_call call, const std::string& key, core::common::store_position version,
                         core::common::milliseconds wait) {
         return start_call(call, [&](auto&& done) { client_.watch(key, version, wait, done); });
     }
-    std::uint64_t put(store_call call, const std::string& key, std::int64_t if_version, std::string body) {
+    std::uint64_t put(store_call call, const std::string& key, core::common::store_position if_version,
+                      std::string body) {
         return start_call(call, [&](auto&& done) { client_.put(key, if_version, std::move(body), done); });
     }
-    std::uint64_t remove(store_call call, const std::string& key, std::int64_t if_version) {
+    std::uint64_t remove(store_call call, const std::string& key, core::common::store_position if_version) {
         return start_call(call, [&](auto&& done) { client_.remove(key, if_version, done); });
     }
     std::uint64_t list(store_call call, const std::string& prefix) {
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -62,6 +62,8 @@
         request->config = std::make_shared<const core::fleet::config>();
         return reject(request, 503, "no_configuration", default_retry_after);
     }
+    if (!context_.informed())
+        return reject(request, 503, "starting", core::membership::catch_up::limit);
     if (request->request_id.empty())
         return reject(request, 400, "no_request_id");
     // A request that arrives late in the drain might not finish before the process ends.
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -159,7 +159,7 @@
     out.model = request.model;
     out.session = request.sticky_session;
     out.tried = &request.failed_targets;
-    out.centres_out = &context_.centres_out;
+    out.centres_out = &context_.centres.out();
     out.only = request.has_attempts_left() ? nullptr : &request.sent_to;
     out.prompt_tokens = request.prompt_tokens;
     return out;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -1,7 +1,9 @@
 #include "programs/gateway/gateway.hpp"
 
+#include "core/common/hash.hpp"
 #include "edge/boot_clock.hpp"
 #include "edge/log.hpp"
+#include "platform/documents.hpp"
 #include "platform/headers.hpp"
 
 #include <algorithm>
@@ -18,6 +20,8 @@
 constexpr milliseconds housekeeping_interval{100};
 constexpr milliseconds settings_check_interval{1'000};
 constexpr milliseconds register_retry_delay{500};
+constexpr milliseconds register_spread{
+    1'000}; // over which gateways register again after a restore of the store
 constexpr milliseconds min_drain_time{2'600}; // the load balancer notices after two unready answers
 constexpr milliseconds drain_reserve{400};    // part of the drain time kept for the shutdown itself
 constexpr std::size_t max_sessions = 900;     // the select reactor serves 1,024 descriptors
@@ -35,15 +39,15 @@
       lease_store_client_(client_, settings.store, lease_call_timeout),
       forwarder_(context_,
                  [this](const caller_request_ptr& request) { admission_.on_request_finished(request); }),
-      dispatcher_(context_, {[this](const caller_request_ptr& request, const std::string& target) {
-                                 forwarder_.send(request, target);
-                             },
-                             [this](const caller_request_ptr& request, core::dispatch::obstacle why,
-                                    duration retry_after) {
-                                 forwarder_.refuse(request, 503, core::dispatch::name_of(why), retry_after);
-                             },
+      dispatcher_(
+          context_,
+          {[this](const caller_request_ptr& request, const std::string& target) {
+               forwarder_.send(request, target);
+           },
+           [this](const caller_request_ptr& request, core::dispatch::obstacle why, duration retry_after) {
+               forwarder_.refuse(request, 503, core::dispatch::name_of(why), retry_after);
+           },
                              [this] { peers_.notify_order_giver(); }}),
-      admission_(context_, forwarder_, dispatcher_),
       watch_(context_, store_,
              {[this] {
                   {
@@ -81,6 +85,11 @@
     dispatcher_.attach(turns_);
     peers_.attach(turns_);
     order_giver_.attach(peers_);
+    context_.history.attach({[this] {
+                                 order_giver_.lease().enter_era(context_.history.era());
+                                 register_self();
+                             },
+                             [this] { on_store_restored(); }});
     session_callbacks_.on_request = [this](const auto& session, edge::wire_request&& request) {
         admission_.handle_request(session, std::move(request));
     };
@@ -116,7 +125,6 @@
     if (!readiness_ || !metrics_)
         return false;
     watch_.start();
-    register_self();
     order_giver_.start([this] { watch_.watch_closely(); });
     housekeeping();
     return true;
@@ -160,31 +168,46 @@
 }
 
 void gateway::update_readiness() {
-    program_.ready = context_.config && context_.directory.loaded();
+    program_.ready = context_.informed() && context_.directory.loaded();
+}
+
+void gateway::schedule_registration(duration after) {
+    loop_.schedule(loop_.now() + after, [this] { register_self(); });
 }
 
 /// Registers this gateway's peer address in the store. Retries until it is stored.
 void gateway::register_self() {
-    const nlohmann::json spec{{"address", settings_.peers}, {"boot", boot_}};
-    const auto retry = [this] {
-        loop_.schedule(loop_.now() + register_retry_delay, [this] { register_self(); });
-    };
-    store_.create(
-        platform::routers_kind, settings_.name, spec, [this, spec, retry](platform::store_reply&& reply) {
-            loop_.post([this, spec, retry, reply = std::move(reply)] {
-                if (reply.result == platform::store_result::ok)
-                    return;
-                if (reply.result != platform::store_result::conflict || reply.objects.empty())
-                    return retry();
-                if (reply.objects.front().spec == spec)
-                    return; // stored by an earlier attempt whose answer was lost
-                store_.replace(platform::routers_kind, settings_.name, reply.objects.front().revision, spec,
-                               [this, retry](platform::store_reply&& second) {
+    const nlohmann::json spec =
+        platform::encode_registration({settings_.peers, boot_, context_.history.era()});
+    store_.create(platform::routers_kind, settings_.name, spec, [this, spec](platform::store_reply&& reply) {
+        loop_.post([this, spec, reply = std::move(reply)]() mutable {
+            context_.history.note(reply, "register");
+            if (reply.result == platform::store_result::ok)
+                return;
+            if (reply.result != platform::store_result::conflict || reply.objects.empty())
+                return schedule_registration(register_retry_delay);
+            if (reply.objects.front().spec == spec)
+                return; // stored by an earlier attempt whose answer was lost
+            // A condition that hits another change of the own object by chance does no harm.
+            store_.replace(platform::routers_kind, settings_.name, reply.objects.front().changed, spec,
+                           [this](platform::store_reply&& second) {
+                               loop_.post([this, second = std::move(second)]() mutable {
+                                   context_.history.note(second, "register");
                                    if (second.result != platform::store_result::ok)
-                                       loop_.post(retry);
+                                       schedule_registration(register_retry_delay);
                                });
-            });
+                           });
         });
+    });
+}
+
+/// All gateways learn of a restore at about the same time: their registrations are spread over a short time.
+void gateway::on_store_restored() {
+    order_giver_.lease().enter_era(context_.history.era());
+    watch_.list_again();
+    const auto spread =
+        core::common::hash_of(settings_.name, boot_) % static_cast<std::uint64_t>(register_spread.count());
+    schedule_registration(milliseconds{static_cast<std::int64_t>(spread)});
 }
 
 void gateway::housekeeping() {
@@ -192,6 +215,9 @@
     for (const std::string& id : context_.directory.expire(now)) {
         log_.write(edge::events::target_changed, id, {{"change", "lapsed"}});
     }
+    if (context_.centres.expire(now))
+        watch_.centres_changed(context_.centres.known_at(), "hold");
+    update_readiness();
     dispatcher_.remove_missing_targets();
     turns_.remove_missing_targets();
     update_metrics(now);
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -23,6 +23,8 @@
     void serve_readiness(const edge::exchange_ptr& exchange);
     void serve_metrics(const edge::exchange_ptr& exchange);
     void register_self();
+    void schedule_registration(core::common::duration after);
+    void on_store_restored();
     void housekeeping();
     void update_metrics(core::common::time_point now);
     void begin_drain();
--- a/src/programs/gateway/lease_store.cpp
+++ b/src/programs/gateway/lease_store.cpp
@@ -4,18 +4,26 @@
 namespace {
 
 using core::common::milliseconds;
+using core::common::store_position;
 using nlohmann::json;
 using platform::store_reply;
 using platform::store_result;
 
 constexpr milliseconds direct_call_backoff{2'000}; // after a failed direct call, before the next one
 constexpr milliseconds peer_timeout{500};
+constexpr const char* era_field = "era"; // of a call through a peer: in the query, the body and the answer
+
+/// The integer in a field; 0 if it is absent or no integer.
+std::int64_t integer_in(const json& from, const char* name) {
+    const auto found = from.find(name);
+    return found != from.end() && found->is_number_integer() ? found->get<std::int64_t>() : 0;
+}
 
 /// Encodes a store's reply for the peer that asked.
 std::string encode(const store_reply& reply) {
-    json out{{"result", static_cast<int>(reply.result)}};
+    json out{{"result", static_cast<int>(reply.result)}, {"era", reply.at.era}};
     if (!reply.objects.empty()) {
-        out["revision"] = reply.objects.front().revision;
+        out["revision"] = reply.objects.front().changed.revision;
         out["spec"] = reply.objects.front().spec;
     }
     return out.dump();
@@ -32,9 +40,12 @@
         return out;
     }
     out.result = static_cast<store_result>(parsed["result"].get<int>());
+    out.at.era = integer_in(parsed, era_field);
     if (parsed.contains("spec") && parsed.contains("revision") && parsed["revision"].is_number_integer())
-        out.objects.push_back(
-            {platform::lease_name, parsed["revision"].get<std::int64_t>(), parsed["spec"], false});
+        out.objects.push_back({platform::lease_name,
+                               {out.at.era, parsed["revision"].get<std::int64_t>()},
+                               parsed["spec"],
+                               false});
     return out;
 }
 
@@ -59,41 +70,47 @@
 }
 
 void lease_store::read(on_reply done) {
-    if (const std::string peer = relay_address(); !peer.empty())
-        return call_through_peer(peer, "GET", "", std::move(done));
-    direct_read(
-        [this, done = std::move(done)](store_reply&& reply) { finish(true, std::move(reply), done); });
+    const std::int64_t era = context_.history.era();
+    const std::string peer = relay_address();
+    if (peer.empty())
+        return direct_read(era, [this, done = std::move(done)](store_reply&& reply) {
+            finish(true, std::move(reply), done);
+        });
+    edge::client_request request;
+    request.url = "?" + std::string{era_field} + "=" + std::to_string(era);
+    call_through_peer(peer, std::move(request), std::move(done));
 }
 
-void lease_store::write(std::int64_t if_version, const std::string& value, on_reply done) {
-    if (const std::string peer = relay_address(); !peer.empty())
-        return call_through_peer(peer, "POST", json{{"if_version", if_version}, {"value", value}}.dump(),
-                                 std::move(done));
-    direct_write(if_version, value, [this, done = std::move(done)](store_reply&& reply) {
-        finish(true, std::move(reply), done);
-    });
+void lease_store::write(store_position if_version, const std::string& value, on_reply done) {
+    const std::string peer = relay_address();
+    if (peer.empty())
+        return direct_write(if_version, value, [this, done = std::move(done)](store_reply&& reply) {
+            finish(true, std::move(reply), done);
+        });
+    edge::client_request request;
+    request.method = "POST";
+    request.body =
+        json{{era_field, if_version.era}, {"if_version", if_version.revision}, {"value", value}}.dump();
+    call_through_peer(peer, std::move(request), std::move(done));
 }
 
-void lease_store::direct_read(platform::store_client::on_reply done) {
-    store_.read(platform::lease_kind, platform::lease_name, std::move(done));
+void lease_store::direct_read(std::int64_t era, platform::store_client::on_reply done) {
+    store_.read(platform::lease_kind, platform::lease_name_of(era), std::move(done));
 }
 
-void lease_store::direct_write(std::int64_t if_version, const std::string& value,
+void lease_store::direct_write(store_position if_version, const std::string& value,
                                platform::store_client::on_reply done) {
     auto spec = json::parse(value, nullptr, false);
-    if (if_version == 0)
-        store_.create(platform::lease_kind, platform::lease_name, std::move(spec), std::move(done));
+    const std::string name = platform::lease_name_of(if_version.era);
+    if (if_version.revision == 0)
+        store_.create(platform::lease_kind, name, std::move(spec), std::move(done));
     else
-        store_.replace(platform::lease_kind, platform::lease_name, if_version, std::move(spec),
-                       std::move(done));
+        store_.replace(platform::lease_kind, name, if_version, std::move(spec), std::move(done));
 }
 
-void lease_store::call_through_peer(const std::string& address, std::string method, std::string body,
-                                    on_reply done) {
-    edge::client_request request;
-    request.method = std::move(method);
-    request.url = "http://" + address + "/peer/lease";
-    request.body = std::move(body);
+/// `request` has the method, the body, and as its URL the query.
+void lease_store::call_through_peer(const std::string& address, edge::client_request request, on_reply done) {
+    request.url = "http://" + address + "/peer/lease" + request.url;
     request.timeout = peer_timeout;
     client_.send(std::move(request), [this, done = std::move(done)](edge::client_result&& answer) {
         finish(false, decode(answer), done);
@@ -104,14 +121,19 @@
     const auto answer = [exchange](store_reply&& reply) {
         exchange->respond({200, {{"Content-Type", "application/json"}}, encode(reply)});
     };
-    if (exchange->request().method == "GET")
-        return direct_read(answer);
+    if (exchange->request().method == "GET") {
+        const auto era = exchange->request().query.find(era_field);
+        const json value =
+            era == exchange->request().query.end() ? json{} : json::parse(era->second, nullptr, false);
+        return direct_read(value.is_number_integer() ? value.get<std::int64_t>() : 0, answer);
+    }
     const json arguments = json::parse(exchange->request().body, nullptr, false);
     if (!arguments.is_object() || !arguments.contains("if_version") ||
         !arguments["if_version"].is_number_integer() || !arguments.contains("value") ||
         !arguments["value"].is_string())
         return exchange->respond({400, {}, "expected if_version and value\n"});
-    direct_write(arguments["if_version"].get<std::int64_t>(), arguments["value"].get<std::string>(), answer);
+    direct_write({integer_in(arguments, era_field), arguments["if_version"].get<std::int64_t>()},
+                 arguments["value"].get<std::string>(), answer);
 }
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/lease_store.hpp
+++ b/src/programs/gateway/lease_store.hpp
@@ -16,17 +16,19 @@
         : context_(context), store_(store), client_(client) {}
     void attach(peers& others) { peers_ = &others; }
 
+    /// Reads the lease of the newest known era; the reply's `at.era` is that of the answer.
     void read(on_reply done);
-    void write(std::int64_t if_version, const std::string& value, on_reply done); // if_version 0: creates it
+    /// Writes the lease of the era of `if_version`; its revision 0 creates it.
+    void write(core::common::store_position if_version, const std::string& value, on_reply done);
 
     /// Serves a peer's call on the metrics server's thread. Answers when the store has answered.
     void serve(const edge::exchange_ptr& exchange);
 
 private:
-    void direct_read(platform::store_client::on_reply done);
-    void direct_write(std::int64_t if_version, const std::string& value,
+    void direct_read(std::int64_t era, platform::store_client::on_reply done);
+    void direct_write(core::common::store_position if_version, const std::string& value,
                       platform::store_client::on_reply done);
-    void call_through_peer(const std::string& address, std::string method, std::string body, on_reply done);
+    void call_through_peer(const std::string& address, edge::client_request request, on_reply done);
     void finish(bool direct, platform::store_reply&& reply, const on_reply& done);
     [[nodiscard]] std::string relay_address() const; // of the peer to call; empty: call the store directly
 
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -45,6 +45,9 @@
       config_version(
           gauges(registry, data_centre, "waxwing_config_version", "Version of the configuration in force")
               .Add({})),
+      store_era(gauges(registry, data_centre, "waxwing_store_era",
+                       "Era of the platform's store, which rises when it is restored from an older copy")
+                    .Add({})),
       connections_opened(gauges(registry, data_centre, "waxwing_target_connections_opened",
                                 "Connections opened to targets since the start")
                              .Add({})),
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -35,6 +35,7 @@
     prometheus::Gauge& running;    // requests at targets
     prometheus::Gauge& lease_held; // 1: this gateway gives orders
     prometheus::Gauge& config_version;
+    prometheus::Gauge& store_era;          // rises with each restore of the store
     prometheus::Gauge& connections_opened; // to targets, since the start
     prometheus::Gauge& connections_reused;
     prometheus::Gauge& gateways_heard; // other gateways in contact
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -226,7 +226,7 @@
     if (!target->lapsed_until)
         out.takes_orders_at = known.ledger.takes_orders_at(now);
     out.coming = known.ledger.coming(now);
-    out.serves = !target->leaving() && !context_.centres_out.contains(target->entry.data_centre);
+    out.serves = !target->leaving() && !context_.centres.out().contains(target->entry.data_centre);
     out.copies_in_memory = known.copies_in_memory;
     out.copies_on_disk = known.copies_on_disk;
     for (const auto& [model, adapters] : known.ledger.models()) {
--- a/src/programs/gateway/order_lease.cpp
+++ b/src/programs/gateway/order_lease.cpp
@@ -55,14 +55,18 @@
 bool order_lease::may_take(time_point now) const {
     if (lease_.mine() || context_.draining || !context_.config || !lease_.takeable(now))
         return false;
+    // Some gateway may not know of the new era yet, or may use another lease in a rolling update.
+    if (peers_->hears_order_giver())
+        return false;
     if (lease_.record().holder.empty() || lease_.held_by_previous_start())
         return true;
     return now - read_at_ <= max_record_age && contact_.may_take_over(now);
 }
 
-/// Counts a call and records whether the store answered it.
-void order_lease::record_call(const char* call, const platform::store_reply& reply) {
+/// Notes the store's era, counts a call and records whether the store answered it.
+void order_lease::record_call(const char* call, platform::store_reply& reply) {
     const auto now = context_.loop.now();
+    context_.history.note(reply, call);
     context_.metrics.count_store_call(call, reply.store_answered() ? "heard" : "lost");
     if (reply.store_answered())
         contact_.answered(now);
@@ -77,19 +81,29 @@
            holder->second.status.gives_orders && !holder->second.status.wants_registrations;
 }
 
+void order_lease::enter_era(std::int64_t era) {
+    const auto now = context_.loop.now();
+    lease_.enter_era(era, now);
+    update_state(now); // logs the end of the old era's lease
+    era_ = era;
+    era_entered_at_ = now;
+}
+
 void order_lease::read() {
     reading_ = true;
     checked_at_ = context_.loop.now();
-    leases_.read([this](platform::store_reply&& reply) {
+    leases_.read([this, era = era_](platform::store_reply&& reply) {
         reading_ = false;
         const auto now = context_.loop.now();
         record_call("read_lease", reply);
+        if (era != era_)
+            return; // the answer is about the lease of an earlier era
         if (reply.store_answered())
             read_at_ = now;
         if (reply.result == store_result::absent)
-            lease_.observe_record(0, std::nullopt, now);
+            lease_.observe_record({reply.at.era, 0}, std::nullopt, now);
         else if (reply.result == store_result::ok && !reply.objects.empty())
-            lease_.observe_record(reply.objects.front().revision,
+            lease_.observe_record(reply.objects.front().changed,
                                   core::membership::decode_lease(reply.objects.front().spec.dump()), now);
         update_state(now);
     });
@@ -111,12 +125,16 @@
 
 void order_lease::write(const core::membership::lease_write& change) {
     leases_.write(change.if_version, change.value,
-                  [this, sequence = change.sequence](platform::store_reply&& reply) {
+                  [this, era = era_, sequence = change.sequence](platform::store_reply&& reply) {
                       const auto now = context_.loop.now();
                       record_call("write_lease", reply);
+                      if (era != era_)
+                          return; // the write was to the lease of an earlier era
                       const auto result = to_write_result(reply);
                       const bool stored = result == write_result::stored;
-                      lease_.written(sequence, result, stored ? reply.objects.front().revision : 0, now);
+                      lease_.written(sequence, result,
+                                     stored ? reply.objects.front().changed : core::common::store_position{},
+                                     now);
                       update_state(now);
                   });
 }
@@ -147,6 +165,10 @@
         const auto& record = lease_.record();
         if (!lease_.mine() && record.fencing > 0 && !gave_orders_before())
             other_holder_until_ = now + (record.holder.empty() ? milliseconds{0} : record.term);
+        // Nobody has held this era's lease, but somebody may have held that of the era before.
+        if (lease_.version() == core::common::store_position{era_, 0} && era_ > 0 &&
+            !lease_.held_before_era())
+            other_holder_until_ = era_entered_at_ + write_term;
     }
     const bool held = lease_.held(now);
     if (held == held_)
@@ -154,16 +176,18 @@
     held_ = held;
     context_.metrics.lease_held.Set(held ? 1 : 0);
     if (!held) {
-        context_.log.write(edge::events::lease_lost, "order_giver", {{"fencing", lease_.fencing()}});
+        context_.log.write(edge::events::lease_lost, "order_giver",
+                           {{"fencing", lease_.fencing()}, {"era", era_}});
         on_lost_();
         return;
     }
     orders_from_ = other_holder_until_ == time_point{}
                        ? now
                        : other_holder_until_ + context_.settings.lease_term + margin;
-    context_.log.write(
-        edge::events::lease_taken, "order_giver",
-        {{"fencing", lease_.fencing()}, {"orders_in_ms", core::common::to_wire_ms(orders_from_ - now)}});
+    context_.log.write(edge::events::lease_taken, "order_giver",
+                       {{"fencing", lease_.fencing()},
+                        {"era", era_},
+                        {"orders_in_ms", core::common::to_wire_ms(orders_from_ - now)}});
 }
 
 bool order_lease::may_order(time_point now) const {
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -95,7 +95,7 @@
     std::string text;
     for (const auto& target : context_.directory.leaving_targets())
         text.append(target.id).append(" ").append(std::to_string(target.born)).append(" ");
-    for (const std::string& centre : context_.centres_out)
+    for (const std::string& centre : context_.centres.out())
         text.append(centre).append(" ");
     const std::uint64_t departures = core::common::hash_of(text);
     if (std::exchange(announced_departures_, departures) != departures)
@@ -124,6 +124,13 @@
     return out;
 }
 
+bool peers::hears_order_giver() const {
+    const auto now = context_.loop.now();
+    return std::any_of(known_peers_.begin(), known_peers_.end(), [&](const auto& peer) {
+        return peer.second.in_contact(now) && peer.second.status.gives_orders;
+    });
+}
+
 bool peers::gives_orders(const std::string& peer) const {
     const auto known = known_peers_.find(peer);
     return known != known_peers_.end() && known->second.status.gives_orders &&
@@ -144,8 +151,16 @@
             out.heard.push_back(name);
     out.config_version = context_.config ? context_.config->version : 0;
     out.config_address = context_.settings.metrics;
-    out.centres_revision = context_.centres_revision;
-    out.centres_out.assign(context_.centres_out.begin(), context_.centres_out.end());
+    out.centres_era = context_.centres.known_at().era;
+    out.centres_revision = context_.centres.known_at().revision;
+    out.centres_out.assign(context_.centres.listed().begin(), context_.centres.listed().end());
+    for (const auto& [centre, until] : context_.centres.held()) {
+        wire::held_centre hold;
+        hold.data_centre = centre;
+        hold.left_ms = wire_ms(until - context_.loop.now());
+        out.centres_held.push_back(std::move(hold));
+    }
+    out.informed = context_.informed();
     for (const auto& [target, running] : dependencies_.dispatch.own_loads()) {
         wire::target_load load;
         load.target = target;
@@ -343,24 +358,34 @@
     apply_holdings(status);
 }
 
+void peers::apply_centres(const wire::peer_status& status) {
+    const auto now = context_.loop.now();
+    const core::common::store_position at{status.centres_era, status.centres_revision};
+    bool changed =
+        context_.centres.merge_from_peer({status.centres_out.begin(), status.centres_out.end()}, at, now);
+    for (const auto& hold : status.centres_held)
+        changed = context_.centres.hold(hold.data_centre, milliseconds{hold.left_ms}, now) || changed;
+    if (changed)
+        dependencies_.watch.centres_changed(at, status.process);
+}
+
+bool peers::knows_all_of(const wire::peer_status& status) const {
+    const core::common::store_position centres_at{status.centres_era, status.centres_revision};
+    return context_.config && context_.config->version >= status.config_version &&
+           context_.centres.known_at() >= centres_at;
+}
+
 void peers::apply_store_state(const wire::peer_status& status) {
-    if (status.centres_revision > context_.centres_revision) {
-        const std::set<std::string> centres{status.centres_out.begin(), status.centres_out.end()};
-        context_.centres_revision = status.centres_revision;
-        if (centres != context_.centres_out) {
-            context_.centres_out = centres;
-            context_.log.write(
-                edge::events::data_centres_out, "",
-                {{"out", centres}, {"revision", status.centres_revision}, {"source", status.process}});
-        }
-    }
+    apply_centres(status);
     for (const auto& target : status.leaving_targets)
-        context_.directory.mark_leaving(target.target, target.born);
+        context_.directory.mark_leaving({target.target, target.born});
     for (const auto& start : status.starts)
         context_.directory.merge_from_peer(decode(start), context_.loop.now());
     if (!status.registrations.empty() && !dependencies_.watch.reads_targets())
         adopt_registrations(status);
     const std::int64_t own = context_.config ? context_.config->version : 0;
+    if (status.informed && knows_all_of(status) && context_.directory.loaded())
+        context_.start.informed_by_peer();
     if (status.config_version > own && context_.loop.now() >= config_fetched_at_ + config_fetch_interval)
         fetch_config(status.config_address);
 }
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -56,6 +56,7 @@
     void announce_leaving();
     void send_to(const std::string& peer, const std::string& frame);    // no effect if its address is unknown
     [[nodiscard]] std::vector<std::string> gateways_in_contact() const; // not leaving; includes this one
+    [[nodiscard]] bool hears_order_giver() const; // another gateway in contact gives orders
     [[nodiscard]] const std::map<std::string, peer_state>& known_peers() const { return known_peers_; }
 
 private:
@@ -74,6 +75,8 @@
     void handle(const edge::frame& frame);
     void handle(const wire::peer_status& status);
     void apply_store_state(const wire::peer_status& status);
+    void apply_centres(const wire::peer_status& status);
+    [[nodiscard]] bool knows_all_of(const wire::peer_status& status) const; // configuration, data centres out
     [[nodiscard]] bool sends_registrations_to(const std::string& peer) const;
     [[nodiscard]] std::vector<wire::target_registration> registrations() const;
     void adopt_registrations(const wire::peer_status& status);
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/store_watch.hpp"
 
+#include "core/common/hash.hpp"
 #include "platform/documents.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -9,11 +10,13 @@
 
 namespace leaf = boost::leaf;
 using core::common::milliseconds;
+using core::fleet::list_source;
 using platform::store_reply;
 using platform::store_result;
 
 constexpr milliseconds min_retry_delay{100}; // after a failed call, doubles
 constexpr milliseconds max_retry_delay{800};
+constexpr milliseconds restore_spread{400}; // over which gateways list again after a restore of the store
 // A dead connection is only noticed when its watch times out. The order giver uses watches that are short
 // enough to stay within the platform's tightest bound (2 s, for a leaving target and for a configuration).
 // The other gateways rely on the order giver's messages, and use short watches themselves while these don't
@@ -57,7 +60,11 @@
     list();
 }
 
-void kind_watch::record_reply(const store_reply& reply, const char* call) {
+bool kind_watch::record_reply(store_reply& reply, const char* call) {
+    const auto generation = generation_;
+    context_.history.note(reply, call);
+    if (generation != generation_)
+        return false;
     context_.metrics.count_store_call(call, name_of(reply.result));
     const bool was_answering = answering_;
     answering_ = reply.store_answered();
@@ -73,15 +80,26 @@
                            {{"call", call}, {"result", name_of(reply.result)}, {"why", describe(reply.why)}});
     if (!was_answering && answering_)
         context_.log.write(edge::events::store_regained, kind_, {{"call", call}});
+    return true;
 }
 
 void kind_watch::schedule_next(milliseconds after) {
     context_.loop.schedule(context_.loop.now() + after, [this, generation = generation_] {
         if (generation == generation_)
-            revision_ > 0 ? watch() : list();
+            position_.revision > 0 ? watch() : list();
     });
 }
 
+/// All gateways learn of a restore at about the same time: their lists are spread over a short time.
+void kind_watch::list_again() {
+    ++generation_;
+    position_ = {};
+    relaxed_ = false;
+    const auto spread = core::common::hash_of(context_.settings.name + kind_) %
+                        static_cast<std::uint64_t>(restore_spread.count());
+    schedule_next(milliseconds{static_cast<std::int64_t>(spread)});
+}
+
 void kind_watch::watch_closely() {
     if (!relaxed_)
         return;
@@ -90,42 +108,45 @@
 }
 
 void kind_watch::list() {
-    store_.list(kind_, [this](store_reply&& reply) {
-        context_.loop.post([this, reply = std::move(reply)] {
-            record_reply(reply, "list");
-            if (reply.result != store_result::ok)
-                return schedule_next(
-                    std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, 4))));
-            revision_ = reply.revision;
-            callbacks_.on_list(reply);
-            schedule_next(timing_.batch_delay);
+    store_.list(kind_, [this, generation = generation_](store_reply&& reply) {
+        context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
+            if (generation == generation_ && record_reply(reply, "list"))
+                handle_list_reply(reply);
         });
     });
 }
 
+void kind_watch::handle_list_reply(const store_reply& reply) {
+    if (reply.result != store_result::ok)
+        return schedule_next(std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, 4))));
+    position_ = reply.at;
+    const bool restored = listed_era_ >= 0 && reply.at.era > listed_era_;
+    listed_era_ = reply.at.era;
+    callbacks_.on_list(reply, restored ? list_source::restored_store : list_source::store);
+    schedule_next(timing_.batch_delay);
+}
+
 void kind_watch::watch() {
     relaxed_ = context_.order_giver_active;
     const auto timeout = relaxed_ ? timing_.relaxed_timeout : timing_.timeout;
-    store_.watch(kind_, revision_, timeout, [this, generation = generation_](store_reply&& reply) {
-        context_.loop.post([this, generation, reply = std::move(reply)] {
-            if (generation == generation_)
+    store_.watch(kind_, position_, timeout, [this, generation = generation_](store_reply&& reply) {
+        context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
+            if (generation == generation_ && record_reply(reply, "watch"))
                 handle_watch_reply(reply);
         });
     });
 }
 
-/// Handles the answer of a watch.
 void kind_watch::handle_watch_reply(const store_reply& reply) {
-    record_reply(reply, "watch");
     relaxed_ = false;
     if (reply.result == store_result::history_expired) {
-        revision_ = 0;
+        position_ = {};
         return schedule_next(milliseconds{0});
     }
     if (reply.result != store_result::ok)
         return schedule_next(std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, 4))));
-    if (revision_ > 0 && reply.revision > 0)
-        revision_ = reply.revision;
+    if (reply.at.revision > 0)
+        position_ = reply.at;
     if (reply.objects.empty())
         return schedule_next(milliseconds{0});
     callbacks_.on_events(reply);
@@ -138,17 +159,17 @@
 store_watch::store_watch(gateway_context& context, platform::store_client& store, callbacks handlers)
     : context_(context), callbacks_(std::move(handlers)),
       config_watch_(context, store, platform::config_kind, config_timing,
-                    {[this](const store_reply& reply) { apply_config_objects(reply); },
+                    {[this](const store_reply& reply, list_source) { apply_config_objects(reply); },
                      [this](const store_reply& reply) { apply_config_objects(reply); }}),
       targets_watch_(context, store, platform::targets_kind, targets_timing,
-                     {[this](const store_reply& reply) { apply_targets(reply, true); },
-                      [this](const store_reply& reply) { apply_targets(reply, false); }}),
+                     {[this](const store_reply& reply, list_source source) { list_targets(reply, source); },
+                      [this](const store_reply& reply) { change_targets(reply); }}),
       centres_watch_(context, store, platform::evacuations_kind, centres_timing,
-                     {[this](const store_reply& reply) { apply_centres(reply, true); },
-                      [this](const store_reply& reply) { apply_centres(reply, false); }}),
+                     {[this](const store_reply& reply, list_source) { list_centres(reply); },
+                      [this](const store_reply& reply) { change_centres(reply); }}),
       members_watch_(context, store, platform::routers_kind, members_timing,
-                     {[this](const store_reply& reply) { apply_members(reply, true); },
-                      [this](const store_reply& reply) { apply_members(reply, false); }}) {}
+                     {[this](const store_reply& reply, list_source source) { list_members(reply, source); },
+                      [this](const store_reply& reply) { change_members(reply); }}) {}
 
 void store_watch::start() {
     config_watch_.start();
@@ -162,6 +183,11 @@
         context_.metrics.set_watch_age(watch->kind(), now - watch->answered_at());
 }
 
+void store_watch::list_again() {
+    for (kind_watch* watch : {&config_watch_, &targets_watch_, &centres_watch_, &members_watch_})
+        watch->list_again();
+}
+
 void store_watch::watch_closely() {
     for (kind_watch* watch : {&config_watch_, &targets_watch_, &centres_watch_, &members_watch_})
         watch->watch_closely();
@@ -191,6 +217,7 @@
         return;
     context_.config = decoded;
     config_text_ = spec.dump();
+    context_.start.configuration_read(context_.loop.now());
     context_.quota.configure(decoded->customers, context_.loop.now());
     context_.metrics.config_version.Set(static_cast<double>(decoded->version));
     context_.log.write(edge::events::config_in_force, std::to_string(decoded->version),
@@ -230,52 +257,76 @@
         });
 }
 
-void store_watch::apply_targets(const store_reply& reply, bool complete) {
-    const auto now = context_.loop.now();
-    std::vector<core::fleet::target_change> changes;
+void store_watch::list_targets(const store_reply& reply, list_source source) {
     std::vector<core::fleet::target_entry> entries;
+    for (const auto& object : reply.objects)
+        if (auto entry = decode_target(object)) {
+            log_target(*entry, "listed");
+            entries.push_back(std::move(*entry));
+        }
+    context_.directory.replace_all(entries, context_.loop.now(), source);
+    callbacks_.on_targets();
+}
+
+void store_watch::change_targets(const store_reply& reply) {
+    std::vector<core::fleet::target_change> changes;
     for (const auto& object : reply.objects) {
         if (object.removed) {
             context_.log.write(edge::events::target_changed, object.name, {{"change", "removed"}});
             changes.push_back({object.name, std::nullopt});
-            continue;
-        }
-        auto entry = decode_target(object);
-        if (!entry)
-            continue;
-        log_target(*entry, complete ? "listed" : "changed");
-        if (complete)
-            entries.push_back(std::move(*entry));
-        else
+        } else if (auto entry = decode_target(object)) {
+            log_target(*entry, "changed");
             changes.push_back({object.name, std::move(entry)});
+        }
     }
-    if (complete)
-        context_.directory.replace_all(entries, now);
-    else
-        context_.directory.apply(changes, now);
+    context_.directory.apply(changes, context_.loop.now());
     callbacks_.on_targets();
 }
 
-void store_watch::apply_centres(const store_reply& reply, bool complete) {
-    auto centres = complete ? std::set<std::string>{} : context_.centres_out;
+void store_watch::list_centres(const store_reply& reply) {
+    std::set<std::string> listed;
     for (const auto& object : reply.objects)
-        if (object.removed)
-            centres.erase(object.name);
-        else
-            centres.insert(object.name);
-    context_.centres_revision = std::max(context_.centres_revision, reply.revision);
-    if (centres == context_.centres_out)
-        return;
-    context_.centres_out = centres;
-    context_.log.write(edge::events::data_centres_out, "", {{"out", centres}, {"revision", reply.revision}});
+        listed.insert(object.name);
+    if (context_.centres.apply_list(listed, reply.at, context_.loop.now()))
+        centres_changed(reply.at, "store");
+}
+
+void store_watch::change_centres(const store_reply& reply) {
+    std::vector<core::fleet::centre_change> changes;
+    for (const auto& object : reply.objects)
+        changes.push_back({object.name, object.removed});
+    if (context_.centres.apply_changes(changes, reply.at))
+        centres_changed(reply.at, "store");
+}
+
+void store_watch::centres_changed(core::common::store_position at, const std::string& source) {
+    std::vector<std::string> held;
+    for (const auto& [centre, until] : context_.centres.held())
+        held.push_back(centre);
+    context_.log.write(edge::events::data_centres_out, "",
+                       {{"out", context_.centres.out()},
+                        {"held", held},
+                        {"era", at.era},
+                        {"revision", at.revision},
+                        {"source", source}});
     callbacks_.on_targets();
 }
 
-void store_watch::apply_members(const store_reply& reply, bool complete) {
-    if (complete)
+/// Gateways that registered after a restored store's copy was made register again: they stay members.
+void store_watch::list_members(const store_reply& reply, list_source source) {
+    if (source == list_source::store)
         members_.clear();
+    std::vector<std::int64_t> registered_in;
+    for (const auto& object : reply.objects)
+        if (object.name != context_.settings.name)
+            registered_in.push_back(platform::decode_registration(object.spec).era);
+    context_.start.registrations_read(registered_in, reply.at.era, context_.loop.now());
+    change_members(reply);
+}
+
+void store_watch::change_members(const store_reply& reply) {
     for (const auto& object : reply.objects) {
-        const auto address = object.spec.is_object() ? object.spec.value("address", "") : std::string{};
+        const auto address = platform::decode_registration(object.spec).address;
         if (object.removed || address.empty())
             members_.erase(object.name);
         else
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -1,6 +1,6 @@
 /// Watches the platform's store: configuration, registered targets, data centres taken out of service, and
-/// the other gateways. After a failed call it retries; a watch whose history the store no longer keeps starts
-/// again with a list.
+/// the other gateways. After a failed call it retries; a watch whose history the store no longer keeps, or
+/// whose store was restored from an older copy, starts again with a list.
 #pragma once
 
 #include "platform/store_client.hpp"
@@ -20,7 +20,7 @@
         core::common::milliseconds relaxed_batch_delay;
     };
     struct callbacks {
-        std::function<void(const platform::store_reply&)> on_list;
+        std::function<void(const platform::store_reply&, core::fleet::list_source)> on_list;
         std::function<void(const platform::store_reply&)> on_events;
     };
     kind_watch(gateway_context& context, platform::store_client& store, std::string kind, watch_timing timing,
@@ -29,6 +29,7 @@
           callbacks_(std::move(handlers)) {}
 
     void start();
+    void list_again();    // the store was restored: drops what is on its way
     void watch_closely(); // messages of the order giver stopped arriving: ends a relaxed watch or delay
     [[nodiscard]] bool answering() const { return answering_; }
     [[nodiscard]] const std::string& kind() const { return kind_; }
@@ -37,16 +38,20 @@
 private:
     void list();
     void watch();
+    void handle_list_reply(const platform::store_reply& reply);
     void handle_watch_reply(const platform::store_reply& reply);
     void schedule_next(core::common::milliseconds after);
-    void record_reply(const platform::store_reply& reply, const char* call);
+    /// Notes the store's era and whether it answered. Returns false if the reply must not be used, because it
+    /// was the first of a new era and everything is listed again.
+    bool record_reply(platform::store_reply& reply, const char* call);
 
     gateway_context& context_;
     platform::store_client& store_;
     std::string kind_;
     watch_timing timing_;
     callbacks callbacks_;
-    std::int64_t revision_ = 0; // to watch from; 0: list first
+    core::common::store_position position_; // to watch from; revision 0: list first
+    std::int64_t listed_era_ = -1;          // of the latest list; -1: none yet
     bool answering_ = true;
     core::common::time_point answered_at_{}; // last answer of the store; start time before the first
     int failures_ = 0;                       // consecutive
@@ -63,20 +68,26 @@
     };
     store_watch(gateway_context& context, platform::store_client& store, callbacks handlers);
     void start();
+    void list_again();                              // all kinds
     void watch_closely();                           // all kinds
     void report_ages(core::common::time_point now); // as metrics
 
     /// Applies a configuration document from the store or a peer; older versions are ignored.
     void apply_config(const nlohmann::json& spec, const std::string& source);
     [[nodiscard]] bool reads_targets() const { return targets_watch_.answering(); }
+    /// Logs the data centres that are out and tells the other parts. `source`: "store", a peer or "hold".
+    void centres_changed(core::common::store_position at, const std::string& source);
     /// JSON text of the configuration in force, for peers that can't reach the store.
     [[nodiscard]] const std::string& config_text() const { return config_text_; }
 
 private:
     void apply_config_objects(const platform::store_reply& reply);
-    void apply_targets(const platform::store_reply& reply, bool complete);
-    void apply_centres(const platform::store_reply& reply, bool complete);
-    void apply_members(const platform::store_reply& reply, bool complete);
+    void list_targets(const platform::store_reply& reply, core::fleet::list_source source);
+    void change_targets(const platform::store_reply& reply);
+    void list_centres(const platform::store_reply& reply);
+    void change_centres(const platform::store_reply& reply);
+    void list_members(const platform::store_reply& reply, core::fleet::list_source source);
+    void change_members(const platform::store_reply& reply);
     std::optional<core::fleet::target_entry> decode_target(const platform::stored_object& object);
     void log_target(const core::fleet::target_entry& entry, const char* change);
 
@@ -87,7 +98,7 @@
     kind_watch centres_watch_;
     kind_watch members_watch_;
     std::string config_text_;
-    std::map<std::string, std::string> members_;
+    std::map<std::string, std::string> members_; // address by name
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/steward/claims_service.cpp
+++ b/src/programs/steward/claims_service.cpp
@@ -158,7 +158,7 @@
     case step_kind::create_segment:
         tag.call = store_call::claims_segment_write;
         writes_.Increment();
-        return context_.platform.put(std::move(tag), segment, 0, step.body);
+        return context_.platform.put(std::move(tag), segment, {}, step.body);
     case step_kind::remove_segment:
         tag.call = store_call::claims_segment_remove;
         tag.key = segment;
--- a/src/programs/steward/feed_service.cpp
+++ b/src/programs/steward/feed_service.cpp
@@ -110,7 +110,7 @@
                        : std::nullopt;
     if (!entries) {
         fetch_.reset(); // the head is read again from the start
-        head_version_ = 0;
+        head_version_ = {};
         next_watch_ = now + head_retry_delay;
         return;
     }
--- a/src/programs/steward/feed_service.hpp
+++ b/src/programs/steward/feed_service.hpp
@@ -74,8 +74,8 @@
     edge::logger log_ = edge::make_logger("steward.feed");
     bool watching_ = false;
     core::common::time_point next_watch_{};
-    std::int64_t head_version_ = 0;
-    std::int64_t head_revision_ = 0; // of the head at head_version_
+    core::common::store_position head_version_; // newest read
+    std::int64_t head_revision_ = 0;            // of the head at head_version_
     core::common::time_point store_answered_at_{};
     std::optional<snapshot_fetch> fetch_;
     bool changed_ = false;
--- a/src/programs/steward/shards.cpp
+++ b/src/programs/steward/shards.cpp
@@ -178,11 +178,15 @@
         if (!listed)
             return contact_.failed(now);
         contact_.answered(now);
-        std::map<std::string, std::int64_t> versions;
-        for (const edge::listed_object& object : *listed)
+        std::map<std::string, core::common::store_position> versions;
+        core::common::store_position absent;
+        for (const edge::listed_object& object : *listed) {
             versions[object.key] = object.version;
+            absent.era = std::max(absent.era, object.version.era);
+        }
         for (int shard = 0; shard < count(); ++shard)
-            at(shard).lease.observe_version(versions[shard_key(shard)], now);
+            at(shard).lease.observe_version(versions.try_emplace(shard_key(shard), absent).first->second,
+                                            now);
         return;
     }
     shard_entry& entry = at(event.shard);
@@ -202,7 +206,7 @@
     }
     entry.reading = false;
     if (answer.outcome == edge::store_outcome::absent)
-        entry.lease.observe_record(0, std::nullopt, now);
+        entry.lease.observe_record({answer.version.era, 0}, std::nullopt, now);
     else if (answer.outcome == edge::store_outcome::ok)
         if (const auto record = core::membership::decode_lease(answer.body))
             entry.lease.observe_record(answer.version, record, now);
--- a/src/programs/steward/store.hpp
+++ b/src/programs/steward/store.hpp
@@ -13,17 +13,18 @@
     store(edge::platform_client& platform, event_ring& events) : platform_(platform), events_(events) {}
 
     void read(store_event tag, const std::string& key) { platform_.read(key, answer_to(std::move(tag))); }
-    void watch(store_event tag, const std::string& key, std::int64_t version,
+    void watch(store_event tag, const std::string& key, core::common::store_position version,
                core::common::milliseconds wait) {
         platform_.watch(key, version, wait, answer_to(std::move(tag)));
     }
     void list(store_event tag, const std::string& prefix) {
         platform_.list(prefix, answer_to(std::move(tag)));
     }
-    void put(store_event tag, const std::string& key, std::int64_t if_version, std::string body) {
+    void put(store_event tag, const std::string& key, core::common::store_position if_version,
+             std::string body) {
         platform_.put(key, if_version, std::move(body), answer_to(std::move(tag)));
     }
-    void remove(store_event tag, const std::string& key, std::int64_t if_version) {
+    void remove(store_event tag, const std::string& key, core::common::store_position if_version) {
         platform_.remove(key, if_version, answer_to(std::move(tag)));
     }
     void vms(store_event tag) { platform_.vms(answer_to(std::move(tag))); }
--- a/standins/platform/platform.cpp
+++ b/standins/platform/platform.cpp
@@ -28,8 +28,8 @@
     return out;
 }
 
-std::string make_etag(std::int64_t version) {
-    return "\"" + std::to_string(version) + "\"";
+std::string make_etag(store_position version) {
+    return "\"" + core::common::to_text(version) + "\"";
 }
 
 std::optional<std::int64_t> parse_integer(std::string_view text) {
@@ -41,10 +41,10 @@
     return out;
 }
 
-std::optional<std::int64_t> parse_etag(std::string_view tag) {
+std::optional<store_position> parse_etag(std::string_view tag) {
     if (tag.size() < 2 || tag.front() != '"' || tag.back() != '"')
         return std::nullopt;
-    return parse_integer(tag.substr(1, tag.size() - 2));
+    return core::common::parse_store_position(tag.substr(1, tag.size() - 2));
 }
 
 void respond(const exchange_ptr& exchange, int status, const json& body) {
@@ -54,9 +54,10 @@
     respond(exchange, status, {{"status", status}, {"title", why}});
 }
 
-void respond_object(const exchange_ptr& exchange, const object* found) {
+/// `version`: of the object; of an absent one its era tells.
+void respond_object(const exchange_ptr& exchange, const object* found, store_position version) {
     if (found == nullptr)
-        return refuse(exchange, 404, "There is no such object.");
+        return exchange->respond({404, {{"ETag", make_etag(version)}}, "There is no such object."});
     exchange->respond({200,
                        {{"Content-Type", "application/octet-stream"}, {"ETag", make_etag(found->version)}},
                        found->value});
@@ -66,7 +67,7 @@
     return request.method == "PUT" || request.method == "DELETE";
 }
 bool is_control_path(const std::string& path) {
-    return path == "/faults" || path == "/audit";
+    return path == "/faults" || path == "/audit" || path == "/copy" || path == "/restore";
 }
 
 std::string string_field(const json& body, const char* name) {
@@ -220,6 +221,15 @@
         return change_faults(exchange);
     if (path == "/audit")
         return respond_audit(exchange);
+    if (path == "/copy" && request.method == "POST") {
+        objects_.take_copy();
+        return exchange->respond({204, {}, {}});
+    }
+    if (path == "/restore" && request.method == "POST") {
+        objects_.restore();
+        cut_watches("/");
+        return exchange->respond({204, {}, {}});
+    }
     if (path == "/objects" && request.method == "GET")
         return respond_object_list(exchange);
     if (path.starts_with(objects_path) && path.size() > objects_path.size()) {
@@ -249,17 +259,17 @@
     const auto watched = query.find("watch");
     if (watched == query.end()) {
         count_call("read");
-        return respond_object(exchange, objects_.find(key));
+        return respond_object(exchange, objects_.find(key), objects_.version_of(key));
     }
     count_call("watch");
     const auto wait_text = query.find("wait_ms");
-    const auto known_version = parse_integer(watched->second);
+    const auto known_version = core::common::parse_store_position(watched->second);
     const auto wait = wait_text == query.end() ? std::optional<std::int64_t>{max_watch_wait.count()}
                                                : parse_integer(wait_text->second);
     if (!known_version || !wait || *wait < 0)
         return refuse(exchange, 400, "watch and wait_ms are whole numbers.");
     if (objects_.version_of(key) != *known_version)
-        return respond_object(exchange, objects_.find(key));
+        return respond_object(exchange, objects_.find(key), objects_.version_of(key));
     watches_.push_back({key, *known_version, now + std::min(milliseconds{*wait}, max_watch_wait), exchange});
 }
 
@@ -270,9 +280,10 @@
     const auto match = request.headers.find("if-match");
     const auto none_match = request.headers.find("if-none-match");
     const bool expects_absence = none_match != request.headers.end() && none_match->second == "*";
-    const auto expected_version = match == request.headers.end()
-                                      ? (expects_absence ? std::optional<std::int64_t>{0} : std::nullopt)
-                                      : parse_etag(match->second);
+    const auto expected_version =
+        match == request.headers.end()
+            ? (expects_absence ? std::optional<store_position>{store_position{}} : std::nullopt)
+            : parse_etag(match->second);
     if (!expected_version)
         return refuse(exchange, 428, "A write needs If-Match: \"VERSION\" or If-None-Match: *.");
     const write_outcome outcome =
@@ -311,7 +322,7 @@
     std::erase_if(watches_, [&](const watch& waiting) {
         if (waiting.key != key || waiting.known_version == objects_.version_of(key))
             return false;
-        respond_object(waiting.exchange, objects_.find(key));
+        respond_object(waiting.exchange, objects_.find(key), objects_.version_of(key));
         return true;
     });
 }
@@ -331,7 +342,8 @@
     const auto prefix = query.find("prefix");
     json out = json::array();
     for (const auto& [key, version] : objects_.list(prefix == query.end() ? "" : prefix->second))
-        out.push_back({{"key", key}, {"version", version}});
+        out.push_back(
+            {{"key", key}, {"version", version.era == 0 ? json(version.revision) : json(to_text(version))}});
     respond(exchange, 200, out);
 }
 
--- a/standins/platform/platform.hpp
+++ b/standins/platform/platform.hpp
@@ -1,7 +1,7 @@
 /// Stand-in for the platform: versioned objects with watches, the lagging list of virtual machines and the
 /// rate-limited weight store. It serves the paths of docs/DESIGN.md, "Platform protocol", and for tests:
 ///   POST /faults {"kind","match","count","delay_ms","then_down"}, DELETE /faults, GET /audit, PUT and DELETE
-///   /vms/VM.
+///   /vms/VM, POST /copy and POST /restore: the objects as they were at the copy, in a new era.
 #pragma once
 
 #include "edge/http_server.hpp"
@@ -46,7 +46,7 @@
     using time_point = core::common::time_point;
     struct watch {
         std::string key;
-        std::int64_t known_version = 0; // the watch ends when the object's version differs
+        store_position known_version; // the watch ends when the object's version differs
         time_point deadline;
         edge::exchange_ptr exchange;
     };
--- a/tests/contract/platform_client_test.cpp
+++ b/tests/contract/platform_client_test.cpp
@@ -81,28 +81,29 @@
         });
         EXPECT_EQ(read.outcome, expected.read) << expected.name;
         const auto write = ask(store.address, [](auto& platform_api, auto done) {
-            platform_api.put("shards/1", 7, "{}", std::move(done));
+            platform_api.put("shards/1", {0, 7}, "{}", std::move(done));
         });
         EXPECT_EQ(write.outcome, expected.write) << expected.name;
         EXPECT_EQ(write.store_answered(), expected.write != store_outcome::unknown) << expected.name;
-        EXPECT_TRUE(expected.write != store_outcome::ok || write.version == 42) << expected.name;
+        EXPECT_TRUE(expected.write != store_outcome::ok || write.version.revision == 42) << expected.name;
     }
 }
 
 TEST(platform_client, a_write_on_a_refused_connection_is_unavailable) {
     const auto out = ask("127.0.0.1:1", [](auto& platform_api, auto done) {
-        platform_api.put("shards/1", 7, "{}", std::move(done));
+        platform_api.put("shards/1", {0, 7}, "{}", std::move(done));
     });
     EXPECT_EQ(out.outcome, store_outcome::unavailable);
 }
 
 TEST(platform_client, conditions_are_sent_as_entity_tags) {
     platform store{200};
-    ask(store.address,
-        [](auto& platform_api, auto done) { platform_api.put("claims/3/head", 17, "{}", std::move(done)); });
+    ask(store.address, [](auto& platform_api, auto done) {
+        platform_api.put("claims/3/head", {0, 17}, "{}", std::move(done));
+    });
     EXPECT_EQ(store.last_request.headers.at("if-match"), "\"17\"");
     ask(store.address,
-        [](auto& platform_api, auto done) { platform_api.put("claims/3/head", 0, "{}", std::move(done)); });
+        [](auto& platform_api, auto done) { platform_api.put("claims/3/head", {}, "{}", std::move(done)); });
     EXPECT_EQ(store.last_request.headers.at("if-none-match"), "*");
     EXPECT_FALSE(store.last_request.headers.contains("if-match"));
 }
--- a/tests/contract/platform_standin_test.cpp
+++ b/tests/contract/platform_standin_test.cpp
@@ -39,7 +39,7 @@
     edge::store_answer read(const std::string& key) {
         return wait_for([&](auto done) { store->read(key, done); });
     }
-    edge::store_answer put(const std::string& key, std::int64_t version, std::string body) {
+    edge::store_answer put(const std::string& key, core::common::store_position version, std::string body) {
         return wait_for([&](auto done) { store->put(key, version, std::move(body), done); });
     }
     edge::client_result call(const std::string& method, const std::string& path, std::string body = {}) {
@@ -82,16 +82,19 @@
 
 TEST_F(platform_standin, versions_rise_and_conditions_decide) {
     EXPECT_EQ(read("a").outcome, store_outcome::absent);
-    EXPECT_EQ(put("a", 0, "one").version, 1);
-    EXPECT_EQ(put("a", 0, "two").outcome, store_outcome::conflict);
-    EXPECT_EQ(put("a", 7, "two").outcome, store_outcome::conflict);
-    EXPECT_EQ(put("b", 0, "other").version, 2);
-    EXPECT_EQ(put("a", 1, "two").version, 3);
+    EXPECT_EQ(put("a", {0, 0}, "one").version.revision, 1);
+    EXPECT_EQ(put("a", {0, 0}, "two").outcome, store_outcome::conflict);
+    EXPECT_EQ(put("a", {0, 7}, "two").outcome, store_outcome::conflict);
+    EXPECT_EQ(put("b", {0, 0}, "other").version.revision, 2);
+    EXPECT_EQ(put("a", {0, 1}, "two").version.revision, 3);
     EXPECT_EQ(read("a").body, "two");
-    EXPECT_EQ(wait_for([&](auto done) { store->remove("a", 1, done); }).outcome, store_outcome::conflict);
-    EXPECT_EQ(wait_for([&](auto done) { store->remove("a", 3, done); }).outcome, store_outcome::ok);
+    EXPECT_EQ(wait_for([&](auto done) {
+                  store->remove("a", {0, 1}, done);
+              }).outcome,
+              store_outcome::conflict);
+    EXPECT_EQ(wait_for([&](auto done) { store->remove("a", {0, 3}, done); }).outcome, store_outcome::ok);
     EXPECT_EQ(read("a").outcome, store_outcome::absent);
-    EXPECT_GT(put("a", 0, "again").version, 4) << "a version was used again";
+    EXPECT_GT(put("a", {0, 0}, "again").version.revision, 4) << "a version was used again";
 }
 
 TEST_F(platform_standin, writes_without_a_condition_are_refused) {
@@ -101,26 +104,28 @@
 }
 
 TEST_F(platform_standin, values_over_a_megabyte_are_refused) {
-    EXPECT_EQ(put("a", 0, std::string(1'000'000, 'x')).outcome, store_outcome::ok);
-    EXPECT_EQ(put("b", 0, std::string(1'000'001, 'x')).outcome, store_outcome::too_large);
+    EXPECT_EQ(put("a", {0, 0}, std::string(1'000'000, 'x')).outcome, store_outcome::ok);
+    EXPECT_EQ(put("b", {0, 0}, std::string(1'000'001, 'x')).outcome, store_outcome::too_large);
     EXPECT_EQ(read("b").outcome, store_outcome::absent);
 }
 
 TEST_F(platform_standin, a_watch_ends_on_a_change_or_at_its_timeout) {
-    ASSERT_EQ(put("a", 0, "one").version, 1);
-    EXPECT_EQ(wait_for([&](auto done) { store->watch("a", 1, 30ms, done); }).outcome,
+    ASSERT_EQ(put("a", {0, 0}, "one").version.revision, 1);
+    EXPECT_EQ(wait_for([&](auto done) {
+                  store->watch("a", {0, 1}, 30ms, done);
+              }).outcome,
               store_outcome::unchanged);
-    EXPECT_EQ(wait_for([&](auto done) { store->watch("a", 0, 10s, done); }).body, "one");
+    EXPECT_EQ(wait_for([&](auto done) { store->watch("a", {0, 0}, 10s, done); }).body, "one");
     std::promise<edge::store_answer> woken;
-    store->watch("a", 1, 20s, [&](edge::store_answer&& got) { woken.set_value(std::move(got)); });
-    ASSERT_EQ(put("a", 1, "two").outcome, store_outcome::ok);
+    store->watch("a", {0, 1}, 20s, [&](edge::store_answer&& got) { woken.set_value(std::move(got)); });
+    ASSERT_EQ(put("a", {0, 1}, "two").outcome, store_outcome::ok);
     EXPECT_EQ(woken.get_future().get().body, "two");
 }
 
 TEST_F(platform_standin, a_watch_on_an_absent_object_is_woken_by_its_creation) {
     std::promise<edge::store_answer> woken;
-    store->watch("new", 0, 20s, [&](edge::store_answer&& got) { woken.set_value(std::move(got)); });
-    ASSERT_EQ(put("new", 0, "here").outcome, store_outcome::ok);
+    store->watch("new", {0, 0}, 20s, [&](edge::store_answer&& got) { woken.set_value(std::move(got)); });
+    ASSERT_EQ(put("new", {0, 0}, "here").outcome, store_outcome::ok);
     EXPECT_EQ(woken.get_future().get().body, "here");
 }
 
@@ -128,22 +133,22 @@
     constexpr int watches = 500;
     std::atomic<int> woken{0};
     for (int i = 0; i < watches; ++i)
-        store->watch("a", 0, 20s, [&](edge::store_answer&& got) { woken += got.body == "here"; });
-    ASSERT_EQ(put("a", 0, "here").outcome, store_outcome::ok) << "a write waits behind watches";
+        store->watch("a", {0, 0}, 20s, [&](edge::store_answer&& got) { woken += got.body == "here"; });
+    ASSERT_EQ(put("a", {0, 0}, "here").outcome, store_outcome::ok) << "a write waits behind watches";
     while (woken < watches)
         std::this_thread::sleep_for(1ms); // if a response is lost, the test's timeout ends the loop
     EXPECT_EQ(woken, watches);
 }
 
 TEST_F(platform_standin, lists_keys_of_a_prefix) {
-    put("p/1", 0, "x");
-    put("p/2", 0, "x");
-    put("q/1", 0, "x");
+    put("p/1", {0, 0}, "x");
+    put("p/2", {0, 0}, "x");
+    put("q/1", {0, 0}, "x");
     const auto listed = edge::decode_objects(wait_for([&](auto done) { store->list("p/", done); }).body);
     ASSERT_TRUE(listed.has_value());
     ASSERT_EQ(listed->size(), 2);
     EXPECT_EQ((*listed)[1].key, "p/2");
-    EXPECT_EQ((*listed)[1].version, 2);
+    EXPECT_EQ((*listed)[1].version.revision, 2);
 }
 
 TEST_F(platform_standin, the_vm_list_lags) {
@@ -207,7 +212,7 @@
 
 TEST_F(platform_standin, an_outage_ends_pending_watches) {
     std::promise<edge::store_answer> ended;
-    store->watch("a", 0, 20s, [&](edge::store_answer&& got) { ended.set_value(std::move(got)); });
+    store->watch("a", {0, 0}, 20s, [&](edge::store_answer&& got) { ended.set_value(std::move(got)); });
     while (call("GET", "/audit").body.find("\"open_watches\":1") == std::string::npos)
         std::this_thread::sleep_for(1ms);
     fault(R"({"kind":"down"})");
@@ -232,3 +237,18 @@
     EXPECT_TRUE(one_read.take_finished(begin + 990ms).empty()) << "one read alone is no faster";
     EXPECT_EQ(one_read.take_finished(one_read.next_completion(begin + 990ms)).size(), 1);
 }
+
+TEST_F(platform_standin, restored_from_an_older_copy_it_gives_revisions_out_again_in_a_new_era) {
+    ASSERT_EQ(put("a", {}, "copied").outcome, store_outcome::ok);
+    ASSERT_EQ(call("POST", "/copy").status, 204);
+    const auto lost = put("a", {0, 1}, "lost").version;
+    ASSERT_EQ(call("POST", "/restore").status, 204);
+    EXPECT_EQ(read("a").body, "copied");
+    EXPECT_EQ(read("a").version, (core::common::store_position{1, 1}));
+    EXPECT_EQ(put("b", {}, "new").version, (core::common::store_position{1, 2})); // the lost write's revision
+    EXPECT_EQ(put("b", lost, "x").outcome, store_outcome::conflict) << "a condition of the old era held";
+    EXPECT_EQ(read("missing").version, (core::common::store_position{1, 0}));
+    const auto listed = edge::decode_objects(call("GET", "/objects").body);
+    ASSERT_TRUE(listed.has_value());
+    EXPECT_EQ(listed->at(0).version, (core::common::store_position{1, 1}));
+}
--- a/tests/contract/platform_test.cpp
+++ b/tests/contract/platform_test.cpp
@@ -207,7 +207,7 @@
     const auto reply = server.ask([](auto& store, auto done) { store.list("kind", done); });
     ASSERT_EQ(reply.result, store_result::ok);
     ASSERT_EQ(reply.objects.size(), 2U);
-    EXPECT_EQ(reply.revision, 5);
+    EXPECT_EQ(reply.at.revision, 5);
 }
 
 TEST(platform_store, a_watch_reports_changes_and_removals) {
@@ -222,16 +222,18 @@
                                 {"current_rev", 7}}
                                .dump()});
     }};
-    const auto reply = server.ask([](auto& store, auto done) { store.watch("kind", 5, 1s, done); });
+    const auto reply = server.ask([](auto& store, auto done) { store.watch("kind", {0, 5}, 1s, done); });
     ASSERT_EQ(reply.objects.size(), 2U);
     EXPECT_FALSE(reply.objects[0].removed);
     EXPECT_TRUE(reply.objects[1].removed);
-    EXPECT_EQ(reply.revision, 7);
+    EXPECT_EQ(reply.at.revision, 7);
 }
 
 TEST(platform_store, a_write_whose_answer_is_lost_or_late_is_unknown) {
     scripted_store cut{[](const edge::exchange_ptr& exchange) { exchange->cut(); }};
-    const auto write = [](auto& store, auto done) { store.replace("kind", "name", 3, json{{"x", 2}}, done); };
+    const auto write = [](auto& store, auto done) {
+        store.replace("kind", "name", {0, 3}, json{{"x", 2}}, done);
+    };
     EXPECT_EQ(cut.ask(write).result, store_result::unknown);
     edge::exchange_ptr held;
     scripted_store silent{[&](const edge::exchange_ptr& exchange) { held = exchange; }};
@@ -253,3 +255,53 @@
     }};
     EXPECT_EQ(server.ask(read_one).result, store_result::unknown);
 }
+
+TEST(platform_store, each_answer_states_its_era_and_an_impossible_one_is_unknown) {
+    struct fault_case {
+        const char* header; // nullptr: missing
+        store_result result;
+        std::int64_t era;
+    };
+    for (const fault_case& each :
+         {fault_case{nullptr, store_result::ok, 0}, fault_case{"0", store_result::ok, 0},
+          fault_case{"7", store_result::ok, 7}, fault_case{"-1", store_result::unknown, 0},
+          fault_case{"x", store_result::unknown, 0}, fault_case{"", store_result::unknown, 0},
+          fault_case{"1.5", store_result::unknown, 0},
+          fault_case{"99999999999999999999", store_result::unknown, 0},
+          fault_case{"1048576", store_result::unknown, 0}}) {
+        scripted_store server{[&](const edge::exchange_ptr& exchange) {
+            edge::http_response response{200, {}, object("name", 5).dump()};
+            if (each.header != nullptr)
+                response.headers.push_back({"Store-Era", each.header});
+            exchange->respond(response);
+        }};
+        const auto reply = server.ask(read_one);
+        const char* name = each.header == nullptr ? "missing" : each.header;
+        EXPECT_EQ(reply.result, each.result) << name;
+        EXPECT_EQ(reply.at.era, each.era) << name;
+        if (each.result == store_result::ok) {
+            EXPECT_EQ(reply.objects.at(0).changed, (core::common::store_position{each.era, 5})) << name;
+        } else {
+            EXPECT_NE(reply.why.detail.find("Store-Era"), std::string::npos) << name;
+        }
+    }
+}
+
+TEST(platform_store, a_list_whose_pages_are_of_two_eras_is_not_used) {
+    scripted_store server{[](const edge::exchange_ptr& exchange) {
+        const bool second = exchange->request().query.contains("after");
+        exchange->respond({200,
+                           {{"Store-Era", second ? "2" : "1"}},
+                           json{{"items", json::array({object(second ? "b" : "a", 3)})},
+                                {"more_pages", !second},
+                                {"current_rev", 5}}
+                               .dump()});
+    }};
+    EXPECT_EQ(server.ask([](auto& store, auto done) { store.list("kind", done); }).result,
+              store_result::unknown);
+}
+
+TEST(platform_store, each_era_has_a_lease_of_its_own) {
+    EXPECT_EQ(platform::lease_name_of(0), "order-giver");
+    EXPECT_EQ(platform::lease_name_of(3), "order-giver-3");
+}
--- a/tests/core/claims_test.cpp
+++ b/tests/core/claims_test.cpp
@@ -34,27 +34,27 @@
 }
 
 struct stored_object {
-    std::int64_t version = 0;
+    common::store_position version;
     std::string body;
 };
 
 /// The objects claims/SHARD/... of the platform's store.
 struct fake_store {
-    std::int64_t last_version = 0;
+    std::int64_t last_revision = 0;
     stored_object head;
     std::map<std::int64_t, stored_object> segments;
 
-    store_result put(stored_object& object, std::int64_t if_version, const std::string& body) {
+    store_result put(stored_object& object, common::store_position if_version, const std::string& body) {
         if (object.version != if_version)
             return store_result::conflict;
-        object = {++last_version, body};
+        object = {{0, ++last_revision}, body};
         return store_result::ok;
     }
-    store_result execute(const step& what, std::int64_t& version, std::string& body) {
+    store_result execute(const step& what, common::store_position& version, std::string& body) {
         const auto read = [&](const stored_object& object) {
             version = object.version;
             body = object.body;
-            return object.version == 0 ? store_result::absent : store_result::ok;
+            return object.version.revision == 0 ? store_result::absent : store_result::ok;
         };
         store_result out = store_result::ok;
         switch (what.kind) {
@@ -67,7 +67,7 @@
             version = head.version;
             return out;
         case step_kind::create_segment:
-            return put(segments[what.segment], 0, what.body);
+            return put(segments[what.segment], {}, what.body);
         case step_kind::remove_segment:
             segments.erase(what.segment);
             return out;
@@ -76,7 +76,7 @@
     }
 };
 
-void report_result(claim_log& log, step_kind kind, store_result result, std::int64_t version,
+void report_result(claim_log& log, step_kind kind, store_result result, common::store_position version,
                    const std::string& body, time_point now) {
     switch (kind) {
     case step_kind::read_head:
@@ -103,7 +103,7 @@
     explicit log_with_store(claims::claim_options options = {}) : log(options) {}
     std::vector<answer> settle() {
         while (const auto next = log.next_step(now, wall)) {
-            std::int64_t version = 0;
+            common::store_position version;
             std::string body;
             const store_result result = store.execute(*next, version, body);
             writes += next->kind == step_kind::write_head ? 1 : 0;
@@ -230,29 +230,29 @@
         entry.in_flight.reset();
         const bool writes = sent.kind == step_kind::write_head || sent.kind == step_kind::create_segment;
         const int delivery = outage_ ? pick(3) : pick(12);
-        std::int64_t version = 0;
+        common::store_position version;
         std::string body;
         if (delivery == 0)
-            return report_result(entry.log, sent.kind, store_result::failed, 0, {}, now_);
+            return report_result(entry.log, sent.kind, store_result::failed, {}, {}, now_);
         if (delivery == 1) { // lost or delayed on the way to the store
             if (writes && pick(2) == 0)
                 delayed_.push_back({sent});
             return report_result(entry.log, sent.kind, writes ? store_result::unknown : store_result::failed,
-                                 0, {}, now_);
+                                 {}, {}, now_);
         }
         if (outage_ && !writes)
-            return report_result(entry.log, sent.kind, store_result::failed, 0, {}, now_);
+            return report_result(entry.log, sent.kind, store_result::failed, {}, {}, now_);
         const store_result result = store_.execute(sent, version, body);
         if (delivery == 2) // the answer is lost after it took effect
             return report_result(entry.log, sent.kind, writes ? store_result::unknown : store_result::failed,
-                                 0, {}, now_);
+                                 {}, {}, now_);
         report_result(entry.log, sent.kind, result, version, body, now_);
     }
     void deliver_delayed() {
         if (delayed_.empty())
             return;
         const auto which = delayed_.begin() + pick(static_cast<int>(delayed_.size()));
-        std::int64_t version = 0;
+        common::store_position version;
         std::string body;
         store_.execute(which->what, version, body);
         delayed_.erase(which);
@@ -386,7 +386,7 @@
     for (const step_kind expected : {step_kind::write_head, step_kind::create_segment}) {
         const std::optional<step> what = holder.log.next_step(holder.now, holder.wall);
         ASSERT_TRUE(what && what->kind == expected);
-        std::int64_t version = 0;
+        common::store_position version;
         std::string body;
         const store_result result = holder.store.execute(*what, version, body);
         report_result(holder.log, what->kind, result, version, body, holder.now);
@@ -422,7 +422,7 @@
     log_with_store holder;
     holder.log.claim_key(1, make_claim("k", "r"), 10s, holder.now);
     ASSERT_TRUE(holder.log.next_step(holder.now, holder.wall).has_value());
-    holder.log.head_read(store_result::failed, 0, {}, holder.now);
+    holder.log.head_read(store_result::failed, {}, {}, holder.now);
     holder.log.claim_key(2, make_claim("k2", "r"), 10s, holder.now);
     const auto answers = holder.log.take_answers();
     ASSERT_EQ(answers.size(), 1U);
@@ -432,12 +432,12 @@
 
 TEST(claims, malformed_head_fails_questions_instead_of_being_overwritten) {
     log_with_store holder;
-    holder.store.head = {3, "{\"records\":"};
+    holder.store.head = {{0, 3}, "{\"records\":"};
     holder.log.claim_key(1, make_claim("k", "r"), 10s, holder.now);
     EXPECT_TRUE(holder.settle().empty());
     holder.now += 3s;
     const auto answers = holder.settle();
     ASSERT_EQ(answers.size(), 1U);
     EXPECT_EQ(answers[0].kind, answer_kind::unavailable);
-    EXPECT_EQ(holder.store.head.version, 3);
+    EXPECT_EQ(holder.store.head.version.revision, 3);
 }
--- a/tests/core/fleet_test.cpp
+++ b/tests/core/fleet_test.cpp
@@ -134,9 +134,9 @@
 TEST(target_directory, a_peers_report_that_a_target_leaves_is_applied_but_not_passed_on) {
     directory targets;
     targets.replace_all({entry("t1")}, start);
-    targets.mark_leaving("t1", 2); // another start of it
+    targets.mark_leaving({"t1", 2}); // another start of it
     EXPECT_FALSE(targets.find("t1")->leaving());
-    targets.mark_leaving("t1", 1);
+    targets.mark_leaving({"t1", 1});
     EXPECT_TRUE(targets.find("t1")->leaving());
     EXPECT_TRUE(targets.leaving_targets().empty());
     targets.upsert(entry("t1"), start + 1s); // its own registration shows that it stays
@@ -257,3 +257,61 @@
     for (const char* text : {"n", "m/a0", "m/a3", "m/b1", "m/a1x", "m/a", "m/a-1"})
         EXPECT_FALSE(fleet::offers(engine, fleet::parse_model_ref(text))) << text;
 }
+
+TEST(target_directory, in_a_restored_store_what_was_known_holds_until_the_target_writes_again) {
+    directory targets;
+    auto draining = entry("draining");
+    draining.draining = true;
+    targets.replace_all({entry("left"), draining, entry("restarted", 5), entry("new"), entry("same")}, start);
+    targets.remove("left", start + 1s);
+    // The copy: before "left" left, "draining" said so, "restarted" started again and "new" registered.
+    targets.replace_all({entry("left"), entry("draining"), entry("restarted", 4), entry("same")}, start + 2s,
+                        fleet::list_source::restored_store);
+    EXPECT_EQ(targets.find("left"), nullptr);
+    EXPECT_TRUE(targets.find("draining")->leaving());
+    EXPECT_EQ(targets.find("restarted")->entry.born, 5);
+    ASSERT_NE(targets.find("new"), nullptr); // lapsed: it registers again within the grace
+    EXPECT_TRUE(targets.find("new")->lapsed_until.has_value());
+    EXPECT_FALSE(targets.find("same")->leaving());
+    targets.upsert(entry("new"), start + 3s);
+    EXPECT_TRUE(targets.expire(start + 10s).empty());
+}
+
+TEST(target_directory, a_registration_that_a_restored_store_lost_is_dropped_after_the_grace) {
+    directory targets;
+    targets.replace_all({entry("t1"), entry("t2")}, start);
+    targets.replace_all({entry("t2")}, start + 1s, fleet::list_source::restored_store);
+    EXPECT_TRUE(targets.expire(start + 1s + fleet::lapse_grace - 1ms).empty());
+    EXPECT_EQ(targets.expire(start + 1s + fleet::lapse_grace), (std::vector<std::string>{"t1"}));
+}
+
+TEST(target_directory, a_target_that_says_it_leaves_gets_no_more_requests_until_it_starts_again) {
+    directory targets;
+    targets.replace_all({entry("t1", 1)}, start);
+    EXPECT_FALSE(targets.note_said_leaving({"t1", 2}, start)); // another start
+    EXPECT_TRUE(targets.note_said_leaving({"t1", 1}, start));
+    EXPECT_FALSE(targets.note_said_leaving({"t1", 1}, start + 1s)); // known already
+    EXPECT_TRUE(targets.find("t1")->leaving());
+    EXPECT_EQ(targets.leaving_targets(), (std::vector<fleet::target_start>{{"t1", 1}}));
+    targets.upsert(entry("t1", 1), start + 2s); // still registered as ready
+    EXPECT_TRUE(targets.find("t1")->leaving());
+    targets.remove("t1", start + 3s);
+    targets.upsert(entry("t1", 1), start + 4s); // its registration had lapsed
+    EXPECT_TRUE(targets.find("t1")->leaving());
+    targets.upsert(entry("t1", 2), start + 5s);
+    EXPECT_FALSE(targets.find("t1")->leaving());
+}
+
+TEST(target_directory, a_pause_holds_for_one_start_of_a_target) {
+    directory targets;
+    targets.replace_all({entry("t1", 1)}, start);
+    targets.note_pause({"t1", 0}, 5s, start);
+    EXPECT_FALSE(targets.find("t1")->paused(start));
+    targets.note_pause({"t1", 1}, 5s, start);
+    targets.upsert(entry("t1", 1), start + 1s);
+    EXPECT_TRUE(targets.find("t1")->paused(start + 4'999ms));
+    EXPECT_FALSE(targets.find("t1")->paused(start + 5s));
+    targets.note_pause({"t1", 1}, 5s, start + 6s);
+    targets.upsert(entry("t1", 2), start + 7s);
+    EXPECT_FALSE(targets.find("t1")->paused(start + 7s));
+}
--- a/tests/core/lease_test.cpp
+++ b/tests/core/lease_test.cpp
@@ -1,5 +1,6 @@
 // Shard leases over a store connection that delays, duplicates and loses messages.
 #include "core/membership/lease.hpp"
+#include "core/membership/store_eras.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -8,6 +9,7 @@
 
 using namespace waxwinglb::core;
 using namespace std::chrono_literals;
+using common::store_position;
 using common::time_point;
 using membership::lease_record;
 using membership::lease_write;
@@ -23,8 +25,21 @@
 
 /// One object of the platform's store. Checks each accepted write against the one before.
 struct fake_store {
-    std::int64_t version = 0;
+    common::store_position version;
     std::optional<lease_record> value;
+    common::store_position copied_version;
+    std::optional<lease_record> copied_value;
+    std::int64_t last_fencing = 0; // of all eras; the process that used it may still act
+
+    void take_copy() {
+        copied_version = version;
+        copied_value = value;
+    }
+    /// `by_name`: each era has an object of its own, which is absent at first.
+    void restore(bool by_name) {
+        version = {version.era + 1, by_name ? 0 : copied_version.revision};
+        value = by_name ? std::nullopt : copied_value;
+    }
 
     bool put(const lease_write& write) {
         if (write.if_version != version)
@@ -32,19 +47,22 @@
         const auto next = membership::decode_lease(write.value);
         RC_ASSERT(next.has_value());
         const lease_record before = value.value_or(lease_record{});
-        const bool same_holder = before.boot == next->boot && before.holder == next->holder;
+        const bool ended = before.fencing < membership::fencing_floor(version.era); // by a restore
+        const bool same_holder = !ended && before.boot == next->boot && before.holder == next->holder;
         const bool release = next->holder.empty();
         if (same_holder || release) {
             RC_ASSERT(next->boot == before.boot); // only the holder renews or releases
             RC_ASSERT(next->fencing == before.fencing);
         } else {
-            RC_ASSERT(next->fencing == before.fencing + 1);
+            RC_ASSERT(next->fencing > last_fencing);
+            RC_ASSERT(version.era > 0 || next->fencing == before.fencing + 1);
             RC_ASSERT(next->state == before.state); // a take-over keeps all decisions
+            last_fencing = next->fencing;
         }
         RC_ASSERT(counter_of(next->state) >=
                   counter_of(before.state)); // an older state never replaces a newer one
         value = next;
-        ++version;
+        ++version.revision;
         return true;
     }
 };
@@ -57,7 +75,7 @@
     bool arrived = false;  // a copy reached the store
     bool answered = false; // the sender got an answer or a timeout
     write_result result = write_result::unknown;
-    std::int64_t version = 0;
+    common::store_position version;
     std::optional<lease_record> read;
 };
 
@@ -73,7 +91,9 @@
 
 class simulation {
 public:
-    simulation(std::uint64_t seed, int stewards) : random_(seed) {
+    /// `restores`: the store comes back from an older copy now and then.
+    simulation(std::uint64_t seed, int stewards, bool restores = false)
+        : random_(seed), restores_(restores), by_name_(seed % 2 == 0) {
         for (int i = 0; i < stewards; ++i)
             actors_.emplace_back("s" + std::to_string(i), ++last_boot_, std::chrono::hours{pick(1'000)});
     }
@@ -87,7 +107,7 @@
             ever_held_ = ever_held_ || holders == 1;
         }
     }
-    [[nodiscard]] std::int64_t version() const { return store_.version; }
+    [[nodiscard]] std::int64_t version() const { return store_.version.revision; }
     [[nodiscard]] std::int64_t fencing() const { return store_.value ? store_.value->fencing : 0; }
 
 private:
@@ -96,6 +116,8 @@
 
     void step() {
         now_ += std::chrono::milliseconds{pick(150)};
+        if (restores_ && pick(100) == 0)
+            return pick(2) == 0 ? store_.take_copy() : store_.restore(by_name_);
         if (pick(500) == 0)
             return restart(pick(static_cast<int>(actors_.size())));
         const int action = pick(100);
@@ -129,7 +151,11 @@
         const time_point now = local(process);
         if (pick(3) == 0)
             process.lease.observe_version(
-                pick(4) == 0 ? std::max<std::int64_t>(0, store_.version - 1) : store_.version, now);
+                pick(4) == 0 ? store_position{0, std::max<std::int64_t>(0, store_.version.revision - 1)}
+                             : store_.version,
+                now);
+        if (pick(10) == 0) // another call's answer tells of the era
+            process.lease.enter_era(store_.version.era, now);
         if (process.lease.needs_read() && !process.reading && !process.lease.writing()) {
             process.reading = true;
             return post(index, std::nullopt);
@@ -189,6 +215,8 @@
     }
 
     std::mt19937_64 random_;
+    bool restores_;
+    bool by_name_;
     time_point now_{};
     fake_store store_;
     std::vector<actor> actors_;
@@ -212,13 +240,66 @@
     RC_CLASSIFY(all.version() >= 50, "50 writes");
 }
 
+RC_GTEST_PROP(lease, never_two_holders_and_fencing_rises_although_the_store_is_restored, ()) {
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    simulation world{seed, *rc::gen::inRange(2, 5), true};
+    world.run(1'500);
+}
+
+TEST(lease, a_holder_holds_nothing_in_a_new_era_until_it_has_taken_the_lease_again) {
+    const time_point start{1h};
+    shard_lease holder = make_lease("a", 1);
+    holder.observe_record({1, 0}, std::nullopt, start);
+    const auto first = holder.take(start + 10s);
+    ASSERT_TRUE(first.has_value());
+    holder.written(first->sequence, write_result::stored, {1, 5}, start + 10s);
+    ASSERT_TRUE(holder.held(start + 11s));
+    const auto renewal = holder.write("1", start + 11s);
+    holder.enter_era(2, start + 11s);
+    EXPECT_FALSE(holder.held(start + 11s));
+    holder.written(renewal->sequence, write_result::stored, {1, 6}, start + 11s); // late, of the old era
+    EXPECT_FALSE(holder.held(start + 11s));
+    EXPECT_TRUE(holder.needs_read());
+    holder.observe_record({2, 0}, std::nullopt, start + 11s);
+    const auto again = holder.take(start + 11s); // at once: nobody else held it
+    ASSERT_TRUE(again.has_value());
+    EXPECT_EQ(again->if_version, (store_position{2, 0}));
+    holder.written(again->sequence, write_result::stored, {2, 3}, start + 11s);
+    EXPECT_TRUE(holder.held(start + 12s));
+    EXPECT_GT(holder.fencing(), membership::fencing_floor(2));
+}
+
+TEST(lease, a_process_that_never_saw_the_old_era_waits_and_uses_higher_fencing_numbers) {
+    const time_point start{1h};
+    shard_lease fresh = make_lease("b", 2);
+    fresh.observe_record({2, 0}, std::nullopt, start);
+    EXPECT_FALSE(fresh.takeable(start + 3s)); // a holder of the old era may not know of the restore yet
+    const auto taking = fresh.take(start + 4s);
+    ASSERT_TRUE(taking.has_value());
+    EXPECT_GT(membership::decode_lease(taking->value)->fencing, membership::fencing_floor(2));
+}
+
+TEST(lease, a_restored_record_of_the_process_itself_is_no_lease) {
+    const time_point start{1h};
+    shard_lease holder = make_lease("a", 1);
+    holder.observe_record({0, 0}, std::nullopt, start);
+    const auto write = holder.take(start);
+    holder.written(write->sequence, write_result::stored, {0, 1}, start);
+    const auto record = membership::decode_lease(write->value);
+    holder.observe_record({1, 1}, record, start + 1s); // another process may have held it since the copy
+    EXPECT_FALSE(holder.mine());
+    EXPECT_FALSE(holder.held(start + 1s));
+    EXPECT_FALSE(holder.takeable(start + 2s));
+    EXPECT_TRUE(holder.takeable(start + 5s));
+}
+
 TEST(lease, holder_counts_its_term_from_before_it_sent_the_write) {
     shard_lease one = make_lease("a", 1);
     const time_point start{1h};
-    one.observe_record(0, std::nullopt, start);
+    one.observe_record({0, 0}, std::nullopt, start);
     const auto write = one.take(start);
     ASSERT_TRUE(write.has_value());
-    one.written(write->sequence, write_result::stored, 5, start + 2900ms);
+    one.written(write->sequence, write_result::stored, {0, 5}, start + 2900ms);
     EXPECT_TRUE(one.held(start + 2999ms));
     EXPECT_FALSE(one.held(start + 3000ms));
 }
@@ -227,11 +308,11 @@
     shard_lease holder = make_lease("a", 1);
     shard_lease taker = make_lease("b", 2);
     const time_point start{1h};
-    holder.observe_record(0, std::nullopt, start);
+    holder.observe_record({0, 0}, std::nullopt, start);
     const auto write = holder.take(start);
-    holder.written(write->sequence, write_result::stored, 1, start);
-    taker.observe_record(1, membership::decode_lease(write->value), start);
-    taker.observe_version(1, start + 2s); // unchanged version: the wait does not restart
+    holder.written(write->sequence, write_result::stored, {0, 1}, start);
+    taker.observe_record({0, 1}, membership::decode_lease(write->value), start);
+    taker.observe_version({0, 1}, start + 2s); // unchanged version: the wait does not restart
     EXPECT_FALSE(taker.take(start + 3299ms).has_value());
     const auto taken = taker.take(start + 3300ms);
     ASSERT_TRUE(taken.has_value());
@@ -241,39 +322,39 @@
 TEST(lease, restarted_process_takes_only_its_own_lease_without_waiting) {
     const time_point start{1h};
     shard_lease before = make_lease("a", 1);
-    before.observe_record(0, std::nullopt, start);
+    before.observe_record({0, 0}, std::nullopt, start);
     const auto record = membership::decode_lease(before.take(start)->value);
     shard_lease restarted{{"a", "a:1", 2, true}, {}};
-    restarted.observe_record(1, record, start);
+    restarted.observe_record({0, 1}, record, start);
     EXPECT_TRUE(restarted.held_by_previous_start());
     const auto taken = restarted.take(start);
     ASSERT_TRUE(taken.has_value());
     EXPECT_EQ(membership::decode_lease(taken->value)->fencing, 2);
     shard_lease replaced{{"a", "b:1", 3, true}, {}}; // same name, other address: both processes may be alive
-    replaced.observe_record(1, record, start);
+    replaced.observe_record({0, 1}, record, start);
     EXPECT_FALSE(replaced.take(start).has_value());
     shard_lease not_reclaiming = make_lease("a", 4);
-    not_reclaiming.observe_record(1, record, start);
+    not_reclaiming.observe_record({0, 1}, record, start);
     EXPECT_FALSE(not_reclaiming.take(start).has_value()) << "reclaims_own_lease is not set";
 }
 
 TEST(lease, deposed_holder_fails_its_next_write_and_loses_the_lease) {
     shard_lease holder = make_lease("a", 1);
     const time_point start{1h};
-    holder.observe_record(0, std::nullopt, start);
+    holder.observe_record({0, 0}, std::nullopt, start);
     const auto write = holder.take(start);
-    holder.written(write->sequence, write_result::stored, 1, start);
+    holder.written(write->sequence, write_result::stored, {0, 1}, start);
     const auto late =
         holder.write("7", start + 10s); // it was paused; another process took the shard as version 2
     ASSERT_TRUE(late.has_value());
-    EXPECT_EQ(late->if_version, 1);
-    holder.written(late->sequence, write_result::conflict, 0, start + 10s);
+    EXPECT_EQ(late->if_version, (store_position{0, 1}));
+    holder.written(late->sequence, write_result::conflict, {0, 0}, start + 10s);
     EXPECT_FALSE(holder.write("8", start + 10s).has_value()) << "it must read first";
     lease_record other;
     other.holder = "b";
     other.boot = 2;
     other.fencing = 2;
-    holder.observe_record(2, other, start + 10s);
+    holder.observe_record({0, 2}, other, start + 10s);
     EXPECT_FALSE(holder.mine());
     EXPECT_FALSE(holder.held(start + 10s));
 }
@@ -281,11 +362,11 @@
 TEST(lease, reading_the_own_record_confirms_a_write_whose_answer_was_lost) {
     shard_lease one = make_lease("a", 1);
     const time_point start{1h};
-    one.observe_record(0, std::nullopt, start);
+    one.observe_record({0, 0}, std::nullopt, start);
     const auto write = one.take(start);
-    one.written(write->sequence, write_result::unknown, 0, start + 1s);
+    one.written(write->sequence, write_result::unknown, {0, 0}, start + 1s);
     EXPECT_FALSE(one.held(start + 1s));
-    one.observe_record(9, membership::decode_lease(write->value), start + 1s);
+    one.observe_record({0, 9}, membership::decode_lease(write->value), start + 1s);
     EXPECT_TRUE(one.held(start + 2s));
     EXPECT_FALSE(one.held(start + 3s)) << "the term counts from the write, not from the read";
 }
@@ -294,13 +375,13 @@
     shard_lease holder = make_lease("a", 1);
     shard_lease taker = make_lease("b", 2);
     const time_point start{1h};
-    holder.observe_record(0, std::nullopt, start);
+    holder.observe_record({0, 0}, std::nullopt, start);
     const auto write = holder.take(start);
-    holder.written(write->sequence, write_result::stored, 1, start);
+    holder.written(write->sequence, write_result::stored, {0, 1}, start);
     const auto release = holder.release(R"({"kept":1})", start + 100ms);
     ASSERT_TRUE(release.has_value());
     EXPECT_FALSE(holder.held(start + 100ms)) << "no decisions once the release may have taken effect";
-    taker.observe_record(2, membership::decode_lease(release->value), start + 101ms);
+    taker.observe_record({0, 2}, membership::decode_lease(release->value), start + 101ms);
     const auto taken = taker.take(start + 101ms);
     ASSERT_TRUE(taken.has_value());
     EXPECT_EQ(membership::decode_lease(taken->value)->state, R"({"kept":1})");
--- a/tests/core/store_contact_test.cpp
+++ b/tests/core/store_contact_test.cpp
@@ -18,10 +18,10 @@
 /// Two processes and one lease, held by the first as version 1 since `start`.
 struct two_processes {
     two_processes() {
-        holder.observe_record(0, std::nullopt, start);
+        holder.observe_record({0, 0}, std::nullopt, start);
         const auto write = holder.take(start);
-        holder.written(write->sequence, write_result::stored, 1, start);
-        other.observe_record(1, membership::decode_lease(write->value), start);
+        holder.written(write->sequence, write_result::stored, {0, 1}, start);
+        other.observe_record({0, 1}, membership::decode_lease(write->value), start);
     }
     shard_lease holder{{"a", "a:1", 1}, {}};
     shard_lease other{{"b", "b:1", 2}, {}};
@@ -40,8 +40,8 @@
     EXPECT_FALSE(both.contact.may_take_over(back));
     const auto renewal = both.holder.write("1", back + 300ms);
     ASSERT_TRUE(renewal.has_value());
-    both.holder.written(renewal->sequence, write_result::stored, 2, back + 310ms);
-    both.other.observe_version(2, back + 500ms);
+    both.holder.written(renewal->sequence, write_result::stored, {0, 2}, back + 310ms);
+    both.other.observe_version({0, 2}, back + 500ms);
     ASSERT_TRUE(both.contact.may_take_over(back + 1s));
     EXPECT_FALSE(both.other.takeable(back + 1s));
     EXPECT_TRUE(both.holder.held(back + 1s));
@@ -52,7 +52,7 @@
     two_processes both;
     both.contact.failed(start + 1s);
     both.contact.answered(start + 6s);
-    both.other.observe_version(1, start + 6s);
+    both.other.observe_version({0, 1}, start + 6s);
     EXPECT_FALSE(both.contact.may_take_over(start + 6'999ms));
     EXPECT_TRUE(both.contact.may_take_over(start + 7s));
     EXPECT_TRUE(both.other.takeable(start + 7s));
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -54,14 +54,35 @@
 
 
 class Store:
-    """Objects by kind and name with revisions, conditional writes and watches."""
+    """Objects by kind and name with revisions, conditional writes and watches.
+
+    It can be restored from a copy: what was written since is gone, and its revisions are given out again.
+    """
 
     def __init__(self, address):
         self.address, self.lock = address, threading.Condition()
         self.objects, self.history, self.revision = {}, [], 10
+        self.history_from = 0              # watches from an older revision get 410
+        self.era = None                    # value of the header Store-Era; None: no header
+        self.copy = ({}, self.revision)    # objects and revision, for restore()
         self.unavailable_kinds = set()     # calls for these kinds get 503
+        self.calls = []                    # (time, method, kind) of all calls
         self.server = Server(address, Handler, self)
 
+    def take_copy(self):
+        with self.lock:
+            self.copy = (dict(self.objects), self.revision)
+
+    def restore(self):
+        """Brings back the latest copy, in the next era."""
+        with self.lock:
+            self.objects, self.revision = dict(self.copy[0]), self.copy[1]
+            self.history, self.history_from, self.era = [], self.revision, self.era + 1
+            self.lock.notify_all()
+
+    def answer(self, call, status, value):
+        call.answer(status, value, [] if self.era is None else [("Store-Era", str(self.era))])
+
     def put(self, kind, name, spec):
         with self.lock:
             self.revision += 1
@@ -83,22 +104,29 @@
         parts = path.strip("/").split("/")
         kind, name = parts[1], parts[2] if len(parts) > 2 else None
         document = call.body()
+        self.calls.append((time.monotonic(), call.command, kind))
         if kind in self.unavailable_kinds:
-            return call.answer(503, {})
+            return self.answer(call, 503, {})
         if call.command == "GET" and name is None:
-            return call.answer(200, self.watch(kind, query) if "watch" in query else self.list(kind))
+            return self.answer(call, *(self.watch(kind, query) if "watch" in query else (200, self.list(kind))))
         with self.lock:
-            known = self.objects.get((kind, name or json.loads(document)["metadata"]["name"]))
-        if call.command == "GET":
-            return call.answer(200, known) if known else call.answer(404, {})
-        if call.command == "DELETE":
+            status, value = self.read_or_write(call.command, kind, name, document)
+        return self.answer(call, status, value)
+
+    def read_or_write(self, method, kind, name, document):
+        known = self.objects.get((kind, name or json.loads(document)["metadata"]["name"]))
+        if method == "GET":
+            return (200, known) if known else (404, {})
+        if method == "DELETE":
             self.remove(kind, name)
-            return call.answer(200, {})
+            return 200, {}
         sent = json.loads(document)
         condition = sent["metadata"].get("revision")
-        if call.command == "POST" and known or condition and condition != known["metadata"]["revision"]:
-            return call.answer(409, known)
-        return call.answer(200, self.put(kind, sent["metadata"]["name"], sent["spec"]))
+        if condition and not known:
+            return 404, {}
+        if method == "POST" and known or condition and condition != known["metadata"]["revision"]:
+            return 409, known
+        return 200, self.put(kind, sent["metadata"]["name"], sent["spec"])
 
     def list(self, kind):
         with self.lock:
@@ -109,10 +137,12 @@
         since, until = int(query["watch"]), time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         with self.lock:
             while True:
+                if since < self.history_from or since > self.revision:
+                    return 410, {}
                 events = [event for revision, event_kind, event in self.history if event_kind == kind and revision > since]
                 left = until - time.monotonic()
                 if events or left <= 0:
-                    return {"events": events, "current_rev": self.revision}
+                    return 200, {"events": events, "current_rev": self.revision}
                 self.lock.wait(left)
 
 
@@ -122,6 +152,7 @@
     def __init__(self, store, address, name, service, models=(), on_disk=(), slots=64):
         self.store, self.address, self.name, self.service = store, address, name, service
         self.models, self.slots, self.on_disk = {model: set() for model in models}, slots, set(on_disk) | set(models)
+        self.zone = "a"
         self.born, self.sequence, self.busy_until = int(time.time() * 1000), 1, 0.0
         self.loading = None                # model being loaded until busy_until
         self.runs = []                     # (request id, headers, body) of the requests that ran
@@ -130,13 +161,17 @@
         self.break_on_body = None          # request body that breaks the connection when it runs
         self.break_all = False             # every request breaks the connection
         self.cold_ms = 0                   # cold time in the registration
+        self.leaving = None                # value of the header Server-Leaving in all answers; None: no header
+        self.pause = None                  # value of Retry-After in the 503 that every request gets; None: it runs
+        self.refused_at = []               # arrival time of each such request
+        self.orders = []                   # (time, holder, fencing number) of all orders
         self.hold = threading.Event()
         self.hold.set()                    # when cleared, runs wait
         self.server = Server(address, Handler, self)
         self.register()
 
     def register(self, state="ready"):
-        spec = {"service": self.service, "address": self.address, "zone": "a", "version": "v1", "slots": self.slots,
+        spec = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
                 "state": state, "cold_left_ms": self.cold_ms, "born": self.born, "sequence": 1, "models": self.holding(),
                 "at_hand": {"in_memory": [], "on_disk": sorted(self.on_disk)}}
         self.store.put("servers", self.name, spec)
@@ -156,6 +191,7 @@
         return self.run(call, call.body())
 
     def take_order(self, call, order):
+        self.orders.append((time.monotonic(), order["holder"], order["fencing_token"]))
         self.holding()
         if self.loading or order["expect"] != self.sequence:
             return call.answer(409, {})
@@ -176,13 +212,18 @@
         self.holding()
         if call.headers.get("Target-Instance") != self.name or model and model not in self.models:
             return call.answer(421, {}, [("Instance-Id", self.name)])
+        leaving = [] if self.leaving is None else [("Server-Leaving", self.leaving)]
+        if self.pause is not None:
+            self.refused_at.append(time.monotonic())
+            return call.answer(503, b"", [("Request-Id", request_id), ("Not-Executed", "1"),
+                                          ("Retry-After", self.pause)] + leaving)
         self.runs.append((request_id, dict(call.headers), body))
         self.run_started_at.append(time.monotonic())
         self.hold.wait()
         if self.break_all or self.break_on_body is not None and body == self.break_on_body:
             call.close_connection = True
             return call.connection.shutdown(socket.SHUT_RDWR)
-        signed = [("Request-Id", request_id), ("Response-Signature", "sig-" + request_id)]
+        signed = [("Request-Id", request_id), ("Response-Signature", "sig-" + request_id)] + leaving
         if not model:
             return call.answer(200, b"recorded " + body, signed)
         call.send_response(200)
