Gateway: heed targets that say they leave or ask for a pause

Change. platform/target_notice decodes both from every answer (requests, reports, orders); the directory keeps them by target and start, across lapses of the registration and while the store is away. A target that leaves gets nothing until another start; peers are told. A paused target gets no request, report or order from this gateway; choose() has the obstacle `paused`, so turns, sessions, retries and the only target left respect it too. Where just paused targets could serve, a request waits if the first pause ends within its route's latency target, otherwise it is refused at once, and Retry-After names that end. Both facts are logged when heard, and with their age (blocked_by) in the waits and refusals that they decide.

Bad values (a date, negative, 10^9, other words): no effect but a log line; a pause is cut to 10 minutes.

--- a/src/core/dispatch/request_target_choice.cpp
+++ b/src/core/dispatch/request_target_choice.cpp
@@ -68,6 +68,8 @@
         return obstacle::loading;
     if (!option.reachable)
         return obstacle::unreachable;
+    if (target.paused(now))
+        return obstacle::paused;
     if (!option.cold_allowance)
         return obstacle::cold;
     if (option.load >= option.limit)
@@ -88,6 +90,8 @@
         return "full";
     case obstacle::cold:
         return "cold";
+    case obstacle::paused:
+        return "paused";
     case obstacle::no_adapter:
         return "no_adapter";
     case obstacle::loading:
@@ -112,6 +116,11 @@
             usable.push_back(&option);
         else
             result.why = std::min(result.why, reason);
+        const bool back_sooner = reason == obstacle::paused &&
+                                 (result.first_back == nullptr ||
+                                  option.target->pause->until < result.first_back->target->pause->until);
+        if (back_sooner)
+            result.first_back = &option;
     }
     if (usable.empty())
         return result;
--- a/src/core/dispatch/request_target_choice.hpp
+++ b/src/core/dispatch/request_target_choice.hpp
@@ -41,6 +41,7 @@
     reading,     // a target could serve it but has enough prompts to read, or the turn has not come
     full,        // a target could serve it but is at its limit
     cold,        // the targets that could serve it are cold and their rate is used up
+    paused,      // the targets that could serve it want no requests for some time
     no_adapter,  // the model is loaded, the adapter on no target
     loading,     // the model is being loaded
     no_model,    // the model is loaded on no target
@@ -51,7 +52,8 @@
 
 struct choice {
     const candidate* chosen = nullptr;
-    obstacle why = obstacle::no_target; // valid if `chosen` is null
+    obstacle why = obstacle::no_target;    // valid if `chosen` is null
+    const candidate* first_back = nullptr; // if `why` is paused: the target whose pause ends first
 };
 
 [[nodiscard]] choice choose(std::span<const candidate> candidates, const target_criteria& criteria,
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -36,10 +36,12 @@
     bool may_have_run = false;             // the caller can no longer be told that the request has not run
     core::common::time_point waiting_since{};
     core::common::time_point wait_until{}; // refused if still waiting then
+    std::string blocked_by;                // what a target said that keeps it from being sent, with its age
     std::uint64_t arrival_number = 0;      // increases with each arrival
     int unread_prompt_tokens = 0;          // prompt tokens counted as unread at the target
     std::string target;                    // where the request runs; empty: it waits
     std::unique_ptr<exchange> target_exchange;
+    core::fleet::target_start target_start; // the start of the target that it was last sent to
     core::common::time_point sent_at{};
     edge::event_loop::timer_id timer; // fires at the deadline
 
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "programs/gateway/dispatcher.hpp"
 
+#include "platform/target_notice.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -103,8 +105,8 @@
     const auto choice = choose_target(*request, current_pass);
     if (choice.chosen == nullptr) {
         if (request->sent_to.empty())
-            current_pass.blocked[group] = choice.why;
-        return keep_waiting(request, choice.why, current_pass);
+            current_pass.blocked[group] = choice;
+        return keep_waiting(request, choice, current_pass);
     }
     const std::string target = choice.chosen->target->entry.id;
     withdraw(request);
@@ -132,7 +134,9 @@
     }
 }
 
-void dispatcher::keep_waiting(const caller_request_ptr& request, obstacle why, dispatch_pass& current_pass) {
+void dispatcher::keep_waiting(const caller_request_ptr& request, const core::dispatch::choice& blocked,
+                              dispatch_pass& current_pass) {
+    const obstacle why = blocked.why;
     const time_point now = context_.loop.now();
     const bool first = request->waiting_since == time_point{};
     if (first)
@@ -140,8 +144,9 @@
     current_pass.new_wait = current_pass.new_wait || first;
     const auto found = current_pass.by_group.find({request->service, request->model});
     const auto wait_limit = wait_limit_for(
-        *request, why, found == current_pass.by_group.end() ? candidate_list{} : found->second);
+        *request, blocked, found == current_pass.by_group.end() ? candidate_list{} : found->second);
     request->wait_until = wait_limit.until;
+    request->blocked_by = describe(blocked);
     if (now >= wait_limit.until) {
         current_pass.refused.emplace_back(request, why, wait_limit.retry_after);
         return;
@@ -151,6 +156,7 @@
                            {{"why", core::dispatch::name_of(why)},
                             {"model", request->model.model},
                             {"adapter", request->model.adapter},
+                            {"blocked_by", request->blocked_by},
                             {"at_most_ms", core::common::to_wire_ms(wait_limit.until - now)}});
 }
 
@@ -165,18 +171,57 @@
     return out;
 }
 
-core::dispatch::wait_decision dispatcher::wait_limit_for(const caller_request& request, obstacle why,
+core::dispatch::wait_decision dispatcher::wait_limit_for(const caller_request& request,
+                                                         const core::dispatch::choice& blocked,
                                                          const candidate_list& among) const {
     const time_point now = context_.loop.now();
-    core::dispatch::wait_context facts{request.waiting_since, request.arrived,
-                                       request.deadline,      request.route->target_latency,
-                                       std::nullopt,          request.arrival_number};
+    core::dispatch::wait_context facts{request.waiting_since,         request.arrived, request.deadline,
+                                       request.route->target_latency, std::nullopt,    std::nullopt,
+                                       request.arrival_number};
+    if (blocked.first_back != nullptr)
+        facts.pause_end = blocked.first_back->target->pause->until;
     const auto* service = context_.config->find_service(request.service);
     if (service != nullptr && service->engine)
         if (const auto spec = service->engine->models.find(request.model.model);
             spec != service->engine->models.end())
             facts.model_ready = core::dispatch::earliest_ready(among, spec->second, now);
-    return core::dispatch::decide_wait(why, facts, now);
+    return core::dispatch::decide_wait(blocked.why, facts, now);
+}
+
+/// The targets' own words that decided, with their age; empty if none did.
+std::string dispatcher::describe(const core::dispatch::choice& blocked) const {
+    if (blocked.first_back == nullptr)
+        return {};
+    const core::fleet::target& target = *blocked.first_back->target;
+    const auto now = context_.loop.now();
+    return target.entry.id + " paused " +
+           std::to_string(core::common::to_wire_ms(now - target.pause->since)) + " ms ago, for " +
+           std::to_string(core::common::to_wire_ms(target.pause->until - now)) + " ms more";
+}
+
+duration dispatcher::retry_after_for(const caller_request& request) {
+    const auto among = candidates(request.service, request.model);
+    const auto blocked = core::dispatch::choose(among, criteria_for(request), context_.loop.now());
+    return wait_limit_for(request, blocked, among).retry_after;
+}
+
+void dispatcher::note_answer(const core::fleet::target_start& from, int status,
+                             std::span<const edge::http_field> fields) {
+    const auto notice = platform::decode_notice(status, fields);
+    const time_point now = context_.loop.now();
+    if (!notice.not_understood.empty())
+        context_.log.write(edge::events::target_notice_ignored, from.id,
+                           {{"born", from.born}, {"status", status}, {"fields", notice.not_understood}});
+    if (notice.leaving && context_.directory.note_said_leaving(from, now)) {
+        context_.log.write(edge::events::target_leaving, from.id, {{"born", from.born}, {"status", status}});
+        callbacks_.on_target_leaving();
+    }
+    if (!notice.pause)
+        return;
+    context_.directory.note_pause(from, *notice.pause, now);
+    context_.log.write(edge::events::target_paused, from.id,
+                       {{"born", from.born}, {"for_ms", notice.pause->count()}});
+    context_.loop.schedule(now + *notice.pause, [this] { schedule_dispatch(); });
 }
 
 void dispatcher::refuse_all(duration retry_after) {
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <span>
 #include <tuple>
 #include <vector>
 
@@ -28,7 +29,8 @@
         std::function<void(const caller_request_ptr&, core::dispatch::obstacle,
                            core::common::duration retry_after)>
             on_refuse;
-        std::function<void()> on_new_wait; // a request has started to wait
+        std::function<void()> on_new_wait;       // a request has started to wait
+        std::function<void()> on_target_leaving; // a target has said so in an answer
     };
     dispatcher(gateway_context& context, callbacks handlers)
         : context_(context), callbacks_(std::move(handlers)) {}
@@ -44,6 +46,11 @@
     enum class attempt_outcome { succeeded, failed, not_run, lacks_model, unreachable, abandoned };
     void begin_attempt(const caller_request_ptr& request, const std::string& target);
     void end_attempt(const caller_request_ptr& request, attempt_outcome outcome);
+    /// Takes note of what a target says about itself in the head of any answer.
+    void note_answer(const core::fleet::target_start& from, int status,
+                     std::span<const edge::http_field> fields);
+    /// When there will be room for a request that no target took, for its caller.
+    [[nodiscard]] core::common::duration retry_after_for(const caller_request& request);
     void on_answer_started(const caller_request_ptr& request); // the target has read the prompt
     std::shared_ptr<target_link> link(const std::string& target);
     [[nodiscard]] int load_of(const std::string& target) const; // requests at the target from all gateways
@@ -99,7 +106,7 @@
     /// Results shared by the requests of one pass over the queue.
     struct dispatch_pass {
         std::map<group_key, candidate_list> by_group;
-        std::map<group_key, core::dispatch::obstacle> blocked;
+        std::map<group_key, core::dispatch::choice> blocked;
         std::vector<std::tuple<caller_request_ptr, core::dispatch::obstacle, core::common::duration>> refused;
         bool new_wait = false;
     };
@@ -108,7 +115,7 @@
     void try_dispatch(const caller_request_ptr& request, dispatch_pass& current_pass);
     [[nodiscard]] core::dispatch::choice choose_target(const caller_request& request,
                                                        dispatch_pass& current_pass);
-    void keep_waiting(const caller_request_ptr& request, core::dispatch::obstacle why,
+    void keep_waiting(const caller_request_ptr& request, const core::dispatch::choice& blocked,
                       dispatch_pass& current_pass);
     [[nodiscard]] candidate_list candidates(const std::string& service, const core::fleet::model_ref& ref);
     [[nodiscard]] int limit_of(const core::fleet::target& target) const;
@@ -117,8 +124,9 @@
     [[nodiscard]] core::dispatch::target_criteria criteria_for(const caller_request& request) const;
     void schedule_wait_check();
     [[nodiscard]] core::dispatch::wait_decision wait_limit_for(const caller_request& request,
-                                                               core::dispatch::obstacle why,
+                                                               const core::dispatch::choice& blocked,
                                                                const candidate_list& among) const;
+    [[nodiscard]] std::string describe(const core::dispatch::choice& blocked) const;
 
     gateway_context& context_;
     callbacks callbacks_;
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -124,6 +124,8 @@
     request->sent_to.insert(target);
     request->body.clear();
     request->last_target = target;
+    if (const auto* known = context_.directory.find(target))
+        request->target_start = {target, known->entry.born};
     dispatcher_->begin_attempt(request, target);
     const auto waited = context_.loop.now() - request->arrived;
     if (request->send_count == 1)
@@ -157,6 +159,7 @@
 // ---- answers ---------------------------------------------------------------------------------------
 
 void forwarder::on_head(const caller_request_ptr& request, const edge::answer_head& head) {
+    dispatcher_->note_answer(request->target_start, head.status, head.fields);
     if (reports_not_run(head))
         return handle_rejection(request, head.status == platform::wrong_target_status
                                              ? dispatcher::attempt_outcome::lacks_model
@@ -281,7 +284,7 @@
         return;
     if (request->streaming)
         return fail(request, 502, reason); // the answer has begun, so the stream can only be cut
-    refuse(request, 503, reason, milliseconds{500});
+    refuse(request, 503, reason, dispatcher_->retry_after_for(*request));
 }
 
 void forwarder::handle_lost_answer(const caller_request_ptr& request, const char* reason) {
@@ -372,6 +375,7 @@
                         {"target", request->last_target},
                         {"first_ms", first_ms},
                         {"pause_ms", whole_ms(request->longest_pause).count()},
+                        {"blocked_by", request->blocked_by},
                         {"silent_ms", silence_duration(*request, context_.loop.now()).count()},
                         {"ms", whole_ms(context_.loop.now() - request->arrived).count()},
                         {"config", request->config->version}});
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -47,7 +47,8 @@
            [this](const caller_request_ptr& request, core::dispatch::obstacle why, duration retry_after) {
                forwarder_.refuse(request, 503, core::dispatch::name_of(why), retry_after);
            },
-                             [this] { peers_.notify_order_giver(); }}),
+           [this] { peers_.notify_order_giver(); }, [this] { peers_.notify_departures(); }}),
+      admission_(context_, forwarder_, dispatcher_),
       watch_(context_, store_,
              {[this] {
                   {
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -87,7 +87,9 @@
     const auto now = context_.loop.now();
     for (auto& [id, known] : targets_) {
         const auto interval = known.ledger.needs_report(now) ? report_interval_unsettled : report_interval;
-        if (!known.report_pending && now - known.requested_at >= interval)
+        const auto* target = context_.directory.find(id);
+        const bool paused = target != nullptr && target->paused(now);
+        if (!known.report_pending && !paused && now - known.requested_at >= interval)
             request_report(id);
     }
 }
@@ -116,6 +118,7 @@
         return;
     known_target& known = found->second;
     known.report_pending = false;
+    dispatcher_.note_answer({id, known.born}, answer.status, answer.headers);
     if (answer.outcome != edge::client_outcome::answered || answer.status != 200)
         return;
     leaf::try_handle_all(
@@ -222,9 +225,10 @@
     core::load_planning::target_state out;
     out.id = id;
     out.data_centre = target->entry.data_centre;
-    out.takes_orders = known.ledger.takes_orders(now) && !target->lapsed_until;
+    out.takes_orders = known.ledger.takes_orders(now) && !target->lapsed_until && !target->paused(now);
     if (!target->lapsed_until)
-        out.takes_orders_at = known.ledger.takes_orders_at(now);
+        out.takes_orders_at =
+            std::max(known.ledger.takes_orders_at(now), target->pause ? target->pause->until : time_point{});
     out.coming = known.ledger.coming(now);
     out.serves = !target->leaving() && !context_.centres.out().contains(target->entry.data_centre);
     out.copies_in_memory = known.copies_in_memory;
@@ -356,6 +360,7 @@
     if (found == targets_.end())
         return;
     const auto now = context_.loop.now();
+    dispatcher_.note_answer({id, found->second.born}, answer.status, answer.headers);
     found->second.ledger.note_answer(number, result, now);
     if (result == target_ledger::answer::accepted && order.load && order.ref.adapter.empty()) {
         found->second.copies_on_disk.insert(order.ref.model);
--- a/tests/contract/platform_test.cpp
+++ b/tests/contract/platform_test.cpp
@@ -2,6 +2,7 @@
 // answers.
 #include "platform/documents.hpp"
 #include "platform/store_client.hpp"
+#include "platform/target_notice.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <gtest/gtest.h>
@@ -305,3 +306,44 @@
     EXPECT_EQ(platform::lease_name_of(0), "order-giver");
     EXPECT_EQ(platform::lease_name_of(3), "order-giver-3");
 }
+
+TEST(platform_documents, a_targets_notice_is_read_from_any_answer) {
+    struct fault_case {
+        const char* name;
+        int status;
+        edge::http_field field;
+        bool leaving;
+        std::optional<core::common::milliseconds> pause;
+        bool understood;
+    };
+    const std::array cases{
+        fault_case{"nothing", 200, {"Content-Type", "x"}, false, {}, true},
+        fault_case{"leaving", 200, {"Server-Leaving", "1"}, true, {}, true},
+        fault_case{"leaving, other case, refused", 503, {"server-leaving", "1"}, true, {}, true},
+        fault_case{"not leaving", 200, {"Server-Leaving", "0"}, false, {}, true},
+        fault_case{"leaving, another value", 200, {"Server-Leaving", "yes"}, false, {}, false},
+        fault_case{"leaving, empty", 200, {"Server-Leaving", ""}, false, {}, false},
+        fault_case{"pause", 503, {"Retry-After", "2"}, false, 2'000ms, true},
+        fault_case{"pause with a fraction", 503, {"retry-after", "0.25"}, false, 250ms, true},
+        fault_case{"no pause with another status", 429, {"Retry-After", "2"}, false, {}, true},
+        fault_case{"pause, a date", 503, {"Retry-After", "Fri, 04 Dec 2026 08:00:00 GMT"}, false, {}, false},
+        fault_case{"pause, negative", 503, {"Retry-After", "-3"}, false, {}, false},
+        fault_case{"pause, negative zero", 503, {"Retry-After", "-0"}, false, {}, false},
+        fault_case{"pause, no number", 503, {"Retry-After", "nan"}, false, {}, false},
+        fault_case{"pause, no end", 503, {"Retry-After", "inf"}, false, {}, false},
+        fault_case{"pause, empty", 503, {"Retry-After", ""}, false, {}, false},
+        fault_case{"pause of 30 years",
+                   503,
+                   {"Retry-After", "1000000000"},
+                   false,
+                   platform::max_target_pause,
+                   false},
+    };
+    for (const fault_case& each : cases) {
+        const std::array fields{each.field};
+        const auto notice = platform::decode_notice(each.status, fields);
+        EXPECT_EQ(notice.leaving, each.leaving) << each.name;
+        EXPECT_EQ(notice.pause, each.pause) << each.name;
+        EXPECT_EQ(notice.not_understood.empty(), each.understood) << each.name;
+    }
+}
--- a/tests/core/dispatch_test.cpp
+++ b/tests/core/dispatch_test.cpp
@@ -64,6 +64,29 @@
     EXPECT_EQ(service.chosen(criteria), "t1") << "no limit";
 }
 
+TEST(request_target_choice, a_paused_target_gets_nothing_even_if_it_is_the_only_one) {
+    service_targets service;
+    service.add("t1").pause = fleet::target_pause{now - 1s, now + 3s};
+    EXPECT_EQ(service.chosen({}), "paused");
+    service.add("t2").pause = fleet::target_pause{now - 1s, now + 2s};
+    const auto blocked = dispatch::choose(service.candidates, {}, now);
+    ASSERT_NE(blocked.first_back, nullptr);
+    EXPECT_EQ(blocked.first_back->target->entry.id, "t2");
+    EXPECT_EQ(dispatch::choose(service.candidates, {}, now + 2s).chosen->target->entry.id, "t2");
+    dispatch::target_criteria session;
+    session.session = 7; // affinity does not override a pause either
+    service.add("t3", 9);
+    EXPECT_EQ(service.chosen(session), "t3");
+}
+
+TEST(request_target_choice, a_target_that_said_it_leaves_gets_nothing) {
+    service_targets service;
+    service.add("t1").said_leaving_at = now - 1s;
+    EXPECT_EQ(service.chosen({}), "no_target");
+    service.add("t2", 9);
+    EXPECT_EQ(service.chosen({}), "t2");
+}
+
 TEST(request_target_choice, the_mildest_obstacle_is_named) {
     service_targets service;
     EXPECT_EQ(service.chosen({}), "no_target");
--- a/tests/core/wait_policy_test.cpp
+++ b/tests/core/wait_policy_test.cpp
@@ -15,7 +15,7 @@
 constexpr time_point now{100s};
 
 dispatch::wait_context context_with(common::milliseconds left, common::milliseconds aim = 1'000ms) {
-    return {now, now, now + left, aim, std::nullopt, 0};
+    return {now, now, now + left, aim, std::nullopt, std::nullopt, 0};
 }
 
 } // namespace
@@ -42,6 +42,26 @@
     EXPECT_EQ(decide_wait(obstacle::full, context_with(300ms, 800ms), now).until, now + 300ms);
 }
 
+// Targets under more load than they bear ask for some time without requests.
+TEST(wait_policy, a_request_whose_targets_are_paused_waits_only_while_its_answer_can_be_on_time) {
+    struct fault_case {
+        const char* name;
+        common::milliseconds pause;
+        bool waits;
+        common::milliseconds least_retry_after;
+    };
+    for (const fault_case& each : {fault_case{"ends within the aim", 500ms, true, 500ms},
+                                   fault_case{"ends too late", 900ms, false, 900ms},
+                                   fault_case{"is long", 60'000ms, false, 60'000ms}}) {
+        auto context = context_with(12'000ms, 800ms);
+        context.pause_end = now + each.pause;
+        const auto decision = decide_wait(obstacle::paused, context, now);
+        EXPECT_EQ(decision.until > now, each.waits) << each.name;
+        EXPECT_GE(decision.retry_after, each.least_retry_after) << each.name;
+        EXPECT_LT(decision.retry_after, each.least_retry_after + 500ms) << each.name;
+    }
+}
+
 TEST(wait_policy, requests_refused_together_get_different_retry_delays) {
     std::set<common::duration> delays;
     for (std::uint64_t number = 0; number < 16; ++number) {
@@ -56,7 +76,7 @@
               (std::uint16_t left, std::uint16_t aim, std::uint16_t ready, std::uint8_t why)) {
     auto context = context_with(std::chrono::milliseconds{left}, std::chrono::milliseconds{aim});
     context.model_ready = now + std::chrono::milliseconds{ready};
-    const auto decision = decide_wait(static_cast<obstacle>(1 + why % 7), context, now);
+    const auto decision = decide_wait(static_cast<obstacle>(1 + why % 9), context, now);
     RC_ASSERT(decision.until <= context.deadline || decision.until <= now);
     RC_ASSERT(decision.retry_after >= 200ms);
 }
