Gateway: work for one request no longer grows with the fleet, and few gateways read the store

On the large site (103 gateways, 166 targets) gateways run out of processor time after the first burst. Read in the code, by how often it runs: each look at a target summed the loads of all 102 peers (map of maps), for all 166 targets of the service, for each waiting group, after each send, and once more at each of 290 datagrams a second; each report of a peer worked out `available_part` over all members once a customer; each prompt's turn searched the heard lists of all peers. The planner went over all demands inside sort comparisons, for each model waited for at each target. And every gateway watched four kinds of objects; a change of any of 166 registrations woke all of them.

Change. - core/dispatch/fleet_load keeps the peers' loads as sums; a pass looks only at targets that hold the model (all of them if none can take the request), and a send updates one entry of its lists; peers' loads cause at most one pass in 20 ms. - The planner works out the facts of a model and the room of a target once a pass; in large fleets it plans every 0.5 ms a target (80 ms at 160), below 80 targets as before. - core/membership/store_readers: the order giver watches the store closely, or three substitutes while none is heard, or whoever hears none of them.

Ruled out for now: a tree of aggregators, which also needs rates without a copy a member; see docs/PLATFORM.md, to come.

--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -180,6 +180,8 @@
  * that send orders to targets (gives_orders).
  * holdings: sent by the gateway that sends orders: recent changes, and each target again every few seconds.
  * starts: sent by the same gateway and as often: registrations of targets that started or became cold.
+ * reads_store: the sender watches the store closely for the others.
+ * informed: it knows all that gateways knew when it started.
  * wants_registrations: the sender can't read the store; registrations: all of them, sent only to such a peer.
  */
 struct peer_status {
@@ -189,7 +191,7 @@
   13: list<target_holding> holdings, 14: list<leaving_target> leaving_targets, 15: list<quarantine> suspects,
   16: bool wants_registrations, 17: list<target_registration> registrations, 18: string address,
   19: list<target_load> loads, 20: bool gives_orders, 21: list<target_registration> starts,
-  22: i64 centres_era, 23: list<held_centre> centres_held, 24: bool informed
+  22: i64 centres_era, 23: list<held_centre> centres_held, 24: bool informed, 25: bool reads_store
 }
 
 /** A gateway asks the gateway that schedules a target's prompts (its keeper) for a turn to send it a prompt. */
--- a/src/core/limits/fleet_quota.cpp
+++ b/src/core/limits/fleet_quota.cpp
@@ -22,8 +22,9 @@
 } // namespace
 
 void fleet_quota::configure(const std::map<std::string, fleet::customer>& customers, time_point now) {
+    const double part = available_part(now);
     for (auto& [name, state] : accounts_)
-        refill(state, now);
+        refill(state, part, now);
     std::erase_if(accounts_, [&](const auto& entry) { return !customers.contains(entry.first); });
     for (const auto& [name, customer] : customers) {
         const bool is_new = !accounts_.contains(name);
@@ -34,7 +35,7 @@
             state.level = state.burst * initial_level;
             state.refilled_at = now;
         }
-        state.level = std::min(state.level, state.burst * available_part(now));
+        state.level = std::min(state.level, state.burst * part);
     }
 }
 
@@ -53,12 +54,13 @@
         return;
     member& state = members_[peer];
     const bool same_process = state.boot == boot;
+    const double part = available_part(now);
     for (const auto& [customer, total] : taken) {
         const auto found = accounts_.find(customer);
         const auto before = state.taken.find(customer);
         if (found == accounts_.end() || !same_process)
             continue; // the first report of a process only sets the baseline
-        refill(found->second, now);
+        refill(found->second, part, now);
         found->second.level -= total - (before == state.taken.end() ? 0 : before->second);
     }
     state = {boot, std::move(taken), now, has_our_report, false};
@@ -82,10 +84,9 @@
     return (all - unreachable) / all;
 }
 
-void fleet_quota::refill(account& state, time_point now) const {
+void fleet_quota::refill(account& state, double part, time_point now) {
     if (now <= state.refilled_at)
         return;
-    const double part = available_part(now);
     state.level =
         std::min(state.level + state.rate * part * seconds(now - state.refilled_at), state.burst * part);
     state.refilled_at = now;
@@ -96,8 +97,8 @@
     if (found == accounts_.end() || found->second.rate <= 0)
         return {true, {}};
     account& state = found->second;
-    refill(state, now);
     const double part = available_part(now);
+    refill(state, part, now);
     const double needed = std::min(tokens, state.burst * part * required_part);
     if (state.level < needed)
         return {false, from_seconds((needed - state.level) / (state.rate * part))};
--- a/src/core/limits/fleet_quota.hpp
+++ b/src/core/limits/fleet_quota.hpp
@@ -65,7 +65,8 @@
         double level = 0; // tokens
         common::time_point refilled_at{};
     };
-    void refill(account& state, common::time_point now) const;
+    /// `part`: available_part(now), which looks at all members and is the same for all accounts.
+    static void refill(account& state, double part, common::time_point now);
 
     std::string self_;
     std::map<std::string, member> members_;
--- a/src/core/load_planning/planner.cpp
+++ b/src/core/load_planning/planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <unordered_map>
 
 namespace waxwinglb::core::load_planning {
 namespace {
@@ -17,12 +18,22 @@
 constexpr double unload_cost_ms = 30.0;  // for each model that has to be unloaded first
 constexpr double victim_cost_ms = 300.0; // for each request per second that such a model receives
 
-/// One planning pass over a copy of the input; each decision is applied to the copy.
+/// One planning pass over the input; each decision is applied to it.
+///
+/// The pass looks at each target for each model that requests wait for. What it needs to know of a model or a
+/// target there is worked out once (model_facts, room_facts): hundreds of targets and models would otherwise
+/// cost more than the interval between two passes.
 class planning_pass {
 public:
-    planning_pass(const planner_input& input, const planner_limits& limits, time_point now)
-        : engine_(*input.engine), limits_(limits), now_(now), targets_(input.targets),
-          demands_(input.demands), store_loads_(input.store_loads_under_way) {}
+    planning_pass(planner_input input, const planner_limits& limits, time_point now)
+        : engine_(*input.engine), limits_(limits), now_(now), targets_(std::move(input.targets)),
+          demands_(std::move(input.demands)), store_loads_(input.store_loads_under_way),
+          adapter_reserve_(adapter_reserve()), rooms_(targets_.size()) {
+        for (const auto& [ref, asked] : demands_)
+            add_demand(facts_[ref.model].all, asked);
+        for (const target_state& target : targets_)
+            add_holdings(target);
+    }
 
     std::vector<planned_order> run() {
         load_requested_models();
@@ -41,6 +52,52 @@
         double cost_ms = 0;
     };
 
+    // ---- facts, kept up to date during the pass --------------------------------------------------
+
+    struct model_facts {
+        demand all;            // including requests for its adapters
+        int replicas = 0;      // on targets that serve
+        bool has_copy = false; // loaded, in memory or on disk at any target
+    };
+    /// What can be unloaded at a target for another model.
+    struct room_facts {
+        double free_mb = 0;                  // beyond the part kept for adapters
+        std::vector<std::string> unloadable; // fewest arrivals first
+    };
+
+    void add_holdings(const target_state& target) {
+        for (const auto& [model, use] : target.models) {
+            model_facts& facts = facts_[model];
+            facts.replicas += target.serves ? 1 : 0;
+            facts.has_copy = true;
+        }
+        for (const auto* copies : {&target.copies_in_memory, &target.copies_on_disk})
+            for (const std::string& model : *copies)
+                facts_[model].has_copy = true;
+    }
+    [[nodiscard]] const model_facts& facts_of(const std::string& model) const {
+        static const model_facts none;
+        const auto found = facts_.find(model);
+        return found == facts_.end() ? none : found->second;
+    }
+    /// `model` is being loaded at `target` from now on.
+    void note_load(target_state& target, const std::string& model) {
+        target.models[model].last_used = now_;
+        model_facts& facts = facts_[model];
+        facts.replicas += target.serves ? 1 : 0;
+        facts.has_copy = true;
+        for (std::size_t i = 0; i < targets_.size();
+             ++i) // another replica changes the arrivals at each of them
+            if (targets_[i].models.contains(model))
+                rooms_[i].clear();
+    }
+    [[nodiscard]] const room_facts& room_at(const target_state& target, milliseconds idle) const {
+        auto& known = rooms_[static_cast<std::size_t>(&target - targets_.data())];
+        const auto found = known.find(idle);
+        return found != known.end() ? found->second
+                                    : known.emplace(idle, find_room(target, idle)).first->second;
+    }
+
     // ---- demand ----------------------------------------------------------------------------------
 
     struct model_need {
@@ -48,30 +105,25 @@
         demand all; // including requests for its adapters
     };
 
-    [[nodiscard]] std::map<std::string, demand> by_model() const {
-        std::map<std::string, demand> total;
+    /// Models of the engine with any demand, by name.
+    [[nodiscard]] std::vector<model_need> needs_by_name() const {
+        std::vector<model_need> needs;
         for (const auto& [ref, asked] : demands_)
-            add_demand(total[ref.model], asked);
-        return total;
+            if ((needs.empty() || needs.back().model != ref.model) && engine_.models.contains(ref.model))
+                needs.push_back({ref.model, facts_of(ref.model).all});
+        return needs;
     }
 
     [[nodiscard]] std::vector<model_need> needs_in_order() const {
-        std::vector<model_need> needs;
-        for (auto& [model, all] : by_model())
-            if (all.waiting > 0 && engine_.models.contains(model))
-                needs.push_back({model, all});
+        std::vector<model_need> needs = needs_by_name();
+        std::erase_if(needs, [](const model_need& need) { return need.all.waiting <= 0; });
         std::sort(needs.begin(), needs.end(), [](const model_need& a, const model_need& b) {
             return std::tie(a.all.priority, a.all.oldest) < std::tie(b.all.priority, b.all.oldest);
         });
         return needs;
     }
 
-    [[nodiscard]] int replicas_of(const std::string& model) const {
-        return static_cast<int>(
-            std::count_if(targets_.begin(), targets_.end(), [&](const target_state& target) {
-                return target.serves && target.models.contains(model);
-            }));
-    }
+    [[nodiscard]] int replicas_of(const std::string& model) const { return facts_of(model).replicas; }
 
     // ---- memory of a target ----------------------------------------------------------------------
 
@@ -125,26 +177,28 @@
         const usage& use = target.models.at(model);
         if (use.running > 0 || target.coming.contains(model) || now_ - use.last_used < idle)
             return false;
-        for (const auto& [ref, asked] : demands_)
-            if (ref.model == model && asked.waiting > 0 && replicas_of(model) <= 1)
-                return false;
-        return true;
+        return facts_of(model).all.waiting <= 0 || replicas_of(model) > 1;
+    }
+
+    [[nodiscard]] room_facts find_room(const target_state& target, milliseconds idle) const {
+        room_facts room{engine_.megabytes - adapter_reserve_ - used_mb(target), {}};
+        std::vector<std::tuple<double, time_point, std::string>> keyed;
+        for (const auto& [name, use] : target.models)
+            if (may_be_unloaded(target, name, idle))
+                keyed.emplace_back(arrivals_per_replica(name), use.last_used, name);
+        std::sort(keyed.begin(), keyed.end());
+        for (auto& [arrivals, last_used, name] : keyed)
+            room.unloadable.push_back(std::move(name));
+        return room;
     }
 
     /// Models to unload so that `model` fits, fewest arrivals first; nullopt if it can't be made to fit.
     [[nodiscard]] std::optional<std::vector<std::string>>
     victims_for(const target_state& target, const std::string& model, milliseconds idle) const {
-        double room = engine_.megabytes - adapter_reserve() - used_mb(target) - spec_mb(model);
-        std::vector<std::string> unloadable;
-        for (const auto& [name, use] : target.models)
-            if (may_be_unloaded(target, name, idle))
-                unloadable.push_back(name);
-        std::sort(unloadable.begin(), unloadable.end(), [&](const std::string& a, const std::string& b) {
-            return std::tuple{arrivals_per_replica(a), target.models.at(a).last_used} <
-                   std::tuple{arrivals_per_replica(b), target.models.at(b).last_used};
-        });
+        const room_facts& known = room_at(target, idle);
+        double room = known.free_mb - spec_mb(model);
         std::vector<std::string> chosen;
-        for (const std::string& name : unloadable) {
+        for (const std::string& name : known.unloadable) {
             if (room >= 0)
                 break;
             room += spec_mb(name);
@@ -156,11 +210,8 @@
     }
     /// Requests per second that each of the model's replicas receives.
     [[nodiscard]] double arrivals_per_replica(const std::string& model) const {
-        double sum = 0;
-        for (const auto& [ref, asked] : demands_)
-            if (ref.model == model)
-                sum += asked.per_second;
-        return sum / std::max(1, replicas_of(model));
+        const model_facts& facts = facts_of(model);
+        return facts.all.per_second / std::max(1, facts.replicas);
     }
 
     /// Time until the target takes an order; nullopt if unknown.
@@ -235,7 +286,7 @@
         const bool store = chosen.copy == copy_tier::store;
         store_loads_ += store ? 1 : 0;
         orders_.push_back({target.id, true, {model, {}}, store, why});
-        target.models[model].last_used = now_;
+        note_load(target, model);
         target.coming[model] = now_ + load;
     }
 
@@ -257,6 +308,8 @@
     /// The earliest time at which a serving target has the model ready; nullopt if none holds or loads it.
     [[nodiscard]] std::optional<time_point> earliest_ready(const std::string& model) const {
         std::optional<time_point> earliest;
+        if (replicas_of(model) == 0)
+            return earliest;
         for (const target_state& target : targets_) {
             if (!target.serves || !target.models.contains(model))
                 continue;
@@ -274,35 +327,30 @@
 
     /// Adds a replica of each busy model if a target has room.
     void add_replicas() {
-        for (const auto& entry : by_model()) {
-            const std::string& model = entry.first;
-            const demand& all = entry.second;
+        for (const auto& [model, all] : needs_by_name()) {
             const int replicas = replicas_of(model);
             const int concurrent = all.running + all.waiting;
-            if (replicas == 0 || !engine_.models.contains(model) ||
-                concurrent <= replicas * limits_.requests_per_replica)
+            if (replicas == 0 || concurrent <= replicas * limits_.requests_per_replica)
                 continue;
-            const bool loading =
-                std::any_of(targets_.begin(), targets_.end(),
-                            [&](const target_state& target) { return target.coming.contains(model); });
-            if (loading)
+            if (is_loading(model))
                 continue;
             if (const auto chosen = best_target(model, {limits_.settle, true, limits_.load_factor, true}))
                 issue_load(*chosen, model, "its replicas are busy");
         }
     }
 
+    [[nodiscard]] bool is_loading(const std::string& model) const {
+        return std::any_of(targets_.begin(), targets_.end(),
+                           [&](const target_state& target) { return target.coming.contains(model); });
+    }
+
     /// Loads models that no target has a copy of while the weight store has capacity to spare.
     void make_first_copies() {
         for (const auto& entry : engine_.models) {
             const std::string& model = entry.first;
             if (store_loads_ >= limits_.parallel_store_loads)
                 return;
-            const bool has_copy =
-                std::any_of(targets_.begin(), targets_.end(), [&](const target_state& target) {
-                    return target.models.contains(model) || copy_of(target, model) != copy_tier::store;
-                });
-            if (has_copy)
+            if (facts_of(model).has_copy)
                 continue;
             if (const auto chosen = best_target(model, {limits_.idle_before_refill, true, 1.0, true}))
                 issue_load(*chosen, model, "no target has a copy");
@@ -369,13 +417,17 @@
     std::vector<target_state> targets_;
     std::map<model_ref, demand> demands_;
     int store_loads_;
+    double adapter_reserve_; // MB
+    std::unordered_map<std::string, model_facts> facts_;
+    mutable std::vector<std::map<milliseconds, room_facts>>
+        rooms_; // by target, by idle time; worked out on use
     std::vector<planned_order> orders_;
 };
 
 } // namespace
 
-std::vector<planned_order> plan(const planner_input& input, const planner_limits& limits, time_point now) {
-    return planning_pass{input, limits, now}.run();
+std::vector<planned_order> plan(planner_input input, const planner_limits& limits, time_point now) {
+    return planning_pass{std::move(input), limits, now}.run();
 }
 
 } // namespace waxwinglb::core::load_planning
--- a/src/core/load_planning/planner.hpp
+++ b/src/core/load_planning/planner.hpp
@@ -33,7 +33,7 @@
 };
 
 /// Returns at most one order for each target.
-[[nodiscard]] std::vector<planned_order> plan(const planner_input& input, const planner_limits& limits,
+[[nodiscard]] std::vector<planned_order> plan(planner_input input, const planner_limits& limits,
                                               common::time_point now);
 
 } // namespace waxwinglb::core::load_planning
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10826,6 +10826,10 @@
 void peer_status::__set_informed(const bool val) {
   this->informed = val;
 }
+
+void peer_status::__set_reads_store(const bool val) {
+  this->reads_store = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -11190,6 +11194,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reads_store);
+          this->__isset.reads_store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11399,6 +11411,10 @@
   xfer += oprot->writeBool(this->informed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reads_store", ::apache::thrift::protocol::T_BOOL, 25);
+  xfer += oprot->writeBool(this->reads_store);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11430,6 +11446,7 @@
   swap(a.centres_era, b.centres_era);
   swap(a.centres_held, b.centres_held);
   swap(a.informed, b.informed);
+  swap(a.reads_store, b.reads_store);
   swap(a.__isset, b.__isset);
 }
 
@@ -11458,6 +11475,7 @@
   centres_era = other402.centres_era;
   centres_held = other402.centres_held;
   informed = other402.informed;
+  reads_store = other402.reads_store;
   __isset = other402.__isset;
 }
 peer_status::peer_status(peer_status&& other403) noexcept {
@@ -11485,6 +11503,7 @@
   centres_era = other403.centres_era;
   centres_held = std::move(other403.centres_held);
   informed = other403.informed;
+  reads_store = other403.reads_store;
   __isset = other403.__isset;
 }
 peer_status& peer_status::operator=(const peer_status& other404) {
@@ -11512,6 +11531,7 @@
   centres_era = other404.centres_era;
   centres_held = other404.centres_held;
   informed = other404.informed;
+  reads_store = other404.reads_store;
   __isset = other404.__isset;
   return *this;
 }
@@ -11540,6 +11560,7 @@
   centres_era = other405.centres_era;
   centres_held = std::move(other405.centres_held);
   informed = other405.informed;
+  reads_store = other405.reads_store;
   __isset = other405.__isset;
   return *this;
 }
@@ -11570,6 +11591,7 @@
   out << ", " << "centres_era=" << to_string(centres_era);
   out << ", " << "centres_held=" << to_string(centres_held);
   out << ", " << "informed=" << to_string(informed);
+  out << ", " << "reads_store=" << to_string(reads_store);
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -4313,7 +4313,7 @@
 std::ostream& operator<<(std::ostream& out, const target_load& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4338,6 +4338,7 @@
   bool centres_era :1;
   bool centres_held :1;
   bool informed :1;
+  bool reads_store :1;
 } _peer_status__isset;
 
 /**
@@ -4346,6 +4347,8 @@
  * that send orders to targets (gives_orders).
  * holdings: sent by the gateway that sends orders: recent changes, and each target again every few seconds.
  * starts: sent by the same gateway and as often: registrations of targets that started or became cold.
+ * reads_store: the sender watches the store closely for the others.
+ * informed: it knows all that gateways knew when it started.
  * wants_registrations: the sender can't read the store; registrations: all of them, sent only to such a peer.
  */
 class peer_status : public virtual ::apache::thrift::TBase {
@@ -4367,7 +4370,8 @@
                 address(),
                 gives_orders(0),
                 centres_era(0),
-                informed(0) {
+                informed(0),
+                reads_store(0) {
   }
 
   virtual ~peer_status() noexcept;
@@ -4395,6 +4399,7 @@
   int64_t centres_era;
   std::vector<held_centre>  centres_held;
   bool informed;
+  bool reads_store;
 
   _peer_status__isset __isset;
 
@@ -4446,6 +4451,8 @@
 
   void __set_informed(const bool val);
 
+  void __set_reads_store(const bool val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -4496,6 +4503,8 @@
       return false;
     if (!(informed == rhs.informed))
       return false;
+    if (!(reads_store == rhs.reads_store))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -30,7 +30,7 @@
     core::fleet::centres_out centres; // data centres taken out of service
     core::limits::fleet_quota quota;
     int gateway_count = 1;           // registered gateways, this one included
-    bool order_giver_active = false; // another gateway holds the lease, and its messages arrive
+    bool reads_store_closely = true; // false: others do, and their messages arrive
     bool draining = false;           // SIGTERM was received
     core::common::time_point drain_started{};
 
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -22,6 +22,7 @@
 constexpr double engine_slot_fraction = 0.75; // of an engine's slots in use; a full batch delays first tokens
 constexpr int plain_service_queue = 2;        // requests that may queue at a plain service beyond its slots
 constexpr milliseconds min_wait_check{20};
+constexpr milliseconds peer_news_interval{20}; // between two passes over the queue because of peers' loads
 
 double seconds(duration value) {
     return std::chrono::duration<double>(value).count();
@@ -63,6 +64,16 @@
     });
 }
 
+void dispatcher::schedule_dispatch_soon() {
+    if (dispatch_soon_ || waiting_.empty())
+        return;
+    dispatch_soon_ = true;
+    context_.loop.schedule(context_.loop.now() + peer_news_interval, [this] {
+        dispatch_soon_ = false;
+        dispatch_waiting();
+    });
+}
+
 /// Waiting requests by urgency: those that can still meet their route's target latency first, then by
 /// priority, then by arrival.
 std::vector<caller_request_ptr> dispatcher::waiting_in_order() const {
@@ -111,26 +122,36 @@
     const std::string target = choice.chosen->target->entry.id;
     withdraw(request);
     callbacks_.on_send(request, target);
-    current_pass.by_group.clear(); // the loads have changed
+    for (auto* lists : {&current_pass.holders, &current_pass.all}) // its load has changed
+        for (auto& [other, list] : *lists)
+            refresh(list, target, other.second);
 }
 
 /// Chooses the target to send the request to now. A prompt for an engine also needs a turn there; if the turn
 /// is queued, another target is tried.
 core::dispatch::choice dispatcher::choose_target(const caller_request& request, dispatch_pass& current_pass) {
     const group_key group{request.service, request.model};
+    const auto list = [&](std::map<group_key, candidate_list>& known, bool holders_only) -> candidate_list& {
+        auto found = known.find(group);
+        if (found == known.end())
+            found = known.emplace(group, candidates(group, holders_only)).first;
+        return found->second;
+    };
     for (;;) {
-        auto found = current_pass.by_group.find(group);
-        if (found == current_pass.by_group.end())
-            found = current_pass.by_group.emplace(group, candidates(request.service, request.model)).first;
-        const auto choice = core::dispatch::choose(found->second, criteria_for(request), context_.loop.now());
+        candidate_list& holders = list(current_pass.holders, true);
+        auto choice = core::dispatch::choose(holders, criteria_for(request), context_.loop.now());
+        // The others can't take it, but tell why, and when a load could be ready.
+        if (choice.chosen == nullptr && choice.why >= obstacle::no_adapter)
+            choice = core::dispatch::choose(list(current_pass.all, false), criteria_for(request),
+                                            context_.loop.now());
         if (choice.chosen == nullptr || request.model.model.empty())
             return choice;
         const std::string target = choice.chosen->target->entry.id;
         if (turns_->may_send(target, request.prompt_tokens))
             return choice;
         if (!turns_->is_queued(target))
-            return {nullptr, obstacle::reading}; // the scheduler's answer arrives shortly
-        current_pass.by_group.erase(found);
+            return {nullptr, obstacle::reading, nullptr}; // the scheduler's answer arrives shortly
+        refresh(holders, target, request.model);
     }
 }
 
@@ -142,9 +163,9 @@
     if (first)
         request->waiting_since = now;
     current_pass.new_wait = current_pass.new_wait || first;
-    const auto found = current_pass.by_group.find({request->service, request->model});
-    const auto wait_limit = wait_limit_for(
-        *request, blocked, found == current_pass.by_group.end() ? candidate_list{} : found->second);
+    const auto found = current_pass.all.find({request->service, request->model});
+    const auto wait_limit =
+        wait_limit_for(*request, blocked, found == current_pass.all.end() ? candidate_list{} : found->second);
     request->wait_until = wait_limit.until;
     request->blocked_by = describe(blocked);
     if (now >= wait_limit.until) {
@@ -200,7 +221,7 @@
 }
 
 duration dispatcher::retry_after_for(const caller_request& request) {
-    const auto among = candidates(request.service, request.model);
+    const auto among = candidates({request.service, request.model}, false);
     const auto blocked = core::dispatch::choose(among, criteria_for(request), context_.loop.now());
     return wait_limit_for(request, blocked, among).retry_after;
 }
@@ -269,32 +290,48 @@
     return runtime.cold_tokens >= 1;
 }
 
-dispatcher::candidate_list dispatcher::candidates(const std::string& service,
-                                                  const core::fleet::model_ref& ref) {
-    const time_point now = context_.loop.now();
+dispatcher::candidate_list dispatcher::candidates(const group_key& group, bool holders_only) {
+    const auto& [service, ref] = group;
     candidate_list out;
     for (const auto& [id, target] : context_.directory.targets()) {
         if (target.entry.service != service)
             continue;
-        target_runtime& runtime = runtimes_[id];
-        core::dispatch::candidate candidate;
-        candidate.target = &target;
-        candidate.load = load_of(id);
-        candidate.limit = limit_of(target);
-        candidate.failure_rate = runtime.failure_rate;
-        candidate.unread_tokens = runtime.unread_prompt_tokens;
-        candidate.unread_limit = ref.model.empty() ? 0 : context_.settings.prompt_tokens_at_once;
-        candidate.turn_queued = !ref.model.empty() && turns_->is_queued(id);
-        candidate.reachable = now >= runtime.unreachable_until;
-        candidate.cold_allowance = has_cold_allowance(target, runtime);
-        if (const auto missing = runtime.missing_models.find(ref); missing != runtime.missing_models.end())
-            candidate.lacks_model = now < missing->second.until;
-        candidate.near = target.entry.data_centre == context_.settings.data_centre;
-        out.push_back(candidate);
+        const bool holds =
+            ref.model.empty() || target.entry.models.contains(ref.model) || target.coming.contains(ref.model);
+        if (holds || !holders_only)
+            out.push_back(make_candidate(target, ref));
     }
     return out;
 }
 
+core::dispatch::candidate dispatcher::make_candidate(const core::fleet::target& target,
+                                                     const core::fleet::model_ref& ref) {
+    const time_point now = context_.loop.now();
+    const std::string& id = target.entry.id;
+    target_runtime& runtime = runtimes_[id];
+    core::dispatch::candidate out;
+    out.target = &target;
+    out.load = runtime.running + peer_load_.at(id);
+    out.limit = limit_of(target);
+    out.failure_rate = runtime.failure_rate;
+    out.unread_tokens = runtime.unread_prompt_tokens;
+    out.unread_limit = ref.model.empty() ? 0 : context_.settings.prompt_tokens_at_once;
+    out.turn_queued = !ref.model.empty() && turns_->is_queued(id);
+    out.reachable = now >= runtime.unreachable_until;
+    out.cold_allowance = has_cold_allowance(target, runtime);
+    if (const auto missing = runtime.missing_models.find(ref); missing != runtime.missing_models.end())
+        out.lacks_model = now < missing->second.until;
+    out.near = target.entry.data_centre == context_.settings.data_centre;
+    return out;
+}
+
+/// Brings one target's entry in a list up to date.
+void dispatcher::refresh(candidate_list& list, const std::string& target, const core::fleet::model_ref& ref) {
+    for (core::dispatch::candidate& option : list)
+        if (option.target->entry.id == target)
+            option = make_candidate(*option.target, ref);
+}
+
 void dispatcher::begin_attempt(const caller_request_ptr& request, const std::string& target) {
     request->target = target;
     request->sent_at = context_.loop.now();
@@ -378,11 +415,7 @@
 
 int dispatcher::load_of(const std::string& target) const {
     const auto own = runtimes_.find(target);
-    int sum = own == runtimes_.end() ? 0 : own->second.running;
-    for (const auto& [peer, loads] : peer_loads_)
-        if (const auto found = loads.find(target); found != loads.end())
-            sum += found->second;
-    return sum;
+    return (own == runtimes_.end() ? 0 : own->second.running) + peer_load_.at(target);
 }
 
 std::map<std::string, int> dispatcher::own_loads() const {
@@ -403,9 +436,9 @@
                   [&](const auto& entry) { return entry.second.running == 0 && missing(entry.first.first); });
 }
 
-void dispatcher::set_peer_load(const std::string& peer, std::map<std::string, int> running) {
-    peer_loads_[peer] = std::move(running);
-    schedule_dispatch();
+void dispatcher::set_peer_load(const std::string& peer, core::dispatch::fleet_load::counts running) {
+    peer_load_.set(peer, std::move(running));
+    schedule_dispatch_soon();
 }
 
 std::map<core::fleet::model_ref, dispatcher::waiting_summary> dispatcher::waiting_by_model() const {
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -2,6 +2,7 @@
 /// of the targets as this gateway sees them.
 #pragma once
 
+#include "core/dispatch/fleet_load.hpp"
 #include "core/dispatch/wait_policy.hpp"
 #include "programs/gateway/caller_request.hpp"
 #include "programs/gateway/context.hpp"
@@ -41,6 +42,7 @@
     void refuse_all(core::common::duration retry_after); // at shutdown: other gateways serve the retries
     void dispatch_waiting();                             // tries to place all waiting requests now
     void schedule_dispatch();                            // the same in the next iteration of the event loop
+    void schedule_dispatch_soon();                       // the same, together with other peers' news
 
     // Attempts at targets.
     enum class attempt_outcome { succeeded, failed, not_run, lacks_model, unreachable, abandoned };
@@ -58,7 +60,7 @@
 
     [[nodiscard]] std::map<std::string, int> own_loads() const; // this gateway's running requests by target
     /// Sets the running requests by target that a peer last reported.
-    void set_peer_load(const std::string& peer, std::map<std::string, int> running);
+    void set_peer_load(const std::string& peer, core::dispatch::fleet_load::counts running);
 
     /// For the order giver and the peers.
     struct waiting_summary {
@@ -105,7 +107,8 @@
 
     /// Results shared by the requests of one pass over the queue.
     struct dispatch_pass {
-        std::map<group_key, candidate_list> by_group;
+        std::map<group_key, candidate_list> holders; // targets that hold the model of the group, or load it
+        std::map<group_key, candidate_list> all;     // all targets, where no holder can take a request
         std::map<group_key, core::dispatch::choice> blocked;
         std::vector<std::tuple<caller_request_ptr, core::dispatch::obstacle, core::common::duration>> refused;
         bool new_wait = false;
@@ -117,7 +120,11 @@
                                                        dispatch_pass& current_pass);
     void keep_waiting(const caller_request_ptr& request, const core::dispatch::choice& blocked,
                       dispatch_pass& current_pass);
-    [[nodiscard]] candidate_list candidates(const std::string& service, const core::fleet::model_ref& ref);
+    /// The targets of a service. `holders_only`: those that hold the model or load it.
+    [[nodiscard]] candidate_list candidates(const group_key& group, bool holders_only);
+    [[nodiscard]] core::dispatch::candidate make_candidate(const core::fleet::target& target,
+                                                           const core::fleet::model_ref& ref);
+    void refresh(candidate_list& list, const std::string& target, const core::fleet::model_ref& ref);
     [[nodiscard]] int limit_of(const core::fleet::target& target) const;
     bool has_cold_allowance(const core::fleet::target& target, target_runtime& runtime);
     void count_arrival(const caller_request& request);
@@ -131,15 +138,16 @@
     gateway_context& context_;
     callbacks callbacks_;
     prompt_turns* turns_ = nullptr;
-    std::map<std::uint64_t, caller_request_ptr> waiting_;          // by arrival number
-    std::map<std::string, target_runtime> runtimes_;               // by target id
-    std::map<std::string, std::map<std::string, int>> peer_loads_; // peer -> target -> requests
+    std::map<std::uint64_t, caller_request_ptr> waiting_; // by arrival number
+    std::map<std::string, target_runtime> runtimes_;      // by target id
+    core::dispatch::fleet_load peer_load_;
     usage_map usage_;
     std::map<core::fleet::model_ref, arrival_counter> arrivals_;
     std::uint64_t last_arrival_number_ = 0;
     std::size_t running_ = 0;
     target_link::connection_counters connections_;
     bool dispatch_scheduled_ = false;
+    bool dispatch_soon_ = false;
     edge::event_loop::timer_id wait_timer_;
 };
 
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -17,6 +17,8 @@
 using core::load_planning::target_ledger;
 
 constexpr milliseconds tick_interval{40};
+// In large fleets plans are made less often, so that they leave a small machine time to forward requests.
+constexpr std::chrono::microseconds plan_time_per_target{500};
 constexpr milliseconds report_interval{1'000};
 constexpr milliseconds report_interval_unsettled{300};
 constexpr milliseconds order_timeout{1'200};
@@ -37,27 +39,35 @@
     : context_(context), client_(client), dispatcher_(dispatch),
       lease_(context, store, client, boot, [this] { targets_.clear(); }) {}
 
-void order_giver::start(std::function<void()> on_order_giver_lost) {
-    on_order_giver_lost_ = std::move(on_order_giver_lost);
+void order_giver::start(std::function<void()> on_read_closely) {
+    on_read_closely_ = std::move(on_read_closely);
     tick();
 }
 
 void order_giver::tick() {
     const auto now = context_.loop.now();
     lease_.step();
-    const bool was_active = std::exchange(context_.order_giver_active, lease_.holder_active(now));
-    if (was_active && !context_.order_giver_active)
-        on_order_giver_lost_();
+    const bool closely = peers_->reads_store_closely(lease_.held());
+    if (!std::exchange(context_.reads_store_closely, closely) && closely)
+        on_read_closely_();
     follow_directory();
     if (may_order(now)) {
         request_reports();
-        for (const auto& [name, service] : context_.config->services)
-            if (service.engine)
-                plan_service(service);
+        plan_if_due();
     }
     context_.loop.schedule(now + tick_interval, [this] { tick(); });
 }
 
+void order_giver::plan_if_due() {
+    const auto now = context_.loop.now();
+    if (now < plan_at_)
+        return;
+    plan_at_ = now + std::max<core::common::duration>(tick_interval, plan_time_per_target * targets_.size());
+    for (const auto& [name, service] : context_.config->services)
+        if (service.engine)
+            plan_service(service);
+}
+
 bool order_giver::may_order(time_point now) const {
     return lease_.may_order(now) && context_.config && context_.directory.loaded() && !context_.draining;
 }
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -20,8 +20,8 @@
         lease_.attach(others);
     }
     [[nodiscard]] order_lease& lease() { return lease_; }
-    /// `on_order_giver_lost` is called when the messages of another gateway that gave orders stop arriving.
-    void start(std::function<void()> on_order_giver_lost);
+    /// `on_read_closely` is called when this gateway must begin to watch the store closely.
+    void start(std::function<void()> on_read_closely);
 
     [[nodiscard]] bool gives_orders() const { return lease_.held(); }
     /// Models that each target holds, for the other gateways; empty unless the lease is held.
@@ -48,6 +48,7 @@
                        core::common::time_point requested_at);
     void record_finished_loads(const std::string& id,
                                const std::vector<core::load_planning::finished_load>& loads);
+    void plan_if_due();
     void plan_service(const core::fleet::service& service);
     // Input of the planner.
     [[nodiscard]] core::load_planning::planner_input
@@ -67,7 +68,8 @@
     dispatcher& dispatcher_;
     order_lease lease_;
     peers* peers_ = nullptr;
-    std::function<void()> on_order_giver_lost_;
+    std::function<void()> on_read_closely_;
+    core::common::time_point plan_at_{}; // earliest next plan
     std::map<std::string, known_target> targets_;
     std::int64_t last_order_number_ = 0; // never reset: answers to orders of an earlier lease must not match
     core::load_planning::store_load_limit store_load_limit_;
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/peers.hpp"
 
 #include "core/common/hash.hpp"
+#include "core/membership/store_readers.hpp"
 
 #include <array>
 
@@ -116,14 +117,26 @@
     const auto now = context_.loop.now();
     std::vector<std::string> out{context_.settings.name};
     for (const auto& [name, peer] : known_peers_) {
-        const auto& heard = peer.status.heard;
-        const bool mutual = std::find(heard.begin(), heard.end(), context_.settings.name) != heard.end();
-        if (mutual && peer.in_contact(now) && !peer.status.leaving)
+        if (peer.hears_us && peer.in_contact(now) && !peer.status.leaving)
             out.push_back(name);
     }
     return out;
 }
 
+bool peers::reads_store_closely(bool gives_orders) const {
+    const auto now = context_.loop.now();
+    core::membership::reader_view view{gives_orders, false, false, false};
+    for (const auto& [name, peer] : known_peers_) {
+        const bool reads = peer.in_contact(now) && !peer.status.wants_registrations;
+        view.hears_order_giver = view.hears_order_giver || (reads && peer.status.gives_orders);
+        view.hears_other_reader = view.hears_other_reader || (reads && peer.status.reads_store);
+    }
+    if (!view.gives_orders && !view.hears_order_giver)
+        view.is_substitute =
+            core::membership::is_substitute_reader(context_.settings.name, gateways_in_contact());
+    return core::membership::reads_closely(view);
+}
+
 bool peers::hears_order_giver() const {
     const auto now = context_.loop.now();
     return std::any_of(known_peers_.begin(), known_peers_.end(), [&](const auto& peer) {
@@ -179,6 +192,7 @@
         entry.born = leaving.born;
         out.leaving_targets.push_back(std::move(entry));
     }
+    out.reads_store = context_.reads_store_closely;
     out.wants_registrations = !dependencies_.watch.reads_targets();
     for (const auto& [fingerprint, count] : dependencies_.forward.connection_breaks())
         if (count > 1) { // a single broken connection is common
@@ -271,7 +285,7 @@
         return;
     ++sequence_;
     wire::peer_status base = status();
-    if (to == audience::all_peers && base.gives_orders)
+    if (to == audience::all_peers && base.reads_store)
         add_target_updates(base);
     frame_cache cache{std::move(base), {}};
     for (const auto& [name, address] : addresses_) {
@@ -336,13 +350,13 @@
         addresses_[status.process] = status.address;
     if (silent_peers_.erase(status.process) > 0)
         context_.log.write(edge::events::peer_regained, status.process);
-    known = {status, now};
+    const bool hears_us =
+        std::find(status.heard.begin(), status.heard.end(), context_.settings.name) != status.heard.end();
+    known = {status, now, hears_us};
     core::limits::taken_tokens taken;
     for (const auto& use : status.customers)
         taken[use.customer] = use.tokens;
-    const bool has_our_report =
-        std::find(status.heard.begin(), status.heard.end(), context_.settings.name) != status.heard.end();
-    context_.quota.merge_report(status.process, status.boot, std::move(taken), has_our_report, now);
+    context_.quota.merge_report(status.process, status.boot, std::move(taken), hears_us, now);
     if (status.leaving)
         context_.quota.mark_departed(status.process);
     std::map<std::string, int> running;
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -24,6 +24,8 @@
     wire::peer_status status;
     core::common::time_point received_at{};
 
+    bool hears_us = false; // it has received a message of this gateway lately
+
     [[nodiscard]] bool in_contact(core::common::time_point now) const {
         return now - received_at <= core::limits::contact_limit;
     }
@@ -57,6 +59,8 @@
     void send_to(const std::string& peer, const std::string& frame);    // no effect if its address is unknown
     [[nodiscard]] std::vector<std::string> gateways_in_contact() const; // not leaving; includes this one
     [[nodiscard]] bool hears_order_giver() const; // another gateway in contact gives orders
+    /// Whether this gateway must watch the store closely. `gives_orders`: it holds the lease.
+    [[nodiscard]] bool reads_store_closely(bool gives_orders) const;
     [[nodiscard]] const std::map<std::string, peer_state>& known_peers() const { return known_peers_; }
 
 private:
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -17,21 +17,24 @@
 constexpr milliseconds min_retry_delay{100}; // after a failed call, doubles
 constexpr milliseconds max_retry_delay{800};
 constexpr milliseconds restore_spread{400}; // over which gateways list again after a restore of the store
-// A dead connection is only noticed when its watch times out. The order giver uses watches that are short
-// enough to stay within the platform's tightest bound (2 s, for a leaving target and for a configuration).
-// The other gateways rely on the order giver's messages, and use short watches themselves while these don't
-// arrive.
+// A dead connection is only noticed when its watch times out. Gateways that watch closely use watches that
+// are short enough to stay within the platform's tightest bound (2 s, for a leaving target and for a
+// configuration).
 constexpr milliseconds short_watch_timeout{1'000};
-// The delays below stay within the same bound, in case the order giver is lost during one.
-constexpr milliseconds long_watch_timeout{8'000};
-constexpr kind_watch::watch_timing targets_timing{short_watch_timeout, milliseconds{250}, long_watch_timeout,
-                                                  milliseconds{1'400}};
+// The store ends watches after 30 s.
+constexpr milliseconds long_watch_timeout{25'000};
+// The copies that targets have of models are read only here; they change when a model comes from the weight
+// store, which takes about as long.
+constexpr milliseconds targets_look{10'000};
+constexpr milliseconds seldom_look{60'000}; // a safeguard: all changes come from other gateways
+constexpr kind_watch::watch_timing targets_timing{short_watch_timeout, milliseconds{250}, milliseconds{0},
+                                                  targets_look};
 constexpr kind_watch::watch_timing config_timing{short_watch_timeout, milliseconds{20}, long_watch_timeout,
                                                  milliseconds{20}};
-constexpr kind_watch::watch_timing centres_timing{short_watch_timeout, milliseconds{20}, long_watch_timeout,
-                                                  milliseconds{20}};
-constexpr kind_watch::watch_timing members_timing{milliseconds{5'000}, milliseconds{500},
-                                                  milliseconds{10'000}, milliseconds{500}};
+constexpr kind_watch::watch_timing centres_timing{short_watch_timeout, milliseconds{20}, milliseconds{0},
+                                                  seldom_look};
+constexpr kind_watch::watch_timing members_timing{milliseconds{5'000}, milliseconds{500}, milliseconds{0},
+                                                  seldom_look};
 
 const char* name_of(store_result result) {
     switch (result) {
@@ -90,6 +93,12 @@
     });
 }
 
+/// `close_delay`: until the next watch, if this gateway watches closely.
+void kind_watch::schedule_after_reply(milliseconds close_delay) {
+    relaxed_ = !context_.reads_store_closely;
+    schedule_next(relaxed_ ? timing_.relaxed_delay : close_delay);
+}
+
 /// All gateways learn of a restore at about the same time: their lists are spread over a short time.
 void kind_watch::list_again() {
     ++generation_;
@@ -123,11 +132,11 @@
     const bool restored = listed_era_ >= 0 && reply.at.era > listed_era_;
     listed_era_ = reply.at.era;
     callbacks_.on_list(reply, restored ? list_source::restored_store : list_source::store);
-    schedule_next(timing_.batch_delay);
+    schedule_after_reply(timing_.batch_delay);
 }
 
 void kind_watch::watch() {
-    relaxed_ = context_.order_giver_active;
+    relaxed_ = !context_.reads_store_closely;
     const auto timeout = relaxed_ ? timing_.relaxed_timeout : timing_.timeout;
     store_.watch(kind_, position_, timeout, [this, generation = generation_](store_reply&& reply) {
         context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
@@ -147,11 +156,9 @@
         return schedule_next(std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, 4))));
     if (reply.at.revision > 0)
         position_ = reply.at;
-    if (reply.objects.empty())
-        return schedule_next(milliseconds{0});
-    callbacks_.on_events(reply);
-    relaxed_ = context_.order_giver_active;
-    schedule_next(relaxed_ ? timing_.relaxed_batch_delay : timing_.batch_delay);
+    if (!reply.objects.empty())
+        callbacks_.on_events(reply);
+    schedule_after_reply(reply.objects.empty() ? milliseconds{0} : timing_.batch_delay);
 }
 
 // ---- store_watch -----------------------------------------------------------------------------------
@@ -228,7 +235,15 @@
     callbacks_.on_config();
 }
 
+/// Logs what decides on a target's use. Its models change with each order, which has its own lines.
 void store_watch::log_target(const core::fleet::target_entry& entry, const char* change) {
+    const auto* known = context_.directory.find(entry.id);
+    const auto decisive = [](const core::fleet::target_entry& from) {
+        return std::tie(from.service, from.address, from.data_centre, from.born, from.draining, from.slots);
+    };
+    if (known != nullptr && !known->lapsed_until && decisive(known->entry) == decisive(entry) &&
+        (entry.cold_left > milliseconds{0}) == (known->cold_until > context_.loop.now()))
+        return;
     context_.log.write(edge::events::target_changed, entry.id,
                        {{"change", change},
                         {"service", entry.service},
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -1,6 +1,9 @@
 /// Watches the platform's store: configuration, registered targets, data centres taken out of service, and
 /// the other gateways. After a failed call it retries; a watch whose history the store no longer keeps, or
 /// whose store was restored from an older copy, starts again with a list.
+///
+/// Only a few gateways watch closely (core/membership/store_readers) and tell the others what changes. The
+/// others wait for a new configuration in long watches, and look at the other kinds once in a while.
 #pragma once
 
 #include "platform/store_client.hpp"
@@ -16,8 +19,8 @@
     struct watch_timing {
         core::common::milliseconds timeout;     // of one watch; bounds the delay caused by a dead connection
         core::common::milliseconds batch_delay; // between two watches; changes arrive in batches
-        core::common::milliseconds relaxed_timeout; // both while the order giver's messages arrive
-        core::common::milliseconds relaxed_batch_delay;
+        core::common::milliseconds relaxed_timeout; // both while others read the store closely; 0: a look
+        core::common::milliseconds relaxed_delay;
     };
     struct callbacks {
         std::function<void(const platform::store_reply&, core::fleet::list_source)> on_list;
@@ -30,7 +33,7 @@
 
     void start();
     void list_again();    // the store was restored: drops what is on its way
-    void watch_closely(); // messages of the order giver stopped arriving: ends a relaxed watch or delay
+    void watch_closely(); // nobody else does any more: ends a relaxed watch or delay
     [[nodiscard]] bool answering() const { return answering_; }
     [[nodiscard]] const std::string& kind() const { return kind_; }
     [[nodiscard]] core::common::time_point answered_at() const { return answered_at_; }
@@ -41,6 +44,7 @@
     void handle_list_reply(const platform::store_reply& reply);
     void handle_watch_reply(const platform::store_reply& reply);
     void schedule_next(core::common::milliseconds after);
+    void schedule_after_reply(core::common::milliseconds close_delay);
     /// Notes the store's era and whether it answered. Returns false if the reply must not be used, because it
     /// was the first of a new era and everything is listed again.
     bool record_reply(platform::store_reply& reply, const char* call);
@@ -55,7 +59,7 @@
     bool answering_ = true;
     core::common::time_point answered_at_{}; // last answer of the store; start time before the first
     int failures_ = 0;                       // consecutive
-    bool relaxed_ = false;         // the current watch or delay relies on the order giver's messages
+    bool relaxed_ = false;                   // the current watch or delay relies on other gateways' messages
     std::uint64_t generation_ = 0; // of calls and delays; results of an older generation are ignored
 };
 
