--- a/src/core/common/store_position.hpp
+++ b/src/core/common/store_position.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include <charconv>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace waxwinglb::core::common {
 
@@ -18,9 +18,22 @@
     std::int64_t era = 0;      // 0: the store states none
     std::int64_t revision = 0; // within the era; 0: no such object, or nothing was read yet
 
-    auto operator<=>(const store_position&) const = default;
+    bool operator==(const store_position&) const = default;
 };
 
+[[nodiscard]] inline bool operator<(const store_position& a, const store_position& b) {
+    return std::tie(a.era, a.revision) < std::tie(b.era, b.revision);
+}
+[[nodiscard]] inline bool operator>(const store_position& a, const store_position& b) {
+    return b < a;
+}
+[[nodiscard]] inline bool operator<=(const store_position& a, const store_position& b) {
+    return !(b < a);
+}
+[[nodiscard]] inline bool operator>=(const store_position& a, const store_position& b) {
+    return !(a < b);
+}
+
 /// "REVISION" in era 0, "ERA.REVISION" in others.
 [[nodiscard]] inline std::string to_text(const store_position& position) {
     const std::string revision = std::to_string(position.revision);
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -74,7 +74,10 @@
 struct target_start {
     std::string id;
     std::int64_t born = 0;
-    auto operator<=>(const target_start&) const = default;
+    bool operator==(const target_start&) const = default;
+    bool operator<(const target_start& other) const {
+        return std::tie(id, born) < std::tie(other.id, other.born);
+    }
 };
 
 class directory {
