Steward: a new holder waits for the targets' first reports before it refuses

A steward that has just taken a shard has open links to the service's agents, but no report yet; it answered "no target takes this work now" as if all had been heard. Ruled out: the model missing from the steward's configuration (the same code): revision 8 was in force 0.4 s before the shard was taken. Change: targets that are on the list and have been watched for less than 2 s without a report count as possible; the view then has no reason for refusal, and requests wait as for a load. Conclusion: "refused at once" holds for what is known not to be served, not for what isn't known yet.

--- a/src/programs/steward/steward.cpp
+++ b/src/programs/steward/steward.cpp
@@ -56,7 +56,7 @@
     connect_stewards();
     send_stood_down(now);
     if (feed_.take_changed())
-        targets_.watch_services(replicas_.services());
+        targets_.watch_services(replicas_.services(), now);
     slots_.tick(now);
     slot_client_.tick(now);
     claims_.tick(now);
@@ -105,7 +105,7 @@
             slots_.on_acquired(shard_manager_.lease(shard).fencing() == 1, now);
         shard_manager_.mark_adopted(shard);
         buckets_.await_stored(shard, shard_manager_.mark_changed(shard, now));
-        targets_.watch_services(replicas_.services());
+        targets_.watch_services(replicas_.services(), now);
         return announce_holder(shard);
     }
     case shard_change_kind::written:
@@ -134,7 +134,7 @@
     claims_.on_lost(shard);
     if (shard == slots_shard_)
         slots_.on_lost();
-    targets_.watch_services(replicas_.services());
+    targets_.watch_services(replicas_.services(), now);
 }
 
 /// Tells the other stewards that this process has stopped granting for shards that it lost. The current
--- a/src/programs/steward/targets.cpp
+++ b/src/programs/steward/targets.cpp
@@ -46,23 +46,24 @@
             entry.on_list = false;
             entry.off_list_since = now;
         }
-    update_links();
+    update_links(now);
 }
 
-void target_table::watch_services(const std::set<std::string>& services) {
+void target_table::watch_services(const std::set<std::string>& services, time_point now) {
     if (services == services_)
         return;
     services_ = services;
-    update_links();
+    update_links(now);
 }
 
-void target_table::update_links() {
+void target_table::update_links(time_point now) {
     for (auto& [address, entry] : by_address_) {
         // An agent that is no longer on the list keeps its link while the link is open: the list may be
         // wrong.
         const bool wanted = services_.contains(entry.listed.service) && (entry.on_list || entry.link_open);
         if (wanted && entry.link == 0) {
             entry.link = context_.links.connect(address);
+            entry.watched_since = now;
             links_[entry.link] = address;
         } else if (!wanted && entry.link != 0) {
             context_.links.disconnect(entry.link);
@@ -148,6 +149,14 @@
     return out;
 }
 
+bool target_table::awaits_first_report(const std::string& service, time_point now) const {
+    return std::any_of(by_address_.begin(), by_address_.end(), [&](const auto& listed) {
+        const target_entry& entry = listed.second;
+        const bool overdue = entry.link != 0 && now - entry.watched_since >= first_report_limit;
+        return entry.listed.service == service && entry.on_list && !entry.report && !overdue;
+    });
+}
+
 std::vector<edge::link_id> target_table::links_of(const std::string& service) const {
     std::vector<edge::link_id> out;
     for (const auto& [address, entry] : by_address_)
--- a/src/programs/steward/targets.hpp
+++ b/src/programs/steward/targets.hpp
@@ -15,6 +15,8 @@
 
 constexpr core::common::milliseconds vm_list_interval{500};
 constexpr core::common::milliseconds report_validity{2'500}; // later its agent counts as unreachable
+// For that long a watched agent that has never reported may still do so: links open within this time.
+constexpr core::common::milliseconds first_report_limit{2'000};
 
 /// One target, identified by its address in the VM list. The report comes from its agent.
 struct target_entry {
@@ -23,6 +25,7 @@
     core::common::time_point off_list_since{}; // if not on_list
     edge::link_id link = 0;                    // 0: not watched
     bool link_open = false;
+    core::common::time_point watched_since{}; // if link is not 0
     std::optional<wire::target_report> report;
     core::common::time_point reported_at{};
 
@@ -39,7 +42,7 @@
     void take(const store_event& event, core::common::time_point now);
 
     /// Watches the agents of exactly these services.
-    void watch_services(const std::set<std::string>& services);
+    void watch_services(const std::set<std::string>& services, core::common::time_point now);
 
     bool on_link_opened(edge::link_id link); // false: not a link to an agent opened here
     bool on_link_closed(edge::link_id link);
@@ -52,6 +55,9 @@
     /// Targets of a service with a report, as input for placement.
     [[nodiscard]] std::vector<core::placement::target_view> views(const std::string& service,
                                                                   core::common::time_point now) const;
+    /// Whether a target of the service may report for the first time at any moment: too early to say that the
+    /// service has none.
+    [[nodiscard]] bool awaits_first_report(const std::string& service, core::common::time_point now) const;
     [[nodiscard]] std::vector<edge::link_id> links_of(const std::string& service) const; // open ones
     [[nodiscard]] bool vm_removed_from_list(const std::string& vm, core::common::time_point now) const;
     [[nodiscard]] std::vector<edge::listed_vm> stewards() const; // on the VM list
@@ -59,7 +65,7 @@
 
 private:
     void merge(const std::vector<edge::listed_vm>& listed, core::common::time_point now);
-    void update_links();
+    void update_links(core::common::time_point now);
 
     steward_context& context_;
     std::map<std::string, target_entry> by_address_;
--- a/src/programs/steward/views.cpp
+++ b/src/programs/steward/views.cpp
@@ -66,7 +66,9 @@
         return out;
     out.__set_estimate_ms(core::common::to_wire_ms(estimate(name, entry, now)));
     const auto targets = targets_.views(name.service, now);
-    if (std::none_of(targets.begin(), targets.end(), [](const auto& target) { return target.usable(); })) {
+    const bool any_usable =
+        std::any_of(targets.begin(), targets.end(), [](const auto& target) { return target.usable(); });
+    if (!any_usable && !targets_.awaits_first_report(name.service, now)) {
         out.__set_reason(wire::refusal::overloaded);
         out.__set_retry_after_ms(retry_if_no_target.count());
     }
--- a/tests/programs/test_store_outage.py
+++ b/tests/programs/test_store_outage.py
@@ -4,12 +4,15 @@
 Every lease expires although no holder has failed. Loaded models must stay usable, calls that need a claim must be
 refused as not run, and no shard may change its holder.
 """
+import concurrent.futures
 import sys
+import time
 
 from harness import Deployment, Failure, arguments, request, run_cases, small_layout, wait_until
 
 ARGUMENTS = arguments(__doc__)
 SHARDS = 16
+FIRST_REPORT_DELAY_S = 0.3  # of frozen agents; longer than one that has just got a link takes
 CONFIGURATION = [
     ("/v1/services/seam-assistant", {"name": "seam-assistant", "kind": "model"}),
     ("/v1/services/lot-registry", {"name": "lot-registry", "kind": "plain", "routes": [
@@ -73,6 +76,30 @@
         assert repeated.status == 201 and repeated.json() == first.json(), repeated
 
 
+def requests_wait_for_targets_that_have_not_reported_to_a_new_holder():
+    with Deployment(ARGUMENTS.bin, small_layout()) as deployment, concurrent.futures.ThreadPoolExecutor(1) as pool:
+        deployment.start()
+        key = configure(deployment)
+        assert deployment.chat("m1", "hello", key, max_tokens=5).status == 200
+        stewards = [deployment.programs[steward["name"]] for steward in deployment.stewards]
+        agents = [program for name, program in deployment.programs.items() if name.endswith("-agent")]
+        for steward in stewards:
+            steward.kill()
+        for agent in agents:
+            agent.freeze()
+        try:
+            for steward in stewards:
+                steward.start()
+            answer = pool.submit(deployment.chat, "m1", "hello", key, max_tokens=5)
+            wait_until(lambda: len(lease_events(deployment, "acquired")) == SHARDS, "the new holders have all shards")
+            time.sleep(FIRST_REPORT_DELAY_S)
+        finally:
+            for agent in agents:
+                agent.thaw()
+        assert answer.result().status == 200, answer.result()
+
+
 if __name__ == "__main__":
-    run_cases([loaded_models_stay_usable_and_claims_are_refused_as_not_run])
+    run_cases([requests_wait_for_targets_that_have_not_reported_to_a_new_holder,
+               loaded_models_stay_usable_and_claims_are_refused_as_not_run])
     sys.exit(0)
