--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -174,15 +174,33 @@
 }
 /** Requests that one gateway now has at a target. */
 struct target_load { 1: string target, 2: i32 running }
+/** Tokens by customer since the sender's start, and requests by target. */
+struct usage_sums { 1: list<customer_use> customers, 2: list<target_load> loads }
+/** A gateway that gives orders, or (active: false) has stopped to. age_ms: since it said so itself. */
+struct order_giver_sighting { 1: string process, 2: string address, 3: i64 age_ms, 4: bool active, 5: bool reads_store }
+/** A group of gateways, as one of its speakers sees it. hears: other groups. reader: a member reads the store closely. */
+struct group_status {
+  1: i32 in_contact, 2: i32 departed, 3: set<string> hears, 4: bool reader, 5: usage_sums sums,
+  6: optional order_giver_sighting order_giver
+}
+/** All other groups together, as a member of one group sees them. speakers: of all groups, its own included. */
+struct outside_status {
+  1: i32 in_contact, 2: i32 departed, 3: list<string> speakers, 4: bool reader, 5: usage_sums sums,
+  6: optional order_giver_sighting order_giver
+}
 /**
- * Status that a gateway sends to its peers. heard: peers that it is in contact with.
- * address: where the sender receives these datagrams. loads: sent to all peers. uses, demands: sent only to gateways
- * that send orders to targets (gives_orders).
- * holdings: sent by the gateway that sends orders: recent changes, and each target again every few seconds.
- * starts: sent by the same gateway and as often: registrations of targets that started or became cold.
+ * Status that a gateway sends to its peers. heard: members of its group that it is in contact with.
+ * address: where the sender receives these datagrams. loads, customers: its own, sent to its group.
+ * uses, demands: sent only to gateways that send orders to targets (gives_orders).
+ * holdings: sent by the gateway that sends orders: recent changes, and each target again every few seconds; passed on
+ * within a group by those who got them from another group. starts: in the same way: registrations of targets that
+ * started or became cold.
  * reads_store: the sender watches the store closely for the others.
  * informed: it knows all that gateways knew when it started.
  * wants_registrations: the sender can't read the store; registrations: all of them, sent only to such a peer.
+ * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
+ * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
+ * a speaker to its group. has_details: uses and demands are stated, maybe as none.
  */
 struct peer_status {
   1: string process, 2: i64 boot, 3: i64 sequence, 4: bool leaving, 5: list<string> heard,
@@ -191,7 +209,9 @@
   13: list<target_holding> holdings, 14: list<leaving_target> leaving_targets, 15: list<quarantine> suspects,
   16: bool wants_registrations, 17: list<target_registration> registrations, 18: string address,
   19: list<target_load> loads, 20: bool gives_orders, 21: list<target_registration> starts,
-  22: i64 centres_era, 23: list<held_centre> centres_held, 24: bool informed, 25: bool reads_store
+  22: i64 centres_era, 23: list<held_centre> centres_held, 24: bool informed, 25: bool reads_store,
+  26: string data_centre, 27: string group, 28: i32 fleet_size, 29: double processor_share, 30: bool to_other_group,
+  31: optional group_status group_use, 32: optional outside_status outside, 33: bool has_details
 }
 
 /** A gateway asks the gateway that schedules a target's prompts (its keeper) for a turn to send it a prompt. */
--- a/src/core/limits/fleet_quota.cpp
+++ b/src/core/limits/fleet_quota.cpp
@@ -60,8 +60,10 @@
         const auto before = state.taken.find(customer);
         if (found == accounts_.end() || !same_process)
             continue; // the first report of a process only sets the baseline
+        const double added = total - (before == state.taken.end() ? 0 : before->second);
         refill(found->second, part, now);
-        found->second.level -= total - (before == state.taken.end() ? 0 : before->second);
+        found->second.level -= added;
+        group_taken_[customer] += added;
     }
     state = {boot, std::move(taken), now, has_our_report, false};
 }
@@ -72,9 +74,27 @@
         found->second.departed = true;
 }
 
+void fleet_quota::take_outside(const taken_tokens& added, time_point now) {
+    const double part = available_part(now);
+    for (const auto& [customer, tokens] : added) {
+        const auto found = accounts_.find(customer);
+        if (found == accounts_.end())
+            continue;
+        refill(found->second, part, now);
+        found->second.level -= tokens;
+    }
+}
+
+void fleet_quota::set_outside(outside_members outside, time_point now) {
+    outside_ = outside;
+    outside_set_at_ = now;
+}
+
 double fleet_quota::available_part(time_point now) const {
-    double all = 1;
-    double unreachable = 0;
+    // More may be in contact than are registered here: gateways that have just started.
+    const int outside = std::max(outside_.known - outside_.departed, outside_.in_contact);
+    double all = 1.0 + outside;
+    double unreachable = now - outside_set_at_ <= contact_limit ? outside - outside_.in_contact : outside;
     for (const auto& [name, state] : members_) {
         if (state.departed)
             continue;
@@ -104,6 +124,7 @@
         return {false, from_seconds((needed - state.level) / (state.rate * part))};
     state.level -= tokens;
     taken_[customer] += tokens;
+    group_taken_[customer] += tokens;
     return {true, {}};
 }
 
@@ -113,6 +134,7 @@
         return;
     found->second.level += tokens;
     taken_[customer] -= tokens;
+    group_taken_[customer] -= tokens;
 }
 
 double fleet_quota::level(const std::string& customer) const {
--- a/src/core/limits/fleet_quota.hpp
+++ b/src/core/limits/fleet_quota.hpp
@@ -7,6 +7,9 @@
 /// customer is refused because its requests are spread unevenly over them. A member out of mutual contact may
 /// grant on its own, so an equal part of rate and burst is set aside for it: the parts of both sides of a
 /// network partition never sum to more than the whole.
+///
+/// In a large fleet only the members of the gateway's own group report to it. What the other groups took, and
+/// how many of their members are in contact, comes as a sum (core/exchange).
 #pragma once
 
 #include "core/fleet/model.hpp"
@@ -27,6 +30,13 @@
 /// A member's tokens taken since its start, by customer.
 using taken_tokens = std::map<std::string, double>;
 
+/// The gateways that report to this one only in sums.
+struct outside_members {
+    int known = 0;      // registered
+    int in_contact = 0; // whose use is in the sums
+    int departed = 0;   // shut down in order
+};
+
 class fleet_quota {
 public:
     explicit fleet_quota(std::string self) : self_(std::move(self)) {}
@@ -38,11 +48,16 @@
     void merge_report(const std::string& peer, std::int64_t boot, taken_tokens taken, bool has_our_report,
                       common::time_point now);
     void mark_departed(const std::string& peer); // it shut down in order and takes no more tokens
+    void take_outside(const taken_tokens& added,
+                      common::time_point now);                         // by gateways that don't report here
+    void set_outside(outside_members outside, common::time_point now); // holds for the contact limit
 
     quota_answer take(const std::string& customer, double tokens, common::time_point now);
     void give_back(const std::string& customer, double tokens); // of a request that will never run
 
     [[nodiscard]] const taken_tokens& taken() const { return taken_; }
+    /// Tokens taken by this gateway and by those that report to it, as counted since its start.
+    [[nodiscard]] const taken_tokens& group_taken() const { return group_taken_; }
     [[nodiscard]] double available_part(
         common::time_point now) const; // part of each rate and burst that this gateway's side may use, 0 to 1
     [[nodiscard]] double level(const std::string& customer) const; // tokens; negative: debt
@@ -72,6 +87,9 @@
     std::map<std::string, member> members_;
     std::map<std::string, account> accounts_;
     taken_tokens taken_;
+    taken_tokens group_taken_;
+    outside_members outside_;
+    common::time_point outside_set_at_{};
 };
 
 } // namespace waxwinglb::core::limits
--- a/src/core/membership/catch_up.cpp
+++ b/src/core/membership/catch_up.cpp
@@ -4,13 +4,13 @@
 
 namespace waxwinglb::core::membership {
 
-void catch_up::registrations_read(std::span<const std::int64_t> registered_in, std::int64_t era,
+void catch_up::registrations_read(std::span<const std::int64_t> running_since, std::int64_t era,
                                   common::time_point now) {
     if (until_)
         return;
-    const bool restored_since = std::any_of(registered_in.begin(), registered_in.end(),
-                                            [&](std::int64_t registered) { return registered < era; });
-    until_ = restored_since ? now + limit : now;
+    const bool ran_before = std::any_of(running_since.begin(), running_since.end(),
+                                        [&](std::int64_t started_in) { return started_in < era; });
+    until_ = ran_before ? now + limit : now;
 }
 
 void catch_up::configuration_read(common::time_point now) {
--- a/src/core/membership/catch_up.hpp
+++ b/src/core/membership/catch_up.hpp
@@ -3,8 +3,8 @@
 /// A store that was restored from an older copy is some seconds behind until the operator and the targets
 /// have written again what was lost. Gateways that were running then still know it: withdrawn keys, data
 /// centres taken out, targets that have left. A gateway that starts at that time first listens to one of
-/// them. Nobody tells it that the store is behind, but registrations of other gateways from an earlier era
-/// show that they may have been running before the restore.
+/// them. Nobody tells it that the store is behind, but registrations of other gateways
+/// state the era in which they started, which shows whether they were running before the restore.
 #pragma once
 
 #include "core/common/time.hpp"
@@ -20,9 +20,9 @@
     /// Longest time to wait for a peer. Messages of running gateways arrive within 0.4 s.
     static constexpr common::milliseconds limit{1'000};
 
-    /// The other gateways' registrations were read. `registered_in`: the eras in which they were written;
-    /// `era`: the store's. Only the first call counts.
-    void registrations_read(std::span<const std::int64_t> registered_in, std::int64_t era,
+    /// The other gateways' registrations were read. `running_since`: the eras in which those processes
+    /// started, whenever they registered last; `era`: the store's. Only the first call counts.
+    void registrations_read(std::span<const std::int64_t> running_since, std::int64_t era,
                             common::time_point now);
     /// A configuration was read. From then on the wait ends after `limit` even if no registrations can be
     /// read.
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -27,6 +27,7 @@
 inline constexpr std::string_view store_restored = "store_restored";
 inline constexpr std::string_view peer_lost = "peer_lost";
 inline constexpr std::string_view peer_regained = "peer_regained";
+inline constexpr std::string_view datagram_ignored = "datagram_ignored";
 inline constexpr std::string_view config_in_force = "config_in_force";
 inline constexpr std::string_view config_refused = "config_refused";
 inline constexpr std::string_view data_centres_out = "data_centres_out";
@@ -60,11 +61,11 @@
                                 lease_lost,        order_sent,       order_answered,        load_finished,
                                 request_waiting,   turn_missed,      request_sent,          request_retried,
                                 request_refused,   rate_refused,     request_answered,      request_cut,
-                                request_abandoned, lines_left_out,   lines_dropped};
-/// Events about requests; each of them has its own rate limit.
-inline constexpr std::array about_requests{request_waiting,  turn_missed,     request_sent,
-                                           request_retried,  request_refused, rate_refused,
-                                           request_answered, request_cut,     request_abandoned};
+                                request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored};
+/// Events that callers or peers can cause at any rate; each of them has its own limit.
+inline constexpr std::array about_requests{
+    request_waiting, turn_missed,      request_sent, request_retried,   request_refused,
+    rate_refused,    request_answered, request_cut,  request_abandoned, datagram_ignored};
 } // namespace events
 
 class decision_log {
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10727,6 +10727,825 @@
 }
 
 
+usage_sums::~usage_sums() noexcept {
+}
+
+
+void usage_sums::__set_customers(const std::vector<customer_use> & val) {
+  this->customers = val;
+}
+
+void usage_sums::__set_loads(const std::vector<target_load> & val) {
+  this->loads = val;
+}
+std::ostream& operator<<(std::ostream& out, const usage_sums& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t usage_sums::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->customers.clear();
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->customers.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
+            {
+              xfer += this->customers[_i334].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.customers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->loads.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
+            {
+              xfer += this->loads[_i339].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t usage_sums::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("usage_sums");
+
+  xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
+    std::vector<customer_use> ::const_iterator _iter340;
+    for (_iter340 = this->customers.begin(); _iter340 != this->customers.end(); ++_iter340)
+    {
+      xfer += (*_iter340).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<target_load> ::const_iterator _iter341;
+    for (_iter341 = this->loads.begin(); _iter341 != this->loads.end(); ++_iter341)
+    {
+      xfer += (*_iter341).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(usage_sums &a, usage_sums &b) {
+  using ::std::swap;
+  swap(a.customers, b.customers);
+  swap(a.loads, b.loads);
+  swap(a.__isset, b.__isset);
+}
+
+usage_sums::usage_sums(const usage_sums& other342) {
+  customers = other342.customers;
+  loads = other342.loads;
+  __isset = other342.__isset;
+}
+usage_sums::usage_sums(usage_sums&& other343) noexcept {
+  customers = std::move(other343.customers);
+  loads = std::move(other343.loads);
+  __isset = other343.__isset;
+}
+usage_sums& usage_sums::operator=(const usage_sums& other344) {
+  customers = other344.customers;
+  loads = other344.loads;
+  __isset = other344.__isset;
+  return *this;
+}
+usage_sums& usage_sums::operator=(usage_sums&& other345) noexcept {
+  customers = std::move(other345.customers);
+  loads = std::move(other345.loads);
+  __isset = other345.__isset;
+  return *this;
+}
+void usage_sums::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "usage_sums(";
+  out << "customers=" << to_string(customers);
+  out << ", " << "loads=" << to_string(loads);
+  out << ")";
+}
+
+
+order_giver_sighting::~order_giver_sighting() noexcept {
+}
+
+
+void order_giver_sighting::__set_process(const std::string& val) {
+  this->process = val;
+}
+
+void order_giver_sighting::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void order_giver_sighting::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void order_giver_sighting::__set_active(const bool val) {
+  this->active = val;
+}
+
+void order_giver_sighting::__set_reads_store(const bool val) {
+  this->reads_store = val;
+}
+std::ostream& operator<<(std::ostream& out, const order_giver_sighting& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t order_giver_sighting::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->active);
+          this->__isset.active = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reads_store);
+          this->__isset.reads_store = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t order_giver_sighting::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("order_giver_sighting");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("active", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->active);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reads_store", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->reads_store);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(order_giver_sighting &a, order_giver_sighting &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.address, b.address);
+  swap(a.age_ms, b.age_ms);
+  swap(a.active, b.active);
+  swap(a.reads_store, b.reads_store);
+  swap(a.__isset, b.__isset);
+}
+
+order_giver_sighting::order_giver_sighting(const order_giver_sighting& other346) {
+  process = other346.process;
+  address = other346.address;
+  age_ms = other346.age_ms;
+  active = other346.active;
+  reads_store = other346.reads_store;
+  __isset = other346.__isset;
+}
+order_giver_sighting::order_giver_sighting(order_giver_sighting&& other347) noexcept {
+  process = std::move(other347.process);
+  address = std::move(other347.address);
+  age_ms = other347.age_ms;
+  active = other347.active;
+  reads_store = other347.reads_store;
+  __isset = other347.__isset;
+}
+order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other348) {
+  process = other348.process;
+  address = other348.address;
+  age_ms = other348.age_ms;
+  active = other348.active;
+  reads_store = other348.reads_store;
+  __isset = other348.__isset;
+  return *this;
+}
+order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other349) noexcept {
+  process = std::move(other349.process);
+  address = std::move(other349.address);
+  age_ms = other349.age_ms;
+  active = other349.active;
+  reads_store = other349.reads_store;
+  __isset = other349.__isset;
+  return *this;
+}
+void order_giver_sighting::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "order_giver_sighting(";
+  out << "process=" << to_string(process);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "active=" << to_string(active);
+  out << ", " << "reads_store=" << to_string(reads_store);
+  out << ")";
+}
+
+
+group_status::~group_status() noexcept {
+}
+
+
+void group_status::__set_in_contact(const int32_t val) {
+  this->in_contact = val;
+}
+
+void group_status::__set_departed(const int32_t val) {
+  this->departed = val;
+}
+
+void group_status::__set_hears(const std::set<std::string> & val) {
+  this->hears = val;
+}
+
+void group_status::__set_reader(const bool val) {
+  this->reader = val;
+}
+
+void group_status::__set_sums(const usage_sums& val) {
+  this->sums = val;
+}
+
+void group_status::__set_order_giver(const order_giver_sighting& val) {
+  this->order_giver = val;
+__isset.order_giver = true;
+}
+std::ostream& operator<<(std::ostream& out, const group_status& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t group_status::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_contact);
+          this->__isset.in_contact = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->departed);
+          this->__isset.departed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_SET) {
+          {
+            this->hears.clear();
+            uint32_t _size350;
+            ::apache::thrift::protocol::TType _etype353;
+            xfer += iprot->readSetBegin(_etype353, _size350);
+            uint32_t _i354;
+            for (_i354 = 0; _i354 < _size350; ++_i354)
+            {
+              std::string _elem355;
+              xfer += iprot->readString(_elem355);
+              this->hears.insert(_elem355);
+            }
+            xfer += iprot->readSetEnd();
+          }
+          this->__isset.hears = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reader);
+          this->__isset.reader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sums.read(iprot);
+          this->__isset.sums = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->order_giver.read(iprot);
+          this->__isset.order_giver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t group_status::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("group_status");
+
+  xfer += oprot->writeFieldBegin("in_contact", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->in_contact);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->departed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hears", ::apache::thrift::protocol::T_SET, 3);
+  {
+    xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hears.size()));
+    std::set<std::string> ::const_iterator _iter356;
+    for (_iter356 = this->hears.begin(); _iter356 != this->hears.end(); ++_iter356)
+    {
+      xfer += oprot->writeString((*_iter356));
+    }
+    xfer += oprot->writeSetEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reader", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->reader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sums", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->sums.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.order_giver) {
+    xfer += oprot->writeFieldBegin("order_giver", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->order_giver.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(group_status &a, group_status &b) {
+  using ::std::swap;
+  swap(a.in_contact, b.in_contact);
+  swap(a.departed, b.departed);
+  swap(a.hears, b.hears);
+  swap(a.reader, b.reader);
+  swap(a.sums, b.sums);
+  swap(a.order_giver, b.order_giver);
+  swap(a.__isset, b.__isset);
+}
+
+group_status::group_status(const group_status& other357) {
+  in_contact = other357.in_contact;
+  departed = other357.departed;
+  hears = other357.hears;
+  reader = other357.reader;
+  sums = other357.sums;
+  order_giver = other357.order_giver;
+  __isset = other357.__isset;
+}
+group_status::group_status(group_status&& other358) noexcept {
+  in_contact = other358.in_contact;
+  departed = other358.departed;
+  hears = std::move(other358.hears);
+  reader = other358.reader;
+  sums = std::move(other358.sums);
+  order_giver = std::move(other358.order_giver);
+  __isset = other358.__isset;
+}
+group_status& group_status::operator=(const group_status& other359) {
+  in_contact = other359.in_contact;
+  departed = other359.departed;
+  hears = other359.hears;
+  reader = other359.reader;
+  sums = other359.sums;
+  order_giver = other359.order_giver;
+  __isset = other359.__isset;
+  return *this;
+}
+group_status& group_status::operator=(group_status&& other360) noexcept {
+  in_contact = other360.in_contact;
+  departed = other360.departed;
+  hears = std::move(other360.hears);
+  reader = other360.reader;
+  sums = std::move(other360.sums);
+  order_giver = std::move(other360.order_giver);
+  __isset = other360.__isset;
+  return *this;
+}
+void group_status::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "group_status(";
+  out << "in_contact=" << to_string(in_contact);
+  out << ", " << "departed=" << to_string(departed);
+  out << ", " << "hears=" << to_string(hears);
+  out << ", " << "reader=" << to_string(reader);
+  out << ", " << "sums=" << to_string(sums);
+  out << ", " << "order_giver="; (__isset.order_giver ? (out << to_string(order_giver)) : (out << "<null>"));
+  out << ")";
+}
+
+
+outside_status::~outside_status() noexcept {
+}
+
+
+void outside_status::__set_in_contact(const int32_t val) {
+  this->in_contact = val;
+}
+
+void outside_status::__set_departed(const int32_t val) {
+  this->departed = val;
+}
+
+void outside_status::__set_speakers(const std::vector<std::string> & val) {
+  this->speakers = val;
+}
+
+void outside_status::__set_reader(const bool val) {
+  this->reader = val;
+}
+
+void outside_status::__set_sums(const usage_sums& val) {
+  this->sums = val;
+}
+
+void outside_status::__set_order_giver(const order_giver_sighting& val) {
+  this->order_giver = val;
+__isset.order_giver = true;
+}
+std::ostream& operator<<(std::ostream& out, const outside_status& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t outside_status::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_contact);
+          this->__isset.in_contact = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->departed);
+          this->__isset.departed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->speakers.clear();
+            uint32_t _size361;
+            ::apache::thrift::protocol::TType _etype364;
+            xfer += iprot->readListBegin(_etype364, _size361);
+            this->speakers.resize(_size361);
+            uint32_t _i365;
+            for (_i365 = 0; _i365 < _size361; ++_i365)
+            {
+              xfer += iprot->readString(this->speakers[_i365]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.speakers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reader);
+          this->__isset.reader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sums.read(iprot);
+          this->__isset.sums = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->order_giver.read(iprot);
+          this->__isset.order_giver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t outside_status::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("outside_status");
+
+  xfer += oprot->writeFieldBegin("in_contact", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->in_contact);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->departed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("speakers", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->speakers.size()));
+    std::vector<std::string> ::const_iterator _iter366;
+    for (_iter366 = this->speakers.begin(); _iter366 != this->speakers.end(); ++_iter366)
+    {
+      xfer += oprot->writeString((*_iter366));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reader", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->reader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sums", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->sums.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.order_giver) {
+    xfer += oprot->writeFieldBegin("order_giver", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->order_giver.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(outside_status &a, outside_status &b) {
+  using ::std::swap;
+  swap(a.in_contact, b.in_contact);
+  swap(a.departed, b.departed);
+  swap(a.speakers, b.speakers);
+  swap(a.reader, b.reader);
+  swap(a.sums, b.sums);
+  swap(a.order_giver, b.order_giver);
+  swap(a.__isset, b.__isset);
+}
+
+outside_status::outside_status(const outside_status& other367) {
+  in_contact = other367.in_contact;
+  departed = other367.departed;
+  speakers = other367.speakers;
+  reader = other367.reader;
+  sums = other367.sums;
+  order_giver = other367.order_giver;
+  __isset = other367.__isset;
+}
+outside_status::outside_status(outside_status&& other368) noexcept {
+  in_contact = other368.in_contact;
+  departed = other368.departed;
+  speakers = std::move(other368.speakers);
+  reader = other368.reader;
+  sums = std::move(other368.sums);
+  order_giver = std::move(other368.order_giver);
+  __isset = other368.__isset;
+}
+outside_status& outside_status::operator=(const outside_status& other369) {
+  in_contact = other369.in_contact;
+  departed = other369.departed;
+  speakers = other369.speakers;
+  reader = other369.reader;
+  sums = other369.sums;
+  order_giver = other369.order_giver;
+  __isset = other369.__isset;
+  return *this;
+}
+outside_status& outside_status::operator=(outside_status&& other370) noexcept {
+  in_contact = other370.in_contact;
+  departed = other370.departed;
+  speakers = std::move(other370.speakers);
+  reader = other370.reader;
+  sums = std::move(other370.sums);
+  order_giver = std::move(other370.order_giver);
+  __isset = other370.__isset;
+  return *this;
+}
+void outside_status::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "outside_status(";
+  out << "in_contact=" << to_string(in_contact);
+  out << ", " << "departed=" << to_string(departed);
+  out << ", " << "speakers=" << to_string(speakers);
+  out << ", " << "reader=" << to_string(reader);
+  out << ", " << "sums=" << to_string(sums);
+  out << ", " << "order_giver="; (__isset.order_giver ? (out << to_string(order_giver)) : (out << "<null>"));
+  out << ")";
+}
+
+
 peer_status::~peer_status() noexcept {
 }
 
@@ -10830,6 +11649,40 @@
 void peer_status::__set_reads_store(const bool val) {
   this->reads_store = val;
 }
+
+void peer_status::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void peer_status::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void peer_status::__set_fleet_size(const int32_t val) {
+  this->fleet_size = val;
+}
+
+void peer_status::__set_processor_share(const double val) {
+  this->processor_share = val;
+}
+
+void peer_status::__set_to_other_group(const bool val) {
+  this->to_other_group = val;
+}
+
+void peer_status::__set_group_use(const group_status& val) {
+  this->group_use = val;
+__isset.group_use = true;
+}
+
+void peer_status::__set_outside(const outside_status& val) {
+  this->outside = val;
+__isset.outside = true;
+}
+
+void peer_status::__set_has_details(const bool val) {
+  this->has_details = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -10894,14 +11747,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->heard.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size371;
+            ::apache::thrift::protocol::TType _etype374;
+            xfer += iprot->readListBegin(_etype374, _size371);
+            this->heard.resize(_size371);
+            uint32_t _i375;
+            for (_i375 = 0; _i375 < _size371; ++_i375)
             {
-              xfer += iprot->readString(this->heard[_i334]);
+              xfer += iprot->readString(this->heard[_i375]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10938,14 +11791,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size335;
-            ::apache::thrift::protocol::TType _etype338;
-            xfer += iprot->readListBegin(_etype338, _size335);
-            this->centres_out.resize(_size335);
-            uint32_t _i339;
-            for (_i339 = 0; _i339 < _size335; ++_i339)
+            uint32_t _size376;
+            ::apache::thrift::protocol::TType _etype379;
+            xfer += iprot->readListBegin(_etype379, _size376);
+            this->centres_out.resize(_size376);
+            uint32_t _i380;
+            for (_i380 = 0; _i380 < _size376; ++_i380)
             {
-              xfer += iprot->readString(this->centres_out[_i339]);
+              xfer += iprot->readString(this->centres_out[_i380]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10958,14 +11811,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size340;
-            ::apache::thrift::protocol::TType _etype343;
-            xfer += iprot->readListBegin(_etype343, _size340);
-            this->uses.resize(_size340);
-            uint32_t _i344;
-            for (_i344 = 0; _i344 < _size340; ++_i344)
+            uint32_t _size381;
+            ::apache::thrift::protocol::TType _etype384;
+            xfer += iprot->readListBegin(_etype384, _size381);
+            this->uses.resize(_size381);
+            uint32_t _i385;
+            for (_i385 = 0; _i385 < _size381; ++_i385)
             {
-              xfer += this->uses[_i344].read(iprot);
+              xfer += this->uses[_i385].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10978,14 +11831,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size345;
-            ::apache::thrift::protocol::TType _etype348;
-            xfer += iprot->readListBegin(_etype348, _size345);
-            this->demands.resize(_size345);
-            uint32_t _i349;
-            for (_i349 = 0; _i349 < _size345; ++_i349)
+            uint32_t _size386;
+            ::apache::thrift::protocol::TType _etype389;
+            xfer += iprot->readListBegin(_etype389, _size386);
+            this->demands.resize(_size386);
+            uint32_t _i390;
+            for (_i390 = 0; _i390 < _size386; ++_i390)
             {
-              xfer += this->demands[_i349].read(iprot);
+              xfer += this->demands[_i390].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10998,14 +11851,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size350;
-            ::apache::thrift::protocol::TType _etype353;
-            xfer += iprot->readListBegin(_etype353, _size350);
-            this->customers.resize(_size350);
-            uint32_t _i354;
-            for (_i354 = 0; _i354 < _size350; ++_i354)
+            uint32_t _size391;
+            ::apache::thrift::protocol::TType _etype394;
+            xfer += iprot->readListBegin(_etype394, _size391);
+            this->customers.resize(_size391);
+            uint32_t _i395;
+            for (_i395 = 0; _i395 < _size391; ++_i395)
             {
-              xfer += this->customers[_i354].read(iprot);
+              xfer += this->customers[_i395].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11018,14 +11871,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size355;
-            ::apache::thrift::protocol::TType _etype358;
-            xfer += iprot->readListBegin(_etype358, _size355);
-            this->holdings.resize(_size355);
-            uint32_t _i359;
-            for (_i359 = 0; _i359 < _size355; ++_i359)
+            uint32_t _size396;
+            ::apache::thrift::protocol::TType _etype399;
+            xfer += iprot->readListBegin(_etype399, _size396);
+            this->holdings.resize(_size396);
+            uint32_t _i400;
+            for (_i400 = 0; _i400 < _size396; ++_i400)
             {
-              xfer += this->holdings[_i359].read(iprot);
+              xfer += this->holdings[_i400].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11038,14 +11891,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size360;
-            ::apache::thrift::protocol::TType _etype363;
-            xfer += iprot->readListBegin(_etype363, _size360);
-            this->leaving_targets.resize(_size360);
-            uint32_t _i364;
-            for (_i364 = 0; _i364 < _size360; ++_i364)
+            uint32_t _size401;
+            ::apache::thrift::protocol::TType _etype404;
+            xfer += iprot->readListBegin(_etype404, _size401);
+            this->leaving_targets.resize(_size401);
+            uint32_t _i405;
+            for (_i405 = 0; _i405 < _size401; ++_i405)
             {
-              xfer += this->leaving_targets[_i364].read(iprot);
+              xfer += this->leaving_targets[_i405].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11058,14 +11911,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size365;
-            ::apache::thrift::protocol::TType _etype368;
-            xfer += iprot->readListBegin(_etype368, _size365);
-            this->suspects.resize(_size365);
-            uint32_t _i369;
-            for (_i369 = 0; _i369 < _size365; ++_i369)
+            uint32_t _size406;
+            ::apache::thrift::protocol::TType _etype409;
+            xfer += iprot->readListBegin(_etype409, _size406);
+            this->suspects.resize(_size406);
+            uint32_t _i410;
+            for (_i410 = 0; _i410 < _size406; ++_i410)
             {
-              xfer += this->suspects[_i369].read(iprot);
+              xfer += this->suspects[_i410].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11086,14 +11939,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size370;
-            ::apache::thrift::protocol::TType _etype373;
-            xfer += iprot->readListBegin(_etype373, _size370);
-            this->registrations.resize(_size370);
-            uint32_t _i374;
-            for (_i374 = 0; _i374 < _size370; ++_i374)
+            uint32_t _size411;
+            ::apache::thrift::protocol::TType _etype414;
+            xfer += iprot->readListBegin(_etype414, _size411);
+            this->registrations.resize(_size411);
+            uint32_t _i415;
+            for (_i415 = 0; _i415 < _size411; ++_i415)
             {
-              xfer += this->registrations[_i374].read(iprot);
+              xfer += this->registrations[_i415].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11114,14 +11967,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size375;
-            ::apache::thrift::protocol::TType _etype378;
-            xfer += iprot->readListBegin(_etype378, _size375);
-            this->loads.resize(_size375);
-            uint32_t _i379;
-            for (_i379 = 0; _i379 < _size375; ++_i379)
+            uint32_t _size416;
+            ::apache::thrift::protocol::TType _etype419;
+            xfer += iprot->readListBegin(_etype419, _size416);
+            this->loads.resize(_size416);
+            uint32_t _i420;
+            for (_i420 = 0; _i420 < _size416; ++_i420)
             {
-              xfer += this->loads[_i379].read(iprot);
+              xfer += this->loads[_i420].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11142,14 +11995,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size380;
-            ::apache::thrift::protocol::TType _etype383;
-            xfer += iprot->readListBegin(_etype383, _size380);
-            this->starts.resize(_size380);
-            uint32_t _i384;
-            for (_i384 = 0; _i384 < _size380; ++_i384)
+            uint32_t _size421;
+            ::apache::thrift::protocol::TType _etype424;
+            xfer += iprot->readListBegin(_etype424, _size421);
+            this->starts.resize(_size421);
+            uint32_t _i425;
+            for (_i425 = 0; _i425 < _size421; ++_i425)
             {
-              xfer += this->starts[_i384].read(iprot);
+              xfer += this->starts[_i425].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11170,14 +12023,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_held.clear();
-            uint32_t _size385;
-            ::apache::thrift::protocol::TType _etype388;
-            xfer += iprot->readListBegin(_etype388, _size385);
-            this->centres_held.resize(_size385);
-            uint32_t _i389;
-            for (_i389 = 0; _i389 < _size385; ++_i389)
+            uint32_t _size426;
+            ::apache::thrift::protocol::TType _etype429;
+            xfer += iprot->readListBegin(_etype429, _size426);
+            this->centres_held.resize(_size426);
+            uint32_t _i430;
+            for (_i430 = 0; _i430 < _size426; ++_i430)
             {
-              xfer += this->centres_held[_i389].read(iprot);
+              xfer += this->centres_held[_i430].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11202,6 +12055,70 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->fleet_size);
+          this->__isset.fleet_size = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->processor_share);
+          this->__isset.processor_share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->to_other_group);
+          this->__isset.to_other_group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->group_use.read(iprot);
+          this->__isset.group_use = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outside.read(iprot);
+          this->__isset.outside = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 33:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->has_details);
+          this->__isset.has_details = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11238,10 +12155,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter390;
-    for (_iter390 = this->heard.begin(); _iter390 != this->heard.end(); ++_iter390)
+    std::vector<std::string> ::const_iterator _iter431;
+    for (_iter431 = this->heard.begin(); _iter431 != this->heard.end(); ++_iter431)
     {
-      xfer += oprot->writeString((*_iter390));
+      xfer += oprot->writeString((*_iter431));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11262,10 +12179,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter391;
-    for (_iter391 = this->centres_out.begin(); _iter391 != this->centres_out.end(); ++_iter391)
+    std::vector<std::string> ::const_iterator _iter432;
+    for (_iter432 = this->centres_out.begin(); _iter432 != this->centres_out.end(); ++_iter432)
     {
-      xfer += oprot->writeString((*_iter391));
+      xfer += oprot->writeString((*_iter432));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11274,10 +12191,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter392;
-    for (_iter392 = this->uses.begin(); _iter392 != this->uses.end(); ++_iter392)
+    std::vector<target_use> ::const_iterator _iter433;
+    for (_iter433 = this->uses.begin(); _iter433 != this->uses.end(); ++_iter433)
     {
-      xfer += (*_iter392).write(oprot);
+      xfer += (*_iter433).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11286,10 +12203,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter393;
-    for (_iter393 = this->demands.begin(); _iter393 != this->demands.end(); ++_iter393)
+    std::vector<model_demand> ::const_iterator _iter434;
+    for (_iter434 = this->demands.begin(); _iter434 != this->demands.end(); ++_iter434)
     {
-      xfer += (*_iter393).write(oprot);
+      xfer += (*_iter434).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11298,10 +12215,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter394;
-    for (_iter394 = this->customers.begin(); _iter394 != this->customers.end(); ++_iter394)
+    std::vector<customer_use> ::const_iterator _iter435;
+    for (_iter435 = this->customers.begin(); _iter435 != this->customers.end(); ++_iter435)
     {
-      xfer += (*_iter394).write(oprot);
+      xfer += (*_iter435).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11310,10 +12227,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter395;
-    for (_iter395 = this->holdings.begin(); _iter395 != this->holdings.end(); ++_iter395)
+    std::vector<target_holding> ::const_iterator _iter436;
+    for (_iter436 = this->holdings.begin(); _iter436 != this->holdings.end(); ++_iter436)
     {
-      xfer += (*_iter395).write(oprot);
+      xfer += (*_iter436).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11322,10 +12239,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter396;
-    for (_iter396 = this->leaving_targets.begin(); _iter396 != this->leaving_targets.end(); ++_iter396)
+    std::vector<leaving_target> ::const_iterator _iter437;
+    for (_iter437 = this->leaving_targets.begin(); _iter437 != this->leaving_targets.end(); ++_iter437)
     {
-      xfer += (*_iter396).write(oprot);
+      xfer += (*_iter437).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11334,10 +12251,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter397;
-    for (_iter397 = this->suspects.begin(); _iter397 != this->suspects.end(); ++_iter397)
+    std::vector<quarantine> ::const_iterator _iter438;
+    for (_iter438 = this->suspects.begin(); _iter438 != this->suspects.end(); ++_iter438)
     {
-      xfer += (*_iter397).write(oprot);
+      xfer += (*_iter438).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11350,10 +12267,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter398;
-    for (_iter398 = this->registrations.begin(); _iter398 != this->registrations.end(); ++_iter398)
+    std::vector<target_registration> ::const_iterator _iter439;
+    for (_iter439 = this->registrations.begin(); _iter439 != this->registrations.end(); ++_iter439)
     {
-      xfer += (*_iter398).write(oprot);
+      xfer += (*_iter439).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11366,10 +12283,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter399;
-    for (_iter399 = this->loads.begin(); _iter399 != this->loads.end(); ++_iter399)
+    std::vector<target_load> ::const_iterator _iter440;
+    for (_iter440 = this->loads.begin(); _iter440 != this->loads.end(); ++_iter440)
     {
-      xfer += (*_iter399).write(oprot);
+      xfer += (*_iter440).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11382,10 +12299,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<target_registration> ::const_iterator _iter400;
-    for (_iter400 = this->starts.begin(); _iter400 != this->starts.end(); ++_iter400)
+    std::vector<target_registration> ::const_iterator _iter441;
+    for (_iter441 = this->starts.begin(); _iter441 != this->starts.end(); ++_iter441)
     {
-      xfer += (*_iter400).write(oprot);
+      xfer += (*_iter441).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11398,10 +12315,10 @@
   xfer += oprot->writeFieldBegin("centres_held", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->centres_held.size()));
-    std::vector<held_centre> ::const_iterator _iter401;
-    for (_iter401 = this->centres_held.begin(); _iter401 != this->centres_held.end(); ++_iter401)
+    std::vector<held_centre> ::const_iterator _iter442;
+    for (_iter442 = this->centres_held.begin(); _iter442 != this->centres_held.end(); ++_iter442)
     {
-      xfer += (*_iter401).write(oprot);
+      xfer += (*_iter442).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11415,6 +12332,40 @@
   xfer += oprot->writeBool(this->reads_store);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 26);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 27);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fleet_size", ::apache::thrift::protocol::T_I32, 28);
+  xfer += oprot->writeI32(this->fleet_size);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("processor_share", ::apache::thrift::protocol::T_DOUBLE, 29);
+  xfer += oprot->writeDouble(this->processor_share);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to_other_group", ::apache::thrift::protocol::T_BOOL, 30);
+  xfer += oprot->writeBool(this->to_other_group);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.group_use) {
+    xfer += oprot->writeFieldBegin("group_use", ::apache::thrift::protocol::T_STRUCT, 31);
+    xfer += this->group_use.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.outside) {
+    xfer += oprot->writeFieldBegin("outside", ::apache::thrift::protocol::T_STRUCT, 32);
+    xfer += this->outside.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("has_details", ::apache::thrift::protocol::T_BOOL, 33);
+  xfer += oprot->writeBool(this->has_details);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11447,121 +12398,161 @@
   swap(a.centres_held, b.centres_held);
   swap(a.informed, b.informed);
   swap(a.reads_store, b.reads_store);
+  swap(a.data_centre, b.data_centre);
+  swap(a.group, b.group);
+  swap(a.fleet_size, b.fleet_size);
+  swap(a.processor_share, b.processor_share);
+  swap(a.to_other_group, b.to_other_group);
+  swap(a.group_use, b.group_use);
+  swap(a.outside, b.outside);
+  swap(a.has_details, b.has_details);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other402) {
-  process = other402.process;
-  boot = other402.boot;
-  sequence = other402.sequence;
-  leaving = other402.leaving;
-  heard = other402.heard;
-  config_version = other402.config_version;
-  config_address = other402.config_address;
-  centres_revision = other402.centres_revision;
-  centres_out = other402.centres_out;
-  uses = other402.uses;
-  demands = other402.demands;
-  customers = other402.customers;
-  holdings = other402.holdings;
-  leaving_targets = other402.leaving_targets;
-  suspects = other402.suspects;
-  wants_registrations = other402.wants_registrations;
-  registrations = other402.registrations;
-  address = other402.address;
-  loads = other402.loads;
-  gives_orders = other402.gives_orders;
-  starts = other402.starts;
-  centres_era = other402.centres_era;
-  centres_held = other402.centres_held;
-  informed = other402.informed;
-  reads_store = other402.reads_store;
-  __isset = other402.__isset;
-}
-peer_status::peer_status(peer_status&& other403) noexcept {
-  process = std::move(other403.process);
-  boot = other403.boot;
-  sequence = other403.sequence;
-  leaving = other403.leaving;
-  heard = std::move(other403.heard);
-  config_version = other403.config_version;
-  config_address = std::move(other403.config_address);
-  centres_revision = other403.centres_revision;
-  centres_out = std::move(other403.centres_out);
-  uses = std::move(other403.uses);
-  demands = std::move(other403.demands);
-  customers = std::move(other403.customers);
-  holdings = std::move(other403.holdings);
-  leaving_targets = std::move(other403.leaving_targets);
-  suspects = std::move(other403.suspects);
-  wants_registrations = other403.wants_registrations;
-  registrations = std::move(other403.registrations);
-  address = std::move(other403.address);
-  loads = std::move(other403.loads);
-  gives_orders = other403.gives_orders;
-  starts = std::move(other403.starts);
-  centres_era = other403.centres_era;
-  centres_held = std::move(other403.centres_held);
-  informed = other403.informed;
-  reads_store = other403.reads_store;
-  __isset = other403.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other404) {
-  process = other404.process;
-  boot = other404.boot;
-  sequence = other404.sequence;
-  leaving = other404.leaving;
-  heard = other404.heard;
-  config_version = other404.config_version;
-  config_address = other404.config_address;
-  centres_revision = other404.centres_revision;
-  centres_out = other404.centres_out;
-  uses = other404.uses;
-  demands = other404.demands;
-  customers = other404.customers;
-  holdings = other404.holdings;
-  leaving_targets = other404.leaving_targets;
-  suspects = other404.suspects;
-  wants_registrations = other404.wants_registrations;
-  registrations = other404.registrations;
-  address = other404.address;
-  loads = other404.loads;
-  gives_orders = other404.gives_orders;
-  starts = other404.starts;
-  centres_era = other404.centres_era;
-  centres_held = other404.centres_held;
-  informed = other404.informed;
-  reads_store = other404.reads_store;
-  __isset = other404.__isset;
-  return *this;
-}
-peer_status& peer_status::operator=(peer_status&& other405) noexcept {
-  process = std::move(other405.process);
-  boot = other405.boot;
-  sequence = other405.sequence;
-  leaving = other405.leaving;
-  heard = std::move(other405.heard);
-  config_version = other405.config_version;
-  config_address = std::move(other405.config_address);
-  centres_revision = other405.centres_revision;
-  centres_out = std::move(other405.centres_out);
-  uses = std::move(other405.uses);
-  demands = std::move(other405.demands);
-  customers = std::move(other405.customers);
-  holdings = std::move(other405.holdings);
-  leaving_targets = std::move(other405.leaving_targets);
-  suspects = std::move(other405.suspects);
-  wants_registrations = other405.wants_registrations;
-  registrations = std::move(other405.registrations);
-  address = std::move(other405.address);
-  loads = std::move(other405.loads);
-  gives_orders = other405.gives_orders;
-  starts = std::move(other405.starts);
-  centres_era = other405.centres_era;
-  centres_held = std::move(other405.centres_held);
-  informed = other405.informed;
-  reads_store = other405.reads_store;
-  __isset = other405.__isset;
+peer_status::peer_status(const peer_status& other443) {
+  process = other443.process;
+  boot = other443.boot;
+  sequence = other443.sequence;
+  leaving = other443.leaving;
+  heard = other443.heard;
+  config_version = other443.config_version;
+  config_address = other443.config_address;
+  centres_revision = other443.centres_revision;
+  centres_out = other443.centres_out;
+  uses = other443.uses;
+  demands = other443.demands;
+  customers = other443.customers;
+  holdings = other443.holdings;
+  leaving_targets = other443.leaving_targets;
+  suspects = other443.suspects;
+  wants_registrations = other443.wants_registrations;
+  registrations = other443.registrations;
+  address = other443.address;
+  loads = other443.loads;
+  gives_orders = other443.gives_orders;
+  starts = other443.starts;
+  centres_era = other443.centres_era;
+  centres_held = other443.centres_held;
+  informed = other443.informed;
+  reads_store = other443.reads_store;
+  data_centre = other443.data_centre;
+  group = other443.group;
+  fleet_size = other443.fleet_size;
+  processor_share = other443.processor_share;
+  to_other_group = other443.to_other_group;
+  group_use = other443.group_use;
+  outside = other443.outside;
+  has_details = other443.has_details;
+  __isset = other443.__isset;
+}
+peer_status::peer_status(peer_status&& other444) noexcept {
+  process = std::move(other444.process);
+  boot = other444.boot;
+  sequence = other444.sequence;
+  leaving = other444.leaving;
+  heard = std::move(other444.heard);
+  config_version = other444.config_version;
+  config_address = std::move(other444.config_address);
+  centres_revision = other444.centres_revision;
+  centres_out = std::move(other444.centres_out);
+  uses = std::move(other444.uses);
+  demands = std::move(other444.demands);
+  customers = std::move(other444.customers);
+  holdings = std::move(other444.holdings);
+  leaving_targets = std::move(other444.leaving_targets);
+  suspects = std::move(other444.suspects);
+  wants_registrations = other444.wants_registrations;
+  registrations = std::move(other444.registrations);
+  address = std::move(other444.address);
+  loads = std::move(other444.loads);
+  gives_orders = other444.gives_orders;
+  starts = std::move(other444.starts);
+  centres_era = other444.centres_era;
+  centres_held = std::move(other444.centres_held);
+  informed = other444.informed;
+  reads_store = other444.reads_store;
+  data_centre = std::move(other444.data_centre);
+  group = std::move(other444.group);
+  fleet_size = other444.fleet_size;
+  processor_share = other444.processor_share;
+  to_other_group = other444.to_other_group;
+  group_use = std::move(other444.group_use);
+  outside = std::move(other444.outside);
+  has_details = other444.has_details;
+  __isset = other444.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other445) {
+  process = other445.process;
+  boot = other445.boot;
+  sequence = other445.sequence;
+  leaving = other445.leaving;
+  heard = other445.heard;
+  config_version = other445.config_version;
+  config_address = other445.config_address;
+  centres_revision = other445.centres_revision;
+  centres_out = other445.centres_out;
+  uses = other445.uses;
+  demands = other445.demands;
+  customers = other445.customers;
+  holdings = other445.holdings;
+  leaving_targets = other445.leaving_targets;
+  suspects = other445.suspects;
+  wants_registrations = other445.wants_registrations;
+  registrations = other445.registrations;
+  address = other445.address;
+  loads = other445.loads;
+  gives_orders = other445.gives_orders;
+  starts = other445.starts;
+  centres_era = other445.centres_era;
+  centres_held = other445.centres_held;
+  informed = other445.informed;
+  reads_store = other445.reads_store;
+  data_centre = other445.data_centre;
+  group = other445.group;
+  fleet_size = other445.fleet_size;
+  processor_share = other445.processor_share;
+  to_other_group = other445.to_other_group;
+  group_use = other445.group_use;
+  outside = other445.outside;
+  has_details = other445.has_details;
+  __isset = other445.__isset;
+  return *this;
+}
+peer_status& peer_status::operator=(peer_status&& other446) noexcept {
+  process = std::move(other446.process);
+  boot = other446.boot;
+  sequence = other446.sequence;
+  leaving = other446.leaving;
+  heard = std::move(other446.heard);
+  config_version = other446.config_version;
+  config_address = std::move(other446.config_address);
+  centres_revision = other446.centres_revision;
+  centres_out = std::move(other446.centres_out);
+  uses = std::move(other446.uses);
+  demands = std::move(other446.demands);
+  customers = std::move(other446.customers);
+  holdings = std::move(other446.holdings);
+  leaving_targets = std::move(other446.leaving_targets);
+  suspects = std::move(other446.suspects);
+  wants_registrations = other446.wants_registrations;
+  registrations = std::move(other446.registrations);
+  address = std::move(other446.address);
+  loads = std::move(other446.loads);
+  gives_orders = other446.gives_orders;
+  starts = std::move(other446.starts);
+  centres_era = other446.centres_era;
+  centres_held = std::move(other446.centres_held);
+  informed = other446.informed;
+  reads_store = other446.reads_store;
+  data_centre = std::move(other446.data_centre);
+  group = std::move(other446.group);
+  fleet_size = other446.fleet_size;
+  processor_share = other446.processor_share;
+  to_other_group = other446.to_other_group;
+  group_use = std::move(other446.group_use);
+  outside = std::move(other446.outside);
+  has_details = other446.has_details;
+  __isset = other446.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -11592,6 +12583,14 @@
   out << ", " << "centres_held=" << to_string(centres_held);
   out << ", " << "informed=" << to_string(informed);
   out << ", " << "reads_store=" << to_string(reads_store);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "fleet_size=" << to_string(fleet_size);
+  out << ", " << "processor_share=" << to_string(processor_share);
+  out << ", " << "to_other_group=" << to_string(to_other_group);
+  out << ", " << "group_use="; (__isset.group_use ? (out << to_string(group_use)) : (out << "<null>"));
+  out << ", " << "outside="; (__isset.outside ? (out << to_string(outside)) : (out << "<null>"));
+  out << ", " << "has_details=" << to_string(has_details);
   out << ")";
 }
 
@@ -11722,34 +12721,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_request::turn_request(const turn_request& other406) {
-  process = other406.process;
-  target = other406.target;
-  number = other406.number;
-  tokens = other406.tokens;
-  __isset = other406.__isset;
-}
-turn_request::turn_request(turn_request&& other407) noexcept {
-  process = std::move(other407.process);
-  target = std::move(other407.target);
-  number = other407.number;
-  tokens = other407.tokens;
-  __isset = other407.__isset;
-}
-turn_request& turn_request::operator=(const turn_request& other408) {
-  process = other408.process;
-  target = other408.target;
-  number = other408.number;
-  tokens = other408.tokens;
-  __isset = other408.__isset;
+turn_request::turn_request(const turn_request& other447) {
+  process = other447.process;
+  target = other447.target;
+  number = other447.number;
+  tokens = other447.tokens;
+  __isset = other447.__isset;
+}
+turn_request::turn_request(turn_request&& other448) noexcept {
+  process = std::move(other448.process);
+  target = std::move(other448.target);
+  number = other448.number;
+  tokens = other448.tokens;
+  __isset = other448.__isset;
+}
+turn_request& turn_request::operator=(const turn_request& other449) {
+  process = other449.process;
+  target = other449.target;
+  number = other449.number;
+  tokens = other449.tokens;
+  __isset = other449.__isset;
   return *this;
 }
-turn_request& turn_request::operator=(turn_request&& other409) noexcept {
-  process = std::move(other409.process);
-  target = std::move(other409.target);
-  number = other409.number;
-  tokens = other409.tokens;
-  __isset = other409.__isset;
+turn_request& turn_request::operator=(turn_request&& other450) noexcept {
+  process = std::move(other450.process);
+  target = std::move(other450.target);
+  number = other450.number;
+  tokens = other450.tokens;
+  __isset = other450.__isset;
   return *this;
 }
 void turn_request::printTo(std::ostream& out) const {
@@ -11906,38 +12905,38 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_answer::turn_answer(const turn_answer& other410) {
-  process = other410.process;
-  target = other410.target;
-  number = other410.number;
-  given = other410.given;
-  wait_ms = other410.wait_ms;
-  __isset = other410.__isset;
-}
-turn_answer::turn_answer(turn_answer&& other411) noexcept {
-  process = std::move(other411.process);
-  target = std::move(other411.target);
-  number = other411.number;
-  given = other411.given;
-  wait_ms = other411.wait_ms;
-  __isset = other411.__isset;
-}
-turn_answer& turn_answer::operator=(const turn_answer& other412) {
-  process = other412.process;
-  target = other412.target;
-  number = other412.number;
-  given = other412.given;
-  wait_ms = other412.wait_ms;
-  __isset = other412.__isset;
-  return *this;
-}
-turn_answer& turn_answer::operator=(turn_answer&& other413) noexcept {
-  process = std::move(other413.process);
-  target = std::move(other413.target);
-  number = other413.number;
-  given = other413.given;
-  wait_ms = other413.wait_ms;
-  __isset = other413.__isset;
+turn_answer::turn_answer(const turn_answer& other451) {
+  process = other451.process;
+  target = other451.target;
+  number = other451.number;
+  given = other451.given;
+  wait_ms = other451.wait_ms;
+  __isset = other451.__isset;
+}
+turn_answer::turn_answer(turn_answer&& other452) noexcept {
+  process = std::move(other452.process);
+  target = std::move(other452.target);
+  number = other452.number;
+  given = other452.given;
+  wait_ms = other452.wait_ms;
+  __isset = other452.__isset;
+}
+turn_answer& turn_answer::operator=(const turn_answer& other453) {
+  process = other453.process;
+  target = other453.target;
+  number = other453.number;
+  given = other453.given;
+  wait_ms = other453.wait_ms;
+  __isset = other453.__isset;
+  return *this;
+}
+turn_answer& turn_answer::operator=(turn_answer&& other454) noexcept {
+  process = std::move(other454.process);
+  target = std::move(other454.target);
+  number = other454.number;
+  given = other454.given;
+  wait_ms = other454.wait_ms;
+  __isset = other454.__isset;
   return *this;
 }
 void turn_answer::printTo(std::ostream& out) const {
@@ -12078,34 +13077,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_use::turn_use(const turn_use& other414) {
-  process = other414.process;
-  target = other414.target;
-  number = other414.number;
-  tokens = other414.tokens;
-  __isset = other414.__isset;
-}
-turn_use::turn_use(turn_use&& other415) noexcept {
-  process = std::move(other415.process);
-  target = std::move(other415.target);
-  number = other415.number;
-  tokens = other415.tokens;
-  __isset = other415.__isset;
-}
-turn_use& turn_use::operator=(const turn_use& other416) {
-  process = other416.process;
-  target = other416.target;
-  number = other416.number;
-  tokens = other416.tokens;
-  __isset = other416.__isset;
-  return *this;
-}
-turn_use& turn_use::operator=(turn_use&& other417) noexcept {
-  process = std::move(other417.process);
-  target = std::move(other417.target);
-  number = other417.number;
-  tokens = other417.tokens;
-  __isset = other417.__isset;
+turn_use::turn_use(const turn_use& other455) {
+  process = other455.process;
+  target = other455.target;
+  number = other455.number;
+  tokens = other455.tokens;
+  __isset = other455.__isset;
+}
+turn_use::turn_use(turn_use&& other456) noexcept {
+  process = std::move(other456.process);
+  target = std::move(other456.target);
+  number = other456.number;
+  tokens = other456.tokens;
+  __isset = other456.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other457) {
+  process = other457.process;
+  target = other457.target;
+  number = other457.number;
+  tokens = other457.tokens;
+  __isset = other457.__isset;
+  return *this;
+}
+turn_use& turn_use::operator=(turn_use&& other458) noexcept {
+  process = std::move(other458.process);
+  target = std::move(other458.target);
+  number = other458.number;
+  tokens = other458.tokens;
+  __isset = other458.__isset;
   return *this;
 }
 void turn_use::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -238,6 +238,14 @@
 
 class target_load;
 
+class usage_sums;
+
+class order_giver_sighting;
+
+class group_status;
+
+class outside_status;
+
 class peer_status;
 
 class turn_request;
@@ -4312,8 +4320,301 @@
 
 std::ostream& operator<<(std::ostream& out, const target_load& obj);
 
+typedef struct _usage_sums__isset {
+  _usage_sums__isset() : customers(false), loads(false) {}
+  bool customers :1;
+  bool loads :1;
+} _usage_sums__isset;
+
+/**
+ * Tokens by customer since the sender's start, and requests by target.
+ */
+class usage_sums : public virtual ::apache::thrift::TBase {
+ public:
+
+  usage_sums(const usage_sums&);
+  usage_sums(usage_sums&&) noexcept;
+  usage_sums& operator=(const usage_sums&);
+  usage_sums& operator=(usage_sums&&) noexcept;
+  usage_sums() noexcept {
+  }
+
+  virtual ~usage_sums() noexcept;
+  std::vector<customer_use>  customers;
+  std::vector<target_load>  loads;
+
+  _usage_sums__isset __isset;
+
+  void __set_customers(const std::vector<customer_use> & val);
+
+  void __set_loads(const std::vector<target_load> & val);
+
+  bool operator == (const usage_sums & rhs) const
+  {
+    if (!(customers == rhs.customers))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    return true;
+  }
+  bool operator != (const usage_sums &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const usage_sums & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(usage_sums &a, usage_sums &b);
+
+std::ostream& operator<<(std::ostream& out, const usage_sums& obj);
+
+typedef struct _order_giver_sighting__isset {
+  _order_giver_sighting__isset() : process(false), address(false), age_ms(false), active(false), reads_store(false) {}
+  bool process :1;
+  bool address :1;
+  bool age_ms :1;
+  bool active :1;
+  bool reads_store :1;
+} _order_giver_sighting__isset;
+
+/**
+ * A gateway that gives orders, or (active: false) has stopped to. age_ms: since it said so itself.
+ */
+class order_giver_sighting : public virtual ::apache::thrift::TBase {
+ public:
+
+  order_giver_sighting(const order_giver_sighting&);
+  order_giver_sighting(order_giver_sighting&&) noexcept;
+  order_giver_sighting& operator=(const order_giver_sighting&);
+  order_giver_sighting& operator=(order_giver_sighting&&) noexcept;
+  order_giver_sighting() noexcept
+                       : process(),
+                         address(),
+                         age_ms(0),
+                         active(0),
+                         reads_store(0) {
+  }
+
+  virtual ~order_giver_sighting() noexcept;
+  std::string process;
+  std::string address;
+  int64_t age_ms;
+  bool active;
+  bool reads_store;
+
+  _order_giver_sighting__isset __isset;
+
+  void __set_process(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_active(const bool val);
+
+  void __set_reads_store(const bool val);
+
+  bool operator == (const order_giver_sighting & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(active == rhs.active))
+      return false;
+    if (!(reads_store == rhs.reads_store))
+      return false;
+    return true;
+  }
+  bool operator != (const order_giver_sighting &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const order_giver_sighting & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(order_giver_sighting &a, order_giver_sighting &b);
+
+std::ostream& operator<<(std::ostream& out, const order_giver_sighting& obj);
+
+typedef struct _group_status__isset {
+  _group_status__isset() : in_contact(false), departed(false), hears(false), reader(false), sums(false), order_giver(false) {}
+  bool in_contact :1;
+  bool departed :1;
+  bool hears :1;
+  bool reader :1;
+  bool sums :1;
+  bool order_giver :1;
+} _group_status__isset;
+
+/**
+ * A group of gateways, as one of its speakers sees it. hears: other groups. reader: a member reads the store closely.
+ */
+class group_status : public virtual ::apache::thrift::TBase {
+ public:
+
+  group_status(const group_status&);
+  group_status(group_status&&) noexcept;
+  group_status& operator=(const group_status&);
+  group_status& operator=(group_status&&) noexcept;
+  group_status() noexcept
+               : in_contact(0),
+                 departed(0),
+                 reader(0) {
+  }
+
+  virtual ~group_status() noexcept;
+  int32_t in_contact;
+  int32_t departed;
+  std::set<std::string>  hears;
+  bool reader;
+  usage_sums sums;
+  order_giver_sighting order_giver;
+
+  _group_status__isset __isset;
+
+  void __set_in_contact(const int32_t val);
+
+  void __set_departed(const int32_t val);
+
+  void __set_hears(const std::set<std::string> & val);
+
+  void __set_reader(const bool val);
+
+  void __set_sums(const usage_sums& val);
+
+  void __set_order_giver(const order_giver_sighting& val);
+
+  bool operator == (const group_status & rhs) const
+  {
+    if (!(in_contact == rhs.in_contact))
+      return false;
+    if (!(departed == rhs.departed))
+      return false;
+    if (!(hears == rhs.hears))
+      return false;
+    if (!(reader == rhs.reader))
+      return false;
+    if (!(sums == rhs.sums))
+      return false;
+    if (__isset.order_giver != rhs.__isset.order_giver)
+      return false;
+    else if (__isset.order_giver && !(order_giver == rhs.order_giver))
+      return false;
+    return true;
+  }
+  bool operator != (const group_status &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const group_status & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(group_status &a, group_status &b);
+
+std::ostream& operator<<(std::ostream& out, const group_status& obj);
+
+typedef struct _outside_status__isset {
+  _outside_status__isset() : in_contact(false), departed(false), speakers(false), reader(false), sums(false), order_giver(false) {}
+  bool in_contact :1;
+  bool departed :1;
+  bool speakers :1;
+  bool reader :1;
+  bool sums :1;
+  bool order_giver :1;
+} _outside_status__isset;
+
+/**
+ * All other groups together, as a member of one group sees them. speakers: of all groups, its own included.
+ */
+class outside_status : public virtual ::apache::thrift::TBase {
+ public:
+
+  outside_status(const outside_status&);
+  outside_status(outside_status&&) noexcept;
+  outside_status& operator=(const outside_status&);
+  outside_status& operator=(outside_status&&) noexcept;
+  outside_status() noexcept
+                 : in_contact(0),
+                   departed(0),
+                   reader(0) {
+  }
+
+  virtual ~outside_status() noexcept;
+  int32_t in_contact;
+  int32_t departed;
+  std::vector<std::string>  speakers;
+  bool reader;
+  usage_sums sums;
+  order_giver_sighting order_giver;
+
+  _outside_status__isset __isset;
+
+  void __set_in_contact(const int32_t val);
+
+  void __set_departed(const int32_t val);
+
+  void __set_speakers(const std::vector<std::string> & val);
+
+  void __set_reader(const bool val);
+
+  void __set_sums(const usage_sums& val);
+
+  void __set_order_giver(const order_giver_sighting& val);
+
+  bool operator == (const outside_status & rhs) const
+  {
+    if (!(in_contact == rhs.in_contact))
+      return false;
+    if (!(departed == rhs.departed))
+      return false;
+    if (!(speakers == rhs.speakers))
+      return false;
+    if (!(reader == rhs.reader))
+      return false;
+    if (!(sums == rhs.sums))
+      return false;
+    if (__isset.order_giver != rhs.__isset.order_giver)
+      return false;
+    else if (__isset.order_giver && !(order_giver == rhs.order_giver))
+      return false;
+    return true;
+  }
+  bool operator != (const outside_status &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const outside_status & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(outside_status &a, outside_status &b);
+
+std::ostream& operator<<(std::ostream& out, const outside_status& obj);
+
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4339,17 +4640,29 @@
   bool centres_held :1;
   bool informed :1;
   bool reads_store :1;
+  bool data_centre :1;
+  bool group :1;
+  bool fleet_size :1;
+  bool processor_share :1;
+  bool to_other_group :1;
+  bool group_use :1;
+  bool outside :1;
+  bool has_details :1;
 } _peer_status__isset;
 
 /**
- * Status that a gateway sends to its peers. heard: peers that it is in contact with.
- * address: where the sender receives these datagrams. loads: sent to all peers. uses, demands: sent only to gateways
- * that send orders to targets (gives_orders).
- * holdings: sent by the gateway that sends orders: recent changes, and each target again every few seconds.
- * starts: sent by the same gateway and as often: registrations of targets that started or became cold.
+ * Status that a gateway sends to its peers. heard: members of its group that it is in contact with.
+ * address: where the sender receives these datagrams. loads, customers: its own, sent to its group.
+ * uses, demands: sent only to gateways that send orders to targets (gives_orders).
+ * holdings: sent by the gateway that sends orders: recent changes, and each target again every few seconds; passed on
+ * within a group by those who got them from another group. starts: in the same way: registrations of targets that
+ * started or became cold.
  * reads_store: the sender watches the store closely for the others.
  * informed: it knows all that gateways knew when it started.
  * wants_registrations: the sender can't read the store; registrations: all of them, sent only to such a peer.
+ * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
+ * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
+ * a speaker to its group. has_details: uses and demands are stated, maybe as none.
  */
 class peer_status : public virtual ::apache::thrift::TBase {
  public:
@@ -4371,7 +4684,13 @@
                 gives_orders(0),
                 centres_era(0),
                 informed(0),
-                reads_store(0) {
+                reads_store(0),
+                data_centre(),
+                group(),
+                fleet_size(0),
+                processor_share(0),
+                to_other_group(0),
+                has_details(0) {
   }
 
   virtual ~peer_status() noexcept;
@@ -4400,6 +4719,14 @@
   std::vector<held_centre>  centres_held;
   bool informed;
   bool reads_store;
+  std::string data_centre;
+  std::string group;
+  int32_t fleet_size;
+  double processor_share;
+  bool to_other_group;
+  group_status group_use;
+  outside_status outside;
+  bool has_details;
 
   _peer_status__isset __isset;
 
@@ -4453,6 +4780,22 @@
 
   void __set_reads_store(const bool val);
 
+  void __set_data_centre(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_fleet_size(const int32_t val);
+
+  void __set_processor_share(const double val);
+
+  void __set_to_other_group(const bool val);
+
+  void __set_group_use(const group_status& val);
+
+  void __set_outside(const outside_status& val);
+
+  void __set_has_details(const bool val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -4505,6 +4848,26 @@
       return false;
     if (!(reads_store == rhs.reads_store))
       return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(fleet_size == rhs.fleet_size))
+      return false;
+    if (!(processor_share == rhs.processor_share))
+      return false;
+    if (!(to_other_group == rhs.to_other_group))
+      return false;
+    if (__isset.group_use != rhs.__isset.group_use)
+      return false;
+    else if (__isset.group_use && !(group_use == rhs.group_use))
+      return false;
+    if (__isset.outside != rhs.__isset.outside)
+      return false;
+    else if (__isset.outside && !(outside == rhs.outside))
+      return false;
+    if (!(has_details == rhs.has_details))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -63,24 +63,18 @@
                   dispatcher_.schedule_dispatch();
                   peers_.notify_departures();
               },
-              [this](const std::map<std::string, std::string>& members) {
-                  std::vector<std::string> names;
-                  for (const auto& [name, address] : members)
-                      names.push_back(name);
+              [this](const std::map<std::string, store_watch::member>& members) {
                   context_.gateway_count =
                       static_cast<int>(members.size()) + (members.contains(settings_.name) ? 0 : 1);
-                  context_.quota.change_members(names);
                   peers_.change_members(members);
                   forwarder_.update_budgets();
               }}),
       boot_(unix_ms()), order_giver_(context_, lease_store_client_, client_, dispatcher_, boot_),
-      peers_(context_,
-             {dispatcher_, forwarder_, watch_, client_, [this] { return order_giver_.gives_orders(); },
-              [this] { return order_giver_.holdings(); }},
-             boot_),
+      news_(context_, {dispatcher_, forwarder_, watch_, client_, [this] { return order_giver_.holdings(); }}),
+      peers_(context_, {dispatcher_, watch_, [this] { return order_giver_.gives_orders(); }}, news_, boot_),
       turns_(context_,
              {[this](const std::string& to, const std::string& frame) { peers_.send_to(to, frame); },
-              [this] { return peers_.gateways_in_contact(); }, [this] { dispatcher_.dispatch_waiting(); }}),
+              [this] { return peers_.coordinators(); }, [this] { dispatcher_.dispatch_waiting(); }}),
       acceptor_(loop_, [this](int socket) { accept(socket); }) {
     forwarder_.attach(dispatcher_);
     dispatcher_.attach(turns_);
@@ -179,7 +173,8 @@
 /// Registers this gateway's peer address in the store. Retries until it is stored.
 void gateway::register_self() {
     const nlohmann::json spec =
-        platform::encode_registration({settings_.peers, boot_, context_.history.era()});
+        platform::encode_registration({settings_.peers, boot_, context_.history.era(),
+                                       context_.history.first_era(), settings_.data_centre});
     store_.create(platform::routers_kind, settings_.name, spec, [this, spec](platform::store_reply&& reply) {
         loop_.post([this, spec, reply = std::move(reply)]() mutable {
             context_.history.note(reply, "register");
@@ -233,10 +228,7 @@
 void gateway::update_metrics(time_point now) {
     context_.metrics.connections_opened.Set(static_cast<double>(dispatcher_.connection_counters().opened));
     context_.metrics.connections_reused.Set(static_cast<double>(dispatcher_.connection_counters().reused));
-    const auto& peers = peers_.known_peers();
-    const auto peers_in_contact = std::count_if(
-        peers.begin(), peers.end(), [&](const auto& peer) { return peer.second.in_contact(now); });
-    context_.metrics.gateways_heard.Set(static_cast<double>(peers_in_contact));
+    context_.metrics.gateways_heard.Set(peers_.in_contact());
     context_.metrics.rate_part.Set(context_.quota.available_part(now));
     watch_.report_ages(now);
 }
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -47,6 +47,7 @@
     store_watch watch_;
     std::int64_t boot_;
     order_giver order_giver_;
+    peer_news news_;
     peers peers_;
     prompt_turns turns_;
     edge::acceptor acceptor_;
--- a/src/programs/gateway/lease_store.cpp
+++ b/src/programs/gateway/lease_store.cpp
@@ -55,10 +55,7 @@
     const auto now = context_.loop.now();
     if (now >= avoid_direct_until_)
         return {};
-    for (const auto& [name, peer] : peers_->known_peers())
-        if (peer.in_contact(now) && !peer.status.wants_registrations && !peer.status.leaving)
-            return peer.status.config_address;
-    return {};
+    return peers_->reader_address();
 }
 
 void lease_store::finish(bool direct, store_reply&& reply, const on_reply& done) {
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -265,9 +265,8 @@
         out.targets.push_back(std::move(*state));
     }
     add_own_usage(service.name, out);
-    for (const auto& [name, peer] : peers_->known_peers())
-        if (peer.in_contact(context_.loop.now()))
-            add_peer_usage(service.name, peer, out);
+    for (const auto& [name, details] : peers_->fresh_details())
+        add_peer_usage(service.name, *details, out);
     return out;
 }
 
@@ -285,16 +284,15 @@
 }
 
 /// Adds the models that a peer reported as used and waited for.
-void order_giver::add_peer_usage(const std::string& service, const peer_state& peer,
+void order_giver::add_peer_usage(const std::string& service, const peer_details& peer,
                                  core::load_planning::planner_input& to) const {
-    for (const auto& use : peer.status.uses)
+    for (const auto& use : peer.uses)
         core::load_planning::add_use(to, use.target, core::fleet::parse_model_ref(use.model),
-                                     {use.running, peer.received_at - milliseconds{use.idle_ms}});
-    for (const auto& demand : peer.status.demands)
+                                     {use.running, peer.told_at - milliseconds{use.idle_ms}});
+    for (const auto& demand : peer.demands)
         if (demand.service_name == service)
             core::load_planning::add_demand(to.demands[core::fleet::parse_model_ref(demand.model)],
-                                            {demand.waiting,
-                                             peer.received_at - milliseconds{demand.oldest_ms},
+                                            {demand.waiting, peer.told_at - milliseconds{demand.oldest_ms},
                                              demand.priority, demand.per_second, 0});
 }
 
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -56,7 +56,7 @@
     [[nodiscard]] std::optional<core::load_planning::target_state> state_of(const std::string& id,
                                                                             const known_target& known) const;
     void add_own_usage(const std::string& service, core::load_planning::planner_input& to) const;
-    void add_peer_usage(const std::string& service, const peer_state& peer,
+    void add_peer_usage(const std::string& service, const peer_details& peer,
                         core::load_planning::planner_input& to) const;
     void send(const core::load_planning::planned_order& order, const core::fleet::service& service);
     void handle_order_answer(std::int64_t number, const core::load_planning::planned_order& order,
--- a/src/programs/gateway/order_lease.cpp
+++ b/src/programs/gateway/order_lease.cpp
@@ -17,10 +17,9 @@
 constexpr milliseconds margin{300}; // for differences in clock rate
 constexpr milliseconds read_interval_holder_active{8'000};
 constexpr milliseconds read_interval_holder_silent{400};
-constexpr milliseconds max_record_age{600};   // an older record doesn't show whether the holder renews it
-constexpr milliseconds min_outage{800};       // failed store calls for less than that are not an outage
-constexpr milliseconds renewal_grace{1'000};  // after an outage, for holders to renew before others take over
-constexpr milliseconds holder_timeout{1'000}; // a holder silent for longer may be down
+constexpr milliseconds max_record_age{600};  // an older record doesn't show whether the holder renews it
+constexpr milliseconds min_outage{800};      // failed store calls for less than that are not an outage
+constexpr milliseconds renewal_grace{1'000}; // after an outage, for holders to renew before others take over
 constexpr const char* orders_under_key = "orders_under"; // record field: fencing number of the last orders
 
 } // namespace
@@ -44,8 +43,9 @@
         if (const auto taking = lease_.take(now))
             write(*taking);
     } else if (!lease_.mine() && !reading_) {
-        if (now - checked_at_ >
-            (holder_active(now) ? read_interval_holder_active : read_interval_holder_silent))
+        if (now - checked_at_ > (peers_->hears_active_holder(lease_.record().holder)
+                                     ? read_interval_holder_active
+                                     : read_interval_holder_silent))
             read();
     }
     update_state(now);
@@ -74,13 +74,6 @@
         contact_.failed(now);
 }
 
-bool order_lease::holder_active(time_point now) const {
-    const auto& known_peers = peers_->known_peers();
-    const auto holder = known_peers.find(lease_.record().holder);
-    return holder != known_peers.end() && now - holder->second.received_at < holder_timeout &&
-           holder->second.status.gives_orders && !holder->second.status.wants_registrations;
-}
-
 void order_lease::enter_era(std::int64_t era) {
     const auto now = context_.loop.now();
     lease_.enter_era(era, now);
--- a/src/programs/gateway/order_lease.hpp
+++ b/src/programs/gateway/order_lease.hpp
@@ -33,7 +33,6 @@
     [[nodiscard]] bool held() const { return held_; }
     [[nodiscard]] bool
     may_order(core::common::time_point now) const; // held, and no predecessor may still order
-    [[nodiscard]] bool holder_active(core::common::time_point now) const; // another gateway, in contact
     [[nodiscard]] std::int64_t fencing() const { return lease_.fencing(); }
     [[nodiscard]] lease_store& store() { return leases_; } // serves peers' calls
 
--- /dev/null
+++ b/src/programs/gateway/peer_codec.cpp
@@ -0,0 +1,146 @@
+#include "programs/gateway/peer_codec.hpp"
+
+namespace waxwinglb::programs::gateway {
+namespace {
+
+using core::common::milliseconds;
+using core::exchange::order_giver_sighting;
+using core::exchange::usage;
+
+usage decode(const std::vector<wire::customer_use>& customers, const std::vector<wire::target_load>& loads) {
+    usage out;
+    for (const auto& use : customers)
+        out.taken[use.customer] = use.tokens;
+    for (const auto& load : loads)
+        out.running[load.target] = load.running;
+    return out;
+}
+
+void encode(const usage& from, std::vector<wire::customer_use>& customers,
+            std::vector<wire::target_load>& loads) {
+    for (const auto& [customer, tokens] : from.taken) {
+        wire::customer_use use;
+        use.customer = customer;
+        use.tokens = tokens;
+        customers.push_back(std::move(use));
+    }
+    for (const auto& [target, running] : from.running) {
+        wire::target_load load;
+        load.target = target;
+        load.running = running;
+        loads.push_back(std::move(load));
+    }
+}
+
+order_giver_sighting decode(const wire::order_giver_sighting& from) {
+    return {from.process, from.address, milliseconds{from.age_ms}, from.active, from.reads_store};
+}
+
+wire::order_giver_sighting encode(const order_giver_sighting& from) {
+    wire::order_giver_sighting out;
+    out.process = from.name;
+    out.address = from.address;
+    out.age_ms = core::common::to_wire_ms(from.age);
+    out.active = from.active;
+    out.reads_store = from.reads_store;
+    return out;
+}
+
+core::exchange::group_report decode(const wire::group_status& from) {
+    core::exchange::group_report out;
+    out.in_contact = from.in_contact;
+    out.departed = from.departed;
+    out.hears = from.hears;
+    out.reader = from.reader;
+    out.use = decode(from.sums.customers, from.sums.loads);
+    if (from.__isset.order_giver)
+        out.order_giver = decode(from.order_giver);
+    return out;
+}
+
+wire::group_status encode(const core::exchange::group_report& from) {
+    wire::group_status out;
+    out.in_contact = from.in_contact;
+    out.departed = from.departed;
+    out.hears = from.hears;
+    out.reader = from.reader;
+    encode(from.use, out.sums.customers, out.sums.loads);
+    if (from.order_giver)
+        out.__set_order_giver(encode(*from.order_giver));
+    return out;
+}
+
+core::exchange::outside_report decode(const wire::outside_status& from) {
+    core::exchange::outside_report out;
+    out.in_contact = from.in_contact;
+    out.departed = from.departed;
+    out.speakers = from.speakers;
+    out.reader = from.reader;
+    out.use = decode(from.sums.customers, from.sums.loads);
+    if (from.__isset.order_giver)
+        out.order_giver = decode(from.order_giver);
+    return out;
+}
+
+wire::outside_status encode(const core::exchange::outside_report& from) {
+    wire::outside_status out;
+    out.in_contact = from.in_contact;
+    out.departed = from.departed;
+    out.speakers = from.speakers;
+    out.reader = from.reader;
+    encode(from.use, out.sums.customers, out.sums.loads);
+    if (from.order_giver)
+        out.__set_order_giver(encode(*from.order_giver));
+    return out;
+}
+
+} // namespace
+
+core::exchange::report decode_report(const wire::peer_status& status) {
+    core::exchange::report out;
+    out.process = status.process;
+    out.address = status.address;
+    out.boot = status.boot;
+    out.sequence = status.sequence;
+    out.data_centre = status.data_centre;
+    out.group = status.group;
+    out.fleet_size = status.fleet_size;
+    out.processor_share = status.processor_share;
+    out.leaving = status.leaving;
+    out.gives_orders = status.gives_orders;
+    out.reads_store = status.reads_store;
+    out.reads_targets = !status.wants_registrations;
+    out.heard = status.heard;
+    if (!status.to_other_group)
+        out.own = decode(status.customers, status.loads);
+    if (status.__isset.group_use)
+        out.group_use = decode(status.group_use);
+    if (status.__isset.outside)
+        out.outside = decode(status.outside);
+    return out;
+}
+
+void encode_report(const core::exchange::report& report, wire::peer_status& to) {
+    to.process = report.process;
+    to.address = report.address;
+    to.boot = report.boot;
+    to.sequence = report.sequence;
+    to.data_centre = report.data_centre;
+    to.group = report.group;
+    to.fleet_size = report.fleet_size;
+    to.processor_share = report.processor_share;
+    to.leaving = report.leaving;
+    to.gives_orders = report.gives_orders;
+    to.reads_store = report.reads_store;
+    to.wants_registrations = !report.reads_targets;
+    to.heard = report.heard;
+    to.to_other_group = !report.own;
+    if (report.own)
+        encode(*report.own, to.customers, to.loads);
+    if (report.group_use)
+        to.__set_group_use(encode(*report.group_use));
+    if (report.outside)
+        to.__set_outside(encode(*report.outside));
+}
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/peer_news.cpp
@@ -0,0 +1,233 @@
+#include "programs/gateway/peer_news.hpp"
+
+#include "core/common/hash.hpp"
+
+namespace waxwinglb::programs::gateway {
+namespace {
+
+using core::common::milliseconds;
+
+constexpr milliseconds config_fetch_interval{400}; // between two reads of the configuration from a peer
+constexpr milliseconds config_fetch_timeout{1'500};
+constexpr milliseconds adopted_retention{
+    1'000}; // registrations from another group are passed on for that long
+
+std::int64_t wire_ms(core::common::duration value) {
+    return core::common::to_wire_ms(value);
+}
+
+core::fleet::target_entry decode(const wire::target_registration& registration) {
+    core::fleet::target_entry out;
+    out.id = registration.target;
+    out.born = registration.born;
+    out.service = registration.service_name;
+    out.address = registration.address;
+    out.data_centre = registration.data_centre;
+    out.slots = registration.slots;
+    out.draining = registration.draining;
+    out.cold_left = milliseconds{registration.cold_ms};
+    return out;
+}
+
+/// Replaces what is already there about the same target.
+template<class update_type>
+void add_or_replace(std::vector<update_type>& to, const update_type& update) {
+    const auto same = [&](const update_type& known) { return known.target == update.target; };
+    if (const auto found = std::find_if(to.begin(), to.end(), same); found != to.end())
+        *found = update;
+    else
+        to.push_back(update);
+}
+
+} // namespace
+
+// ---- telling ---------------------------------------------------------------------------------------
+
+void peer_news::add_to(wire::peer_status& message) const {
+    message.config_version = context_.config ? context_.config->version : 0;
+    message.config_address = context_.settings.metrics;
+    message.centres_era = context_.centres.known_at().era;
+    message.centres_revision = context_.centres.known_at().revision;
+    message.centres_out.assign(context_.centres.listed().begin(), context_.centres.listed().end());
+    for (const auto& [centre, until] : context_.centres.held()) {
+        wire::held_centre hold;
+        hold.data_centre = centre;
+        hold.left_ms = wire_ms(until - context_.loop.now());
+        message.centres_held.push_back(std::move(hold));
+    }
+    message.informed = context_.informed();
+    for (const auto& leaving : context_.directory.leaving_targets()) {
+        wire::leaving_target entry;
+        entry.target = leaving.id;
+        entry.born = leaving.born;
+        message.leaving_targets.push_back(std::move(entry));
+    }
+    add_suspects_to(message);
+}
+
+void peer_news::add_suspects_to(wire::peer_status& message) const {
+    for (const auto& [fingerprint, count] : dependencies_.forward.connection_breaks())
+        if (count > 1) { // a single broken connection is common
+            wire::quarantine suspect;
+            suspect.fingerprint = std::to_string(fingerprint);
+            suspect.crashes = count;
+            message.suspects.push_back(std::move(suspect));
+        }
+}
+
+/// Targets' models and starts (also of targets that became cold) that changed or are due for resending.
+peer_news::target_updates peer_news::due_updates() {
+    target_updates out;
+    const auto now = context_.loop.now();
+    for (auto& holding : dependencies_.holdings()) {
+        std::string content =
+            std::to_string(holding.born).append(" ").append(std::to_string(holding.sequence));
+        for (const std::string& model : holding.models)
+            content.append(" ").append(model);
+        for (const auto& load : holding.coming)
+            content.append(" +").append(load.model);
+        if (holdings_updates_.due(holding.target, core::common::hash_of(content), now))
+            out.holdings.push_back(std::move(holding));
+    }
+    for (auto& registration : registrations()) {
+        const std::string content = std::to_string(registration.born) + registration.address +
+                                    (registration.cold_ms > 0 ? " cold" : "");
+        if (!registration.draining &&
+            starts_updates_.due(registration.target, core::common::hash_of(content), now))
+            out.starts.push_back(std::move(registration));
+    }
+    return out;
+}
+
+std::vector<wire::target_registration> peer_news::registrations() const {
+    const auto now = context_.loop.now();
+    std::vector<wire::target_registration> out;
+    for (const auto& [id, target] : context_.directory.targets()) {
+        wire::target_registration registration;
+        registration.target = id;
+        registration.born = target.entry.born;
+        registration.service_name = target.entry.service;
+        registration.address = target.entry.address;
+        registration.data_centre = target.entry.data_centre;
+        registration.slots = target.entry.slots;
+        registration.draining = target.leaving();
+        registration.cold_ms = std::max<std::int64_t>(0, wire_ms(target.cold_until - now));
+        out.push_back(std::move(registration));
+    }
+    return out;
+}
+
+bool peer_news::has_registrations(core::common::time_point now) const {
+    return dependencies_.watch.reads_targets() || now - adopted_outside_at_ <= adopted_retention;
+}
+
+bool peer_news::departures_changed() {
+    std::string text;
+    for (const auto& target : context_.directory.leaving_targets())
+        text.append(target.id).append(" ").append(std::to_string(target.born)).append(" ");
+    for (const std::string& centre : context_.centres.out())
+        text.append(centre).append(" ");
+    const std::uint64_t departures = core::common::hash_of(text);
+    return std::exchange(announced_departures_, departures) != departures;
+}
+
+void peer_news::forget_old() {
+    holdings_updates_.forget_old(context_.loop.now());
+    starts_updates_.forget_old(context_.loop.now());
+}
+
+// ---- hearing ---------------------------------------------------------------------------------------
+
+bool peer_news::apply(const wire::peer_status& message, bool from_other_group) {
+    for (const auto& suspect : message.suspects)
+        dependencies_.forward.merge_connection_breaks(std::strtoull(suspect.fingerprint.c_str(), nullptr, 10),
+                                                      suspect.crashes);
+    const bool adopts = !message.registrations.empty() && !dependencies_.watch.reads_targets();
+    if (adopts && from_other_group)
+        adopted_outside_at_ = context_.loop.now();
+    apply_store_state(message);
+    apply_holdings(message);
+    if (!from_other_group || (message.holdings.empty() && message.starts.empty()))
+        return false;
+    for (const auto& holding : message.holdings)
+        add_or_replace(relayed_.holdings, holding);
+    for (const auto& start : message.starts)
+        add_or_replace(relayed_.starts, start);
+    return true;
+}
+
+void peer_news::apply_centres(const wire::peer_status& message) {
+    const auto now = context_.loop.now();
+    const core::common::store_position at{message.centres_era, message.centres_revision};
+    bool changed =
+        context_.centres.merge_from_peer({message.centres_out.begin(), message.centres_out.end()}, at, now);
+    for (const auto& hold : message.centres_held)
+        changed = context_.centres.hold(hold.data_centre, milliseconds{hold.left_ms}, now) || changed;
+    if (changed)
+        dependencies_.watch.centres_changed(at, message.process);
+}
+
+bool peer_news::knows_all_of(const wire::peer_status& message) const {
+    const core::common::store_position centres_at{message.centres_era, message.centres_revision};
+    return context_.config && context_.config->version >= message.config_version &&
+           context_.centres.known_at() >= centres_at;
+}
+
+void peer_news::apply_store_state(const wire::peer_status& message) {
+    apply_centres(message);
+    for (const auto& target : message.leaving_targets)
+        context_.directory.mark_leaving({target.target, target.born});
+    for (const auto& start : message.starts)
+        context_.directory.merge_from_peer(decode(start), context_.loop.now());
+    if (!message.registrations.empty() && !dependencies_.watch.reads_targets())
+        adopt_registrations(message);
+    const std::int64_t own = context_.config ? context_.config->version : 0;
+    if (message.informed && knows_all_of(message) && context_.directory.loaded())
+        context_.start.informed_by_peer();
+    if (message.config_version > own && context_.loop.now() >= config_fetched_at_ + config_fetch_interval)
+        fetch_config(message.config_address);
+}
+
+void peer_news::adopt_registrations(const wire::peer_status& message) {
+    std::vector<core::fleet::target_entry> entries;
+    for (const auto& registration : message.registrations)
+        entries.push_back(decode(registration));
+    context_.directory.adopt(entries, context_.loop.now());
+    dependencies_.dispatch.schedule_dispatch();
+}
+
+void peer_news::apply_holdings(const wire::peer_status& message) {
+    for (const auto& holding : message.holdings) {
+        std::map<std::string, std::vector<std::string>> models;
+        for (const std::string& text : holding.models) {
+            const auto ref = core::fleet::parse_model_ref(text);
+            auto& adapters = models[ref.model];
+            if (!ref.adapter.empty())
+                adapters.push_back(ref.adapter);
+        }
+        const auto now = context_.loop.now();
+        std::map<std::string, core::common::time_point> coming;
+        for (const auto& load : holding.coming)
+            coming[load.model] = now + milliseconds{load.ready_ms};
+        context_.directory.describe(holding.target, holding.born, holding.sequence, models, coming, now);
+    }
+    if (!message.holdings.empty())
+        dependencies_.dispatch.schedule_dispatch();
+}
+
+void peer_news::fetch_config(const std::string& address) {
+    config_fetched_at_ = context_.loop.now();
+    edge::client_request request;
+    request.url = "http://" + address + "/peer/config";
+    request.timeout = config_fetch_timeout;
+    dependencies_.client.send(std::move(request), [this, address](edge::client_result&& answer) {
+        context_.loop.post([this, address, answer = std::move(answer)] {
+            if (answer.outcome != edge::client_outcome::answered || answer.status != 200)
+                return context_.log.write(edge::events::peer_lost, address, {{"step", "read configuration"}});
+            const auto document = nlohmann::json::parse(answer.body, nullptr, false);
+            dependencies_.watch.apply_config(document, address);
+        });
+    });
+}
+
+} // namespace waxwinglb::programs::gateway
--- /dev/null
+++ b/src/programs/gateway/peer_news.hpp
@@ -0,0 +1,69 @@
+/// What gateways tell each other of the store and of targets: the configuration in force, data centres taken
+/// out, leaving targets, registrations for those that can't read the store, and from the order giver what
+/// targets hold. The newest news wins, so each gateway may pass on all that it knows.
+#pragma once
+
+#include "core/membership/announcements.hpp"
+#include "edge/http_client.hpp"
+#include "programs/gateway/dispatcher.hpp"
+#include "programs/gateway/forwarder.hpp"
+#include "programs/gateway/store_watch.hpp"
+
+namespace waxwinglb::programs::gateway {
+
+constexpr core::common::milliseconds holdings_resend_interval{1'000}; // receivers use them for 3 s
+constexpr core::common::milliseconds starts_resend_interval{5'000}; // each gateway's own watch sees them too
+
+class peer_news {
+public:
+    struct dependencies {
+        dispatcher& dispatch;
+        forwarder& forward;
+        store_watch& watch;
+        edge::http_client& client;
+        std::function<std::vector<wire::target_holding>()> holdings; // empty unless this gateway gives orders
+    };
+    /// What the order giver announces of targets.
+    struct target_updates {
+        std::vector<wire::target_holding> holdings;
+        std::vector<wire::target_registration> starts;
+    };
+    peer_news(gateway_context& context, dependencies used)
+        : context_(context), dependencies_(std::move(used)) {}
+
+    void add_to(wire::peer_status& message) const;
+    void add_suspects_to(wire::peer_status& message) const; // requests that broke connections to targets
+    [[nodiscard]] target_updates due_updates();             // changed, or due to be sent again
+    /// Updates that came from another group since the last call, to pass on in the own one.
+    [[nodiscard]] target_updates take_relayed() { return std::exchange(relayed_, {}); }
+    [[nodiscard]] std::vector<wire::target_registration> registrations() const;
+    /// Whether this gateway can tell the registrations: it reads them, or has them from another group.
+    [[nodiscard]] bool has_registrations(core::common::time_point now) const;
+    /// Whether the leaving targets or the data centres taken out changed since the last call.
+    [[nodiscard]] bool departures_changed();
+
+    /// Applies a peer's message. Returns true if it has updates to pass on in the own group, which happens
+    /// only if it is `from_other_group`.
+    bool apply(const wire::peer_status& message, bool from_other_group);
+    void forget_old();
+
+private:
+    void apply_centres(const wire::peer_status& message);
+    void apply_store_state(const wire::peer_status& message);
+    void apply_holdings(const wire::peer_status& message);
+    [[nodiscard]] bool
+    knows_all_of(const wire::peer_status& message) const; // configuration, data centres out
+    void adopt_registrations(const wire::peer_status& message);
+    void fetch_config(const std::string& address);
+
+    gateway_context& context_;
+    dependencies dependencies_;
+    core::membership::announcement_schedule holdings_updates_{holdings_resend_interval};
+    core::membership::announcement_schedule starts_updates_{starts_resend_interval};
+    target_updates relayed_;
+    std::uint64_t announced_departures_ = 0; // hash of what was last announced
+    core::common::time_point config_fetched_at_{};
+    core::common::time_point adopted_outside_at_{}; // registrations from another group
+};
+
+} // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -23,6 +23,11 @@
         out.prompt_tokens_per_second = static_cast<int>(
             dispatch.integer("prompt_tokens_per_second", 0, 10'000'000, out.prompt_tokens_per_second));
     });
+    in.section("exchange", false, [&](edge::settings_section& exchange) {
+        out.processor_share = exchange.number("processor_share", 0, 1'000, out.processor_share);
+        out.single_group = static_cast<std::size_t>(
+            exchange.integer("single_group", 1, 1'000, static_cast<std::int64_t>(out.single_group)));
+    });
     in.section("retries", false, [&](edge::settings_section& retries) {
         out.retries.ratio = retries.number("ratio", 0, 10, out.retries.ratio);
         out.retries.slack = retries.number("slack", 0, 1e6, out.retries.slack);
--- a/src/programs/gateway/store_history.cpp
+++ b/src/programs/gateway/store_history.cpp
@@ -26,6 +26,7 @@
         reply.why = {std::string{"store "} + call, "", describe_outdated(reply.at.era, before)};
         return;
     case verdict::first:
+        first_era_ = reply.at.era;
         metrics_.store_era.Set(static_cast<double>(reply.at.era));
         return callbacks_.on_first_answer();
     case verdict::risen:
--- a/src/programs/gateway/store_history.hpp
+++ b/src/programs/gateway/store_history.hpp
@@ -23,13 +23,15 @@
     /// Takes note of a reply's era, before the reply is used. `call` names it in the log. A reply of an
     /// earlier era than the newest counts as no answer; its content is dropped.
     void note(platform::store_reply& reply, const char* call);
-    [[nodiscard]] std::int64_t era() const { return eras_.newest(); } // 0: the store states none
+    [[nodiscard]] std::int64_t era() const { return eras_.newest(); }   // 0: the store states none
+    [[nodiscard]] std::int64_t first_era() const { return first_era_; } // that this process heard of
 
 private:
     edge::decision_log& log_;
     gateway_metrics& metrics_;
     callbacks callbacks_;
     core::membership::store_eras eras_;
+    std::int64_t first_era_ = 0;
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -331,21 +331,21 @@
 void store_watch::list_members(const store_reply& reply, list_source source) {
     if (source == list_source::store)
         members_.clear();
-    std::vector<std::int64_t> registered_in;
+    std::vector<std::int64_t> running_since;
     for (const auto& object : reply.objects)
         if (object.name != context_.settings.name)
-            registered_in.push_back(platform::decode_registration(object.spec).era);
-    context_.start.registrations_read(registered_in, reply.at.era, context_.loop.now());
+            running_since.push_back(platform::decode_registration(object.spec).first_era);
+    context_.start.registrations_read(running_since, reply.at.era, context_.loop.now());
     change_members(reply);
 }
 
 void store_watch::change_members(const store_reply& reply) {
     for (const auto& object : reply.objects) {
-        const auto address = platform::decode_registration(object.spec).address;
-        if (object.removed || address.empty())
+        const auto registration = platform::decode_registration(object.spec);
+        if (object.removed || registration.address.empty())
             members_.erase(object.name);
         else
-            members_[object.name] = address;
+            members_[object.name] = {registration.address, registration.data_centre};
     }
     callbacks_.on_members(members_);
 }
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -65,10 +65,15 @@
 
 class store_watch {
 public:
+    /// Another gateway, or this one, as registered.
+    struct member {
+        std::string address;     // for peers' messages
+        std::string data_centre; // empty: registered by an earlier version
+    };
     struct callbacks {
         std::function<void()> on_config;  // a newer configuration is in force
         std::function<void()> on_targets; // targets or data centres taken out changed
-        std::function<void(std::map<std::string, std::string>)> on_members; // peer address by gateway name
+        std::function<void(const std::map<std::string, member>&)> on_members; // by gateway's name
     };
     store_watch(gateway_context& context, platform::store_client& store, callbacks handlers);
     void start();
@@ -102,7 +107,7 @@
     kind_watch centres_watch_;
     kind_watch members_watch_;
     std::string config_text_;
-    std::map<std::string, std::string> members_; // address by name
+    std::map<std::string, member> members_; // by name
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/tests/core/store_restore_test.cpp
+++ b/tests/core/store_restore_test.cpp
@@ -92,17 +92,17 @@
     EXPECT_TRUE(centres.out().empty());
 }
 
-TEST(catch_up, waits_for_a_running_gateway_only_if_the_store_was_restored_since_one_registered) {
+TEST(catch_up, waits_for_a_running_gateway_only_if_the_store_was_restored_since_one_started) {
     struct fault_case {
         const char* name;
-        std::vector<std::int64_t> registered_in;
+        std::vector<std::int64_t> running_since;
         common::milliseconds wait;
     };
     for (const fault_case& each :
          {fault_case{"no other gateway", {}, 0ms}, fault_case{"all of this era", {2, 2}, 0ms},
           fault_case{"one of an earlier era", {2, 1}, catch_up::limit}}) {
         catch_up begun;
-        begun.registrations_read(each.registered_in, 2, start);
+        begun.registrations_read(each.running_since, 2, start);
         EXPECT_EQ(begun.done(start), each.wait == 0ms) << each.name;
         EXPECT_TRUE(begun.done(start + each.wait)) << each.name;
     }
--- a/tests/programs/test_gateway_store_restore.py
+++ b/tests/programs/test_gateway_store_restore.py
@@ -30,6 +30,10 @@
     return sorted(name for kind, name in list(fleet.store.objects) if kind == "waxwinglb-leases")
 
 
+def registrations(fleet):
+    return {name: item["spec"] for (kind, name), item in list(fleet.store.objects.items()) if kind == "waxwinglb-routers"}
+
+
 def expect_one_holder_at_a_time(orders):
     """Orders of one target: fencing numbers rise, each belongs to one holder, and holders keep their distance."""
     for earlier, later in zip(orders, orders[1:]):
@@ -113,6 +117,7 @@
             line["subject"] == "b-left" and line["change"] == "removed" for line in fleet.events("target_changed")), "both are known")
         fleet.store.restore()
         wait_until(lambda: fleet.events("store_restored"), "the restore is noticed")
+        wait_until(lambda: registrations(fleet).get("g1", {}).get("era") == 2, "the running gateway has registered again")
         fleet.add_gateway("late")
         fleet.gateways[1].start()
         wait_until(lambda: fleet.readiness(fleet.gateways[1]) == 200, "a gateway that starts now is ready")
@@ -142,9 +147,8 @@
         begun = time.monotonic()
         fleet.store.restore()
 
-        def registered():
-            return {name: item["spec"]["era"] for (kind, name), item in list(fleet.store.objects.items()) if kind == "waxwinglb-routers"}
-        wait_until(lambda: registered() == {"g1": 2, "g2": 2, "g3": 2}, "all gateways have registered again")
+        wait_until(lambda: {name: spec["era"] for name, spec in registrations(fleet).items()} == {"g1": 2, "g2": 2, "g3": 2},
+                   "all gateways have registered again")
         time.sleep(max(0.0, begun + 2 - time.monotonic()))
         calls = [call for call in fleet.store.calls if begun <= call[0] <= begun + 2]
         if len(calls) > 3 * MAX_CALLS:
