Gateway: larger machines give orders, and news of targets fit into messages of any fleet

That is the order giver: it repeats what each target holds every second, 60 kB a second to each receiver at 1,000 targets. At 3,000 targets the message grows beyond a datagram (65,000 bytes) and was dropped whole, with all of it marked as announced. Two speakers passed on the same. Each gateway read the lease, 103 times every 0.4 s while no order giver is heard. Ruled out: the exchange's sums (12 speakers, about 2 kB every 0.35 s). Change: a free lease is left to larger machines for 0.5 s; in large fleets only coordinators read it often. Updates of targets go at most 400 to a message, the rest with the next ones. What is only repeated is passed on by one of the two speakers, by hash of the target; changes by both. Starts are repeated every 20 s instead of 5 s: each gateway looks at the registrations every 10 s itself. Event messages keep an interval that grows with the fleet.

--- a/src/core/exchange/exchange.hpp
+++ b/src/core/exchange/exchange.hpp
@@ -64,6 +64,7 @@
     [[nodiscard]] bool grouped() const { return grouped_; }
     [[nodiscard]] const std::string& group() const { return group_; } // empty: the fleet is one group
     [[nodiscard]] bool speaks(common::time_point now) const;          // for its group
+    [[nodiscard]] std::vector<std::string> own_speakers(common::time_point now) const; // of the own group
     [[nodiscard]] bool hears(const std::string& peer, common::time_point now) const;
     /// Gateways that may serve as scheduler of a target or read the store for others: all that are in contact
     /// in a small fleet, the speakers in a large one. All gateways know the same ones, but for the moment.
@@ -104,7 +105,6 @@
     void rebuild(limits::fleet_quota& quota);
     [[nodiscard]] bool should_group(common::time_point now) const;
     [[nodiscard]] bool in_mutual_contact(const peer& other, common::time_point now) const;
-    [[nodiscard]] std::vector<std::string> own_speakers(common::time_point now) const;
     [[nodiscard]] report base(const local_state& state);
     void take_member(const report& received, limits::fleet_quota& quota, common::time_point now);
     void take_group(const report& received, limits::fleet_quota& quota, common::time_point now);
--- a/src/core/exchange/groups.cpp
+++ b/src/core/exchange/groups.cpp
@@ -41,4 +41,10 @@
     return out;
 }
 
+bool repeats(const std::string& subject, const std::string& self, const std::vector<std::string>& speakers) {
+    if (std::find(speakers.begin(), speakers.end(), self) == speakers.end())
+        return true;
+    return speakers[common::hash_of(subject) % speakers.size()] == self;
+}
+
 } // namespace waxwinglb::core::exchange
--- a/src/core/exchange/groups.hpp
+++ b/src/core/exchange/groups.hpp
@@ -27,5 +27,9 @@
 /// The group's speakers: larger machines first. `members`: those in contact.
 [[nodiscard]] std::vector<std::string> choose_speakers(const std::string& group,
                                                        std::vector<candidate> members);
+/// Whether `self` is the one of the speakers that passes on what is only repeated about `subject`. Whoever
+/// isn't a speaker passes on everything: it is there because no speaker was reached.
+[[nodiscard]] bool repeats(const std::string& subject, const std::string& self,
+                           const std::vector<std::string>& speakers);
 
 } // namespace waxwinglb::core::exchange
--- a/src/programs/gateway/order_lease.cpp
+++ b/src/programs/gateway/order_lease.cpp
@@ -17,9 +17,14 @@
 constexpr milliseconds margin{300}; // for differences in clock rate
 constexpr milliseconds read_interval_holder_active{8'000};
 constexpr milliseconds read_interval_holder_silent{400};
+constexpr milliseconds read_interval_others_active{30'000};
+constexpr milliseconds read_interval_others_silent{1'600};
 constexpr milliseconds max_record_age{600};  // an older record doesn't show whether the holder renews it
 constexpr milliseconds min_outage{800};      // failed store calls for less than that are not an outage
 constexpr milliseconds renewal_grace{1'000}; // after an outage, for holders to renew before others take over
+// Planning for a large fleet takes more processor time than a small machine has beside its requests: larger
+// ones take a free lease first.
+constexpr milliseconds smaller_machine_delay{500};
 constexpr const char* orders_under_key = "orders_under"; // record field: fencing number of the last orders
 
 } // namespace
@@ -32,25 +37,30 @@
 
 void order_lease::step() {
     const auto now = context_.loop.now();
+    const bool read_due = lease_.needs_read() || (!lease_.mine() && now - checked_at_ > read_interval());
     if (lease_.writing()) {
         // the write's answer or timeout is pending
-    } else if (lease_.needs_read() && !reading_) {
-        read();
     } else if (lease_.renewal_due(now) && !lease_.releasing()) {
         if (const auto due = lease_.write(state_to_write(now), now))
             write(*due);
     } else if (may_take(now)) {
         if (const auto taking = lease_.take(now))
             write(*taking);
-    } else if (!lease_.mine() && !reading_) {
-        if (now - checked_at_ > (peers_->hears_active_holder(lease_.record().holder)
-                                     ? read_interval_holder_active
-                                     : read_interval_holder_silent))
-            read();
+    } else if (read_due && !reading_) {
+        read();
     }
     update_state(now);
 }
 
+/// All gateways of a small fleet look after the lease, the coordinators of a large one; the rest is there if
+/// all of those are lost.
+milliseconds order_lease::read_interval() const {
+    const bool active = peers_->hears_active_holder(lease_.record().holder);
+    if (peers_->is_coordinator())
+        return active ? read_interval_holder_active : read_interval_holder_silent;
+    return active ? read_interval_others_active : read_interval_others_silent;
+}
+
 /// The record of an active holder is read rarely, so it may look expired: a takeover needs a fresh read.
 bool order_lease::may_take(time_point now) const {
     if (lease_.mine() || context_.draining || !context_.config || !lease_.takeable(now))
@@ -58,7 +68,12 @@
     // Some gateway may not know of the new era yet, or may use another lease in a rolling update.
     if (peers_->hears_order_giver())
         return false;
-    if (lease_.record().holder.empty() || lease_.held_by_previous_start())
+    if (lease_.held_by_previous_start())
+        return true;
+    const bool smaller = context_.settings.processor_share < peers_->largest_processor_share();
+    if (smaller && lease_.free_for(now) < smaller_machine_delay)
+        return false;
+    if (lease_.record().holder.empty())
         return true;
     return now - read_at_ <= max_record_age && contact_.may_take_over(now);
 }
--- a/src/programs/gateway/peer_news.cpp
+++ b/src/programs/gateway/peer_news.cpp
@@ -2,6 +2,9 @@
 
 #include "core/common/hash.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace waxwinglb::programs::gateway {
 namespace {
 
@@ -29,6 +32,45 @@
     return out;
 }
 
+std::uint64_t hash_of_content(const wire::target_holding& holding) {
+    std::string content = std::to_string(holding.born).append(" ").append(std::to_string(holding.sequence));
+    for (const std::string& model : holding.models)
+        content.append(" ").append(model);
+    for (const auto& load : holding.coming)
+        content.append(" +").append(load.model);
+    return core::common::hash_of(content);
+}
+
+std::uint64_t hash_of_content(const wire::target_registration& start) {
+    return core::common::hash_of(std::to_string(start.born) + start.address +
+                                 (start.cold_ms > 0 ? " cold" : ""));
+}
+
+/// Moves what is due of `all`, which is ordered by target, to `out`, beginning at target `next`. Returns true
+/// if more may be due than fits into one message; the next call then begins there.
+template<class update_type, class predicate>
+bool take_due(std::vector<update_type>&& all, std::string& next, const predicate& due,
+              std::vector<update_type>& out) {
+    const auto before_next = [&](const update_type& update) { return update.target < next; };
+    std::rotate(all.begin(), std::partition_point(all.begin(), all.end(), before_next), all.end());
+    for (update_type& update : all) {
+        if (out.size() == max_updates) {
+            next = update.target;
+            return true;
+        }
+        if (due(update))
+            out.push_back(std::move(update));
+    }
+    return false;
+}
+
+template<class update_type>
+void take_first(std::vector<update_type>& from, std::vector<update_type>& out) {
+    const auto end = from.begin() + static_cast<std::ptrdiff_t>(std::min(from.size(), max_updates));
+    out.assign(std::make_move_iterator(from.begin()), std::make_move_iterator(end));
+    from.erase(from.begin(), end);
+}
+
 /// Replaces what is already there about the same target.
 template<class update_type>
 void add_or_replace(std::vector<update_type>& to, const update_type& update) {
@@ -77,28 +119,31 @@
 
 /// Targets' models and starts (also of targets that became cold) that changed or are due for resending.
 peer_news::target_updates peer_news::due_updates() {
-    target_updates out;
     const auto now = context_.loop.now();
-    for (auto& holding : dependencies_.holdings()) {
-        std::string content =
-            std::to_string(holding.born).append(" ").append(std::to_string(holding.sequence));
-        for (const std::string& model : holding.models)
-            content.append(" ").append(model);
-        for (const auto& load : holding.coming)
-            content.append(" +").append(load.model);
-        if (holdings_updates_.due(holding.target, core::common::hash_of(content), now))
-            out.holdings.push_back(std::move(holding));
-    }
-    for (auto& registration : registrations()) {
-        const std::string content = std::to_string(registration.born) + registration.address +
-                                    (registration.cold_ms > 0 ? " cold" : "");
-        if (!registration.draining &&
-            starts_updates_.due(registration.target, core::common::hash_of(content), now))
-            out.starts.push_back(std::move(registration));
-    }
+    target_updates out;
+    const auto holding_due = [&](const wire::target_holding& holding) {
+        return holdings_updates_.due(holding.target, hash_of_content(holding), now);
+    };
+    const auto start_due = [&](const wire::target_registration& start) {
+        return !start.draining && starts_updates_.due(start.target, hash_of_content(start), now);
+    };
+    const bool holdings_left = take_due(dependencies_.holdings(), next_holding_, holding_due, out.holdings);
+    const bool starts_left = take_due(registrations(), next_start_, start_due, out.starts);
+    updates_left_ = holdings_left || starts_left;
+    return out;
+}
+
+peer_news::target_updates peer_news::take_relayed() {
+    target_updates out;
+    take_first(relayed_.holdings, out.holdings);
+    take_first(relayed_.starts, out.starts);
     return out;
 }
 
+bool peer_news::has_more(bool announces) const {
+    return (announces && updates_left_) || !relayed_.holdings.empty() || !relayed_.starts.empty();
+}
+
 std::vector<wire::target_registration> peer_news::registrations() const {
     const auto now = context_.loop.now();
     std::vector<wire::target_registration> out;
@@ -138,22 +183,30 @@
 
 // ---- hearing ---------------------------------------------------------------------------------------
 
-bool peer_news::apply(const wire::peer_status& message, bool from_other_group) {
+bool peer_news::apply(const wire::peer_status& message,
+                      const std::function<relay_duty(const std::string&)>& duty_for) {
     for (const auto& suspect : message.suspects)
         dependencies_.forward.merge_connection_breaks(std::strtoull(suspect.fingerprint.c_str(), nullptr, 10),
                                                       suspect.crashes);
     const bool adopts = !message.registrations.empty() && !dependencies_.watch.reads_targets();
-    if (adopts && from_other_group)
+    if (adopts && duty_for("") != relay_duty::none)
         adopted_outside_at_ = context_.loop.now();
     apply_store_state(message);
     apply_holdings(message);
-    if (!from_other_group || (message.holdings.empty() && message.starts.empty()))
-        return false;
-    for (const auto& holding : message.holdings)
-        add_or_replace(relayed_.holdings, holding);
-    for (const auto& start : message.starts)
-        add_or_replace(relayed_.starts, start);
-    return true;
+    const auto relay = [&](const auto& updates, const char* kind, auto& to) {
+        for (const auto& update : updates) {
+            const relay_duty duty = duty_for(update.target);
+            if (duty == relay_duty::none)
+                return;
+            const auto content = hash_of_content(update);
+            const bool changed = std::exchange(relayed_content_[kind + update.target], content) != content;
+            if (changed || duty == relay_duty::everything)
+                add_or_replace(to, update);
+        }
+    };
+    relay(message.holdings, "holding ", relayed_.holdings);
+    relay(message.starts, "start ", relayed_.starts);
+    return !relayed_.holdings.empty() || !relayed_.starts.empty();
 }
 
 void peer_news::apply_centres(const wire::peer_status& message) {
--- a/src/programs/gateway/peer_news.hpp
+++ b/src/programs/gateway/peer_news.hpp
@@ -12,7 +12,16 @@
 namespace waxwinglb::programs::gateway {
 
 constexpr core::common::milliseconds holdings_resend_interval{1'000}; // receivers use them for 3 s
-constexpr core::common::milliseconds starts_resend_interval{5'000}; // each gateway's own watch sees them too
+constexpr core::common::milliseconds starts_resend_interval{20'000}; // each gateway's own watch sees them too
+/// Updates of targets in one message, which takes about 30 kB with them. The rest goes with the next ones.
+constexpr std::size_t max_updates = 400;
+
+/// Which updates from other groups this gateway passes on in its own.
+enum class relay_duty {
+    none,    // the message is of the own group
+    changes, // another speaker passes on what is only repeated
+    everything,
+};
 
 class peer_news {
 public:
@@ -34,17 +43,20 @@
     void add_to(wire::peer_status& message) const;
     void add_suspects_to(wire::peer_status& message) const; // requests that broke connections to targets
     [[nodiscard]] target_updates due_updates();             // changed, or due to be sent again
-    /// Updates that came from another group since the last call, to pass on in the own one.
-    [[nodiscard]] target_updates take_relayed() { return std::exchange(relayed_, {}); }
+    /// Updates that came from another group, to pass on in the own one; the oldest ones, once.
+    [[nodiscard]] target_updates take_relayed();
+    /// Whether updates are left that didn't fit into the last message. `announces`: it had due_updates.
+    [[nodiscard]] bool has_more(bool announces) const;
     [[nodiscard]] std::vector<wire::target_registration> registrations() const;
     /// Whether this gateway can tell the registrations: it reads them, or has them from another group.
     [[nodiscard]] bool has_registrations(core::common::time_point now) const;
     /// Whether the leaving targets or the data centres taken out changed since the last call.
     [[nodiscard]] bool departures_changed();
 
-    /// Applies a peer's message. Returns true if it has updates to pass on in the own group, which happens
-    /// only if it is `from_other_group`.
-    bool apply(const wire::peer_status& message, bool from_other_group);
+    /// Applies a peer's message. `duty_for`: what to do with another group's update of a target. Returns true
+    /// if there are updates to pass on in the own group.
+    bool apply(const wire::peer_status& message,
+               const std::function<relay_duty(const std::string&)>& duty_for);
     void forget_old();
 
 private:
@@ -61,6 +73,10 @@
     core::membership::announcement_schedule holdings_updates_{holdings_resend_interval};
     core::membership::announcement_schedule starts_updates_{starts_resend_interval};
     target_updates relayed_;
+    std::map<std::string, std::uint64_t> relayed_content_; // hash of a target's last update passed on
+    std::string next_holding_; // targets from there on come first in the next message
+    std::string next_start_;
+    bool updates_left_ = false;
     std::uint64_t announced_departures_ = 0; // hash of what was last announced
     core::common::time_point config_fetched_at_{};
     core::common::time_point adopted_outside_at_{}; // registrations from another group
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -10,8 +10,9 @@
 
 using core::common::milliseconds;
 
-constexpr milliseconds min_status_interval{15}; // between two messages sent because of events
-constexpr milliseconds min_relay_interval{50};  // the same, for news of other groups: they come in bursts
+// Between two messages sent because of events; more in larger fleets, where each goes to more receivers.
+constexpr milliseconds min_status_interval{15};
+constexpr std::chrono::microseconds status_interval_per_gateway{500};
 // Order givers hear every gateway. Larger fleets tell them details less often, except of what has begun to
 // wait.
 constexpr milliseconds details_period_per_gateway{3};
@@ -70,24 +71,26 @@
     context_.loop.schedule(now + exchange_.period(now), [this] { tick(); });
 }
 
-void peers::schedule_status(audience to, milliseconds least_interval) {
+void peers::schedule_status(audience to) {
     if (to == audience::everybody)
         scheduled_audience_ = to;
     if (status_scheduled_)
         return;
     status_scheduled_ = true;
-    context_.loop.schedule(std::max(context_.loop.now(), status_sent_at_ + least_interval), [this] {
+    const auto interval = std::max<core::common::duration>(
+        min_status_interval, status_interval_per_gateway * static_cast<int>(exchange_.fleet_size()));
+    context_.loop.schedule(std::max(context_.loop.now(), status_sent_at_ + interval), [this] {
         status_scheduled_ = false;
         send_status(std::exchange(scheduled_audience_, audience::order_givers));
     });
 }
 
 void peers::notify_all() {
-    schedule_status(audience::everybody, min_status_interval);
+    schedule_status(audience::everybody);
 }
 
 void peers::notify_order_giver() {
-    schedule_status(audience::order_givers, min_status_interval);
+    schedule_status(audience::order_givers);
 }
 
 void peers::notify_departures() {
@@ -111,6 +114,11 @@
     return exchange_.coordinators(context_.loop.now());
 }
 
+bool peers::is_coordinator() const {
+    const auto names = coordinators();
+    return std::find(names.begin(), names.end(), context_.settings.name) != names.end();
+}
+
 bool peers::hears_order_giver() const {
     return exchange_.order_giver(context_.loop.now()).has_value();
 }
@@ -127,13 +135,9 @@
     view.gives_orders = gives_orders;
     view.hears_order_giver = order_giver && order_giver->reads_store;
     view.hears_other_reader = exchange_.hears_reader(now);
-    if (!view.gives_orders && !view.hears_order_giver) {
-        const auto candidates = exchange_.coordinators(now);
-        const bool is_candidate =
-            std::find(candidates.begin(), candidates.end(), context_.settings.name) != candidates.end();
-        view.is_substitute =
-            is_candidate && core::membership::is_substitute_reader(context_.settings.name, candidates);
-    }
+    if (!view.gives_orders && !view.hears_order_giver)
+        view.is_substitute = is_coordinator() &&
+                             core::membership::is_substitute_reader(context_.settings.name, coordinators());
     return core::membership::reads_closely(view);
 }
 
@@ -141,6 +145,14 @@
     return exchange_.in_contact(context_.loop.now());
 }
 
+double peers::largest_processor_share() const {
+    double largest = 0;
+    for (const auto& [name, peer] : exchange_.peers())
+        if (exchange_.hears(name, context_.loop.now()))
+            largest = std::max(largest, peer.last.processor_share);
+    return largest;
+}
+
 std::string peers::reader_address() const {
     for (const auto& [name, peer] : exchange_.peers()) {
         const auto details = details_.find(name);
@@ -235,6 +247,8 @@
     send_to_members(to, updates);
     if (exchange_.grouped())
         send_outside(to, updates);
+    if (to == audience::everybody && news_.has_more(announces))
+        schedule_status(audience::everybody);
 }
 
 void peers::send_to_members(audience to, const peer_news::target_updates& updates) {
@@ -389,8 +403,15 @@
         order_giver && dependencies_.watch.reads_targets())
         context_.directory.note_order_giver_store_access(order_giver->reads_store, now);
     const bool from_other_group = exchange_.grouped() && !report.own && report.group != exchange_.group();
-    if (news_.apply(status, from_other_group))
-        schedule_status(audience::everybody, min_relay_interval);
+    const auto speakers = from_other_group ? exchange_.own_speakers(now) : std::vector<std::string>{};
+    const auto duty_for = [&](const std::string& target) {
+        if (!from_other_group)
+            return relay_duty::none;
+        return core::exchange::repeats(target, context_.settings.name, speakers) ? relay_duty::everything
+                                                                                 : relay_duty::changes;
+    };
+    if (news_.apply(status, duty_for))
+        schedule_status(audience::everybody);
 }
 
 void peers::log_lost_peers() {
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -46,12 +46,14 @@
 
     /// Gateways of which one may be chosen as scheduler of a target, all by the same rule.
     [[nodiscard]] std::vector<std::string> coordinators() const;
+    [[nodiscard]] bool is_coordinator() const;    // this gateway is one of them
     [[nodiscard]] bool hears_order_giver() const; // another gateway gives orders
     /// `holder` is heard as order giver and reads the store.
     [[nodiscard]] bool hears_active_holder(const std::string& holder) const;
     /// Whether this gateway must watch the store closely. `gives_orders`: it holds the lease.
     [[nodiscard]] bool reads_store_closely(bool gives_orders) const;
-    [[nodiscard]] int in_contact() const; // other gateways
+    [[nodiscard]] int in_contact() const;                 // other gateways
+    [[nodiscard]] double largest_processor_share() const; // of a core, of the gateways heard; 0: none heard
     /// Address of a peer that the store answers and that relays lease calls; empty: none in contact.
     [[nodiscard]] std::string reader_address() const;
     /// Details that are new enough to plan by; by gateway's name.
@@ -63,7 +65,7 @@
     enum class audience { everybody, order_givers };
     struct frame_cache; // encodings of one message for different receivers
     void tick();
-    void schedule_status(audience to, core::common::milliseconds least_interval);
+    void schedule_status(audience to);
     void send_status(audience to);
     void send_to_members(audience to, const peer_news::target_updates& updates);
     void send_outside(audience to, const peer_news::target_updates& updates);
--- a/tests/core/exchange_test.cpp
+++ b/tests/core/exchange_test.cpp
@@ -78,6 +78,20 @@
     EXPECT_EQ(choose_speakers("a", {{"only", 0}}).size(), 1U);
 }
 
+TEST(exchange_groups, one_speaker_repeats_what_did_not_change) {
+    int both = 0;
+    for (int at = 0; at < 100; ++at) {
+        const std::string target = "t" + std::to_string(at);
+        const bool first = core::exchange::repeats(target, "a", {"a", "b"});
+        EXPECT_NE(first, core::exchange::repeats(target, "b", {"a", "b"}));
+        EXPECT_TRUE(core::exchange::repeats(target, "c", {"a", "b"}))
+            << "tried, because no speaker was reached";
+        both += first ? 1 : 0;
+    }
+    EXPECT_GT(both, 20);
+    EXPECT_LT(both, 80);
+}
+
 TEST(total_feed, counts_each_token_once_while_two_report) {
     total_feed feed;
     const time_point at{10s};
--- a/tests/programs/gateway_fleet.py
+++ b/tests/programs/gateway_fleet.py
@@ -24,8 +24,8 @@
         for number in range(gateways):
             self.add_gateway(f"g{number + 1}")
 
-    def add_gateway(self, name, data_centre="a"):
-        settings = {"name": name, "data_centre": data_centre, "store": self.store.address, **self.settings,
+    def add_gateway(self, name, data_centre="a", **more):
+        settings = {"name": name, "data_centre": data_centre, "store": self.store.address, **self.settings, **more,
                     **{name: self.ports.address() for name in ("http", "readiness", "metrics", "peers")}}
         binary = self.bin / "waxwing-gateway"
         self.gateways.append(Program(binary, self.temporary.name, settings, settings["metrics"]))
--- a/tests/programs/test_gateway_groups.py
+++ b/tests/programs/test_gateway_groups.py
@@ -12,6 +12,7 @@
 ARGUMENTS = arguments(__doc__)
 CENTRES = ("a", "b", "c")
 EACH = 3                # gateways of a data centre; two of them speak
+SMALL = 6               # smaller machines beside two larger ones
 SPREAD_S = 2.0          # bound of the platform for a configuration, a departure: drain_ms, config_ms
 MALFORMED = (b"", b"x", b"\x00" * 60, b"\xff" * 1_400, b"\x82" * 60_000)
 
@@ -68,6 +69,24 @@
         expect(len(leaving.runs), before, "requests at the target that left")
 
 
+def larger_machines_take_over_the_orders():
+    with Fleet(ARGUMENTS.bin, gateways=0) as fleet:
+        fleet.target("t1", "engine", models=["m0"], on_disk=["m1", "m2", "m3", "m4"])
+        for name in ("large1", "large2"):
+            fleet.add_gateway(name, exchange={"processor_share": 0.5})
+        for number in range(SMALL):
+            fleet.add_gateway(f"small{number}", exchange={"processor_share": 0.09})
+        fleet.start()
+        fleet.wait_for_contact()
+        first = fleet.wait_for_orders()[0]
+        next(gateway for gateway in fleet.gateways if gateway.name == first["process"]).kill()
+
+        def taken_since():
+            return [line["process"] for line in fleet.events("lease_taken") if line["unix_ms"] > first["unix_ms"]]
+        wait_until(taken_since, "another gateway takes the lease")
+        expect([name[:5] for name in taken_since()], ["large"], "who takes it")
+
+
 def malformed_messages_cost_a_log_line_and_nothing_else():
     with grouped_fleet() as fleet:
         fleet.target("t1", "ledger")
@@ -119,6 +138,7 @@
 if __name__ == "__main__":
     run_cases([all_groups_are_in_contact_and_orders_of_one_are_known_in_all,
                changes_reach_all_groups_although_all_speakers_are_killed,
+               larger_machines_take_over_the_orders,
                malformed_messages_cost_a_log_line_and_nothing_else,
                gateways_of_an_earlier_version_report_to_all,
                messages_are_small_between_groups])
