Gateway: pass on departures that were heard, in a fleet of several groups

A gateway told its peers only of departures that it had seen in the store or in an answer. That was right while everybody heard everybody; with groups the order giver's word reached the speakers and ended there, and the rest learned by its own look every 10 s. Ruled out: late messages between groups (the same messages carried the order giver's sighting within 1.4 s, by the model); a target's own word, which each gateway notes by itself. Change: in grouped fleets departures that were heard are told on, at once and for that start of the target; small fleets tell only what they saw, as their test asks. After: none; the other cases of the groups, of target notices, of restores and of test_gateway pass.

--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -49,7 +49,7 @@
     std::map<std::string, common::time_point> coming; // models being loaded -> when they should be ready
     std::int64_t orders = 0;                          // accepted orders, as of `described_at`
     common::time_point described_at{};                // time of the order giver's last description
-    bool leaving_by_peer = false; // a peer says so; never passed on, reset by the next registration
+    bool leaving_by_peer = false; // a peer says so; reset by the next registration
     std::optional<common::time_point> said_leaving_at; // by an answer of the target; holds for this start
     std::optional<target_pause> pause;                 // the latest that the target asked for
 
--- a/src/programs/gateway/peer_news.cpp
+++ b/src/programs/gateway/peer_news.cpp
@@ -98,7 +98,7 @@
         message.centres_held.push_back(std::move(hold));
     }
     message.informed = context_.informed();
-    for (const auto& leaving : context_.directory.leaving_targets()) {
+    for (const auto& leaving : leaving_to_tell()) {
         wire::leaving_target entry;
         entry.target = leaving.id;
         entry.born = leaving.born;
@@ -107,6 +107,19 @@
     add_suspects_to(message);
 }
 
+/// What was heard holds for one start of a target, so passing it on ends with that start.
+std::vector<core::fleet::target_start> peer_news::leaving_to_tell() const {
+    auto out = context_.directory.leaving_targets();
+    if (!grouped_)
+        return out;
+    for (const auto& [id, target] : context_.directory.targets()) {
+        const core::fleet::target_start start{id, target.entry.born};
+        if (target.leaving_by_peer && std::find(out.begin(), out.end(), start) == out.end())
+            out.push_back(start);
+    }
+    return out;
+}
+
 void peer_news::add_suspects_to(wire::peer_status& message) const {
     for (const auto& [fingerprint, count] : dependencies_.forward.connection_breaks())
         if (count > 1) { // a single broken connection is common
@@ -168,7 +181,7 @@
 
 bool peer_news::departures_changed() {
     std::string text;
-    for (const auto& target : context_.directory.leaving_targets())
+    for (const auto& target : leaving_to_tell())
         text.append(target.id).append(" ").append(std::to_string(target.born)).append(" ");
     for (const std::string& centre : context_.centres.out())
         text.append(centre).append(" ");
--- a/src/programs/gateway/peer_news.hpp
+++ b/src/programs/gateway/peer_news.hpp
@@ -40,6 +40,8 @@
     peer_news(gateway_context& context, dependencies used)
         : context_(context), dependencies_(std::move(used)) {}
 
+    /// In a fleet of several groups what was heard of leaving targets is passed on: not all hear who saw it.
+    void set_grouped(bool grouped) { grouped_ = grouped; }
     void add_to(wire::peer_status& message) const;
     void add_suspects_to(wire::peer_status& message) const; // requests that broke connections to targets
     [[nodiscard]] target_updates due_updates();             // changed, or due to be sent again
@@ -60,6 +62,7 @@
     void forget_old();
 
 private:
+    [[nodiscard]] std::vector<core::fleet::target_start> leaving_to_tell() const;
     void apply_centres(const wire::peer_status& message);
     void apply_store_state(const wire::peer_status& message);
     void apply_holdings(const wire::peer_status& message);
@@ -72,6 +75,7 @@
     dependencies dependencies_;
     core::membership::announcement_schedule holdings_updates_{holdings_resend_interval};
     core::membership::announcement_schedule starts_updates_{starts_resend_interval};
+    bool grouped_ = false;
     target_updates relayed_;
     std::map<std::string, std::uint64_t> relayed_content_; // hash of a target's last update passed on
     std::string next_holding_; // targets from there on come first in the next message
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -67,6 +67,7 @@
     log_lost_peers();
     dependencies_.dispatch.set_peer_load(outside_load, exchange_.outside_running(now));
     news_.forget_old();
+    news_.set_grouped(exchange_.grouped());
     send_status(audience::everybody);
     context_.loop.schedule(now + exchange_.period(now), [this] { tick(); });
 }
@@ -412,6 +413,8 @@
     };
     if (news_.apply(status, duty_for))
         schedule_status(audience::everybody);
+    if (exchange_.grouped())
+        notify_departures();
 }
 
 void peers::log_lost_peers() {
--- a/tests/programs/test_gateway_groups.py
+++ b/tests/programs/test_gateway_groups.py
@@ -69,6 +69,25 @@
         expect(len(leaving.runs), before, "requests at the target that left")
 
 
+def departures_are_passed_on_to_groups_that_do_not_hear_who_saw_them():
+    with grouped_fleet() as fleet:
+        # Of idle targets those in the gateways' own data centre serve first, then the first one.
+        leaving, staying = fleet.target("b-leaving", "ledger"), fleet.target("c-staying", "ledger")
+        for target in (leaving, staying):
+            target.zone = "z"
+            target.register()
+        fleet.start()
+        fleet.wait_for_contact()
+        fleet.wait_for_orders()
+        time.sleep(SPREAD_S)   # until only the order giver watches the store closely
+        leaving.register(state="draining")
+        time.sleep(SPREAD_S)
+        before = len(leaving.runs)
+        for number in range(len(fleet.gateways)):
+            expect(fleet.ask("/cert/1", fleet.headers(), gateway=number).status, 200, f"service at {number}")
+        expect(len(leaving.runs), before, "requests at the leaving target")
+
+
 def larger_machines_take_over_the_orders():
     with Fleet(ARGUMENTS.bin, gateways=0) as fleet:
         fleet.target("t1", "engine", models=["m0"], on_disk=["m1", "m2", "m3", "m4"])
@@ -138,6 +157,7 @@
 if __name__ == "__main__":
     run_cases([all_groups_are_in_contact_and_orders_of_one_are_known_in_all,
                changes_reach_all_groups_although_all_speakers_are_killed,
+               departures_are_passed_on_to_groups_that_do_not_hear_who_saw_them,
                larger_machines_take_over_the_orders,
                malformed_messages_cost_a_log_line_and_nothing_else,
                gateways_of_an_earlier_version_report_to_all,
