Gateway: one queue for what is passed on, one codec for both sums; less work for each peer's message

Found on reading the whole change once more; behaviour stays as it is. - What a speaker passes on stood in two vectors that were searched from the front for each update (up to 400 a message against thousands that wait), with a hash by a name glued from kind and target, and a function that was asked for the target "" to learn where a message came from. Now core/exchange/relay_queue holds the newest update of each target, oldest first, with its own test; peer_news::apply is told the own group's speakers if a message is from another group. - In large fleets each message of a peer made a text and a hash of all leaving targets, over all targets. mark_leaving now says whether a departure is new, as note_said_leaving does, and only then it is looked at. - peer_codec wrote the same five fields four times; one template each way serves both reports. - order_lease asked in each step of 40 ms who coordinates, also while it holds the lease; now only where a read may follow. - Tests: the sum over a window stood twice (tests/core/token_window.hpp), and so did the set-up of two targets. Assertions are the same.

--- a/src/core/exchange/exchange.cpp
+++ b/src/core/exchange/exchange.cpp
@@ -421,8 +421,7 @@
     out.hears = groups_heard(now);
     out.reader = state.reads_store && state.reads_targets;
     out.use = {quota.group_taken(), state.running};
-    if (const auto seen = newest_sighting(direct, now))
-        out.order_giver = seen;
+    out.order_giver = newest_sighting(direct, now);
     for (const std::string& name : direct_) {
         const auto known = peers_.find(name);
         if (known == peers_.end())
--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -1,6 +1,7 @@
 #include "core/fleet/directory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwinglb::core::fleet {
 
@@ -140,10 +141,11 @@
     known.described_at = now;
 }
 
-void directory::mark_leaving(const target_start& start) {
+bool directory::mark_leaving(const target_start& start) {
     const auto found = targets_.find(start.id);
-    if (found != targets_.end() && found->second.entry.born == start.born)
-        found->second.leaving_by_peer = true;
+    if (found == targets_.end() || found->second.entry.born != start.born)
+        return false;
+    return !std::exchange(found->second.leaving_by_peer, true);
 }
 
 bool directory::note_said_leaving(const target_start& start, time_point now) {
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -43,13 +43,13 @@
 /// One target and what this process knows of it.
 struct target {
     target_entry entry;
-    std::optional<common::time_point> lapsed_until;   // registration missing since an outage; dropped then
-    common::time_point cold_until{};                  // serves only a limited request rate until then
-    std::optional<common::time_point> gone_at;        // end of a removal at short notice
-    std::map<std::string, common::time_point> coming; // models being loaded -> when they should be ready
-    std::int64_t orders = 0;                          // accepted orders, as of `described_at`
-    common::time_point described_at{};                // time of the order giver's last description
-    bool leaving_by_peer = false; // a peer says so; reset by the next registration
+    std::optional<common::time_point> lapsed_until;    // registration missing since an outage; dropped then
+    common::time_point cold_until{};                   // serves only a limited request rate until then
+    std::optional<common::time_point> gone_at;         // end of a removal at short notice
+    std::map<std::string, common::time_point> coming;  // models being loaded -> when they should be ready
+    std::int64_t orders = 0;                           // accepted orders, as of `described_at`
+    common::time_point described_at{};                 // time of the order giver's last description
+    bool leaving_by_peer = false;                      // a peer says so; reset by the next registration
     std::optional<common::time_point> said_leaving_at; // by an answer of the target; holds for this start
     std::optional<target_pause> pause;                 // the latest that the target asked for
 
@@ -105,7 +105,8 @@
                   const std::map<std::string, std::vector<std::string>>& models,
                   const std::map<std::string, common::time_point>& coming, common::time_point now);
     /// A peer reports that a target is leaving or has left: no more requests are sent to this start of it.
-    void mark_leaving(const target_start& start);
+    /// Returns true if no peer had reported it before.
+    bool mark_leaving(const target_start& start);
 
     // What a target said in an answer to this process. No effect if another start has taken its place.
     bool note_said_leaving(const target_start& start, common::time_point now); // true: this is new
--- a/src/programs/gateway/order_lease.cpp
+++ b/src/programs/gateway/order_lease.cpp
@@ -37,7 +37,6 @@
 
 void order_lease::step() {
     const auto now = context_.loop.now();
-    const bool read_due = lease_.needs_read() || (!lease_.mine() && now - checked_at_ > read_interval());
     if (lease_.writing()) {
         // the write's answer or timeout is pending
     } else if (lease_.renewal_due(now) && !lease_.releasing()) {
@@ -46,12 +45,16 @@
     } else if (may_take(now)) {
         if (const auto taking = lease_.take(now))
             write(*taking);
-    } else if (read_due && !reading_) {
+    } else if (!reading_ && read_due(now)) {
         read();
     }
     update_state(now);
 }
 
+bool order_lease::read_due(time_point now) const {
+    return lease_.needs_read() || (!lease_.mine() && now - checked_at_ > read_interval());
+}
+
 /// All gateways of a small fleet look after the lease, the coordinators of a large one; the rest is there if
 /// all of those are lost.
 milliseconds order_lease::read_interval() const {
--- a/src/programs/gateway/order_lease.hpp
+++ b/src/programs/gateway/order_lease.hpp
@@ -39,6 +39,7 @@
 private:
     [[nodiscard]] static core::membership::write_result to_write_result(const platform::store_reply& reply);
     [[nodiscard]] bool may_take(core::common::time_point now) const;
+    [[nodiscard]] bool read_due(core::common::time_point now) const;
     [[nodiscard]] core::common::milliseconds read_interval() const;
     void read();
     void record_call(const char* call, platform::store_reply& reply);
--- a/src/programs/gateway/peer_codec.cpp
+++ b/src/programs/gateway/peer_codec.cpp
@@ -46,11 +46,12 @@
     return out;
 }
 
-core::exchange::group_report decode(const wire::group_status& from) {
-    core::exchange::group_report out;
+/// The parts that the reports on the own group and on the other ones have in common.
+template<class report_type, class status_type>
+report_type decode_common(const status_type& from) {
+    report_type out;
     out.in_contact = from.in_contact;
     out.departed = from.departed;
-    out.hears = from.hears;
     out.reader = from.reader;
     out.use = decode(from.sums.customers, from.sums.loads);
     if (from.__isset.order_giver)
@@ -58,11 +59,11 @@
     return out;
 }
 
-wire::group_status encode(const core::exchange::group_report& from) {
-    wire::group_status out;
+template<class status_type, class report_type>
+status_type encode_common(const report_type& from) {
+    status_type out;
     out.in_contact = from.in_contact;
     out.departed = from.departed;
-    out.hears = from.hears;
     out.reader = from.reader;
     encode(from.use, out.sums.customers, out.sums.loads);
     if (from.order_giver)
@@ -70,27 +71,27 @@
     return out;
 }
 
+core::exchange::group_report decode(const wire::group_status& from) {
+    auto out = decode_common<core::exchange::group_report>(from);
+    out.hears = from.hears;
+    return out;
+}
+
+wire::group_status encode(const core::exchange::group_report& from) {
+    auto out = encode_common<wire::group_status>(from);
+    out.hears = from.hears;
+    return out;
+}
+
 core::exchange::outside_report decode(const wire::outside_status& from) {
-    core::exchange::outside_report out;
-    out.in_contact = from.in_contact;
-    out.departed = from.departed;
+    auto out = decode_common<core::exchange::outside_report>(from);
     out.speakers = from.speakers;
-    out.reader = from.reader;
-    out.use = decode(from.sums.customers, from.sums.loads);
-    if (from.__isset.order_giver)
-        out.order_giver = decode(from.order_giver);
     return out;
 }
 
 wire::outside_status encode(const core::exchange::outside_report& from) {
-    wire::outside_status out;
-    out.in_contact = from.in_contact;
-    out.departed = from.departed;
+    auto out = encode_common<wire::outside_status>(from);
     out.speakers = from.speakers;
-    out.reader = from.reader;
-    encode(from.use, out.sums.customers, out.sums.loads);
-    if (from.order_giver)
-        out.__set_order_giver(encode(*from.order_giver));
     return out;
 }
 
--- a/src/programs/gateway/peer_news.cpp
+++ b/src/programs/gateway/peer_news.cpp
@@ -1,9 +1,9 @@
 #include "programs/gateway/peer_news.hpp"
 
 #include "core/common/hash.hpp"
+#include "core/exchange/groups.hpp"
 
 #include <algorithm>
-#include <iterator>
 
 namespace waxwinglb::programs::gateway {
 namespace {
@@ -64,23 +64,6 @@
     return false;
 }
 
-template<class update_type>
-void take_first(std::vector<update_type>& from, std::vector<update_type>& out) {
-    const auto end = from.begin() + static_cast<std::ptrdiff_t>(std::min(from.size(), max_updates));
-    out.assign(std::make_move_iterator(from.begin()), std::make_move_iterator(end));
-    from.erase(from.begin(), end);
-}
-
-/// Replaces what is already there about the same target.
-template<class update_type>
-void add_or_replace(std::vector<update_type>& to, const update_type& update) {
-    const auto same = [&](const update_type& known) { return known.target == update.target; };
-    if (const auto found = std::find_if(to.begin(), to.end(), same); found != to.end())
-        *found = update;
-    else
-        to.push_back(update);
-}
-
 } // namespace
 
 // ---- telling ---------------------------------------------------------------------------------------
@@ -147,14 +130,11 @@
 }
 
 peer_news::target_updates peer_news::take_relayed() {
-    target_updates out;
-    take_first(relayed_.holdings, out.holdings);
-    take_first(relayed_.starts, out.starts);
-    return out;
+    return {relayed_holdings_.take(max_updates), relayed_starts_.take(max_updates)};
 }
 
 bool peer_news::has_more(bool announces) const {
-    return (announces && updates_left_) || !relayed_.holdings.empty() || !relayed_.starts.empty();
+    return (announces && updates_left_) || !relayed_holdings_.empty() || !relayed_starts_.empty();
 }
 
 std::vector<wire::target_registration> peer_news::registrations() const {
@@ -196,30 +176,34 @@
 
 // ---- hearing ---------------------------------------------------------------------------------------
 
-bool peer_news::apply(const wire::peer_status& message,
-                      const std::function<relay_duty(const std::string&)>& duty_for) {
+peer_news::applied peer_news::apply(const wire::peer_status& message,
+                                    const std::optional<std::vector<std::string>>& own_speakers) {
     for (const auto& suspect : message.suspects)
         dependencies_.forward.merge_connection_breaks(std::strtoull(suspect.fingerprint.c_str(), nullptr, 10),
                                                       suspect.crashes);
-    const bool adopts = !message.registrations.empty() && !dependencies_.watch.reads_targets();
-    if (adopts && duty_for("") != relay_duty::none)
+    if (own_speakers && !message.registrations.empty() && !dependencies_.watch.reads_targets())
         adopted_outside_at_ = context_.loop.now();
+    apply_centres(message);
+    const bool departures = apply_departures(message);
     apply_store_state(message);
     apply_holdings(message);
-    const auto relay = [&](const auto& updates, const char* kind, auto& to) {
-        for (const auto& update : updates) {
-            const relay_duty duty = duty_for(update.target);
-            if (duty == relay_duty::none)
-                return;
-            const auto content = hash_of_content(update);
-            const bool changed = std::exchange(relayed_content_[kind + update.target], content) != content;
-            if (changed || duty == relay_duty::everything)
-                add_or_replace(to, update);
-        }
+    if (!own_speakers)
+        return {false, departures};
+    const auto pass_on = [&](const auto& updates, auto& to) {
+        for (const auto& update : updates)
+            to.put(update.target, hash_of_content(update),
+                   core::exchange::repeats(update.target, context_.settings.name, *own_speakers), update);
     };
-    relay(message.holdings, "holding ", relayed_.holdings);
-    relay(message.starts, "start ", relayed_.starts);
-    return !relayed_.holdings.empty() || !relayed_.starts.empty();
+    pass_on(message.holdings, relayed_holdings_);
+    pass_on(message.starts, relayed_starts_);
+    return {!relayed_holdings_.empty() || !relayed_starts_.empty(), departures};
+}
+
+bool peer_news::apply_departures(const wire::peer_status& message) {
+    bool any_new = false;
+    for (const auto& target : message.leaving_targets)
+        any_new = context_.directory.mark_leaving({target.target, target.born}) || any_new;
+    return any_new;
 }
 
 void peer_news::apply_centres(const wire::peer_status& message) {
@@ -240,9 +224,6 @@
 }
 
 void peer_news::apply_store_state(const wire::peer_status& message) {
-    apply_centres(message);
-    for (const auto& target : message.leaving_targets)
-        context_.directory.mark_leaving({target.target, target.born});
     for (const auto& start : message.starts)
         context_.directory.merge_from_peer(decode(start), context_.loop.now());
     if (!message.registrations.empty() && !dependencies_.watch.reads_targets())
--- a/src/programs/gateway/peer_news.hpp
+++ b/src/programs/gateway/peer_news.hpp
@@ -3,12 +3,16 @@
 /// targets hold. The newest news wins, so each gateway may pass on all that it knows.
 #pragma once
 
+#include "core/exchange/relay_queue.hpp"
 #include "core/membership/announcements.hpp"
 #include "edge/http_client.hpp"
 #include "programs/gateway/dispatcher.hpp"
 #include "programs/gateway/forwarder.hpp"
 #include "programs/gateway/store_watch.hpp"
 
+#include <functional>
+#include <optional>
+
 namespace waxwinglb::programs::gateway {
 
 constexpr core::common::milliseconds holdings_resend_interval{1'000}; // receivers use them for 3 s
@@ -16,13 +20,6 @@
 /// Updates of targets in one message, which takes about 30 kB with them. The rest goes with the next ones.
 constexpr std::size_t max_updates = 400;
 
-/// Which updates from other groups this gateway passes on in its own.
-enum class relay_duty {
-    none,    // the message is of the own group
-    changes, // another speaker passes on what is only repeated
-    everything,
-};
-
 class peer_news {
 public:
     struct dependencies {
@@ -43,8 +40,7 @@
     /// In a fleet of several groups what was heard of leaving targets is passed on: not all hear who saw it.
     void set_grouped(bool grouped) { grouped_ = grouped; }
     void add_to(wire::peer_status& message) const;
-    void add_suspects_to(wire::peer_status& message) const; // requests that broke connections to targets
-    [[nodiscard]] target_updates due_updates();             // changed, or due to be sent again
+    [[nodiscard]] target_updates due_updates(); // changed, or due to be sent again
     /// Updates that came from another group, to pass on in the own one; the oldest ones, once.
     [[nodiscard]] target_updates take_relayed();
     /// Whether updates are left that didn't fit into the last message. `announces`: it had due_updates.
@@ -55,15 +51,22 @@
     /// Whether the leaving targets or the data centres taken out changed since the last call.
     [[nodiscard]] bool departures_changed();
 
-    /// Applies a peer's message. `duty_for`: what to do with another group's update of a target. Returns true
-    /// if there are updates to pass on in the own group.
-    bool apply(const wire::peer_status& message,
-               const std::function<relay_duty(const std::string&)>& duty_for);
+    /// What a message brought that this gateway must tell others.
+    struct applied {
+        bool updates = false;    // of targets, to pass on in the own group
+        bool departures = false; // of targets, that were not heard of before
+    };
+    /// Applies a peer's message. `own_speakers`: set if it comes from another group; the speakers of the own
+    /// one, who pass on its updates.
+    applied apply(const wire::peer_status& message,
+                  const std::optional<std::vector<std::string>>& own_speakers);
     void forget_old();
 
 private:
     [[nodiscard]] std::vector<core::fleet::target_start> leaving_to_tell() const;
+    void add_suspects_to(wire::peer_status& message) const; // requests that broke connections to targets
     void apply_centres(const wire::peer_status& message);
+    [[nodiscard]] bool apply_departures(const wire::peer_status& message); // true: some are new
     void apply_store_state(const wire::peer_status& message);
     void apply_holdings(const wire::peer_status& message);
     [[nodiscard]] bool
@@ -76,8 +79,8 @@
     core::membership::announcement_schedule holdings_updates_{holdings_resend_interval};
     core::membership::announcement_schedule starts_updates_{starts_resend_interval};
     bool grouped_ = false;
-    target_updates relayed_;
-    std::map<std::string, std::uint64_t> relayed_content_; // hash of a target's last update passed on
+    core::exchange::relay_queue<wire::target_holding> relayed_holdings_; // from other groups
+    core::exchange::relay_queue<wire::target_registration> relayed_starts_;
     std::string next_holding_; // targets from there on come first in the next message
     std::string next_start_;
     bool updates_left_ = false;
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -403,17 +403,13 @@
     if (const auto order_giver = exchange_.order_giver(now);
         order_giver && dependencies_.watch.reads_targets())
         context_.directory.note_order_giver_store_access(order_giver->reads_store, now);
-    const bool from_other_group = exchange_.grouped() && !report.own && report.group != exchange_.group();
-    const auto speakers = from_other_group ? exchange_.own_speakers(now) : std::vector<std::string>{};
-    const auto duty_for = [&](const std::string& target) {
-        if (!from_other_group)
-            return relay_duty::none;
-        return core::exchange::repeats(target, context_.settings.name, speakers) ? relay_duty::everything
-                                                                                 : relay_duty::changes;
-    };
-    if (news_.apply(status, duty_for))
+    std::optional<std::vector<std::string>> own_speakers; // set if the message comes from another group
+    if (exchange_.grouped() && !report.own && report.group != exchange_.group())
+        own_speakers = exchange_.own_speakers(now);
+    const auto applied = news_.apply(status, own_speakers);
+    if (applied.updates)
         schedule_status(audience::everybody);
-    if (exchange_.grouped())
+    if (applied.departures && exchange_.grouped())
         notify_departures();
 }
 
--- a/tests/core/exchange_model.hpp
+++ b/tests/core/exchange_model.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/exchange/exchange.hpp"
+#include "token_window.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -128,24 +129,11 @@
         spent.emplace_back(now, tokens);
         return true;
     }
-    /// Most tokens granted in a window of that length.
-    [[nodiscard]] double most_in(milliseconds window) const {
-        double most = 0;
-        double sum = 0;
-        std::size_t first = 0;
-        for (const auto& [at, tokens] : spent) {
-            sum += tokens;
-            for (; spent[first].first <= at - window; ++first)
-                sum -= spent[first].second;
-            most = std::max(most, sum);
-        }
-        return most;
-    }
     [[nodiscard]] std::uint64_t next_random() { return random_(); }
 
     std::vector<member> members;
     time_point now{1'000s};
-    std::vector<std::pair<time_point, double>> spent; // tokens granted by all gateways
+    token_grants spent; // by all gateways
 
 private:
     struct message {
--- a/tests/core/exchange_test.cpp
+++ b/tests/core/exchange_test.cpp
@@ -2,6 +2,7 @@
 // and clocks of different rates: what each knows of the others, how old it is, and what rates they grant
 // together.
 #include "core/exchange/exchange.hpp"
+#include "core/exchange/relay_queue.hpp"
 #include "exchange_model.hpp"
 
 #include <gtest/gtest.h>
@@ -92,6 +93,21 @@
     EXPECT_LT(both, 80);
 }
 
+TEST(relay_queue, passes_on_the_newest_of_each_subject_oldest_first) {
+    core::exchange::relay_queue<int> queue;
+    queue.put("a", 1, false, 10);
+    queue.put("b", 1, false, 20);
+    queue.put("a", 2, false, 11);
+    EXPECT_EQ(queue.take(1), (std::vector<int>{11}));
+    EXPECT_FALSE(queue.empty());
+    EXPECT_EQ(queue.take(9), (std::vector<int>{20}));
+    EXPECT_TRUE(queue.empty());
+    queue.put("a", 2, false, 12);
+    EXPECT_TRUE(queue.empty()) << "it says the same, and another speaker repeats it";
+    queue.put("a", 2, true, 13);
+    EXPECT_EQ(queue.take(9), (std::vector<int>{13}));
+}
+
 TEST(total_feed, counts_each_token_once_while_two_report) {
     total_feed feed;
     const time_point at{10s};
@@ -382,7 +398,7 @@
             fleet.thaw(hit);
         fleet.run(1s);
     }
-    EXPECT_LE(fleet.most_in(quota_window), allowed(options));
+    EXPECT_LE(most_in_window(fleet.spent, quota_window), allowed(options));
 }
 
 // Two reporters count the same requests, each with its own delay; either may be silent for a while, or
--- a/tests/core/fleet_quota_test.cpp
+++ b/tests/core/fleet_quota_test.cpp
@@ -1,6 +1,7 @@
 // Customers' rates over all gateways: what the gateways grant together despite lost messages, partitions and
 // restarts.
 #include "core/limits/fleet_quota.hpp"
+#include "token_window.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -57,25 +58,13 @@
         spent.emplace_back(now, tokens);
         return true;
     }
-    [[nodiscard]] double most_in_window() const {
-        double most = 0;
-        double sum = 0;
-        std::size_t first = 0;
-        for (const auto& [at, tokens] : spent) {
-            sum += tokens;
-            for (; spent[first].first <= at - window; ++first)
-                sum -= spent[first].second;
-            most = std::max(most, sum);
-        }
-        return most;
-    }
 
     time_point now{100s};
     std::vector<std::string> names;
     std::vector<fleet_quota> gateways;
     std::vector<int> cut; // gateways with the same number reach each other
     std::vector<std::vector<time_point>> reported_at;
-    std::vector<std::pair<time_point, double>> spent;
+    waxwinglb::tests::token_grants spent;
 };
 
 constexpr double allowed = (rate * 8 + burst) * (1 + overage) + slack;
@@ -123,7 +112,7 @@
             if (random() % 10 < 9)
                 gateways.take(random() % 5, static_cast<double>(100 + random() % 4'000) / 10);
     }
-    RC_ASSERT(gateways.most_in_window() <= allowed);
+    RC_ASSERT(waxwinglb::tests::most_in_window(gateways.spent, window) <= allowed);
 }
 
 TEST(fleet_quota, an_isolated_gateway_uses_its_equal_part) {
--- a/tests/programs/test_gateway_groups.py
+++ b/tests/programs/test_gateway_groups.py
@@ -25,6 +25,16 @@
     return fleet
 
 
+def target_to_leave(fleet):
+    """One of two equal targets, which serves all while it is there."""
+    # Of idle targets those in the gateways' own data centre serve first, then the first one.
+    leaving, staying = fleet.target("b-leaving", "ledger"), fleet.target("c-staying", "ledger")
+    for target in (leaving, staying):
+        target.zone = "z"
+        target.register()
+    return leaving
+
+
 def metric(gateway, name):
     lines = request(gateway.settings["metrics"], "GET", "/metrics").text.splitlines()
     return sum(float(line.rsplit(" ", 1)[1]) for line in lines if line.split("{")[0] == name)
@@ -43,11 +53,7 @@
 
 def changes_reach_all_groups_although_all_speakers_are_killed():
     with grouped_fleet() as fleet:
-        # Of idle targets those in the gateways' own data centre serve first, then the first one.
-        leaving, staying = fleet.target("b-leaving", "ledger"), fleet.target("c-staying", "ledger")
-        for target in (leaving, staying):
-            target.zone = "z"
-            target.register()
+        leaving = target_to_leave(fleet)
         fleet.start()
         fleet.wait_for_contact()
         # Who speaks is decided by hashes of the names: of each group all but one are killed.
@@ -71,11 +77,7 @@
 
 def departures_are_passed_on_to_groups_that_do_not_hear_who_saw_them():
     with grouped_fleet() as fleet:
-        # Of idle targets those in the gateways' own data centre serve first, then the first one.
-        leaving, staying = fleet.target("b-leaving", "ledger"), fleet.target("c-staying", "ledger")
-        for target in (leaving, staying):
-            target.zone = "z"
-            target.register()
+        leaving = target_to_leave(fleet)
         fleet.start()
         fleet.wait_for_contact()
         fleet.wait_for_orders()
