--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -48,6 +48,19 @@
            edge::find_field(head.fields, platform::not_run_header) != nullptr;
 }
 
+/// What marks the end of the answer's body, for the log.
+const char* name_of_end(const edge::answer_head& head) {
+    if (head.length)
+        return "length";
+    return head.ends_with_connection ? "connection" : "chunks";
+}
+
+/// Bytes at the start of `stream` that make up complete events.
+std::size_t complete_event_bytes(std::string_view stream) {
+    const auto end = stream.rfind("\n\n");
+    return end == std::string_view::npos ? 0 : end + 2;
+}
+
 /// Id of the last event in `events`, which holds complete events; empty if none has an id.
 std::string last_event_id(std::string_view events) {
     std::size_t at = events.rfind("\nid:");
@@ -165,6 +178,7 @@
                                              ? dispatcher::attempt_outcome::lacks_model
                                              : dispatcher::attempt_outcome::not_run);
     request->may_have_run = true;
+    request->ended_by = name_of_end(head);
     const bool success = head.status >= 200 && head.status < 300;
     const bool genuine = edge::find_field(head.fields, platform::signature_header) != nullptr &&
                          edge::find_field(head.fields, "Content-Encoding") == nullptr;
@@ -198,11 +212,7 @@
 
 /// Forwards complete events only: a stream resumed at another target must not repeat part of an event.
 void forwarder::relay_events(const caller_request_ptr& request, bool last) {
-    std::size_t complete_bytes = request->body.size();
-    if (!last) {
-        const auto end = request->body.rfind("\n\n");
-        complete_bytes = end == std::string::npos ? 0 : end + 2;
-    }
+    const std::size_t complete_bytes = last ? request->body.size() : complete_event_bytes(request->body);
     if (complete_bytes == 0)
         return;
     const std::string_view events{request->body.data(), complete_bytes};
@@ -235,6 +245,7 @@
     if (request->finished || !request->target_exchange)
         return;
     if (request->streaming) {
+        request->incomplete_event_bytes = request->body.size() - complete_event_bytes(request->body);
         relay_events(request, true);
         if (!request->session->answer_begun())
             request->session->begin_answer(request->head.status, forwarded_fields(request->head.fields));
@@ -376,6 +387,8 @@
                         {"first_ms", first_ms},
                         {"pause_ms", whole_ms(request->longest_pause).count()},
                         {"blocked_by", request->blocked_by},
+                        {"ended_by", request->ended_by},
+                        {"incomplete_event_bytes", request->incomplete_event_bytes},
                         {"silent_ms", silence_duration(*request, context_.loop.now()).count()},
                         {"ms", whole_ms(context_.loop.now() - request->arrived).count()},
                         {"config", request->config->version}});
