--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -158,6 +158,9 @@
         self.runs = []                     # (request id, headers, body) of the requests that ran
         self.run_started_at = []           # arrival time of each, in seconds
         self.break_stream_after = None     # number of events after which every stream breaks
+        self.break_inside_event = False    # it breaks in the middle of the next event
+        self.end_chunks_on_break = False   # such a stream has its last chunk
+        self.unframed = False              # answers have neither length nor chunks and end with their connection
         self.break_on_body = None          # request body that breaks the connection when it runs
         self.break_all = False             # every request breaks the connection
         self.cold_ms = 0                   # cold time in the registration
@@ -225,22 +228,44 @@
             return call.connection.shutdown(socket.SHUT_RDWR)
         signed = [("Request-Id", request_id), ("Response-Signature", "sig-" + request_id)] + leaving
         if not model:
-            return call.answer(200, b"recorded " + body, signed)
+            return self.plain_answer(call, b"recorded " + body, signed)
+        return self.stream(call, signed)
+
+    def plain_answer(self, call, data, fields):
+        if not self.unframed:
+            return call.answer(200, data, fields)
+        self.send_head(call, fields)
+        call.close_connection = True
+        return call.wfile.write(data)
+
+    @staticmethod
+    def send_head(call, fields):
         call.send_response(200)
-        for name, text in signed + [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
+        for name, text in fields:
             call.send_header(name, text)
         call.end_headers()
+
+    def stream(self, call, signed):
+        framing = [] if self.unframed else [("Transfer-Encoding", "chunked")]
+        self.send_head(call, signed + [("Content-Type", "text/event-stream")] + framing)
+
+        def write(data):
+            call.wfile.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
+            call.wfile.flush()
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, 11):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if self.break_stream_after is not None and number > self.break_stream_after:
+                if self.break_inside_event:
+                    write(event[:-5])
+                if self.end_chunks_on_break:
+                    call.wfile.write(b"0\r\n\r\n")
                 call.close_connection = True
                 return call.connection.shutdown(socket.SHUT_RDWR)
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            call.wfile.flush()
+            write(event)
             time.sleep(EVENT_PAUSE_S)
-        call.wfile.write(b"0\r\n\r\n")
-        return None
+        call.close_connection = self.unframed
+        return call.wfile.write(b"" if self.unframed else b"0\r\n\r\n")
 
 
 def route(name, prefix, kind, service, **more):
