Gateway: a stream that ends inside an event was broken off, however its body is delimited

Cause: for an answer with neither length nor chunks, any end of its connection in order counted as the end of the body, and on_complete then passed on what was left of an event and wrote the last chunk. The class of fault: the end of the transport was taken for the end of the message, though only the message itself shows that it is whole. Change: core/streams/event_buffer keeps what is not a complete event; only complete ones are ever forwarded, and a stream is whole only if its body ends between two events (LF or CRLF), whatever delimits it. One whose target closes a connection without length before its first event is broken off too: there nothing shows that there was no event to come. Such a stream is resumed elsewhere where its route allows it, else cut without the last chunk, or 502 before its first byte; it counts as a broken connection for the quarantine of requests.

--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/fleet/model.hpp"
+#include "core/streams/event_buffer.hpp"
 #include "programs/gateway/caller_session.hpp"
 #include "programs/gateway/target_link.hpp"
 
@@ -46,13 +47,13 @@
     edge::event_loop::timer_id timer; // fires at the deadline
 
     // The answer.
-    edge::answer_head head; // from the answering target
-    std::string body;       // buffered: a whole answer, or the incomplete last event of a stream
-    bool streaming = false; // the answer is forwarded as it arrives
-    std::size_t incomplete_event_bytes = 0;    // of a stream's last event, left when the answer ended
-    const char* ended_by = "";                 // what marks the end of the target's body: see name_of_end
-    bool finished = false;                     // answered, refused or abandoned
-    std::string last_target;                   // target of the latest send
+    edge::answer_head head;             // from the answering target
+    std::string body;                   // of a plain answer
+    core::streams::event_buffer events; // received of a stream, not yet forwarded
+    bool streaming = false;             // the answer is forwarded as it arrives
+    const char* ended_by = ""; // what marks the end of the target's body: "length", "chunks" or "connection"
+    bool finished = false;     // answered, refused or abandoned
+    std::string last_target;   // target of the latest send
     core::common::time_point first_chunk_at{}; // when the first part of the answer was forwarded
     core::common::time_point last_chunk_at{};
     core::common::duration longest_pause{}; // between two forwarded chunks
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -19,7 +19,8 @@
 constexpr std::size_t max_tracked_fingerprints = 2'000;
 constexpr int max_sends = 5;                   // of one request, including sends that targets rejected
 constexpr milliseconds rejection_backoff{150}; // models being loaded and slots of full targets get ready soon
-constexpr milliseconds min_useful_time{20};    // no retry with less time to the deadline
+constexpr const char* ended_by_connection = "connection"; // of an answer with neither length nor chunks
+constexpr milliseconds min_useful_time{20};               // no retry with less time to the deadline
 
 milliseconds whole_ms(duration value) {
     return std::chrono::duration_cast<milliseconds>(value);
@@ -52,30 +53,16 @@
 const char* name_of_end(const edge::answer_head& head) {
     if (head.length)
         return "length";
-    return head.ends_with_connection ? "connection" : "chunks";
+    return head.ends_with_connection ? ended_by_connection : "chunks";
 }
 
-/// Bytes at the start of `stream` that make up complete events.
-std::size_t complete_event_bytes(std::string_view stream) {
-    const auto end = stream.rfind("\n\n");
-    return end == std::string_view::npos ? 0 : end + 2;
-}
-
-/// Id of the last event in `events`, which holds complete events; empty if none has an id.
-std::string last_event_id(std::string_view events) {
-    std::size_t at = events.rfind("\nid:");
-    if (at == std::string_view::npos)
-        at = events.starts_with("id:") ? 0 : events.npos;
-    else
-        ++at;
-    if (at == events.npos)
-        return {};
-    std::string_view value = events.substr(at + 3, events.find('\n', at) - at - 3);
-    while (!value.empty() && (value.front() == ' '))
-        value.remove_prefix(1);
-    while (!value.empty() && (value.back() == '\r'))
-        value.remove_suffix(1);
-    return std::string{value};
+/// Why a stream whose body has ended was broken off; nullptr if it is whole. The end of a connection alone
+/// doesn't show that a target which sent no event had none.
+const char* incompleteness_of(const caller_request& request) {
+    if (request.events.inside_event())
+        return "ended_inside_event";
+    const bool unmarked = std::string_view{request.ended_by} == ended_by_connection;
+    return unmarked && !request.events.any_taken() ? "ended_without_event" : nullptr;
 }
 
 gateway_metrics::request_kind metric_kind(const caller_request& request) {
@@ -136,6 +123,7 @@
     ++request->send_count;
     request->sent_to.insert(target);
     request->body.clear();
+    request->events.clear();
     request->last_target = target;
     if (const auto* known = context_.directory.find(target))
         request->target_start = {target, known->entry.born};
@@ -203,19 +191,19 @@
 }
 
 void forwarder::on_body(const caller_request_ptr& request, std::string&& piece) {
+    if (request->streaming) {
+        request->events.add(piece);
+        return relay_events(request);
+    }
     request->body.append(piece);
-    if (request->streaming)
-        return relay_events(request, false);
     if (request->body.size() > max_buffered_answer)
         handle_lost_answer(request, "answer_too_large");
 }
 
-/// Forwards complete events only: a stream resumed at another target must not repeat part of an event.
-void forwarder::relay_events(const caller_request_ptr& request, bool last) {
-    const std::size_t complete_bytes = last ? request->body.size() : complete_event_bytes(request->body);
-    if (complete_bytes == 0)
+void forwarder::relay_events(const caller_request_ptr& request) {
+    const std::string events = request->events.take_complete();
+    if (events.empty())
         return;
-    const std::string_view events{request->body.data(), complete_bytes};
     if (!request->session->answer_begun()) {
         const auto waited = context_.loop.now() - request->arrived;
         context_.metrics.observe_first_byte(metric_kind(*request), waited);
@@ -229,10 +217,9 @@
     request->last_chunk_at = now;
     dispatcher_->on_answer_started(request);
     request->session->write(events);
-    if (std::string id = last_event_id(events); !id.empty())
+    if (std::string id = core::streams::last_event_id(events); !id.empty())
         request->last_event = std::move(id);
-    request->body.erase(0, complete_bytes);
-    if (!last && request->session->unsent() > max_unsent_bytes)
+    if (request->session->unsent() > max_unsent_bytes)
         request->target_exchange->pause();
 }
 
@@ -244,16 +231,15 @@
 void forwarder::on_complete(const caller_request_ptr& request) {
     if (request->finished || !request->target_exchange)
         return;
-    if (request->streaming) {
-        request->incomplete_event_bytes = request->body.size() - complete_event_bytes(request->body);
-        relay_events(request, true);
-        if (!request->session->answer_begun())
-            request->session->begin_answer(request->head.status, forwarded_fields(request->head.fields));
-        request->session->end_answer();
-        close_exchange(request, dispatcher::attempt_outcome::succeeded);
-        return finish(request, edge::events::request_answered, "answered", "whole");
-    }
-    send_answer(request);
+    if (!request->streaming)
+        return send_answer(request);
+    if (const char* fault = incompleteness_of(*request))
+        return handle_broken_answer(request, fault);
+    if (!request->session->answer_begun())
+        request->session->begin_answer(request->head.status, forwarded_fields(request->head.fields));
+    request->session->end_answer();
+    close_exchange(request, dispatcher::attempt_outcome::succeeded);
+    finish(request, edge::events::request_answered, "answered", "whole");
 }
 
 void forwarder::send_answer(const caller_request_ptr& request) {
@@ -280,11 +266,16 @@
             refuse(request, 503, "target_unreachable", milliseconds{500});
         return;
     }
-    request->may_have_run = true;
     if (failure == exchange_failure::broken)
-        ++connection_breaks_of(request->fingerprint);
-    handle_lost_answer(request,
-                       failure == exchange_failure::broken ? "connection_broken" : "answer_malformed");
+        return handle_broken_answer(request, "connection_broken");
+    request->may_have_run = true;
+    handle_lost_answer(request, "answer_malformed");
+}
+
+void forwarder::handle_broken_answer(const caller_request_ptr& request, const char* reason) {
+    request->may_have_run = true;
+    ++connection_breaks_of(request->fingerprint);
+    handle_lost_answer(request, reason);
 }
 
 void forwarder::handle_rejection(const caller_request_ptr& request, dispatcher::attempt_outcome outcome) {
@@ -317,7 +308,6 @@
     if (spend_budget && !budget(request->service).take(now))
         return false;
     close_exchange(request, dispatcher::attempt_outcome::failed);
-    request->body.clear();
     context_.log.write(
         edge::events::request_retried, request->request_id,
         {{"reason", reason}, {"sends", request->send_count}, {"after_event", request->last_event}});
@@ -388,7 +378,7 @@
                         {"pause_ms", whole_ms(request->longest_pause).count()},
                         {"blocked_by", request->blocked_by},
                         {"ended_by", request->ended_by},
-                        {"incomplete_event_bytes", request->incomplete_event_bytes},
+                        {"incomplete_event_bytes", request->events.size()},
                         {"silent_ms", silence_duration(*request, context_.loop.now()).count()},
                         {"ms", whole_ms(context_.loop.now() - request->arrived).count()},
                         {"config", request->config->version}});
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -32,10 +32,12 @@
     void on_complete(const caller_request_ptr& request);
     void on_failed(const caller_request_ptr& request, exchange_failure failure);
 
-    void relay_events(const caller_request_ptr& request, bool last);
+    void relay_events(const caller_request_ptr& request); // those that are complete
     void send_answer(const caller_request_ptr& request);
     void handle_rejection(const caller_request_ptr& request,
                           dispatcher::attempt_outcome outcome); // has not run
+    void handle_broken_answer(const caller_request_ptr& request,
+                              const char* reason); // its target broke it off
     void handle_lost_answer(const caller_request_ptr& request,
                             const char* reason); // may have run
     bool retry(const caller_request_ptr& request, const char* reason, bool spend_budget);
