--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -162,6 +162,7 @@
         self.end_chunks_on_break = False   # such a stream has its last chunk
         self.unframed = False              # answers have neither length nor chunks and end with their connection
         self.break_on_body = None          # request body that breaks the connection when it runs
+        self.crash_on_part = None          # id of a prompt's part, not the last, that crashes it as it begins to answer
         self.break_all = False             # every request breaks the connection
         self.cold_ms = 0                   # cold time in the registration
         self.leaving = None                # value of the header Server-Leaving in all answers; None: no header
@@ -226,11 +227,21 @@
         if self.break_all or self.break_on_body is not None and body == self.break_on_body:
             call.close_connection = True
             return call.connection.shutdown(socket.SHUT_RDWR)
+        parts = [part.split(":")[0] for part in (call.headers.get("Prompt-Prefix") or "").split(",")]
+        if self.crash_on_part in parts[:-1]:
+            return self.crash(call)
         signed = [("Request-Id", request_id), ("Response-Signature", "sig-" + request_id)] + leaving
         if not model:
             return self.plain_answer(call, b"recorded " + body, signed)
         return self.stream(call, signed)
 
+    def crash(self, call):
+        """Ends the call without an answer and starts anew."""
+        call.close_connection = True
+        call.connection.shutdown(socket.SHUT_RDWR)
+        self.born += 1
+        self.register()
+
     def plain_answer(self, call, data, fields):
         if not self.unframed:
             return call.answer(200, data, fields)
