--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -46,6 +46,7 @@
 inline constexpr std::string_view turn_missed = "turn_missed";
 inline constexpr std::string_view request_sent = "request_sent";
 inline constexpr std::string_view request_retried = "request_retried";
+inline constexpr std::string_view prompt_suspected = "prompt_suspected";
 inline constexpr std::string_view request_refused = "request_refused";
 inline constexpr std::string_view rate_refused = "rate_refused";
 inline constexpr std::string_view request_answered = "request_answered";
@@ -61,11 +62,12 @@
                                 lease_lost,        order_sent,       order_answered,        load_finished,
                                 request_waiting,   turn_missed,      request_sent,          request_retried,
                                 request_refused,   rate_refused,     request_answered,      request_cut,
-                                request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored};
+                                request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored,
+                                prompt_suspected};
 /// Events that callers or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
-    request_waiting, turn_missed,      request_sent, request_retried,   request_refused,
-    rate_refused,    request_answered, request_cut,  request_abandoned, datagram_ignored};
+    request_waiting,  turn_missed, request_sent,      request_retried,  request_refused, rate_refused,
+    request_answered, request_cut, request_abandoned, datagram_ignored, prompt_suspected};
 } // namespace events
 
 class decision_log {
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -3,6 +3,7 @@
 #include "core/common/hash.hpp"
 #include "platform/headers.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace waxwinglb::programs::gateway {
@@ -13,13 +14,22 @@
 using core::common::milliseconds;
 
 constexpr std::int64_t max_prompt_tokens = 1'000'000; // upper bound for the count of one request
+constexpr std::size_t max_parts = 32;                 // of a prompt that are told apart
 constexpr milliseconds default_retry_after{1'000};    // Retry-After while the gateway has no configuration
 
-/// Hash of the session id, which is the last part of a prompt's prefix ("NAME:TOKENS,NAME:TOKENS").
-std::uint64_t hash_session(const std::string& prefix) {
-    const auto comma = prefix.rfind(',');
-    const std::string_view last = std::string_view{prefix}.substr(comma == std::string::npos ? 0 : comma + 1);
-    return hash_of(last.substr(0, last.find(':')));
+/// Hashes of the ids of a prompt's parts ("ID:TOKENS,ID:TOKENS"); the last one is the session's. Of more than
+/// max_parts the first ones and the last one.
+std::vector<std::uint64_t> hash_parts(std::string_view prefix) {
+    std::vector<std::uint64_t> out;
+    while (true) {
+        const auto comma = prefix.find(',');
+        const bool last = comma == std::string_view::npos;
+        if (last || out.size() + 1 < max_parts)
+            out.push_back(hash_of(prefix.substr(0, std::min(comma, prefix.find(':')))));
+        if (last)
+            return out;
+        prefix.remove_prefix(comma + 1);
+    }
 }
 
 /// Token counts that a request states.
@@ -156,9 +166,12 @@
         request->tokens = static_cast<double>(tokens->prompt) + static_cast<double>(tokens->max_output);
         request->prompt_tokens = static_cast<int>(std::min<std::int64_t>(tokens->prompt, max_prompt_tokens));
     }
-    if (const std::string* prefix = edge::find_field(fields, platform::prefix_header);
-        prefix && request->route->sticky)
-        request->sticky_session = hash_session(*prefix);
+    if (const std::string* prefix = edge::find_field(fields, platform::prefix_header)) {
+        request->shared_parts = hash_parts(*prefix);
+        if (request->route->sticky)
+            request->sticky_session = request->shared_parts.back();
+        request->shared_parts.pop_back();
+    }
     request->fingerprint =
         hash_of(request->received.body, hash_of(request->received.target, hash_of(request->customer)));
     if (forwarder_.is_quarantined(request->fingerprint)) {
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -8,6 +8,7 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 namespace waxwinglb::programs::gateway {
 
@@ -18,13 +19,14 @@
     edge::wire_request received;
     core::fleet::config_ptr config; // in force on arrival; keeps `route` alive
     const core::fleet::route* route = nullptr;
-    std::string customer;             // empty on routes without authentication
-    core::fleet::model_ref model;     // model empty for plain services
-    double tokens = 0;                // charged to the customer's rate
-    int prompt_tokens = 0;            // part of `tokens`; 0 unless the request states it
-    std::uint64_t sticky_session = 0; // hash of the session id; 0: none
-    std::uint64_t fingerprint = 0;    // hash of path, customer and body: equal for repeated requests
-    int priority = 5;                 // 0 is the most urgent
+    std::string customer;                    // empty on routes without authentication
+    core::fleet::model_ref model;            // model empty for plain services
+    double tokens = 0;                       // charged to the customer's rate
+    int prompt_tokens = 0;                   // part of `tokens`; 0 unless the request states it
+    std::uint64_t sticky_session = 0;        // hash of the session id; 0: none
+    std::vector<std::uint64_t> shared_parts; // hashes of the prompt's parts but the last, which is its own
+    std::uint64_t fingerprint = 0;           // hash of path, customer and body: equal for repeated requests
+    int priority = 5;                        // 0 is the most urgent
     core::common::time_point arrived{};
     core::common::time_point deadline{}; // the caller's or the route's, whichever is sooner
 
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -275,6 +275,11 @@
 void forwarder::handle_broken_answer(const caller_request_ptr& request, const char* reason) {
     request->may_have_run = true;
     ++connection_breaks_of(request->fingerprint);
+    if (!request->events.any_taken() && !request->shared_parts.empty())
+        context_.log.write(edge::events::prompt_suspected, request->request_id,
+                           {{"target", request->target_start.id},
+                            {"born", request->target_start.born},
+                            {"parts", request->shared_parts}});
     handle_lost_answer(request, reason);
 }
 
