--- a/tests/core/event_buffer_test.cpp
+++ b/tests/core/event_buffer_test.cpp
@@ -12,7 +12,12 @@
     const auto count = *rc::gen::inRange(0, 6);
     std::string all;
     for (int number = 1; number <= count; ++number)
-        all += "id: " + std::to_string(number) + line_end + "data: x" + line_end + line_end;
+        all.append("id: ")
+            .append(std::to_string(number))
+            .append(line_end)
+            .append("data: x")
+            .append(line_end)
+            .append(line_end);
     const std::string rest = *rc::gen::element(std::string{}, "id: 7" + line_end, "id: 7" + line_end + "da");
     const std::string sent = all + rest;
     event_buffer buffer;
