--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -172,6 +172,11 @@
   1: string target, 2: i64 born, 3: string service_name, 4: string address, 5: string data_centre, 6: i32 slots,
   7: bool draining, 8: i64 cold_ms
 }
+/**
+ * What is known of a prompt's part that may crash targets: the target runs that ended under it, with their ages, and the
+ * age of its latest complete answer (-1: none known).
+ */
+struct suspect_part { 1: i64 part, 2: list<i64> target_runs, 3: list<i64> ages_ms, 4: i64 sound_age_ms }
 /** Requests that one gateway now has at a target. */
 struct target_load { 1: string target, 2: i32 running }
 /** Tokens by customer since the sender's start, and requests by target. */
@@ -211,7 +216,8 @@
   19: list<target_load> loads, 20: bool gives_orders, 21: list<target_registration> starts,
   22: i64 centres_era, 23: list<held_centre> centres_held, 24: bool informed, 25: bool reads_store,
   26: string data_centre, 27: string group, 28: i32 fleet_size, 29: double processor_share, 30: bool to_other_group,
-  31: optional group_status group_use, 32: optional outside_status outside, 33: bool has_details
+  31: optional group_status group_use, 32: optional outside_status outside, 33: bool has_details,
+  34: list<suspect_part> suspect_parts
 }
 
 /** A gateway asks the gateway that schedules a target's prompts (its keeper) for a turn to send it a prompt. */
--- /dev/null
+++ b/src/core/quarantine/suspect_parts.hpp
@@ -0,0 +1,82 @@
+/// Parts of prompts that crash the targets which begin to answer them, whatever else the prompt holds. No two
+/// such requests are alike, so the quarantine of whole requests does not recognise them.
+///
+/// Every process adds what it sees and merges what others tell, in any order and any number of times. All
+/// come to the same verdicts:
+/// - a crash is evidence against each shared part of a request that was at the target without a first event;
+/// - a complete answer clears the parts of its prompt, for a part that crashes targets never gets one;
+/// - crashes at the same moment count once: many targets that end together have another cause;
+/// - crashes that a part with more evidence explains don't count against the parts that came with it.
+#pragma once
+
+#include "core/common/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace waxwinglb::core::quarantine {
+
+using part_id = std::uint64_t;    // hash of the part's id
+using target_run = std::uint64_t; // hash of a target and its start: it crashes once
+
+struct suspect_options {
+    int crashes = 3;                              // at different moments, before a part is blocked
+    common::milliseconds settle{600};             // since the first; others may know the part as sound
+    common::milliseconds dispute_memory{10'000};  // how long others are told that a part is sound
+    common::milliseconds same_moment{50};         // crashes within it of one another count once
+    common::milliseconds sound_memory{120'000};   // how long a complete answer clears a part
+    common::milliseconds evidence_memory{60'000}; // since the last crash, of a part that is not blocked; less
+                                                  // than sound_memory, which it must not outlive
+    common::milliseconds blocked_memory{600'000}; // since the last crash, of one that is
+    std::size_t max_suspects = 100;               // those with the oldest evidence are dropped first
+    std::size_t max_sound = 4'000;                // parts known as sound; the oldest are dropped first
+    std::size_t max_crashes = 16;                 // kept of one part, the latest
+};
+
+/// What one process tells others of a part. Times are ages, since clocks differ.
+struct part_report {
+    part_id part = 0;
+    std::vector<std::pair<target_run, common::milliseconds>> crashes; // with their ages
+    std::optional<common::milliseconds> sound_age;                    // of the latest complete answer
+};
+
+class suspect_parts {
+public:
+    explicit suspect_parts(suspect_options options = {}) : options_(options) {}
+
+    /// The first part that is blocked; nullopt: the request may run.
+    [[nodiscard]] std::optional<part_id> find_blocked(std::span<const part_id> parts,
+                                                      common::time_point now) const;
+    /// Whether a part was at several crashes and is not known as sound: such a request is not worth a repeat.
+    [[nodiscard]] bool suspected(std::span<const part_id> parts, common::time_point now) const;
+
+    /// A target ended while it had not sent the first event of a request with these parts.
+    void add_crash(std::span<const part_id> parts, target_run target, common::time_point now);
+    void add_sound(std::span<const part_id> parts, common::time_point now); // a complete answer
+    void merge(const part_report& report, common::time_point now);
+    [[nodiscard]] std::vector<part_report> reports(common::time_point now) const;
+    void expire(common::time_point now);
+
+private:
+    using crash_map = std::map<target_run, common::time_point>;
+    [[nodiscard]] bool known_sound(part_id part, common::time_point now) const;
+    [[nodiscard]] int count_moments(const crash_map& crashes, const std::set<target_run>& explained) const;
+    [[nodiscard]] bool qualifies(part_id part, const crash_map& crashes, common::time_point now) const;
+    [[nodiscard]] bool is_blocked(part_id part, common::time_point now) const;
+    void add_evidence(part_id part, target_run target, common::time_point at);
+    void note_sound(part_id part, common::time_point at);
+    void shrink();
+
+    suspect_options options_;
+    std::map<part_id, crash_map> suspects_;                        // with the time of each crash
+    std::map<part_id, common::time_point> sound_;                  // latest complete answer
+    std::set<std::pair<common::time_point, part_id>> sound_order_; // the same by time, to drop the oldest
+    std::map<part_id, common::time_point> disputed_; // known as sound, but others had older evidence then
+};
+
+} // namespace waxwinglb::core::quarantine
--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -238,7 +238,9 @@
         if (connecting_)
             fail(close_reason::not_connected);
         else
-            fail(count == 0 ? close_reason::ended : close_reason::reset);
+            fail(count == 0           ? close_reason::ended
+                 : errno == ETIMEDOUT ? close_reason::timed_out
+                                      : close_reason::reset);
         break;
     }
     return 0;
--- a/src/edge/connection.hpp
+++ b/src/edge/connection.hpp
@@ -16,7 +16,8 @@
 
 enum class close_reason {
     ended,         // the peer closed in order; everything it sent has been delivered
-    reset,         // the connection broke
+    reset,         // the peer or the network broke the connection
+    timed_out,     // the peer's kernel no longer acknowledged anything
     not_connected, // the connection was never established: nothing was sent
 };
 
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10604,6 +10604,213 @@
 }
 
 
+suspect_part::~suspect_part() noexcept {
+}
+
+
+void suspect_part::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void suspect_part::__set_target_runs(const std::vector<int64_t> & val) {
+  this->target_runs = val;
+}
+
+void suspect_part::__set_ages_ms(const std::vector<int64_t> & val) {
+  this->ages_ms = val;
+}
+
+void suspect_part::__set_sound_age_ms(const int64_t val) {
+  this->sound_age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const suspect_part& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t suspect_part::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->target_runs.clear();
+            uint32_t _size326;
+            ::apache::thrift::protocol::TType _etype329;
+            xfer += iprot->readListBegin(_etype329, _size326);
+            this->target_runs.resize(_size326);
+            uint32_t _i330;
+            for (_i330 = 0; _i330 < _size326; ++_i330)
+            {
+              xfer += iprot->readI64(this->target_runs[_i330]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.target_runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ages_ms.clear();
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->ages_ms.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
+            {
+              xfer += iprot->readI64(this->ages_ms[_i335]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ages_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sound_age_ms);
+          this->__isset.sound_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t suspect_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("suspect_part");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_runs", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->target_runs.size()));
+    std::vector<int64_t> ::const_iterator _iter336;
+    for (_iter336 = this->target_runs.begin(); _iter336 != this->target_runs.end(); ++_iter336)
+    {
+      xfer += oprot->writeI64((*_iter336));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ages_ms", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ages_ms.size()));
+    std::vector<int64_t> ::const_iterator _iter337;
+    for (_iter337 = this->ages_ms.begin(); _iter337 != this->ages_ms.end(); ++_iter337)
+    {
+      xfer += oprot->writeI64((*_iter337));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sound_age_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->sound_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(suspect_part &a, suspect_part &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.target_runs, b.target_runs);
+  swap(a.ages_ms, b.ages_ms);
+  swap(a.sound_age_ms, b.sound_age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+suspect_part::suspect_part(const suspect_part& other338) {
+  part = other338.part;
+  target_runs = other338.target_runs;
+  ages_ms = other338.ages_ms;
+  sound_age_ms = other338.sound_age_ms;
+  __isset = other338.__isset;
+}
+suspect_part::suspect_part(suspect_part&& other339) noexcept {
+  part = other339.part;
+  target_runs = std::move(other339.target_runs);
+  ages_ms = std::move(other339.ages_ms);
+  sound_age_ms = other339.sound_age_ms;
+  __isset = other339.__isset;
+}
+suspect_part& suspect_part::operator=(const suspect_part& other340) {
+  part = other340.part;
+  target_runs = other340.target_runs;
+  ages_ms = other340.ages_ms;
+  sound_age_ms = other340.sound_age_ms;
+  __isset = other340.__isset;
+  return *this;
+}
+suspect_part& suspect_part::operator=(suspect_part&& other341) noexcept {
+  part = other341.part;
+  target_runs = std::move(other341.target_runs);
+  ages_ms = std::move(other341.ages_ms);
+  sound_age_ms = other341.sound_age_ms;
+  __isset = other341.__isset;
+  return *this;
+}
+void suspect_part::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "suspect_part(";
+  out << "part=" << to_string(part);
+  out << ", " << "target_runs=" << to_string(target_runs);
+  out << ", " << "ages_ms=" << to_string(ages_ms);
+  out << ", " << "sound_age_ms=" << to_string(sound_age_ms);
+  out << ")";
+}
+
+
 target_load::~target_load() noexcept {
 }
 
@@ -10696,26 +10903,26 @@
   swap(a.__isset, b.__isset);
 }
 
-target_load::target_load(const target_load& other326) {
-  target = other326.target;
-  running = other326.running;
-  __isset = other326.__isset;
+target_load::target_load(const target_load& other342) {
+  target = other342.target;
+  running = other342.running;
+  __isset = other342.__isset;
 }
-target_load::target_load(target_load&& other327) noexcept {
-  target = std::move(other327.target);
-  running = other327.running;
-  __isset = other327.__isset;
+target_load::target_load(target_load&& other343) noexcept {
+  target = std::move(other343.target);
+  running = other343.running;
+  __isset = other343.__isset;
 }
-target_load& target_load::operator=(const target_load& other328) {
-  target = other328.target;
-  running = other328.running;
-  __isset = other328.__isset;
+target_load& target_load::operator=(const target_load& other344) {
+  target = other344.target;
+  running = other344.running;
+  __isset = other344.__isset;
   return *this;
 }
-target_load& target_load::operator=(target_load&& other329) noexcept {
-  target = std::move(other329.target);
-  running = other329.running;
-  __isset = other329.__isset;
+target_load& target_load::operator=(target_load&& other345) noexcept {
+  target = std::move(other345.target);
+  running = other345.running;
+  __isset = other345.__isset;
   return *this;
 }
 void target_load::printTo(std::ostream& out) const {
@@ -10770,14 +10977,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->customers.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size346;
+            ::apache::thrift::protocol::TType _etype349;
+            xfer += iprot->readListBegin(_etype349, _size346);
+            this->customers.resize(_size346);
+            uint32_t _i350;
+            for (_i350 = 0; _i350 < _size346; ++_i350)
             {
-              xfer += this->customers[_i334].read(iprot);
+              xfer += this->customers[_i350].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10790,14 +10997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size335;
-            ::apache::thrift::protocol::TType _etype338;
-            xfer += iprot->readListBegin(_etype338, _size335);
-            this->loads.resize(_size335);
-            uint32_t _i339;
-            for (_i339 = 0; _i339 < _size335; ++_i339)
+            uint32_t _size351;
+            ::apache::thrift::protocol::TType _etype354;
+            xfer += iprot->readListBegin(_etype354, _size351);
+            this->loads.resize(_size351);
+            uint32_t _i355;
+            for (_i355 = 0; _i355 < _size351; ++_i355)
             {
-              xfer += this->loads[_i339].read(iprot);
+              xfer += this->loads[_i355].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10826,10 +11033,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter340;
-    for (_iter340 = this->customers.begin(); _iter340 != this->customers.end(); ++_iter340)
+    std::vector<customer_use> ::const_iterator _iter356;
+    for (_iter356 = this->customers.begin(); _iter356 != this->customers.end(); ++_iter356)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter356).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10838,10 +11045,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter341;
-    for (_iter341 = this->loads.begin(); _iter341 != this->loads.end(); ++_iter341)
+    std::vector<target_load> ::const_iterator _iter357;
+    for (_iter357 = this->loads.begin(); _iter357 != this->loads.end(); ++_iter357)
     {
-      xfer += (*_iter341).write(oprot);
+      xfer += (*_iter357).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10859,26 +11066,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_sums::usage_sums(const usage_sums& other342) {
-  customers = other342.customers;
-  loads = other342.loads;
-  __isset = other342.__isset;
+usage_sums::usage_sums(const usage_sums& other358) {
+  customers = other358.customers;
+  loads = other358.loads;
+  __isset = other358.__isset;
 }
-usage_sums::usage_sums(usage_sums&& other343) noexcept {
-  customers = std::move(other343.customers);
-  loads = std::move(other343.loads);
-  __isset = other343.__isset;
+usage_sums::usage_sums(usage_sums&& other359) noexcept {
+  customers = std::move(other359.customers);
+  loads = std::move(other359.loads);
+  __isset = other359.__isset;
 }
-usage_sums& usage_sums::operator=(const usage_sums& other344) {
-  customers = other344.customers;
-  loads = other344.loads;
-  __isset = other344.__isset;
+usage_sums& usage_sums::operator=(const usage_sums& other360) {
+  customers = other360.customers;
+  loads = other360.loads;
+  __isset = other360.__isset;
   return *this;
 }
-usage_sums& usage_sums::operator=(usage_sums&& other345) noexcept {
-  customers = std::move(other345.customers);
-  loads = std::move(other345.loads);
-  __isset = other345.__isset;
+usage_sums& usage_sums::operator=(usage_sums&& other361) noexcept {
+  customers = std::move(other361.customers);
+  loads = std::move(other361.loads);
+  __isset = other361.__isset;
   return *this;
 }
 void usage_sums::printTo(std::ostream& out) const {
@@ -11033,38 +11240,38 @@
   swap(a.__isset, b.__isset);
 }
 
-order_giver_sighting::order_giver_sighting(const order_giver_sighting& other346) {
-  process = other346.process;
-  address = other346.address;
-  age_ms = other346.age_ms;
-  active = other346.active;
-  reads_store = other346.reads_store;
-  __isset = other346.__isset;
-}
-order_giver_sighting::order_giver_sighting(order_giver_sighting&& other347) noexcept {
-  process = std::move(other347.process);
-  address = std::move(other347.address);
-  age_ms = other347.age_ms;
-  active = other347.active;
-  reads_store = other347.reads_store;
-  __isset = other347.__isset;
-}
-order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other348) {
-  process = other348.process;
-  address = other348.address;
-  age_ms = other348.age_ms;
-  active = other348.active;
-  reads_store = other348.reads_store;
-  __isset = other348.__isset;
-  return *this;
-}
-order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other349) noexcept {
-  process = std::move(other349.process);
-  address = std::move(other349.address);
-  age_ms = other349.age_ms;
-  active = other349.active;
-  reads_store = other349.reads_store;
-  __isset = other349.__isset;
+order_giver_sighting::order_giver_sighting(const order_giver_sighting& other362) {
+  process = other362.process;
+  address = other362.address;
+  age_ms = other362.age_ms;
+  active = other362.active;
+  reads_store = other362.reads_store;
+  __isset = other362.__isset;
+}
+order_giver_sighting::order_giver_sighting(order_giver_sighting&& other363) noexcept {
+  process = std::move(other363.process);
+  address = std::move(other363.address);
+  age_ms = other363.age_ms;
+  active = other363.active;
+  reads_store = other363.reads_store;
+  __isset = other363.__isset;
+}
+order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other364) {
+  process = other364.process;
+  address = other364.address;
+  age_ms = other364.age_ms;
+  active = other364.active;
+  reads_store = other364.reads_store;
+  __isset = other364.__isset;
+  return *this;
+}
+order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other365) noexcept {
+  process = std::move(other365.process);
+  address = std::move(other365.address);
+  age_ms = other365.age_ms;
+  active = other365.active;
+  reads_store = other365.reads_store;
+  __isset = other365.__isset;
   return *this;
 }
 void order_giver_sighting::printTo(std::ostream& out) const {
@@ -11155,15 +11362,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->hears.clear();
-            uint32_t _size350;
-            ::apache::thrift::protocol::TType _etype353;
-            xfer += iprot->readSetBegin(_etype353, _size350);
-            uint32_t _i354;
-            for (_i354 = 0; _i354 < _size350; ++_i354)
+            uint32_t _size366;
+            ::apache::thrift::protocol::TType _etype369;
+            xfer += iprot->readSetBegin(_etype369, _size366);
+            uint32_t _i370;
+            for (_i370 = 0; _i370 < _size366; ++_i370)
             {
-              std::string _elem355;
-              xfer += iprot->readString(_elem355);
-              this->hears.insert(_elem355);
+              std::string _elem371;
+              xfer += iprot->readString(_elem371);
+              this->hears.insert(_elem371);
             }
             xfer += iprot->readSetEnd();
           }
@@ -11224,10 +11431,10 @@
   xfer += oprot->writeFieldBegin("hears", ::apache::thrift::protocol::T_SET, 3);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hears.size()));
-    std::set<std::string> ::const_iterator _iter356;
-    for (_iter356 = this->hears.begin(); _iter356 != this->hears.end(); ++_iter356)
+    std::set<std::string> ::const_iterator _iter372;
+    for (_iter372 = this->hears.begin(); _iter372 != this->hears.end(); ++_iter372)
     {
-      xfer += oprot->writeString((*_iter356));
+      xfer += oprot->writeString((*_iter372));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -11262,42 +11469,42 @@
   swap(a.__isset, b.__isset);
 }
 
-group_status::group_status(const group_status& other357) {
-  in_contact = other357.in_contact;
-  departed = other357.departed;
-  hears = other357.hears;
-  reader = other357.reader;
-  sums = other357.sums;
-  order_giver = other357.order_giver;
-  __isset = other357.__isset;
-}
-group_status::group_status(group_status&& other358) noexcept {
-  in_contact = other358.in_contact;
-  departed = other358.departed;
-  hears = std::move(other358.hears);
-  reader = other358.reader;
-  sums = std::move(other358.sums);
-  order_giver = std::move(other358.order_giver);
-  __isset = other358.__isset;
-}
-group_status& group_status::operator=(const group_status& other359) {
-  in_contact = other359.in_contact;
-  departed = other359.departed;
-  hears = other359.hears;
-  reader = other359.reader;
-  sums = other359.sums;
-  order_giver = other359.order_giver;
-  __isset = other359.__isset;
-  return *this;
-}
-group_status& group_status::operator=(group_status&& other360) noexcept {
-  in_contact = other360.in_contact;
-  departed = other360.departed;
-  hears = std::move(other360.hears);
-  reader = other360.reader;
-  sums = std::move(other360.sums);
-  order_giver = std::move(other360.order_giver);
-  __isset = other360.__isset;
+group_status::group_status(const group_status& other373) {
+  in_contact = other373.in_contact;
+  departed = other373.departed;
+  hears = other373.hears;
+  reader = other373.reader;
+  sums = other373.sums;
+  order_giver = other373.order_giver;
+  __isset = other373.__isset;
+}
+group_status::group_status(group_status&& other374) noexcept {
+  in_contact = other374.in_contact;
+  departed = other374.departed;
+  hears = std::move(other374.hears);
+  reader = other374.reader;
+  sums = std::move(other374.sums);
+  order_giver = std::move(other374.order_giver);
+  __isset = other374.__isset;
+}
+group_status& group_status::operator=(const group_status& other375) {
+  in_contact = other375.in_contact;
+  departed = other375.departed;
+  hears = other375.hears;
+  reader = other375.reader;
+  sums = other375.sums;
+  order_giver = other375.order_giver;
+  __isset = other375.__isset;
+  return *this;
+}
+group_status& group_status::operator=(group_status&& other376) noexcept {
+  in_contact = other376.in_contact;
+  departed = other376.departed;
+  hears = std::move(other376.hears);
+  reader = other376.reader;
+  sums = std::move(other376.sums);
+  order_giver = std::move(other376.order_giver);
+  __isset = other376.__isset;
   return *this;
 }
 void group_status::printTo(std::ostream& out) const {
@@ -11389,14 +11596,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speakers.clear();
-            uint32_t _size361;
-            ::apache::thrift::protocol::TType _etype364;
-            xfer += iprot->readListBegin(_etype364, _size361);
-            this->speakers.resize(_size361);
-            uint32_t _i365;
-            for (_i365 = 0; _i365 < _size361; ++_i365)
+            uint32_t _size377;
+            ::apache::thrift::protocol::TType _etype380;
+            xfer += iprot->readListBegin(_etype380, _size377);
+            this->speakers.resize(_size377);
+            uint32_t _i381;
+            for (_i381 = 0; _i381 < _size377; ++_i381)
             {
-              xfer += iprot->readString(this->speakers[_i365]);
+              xfer += iprot->readString(this->speakers[_i381]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11457,10 +11664,10 @@
   xfer += oprot->writeFieldBegin("speakers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->speakers.size()));
-    std::vector<std::string> ::const_iterator _iter366;
-    for (_iter366 = this->speakers.begin(); _iter366 != this->speakers.end(); ++_iter366)
+    std::vector<std::string> ::const_iterator _iter382;
+    for (_iter382 = this->speakers.begin(); _iter382 != this->speakers.end(); ++_iter382)
     {
-      xfer += oprot->writeString((*_iter366));
+      xfer += oprot->writeString((*_iter382));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11495,42 +11702,42 @@
   swap(a.__isset, b.__isset);
 }
 
-outside_status::outside_status(const outside_status& other367) {
-  in_contact = other367.in_contact;
-  departed = other367.departed;
-  speakers = other367.speakers;
-  reader = other367.reader;
-  sums = other367.sums;
-  order_giver = other367.order_giver;
-  __isset = other367.__isset;
-}
-outside_status::outside_status(outside_status&& other368) noexcept {
-  in_contact = other368.in_contact;
-  departed = other368.departed;
-  speakers = std::move(other368.speakers);
-  reader = other368.reader;
-  sums = std::move(other368.sums);
-  order_giver = std::move(other368.order_giver);
-  __isset = other368.__isset;
-}
-outside_status& outside_status::operator=(const outside_status& other369) {
-  in_contact = other369.in_contact;
-  departed = other369.departed;
-  speakers = other369.speakers;
-  reader = other369.reader;
-  sums = other369.sums;
-  order_giver = other369.order_giver;
-  __isset = other369.__isset;
-  return *this;
-}
-outside_status& outside_status::operator=(outside_status&& other370) noexcept {
-  in_contact = other370.in_contact;
-  departed = other370.departed;
-  speakers = std::move(other370.speakers);
-  reader = other370.reader;
-  sums = std::move(other370.sums);
-  order_giver = std::move(other370.order_giver);
-  __isset = other370.__isset;
+outside_status::outside_status(const outside_status& other383) {
+  in_contact = other383.in_contact;
+  departed = other383.departed;
+  speakers = other383.speakers;
+  reader = other383.reader;
+  sums = other383.sums;
+  order_giver = other383.order_giver;
+  __isset = other383.__isset;
+}
+outside_status::outside_status(outside_status&& other384) noexcept {
+  in_contact = other384.in_contact;
+  departed = other384.departed;
+  speakers = std::move(other384.speakers);
+  reader = other384.reader;
+  sums = std::move(other384.sums);
+  order_giver = std::move(other384.order_giver);
+  __isset = other384.__isset;
+}
+outside_status& outside_status::operator=(const outside_status& other385) {
+  in_contact = other385.in_contact;
+  departed = other385.departed;
+  speakers = other385.speakers;
+  reader = other385.reader;
+  sums = other385.sums;
+  order_giver = other385.order_giver;
+  __isset = other385.__isset;
+  return *this;
+}
+outside_status& outside_status::operator=(outside_status&& other386) noexcept {
+  in_contact = other386.in_contact;
+  departed = other386.departed;
+  speakers = std::move(other386.speakers);
+  reader = other386.reader;
+  sums = std::move(other386.sums);
+  order_giver = std::move(other386.order_giver);
+  __isset = other386.__isset;
   return *this;
 }
 void outside_status::printTo(std::ostream& out) const {
@@ -11683,6 +11890,10 @@
 void peer_status::__set_has_details(const bool val) {
   this->has_details = val;
 }
+
+void peer_status::__set_suspect_parts(const std::vector<suspect_part> & val) {
+  this->suspect_parts = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -11747,14 +11958,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size371;
-            ::apache::thrift::protocol::TType _etype374;
-            xfer += iprot->readListBegin(_etype374, _size371);
-            this->heard.resize(_size371);
-            uint32_t _i375;
-            for (_i375 = 0; _i375 < _size371; ++_i375)
+            uint32_t _size387;
+            ::apache::thrift::protocol::TType _etype390;
+            xfer += iprot->readListBegin(_etype390, _size387);
+            this->heard.resize(_size387);
+            uint32_t _i391;
+            for (_i391 = 0; _i391 < _size387; ++_i391)
             {
-              xfer += iprot->readString(this->heard[_i375]);
+              xfer += iprot->readString(this->heard[_i391]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11791,14 +12002,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size376;
-            ::apache::thrift::protocol::TType _etype379;
-            xfer += iprot->readListBegin(_etype379, _size376);
-            this->centres_out.resize(_size376);
-            uint32_t _i380;
-            for (_i380 = 0; _i380 < _size376; ++_i380)
+            uint32_t _size392;
+            ::apache::thrift::protocol::TType _etype395;
+            xfer += iprot->readListBegin(_etype395, _size392);
+            this->centres_out.resize(_size392);
+            uint32_t _i396;
+            for (_i396 = 0; _i396 < _size392; ++_i396)
             {
-              xfer += iprot->readString(this->centres_out[_i380]);
+              xfer += iprot->readString(this->centres_out[_i396]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11811,14 +12022,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size381;
-            ::apache::thrift::protocol::TType _etype384;
-            xfer += iprot->readListBegin(_etype384, _size381);
-            this->uses.resize(_size381);
-            uint32_t _i385;
-            for (_i385 = 0; _i385 < _size381; ++_i385)
+            uint32_t _size397;
+            ::apache::thrift::protocol::TType _etype400;
+            xfer += iprot->readListBegin(_etype400, _size397);
+            this->uses.resize(_size397);
+            uint32_t _i401;
+            for (_i401 = 0; _i401 < _size397; ++_i401)
             {
-              xfer += this->uses[_i385].read(iprot);
+              xfer += this->uses[_i401].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11831,14 +12042,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size386;
-            ::apache::thrift::protocol::TType _etype389;
-            xfer += iprot->readListBegin(_etype389, _size386);
-            this->demands.resize(_size386);
-            uint32_t _i390;
-            for (_i390 = 0; _i390 < _size386; ++_i390)
+            uint32_t _size402;
+            ::apache::thrift::protocol::TType _etype405;
+            xfer += iprot->readListBegin(_etype405, _size402);
+            this->demands.resize(_size402);
+            uint32_t _i406;
+            for (_i406 = 0; _i406 < _size402; ++_i406)
             {
-              xfer += this->demands[_i390].read(iprot);
+              xfer += this->demands[_i406].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11851,14 +12062,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size391;
-            ::apache::thrift::protocol::TType _etype394;
-            xfer += iprot->readListBegin(_etype394, _size391);
-            this->customers.resize(_size391);
-            uint32_t _i395;
-            for (_i395 = 0; _i395 < _size391; ++_i395)
+            uint32_t _size407;
+            ::apache::thrift::protocol::TType _etype410;
+            xfer += iprot->readListBegin(_etype410, _size407);
+            this->customers.resize(_size407);
+            uint32_t _i411;
+            for (_i411 = 0; _i411 < _size407; ++_i411)
             {
-              xfer += this->customers[_i395].read(iprot);
+              xfer += this->customers[_i411].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11871,14 +12082,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size396;
-            ::apache::thrift::protocol::TType _etype399;
-            xfer += iprot->readListBegin(_etype399, _size396);
-            this->holdings.resize(_size396);
-            uint32_t _i400;
-            for (_i400 = 0; _i400 < _size396; ++_i400)
+            uint32_t _size412;
+            ::apache::thrift::protocol::TType _etype415;
+            xfer += iprot->readListBegin(_etype415, _size412);
+            this->holdings.resize(_size412);
+            uint32_t _i416;
+            for (_i416 = 0; _i416 < _size412; ++_i416)
             {
-              xfer += this->holdings[_i400].read(iprot);
+              xfer += this->holdings[_i416].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11891,14 +12102,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size401;
-            ::apache::thrift::protocol::TType _etype404;
-            xfer += iprot->readListBegin(_etype404, _size401);
-            this->leaving_targets.resize(_size401);
-            uint32_t _i405;
-            for (_i405 = 0; _i405 < _size401; ++_i405)
+            uint32_t _size417;
+            ::apache::thrift::protocol::TType _etype420;
+            xfer += iprot->readListBegin(_etype420, _size417);
+            this->leaving_targets.resize(_size417);
+            uint32_t _i421;
+            for (_i421 = 0; _i421 < _size417; ++_i421)
             {
-              xfer += this->leaving_targets[_i405].read(iprot);
+              xfer += this->leaving_targets[_i421].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11911,14 +12122,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size406;
-            ::apache::thrift::protocol::TType _etype409;
-            xfer += iprot->readListBegin(_etype409, _size406);
-            this->suspects.resize(_size406);
-            uint32_t _i410;
-            for (_i410 = 0; _i410 < _size406; ++_i410)
+            uint32_t _size422;
+            ::apache::thrift::protocol::TType _etype425;
+            xfer += iprot->readListBegin(_etype425, _size422);
+            this->suspects.resize(_size422);
+            uint32_t _i426;
+            for (_i426 = 0; _i426 < _size422; ++_i426)
             {
-              xfer += this->suspects[_i410].read(iprot);
+              xfer += this->suspects[_i426].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11939,14 +12150,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size411;
-            ::apache::thrift::protocol::TType _etype414;
-            xfer += iprot->readListBegin(_etype414, _size411);
-            this->registrations.resize(_size411);
-            uint32_t _i415;
-            for (_i415 = 0; _i415 < _size411; ++_i415)
+            uint32_t _size427;
+            ::apache::thrift::protocol::TType _etype430;
+            xfer += iprot->readListBegin(_etype430, _size427);
+            this->registrations.resize(_size427);
+            uint32_t _i431;
+            for (_i431 = 0; _i431 < _size427; ++_i431)
             {
-              xfer += this->registrations[_i415].read(iprot);
+              xfer += this->registrations[_i431].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11967,14 +12178,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size416;
-            ::apache::thrift::protocol::TType _etype419;
-            xfer += iprot->readListBegin(_etype419, _size416);
-            this->loads.resize(_size416);
-            uint32_t _i420;
-            for (_i420 = 0; _i420 < _size416; ++_i420)
+            uint32_t _size432;
+            ::apache::thrift::protocol::TType _etype435;
+            xfer += iprot->readListBegin(_etype435, _size432);
+            this->loads.resize(_size432);
+            uint32_t _i436;
+            for (_i436 = 0; _i436 < _size432; ++_i436)
             {
-              xfer += this->loads[_i420].read(iprot);
+              xfer += this->loads[_i436].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11995,14 +12206,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size421;
-            ::apache::thrift::protocol::TType _etype424;
-            xfer += iprot->readListBegin(_etype424, _size421);
-            this->starts.resize(_size421);
-            uint32_t _i425;
-            for (_i425 = 0; _i425 < _size421; ++_i425)
+            uint32_t _size437;
+            ::apache::thrift::protocol::TType _etype440;
+            xfer += iprot->readListBegin(_etype440, _size437);
+            this->starts.resize(_size437);
+            uint32_t _i441;
+            for (_i441 = 0; _i441 < _size437; ++_i441)
             {
-              xfer += this->starts[_i425].read(iprot);
+              xfer += this->starts[_i441].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12023,14 +12234,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_held.clear();
-            uint32_t _size426;
-            ::apache::thrift::protocol::TType _etype429;
-            xfer += iprot->readListBegin(_etype429, _size426);
-            this->centres_held.resize(_size426);
-            uint32_t _i430;
-            for (_i430 = 0; _i430 < _size426; ++_i430)
+            uint32_t _size442;
+            ::apache::thrift::protocol::TType _etype445;
+            xfer += iprot->readListBegin(_etype445, _size442);
+            this->centres_held.resize(_size442);
+            uint32_t _i446;
+            for (_i446 = 0; _i446 < _size442; ++_i446)
             {
-              xfer += this->centres_held[_i430].read(iprot);
+              xfer += this->centres_held[_i446].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12119,6 +12330,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 34:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspect_parts.clear();
+            uint32_t _size447;
+            ::apache::thrift::protocol::TType _etype450;
+            xfer += iprot->readListBegin(_etype450, _size447);
+            this->suspect_parts.resize(_size447);
+            uint32_t _i451;
+            for (_i451 = 0; _i451 < _size447; ++_i451)
+            {
+              xfer += this->suspect_parts[_i451].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspect_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12155,10 +12386,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter431;
-    for (_iter431 = this->heard.begin(); _iter431 != this->heard.end(); ++_iter431)
+    std::vector<std::string> ::const_iterator _iter452;
+    for (_iter452 = this->heard.begin(); _iter452 != this->heard.end(); ++_iter452)
     {
-      xfer += oprot->writeString((*_iter431));
+      xfer += oprot->writeString((*_iter452));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12179,10 +12410,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter432;
-    for (_iter432 = this->centres_out.begin(); _iter432 != this->centres_out.end(); ++_iter432)
+    std::vector<std::string> ::const_iterator _iter453;
+    for (_iter453 = this->centres_out.begin(); _iter453 != this->centres_out.end(); ++_iter453)
     {
-      xfer += oprot->writeString((*_iter432));
+      xfer += oprot->writeString((*_iter453));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12191,10 +12422,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter433;
-    for (_iter433 = this->uses.begin(); _iter433 != this->uses.end(); ++_iter433)
+    std::vector<target_use> ::const_iterator _iter454;
+    for (_iter454 = this->uses.begin(); _iter454 != this->uses.end(); ++_iter454)
     {
-      xfer += (*_iter433).write(oprot);
+      xfer += (*_iter454).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12203,10 +12434,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter434;
-    for (_iter434 = this->demands.begin(); _iter434 != this->demands.end(); ++_iter434)
+    std::vector<model_demand> ::const_iterator _iter455;
+    for (_iter455 = this->demands.begin(); _iter455 != this->demands.end(); ++_iter455)
     {
-      xfer += (*_iter434).write(oprot);
+      xfer += (*_iter455).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12215,10 +12446,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter435;
-    for (_iter435 = this->customers.begin(); _iter435 != this->customers.end(); ++_iter435)
+    std::vector<customer_use> ::const_iterator _iter456;
+    for (_iter456 = this->customers.begin(); _iter456 != this->customers.end(); ++_iter456)
     {
-      xfer += (*_iter435).write(oprot);
+      xfer += (*_iter456).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12227,10 +12458,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter436;
-    for (_iter436 = this->holdings.begin(); _iter436 != this->holdings.end(); ++_iter436)
+    std::vector<target_holding> ::const_iterator _iter457;
+    for (_iter457 = this->holdings.begin(); _iter457 != this->holdings.end(); ++_iter457)
     {
-      xfer += (*_iter436).write(oprot);
+      xfer += (*_iter457).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12239,10 +12470,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter437;
-    for (_iter437 = this->leaving_targets.begin(); _iter437 != this->leaving_targets.end(); ++_iter437)
+    std::vector<leaving_target> ::const_iterator _iter458;
+    for (_iter458 = this->leaving_targets.begin(); _iter458 != this->leaving_targets.end(); ++_iter458)
     {
-      xfer += (*_iter437).write(oprot);
+      xfer += (*_iter458).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12251,10 +12482,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter438;
-    for (_iter438 = this->suspects.begin(); _iter438 != this->suspects.end(); ++_iter438)
+    std::vector<quarantine> ::const_iterator _iter459;
+    for (_iter459 = this->suspects.begin(); _iter459 != this->suspects.end(); ++_iter459)
     {
-      xfer += (*_iter438).write(oprot);
+      xfer += (*_iter459).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12267,10 +12498,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter439;
-    for (_iter439 = this->registrations.begin(); _iter439 != this->registrations.end(); ++_iter439)
+    std::vector<target_registration> ::const_iterator _iter460;
+    for (_iter460 = this->registrations.begin(); _iter460 != this->registrations.end(); ++_iter460)
     {
-      xfer += (*_iter439).write(oprot);
+      xfer += (*_iter460).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12283,10 +12514,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter440;
-    for (_iter440 = this->loads.begin(); _iter440 != this->loads.end(); ++_iter440)
+    std::vector<target_load> ::const_iterator _iter461;
+    for (_iter461 = this->loads.begin(); _iter461 != this->loads.end(); ++_iter461)
     {
-      xfer += (*_iter440).write(oprot);
+      xfer += (*_iter461).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12299,10 +12530,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<target_registration> ::const_iterator _iter441;
-    for (_iter441 = this->starts.begin(); _iter441 != this->starts.end(); ++_iter441)
+    std::vector<target_registration> ::const_iterator _iter462;
+    for (_iter462 = this->starts.begin(); _iter462 != this->starts.end(); ++_iter462)
     {
-      xfer += (*_iter441).write(oprot);
+      xfer += (*_iter462).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12315,10 +12546,10 @@
   xfer += oprot->writeFieldBegin("centres_held", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->centres_held.size()));
-    std::vector<held_centre> ::const_iterator _iter442;
-    for (_iter442 = this->centres_held.begin(); _iter442 != this->centres_held.end(); ++_iter442)
+    std::vector<held_centre> ::const_iterator _iter463;
+    for (_iter463 = this->centres_held.begin(); _iter463 != this->centres_held.end(); ++_iter463)
     {
-      xfer += (*_iter442).write(oprot);
+      xfer += (*_iter463).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12366,6 +12597,18 @@
   xfer += oprot->writeBool(this->has_details);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspect_parts", ::apache::thrift::protocol::T_LIST, 34);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_parts.size()));
+    std::vector<suspect_part> ::const_iterator _iter464;
+    for (_iter464 = this->suspect_parts.begin(); _iter464 != this->suspect_parts.end(); ++_iter464)
+    {
+      xfer += (*_iter464).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12406,153 +12649,158 @@
   swap(a.group_use, b.group_use);
   swap(a.outside, b.outside);
   swap(a.has_details, b.has_details);
+  swap(a.suspect_parts, b.suspect_parts);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other443) {
-  process = other443.process;
-  boot = other443.boot;
-  sequence = other443.sequence;
-  leaving = other443.leaving;
-  heard = other443.heard;
-  config_version = other443.config_version;
-  config_address = other443.config_address;
-  centres_revision = other443.centres_revision;
-  centres_out = other443.centres_out;
-  uses = other443.uses;
-  demands = other443.demands;
-  customers = other443.customers;
-  holdings = other443.holdings;
-  leaving_targets = other443.leaving_targets;
-  suspects = other443.suspects;
-  wants_registrations = other443.wants_registrations;
-  registrations = other443.registrations;
-  address = other443.address;
-  loads = other443.loads;
-  gives_orders = other443.gives_orders;
-  starts = other443.starts;
-  centres_era = other443.centres_era;
-  centres_held = other443.centres_held;
-  informed = other443.informed;
-  reads_store = other443.reads_store;
-  data_centre = other443.data_centre;
-  group = other443.group;
-  fleet_size = other443.fleet_size;
-  processor_share = other443.processor_share;
-  to_other_group = other443.to_other_group;
-  group_use = other443.group_use;
-  outside = other443.outside;
-  has_details = other443.has_details;
-  __isset = other443.__isset;
-}
-peer_status::peer_status(peer_status&& other444) noexcept {
-  process = std::move(other444.process);
-  boot = other444.boot;
-  sequence = other444.sequence;
-  leaving = other444.leaving;
-  heard = std::move(other444.heard);
-  config_version = other444.config_version;
-  config_address = std::move(other444.config_address);
-  centres_revision = other444.centres_revision;
-  centres_out = std::move(other444.centres_out);
-  uses = std::move(other444.uses);
-  demands = std::move(other444.demands);
-  customers = std::move(other444.customers);
-  holdings = std::move(other444.holdings);
-  leaving_targets = std::move(other444.leaving_targets);
-  suspects = std::move(other444.suspects);
-  wants_registrations = other444.wants_registrations;
-  registrations = std::move(other444.registrations);
-  address = std::move(other444.address);
-  loads = std::move(other444.loads);
-  gives_orders = other444.gives_orders;
-  starts = std::move(other444.starts);
-  centres_era = other444.centres_era;
-  centres_held = std::move(other444.centres_held);
-  informed = other444.informed;
-  reads_store = other444.reads_store;
-  data_centre = std::move(other444.data_centre);
-  group = std::move(other444.group);
-  fleet_size = other444.fleet_size;
-  processor_share = other444.processor_share;
-  to_other_group = other444.to_other_group;
-  group_use = std::move(other444.group_use);
-  outside = std::move(other444.outside);
-  has_details = other444.has_details;
-  __isset = other444.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other445) {
-  process = other445.process;
-  boot = other445.boot;
-  sequence = other445.sequence;
-  leaving = other445.leaving;
-  heard = other445.heard;
-  config_version = other445.config_version;
-  config_address = other445.config_address;
-  centres_revision = other445.centres_revision;
-  centres_out = other445.centres_out;
-  uses = other445.uses;
-  demands = other445.demands;
-  customers = other445.customers;
-  holdings = other445.holdings;
-  leaving_targets = other445.leaving_targets;
-  suspects = other445.suspects;
-  wants_registrations = other445.wants_registrations;
-  registrations = other445.registrations;
-  address = other445.address;
-  loads = other445.loads;
-  gives_orders = other445.gives_orders;
-  starts = other445.starts;
-  centres_era = other445.centres_era;
-  centres_held = other445.centres_held;
-  informed = other445.informed;
-  reads_store = other445.reads_store;
-  data_centre = other445.data_centre;
-  group = other445.group;
-  fleet_size = other445.fleet_size;
-  processor_share = other445.processor_share;
-  to_other_group = other445.to_other_group;
-  group_use = other445.group_use;
-  outside = other445.outside;
-  has_details = other445.has_details;
-  __isset = other445.__isset;
-  return *this;
-}
-peer_status& peer_status::operator=(peer_status&& other446) noexcept {
-  process = std::move(other446.process);
-  boot = other446.boot;
-  sequence = other446.sequence;
-  leaving = other446.leaving;
-  heard = std::move(other446.heard);
-  config_version = other446.config_version;
-  config_address = std::move(other446.config_address);
-  centres_revision = other446.centres_revision;
-  centres_out = std::move(other446.centres_out);
-  uses = std::move(other446.uses);
-  demands = std::move(other446.demands);
-  customers = std::move(other446.customers);
-  holdings = std::move(other446.holdings);
-  leaving_targets = std::move(other446.leaving_targets);
-  suspects = std::move(other446.suspects);
-  wants_registrations = other446.wants_registrations;
-  registrations = std::move(other446.registrations);
-  address = std::move(other446.address);
-  loads = std::move(other446.loads);
-  gives_orders = other446.gives_orders;
-  starts = std::move(other446.starts);
-  centres_era = other446.centres_era;
-  centres_held = std::move(other446.centres_held);
-  informed = other446.informed;
-  reads_store = other446.reads_store;
-  data_centre = std::move(other446.data_centre);
-  group = std::move(other446.group);
-  fleet_size = other446.fleet_size;
-  processor_share = other446.processor_share;
-  to_other_group = other446.to_other_group;
-  group_use = std::move(other446.group_use);
-  outside = std::move(other446.outside);
-  has_details = other446.has_details;
-  __isset = other446.__isset;
+peer_status::peer_status(const peer_status& other465) {
+  process = other465.process;
+  boot = other465.boot;
+  sequence = other465.sequence;
+  leaving = other465.leaving;
+  heard = other465.heard;
+  config_version = other465.config_version;
+  config_address = other465.config_address;
+  centres_revision = other465.centres_revision;
+  centres_out = other465.centres_out;
+  uses = other465.uses;
+  demands = other465.demands;
+  customers = other465.customers;
+  holdings = other465.holdings;
+  leaving_targets = other465.leaving_targets;
+  suspects = other465.suspects;
+  wants_registrations = other465.wants_registrations;
+  registrations = other465.registrations;
+  address = other465.address;
+  loads = other465.loads;
+  gives_orders = other465.gives_orders;
+  starts = other465.starts;
+  centres_era = other465.centres_era;
+  centres_held = other465.centres_held;
+  informed = other465.informed;
+  reads_store = other465.reads_store;
+  data_centre = other465.data_centre;
+  group = other465.group;
+  fleet_size = other465.fleet_size;
+  processor_share = other465.processor_share;
+  to_other_group = other465.to_other_group;
+  group_use = other465.group_use;
+  outside = other465.outside;
+  has_details = other465.has_details;
+  suspect_parts = other465.suspect_parts;
+  __isset = other465.__isset;
+}
+peer_status::peer_status(peer_status&& other466) noexcept {
+  process = std::move(other466.process);
+  boot = other466.boot;
+  sequence = other466.sequence;
+  leaving = other466.leaving;
+  heard = std::move(other466.heard);
+  config_version = other466.config_version;
+  config_address = std::move(other466.config_address);
+  centres_revision = other466.centres_revision;
+  centres_out = std::move(other466.centres_out);
+  uses = std::move(other466.uses);
+  demands = std::move(other466.demands);
+  customers = std::move(other466.customers);
+  holdings = std::move(other466.holdings);
+  leaving_targets = std::move(other466.leaving_targets);
+  suspects = std::move(other466.suspects);
+  wants_registrations = other466.wants_registrations;
+  registrations = std::move(other466.registrations);
+  address = std::move(other466.address);
+  loads = std::move(other466.loads);
+  gives_orders = other466.gives_orders;
+  starts = std::move(other466.starts);
+  centres_era = other466.centres_era;
+  centres_held = std::move(other466.centres_held);
+  informed = other466.informed;
+  reads_store = other466.reads_store;
+  data_centre = std::move(other466.data_centre);
+  group = std::move(other466.group);
+  fleet_size = other466.fleet_size;
+  processor_share = other466.processor_share;
+  to_other_group = other466.to_other_group;
+  group_use = std::move(other466.group_use);
+  outside = std::move(other466.outside);
+  has_details = other466.has_details;
+  suspect_parts = std::move(other466.suspect_parts);
+  __isset = other466.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other467) {
+  process = other467.process;
+  boot = other467.boot;
+  sequence = other467.sequence;
+  leaving = other467.leaving;
+  heard = other467.heard;
+  config_version = other467.config_version;
+  config_address = other467.config_address;
+  centres_revision = other467.centres_revision;
+  centres_out = other467.centres_out;
+  uses = other467.uses;
+  demands = other467.demands;
+  customers = other467.customers;
+  holdings = other467.holdings;
+  leaving_targets = other467.leaving_targets;
+  suspects = other467.suspects;
+  wants_registrations = other467.wants_registrations;
+  registrations = other467.registrations;
+  address = other467.address;
+  loads = other467.loads;
+  gives_orders = other467.gives_orders;
+  starts = other467.starts;
+  centres_era = other467.centres_era;
+  centres_held = other467.centres_held;
+  informed = other467.informed;
+  reads_store = other467.reads_store;
+  data_centre = other467.data_centre;
+  group = other467.group;
+  fleet_size = other467.fleet_size;
+  processor_share = other467.processor_share;
+  to_other_group = other467.to_other_group;
+  group_use = other467.group_use;
+  outside = other467.outside;
+  has_details = other467.has_details;
+  suspect_parts = other467.suspect_parts;
+  __isset = other467.__isset;
+  return *this;
+}
+peer_status& peer_status::operator=(peer_status&& other468) noexcept {
+  process = std::move(other468.process);
+  boot = other468.boot;
+  sequence = other468.sequence;
+  leaving = other468.leaving;
+  heard = std::move(other468.heard);
+  config_version = other468.config_version;
+  config_address = std::move(other468.config_address);
+  centres_revision = other468.centres_revision;
+  centres_out = std::move(other468.centres_out);
+  uses = std::move(other468.uses);
+  demands = std::move(other468.demands);
+  customers = std::move(other468.customers);
+  holdings = std::move(other468.holdings);
+  leaving_targets = std::move(other468.leaving_targets);
+  suspects = std::move(other468.suspects);
+  wants_registrations = other468.wants_registrations;
+  registrations = std::move(other468.registrations);
+  address = std::move(other468.address);
+  loads = std::move(other468.loads);
+  gives_orders = other468.gives_orders;
+  starts = std::move(other468.starts);
+  centres_era = other468.centres_era;
+  centres_held = std::move(other468.centres_held);
+  informed = other468.informed;
+  reads_store = other468.reads_store;
+  data_centre = std::move(other468.data_centre);
+  group = std::move(other468.group);
+  fleet_size = other468.fleet_size;
+  processor_share = other468.processor_share;
+  to_other_group = other468.to_other_group;
+  group_use = std::move(other468.group_use);
+  outside = std::move(other468.outside);
+  has_details = other468.has_details;
+  suspect_parts = std::move(other468.suspect_parts);
+  __isset = other468.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -12591,6 +12839,7 @@
   out << ", " << "group_use="; (__isset.group_use ? (out << to_string(group_use)) : (out << "<null>"));
   out << ", " << "outside="; (__isset.outside ? (out << to_string(outside)) : (out << "<null>"));
   out << ", " << "has_details=" << to_string(has_details);
+  out << ", " << "suspect_parts=" << to_string(suspect_parts);
   out << ")";
 }
 
@@ -12721,34 +12970,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_request::turn_request(const turn_request& other447) {
-  process = other447.process;
-  target = other447.target;
-  number = other447.number;
-  tokens = other447.tokens;
-  __isset = other447.__isset;
+turn_request::turn_request(const turn_request& other469) {
+  process = other469.process;
+  target = other469.target;
+  number = other469.number;
+  tokens = other469.tokens;
+  __isset = other469.__isset;
 }
-turn_request::turn_request(turn_request&& other448) noexcept {
-  process = std::move(other448.process);
-  target = std::move(other448.target);
-  number = other448.number;
-  tokens = other448.tokens;
-  __isset = other448.__isset;
+turn_request::turn_request(turn_request&& other470) noexcept {
+  process = std::move(other470.process);
+  target = std::move(other470.target);
+  number = other470.number;
+  tokens = other470.tokens;
+  __isset = other470.__isset;
 }
-turn_request& turn_request::operator=(const turn_request& other449) {
-  process = other449.process;
-  target = other449.target;
-  number = other449.number;
-  tokens = other449.tokens;
-  __isset = other449.__isset;
+turn_request& turn_request::operator=(const turn_request& other471) {
+  process = other471.process;
+  target = other471.target;
+  number = other471.number;
+  tokens = other471.tokens;
+  __isset = other471.__isset;
   return *this;
 }
-turn_request& turn_request::operator=(turn_request&& other450) noexcept {
-  process = std::move(other450.process);
-  target = std::move(other450.target);
-  number = other450.number;
-  tokens = other450.tokens;
-  __isset = other450.__isset;
+turn_request& turn_request::operator=(turn_request&& other472) noexcept {
+  process = std::move(other472.process);
+  target = std::move(other472.target);
+  number = other472.number;
+  tokens = other472.tokens;
+  __isset = other472.__isset;
   return *this;
 }
 void turn_request::printTo(std::ostream& out) const {
@@ -12905,38 +13154,38 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_answer::turn_answer(const turn_answer& other451) {
-  process = other451.process;
-  target = other451.target;
-  number = other451.number;
-  given = other451.given;
-  wait_ms = other451.wait_ms;
-  __isset = other451.__isset;
-}
-turn_answer::turn_answer(turn_answer&& other452) noexcept {
-  process = std::move(other452.process);
-  target = std::move(other452.target);
-  number = other452.number;
-  given = other452.given;
-  wait_ms = other452.wait_ms;
-  __isset = other452.__isset;
-}
-turn_answer& turn_answer::operator=(const turn_answer& other453) {
-  process = other453.process;
-  target = other453.target;
-  number = other453.number;
-  given = other453.given;
-  wait_ms = other453.wait_ms;
-  __isset = other453.__isset;
-  return *this;
-}
-turn_answer& turn_answer::operator=(turn_answer&& other454) noexcept {
-  process = std::move(other454.process);
-  target = std::move(other454.target);
-  number = other454.number;
-  given = other454.given;
-  wait_ms = other454.wait_ms;
-  __isset = other454.__isset;
+turn_answer::turn_answer(const turn_answer& other473) {
+  process = other473.process;
+  target = other473.target;
+  number = other473.number;
+  given = other473.given;
+  wait_ms = other473.wait_ms;
+  __isset = other473.__isset;
+}
+turn_answer::turn_answer(turn_answer&& other474) noexcept {
+  process = std::move(other474.process);
+  target = std::move(other474.target);
+  number = other474.number;
+  given = other474.given;
+  wait_ms = other474.wait_ms;
+  __isset = other474.__isset;
+}
+turn_answer& turn_answer::operator=(const turn_answer& other475) {
+  process = other475.process;
+  target = other475.target;
+  number = other475.number;
+  given = other475.given;
+  wait_ms = other475.wait_ms;
+  __isset = other475.__isset;
+  return *this;
+}
+turn_answer& turn_answer::operator=(turn_answer&& other476) noexcept {
+  process = std::move(other476.process);
+  target = std::move(other476.target);
+  number = other476.number;
+  given = other476.given;
+  wait_ms = other476.wait_ms;
+  __isset = other476.__isset;
   return *this;
 }
 void turn_answer::printTo(std::ostream& out) const {
@@ -13077,34 +13326,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_use::turn_use(const turn_use& other455) {
-  process = other455.process;
-  target = other455.target;
-  number = other455.number;
-  tokens = other455.tokens;
-  __isset = other455.__isset;
-}
-turn_use::turn_use(turn_use&& other456) noexcept {
-  process = std::move(other456.process);
-  target = std::move(other456.target);
-  number = other456.number;
-  tokens = other456.tokens;
-  __isset = other456.__isset;
-}
-turn_use& turn_use::operator=(const turn_use& other457) {
-  process = other457.process;
-  target = other457.target;
-  number = other457.number;
-  tokens = other457.tokens;
-  __isset = other457.__isset;
-  return *this;
-}
-turn_use& turn_use::operator=(turn_use&& other458) noexcept {
-  process = std::move(other458.process);
-  target = std::move(other458.target);
-  number = other458.number;
-  tokens = other458.tokens;
-  __isset = other458.__isset;
+turn_use::turn_use(const turn_use& other477) {
+  process = other477.process;
+  target = other477.target;
+  number = other477.number;
+  tokens = other477.tokens;
+  __isset = other477.__isset;
+}
+turn_use::turn_use(turn_use&& other478) noexcept {
+  process = std::move(other478.process);
+  target = std::move(other478.target);
+  number = other478.number;
+  tokens = other478.tokens;
+  __isset = other478.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other479) {
+  process = other479.process;
+  target = other479.target;
+  number = other479.number;
+  tokens = other479.tokens;
+  __isset = other479.__isset;
+  return *this;
+}
+turn_use& turn_use::operator=(turn_use&& other480) noexcept {
+  process = std::move(other480.process);
+  target = std::move(other480.target);
+  number = other480.number;
+  tokens = other480.tokens;
+  __isset = other480.__isset;
   return *this;
 }
 void turn_use::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -236,6 +236,8 @@
 
 class target_registration;
 
+class suspect_part;
+
 class target_load;
 
 class usage_sums;
@@ -4265,6 +4267,74 @@
 
 std::ostream& operator<<(std::ostream& out, const target_registration& obj);
 
+typedef struct _suspect_part__isset {
+  _suspect_part__isset() : part(false), target_runs(false), ages_ms(false), sound_age_ms(false) {}
+  bool part :1;
+  bool target_runs :1;
+  bool ages_ms :1;
+  bool sound_age_ms :1;
+} _suspect_part__isset;
+
+/**
+ * What is known of a prompt's part that may crash targets: the target runs that ended under it, with their ages, and the
+ * age of its latest complete answer (-1: none known).
+ */
+class suspect_part : public virtual ::apache::thrift::TBase {
+ public:
+
+  suspect_part(const suspect_part&);
+  suspect_part(suspect_part&&) noexcept;
+  suspect_part& operator=(const suspect_part&);
+  suspect_part& operator=(suspect_part&&) noexcept;
+  suspect_part() noexcept
+               : part(0),
+                 sound_age_ms(0) {
+  }
+
+  virtual ~suspect_part() noexcept;
+  int64_t part;
+  std::vector<int64_t>  target_runs;
+  std::vector<int64_t>  ages_ms;
+  int64_t sound_age_ms;
+
+  _suspect_part__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_target_runs(const std::vector<int64_t> & val);
+
+  void __set_ages_ms(const std::vector<int64_t> & val);
+
+  void __set_sound_age_ms(const int64_t val);
+
+  bool operator == (const suspect_part & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(target_runs == rhs.target_runs))
+      return false;
+    if (!(ages_ms == rhs.ages_ms))
+      return false;
+    if (!(sound_age_ms == rhs.sound_age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const suspect_part &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const suspect_part & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(suspect_part &a, suspect_part &b);
+
+std::ostream& operator<<(std::ostream& out, const suspect_part& obj);
+
 typedef struct _target_load__isset {
   _target_load__isset() : target(false), running(false) {}
   bool target :1;
@@ -4614,7 +4684,7 @@
 std::ostream& operator<<(std::ostream& out, const outside_status& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4648,6 +4718,7 @@
   bool group_use :1;
   bool outside :1;
   bool has_details :1;
+  bool suspect_parts :1;
 } _peer_status__isset;
 
 /**
@@ -4727,6 +4798,7 @@
   group_status group_use;
   outside_status outside;
   bool has_details;
+  std::vector<suspect_part>  suspect_parts;
 
   _peer_status__isset __isset;
 
@@ -4796,6 +4868,8 @@
 
   void __set_has_details(const bool val);
 
+  void __set_suspect_parts(const std::vector<suspect_part> & val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -4868,6 +4942,8 @@
       return false;
     if (!(has_details == rhs.has_details))
       return false;
+    if (!(suspect_parts == rhs.suspect_parts))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -174,7 +174,7 @@
     }
     request->fingerprint =
         hash_of(request->received.body, hash_of(request->received.target, hash_of(request->customer)));
-    if (forwarder_.is_quarantined(request->fingerprint)) {
+    if (forwarder_.is_blocked(*request)) {
         reject(request, 503, "condemned");
         return false;
     }
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/forwarder.hpp"
 
+#include "core/common/hash.hpp"
 #include "platform/headers.hpp"
 
 #include <algorithm>
@@ -113,6 +114,8 @@
 }
 
 void forwarder::send(const caller_request_ptr& request, const std::string& target) {
+    if (is_blocked(*request)) // since it began to wait
+        return refuse(request, 503, "condemned", {});
     const auto link = dispatcher_->link(target);
     if (!link) {
         dispatcher_->submit(request);
@@ -238,6 +241,7 @@
     if (!request->session->answer_begun())
         request->session->begin_answer(request->head.status, forwarded_fields(request->head.fields));
     request->session->end_answer();
+    suspects_.add_sound(request->shared_parts, context_.loop.now());
     close_exchange(request, dispatcher::attempt_outcome::succeeded);
     finish(request, edge::events::request_answered, "answered", "whole");
 }
@@ -269,20 +273,30 @@
     if (failure == exchange_failure::broken)
         return handle_broken_answer(request, "connection_broken");
     request->may_have_run = true;
-    handle_lost_answer(request, "answer_malformed");
+    if (failure == exchange_failure::silent)
+        ++connection_breaks_of(request->fingerprint);
+    handle_lost_answer(request,
+                       failure == exchange_failure::silent ? "connection_timed_out" : "answer_malformed");
 }
 
 void forwarder::handle_broken_answer(const caller_request_ptr& request, const char* reason) {
     request->may_have_run = true;
     ++connection_breaks_of(request->fingerprint);
-    if (!request->events.any_taken() && !request->shared_parts.empty())
-        context_.log.write(edge::events::prompt_suspected, request->request_id,
-                           {{"target", request->target_start.id},
-                            {"born", request->target_start.born},
-                            {"parts", request->shared_parts}});
+    note_crash(*request);
     handle_lost_answer(request, reason);
 }
 
+/// A part crashes the target that begins to answer it, so a prompt of which an event came has none.
+void forwarder::note_crash(const caller_request& request) {
+    if (request.events.any_taken() || request.shared_parts.empty())
+        return;
+    const auto& start = request.target_start;
+    context_.log.write(edge::events::prompt_suspected, request.request_id,
+                       {{"target", start.id}, {"born", start.born}, {"parts", request.shared_parts}});
+    const auto run = core::common::hash_of(start.id, static_cast<std::uint64_t>(start.born));
+    suspects_.add_crash(request.shared_parts, run, context_.loop.now());
+}
+
 void forwarder::handle_rejection(const caller_request_ptr& request, dispatcher::attempt_outcome outcome) {
     const char* reason = outcome == dispatcher::attempt_outcome::lacks_model ? "wrong_target" : "target_full";
     close_exchange(request, outcome);
@@ -305,8 +319,8 @@
 /// Submits the request again. Returns false if it may not be retried.
 bool forwarder::retry(const caller_request_ptr& request, const char* reason, bool spend_budget) {
     const time_point now = context_.loop.now();
-    if (request->send_count >= max_sends || is_quarantined(request->fingerprint) ||
-        request->deadline - now < min_useful_time)
+    if (request->send_count >= max_sends || is_blocked(*request) ||
+        suspects_.suspected(request->shared_parts, now) || request->deadline - now < min_useful_time)
         return false;
     if (request->streaming && request->last_event.empty() && request->session->answer_begun())
         return false;
@@ -421,6 +435,11 @@
     return found != connection_breaks_.end() && found->second >= breaks_to_quarantine;
 }
 
+bool forwarder::is_blocked(const caller_request& request) const {
+    return is_quarantined(request.fingerprint) ||
+           suspects_.find_blocked(request.shared_parts, context_.loop.now()).has_value();
+}
+
 void forwarder::merge_connection_breaks(std::uint64_t fingerprint, int count) {
     int& known = connection_breaks_of(fingerprint);
     known = std::max(known, count);
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -2,6 +2,7 @@
 /// the retry budget.
 #pragma once
 
+#include "core/quarantine/suspect_parts.hpp"
 #include "core/retries/window_budget.hpp"
 #include "programs/gateway/dispatcher.hpp"
 
@@ -24,6 +25,9 @@
     [[nodiscard]] bool is_quarantined(std::uint64_t fingerprint) const;
     void merge_connection_breaks(std::uint64_t fingerprint, int count);
     [[nodiscard]] const std::map<std::uint64_t, int>& connection_breaks() const { return connection_breaks_; }
+    /// Parts of prompts that crash targets. Peers exchange the evidence.
+    [[nodiscard]] core::quarantine::suspect_parts& suspects() { return suspects_; }
+    [[nodiscard]] bool is_blocked(const caller_request& request) const; // whether it must not be sent
     void update_budgets();
 
 private:
@@ -36,6 +40,7 @@
     void send_answer(const caller_request_ptr& request);
     void handle_rejection(const caller_request_ptr& request,
                           dispatcher::attempt_outcome outcome); // has not run
+    void note_crash(const caller_request& request);             // its target may have ended because of it
     void handle_broken_answer(const caller_request_ptr& request,
                               const char* reason); // its target broke it off
     void handle_lost_answer(const caller_request_ptr& request,
@@ -55,6 +60,7 @@
     dispatcher* dispatcher_ = nullptr;
     std::map<std::string, core::retries::window_budget> budgets_; // by service
     std::map<std::uint64_t, int> connection_breaks_;              // by fingerprint
+    core::quarantine::suspect_parts suspects_;
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peer_codec.cpp
+++ b/src/programs/gateway/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "programs/gateway/peer_codec.hpp"
 
+#include <algorithm>
+
 namespace waxwinglb::programs::gateway {
 namespace {
 
@@ -97,6 +99,28 @@
 
 } // namespace
 
+core::quarantine::part_report decode_part(const wire::suspect_part& from) {
+    core::quarantine::part_report out;
+    out.part = static_cast<std::uint64_t>(from.part);
+    for (std::size_t index = 0; index < std::min(from.target_runs.size(), from.ages_ms.size()); ++index)
+        out.crashes.emplace_back(static_cast<std::uint64_t>(from.target_runs[index]),
+                                 milliseconds{std::max<std::int64_t>(0, from.ages_ms[index])});
+    if (from.sound_age_ms >= 0)
+        out.sound_age = milliseconds{from.sound_age_ms};
+    return out;
+}
+
+wire::suspect_part encode_part(const core::quarantine::part_report& report) {
+    wire::suspect_part out;
+    out.part = static_cast<std::int64_t>(report.part);
+    for (const auto& [run, age] : report.crashes) {
+        out.target_runs.push_back(static_cast<std::int64_t>(run));
+        out.ages_ms.push_back(age.count());
+    }
+    out.sound_age_ms = report.sound_age ? report.sound_age->count() : -1;
+    return out;
+}
+
 core::exchange::report decode_report(const wire::peer_status& status) {
     core::exchange::report out;
     out.process = status.process;
--- a/src/programs/gateway/peer_codec.hpp
+++ b/src/programs/gateway/peer_codec.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/exchange/report.hpp"
+#include "core/quarantine/suspect_parts.hpp"
 #include "waxwing_types.h"
 
 namespace waxwinglb::programs::gateway {
@@ -12,4 +13,7 @@
 /// Sets that part of a message; the rest of `to` is left as it is.
 void encode_report(const core::exchange::report& report, wire::peer_status& to);
 
+[[nodiscard]] core::quarantine::part_report decode_part(const wire::suspect_part& from);
+[[nodiscard]] wire::suspect_part encode_part(const core::quarantine::part_report& report);
+
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peer_news.cpp
+++ b/src/programs/gateway/peer_news.cpp
@@ -2,6 +2,7 @@
 
 #include "core/common/hash.hpp"
 #include "core/exchange/groups.hpp"
+#include "programs/gateway/peer_codec.hpp"
 
 #include <algorithm>
 
@@ -111,6 +112,8 @@
             suspect.crashes = count;
             message.suspects.push_back(std::move(suspect));
         }
+    for (const auto& report : dependencies_.forward.suspects().reports(context_.loop.now()))
+        message.suspect_parts.push_back(encode_part(report));
 }
 
 /// Targets' models and starts (also of targets that became cold) that changed or are due for resending.
@@ -172,6 +175,7 @@
 void peer_news::forget_old() {
     holdings_updates_.forget_old(context_.loop.now());
     starts_updates_.forget_old(context_.loop.now());
+    dependencies_.forward.suspects().expire(context_.loop.now());
 }
 
 // ---- hearing ---------------------------------------------------------------------------------------
@@ -181,6 +185,8 @@
     for (const auto& suspect : message.suspects)
         dependencies_.forward.merge_connection_breaks(std::strtoull(suspect.fingerprint.c_str(), nullptr, 10),
                                                       suspect.crashes);
+    for (const auto& part : message.suspect_parts)
+        dependencies_.forward.suspects().merge(decode_part(part), context_.loop.now());
     if (own_speakers && !message.registrations.empty() && !dependencies_.watch.reads_targets())
         adopted_outside_at_ = context_.loop.now();
     apply_centres(message);
--- a/src/programs/gateway/target_link.cpp
+++ b/src/programs/gateway/target_link.cpp
@@ -112,7 +112,7 @@
         deliver();
         return;
     }
-    fail(exchange_failure::broken);
+    fail(reason == edge::close_reason::timed_out ? exchange_failure::silent : exchange_failure::broken);
 }
 
 void exchange::fail(exchange_failure failure) {
--- a/src/programs/gateway/target_link.hpp
+++ b/src/programs/gateway/target_link.hpp
@@ -16,6 +16,7 @@
 enum class exchange_failure {
     not_sent,  // no connection: the target never saw the request
     broken,    // the connection was closed or reset before the answer was complete
+    silent,    // the target's kernel no longer acknowledged anything
     malformed, // the bytes received are not an answer to this request
 };
 
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -236,10 +236,11 @@
         return self.stream(call, signed)
 
     def crash(self, call):
-        """Ends the call without an answer and starts anew."""
+        """Ends the call without an answer and starts anew, under another id."""
         call.close_connection = True
         call.connection.shutdown(socket.SHUT_RDWR)
-        self.born += 1
+        self.store.remove("servers", self.name)
+        self.name, self.born = self.name + "+", self.born + 1
         self.register()
 
     def plain_answer(self, call, data, fields):
--- a/tests/programs/test_gateway_suspect_parts.py
+++ b/tests/programs/test_gateway_suspect_parts.py
@@ -49,6 +49,7 @@
             if runs_with(targets, "bad") - before > TOLERATED_LATER:
                 raise Failure(f"{runs_with(targets, 'bad') - before} more requests with the part reached targets")
             for gateway in (0, 1):
+                wait_until(lambda gateway=gateway: ask(fleet, second, gateway) == 200, "the gateway knows the targets' new starts")
                 for _ in range(5):
                     expect(ask(fleet, second, gateway), 200, "a sound request with the same key and another part")
 
