Gateway: bytes of targets without end are closed soon and within bounded memory

Cause: a header's size and a plain answer's were bounded; what the parser leaves of a chunk's head or of a trailer, the last event of a stream, the body of another request's late answer, and all that libcurl collects (reports, orders, the store) were held until a deadline ended them. Change: bounds where such bytes are collected: 64 kB of framing, 1 MB of an event, 8 MB of late answers, of one body and 256 kB of its header fields in the client. The exchange then fails as any other malformed answer does.

--- a/src/core/timeline/request_trace.cpp
+++ b/src/core/timeline/request_trace.cpp
@@ -66,6 +66,7 @@
     reason_text{"answer_without_signature",
                 "Its target's successful answer had no signature or was encoded."},
     reason_text{"answer_too_large", "Its answer exceeded the size limit of answers forwarded in one piece."},
+    reason_text{"event_too_large", "An event of its stream exceeded the size limit, or had no end."},
     reason_text{"resumption_failed", "Its stream broke and could not be resumed on another target."},
     reason_text{"deadline_passed_waiting", "No target took it before its deadline or its route's timeout."},
     reason_text{"deadline_passed_running",
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -14,6 +14,8 @@
 
 constexpr int idle_poll_ms = 1000;
 constexpr long max_connections_cached = 256;
+constexpr std::size_t max_collected_body = 8U << 20U; // bytes; the store's longest pages have about 1 MB
+constexpr std::size_t max_headers = 256U << 10U;      // bytes, of all header fields of one answer
 
 struct curl_globals {
     curl_globals() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -67,6 +69,7 @@
         std::function<void(int, std::string_view)> on_data;
         CURL* easy = nullptr;
         curl_slist* headers = nullptr;
+        std::size_t header_bytes = 0; // received
         core::common::time_point last_byte{};
     };
 
@@ -83,12 +86,17 @@
         curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
         if (transfer.on_data)
             transfer.on_data(static_cast<int>(status), {data, unit * count});
+        else if (transfer.result.body.size() + unit * count > max_collected_body)
+            return 0; // ends the call as interrupted
         else
             transfer.result.body.append(data, unit * count);
         return unit * count;
     }
     static std::size_t receive_header(char* data, std::size_t unit, std::size_t count, void* self) {
         auto& transfer = *static_cast<call*>(self);
+        transfer.header_bytes += unit * count;
+        if (transfer.header_bytes > max_headers)
+            return 0; // ends the call as interrupted
         std::string_view line{data, unit * count};
         const auto colon = line.find(':');
         if (colon != line.npos) {
--- a/src/edge/http_reader.cpp
+++ b/src/edge/http_reader.cpp
@@ -16,6 +16,7 @@
     "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
     "trailer",    "transfer-encoding", "upgrade"};
 constexpr std::uint32_t max_answer_header = 64U << 10U; // bytes
+constexpr std::size_t max_framing = 64U << 10U; // bytes of a chunk's head or a trailer that has not ended
 
 bool equal_letter(char a, char b) {
     return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
@@ -186,6 +187,8 @@
     }
     if (parser.is_done())
         state_ = state::complete;
+    else if (buffer_.size() > max_framing) // what the parser leaves is part of the framing, never of the body
+        state_ = state::broken;
     return state_;
 }
 
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -16,7 +16,8 @@
 
 constexpr std::size_t max_unsent_bytes = 256U << 10U;  // to a slow caller; pauses reading from its target
 constexpr std::size_t max_buffered_answer = 8U << 20U; // bytes of an answer that isn't streamed
-constexpr int breaks_to_quarantine = 3;                // broken connections to targets while one request ran
+constexpr std::size_t max_event = 1U << 20U; // bytes of one event of a stream; usual ones have some hundred
+constexpr int breaks_to_quarantine = 3;      // broken connections to targets while one request ran
 constexpr std::size_t max_tracked_fingerprints = 2'000;
 constexpr int max_sends = 5;                   // of one request, including sends that targets rejected
 constexpr milliseconds rejection_backoff{150}; // models being loaded and slots of full targets get ready soon
@@ -196,7 +197,10 @@
 void forwarder::on_body(const caller_request_ptr& request, std::string&& piece) {
     if (request->streaming) {
         request->events.add(piece);
-        return relay_events(request);
+        relay_events(request);
+        if (request->events.size() > max_event)
+            handle_lost_answer(request, "event_too_large");
+        return;
     }
     request->body.append(piece);
     if (request->body.size() > max_buffered_answer)
--- a/src/programs/gateway/target_link.cpp
+++ b/src/programs/gateway/target_link.cpp
@@ -14,7 +14,8 @@
 constexpr milliseconds default_idle_timeout{3'000}; // for targets that state no idle timeout
 constexpr double idle_part = 0.8;       // share of the stated timeout for which a connection is kept
 constexpr double fresh_idle_part = 0.4; // share of that time for which non-repeatable requests use it
-constexpr int max_skipped_answers = 2;  // late answers to earlier requests on one connection
+constexpr std::size_t max_skipped_bytes = 8U << 20U; // of such answers
+constexpr int max_skipped_answers = 2;               // late answers to earlier requests on one connection
 
 /// How long to keep a connection idle, from the target's "Keep-Alive: timeout=SECONDS".
 milliseconds usable_idle_time(const edge::answer_head& head) {
@@ -78,6 +79,8 @@
         }
         if (head_delivered_) {
             std::string body = reader_->take_body();
+            if (other_request_ && (skipped_bytes_ += body.size()) > max_skipped_bytes)
+                return fail(exchange_failure::malformed);
             if (!other_request_ && !body.empty()) {
                 events_.on_body(std::move(body));
                 if (!connection_)
--- a/src/programs/gateway/target_link.hpp
+++ b/src/programs/gateway/target_link.hpp
@@ -61,6 +61,7 @@
     bool other_request_ = false; // the answer being read belongs to another request
     bool head_delivered_ = false;
     int skipped_answers_ = 0;
+    std::size_t skipped_bytes_ = 0; // of their bodies
 };
 
 /// All connections to one target.
--- a/tests/contract/target_link_test.cpp
+++ b/tests/contract/target_link_test.cpp
@@ -250,6 +250,20 @@
     }
 }
 
+TEST(target_link, late_answer_without_end_fails_and_closes_the_connection) {
+    scripted_target target{[](const std::string& request, int) {
+        if (request.find("r2") == std::string::npos)
+            return answer("r1", "first");
+        return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n" + std::string(16U << 20U, 'x');
+    }};
+    test_client client{target.address};
+    ASSERT_TRUE(client.ask("r1").complete);
+    const auto second = client.ask("r2");
+    ASSERT_TRUE(second.failure.has_value());
+    EXPECT_EQ(*second.failure, exchange_failure::malformed);
+    EXPECT_EQ(client.link->open_count(), 0);
+}
+
 TEST(target_link, body_without_length_is_complete_when_the_connection_closes) {
     scripted_target target{[](const std::string&, int) {
         return std::string{"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nabcclose"};
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -160,6 +160,8 @@
         self.break_stream_after = None     # number of events after which every stream breaks
         self.break_inside_event = False    # it breaks in the middle of the next event
         self.end_chunks_on_break = False   # such a stream has its last chunk
+        self.endless = None                # what it sends without end, until the gateway closes: see send_without_end
+        self.closed_by_gateway = []        # what it was sending then
         self.unframed = False              # answers have neither length nor chunks and end with their connection
         self.break_on_body = None          # request body that breaks the connection when it runs
         self.crash_on_part = None          # id of a prompt's part, not the last, that crashes it as it begins to answer
@@ -186,6 +188,8 @@
         return [{"name": model, "version": 1, "adapters": sorted(adapters)} for model, adapters in sorted(self.models.items())]
 
     def serve(self, call):
+        if call.path == "/report" and self.endless == "report":
+            return self.send_without_end(call, [])
         if call.path == "/report":
             return call.answer(200, {"models": self.holding(), "busy": bool(self.loading), "born": self.born,
                                      "sequence": self.sequence, "running": 0, "waiting": 0,
@@ -231,6 +235,8 @@
         if self.crash_on_part in parts[:-1]:
             return self.crash(call)
         signed = [("Request-Id", request_id), ("Response-Signature", "sig-" + request_id)] + leaving
+        if self.endless is not None:
+            return self.send_without_end(call, signed)
         if not model:
             return self.plain_answer(call, b"recorded " + body, signed)
         return self.stream(call, signed)
@@ -279,6 +285,21 @@
         call.close_connection = self.unframed
         return call.wfile.write(b"" if self.unframed else b"0\r\n\r\n")
 
+    def send_without_end(self, call, signed):
+        """Sends bytes until the gateway closes: a part of an answer, or a report."""
+        begin = b"HTTP/1.1 200 OK\r\n" + b"".join(f"{name}: {text}\r\n".encode() for name, text in signed)
+        begin += {"field": b"X-Endless: ", "chunk extension": b"Transfer-Encoding: chunked\r\n\r\n1;",
+                  "event": b"Content-Type: text/event-stream\r\n\r\ndata: ", "body": b"\r\n", "report": b"\r\n[",
+                  "trailer": b"Transfer-Encoding: chunked\r\n\r\n0\r\nX: "}[self.endless]
+        call.close_connection = True
+        try:
+            call.connection.sendall(begin)
+            while True:
+                call.connection.sendall(b"x" * 262_144 if self.endless == "report" else b"x" * 16_384)
+                time.sleep(0.002)
+        except OSError:
+            self.closed_by_gateway.append(self.endless)
+
 
 def route(name, prefix, kind, service, **more):
     return {"name": name, "host": "shop.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 20000,
--- a/tests/programs/test_gateway_broken_answers.py
+++ b/tests/programs/test_gateway_broken_answers.py
@@ -1,12 +1,16 @@
 #!/usr/bin/env python3
-"""waxwing-gateway and answers of targets that are broken off."""
+"""waxwing-gateway and answers of targets that are broken off, or that never end."""
 import http.client
+import pathlib
 import sys
+import time
 
 from gateway_fleet import Fleet, expect
 from harness import Failure, arguments, run_cases, wait_until
 
 ARGUMENTS = arguments(__doc__)
+CLOSE_LIMIT_S = 5.0          # for an answer without end; the callers of these tests wait 10 s
+MAX_GROWTH_BYTES = 64 << 20  # of a gateway's memory, a quarter of a usual one's limit
 EVENTS = [f"id: {number}\ndata: piece {number}\n\n" for number in range(1, 11)]
 
 
@@ -70,10 +74,51 @@
             raise Failure("no stream was resumed at the other target")
 
 
+def peak_bytes(gateway):
+    """Highest resident size of the process since its start."""
+    status = pathlib.Path(f"/proc/{gateway.process.pid}/status").read_text()
+    return int(status.split("VmHWM:")[1].split()[0]) << 10
+
+
+def answers_without_end_are_closed_soon_and_within_bounded_memory():
+    for part in ("field", "chunk extension", "trailer", "event", "body"):
+        for path, model in (("/dossier/1", "m0"), ("/cert/1", None)):
+            if (part, model) == ("event", None):
+                continue     # plain answers have no events
+            with Fleet(ARGUMENTS.bin) as fleet:
+                fleet.target("t1", "engine", models=["m0"]).endless = part
+                fleet.target("l1", "ledger", slots=6).endless = part
+                fleet.start()
+                wait_until(lambda: len(fleet.events("target_changed")) >= 2, "both targets are known")
+                before, begun = peak_bytes(fleet.gateways[0]), time.monotonic()
+                expect(outcome(fleet, path, fleet.headers(model))[0], 502, f"{part} without end, {path}")
+                if time.monotonic() - begun > CLOSE_LIMIT_S:
+                    raise Failure(f"{part} without end, {path}: open for {time.monotonic() - begun:.1f} s")
+                growth = peak_bytes(fleet.gateways[0]) - before
+                if growth > MAX_GROWTH_BYTES:
+                    raise Failure(f"{part} without end, {path}: memory grew by {growth} bytes")
+
+
+def report_without_end_is_closed_within_bounded_memory():
+    with Fleet(ARGUMENTS.bin) as fleet:
+        target = fleet.target("t1", "engine", models=["m0"])
+        target.endless = "report"
+        fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        fleet.wait_for_orders()
+        before = peak_bytes(fleet.gateways[0])
+        wait_until(lambda: len(target.closed_by_gateway) >= 3, "three reports have been closed")
+        if peak_bytes(fleet.gateways[0]) - before > MAX_GROWTH_BYTES:
+            raise Failure(f"memory grew by {peak_bytes(fleet.gateways[0]) - before} bytes")
+        expect(fleet.ask("/cert/1", fleet.headers()).status, 200, "another target's service")
+
+
 if __name__ == "__main__":
     run_cases([stream_without_length_is_passed_on_whole,
                stream_without_length_that_ends_inside_an_event_is_not_complete,
                stream_without_length_that_ends_before_its_first_event_is_not_complete,
                stream_with_chunks_that_ends_inside_an_event_is_not_complete,
-               stream_without_length_that_ends_inside_an_event_resumes_at_another_target])
+               stream_without_length_that_ends_inside_an_event_resumes_at_another_target,
+               answers_without_end_are_closed_soon_and_within_bounded_memory,
+               report_without_end_is_closed_within_bounded_memory])
     sys.exit(0)
