--- a/src/core/quarantine/suspect_parts.cpp
+++ b/src/core/quarantine/suspect_parts.cpp
@@ -124,22 +124,25 @@
 }
 
 void suspect_parts::shrink() {
-    const auto latest = [](const crash_map& crashes) {
-        return std::max_element(crashes.begin(), crashes.end(),
-                                [](const auto& a, const auto& b) { return a.second < b.second; })
-            ->second;
+    const auto weight = [this](const crash_map& crashes) {
+        const auto latest = std::max_element(
+            crashes.begin(), crashes.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+        return std::pair{count_moments(crashes, {}), latest->second};
     };
     while (suspects_.size() > options_.max_suspects)
         suspects_.erase(
             std::min_element(suspects_.begin(), suspects_.end(), [&](const auto& a, const auto& b) {
-                return latest(a.second) < latest(b.second);
+                return weight(a.second) < weight(b.second);
             }));
 }
 
 // ---- exchange with other processes -----------------------------------------------------------------
 
 void suspect_parts::merge(const part_report& report, common::time_point now) {
-    if (report.sound_age)
+    // Ages lack the time on the way: without the margin two processes would renew each other's news for ever.
+    const auto known = sound_.find(report.part);
+    if (report.sound_age &&
+        (known == sound_.end() || now - *report.sound_age > known->second + options_.report_delay))
         note_sound(report.part, now - *report.sound_age);
     for (const auto& [target, age] : report.crashes) {
         const auto sound = sound_.find(report.part);
--- a/src/core/quarantine/suspect_parts.hpp
+++ b/src/core/quarantine/suspect_parts.hpp
@@ -3,7 +3,7 @@
 ///
 /// Every process adds what it sees and merges what others tell, in any order and any number of times. All
 /// come to the same verdicts:
-/// - a crash is evidence against each shared part of a request that was at the target without a first event;
+/// - a crash is evidence against each shared part of a request whose answer was about to begin there;
 /// - a complete answer clears the parts of its prompt, for a part that crashes targets never gets one;
 /// - crashes at the same moment count once: many targets that end together have another cause;
 /// - crashes that a part with more evidence explains don't count against the parts that came with it.
@@ -33,9 +33,10 @@
     common::milliseconds evidence_memory{60'000}; // since the last crash, of a part that is not blocked; less
                                                   // than sound_memory, which it must not outlive
     common::milliseconds blocked_memory{600'000}; // since the last crash, of one that is
-    std::size_t max_suspects = 100;               // those with the oldest evidence are dropped first
+    common::milliseconds report_delay{2'000};     // most by which a report's ages may be too low on arrival
+    std::size_t max_suspects = 40;                // those at the fewest crashes are dropped first
     std::size_t max_sound = 4'000;                // parts known as sound; the oldest are dropped first
-    std::size_t max_crashes = 16;                 // kept of one part, the latest
+    std::size_t max_crashes = 8;                  // kept of one part, the latest
 };
 
 /// What one process tells others of a part. Times are ages, since clocks differ.
@@ -55,7 +56,7 @@
     /// Whether a part was at several crashes and is not known as sound: such a request is not worth a repeat.
     [[nodiscard]] bool suspected(std::span<const part_id> parts, common::time_point now) const;
 
-    /// A target ended while it had not sent the first event of a request with these parts.
+    /// A target ended when it was about to send the first event of a request with these parts.
     void add_crash(std::span<const part_id> parts, target_run target, common::time_point now);
     void add_sound(std::span<const part_id> parts, common::time_point now); // a complete answer
     void merge(const part_report& report, common::time_point now);
@@ -70,7 +71,7 @@
     [[nodiscard]] bool is_blocked(part_id part, common::time_point now) const;
     void add_evidence(part_id part, target_run target, common::time_point at);
     void note_sound(part_id part, common::time_point at);
-    void shrink();
+    void shrink(); // to max_suspects
 
     suspect_options options_;
     std::map<part_id, crash_map> suspects_;                        // with the time of each crash
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -128,6 +128,7 @@
     request->sent_to.insert(target);
     request->body.clear();
     request->events.clear();
+    request->ended_by = "";
     request->last_target = target;
     if (const auto* known = context_.directory.find(target))
         request->target_start = {target, known->entry.born};
@@ -252,6 +253,8 @@
 
 void forwarder::send_answer(const caller_request_ptr& request) {
     const bool failed = request->head.status >= 500;
+    if (request->head.status < 300)
+        suspects_.add_sound(request->shared_parts, context_.loop.now());
     context_.metrics.observe_first_byte(metric_kind(*request), context_.loop.now() - request->arrived);
     request->session->answer(request->head.status, forwarded_fields(request->head.fields), request->body);
     close_exchange(request,
@@ -290,9 +293,13 @@
     handle_lost_answer(request, reason);
 }
 
-/// A part crashes the target that begins to answer it, so a prompt of which an event came has none.
+/// A part crashes the target that begins to answer it: an answer of which an event came has none. A kept
+/// connection that broke before any answer may have been closed before the request came.
 void forwarder::note_crash(const caller_request& request) {
-    if (request.events.any_taken() || request.shared_parts.empty())
+    const bool answered = request.ended_by[0] != '\0';
+    const bool maybe_stale =
+        !answered && request.target_exchange && request.target_exchange->reused_connection();
+    if (request.events.any_taken() || request.shared_parts.empty() || maybe_stale)
         return;
     const auto& start = request.target_start;
     context_.log.write(edge::events::prompt_suspected, request.request_id,
--- a/src/programs/gateway/target_link.hpp
+++ b/src/programs/gateway/target_link.hpp
@@ -38,6 +38,7 @@
     exchange(exchange&&) = delete;
     exchange& operator=(exchange&&) = delete;
 
+    [[nodiscard]] bool reused_connection() const { return reused_; } // the target may have closed it before
     void cancel(); // closes the connection; no event follows
     void pause();  // backpressure from a slow caller
     void resume();
--- a/tests/core/suspect_parts_test.cpp
+++ b/tests/core/suspect_parts_test.cpp
@@ -18,7 +18,7 @@
 void crash_in_turn(suspect_parts& suspects, const std::vector<part_id>& parts, int count,
                    time_point first = start) {
     for (int number = 0; number < count; ++number)
-        suspects.add_crash(parts, static_cast<target_run>(100 + number), first + number * 200ms);
+        suspects.add_crash(parts, target_run{100} + static_cast<target_run>(number), first + number * 200ms);
 }
 
 bool blocks(const suspect_parts& suspects, part_id part, time_point now) {
@@ -85,6 +85,32 @@
     EXPECT_FALSE(blocks(here, rare_part, start + 2s));
 }
 
+TEST(suspect_parts, news_of_a_sound_part_end_though_processes_tell_each_other_late) {
+    suspect_parts here;
+    suspect_parts there;
+    here.add_sound(std::vector{rare_part}, start);
+    const auto end = start + suspect_options{}.sound_memory + suspect_options{}.report_delay;
+    for (auto at = start; at < end; at += 200ms) {
+        const part_report evidence{rare_part, {{7, 150s}}, std::nullopt}; // others ask again and again
+        for (auto* process : {&here, &there})
+            process->merge(evidence, at);
+        for (const auto& report : here.reports(at))
+            there.merge(report, at + 100ms);
+        for (const auto& report : there.reports(at + 100ms))
+            here.merge(report, at + 199ms);
+    }
+    crash_in_turn(here, {rare_part}, 3, end);
+    EXPECT_TRUE(blocks(here, rare_part, end + 1s));
+}
+
+TEST(suspect_parts, blocked_part_is_kept_when_many_others_come_under_suspicion) {
+    suspect_parts suspects;
+    crash_in_turn(suspects, {bad_part}, 3);
+    for (part_id part = 10; part < 500; ++part)
+        suspects.add_crash(std::vector{part}, part, start + 10s);
+    EXPECT_TRUE(blocks(suspects, bad_part, start + 11s));
+}
+
 TEST(suspect_parts, known_parts_are_bounded_and_old_evidence_ends) {
     suspect_parts suspects;
     for (part_id part = 1; part < 500; ++part)
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -165,6 +165,7 @@
         self.unframed = False              # answers have neither length nor chunks and end with their connection
         self.break_on_body = None          # request body that breaks the connection when it runs
         self.crash_on_part = None          # id of a prompt's part, not the last, that crashes it as it begins to answer
+        self.crash_with_head = True
         self.break_all = False             # every request breaks the connection
         self.cold_ms = 0                   # cold time in the registration
         self.leaving = None                # value of the header Server-Leaving in all answers; None: no header
@@ -242,8 +243,12 @@
         return self.stream(call, signed)
 
     def crash(self, call):
-        """Ends the call without an answer and starts anew, under another id."""
+        """Ends the call after the head of its answer, or without one, and starts anew, under another id."""
         call.close_connection = True
+        if self.crash_with_head:
+            self.send_head(call, [("Request-Id", call.headers["Request-Id"]), ("Response-Signature", "sig"),
+                                  ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")])
+        call.wfile.flush()
         call.connection.shutdown(socket.SHUT_RDWR)
         self.store.remove("servers", self.name)
         self.name, self.born = self.name + "+", self.born + 1
--- a/tests/programs/test_gateway_suspect_parts.py
+++ b/tests/programs/test_gateway_suspect_parts.py
@@ -90,8 +90,24 @@
         expect(ask(fleet, "aa:50,bad:50", 0), 200, "a request with the same part")
 
 
+def part_of_requests_that_met_closed_connections_stays_in_service():
+    with Fleet(ARGUMENTS.bin) as fleet:
+        target = fleet.target("t1", "engine", models=["m0"])
+        fleet.start()
+        fleet.wait_for_target()
+        target.crash_on_part, target.crash_with_head = "bad", False
+        for _ in range(4):
+            wait_until(lambda: ask(fleet, "aa:50,cc:50", 0) == 200, "a sound request leaves a kept connection")
+            expect(ask(fleet, "aa:50,bad:50", 0), 502, "a request on it that meets its end")
+            time.sleep(0.2)
+        target.crash_on_part = None
+        wait_until(lambda: ask(fleet, "aa:50,cc:50", 0) == 200, "the target is back")
+        expect(ask(fleet, "aa:50,bad:50", 0), 200, "a request with the same part")
+
+
 if __name__ == "__main__":
     run_cases([requests_with_a_part_that_crashes_targets_stop_at_all_gateways,
                gateway_that_starts_later_refuses_a_part_known_to_its_peer,
-               part_of_streams_that_broke_after_they_began_stays_in_service])
+               part_of_streams_that_broke_after_they_began_stays_in_service,
+               part_of_requests_that_met_closed_connections_stays_in_service])
     sys.exit(0)
