Gateway: read and log the limit that a target names in its answers

No decision uses it yet. Ruled out by reading the code with this line in mind: that any part kept the limit before. Figures: none; the log line costs nothing until a target names a limit.

--- a/src/core/timeline/request_trace.cpp
+++ b/src/core/timeline/request_trace.cpp
@@ -82,7 +82,8 @@
 bool is_fleet_event(const std::string& event) {
     return event.starts_with("lease_") || event.starts_with("store_") || event.starts_with("peer_") ||
            event.starts_with("config_") || event == "data_centres_out" || event == "target_leaving" ||
-           event == "target_paused" || event.starts_with("process_") || event == "lines_dropped";
+           event == "target_paused" || event == "target_limited" || event.starts_with("process_") ||
+           event == "lines_dropped";
 }
 
 std::string text_of(const ordered_json& value) {
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -36,6 +36,7 @@
 inline constexpr std::string_view target_suspected = "target_suspected";
 inline constexpr std::string_view target_leaving = "target_leaving";
 inline constexpr std::string_view target_paused = "target_paused";
+inline constexpr std::string_view target_limited = "target_limited";
 inline constexpr std::string_view target_notice_ignored = "target_notice_ignored";
 inline constexpr std::string_view lease_taken = "lease_taken";
 inline constexpr std::string_view lease_lost = "lease_lost";
@@ -63,7 +64,7 @@
                                 request_waiting,   turn_missed,      request_sent,          request_retried,
                                 request_refused,   rate_refused,     request_answered,      request_cut,
                                 request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored,
-                                prompt_suspected};
+                                prompt_suspected,  target_limited};
 /// Events that callers or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed, request_sent,      request_retried,  request_refused, rate_refused,
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -4,6 +4,7 @@
 #include "core/fleet/centres_out.hpp"
 #include "core/fleet/directory.hpp"
 #include "core/limits/fleet_quota.hpp"
+#include "core/limits/target_limits.hpp"
 #include "core/membership/catch_up.hpp"
 #include "edge/decision_log.hpp"
 #include "edge/event_loop.hpp"
@@ -29,6 +30,7 @@
     core::fleet::directory directory;
     core::fleet::centres_out centres; // data centres taken out of service
     core::limits::fleet_quota quota;
+    core::limits::target_limits target_limits;
     int gateway_count = 1;           // registered gateways, this one included
     bool reads_store_closely = true; // false: others do, and their messages arrive
     bool draining = false;           // SIGTERM was received
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -237,6 +237,7 @@
         context_.log.write(edge::events::target_leaving, from.id, {{"born", from.born}, {"status", status}});
         callbacks_.on_target_leaving();
     }
+    note_limit(from, notice.limit);
     if (!notice.pause)
         return;
     context_.directory.note_pause(from, *notice.pause, now);
@@ -245,6 +246,17 @@
     context_.loop.schedule(now + *notice.pause, [this] { schedule_dispatch(); });
 }
 
+void dispatcher::note_limit(const core::fleet::target_start& from, std::optional<double> per_second) {
+    if (context_.target_limits.note({from, per_second, context_.loop.now()}))
+        log_limit(from, per_second, context_.settings.name);
+}
+
+void dispatcher::log_limit(const core::fleet::target_start& from, std::optional<double> per_second,
+                           const std::string& source) {
+    context_.log.write(edge::events::target_limited, from.id,
+                       {{"born", from.born}, {"per_second", per_second.value_or(-1)}, {"source", source}});
+}
+
 void dispatcher::refuse_all(duration retry_after) {
     const auto all = waiting_;
     for (const auto& [number, request] : all) {
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -51,6 +51,9 @@
     /// Takes note of what a target says about itself in the head of any answer.
     void note_answer(const core::fleet::target_start& from, int status,
                      std::span<const edge::http_field> fields);
+    /// Logs that a target has named another limit, or none (-1). `source`: the gateway that it told.
+    void log_limit(const core::fleet::target_start& from, std::optional<double> per_second,
+                   const std::string& source);
     /// When there will be room for a request that no target took, for its caller.
     [[nodiscard]] core::common::duration retry_after_for(const caller_request& request);
     void on_answer_started(const caller_request_ptr& request); // the target has read the prompt
@@ -130,6 +133,7 @@
     void count_arrival(const caller_request& request);
     [[nodiscard]] core::dispatch::target_criteria criteria_for(const caller_request& request) const;
     void schedule_wait_check();
+    void note_limit(const core::fleet::target_start& from, std::optional<double> per_second);
     [[nodiscard]] core::dispatch::wait_decision wait_limit_for(const caller_request& request,
                                                                const core::dispatch::choice& blocked,
                                                                const candidate_list& among) const;
