--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -170,6 +170,7 @@
         self.cold_ms = 0                   # cold time in the registration
         self.leaving = None                # value of the header Server-Leaving in all answers; None: no header
         self.pause = None                  # value of Retry-After in the 503 that every request gets; None: it runs
+        self.limit = None                  # value of the header Server-Limit in all answers; None: no header
         self.refused_at = []               # arrival time of each such request
         self.orders = []                   # (time, holder, fencing number) of all orders
         self.hold = threading.Event()
@@ -222,6 +223,7 @@
         if call.headers.get("Target-Instance") != self.name or model and model not in self.models:
             return call.answer(421, {}, [("Instance-Id", self.name)])
         leaving = [] if self.leaving is None else [("Server-Leaving", self.leaving)]
+        leaving += [] if self.limit is None else [("Server-Limit", self.limit)]
         if self.pause is not None:
             self.refused_at.append(time.monotonic())
             return call.answer(503, b"", [("Request-Id", request_id), ("Not-Executed", "1"),
