Gateway: log targets' software versions and what callers' streams resume

No decision uses them yet. Ruled out: hypothesis 2 (gateways resume where the stream began): nothing in the choice of a target asks for a version.

--- a/src/core/fleet/model.hpp
+++ b/src/core/fleet/model.hpp
@@ -114,6 +114,7 @@
     std::string service;
     std::string address; // "ip:port"
     std::string data_centre;
+    std::string software_version; // what targets of two versions write in one stream does not fit together
     int slots = 1;
     bool draining = false;
     common::milliseconds cold_left{0};                      // remaining time for which it is slow
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -172,6 +172,8 @@
             request->sticky_session = request->shared_parts.back();
         request->shared_parts.pop_back();
     }
+    if (const std::string* origin = edge::find_field(fields, platform::origin_header))
+        request->resumes = *origin;
     request->fingerprint =
         hash_of(request->received.body, hash_of(request->received.target, hash_of(request->customer)));
     if (forwarder_.is_blocked(*request)) {
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -25,8 +25,9 @@
     int prompt_tokens = 0;                   // part of `tokens`; 0 unless the request states it
     std::uint64_t sticky_session = 0;        // hash of the session id; 0: none
     std::vector<std::uint64_t> shared_parts; // hashes of the prompt's parts but the last, which is its own
-    std::uint64_t fingerprint = 0;           // hash of path, customer and body: equal for repeated requests
-    int priority = 5;                        // 0 is the most urgent
+    std::string resumes;           // request id of the attempt that brought the first event; empty: none
+    std::uint64_t fingerprint = 0; // hash of path, customer and body: equal for repeated requests
+    int priority = 5;              // 0 is the most urgent
     core::common::time_point arrived{};
     core::common::time_point deadline{}; // the caller's or the route's, whichever is sooner
 
@@ -45,6 +46,7 @@
     std::string target;                    // where the request runs; empty: it waits
     std::unique_ptr<exchange> target_exchange;
     core::fleet::target_start target_start; // the start of the target that it was last sent to
+    std::string target_version;             // software version of that target
     core::common::time_point sent_at{};
     edge::event_loop::timer_id timer; // fires at the deadline
 
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -130,14 +130,19 @@
     request->events.clear();
     request->ended_by = "";
     request->last_target = target;
-    if (const auto* known = context_.directory.find(target))
+    if (const auto* known = context_.directory.find(target)) {
         request->target_start = {target, known->entry.born};
+        request->target_version = known->entry.software_version;
+    }
     dispatcher_->begin_attempt(request, target);
     const auto waited = context_.loop.now() - request->arrived;
     if (request->send_count == 1)
         context_.metrics.observe_wait(metric_kind(*request), waited);
     context_.log.write(edge::events::request_sent, request->request_id,
                        {{"target", target},
+                        {"software_version", request->target_version},
+                        {"resumes", request->resumes},
+                        {"after_event", request->last_event},
                         {"load", dispatcher_->load_of(target)},
                         {"send", request->send_count},
                         {"waited_ms", whole_ms(waited).count()},
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -249,6 +249,7 @@
                         {"service", entry.service},
                         {"address", entry.address},
                         {"data_centre", entry.data_centre},
+                        {"software_version", entry.software_version},
                         {"born", entry.born},
                         {"draining", entry.draining},
                         {"cold_ms", entry.cold_left.count()},
