--- a/tests/programs/gateway_fleet.py
+++ b/tests/programs/gateway_fleet.py
@@ -1,4 +1,5 @@
 """Gateway processes on stand-ins of the users' platform, for process-level tests."""
+import http.client
 import json
 import pathlib
 import subprocess
@@ -98,6 +99,15 @@
         return subprocess.run([str(tool), *logs, "--subject", request_id], capture_output=True, text=True, check=True).stdout
 
 
+def outcome(fleet, path, headers, gateway=0, body=b"x"):
+    """Status and text of the answer, or the name of the exception if it was not complete."""
+    try:
+        answer = fleet.ask(path, headers, body, gateway=gateway)
+        return answer.status, answer.text
+    except (OSError, http.client.HTTPException) as error:
+        return type(error).__name__, getattr(error, "partial", b"").decode()
+
+
 def expect(actual, expected, subject):
     if actual != expected:
         raise Failure(f"{subject}: expected {expected!r}, got {actual!r}")
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -153,6 +153,8 @@
         self.store, self.address, self.name, self.service = store, address, name, service
         self.models, self.slots, self.on_disk = {model: set() for model in models}, slots, set(on_disk) | set(models)
         self.zone = "a"
+        self.version = "v1"                # of its software
+        self.marks_version = False         # events name it
         self.born, self.sequence, self.busy_until = int(time.time() * 1000), 1, 0.0
         self.loading = None                # model being loaded until busy_until
         self.runs = []                     # (request id, headers, body) of the requests that ran
@@ -179,7 +181,7 @@
         self.register()
 
     def register(self, state="ready"):
-        spec = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
+        spec = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": self.slots,
                 "state": state, "cold_left_ms": self.cold_ms, "born": self.born, "sequence": 1, "models": self.holding(),
                 "at_hand": {"in_memory": [], "on_disk": sorted(self.on_disk)}}
         self.store.put("servers", self.name, spec)
@@ -279,7 +281,8 @@
             call.wfile.flush()
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, 11):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            mark = f" of {self.version}" if self.marks_version else ""
+            event = f"id: {number}\ndata: piece {number}{mark}\n\n".encode()
             if self.break_stream_after is not None and number > self.break_stream_after:
                 if self.break_inside_event:
                     write(event[:-5])
--- a/tests/programs/test_gateway_broken_answers.py
+++ b/tests/programs/test_gateway_broken_answers.py
@@ -1,10 +1,9 @@
 #!/usr/bin/env python3
 """waxwing-gateway and answers of targets that are broken off, or that never end."""
-import http.client
 import pathlib
 import sys
 
-from gateway_fleet import Fleet, expect
+from gateway_fleet import Fleet, expect, outcome
 from harness import Failure, arguments, run_cases, wait_until
 
 ARGUMENTS = arguments(__doc__)
@@ -12,15 +11,6 @@
 EVENTS = [f"id: {number}\ndata: piece {number}\n\n" for number in range(1, 11)]
 
 
-def outcome(fleet, path, headers):
-    """Status and text of the answer, or the name of the exception if it was not complete."""
-    try:
-        answer = fleet.ask(path, headers)
-        return answer.status, answer.text
-    except (OSError, http.client.HTTPException) as error:
-        return type(error).__name__, getattr(error, "partial", b"").decode()
-
-
 def one_target(fleet, name="t1"):
     target = fleet.target(name, "engine", models=["m0"])
     fleet.start()
