--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -172,8 +172,10 @@
 /** A target's registration, for a gateway that can't read the store. */
 struct target_registration {
   1: string target, 2: i64 born, 3: string service_name, 4: string address, 5: string data_centre, 6: i32 slots,
-  7: bool draining, 8: i64 cold_ms
+  7: bool draining, 8: i64 cold_ms, 9: string software_version
 }
+/** Streams that began at targets of one software version, by hashes of the request ids that brought their first events. */
+struct stream_origins { 1: string software_version, 2: list<i64> attempts }
 /**
  * What is known of a prompt's part that may crash targets: the target runs that ended under it, with their ages, and the
  * age of its latest complete answer (-1: none known).
@@ -205,6 +207,7 @@
  * reads_store: the sender watches the store closely for the others.
  * informed: it knows all that gateways knew when it started.
  * wants_registrations: the sender can't read the store; registrations: all of them, sent only to such a peer.
+ * origins: the sender's streams that began lately; to a member that has just started, all that it knows of.
  * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
@@ -219,7 +222,8 @@
   22: i64 centres_era, 23: list<held_centre> centres_held, 24: bool informed, 25: bool reads_store,
   26: string data_centre, 27: string group, 28: i32 fleet_size, 29: double processor_share, 30: bool to_other_group,
   31: optional group_status group_use, 32: optional outside_status outside, 33: bool has_details,
-  34: list<suspect_part> suspect_parts, 35: list<target_limit> target_limits
+  34: list<suspect_part> suspect_parts, 35: list<target_limit> target_limits,
+  36: list<stream_origins> origins
 }
 
 /**
--- a/src/core/dispatch/request_target_choice.cpp
+++ b/src/core/dispatch/request_target_choice.cpp
@@ -53,7 +53,10 @@
     const bool tried = criteria.tried != nullptr && criteria.tried->contains(target.entry.id);
     const bool excluded =
         criteria.centres_out != nullptr && criteria.centres_out->contains(target.entry.data_centre);
-    const bool barred = criteria.only != nullptr && !criteria.only->contains(target.entry.id);
+    const bool other_version =
+        criteria.software_version != nullptr && target.entry.software_version != *criteria.software_version;
+    const bool barred =
+        other_version || (criteria.only != nullptr && !criteria.only->contains(target.entry.id));
     if (target.leaving() || tried || barred || excluded || (target.gone_at && now >= *target.gone_at))
         return obstacle::no_target;
     switch (model_fit(target, criteria.model)) {
--- a/src/core/dispatch/request_target_choice.hpp
+++ b/src/core/dispatch/request_target_choice.hpp
@@ -35,6 +35,7 @@
     const std::set<std::string>* only =
         nullptr;           // if set: the only targets allowed (no attempts are left for others)
     int prompt_tokens = 0; // of the request, if it goes to an engine
+    const std::string* software_version = nullptr; // if set: a stream goes on, at a target of this one only
 };
 
 /// Why no target could take a request, mildest first.
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10551,6 +10551,10 @@
 void target_registration::__set_cold_ms(const int64_t val) {
   this->cold_ms = val;
 }
+
+void target_registration::__set_software_version(const std::string& val) {
+  this->software_version = val;
+}
 std::ostream& operator<<(std::ostream& out, const target_registration& obj)
 {
   obj.printTo(out);
@@ -10643,6 +10647,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software_version);
+          this->__isset.software_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10692,6 +10704,10 @@
   xfer += oprot->writeI64(this->cold_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("software_version", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->software_version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10707,6 +10723,7 @@
   swap(a.slots, b.slots);
   swap(a.draining, b.draining);
   swap(a.cold_ms, b.cold_ms);
+  swap(a.software_version, b.software_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -10719,6 +10736,7 @@
   slots = other326.slots;
   draining = other326.draining;
   cold_ms = other326.cold_ms;
+  software_version = other326.software_version;
   __isset = other326.__isset;
 }
 target_registration::target_registration(target_registration&& other327) noexcept {
@@ -10730,6 +10748,7 @@
   slots = other327.slots;
   draining = other327.draining;
   cold_ms = other327.cold_ms;
+  software_version = std::move(other327.software_version);
   __isset = other327.__isset;
 }
 target_registration& target_registration::operator=(const target_registration& other328) {
@@ -10741,6 +10760,7 @@
   slots = other328.slots;
   draining = other328.draining;
   cold_ms = other328.cold_ms;
+  software_version = other328.software_version;
   __isset = other328.__isset;
   return *this;
 }
@@ -10753,6 +10773,7 @@
   slots = other329.slots;
   draining = other329.draining;
   cold_ms = other329.cold_ms;
+  software_version = std::move(other329.software_version);
   __isset = other329.__isset;
   return *this;
 }
@@ -10767,6 +10788,150 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "draining=" << to_string(draining);
   out << ", " << "cold_ms=" << to_string(cold_ms);
+  out << ", " << "software_version=" << to_string(software_version);
+  out << ")";
+}
+
+
+stream_origins::~stream_origins() noexcept {
+}
+
+
+void stream_origins::__set_software_version(const std::string& val) {
+  this->software_version = val;
+}
+
+void stream_origins::__set_attempts(const std::vector<int64_t> & val) {
+  this->attempts = val;
+}
+std::ostream& operator<<(std::ostream& out, const stream_origins& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t stream_origins::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software_version);
+          this->__isset.software_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->attempts.clear();
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->attempts.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
+            {
+              xfer += iprot->readI64(this->attempts[_i334]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.attempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t stream_origins::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("stream_origins");
+
+  xfer += oprot->writeFieldBegin("software_version", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->software_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->attempts.size()));
+    std::vector<int64_t> ::const_iterator _iter335;
+    for (_iter335 = this->attempts.begin(); _iter335 != this->attempts.end(); ++_iter335)
+    {
+      xfer += oprot->writeI64((*_iter335));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(stream_origins &a, stream_origins &b) {
+  using ::std::swap;
+  swap(a.software_version, b.software_version);
+  swap(a.attempts, b.attempts);
+  swap(a.__isset, b.__isset);
+}
+
+stream_origins::stream_origins(const stream_origins& other336) {
+  software_version = other336.software_version;
+  attempts = other336.attempts;
+  __isset = other336.__isset;
+}
+stream_origins::stream_origins(stream_origins&& other337) noexcept {
+  software_version = std::move(other337.software_version);
+  attempts = std::move(other337.attempts);
+  __isset = other337.__isset;
+}
+stream_origins& stream_origins::operator=(const stream_origins& other338) {
+  software_version = other338.software_version;
+  attempts = other338.attempts;
+  __isset = other338.__isset;
+  return *this;
+}
+stream_origins& stream_origins::operator=(stream_origins&& other339) noexcept {
+  software_version = std::move(other339.software_version);
+  attempts = std::move(other339.attempts);
+  __isset = other339.__isset;
+  return *this;
+}
+void stream_origins::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "stream_origins(";
+  out << "software_version=" << to_string(software_version);
+  out << ", " << "attempts=" << to_string(attempts);
   out << ")";
 }
 
@@ -10830,14 +10995,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->target_runs.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->target_runs.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size340;
+            ::apache::thrift::protocol::TType _etype343;
+            xfer += iprot->readListBegin(_etype343, _size340);
+            this->target_runs.resize(_size340);
+            uint32_t _i344;
+            for (_i344 = 0; _i344 < _size340; ++_i344)
             {
-              xfer += iprot->readI64(this->target_runs[_i334]);
+              xfer += iprot->readI64(this->target_runs[_i344]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10850,14 +11015,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ages_ms.clear();
-            uint32_t _size335;
-            ::apache::thrift::protocol::TType _etype338;
-            xfer += iprot->readListBegin(_etype338, _size335);
-            this->ages_ms.resize(_size335);
-            uint32_t _i339;
-            for (_i339 = 0; _i339 < _size335; ++_i339)
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->ages_ms.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
             {
-              xfer += iprot->readI64(this->ages_ms[_i339]);
+              xfer += iprot->readI64(this->ages_ms[_i349]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10898,10 +11063,10 @@
   xfer += oprot->writeFieldBegin("target_runs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->target_runs.size()));
-    std::vector<int64_t> ::const_iterator _iter340;
-    for (_iter340 = this->target_runs.begin(); _iter340 != this->target_runs.end(); ++_iter340)
+    std::vector<int64_t> ::const_iterator _iter350;
+    for (_iter350 = this->target_runs.begin(); _iter350 != this->target_runs.end(); ++_iter350)
     {
-      xfer += oprot->writeI64((*_iter340));
+      xfer += oprot->writeI64((*_iter350));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10910,10 +11075,10 @@
   xfer += oprot->writeFieldBegin("ages_ms", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ages_ms.size()));
-    std::vector<int64_t> ::const_iterator _iter341;
-    for (_iter341 = this->ages_ms.begin(); _iter341 != this->ages_ms.end(); ++_iter341)
+    std::vector<int64_t> ::const_iterator _iter351;
+    for (_iter351 = this->ages_ms.begin(); _iter351 != this->ages_ms.end(); ++_iter351)
     {
-      xfer += oprot->writeI64((*_iter341));
+      xfer += oprot->writeI64((*_iter351));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10937,34 +11102,34 @@
   swap(a.__isset, b.__isset);
 }
 
-suspect_part::suspect_part(const suspect_part& other342) {
-  part = other342.part;
-  target_runs = other342.target_runs;
-  ages_ms = other342.ages_ms;
-  sound_age_ms = other342.sound_age_ms;
-  __isset = other342.__isset;
+suspect_part::suspect_part(const suspect_part& other352) {
+  part = other352.part;
+  target_runs = other352.target_runs;
+  ages_ms = other352.ages_ms;
+  sound_age_ms = other352.sound_age_ms;
+  __isset = other352.__isset;
 }
-suspect_part::suspect_part(suspect_part&& other343) noexcept {
-  part = other343.part;
-  target_runs = std::move(other343.target_runs);
-  ages_ms = std::move(other343.ages_ms);
-  sound_age_ms = other343.sound_age_ms;
-  __isset = other343.__isset;
+suspect_part::suspect_part(suspect_part&& other353) noexcept {
+  part = other353.part;
+  target_runs = std::move(other353.target_runs);
+  ages_ms = std::move(other353.ages_ms);
+  sound_age_ms = other353.sound_age_ms;
+  __isset = other353.__isset;
 }
-suspect_part& suspect_part::operator=(const suspect_part& other344) {
-  part = other344.part;
-  target_runs = other344.target_runs;
-  ages_ms = other344.ages_ms;
-  sound_age_ms = other344.sound_age_ms;
-  __isset = other344.__isset;
+suspect_part& suspect_part::operator=(const suspect_part& other354) {
+  part = other354.part;
+  target_runs = other354.target_runs;
+  ages_ms = other354.ages_ms;
+  sound_age_ms = other354.sound_age_ms;
+  __isset = other354.__isset;
   return *this;
 }
-suspect_part& suspect_part::operator=(suspect_part&& other345) noexcept {
-  part = other345.part;
-  target_runs = std::move(other345.target_runs);
-  ages_ms = std::move(other345.ages_ms);
-  sound_age_ms = other345.sound_age_ms;
-  __isset = other345.__isset;
+suspect_part& suspect_part::operator=(suspect_part&& other355) noexcept {
+  part = other355.part;
+  target_runs = std::move(other355.target_runs);
+  ages_ms = std::move(other355.ages_ms);
+  sound_age_ms = other355.sound_age_ms;
+  __isset = other355.__isset;
   return *this;
 }
 void suspect_part::printTo(std::ostream& out) const {
@@ -11070,26 +11235,26 @@
   swap(a.__isset, b.__isset);
 }
 
-target_load::target_load(const target_load& other346) {
-  target = other346.target;
-  running = other346.running;
-  __isset = other346.__isset;
+target_load::target_load(const target_load& other356) {
+  target = other356.target;
+  running = other356.running;
+  __isset = other356.__isset;
 }
-target_load::target_load(target_load&& other347) noexcept {
-  target = std::move(other347.target);
-  running = other347.running;
-  __isset = other347.__isset;
+target_load::target_load(target_load&& other357) noexcept {
+  target = std::move(other357.target);
+  running = other357.running;
+  __isset = other357.__isset;
 }
-target_load& target_load::operator=(const target_load& other348) {
-  target = other348.target;
-  running = other348.running;
-  __isset = other348.__isset;
+target_load& target_load::operator=(const target_load& other358) {
+  target = other358.target;
+  running = other358.running;
+  __isset = other358.__isset;
   return *this;
 }
-target_load& target_load::operator=(target_load&& other349) noexcept {
-  target = std::move(other349.target);
-  running = other349.running;
-  __isset = other349.__isset;
+target_load& target_load::operator=(target_load&& other359) noexcept {
+  target = std::move(other359.target);
+  running = other359.running;
+  __isset = other359.__isset;
   return *this;
 }
 void target_load::printTo(std::ostream& out) const {
@@ -11144,14 +11309,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size350;
-            ::apache::thrift::protocol::TType _etype353;
-            xfer += iprot->readListBegin(_etype353, _size350);
-            this->customers.resize(_size350);
-            uint32_t _i354;
-            for (_i354 = 0; _i354 < _size350; ++_i354)
+            uint32_t _size360;
+            ::apache::thrift::protocol::TType _etype363;
+            xfer += iprot->readListBegin(_etype363, _size360);
+            this->customers.resize(_size360);
+            uint32_t _i364;
+            for (_i364 = 0; _i364 < _size360; ++_i364)
             {
-              xfer += this->customers[_i354].read(iprot);
+              xfer += this->customers[_i364].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11164,14 +11329,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size355;
-            ::apache::thrift::protocol::TType _etype358;
-            xfer += iprot->readListBegin(_etype358, _size355);
-            this->loads.resize(_size355);
-            uint32_t _i359;
-            for (_i359 = 0; _i359 < _size355; ++_i359)
+            uint32_t _size365;
+            ::apache::thrift::protocol::TType _etype368;
+            xfer += iprot->readListBegin(_etype368, _size365);
+            this->loads.resize(_size365);
+            uint32_t _i369;
+            for (_i369 = 0; _i369 < _size365; ++_i369)
             {
-              xfer += this->loads[_i359].read(iprot);
+              xfer += this->loads[_i369].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11200,10 +11365,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter360;
-    for (_iter360 = this->customers.begin(); _iter360 != this->customers.end(); ++_iter360)
+    std::vector<customer_use> ::const_iterator _iter370;
+    for (_iter370 = this->customers.begin(); _iter370 != this->customers.end(); ++_iter370)
     {
-      xfer += (*_iter360).write(oprot);
+      xfer += (*_iter370).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11212,10 +11377,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter361;
-    for (_iter361 = this->loads.begin(); _iter361 != this->loads.end(); ++_iter361)
+    std::vector<target_load> ::const_iterator _iter371;
+    for (_iter371 = this->loads.begin(); _iter371 != this->loads.end(); ++_iter371)
     {
-      xfer += (*_iter361).write(oprot);
+      xfer += (*_iter371).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11233,26 +11398,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_sums::usage_sums(const usage_sums& other362) {
-  customers = other362.customers;
-  loads = other362.loads;
-  __isset = other362.__isset;
+usage_sums::usage_sums(const usage_sums& other372) {
+  customers = other372.customers;
+  loads = other372.loads;
+  __isset = other372.__isset;
 }
-usage_sums::usage_sums(usage_sums&& other363) noexcept {
-  customers = std::move(other363.customers);
-  loads = std::move(other363.loads);
-  __isset = other363.__isset;
+usage_sums::usage_sums(usage_sums&& other373) noexcept {
+  customers = std::move(other373.customers);
+  loads = std::move(other373.loads);
+  __isset = other373.__isset;
 }
-usage_sums& usage_sums::operator=(const usage_sums& other364) {
-  customers = other364.customers;
-  loads = other364.loads;
-  __isset = other364.__isset;
+usage_sums& usage_sums::operator=(const usage_sums& other374) {
+  customers = other374.customers;
+  loads = other374.loads;
+  __isset = other374.__isset;
   return *this;
 }
-usage_sums& usage_sums::operator=(usage_sums&& other365) noexcept {
-  customers = std::move(other365.customers);
-  loads = std::move(other365.loads);
-  __isset = other365.__isset;
+usage_sums& usage_sums::operator=(usage_sums&& other375) noexcept {
+  customers = std::move(other375.customers);
+  loads = std::move(other375.loads);
+  __isset = other375.__isset;
   return *this;
 }
 void usage_sums::printTo(std::ostream& out) const {
@@ -11407,38 +11572,38 @@
   swap(a.__isset, b.__isset);
 }
 
-order_giver_sighting::order_giver_sighting(const order_giver_sighting& other366) {
-  process = other366.process;
-  address = other366.address;
-  age_ms = other366.age_ms;
-  active = other366.active;
-  reads_store = other366.reads_store;
-  __isset = other366.__isset;
-}
-order_giver_sighting::order_giver_sighting(order_giver_sighting&& other367) noexcept {
-  process = std::move(other367.process);
-  address = std::move(other367.address);
-  age_ms = other367.age_ms;
-  active = other367.active;
-  reads_store = other367.reads_store;
-  __isset = other367.__isset;
-}
-order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other368) {
-  process = other368.process;
-  address = other368.address;
-  age_ms = other368.age_ms;
-  active = other368.active;
-  reads_store = other368.reads_store;
-  __isset = other368.__isset;
-  return *this;
-}
-order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other369) noexcept {
-  process = std::move(other369.process);
-  address = std::move(other369.address);
-  age_ms = other369.age_ms;
-  active = other369.active;
-  reads_store = other369.reads_store;
-  __isset = other369.__isset;
+order_giver_sighting::order_giver_sighting(const order_giver_sighting& other376) {
+  process = other376.process;
+  address = other376.address;
+  age_ms = other376.age_ms;
+  active = other376.active;
+  reads_store = other376.reads_store;
+  __isset = other376.__isset;
+}
+order_giver_sighting::order_giver_sighting(order_giver_sighting&& other377) noexcept {
+  process = std::move(other377.process);
+  address = std::move(other377.address);
+  age_ms = other377.age_ms;
+  active = other377.active;
+  reads_store = other377.reads_store;
+  __isset = other377.__isset;
+}
+order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other378) {
+  process = other378.process;
+  address = other378.address;
+  age_ms = other378.age_ms;
+  active = other378.active;
+  reads_store = other378.reads_store;
+  __isset = other378.__isset;
+  return *this;
+}
+order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other379) noexcept {
+  process = std::move(other379.process);
+  address = std::move(other379.address);
+  age_ms = other379.age_ms;
+  active = other379.active;
+  reads_store = other379.reads_store;
+  __isset = other379.__isset;
   return *this;
 }
 void order_giver_sighting::printTo(std::ostream& out) const {
@@ -11529,15 +11694,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->hears.clear();
-            uint32_t _size370;
-            ::apache::thrift::protocol::TType _etype373;
-            xfer += iprot->readSetBegin(_etype373, _size370);
-            uint32_t _i374;
-            for (_i374 = 0; _i374 < _size370; ++_i374)
+            uint32_t _size380;
+            ::apache::thrift::protocol::TType _etype383;
+            xfer += iprot->readSetBegin(_etype383, _size380);
+            uint32_t _i384;
+            for (_i384 = 0; _i384 < _size380; ++_i384)
             {
-              std::string _elem375;
-              xfer += iprot->readString(_elem375);
-              this->hears.insert(_elem375);
+              std::string _elem385;
+              xfer += iprot->readString(_elem385);
+              this->hears.insert(_elem385);
             }
             xfer += iprot->readSetEnd();
           }
@@ -11598,10 +11763,10 @@
   xfer += oprot->writeFieldBegin("hears", ::apache::thrift::protocol::T_SET, 3);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hears.size()));
-    std::set<std::string> ::const_iterator _iter376;
-    for (_iter376 = this->hears.begin(); _iter376 != this->hears.end(); ++_iter376)
+    std::set<std::string> ::const_iterator _iter386;
+    for (_iter386 = this->hears.begin(); _iter386 != this->hears.end(); ++_iter386)
     {
-      xfer += oprot->writeString((*_iter376));
+      xfer += oprot->writeString((*_iter386));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -11636,42 +11801,42 @@
   swap(a.__isset, b.__isset);
 }
 
-group_status::group_status(const group_status& other377) {
-  in_contact = other377.in_contact;
-  departed = other377.departed;
-  hears = other377.hears;
-  reader = other377.reader;
-  sums = other377.sums;
-  order_giver = other377.order_giver;
-  __isset = other377.__isset;
+group_status::group_status(const group_status& other387) {
+  in_contact = other387.in_contact;
+  departed = other387.departed;
+  hears = other387.hears;
+  reader = other387.reader;
+  sums = other387.sums;
+  order_giver = other387.order_giver;
+  __isset = other387.__isset;
 }
-group_status::group_status(group_status&& other378) noexcept {
-  in_contact = other378.in_contact;
-  departed = other378.departed;
-  hears = std::move(other378.hears);
-  reader = other378.reader;
-  sums = std::move(other378.sums);
-  order_giver = std::move(other378.order_giver);
-  __isset = other378.__isset;
+group_status::group_status(group_status&& other388) noexcept {
+  in_contact = other388.in_contact;
+  departed = other388.departed;
+  hears = std::move(other388.hears);
+  reader = other388.reader;
+  sums = std::move(other388.sums);
+  order_giver = std::move(other388.order_giver);
+  __isset = other388.__isset;
 }
-group_status& group_status::operator=(const group_status& other379) {
-  in_contact = other379.in_contact;
-  departed = other379.departed;
-  hears = other379.hears;
-  reader = other379.reader;
-  sums = other379.sums;
-  order_giver = other379.order_giver;
-  __isset = other379.__isset;
+group_status& group_status::operator=(const group_status& other389) {
+  in_contact = other389.in_contact;
+  departed = other389.departed;
+  hears = other389.hears;
+  reader = other389.reader;
+  sums = other389.sums;
+  order_giver = other389.order_giver;
+  __isset = other389.__isset;
   return *this;
 }
-group_status& group_status::operator=(group_status&& other380) noexcept {
-  in_contact = other380.in_contact;
-  departed = other380.departed;
-  hears = std::move(other380.hears);
-  reader = other380.reader;
-  sums = std::move(other380.sums);
-  order_giver = std::move(other380.order_giver);
-  __isset = other380.__isset;
+group_status& group_status::operator=(group_status&& other390) noexcept {
+  in_contact = other390.in_contact;
+  departed = other390.departed;
+  hears = std::move(other390.hears);
+  reader = other390.reader;
+  sums = std::move(other390.sums);
+  order_giver = std::move(other390.order_giver);
+  __isset = other390.__isset;
   return *this;
 }
 void group_status::printTo(std::ostream& out) const {
@@ -11763,14 +11928,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speakers.clear();
-            uint32_t _size381;
-            ::apache::thrift::protocol::TType _etype384;
-            xfer += iprot->readListBegin(_etype384, _size381);
-            this->speakers.resize(_size381);
-            uint32_t _i385;
-            for (_i385 = 0; _i385 < _size381; ++_i385)
+            uint32_t _size391;
+            ::apache::thrift::protocol::TType _etype394;
+            xfer += iprot->readListBegin(_etype394, _size391);
+            this->speakers.resize(_size391);
+            uint32_t _i395;
+            for (_i395 = 0; _i395 < _size391; ++_i395)
             {
-              xfer += iprot->readString(this->speakers[_i385]);
+              xfer += iprot->readString(this->speakers[_i395]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11831,10 +11996,10 @@
   xfer += oprot->writeFieldBegin("speakers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->speakers.size()));
-    std::vector<std::string> ::const_iterator _iter386;
-    for (_iter386 = this->speakers.begin(); _iter386 != this->speakers.end(); ++_iter386)
+    std::vector<std::string> ::const_iterator _iter396;
+    for (_iter396 = this->speakers.begin(); _iter396 != this->speakers.end(); ++_iter396)
     {
-      xfer += oprot->writeString((*_iter386));
+      xfer += oprot->writeString((*_iter396));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11869,42 +12034,42 @@
   swap(a.__isset, b.__isset);
 }
 
-outside_status::outside_status(const outside_status& other387) {
-  in_contact = other387.in_contact;
-  departed = other387.departed;
-  speakers = other387.speakers;
-  reader = other387.reader;
-  sums = other387.sums;
-  order_giver = other387.order_giver;
-  __isset = other387.__isset;
-}
-outside_status::outside_status(outside_status&& other388) noexcept {
-  in_contact = other388.in_contact;
-  departed = other388.departed;
-  speakers = std::move(other388.speakers);
-  reader = other388.reader;
-  sums = std::move(other388.sums);
-  order_giver = std::move(other388.order_giver);
-  __isset = other388.__isset;
-}
-outside_status& outside_status::operator=(const outside_status& other389) {
-  in_contact = other389.in_contact;
-  departed = other389.departed;
-  speakers = other389.speakers;
-  reader = other389.reader;
-  sums = other389.sums;
-  order_giver = other389.order_giver;
-  __isset = other389.__isset;
-  return *this;
-}
-outside_status& outside_status::operator=(outside_status&& other390) noexcept {
-  in_contact = other390.in_contact;
-  departed = other390.departed;
-  speakers = std::move(other390.speakers);
-  reader = other390.reader;
-  sums = std::move(other390.sums);
-  order_giver = std::move(other390.order_giver);
-  __isset = other390.__isset;
+outside_status::outside_status(const outside_status& other397) {
+  in_contact = other397.in_contact;
+  departed = other397.departed;
+  speakers = other397.speakers;
+  reader = other397.reader;
+  sums = other397.sums;
+  order_giver = other397.order_giver;
+  __isset = other397.__isset;
+}
+outside_status::outside_status(outside_status&& other398) noexcept {
+  in_contact = other398.in_contact;
+  departed = other398.departed;
+  speakers = std::move(other398.speakers);
+  reader = other398.reader;
+  sums = std::move(other398.sums);
+  order_giver = std::move(other398.order_giver);
+  __isset = other398.__isset;
+}
+outside_status& outside_status::operator=(const outside_status& other399) {
+  in_contact = other399.in_contact;
+  departed = other399.departed;
+  speakers = other399.speakers;
+  reader = other399.reader;
+  sums = other399.sums;
+  order_giver = other399.order_giver;
+  __isset = other399.__isset;
+  return *this;
+}
+outside_status& outside_status::operator=(outside_status&& other400) noexcept {
+  in_contact = other400.in_contact;
+  departed = other400.departed;
+  speakers = std::move(other400.speakers);
+  reader = other400.reader;
+  sums = std::move(other400.sums);
+  order_giver = std::move(other400.order_giver);
+  __isset = other400.__isset;
   return *this;
 }
 void outside_status::printTo(std::ostream& out) const {
@@ -12065,6 +12230,10 @@
 void peer_status::__set_target_limits(const std::vector<target_limit> & val) {
   this->target_limits = val;
 }
+
+void peer_status::__set_origins(const std::vector<stream_origins> & val) {
+  this->origins = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -12129,14 +12298,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size391;
-            ::apache::thrift::protocol::TType _etype394;
-            xfer += iprot->readListBegin(_etype394, _size391);
-            this->heard.resize(_size391);
-            uint32_t _i395;
-            for (_i395 = 0; _i395 < _size391; ++_i395)
+            uint32_t _size401;
+            ::apache::thrift::protocol::TType _etype404;
+            xfer += iprot->readListBegin(_etype404, _size401);
+            this->heard.resize(_size401);
+            uint32_t _i405;
+            for (_i405 = 0; _i405 < _size401; ++_i405)
             {
-              xfer += iprot->readString(this->heard[_i395]);
+              xfer += iprot->readString(this->heard[_i405]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12173,14 +12342,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size396;
-            ::apache::thrift::protocol::TType _etype399;
-            xfer += iprot->readListBegin(_etype399, _size396);
-            this->centres_out.resize(_size396);
-            uint32_t _i400;
-            for (_i400 = 0; _i400 < _size396; ++_i400)
+            uint32_t _size406;
+            ::apache::thrift::protocol::TType _etype409;
+            xfer += iprot->readListBegin(_etype409, _size406);
+            this->centres_out.resize(_size406);
+            uint32_t _i410;
+            for (_i410 = 0; _i410 < _size406; ++_i410)
             {
-              xfer += iprot->readString(this->centres_out[_i400]);
+              xfer += iprot->readString(this->centres_out[_i410]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12193,14 +12362,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size401;
-            ::apache::thrift::protocol::TType _etype404;
-            xfer += iprot->readListBegin(_etype404, _size401);
-            this->uses.resize(_size401);
-            uint32_t _i405;
-            for (_i405 = 0; _i405 < _size401; ++_i405)
+            uint32_t _size411;
+            ::apache::thrift::protocol::TType _etype414;
+            xfer += iprot->readListBegin(_etype414, _size411);
+            this->uses.resize(_size411);
+            uint32_t _i415;
+            for (_i415 = 0; _i415 < _size411; ++_i415)
             {
-              xfer += this->uses[_i405].read(iprot);
+              xfer += this->uses[_i415].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12213,14 +12382,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size406;
-            ::apache::thrift::protocol::TType _etype409;
-            xfer += iprot->readListBegin(_etype409, _size406);
-            this->demands.resize(_size406);
-            uint32_t _i410;
-            for (_i410 = 0; _i410 < _size406; ++_i410)
+            uint32_t _size416;
+            ::apache::thrift::protocol::TType _etype419;
+            xfer += iprot->readListBegin(_etype419, _size416);
+            this->demands.resize(_size416);
+            uint32_t _i420;
+            for (_i420 = 0; _i420 < _size416; ++_i420)
             {
-              xfer += this->demands[_i410].read(iprot);
+              xfer += this->demands[_i420].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12233,14 +12402,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size411;
-            ::apache::thrift::protocol::TType _etype414;
-            xfer += iprot->readListBegin(_etype414, _size411);
-            this->customers.resize(_size411);
-            uint32_t _i415;
-            for (_i415 = 0; _i415 < _size411; ++_i415)
+            uint32_t _size421;
+            ::apache::thrift::protocol::TType _etype424;
+            xfer += iprot->readListBegin(_etype424, _size421);
+            this->customers.resize(_size421);
+            uint32_t _i425;
+            for (_i425 = 0; _i425 < _size421; ++_i425)
             {
-              xfer += this->customers[_i415].read(iprot);
+              xfer += this->customers[_i425].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12253,14 +12422,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size416;
-            ::apache::thrift::protocol::TType _etype419;
-            xfer += iprot->readListBegin(_etype419, _size416);
-            this->holdings.resize(_size416);
-            uint32_t _i420;
-            for (_i420 = 0; _i420 < _size416; ++_i420)
+            uint32_t _size426;
+            ::apache::thrift::protocol::TType _etype429;
+            xfer += iprot->readListBegin(_etype429, _size426);
+            this->holdings.resize(_size426);
+            uint32_t _i430;
+            for (_i430 = 0; _i430 < _size426; ++_i430)
             {
-              xfer += this->holdings[_i420].read(iprot);
+              xfer += this->holdings[_i430].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12273,14 +12442,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size421;
-            ::apache::thrift::protocol::TType _etype424;
-            xfer += iprot->readListBegin(_etype424, _size421);
-            this->leaving_targets.resize(_size421);
-            uint32_t _i425;
-            for (_i425 = 0; _i425 < _size421; ++_i425)
+            uint32_t _size431;
+            ::apache::thrift::protocol::TType _etype434;
+            xfer += iprot->readListBegin(_etype434, _size431);
+            this->leaving_targets.resize(_size431);
+            uint32_t _i435;
+            for (_i435 = 0; _i435 < _size431; ++_i435)
             {
-              xfer += this->leaving_targets[_i425].read(iprot);
+              xfer += this->leaving_targets[_i435].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12293,14 +12462,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size426;
-            ::apache::thrift::protocol::TType _etype429;
-            xfer += iprot->readListBegin(_etype429, _size426);
-            this->suspects.resize(_size426);
-            uint32_t _i430;
-            for (_i430 = 0; _i430 < _size426; ++_i430)
+            uint32_t _size436;
+            ::apache::thrift::protocol::TType _etype439;
+            xfer += iprot->readListBegin(_etype439, _size436);
+            this->suspects.resize(_size436);
+            uint32_t _i440;
+            for (_i440 = 0; _i440 < _size436; ++_i440)
             {
-              xfer += this->suspects[_i430].read(iprot);
+              xfer += this->suspects[_i440].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12321,14 +12490,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size431;
-            ::apache::thrift::protocol::TType _etype434;
-            xfer += iprot->readListBegin(_etype434, _size431);
-            this->registrations.resize(_size431);
-            uint32_t _i435;
-            for (_i435 = 0; _i435 < _size431; ++_i435)
+            uint32_t _size441;
+            ::apache::thrift::protocol::TType _etype444;
+            xfer += iprot->readListBegin(_etype444, _size441);
+            this->registrations.resize(_size441);
+            uint32_t _i445;
+            for (_i445 = 0; _i445 < _size441; ++_i445)
             {
-              xfer += this->registrations[_i435].read(iprot);
+              xfer += this->registrations[_i445].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12349,14 +12518,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size436;
-            ::apache::thrift::protocol::TType _etype439;
-            xfer += iprot->readListBegin(_etype439, _size436);
-            this->loads.resize(_size436);
-            uint32_t _i440;
-            for (_i440 = 0; _i440 < _size436; ++_i440)
+            uint32_t _size446;
+            ::apache::thrift::protocol::TType _etype449;
+            xfer += iprot->readListBegin(_etype449, _size446);
+            this->loads.resize(_size446);
+            uint32_t _i450;
+            for (_i450 = 0; _i450 < _size446; ++_i450)
             {
-              xfer += this->loads[_i440].read(iprot);
+              xfer += this->loads[_i450].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12377,14 +12546,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size441;
-            ::apache::thrift::protocol::TType _etype444;
-            xfer += iprot->readListBegin(_etype444, _size441);
-            this->starts.resize(_size441);
-            uint32_t _i445;
-            for (_i445 = 0; _i445 < _size441; ++_i445)
+            uint32_t _size451;
+            ::apache::thrift::protocol::TType _etype454;
+            xfer += iprot->readListBegin(_etype454, _size451);
+            this->starts.resize(_size451);
+            uint32_t _i455;
+            for (_i455 = 0; _i455 < _size451; ++_i455)
             {
-              xfer += this->starts[_i445].read(iprot);
+              xfer += this->starts[_i455].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12405,14 +12574,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_held.clear();
-            uint32_t _size446;
-            ::apache::thrift::protocol::TType _etype449;
-            xfer += iprot->readListBegin(_etype449, _size446);
-            this->centres_held.resize(_size446);
-            uint32_t _i450;
-            for (_i450 = 0; _i450 < _size446; ++_i450)
+            uint32_t _size456;
+            ::apache::thrift::protocol::TType _etype459;
+            xfer += iprot->readListBegin(_etype459, _size456);
+            this->centres_held.resize(_size456);
+            uint32_t _i460;
+            for (_i460 = 0; _i460 < _size456; ++_i460)
             {
-              xfer += this->centres_held[_i450].read(iprot);
+              xfer += this->centres_held[_i460].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12505,14 +12674,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_parts.clear();
-            uint32_t _size451;
-            ::apache::thrift::protocol::TType _etype454;
-            xfer += iprot->readListBegin(_etype454, _size451);
-            this->suspect_parts.resize(_size451);
-            uint32_t _i455;
-            for (_i455 = 0; _i455 < _size451; ++_i455)
+            uint32_t _size461;
+            ::apache::thrift::protocol::TType _etype464;
+            xfer += iprot->readListBegin(_etype464, _size461);
+            this->suspect_parts.resize(_size461);
+            uint32_t _i465;
+            for (_i465 = 0; _i465 < _size461; ++_i465)
             {
-              xfer += this->suspect_parts[_i455].read(iprot);
+              xfer += this->suspect_parts[_i465].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12525,14 +12694,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->target_limits.clear();
-            uint32_t _size456;
-            ::apache::thrift::protocol::TType _etype459;
-            xfer += iprot->readListBegin(_etype459, _size456);
-            this->target_limits.resize(_size456);
-            uint32_t _i460;
-            for (_i460 = 0; _i460 < _size456; ++_i460)
+            uint32_t _size466;
+            ::apache::thrift::protocol::TType _etype469;
+            xfer += iprot->readListBegin(_etype469, _size466);
+            this->target_limits.resize(_size466);
+            uint32_t _i470;
+            for (_i470 = 0; _i470 < _size466; ++_i470)
             {
-              xfer += this->target_limits[_i460].read(iprot);
+              xfer += this->target_limits[_i470].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12541,6 +12710,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 36:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->origins.clear();
+            uint32_t _size471;
+            ::apache::thrift::protocol::TType _etype474;
+            xfer += iprot->readListBegin(_etype474, _size471);
+            this->origins.resize(_size471);
+            uint32_t _i475;
+            for (_i475 = 0; _i475 < _size471; ++_i475)
+            {
+              xfer += this->origins[_i475].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.origins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12577,10 +12766,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter461;
-    for (_iter461 = this->heard.begin(); _iter461 != this->heard.end(); ++_iter461)
+    std::vector<std::string> ::const_iterator _iter476;
+    for (_iter476 = this->heard.begin(); _iter476 != this->heard.end(); ++_iter476)
     {
-      xfer += oprot->writeString((*_iter461));
+      xfer += oprot->writeString((*_iter476));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12601,10 +12790,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter462;
-    for (_iter462 = this->centres_out.begin(); _iter462 != this->centres_out.end(); ++_iter462)
+    std::vector<std::string> ::const_iterator _iter477;
+    for (_iter477 = this->centres_out.begin(); _iter477 != this->centres_out.end(); ++_iter477)
     {
-      xfer += oprot->writeString((*_iter462));
+      xfer += oprot->writeString((*_iter477));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12613,10 +12802,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter463;
-    for (_iter463 = this->uses.begin(); _iter463 != this->uses.end(); ++_iter463)
+    std::vector<target_use> ::const_iterator _iter478;
+    for (_iter478 = this->uses.begin(); _iter478 != this->uses.end(); ++_iter478)
     {
-      xfer += (*_iter463).write(oprot);
+      xfer += (*_iter478).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12625,10 +12814,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter464;
-    for (_iter464 = this->demands.begin(); _iter464 != this->demands.end(); ++_iter464)
+    std::vector<model_demand> ::const_iterator _iter479;
+    for (_iter479 = this->demands.begin(); _iter479 != this->demands.end(); ++_iter479)
     {
-      xfer += (*_iter464).write(oprot);
+      xfer += (*_iter479).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12637,10 +12826,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter465;
-    for (_iter465 = this->customers.begin(); _iter465 != this->customers.end(); ++_iter465)
+    std::vector<customer_use> ::const_iterator _iter480;
+    for (_iter480 = this->customers.begin(); _iter480 != this->customers.end(); ++_iter480)
     {
-      xfer += (*_iter465).write(oprot);
+      xfer += (*_iter480).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12649,10 +12838,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter466;
-    for (_iter466 = this->holdings.begin(); _iter466 != this->holdings.end(); ++_iter466)
+    std::vector<target_holding> ::const_iterator _iter481;
+    for (_iter481 = this->holdings.begin(); _iter481 != this->holdings.end(); ++_iter481)
     {
-      xfer += (*_iter466).write(oprot);
+      xfer += (*_iter481).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12661,10 +12850,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter467;
-    for (_iter467 = this->leaving_targets.begin(); _iter467 != this->leaving_targets.end(); ++_iter467)
+    std::vector<leaving_target> ::const_iterator _iter482;
+    for (_iter482 = this->leaving_targets.begin(); _iter482 != this->leaving_targets.end(); ++_iter482)
     {
-      xfer += (*_iter467).write(oprot);
+      xfer += (*_iter482).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12673,10 +12862,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter468;
-    for (_iter468 = this->suspects.begin(); _iter468 != this->suspects.end(); ++_iter468)
+    std::vector<quarantine> ::const_iterator _iter483;
+    for (_iter483 = this->suspects.begin(); _iter483 != this->suspects.end(); ++_iter483)
     {
-      xfer += (*_iter468).write(oprot);
+      xfer += (*_iter483).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12689,10 +12878,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter469;
-    for (_iter469 = this->registrations.begin(); _iter469 != this->registrations.end(); ++_iter469)
+    std::vector<target_registration> ::const_iterator _iter484;
+    for (_iter484 = this->registrations.begin(); _iter484 != this->registrations.end(); ++_iter484)
     {
-      xfer += (*_iter469).write(oprot);
+      xfer += (*_iter484).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12705,10 +12894,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter470;
-    for (_iter470 = this->loads.begin(); _iter470 != this->loads.end(); ++_iter470)
+    std::vector<target_load> ::const_iterator _iter485;
+    for (_iter485 = this->loads.begin(); _iter485 != this->loads.end(); ++_iter485)
     {
-      xfer += (*_iter470).write(oprot);
+      xfer += (*_iter485).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12721,10 +12910,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<target_registration> ::const_iterator _iter471;
-    for (_iter471 = this->starts.begin(); _iter471 != this->starts.end(); ++_iter471)
+    std::vector<target_registration> ::const_iterator _iter486;
+    for (_iter486 = this->starts.begin(); _iter486 != this->starts.end(); ++_iter486)
     {
-      xfer += (*_iter471).write(oprot);
+      xfer += (*_iter486).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12737,10 +12926,10 @@
   xfer += oprot->writeFieldBegin("centres_held", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->centres_held.size()));
-    std::vector<held_centre> ::const_iterator _iter472;
-    for (_iter472 = this->centres_held.begin(); _iter472 != this->centres_held.end(); ++_iter472)
+    std::vector<held_centre> ::const_iterator _iter487;
+    for (_iter487 = this->centres_held.begin(); _iter487 != this->centres_held.end(); ++_iter487)
     {
-      xfer += (*_iter472).write(oprot);
+      xfer += (*_iter487).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12791,10 +12980,10 @@
   xfer += oprot->writeFieldBegin("suspect_parts", ::apache::thrift::protocol::T_LIST, 34);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_parts.size()));
-    std::vector<suspect_part> ::const_iterator _iter473;
-    for (_iter473 = this->suspect_parts.begin(); _iter473 != this->suspect_parts.end(); ++_iter473)
+    std::vector<suspect_part> ::const_iterator _iter488;
+    for (_iter488 = this->suspect_parts.begin(); _iter488 != this->suspect_parts.end(); ++_iter488)
     {
-      xfer += (*_iter473).write(oprot);
+      xfer += (*_iter488).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12803,10 +12992,22 @@
   xfer += oprot->writeFieldBegin("target_limits", ::apache::thrift::protocol::T_LIST, 35);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->target_limits.size()));
-    std::vector<target_limit> ::const_iterator _iter474;
-    for (_iter474 = this->target_limits.begin(); _iter474 != this->target_limits.end(); ++_iter474)
+    std::vector<target_limit> ::const_iterator _iter489;
+    for (_iter489 = this->target_limits.begin(); _iter489 != this->target_limits.end(); ++_iter489)
+    {
+      xfer += (*_iter489).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 36);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->origins.size()));
+    std::vector<stream_origins> ::const_iterator _iter490;
+    for (_iter490 = this->origins.begin(); _iter490 != this->origins.end(); ++_iter490)
     {
-      xfer += (*_iter474).write(oprot);
+      xfer += (*_iter490).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12854,161 +13055,166 @@
   swap(a.has_details, b.has_details);
   swap(a.suspect_parts, b.suspect_parts);
   swap(a.target_limits, b.target_limits);
+  swap(a.origins, b.origins);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other475) {
-  process = other475.process;
-  boot = other475.boot;
-  sequence = other475.sequence;
-  leaving = other475.leaving;
-  heard = other475.heard;
-  config_version = other475.config_version;
-  config_address = other475.config_address;
-  centres_revision = other475.centres_revision;
-  centres_out = other475.centres_out;
-  uses = other475.uses;
-  demands = other475.demands;
-  customers = other475.customers;
-  holdings = other475.holdings;
-  leaving_targets = other475.leaving_targets;
-  suspects = other475.suspects;
-  wants_registrations = other475.wants_registrations;
-  registrations = other475.registrations;
-  address = other475.address;
-  loads = other475.loads;
-  gives_orders = other475.gives_orders;
-  starts = other475.starts;
-  centres_era = other475.centres_era;
-  centres_held = other475.centres_held;
-  informed = other475.informed;
-  reads_store = other475.reads_store;
-  data_centre = other475.data_centre;
-  group = other475.group;
-  fleet_size = other475.fleet_size;
-  processor_share = other475.processor_share;
-  to_other_group = other475.to_other_group;
-  group_use = other475.group_use;
-  outside = other475.outside;
-  has_details = other475.has_details;
-  suspect_parts = other475.suspect_parts;
-  target_limits = other475.target_limits;
-  __isset = other475.__isset;
-}
-peer_status::peer_status(peer_status&& other476) noexcept {
-  process = std::move(other476.process);
-  boot = other476.boot;
-  sequence = other476.sequence;
-  leaving = other476.leaving;
-  heard = std::move(other476.heard);
-  config_version = other476.config_version;
-  config_address = std::move(other476.config_address);
-  centres_revision = other476.centres_revision;
-  centres_out = std::move(other476.centres_out);
-  uses = std::move(other476.uses);
-  demands = std::move(other476.demands);
-  customers = std::move(other476.customers);
-  holdings = std::move(other476.holdings);
-  leaving_targets = std::move(other476.leaving_targets);
-  suspects = std::move(other476.suspects);
-  wants_registrations = other476.wants_registrations;
-  registrations = std::move(other476.registrations);
-  address = std::move(other476.address);
-  loads = std::move(other476.loads);
-  gives_orders = other476.gives_orders;
-  starts = std::move(other476.starts);
-  centres_era = other476.centres_era;
-  centres_held = std::move(other476.centres_held);
-  informed = other476.informed;
-  reads_store = other476.reads_store;
-  data_centre = std::move(other476.data_centre);
-  group = std::move(other476.group);
-  fleet_size = other476.fleet_size;
-  processor_share = other476.processor_share;
-  to_other_group = other476.to_other_group;
-  group_use = std::move(other476.group_use);
-  outside = std::move(other476.outside);
-  has_details = other476.has_details;
-  suspect_parts = std::move(other476.suspect_parts);
-  target_limits = std::move(other476.target_limits);
-  __isset = other476.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other477) {
-  process = other477.process;
-  boot = other477.boot;
-  sequence = other477.sequence;
-  leaving = other477.leaving;
-  heard = other477.heard;
-  config_version = other477.config_version;
-  config_address = other477.config_address;
-  centres_revision = other477.centres_revision;
-  centres_out = other477.centres_out;
-  uses = other477.uses;
-  demands = other477.demands;
-  customers = other477.customers;
-  holdings = other477.holdings;
-  leaving_targets = other477.leaving_targets;
-  suspects = other477.suspects;
-  wants_registrations = other477.wants_registrations;
-  registrations = other477.registrations;
-  address = other477.address;
-  loads = other477.loads;
-  gives_orders = other477.gives_orders;
-  starts = other477.starts;
-  centres_era = other477.centres_era;
-  centres_held = other477.centres_held;
-  informed = other477.informed;
-  reads_store = other477.reads_store;
-  data_centre = other477.data_centre;
-  group = other477.group;
-  fleet_size = other477.fleet_size;
-  processor_share = other477.processor_share;
-  to_other_group = other477.to_other_group;
-  group_use = other477.group_use;
-  outside = other477.outside;
-  has_details = other477.has_details;
-  suspect_parts = other477.suspect_parts;
-  target_limits = other477.target_limits;
-  __isset = other477.__isset;
-  return *this;
-}
-peer_status& peer_status::operator=(peer_status&& other478) noexcept {
-  process = std::move(other478.process);
-  boot = other478.boot;
-  sequence = other478.sequence;
-  leaving = other478.leaving;
-  heard = std::move(other478.heard);
-  config_version = other478.config_version;
-  config_address = std::move(other478.config_address);
-  centres_revision = other478.centres_revision;
-  centres_out = std::move(other478.centres_out);
-  uses = std::move(other478.uses);
-  demands = std::move(other478.demands);
-  customers = std::move(other478.customers);
-  holdings = std::move(other478.holdings);
-  leaving_targets = std::move(other478.leaving_targets);
-  suspects = std::move(other478.suspects);
-  wants_registrations = other478.wants_registrations;
-  registrations = std::move(other478.registrations);
-  address = std::move(other478.address);
-  loads = std::move(other478.loads);
-  gives_orders = other478.gives_orders;
-  starts = std::move(other478.starts);
-  centres_era = other478.centres_era;
-  centres_held = std::move(other478.centres_held);
-  informed = other478.informed;
-  reads_store = other478.reads_store;
-  data_centre = std::move(other478.data_centre);
-  group = std::move(other478.group);
-  fleet_size = other478.fleet_size;
-  processor_share = other478.processor_share;
-  to_other_group = other478.to_other_group;
-  group_use = std::move(other478.group_use);
-  outside = std::move(other478.outside);
-  has_details = other478.has_details;
-  suspect_parts = std::move(other478.suspect_parts);
-  target_limits = std::move(other478.target_limits);
-  __isset = other478.__isset;
+peer_status::peer_status(const peer_status& other491) {
+  process = other491.process;
+  boot = other491.boot;
+  sequence = other491.sequence;
+  leaving = other491.leaving;
+  heard = other491.heard;
+  config_version = other491.config_version;
+  config_address = other491.config_address;
+  centres_revision = other491.centres_revision;
+  centres_out = other491.centres_out;
+  uses = other491.uses;
+  demands = other491.demands;
+  customers = other491.customers;
+  holdings = other491.holdings;
+  leaving_targets = other491.leaving_targets;
+  suspects = other491.suspects;
+  wants_registrations = other491.wants_registrations;
+  registrations = other491.registrations;
+  address = other491.address;
+  loads = other491.loads;
+  gives_orders = other491.gives_orders;
+  starts = other491.starts;
+  centres_era = other491.centres_era;
+  centres_held = other491.centres_held;
+  informed = other491.informed;
+  reads_store = other491.reads_store;
+  data_centre = other491.data_centre;
+  group = other491.group;
+  fleet_size = other491.fleet_size;
+  processor_share = other491.processor_share;
+  to_other_group = other491.to_other_group;
+  group_use = other491.group_use;
+  outside = other491.outside;
+  has_details = other491.has_details;
+  suspect_parts = other491.suspect_parts;
+  target_limits = other491.target_limits;
+  origins = other491.origins;
+  __isset = other491.__isset;
+}
+peer_status::peer_status(peer_status&& other492) noexcept {
+  process = std::move(other492.process);
+  boot = other492.boot;
+  sequence = other492.sequence;
+  leaving = other492.leaving;
+  heard = std::move(other492.heard);
+  config_version = other492.config_version;
+  config_address = std::move(other492.config_address);
+  centres_revision = other492.centres_revision;
+  centres_out = std::move(other492.centres_out);
+  uses = std::move(other492.uses);
+  demands = std::move(other492.demands);
+  customers = std::move(other492.customers);
+  holdings = std::move(other492.holdings);
+  leaving_targets = std::move(other492.leaving_targets);
+  suspects = std::move(other492.suspects);
+  wants_registrations = other492.wants_registrations;
+  registrations = std::move(other492.registrations);
+  address = std::move(other492.address);
+  loads = std::move(other492.loads);
+  gives_orders = other492.gives_orders;
+  starts = std::move(other492.starts);
+  centres_era = other492.centres_era;
+  centres_held = std::move(other492.centres_held);
+  informed = other492.informed;
+  reads_store = other492.reads_store;
+  data_centre = std::move(other492.data_centre);
+  group = std::move(other492.group);
+  fleet_size = other492.fleet_size;
+  processor_share = other492.processor_share;
+  to_other_group = other492.to_other_group;
+  group_use = std::move(other492.group_use);
+  outside = std::move(other492.outside);
+  has_details = other492.has_details;
+  suspect_parts = std::move(other492.suspect_parts);
+  target_limits = std::move(other492.target_limits);
+  origins = std::move(other492.origins);
+  __isset = other492.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other493) {
+  process = other493.process;
+  boot = other493.boot;
+  sequence = other493.sequence;
+  leaving = other493.leaving;
+  heard = other493.heard;
+  config_version = other493.config_version;
+  config_address = other493.config_address;
+  centres_revision = other493.centres_revision;
+  centres_out = other493.centres_out;
+  uses = other493.uses;
+  demands = other493.demands;
+  customers = other493.customers;
+  holdings = other493.holdings;
+  leaving_targets = other493.leaving_targets;
+  suspects = other493.suspects;
+  wants_registrations = other493.wants_registrations;
+  registrations = other493.registrations;
+  address = other493.address;
+  loads = other493.loads;
+  gives_orders = other493.gives_orders;
+  starts = other493.starts;
+  centres_era = other493.centres_era;
+  centres_held = other493.centres_held;
+  informed = other493.informed;
+  reads_store = other493.reads_store;
+  data_centre = other493.data_centre;
+  group = other493.group;
+  fleet_size = other493.fleet_size;
+  processor_share = other493.processor_share;
+  to_other_group = other493.to_other_group;
+  group_use = other493.group_use;
+  outside = other493.outside;
+  has_details = other493.has_details;
+  suspect_parts = other493.suspect_parts;
+  target_limits = other493.target_limits;
+  origins = other493.origins;
+  __isset = other493.__isset;
+  return *this;
+}
+peer_status& peer_status::operator=(peer_status&& other494) noexcept {
+  process = std::move(other494.process);
+  boot = other494.boot;
+  sequence = other494.sequence;
+  leaving = other494.leaving;
+  heard = std::move(other494.heard);
+  config_version = other494.config_version;
+  config_address = std::move(other494.config_address);
+  centres_revision = other494.centres_revision;
+  centres_out = std::move(other494.centres_out);
+  uses = std::move(other494.uses);
+  demands = std::move(other494.demands);
+  customers = std::move(other494.customers);
+  holdings = std::move(other494.holdings);
+  leaving_targets = std::move(other494.leaving_targets);
+  suspects = std::move(other494.suspects);
+  wants_registrations = other494.wants_registrations;
+  registrations = std::move(other494.registrations);
+  address = std::move(other494.address);
+  loads = std::move(other494.loads);
+  gives_orders = other494.gives_orders;
+  starts = std::move(other494.starts);
+  centres_era = other494.centres_era;
+  centres_held = std::move(other494.centres_held);
+  informed = other494.informed;
+  reads_store = other494.reads_store;
+  data_centre = std::move(other494.data_centre);
+  group = std::move(other494.group);
+  fleet_size = other494.fleet_size;
+  processor_share = other494.processor_share;
+  to_other_group = other494.to_other_group;
+  group_use = std::move(other494.group_use);
+  outside = std::move(other494.outside);
+  has_details = other494.has_details;
+  suspect_parts = std::move(other494.suspect_parts);
+  target_limits = std::move(other494.target_limits);
+  origins = std::move(other494.origins);
+  __isset = other494.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -13049,6 +13255,7 @@
   out << ", " << "has_details=" << to_string(has_details);
   out << ", " << "suspect_parts=" << to_string(suspect_parts);
   out << ", " << "target_limits=" << to_string(target_limits);
+  out << ", " << "origins=" << to_string(origins);
   out << ")";
 }
 
@@ -13179,34 +13386,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_request::turn_request(const turn_request& other479) {
-  process = other479.process;
-  target = other479.target;
-  number = other479.number;
-  tokens = other479.tokens;
-  __isset = other479.__isset;
+turn_request::turn_request(const turn_request& other495) {
+  process = other495.process;
+  target = other495.target;
+  number = other495.number;
+  tokens = other495.tokens;
+  __isset = other495.__isset;
 }
-turn_request::turn_request(turn_request&& other480) noexcept {
-  process = std::move(other480.process);
-  target = std::move(other480.target);
-  number = other480.number;
-  tokens = other480.tokens;
-  __isset = other480.__isset;
+turn_request::turn_request(turn_request&& other496) noexcept {
+  process = std::move(other496.process);
+  target = std::move(other496.target);
+  number = other496.number;
+  tokens = other496.tokens;
+  __isset = other496.__isset;
 }
-turn_request& turn_request::operator=(const turn_request& other481) {
-  process = other481.process;
-  target = other481.target;
-  number = other481.number;
-  tokens = other481.tokens;
-  __isset = other481.__isset;
+turn_request& turn_request::operator=(const turn_request& other497) {
+  process = other497.process;
+  target = other497.target;
+  number = other497.number;
+  tokens = other497.tokens;
+  __isset = other497.__isset;
   return *this;
 }
-turn_request& turn_request::operator=(turn_request&& other482) noexcept {
-  process = std::move(other482.process);
-  target = std::move(other482.target);
-  number = other482.number;
-  tokens = other482.tokens;
-  __isset = other482.__isset;
+turn_request& turn_request::operator=(turn_request&& other498) noexcept {
+  process = std::move(other498.process);
+  target = std::move(other498.target);
+  number = other498.number;
+  tokens = other498.tokens;
+  __isset = other498.__isset;
   return *this;
 }
 void turn_request::printTo(std::ostream& out) const {
@@ -13363,38 +13570,38 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_answer::turn_answer(const turn_answer& other483) {
-  process = other483.process;
-  target = other483.target;
-  number = other483.number;
-  given = other483.given;
-  wait_ms = other483.wait_ms;
-  __isset = other483.__isset;
-}
-turn_answer::turn_answer(turn_answer&& other484) noexcept {
-  process = std::move(other484.process);
-  target = std::move(other484.target);
-  number = other484.number;
-  given = other484.given;
-  wait_ms = other484.wait_ms;
-  __isset = other484.__isset;
-}
-turn_answer& turn_answer::operator=(const turn_answer& other485) {
-  process = other485.process;
-  target = other485.target;
-  number = other485.number;
-  given = other485.given;
-  wait_ms = other485.wait_ms;
-  __isset = other485.__isset;
-  return *this;
-}
-turn_answer& turn_answer::operator=(turn_answer&& other486) noexcept {
-  process = std::move(other486.process);
-  target = std::move(other486.target);
-  number = other486.number;
-  given = other486.given;
-  wait_ms = other486.wait_ms;
-  __isset = other486.__isset;
+turn_answer::turn_answer(const turn_answer& other499) {
+  process = other499.process;
+  target = other499.target;
+  number = other499.number;
+  given = other499.given;
+  wait_ms = other499.wait_ms;
+  __isset = other499.__isset;
+}
+turn_answer::turn_answer(turn_answer&& other500) noexcept {
+  process = std::move(other500.process);
+  target = std::move(other500.target);
+  number = other500.number;
+  given = other500.given;
+  wait_ms = other500.wait_ms;
+  __isset = other500.__isset;
+}
+turn_answer& turn_answer::operator=(const turn_answer& other501) {
+  process = other501.process;
+  target = other501.target;
+  number = other501.number;
+  given = other501.given;
+  wait_ms = other501.wait_ms;
+  __isset = other501.__isset;
+  return *this;
+}
+turn_answer& turn_answer::operator=(turn_answer&& other502) noexcept {
+  process = std::move(other502.process);
+  target = std::move(other502.target);
+  number = other502.number;
+  given = other502.given;
+  wait_ms = other502.wait_ms;
+  __isset = other502.__isset;
   return *this;
 }
 void turn_answer::printTo(std::ostream& out) const {
@@ -13535,34 +13742,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_use::turn_use(const turn_use& other487) {
-  process = other487.process;
-  target = other487.target;
-  number = other487.number;
-  tokens = other487.tokens;
-  __isset = other487.__isset;
-}
-turn_use::turn_use(turn_use&& other488) noexcept {
-  process = std::move(other488.process);
-  target = std::move(other488.target);
-  number = other488.number;
-  tokens = other488.tokens;
-  __isset = other488.__isset;
-}
-turn_use& turn_use::operator=(const turn_use& other489) {
-  process = other489.process;
-  target = other489.target;
-  number = other489.number;
-  tokens = other489.tokens;
-  __isset = other489.__isset;
-  return *this;
-}
-turn_use& turn_use::operator=(turn_use&& other490) noexcept {
-  process = std::move(other490.process);
-  target = std::move(other490.target);
-  number = other490.number;
-  tokens = other490.tokens;
-  __isset = other490.__isset;
+turn_use::turn_use(const turn_use& other503) {
+  process = other503.process;
+  target = other503.target;
+  number = other503.number;
+  tokens = other503.tokens;
+  __isset = other503.__isset;
+}
+turn_use::turn_use(turn_use&& other504) noexcept {
+  process = std::move(other504.process);
+  target = std::move(other504.target);
+  number = other504.number;
+  tokens = other504.tokens;
+  __isset = other504.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other505) {
+  process = other505.process;
+  target = other505.target;
+  number = other505.number;
+  tokens = other505.tokens;
+  __isset = other505.__isset;
+  return *this;
+}
+turn_use& turn_use::operator=(turn_use&& other506) noexcept {
+  process = std::move(other506.process);
+  target = std::move(other506.target);
+  number = other506.number;
+  tokens = other506.tokens;
+  __isset = other506.__isset;
   return *this;
 }
 void turn_use::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -238,6 +238,8 @@
 
 class target_registration;
 
+class stream_origins;
+
 class suspect_part;
 
 class target_load;
@@ -4242,7 +4244,7 @@
 std::ostream& operator<<(std::ostream& out, const held_centre& obj);
 
 typedef struct _target_registration__isset {
-  _target_registration__isset() : target(false), born(false), service_name(false), address(false), data_centre(false), slots(false), draining(false), cold_ms(false) {}
+  _target_registration__isset() : target(false), born(false), service_name(false), address(false), data_centre(false), slots(false), draining(false), cold_ms(false), software_version(false) {}
   bool target :1;
   bool born :1;
   bool service_name :1;
@@ -4251,6 +4253,7 @@
   bool slots :1;
   bool draining :1;
   bool cold_ms :1;
+  bool software_version :1;
 } _target_registration__isset;
 
 /**
@@ -4271,7 +4274,8 @@
                         data_centre(),
                         slots(0),
                         draining(0),
-                        cold_ms(0) {
+                        cold_ms(0),
+                        software_version() {
   }
 
   virtual ~target_registration() noexcept;
@@ -4283,6 +4287,7 @@
   int32_t slots;
   bool draining;
   int64_t cold_ms;
+  std::string software_version;
 
   _target_registration__isset __isset;
 
@@ -4302,6 +4307,8 @@
 
   void __set_cold_ms(const int64_t val);
 
+  void __set_software_version(const std::string& val);
+
   bool operator == (const target_registration & rhs) const
   {
     if (!(target == rhs.target))
@@ -4320,6 +4327,8 @@
       return false;
     if (!(cold_ms == rhs.cold_ms))
       return false;
+    if (!(software_version == rhs.software_version))
+      return false;
     return true;
   }
   bool operator != (const target_registration &rhs) const {
@@ -4338,6 +4347,60 @@
 
 std::ostream& operator<<(std::ostream& out, const target_registration& obj);
 
+typedef struct _stream_origins__isset {
+  _stream_origins__isset() : software_version(false), attempts(false) {}
+  bool software_version :1;
+  bool attempts :1;
+} _stream_origins__isset;
+
+/**
+ * Streams that began at targets of one software version, by hashes of the request ids that brought their first events.
+ */
+class stream_origins : public virtual ::apache::thrift::TBase {
+ public:
+
+  stream_origins(const stream_origins&);
+  stream_origins(stream_origins&&) noexcept;
+  stream_origins& operator=(const stream_origins&);
+  stream_origins& operator=(stream_origins&&) noexcept;
+  stream_origins() noexcept
+                 : software_version() {
+  }
+
+  virtual ~stream_origins() noexcept;
+  std::string software_version;
+  std::vector<int64_t>  attempts;
+
+  _stream_origins__isset __isset;
+
+  void __set_software_version(const std::string& val);
+
+  void __set_attempts(const std::vector<int64_t> & val);
+
+  bool operator == (const stream_origins & rhs) const
+  {
+    if (!(software_version == rhs.software_version))
+      return false;
+    if (!(attempts == rhs.attempts))
+      return false;
+    return true;
+  }
+  bool operator != (const stream_origins &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const stream_origins & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(stream_origins &a, stream_origins &b);
+
+std::ostream& operator<<(std::ostream& out, const stream_origins& obj);
+
 typedef struct _suspect_part__isset {
   _suspect_part__isset() : part(false), target_runs(false), ages_ms(false), sound_age_ms(false) {}
   bool part :1;
@@ -4755,7 +4818,7 @@
 std::ostream& operator<<(std::ostream& out, const outside_status& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4791,6 +4854,7 @@
   bool has_details :1;
   bool suspect_parts :1;
   bool target_limits :1;
+  bool origins :1;
 } _peer_status__isset;
 
 /**
@@ -4803,6 +4867,7 @@
  * reads_store: the sender watches the store closely for the others.
  * informed: it knows all that gateways knew when it started.
  * wants_registrations: the sender can't read the store; registrations: all of them, sent only to such a peer.
+ * origins: the sender's streams that began lately; to a member that has just started, all that it knows of.
  * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
@@ -4872,6 +4937,7 @@
   bool has_details;
   std::vector<suspect_part>  suspect_parts;
   std::vector<target_limit>  target_limits;
+  std::vector<stream_origins>  origins;
 
   _peer_status__isset __isset;
 
@@ -4945,6 +5011,8 @@
 
   void __set_target_limits(const std::vector<target_limit> & val);
 
+  void __set_origins(const std::vector<stream_origins> & val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -5021,6 +5089,8 @@
       return false;
     if (!(target_limits == rhs.target_limits))
       return false;
+    if (!(origins == rhs.origins))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::int64_t max_prompt_tokens = 1'000'000; // upper bound for the count of one request
 constexpr std::size_t max_parts = 32;                 // of a prompt that are told apart
+constexpr milliseconds origin_retry_after{400};       // peers tell of their streams every 350 ms
 constexpr milliseconds default_retry_after{1'000};    // Retry-After while the gateway has no configuration
 
 /// Hashes of the ids of a prompt's parts ("ID:TOKENS,ID:TOKENS"); the last one is the session's. Of more than
@@ -79,7 +80,8 @@
     // A request that arrives late in the drain might not finish before the process ends.
     if (context_.draining && context_.loop.now() - context_.drain_started > drain_accept_period)
         return reject(request, 503, "ending", drain_retry_after);
-    if (!find_route(request) || !identify_caller(request) || !read_deadline(request) || !charge(request))
+    if (!find_route(request) || !identify_caller(request) || !read_deadline(request) ||
+        !find_origin(request) || !charge(request))
         return;
     request->timer =
         context_.loop.schedule(request->deadline, [this, request] { forwarder_.on_deadline(request); });
@@ -145,6 +147,28 @@
     return false;
 }
 
+/// A stream that its caller takes up goes on at the software version that began it. Where that isn't known,
+/// it is refused if targets of the service have, or had, several: at another version it would be spoilt.
+bool admission::find_origin(const caller_request_ptr& request) {
+    const auto& fields = request->received.fields;
+    const std::string* after = edge::find_field(fields, platform::resume_header);
+    if (!request->is_stream() || after == nullptr)
+        return true;
+    if (const std::string* origin = edge::find_field(fields, platform::origin_header))
+        request->resumes = *origin;
+    request->begun_at = context_.origins.version_of(hash_of(request->resumes));
+    if (request->begun_at)
+        return true;
+    context_.note_software_versions();
+    const auto versions = context_.origins.versions_of(request->service, context_.loop.now());
+    if (versions.size() == 1)
+        request->begun_at = *versions.begin();
+    if (versions.size() < 2)
+        return true;
+    reject(request, 503, "unknown_origin", origin_retry_after);
+    return false;
+}
+
 /// Reads model and token counts from the request and charges the tokens to the customer's rate.
 bool admission::charge(const caller_request_ptr& request) {
     const auto& fields = request->received.fields;
@@ -172,8 +196,6 @@
             request->sticky_session = request->shared_parts.back();
         request->shared_parts.pop_back();
     }
-    if (const std::string* origin = edge::find_field(fields, platform::origin_header))
-        request->resumes = *origin;
     request->fingerprint =
         hash_of(request->received.body, hash_of(request->received.target, hash_of(request->customer)));
     if (forwarder_.is_blocked(*request)) {
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -6,6 +6,7 @@
 #include "programs/gateway/caller_session.hpp"
 #include "programs/gateway/target_link.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,7 @@
     std::unique_ptr<exchange> target_exchange;
     core::fleet::target_start target_start; // the start of the target that it was last sent to
     std::string target_version;             // software version of that target
+    std::optional<std::string> begun_at;    // software version at which the stream began; set if it goes on
     core::common::time_point sent_at{};
     edge::event_loop::timer_id timer; // fires at the deadline
 
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -6,6 +6,7 @@
 #include "core/limits/fleet_quota.hpp"
 #include "core/limits/target_limits.hpp"
 #include "core/membership/catch_up.hpp"
+#include "core/streams/origins.hpp"
 #include "edge/decision_log.hpp"
 #include "edge/event_loop.hpp"
 #include "programs/gateway/metrics.hpp"
@@ -31,11 +32,17 @@
     core::fleet::centres_out centres; // data centres taken out of service
     core::limits::fleet_quota quota;
     core::limits::target_limits target_limits;
+    core::streams::origins origins;  // of callers' streams
     int gateway_count = 1;           // registered gateways, this one included
     bool reads_store_closely = true; // false: others do, and their messages arrive
     bool draining = false;           // SIGTERM was received
     core::common::time_point drain_started{};
 
+    /// Takes note of the software versions that targets have now.
+    void note_software_versions() {
+        for (const auto& [id, target] : directory.targets())
+            origins.note_target(target.entry.service, target.entry.software_version, loop.now());
+    }
     /// Whether requests may be served by what this process knows.
     [[nodiscard]] bool informed() const { return config && start.done(loop.now()); }
 };
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -119,13 +119,14 @@
 
 void dispatcher::try_dispatch(const caller_request_ptr& request, dispatch_pass& current_pass) {
     const group_key group{request->service, request->model};
-    // An obstacle for one request applies to all others of its group that were never sent.
+    // An obstacle for one request applies to all others of its group that may go to the same targets.
+    const bool may_go_anywhere = request->sent_to.empty() && !request->begun_at;
     const auto known = current_pass.blocked.find(group);
-    if (known != current_pass.blocked.end() && request->sent_to.empty())
+    if (known != current_pass.blocked.end() && may_go_anywhere)
         return keep_waiting(request, known->second, current_pass);
     const auto choice = choose_target(*request, current_pass);
     if (choice.chosen == nullptr) {
-        if (request->sent_to.empty())
+        if (may_go_anywhere)
             current_pass.blocked[group] = choice;
         return keep_waiting(request, choice, current_pass);
     }
@@ -199,6 +200,7 @@
     out.centres_out = &context_.centres.out();
     out.only = request.has_attempts_left() ? nullptr : &request.sent_to;
     out.prompt_tokens = request.prompt_tokens;
+    out.software_version = request.begun_at ? &*request.begun_at : nullptr;
     return out;
 }
 
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -223,9 +223,10 @@
         request->session->begin_answer(request->head.status, forwarded_fields(request->head.fields));
     }
     const time_point now = context_.loop.now();
-    if (request->first_chunk_at == time_point{})
+    if (request->first_chunk_at == time_point{}) {
         request->first_chunk_at = now;
-    else
+        note_origin(*request);
+    } else
         request->longest_pause = std::max(request->longest_pause, now - request->last_chunk_at);
     request->last_chunk_at = now;
     dispatcher_->on_answer_started(request);
@@ -236,6 +237,14 @@
         request->target_exchange->pause();
 }
 
+/// From its first event on, a stream goes on only at targets of the version that sent it.
+void forwarder::note_origin(caller_request& request) {
+    request.begun_at = request.target_version;
+    const std::string& attempt = request.resumes.empty() ? request.request_id : request.resumes;
+    context_.origins.note(core::common::hash_of(attempt), request.target_version,
+                          core::streams::origin_source::own, context_.loop.now());
+}
+
 void forwarder::on_caller_drained(const caller_request_ptr& request) {
     if (request->target_exchange)
         request->target_exchange->resume();
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -37,6 +37,7 @@
     void on_failed(const caller_request_ptr& request, exchange_failure failure);
 
     void relay_events(const caller_request_ptr& request); // those that are complete
+    void note_origin(caller_request& request);
     void send_answer(const caller_request_ptr& request);
     void handle_rejection(const caller_request_ptr& request,
                           dispatcher::attempt_outcome outcome); // has not run
--- a/src/programs/gateway/peer_news.cpp
+++ b/src/programs/gateway/peer_news.cpp
@@ -13,7 +13,10 @@
 
 constexpr milliseconds config_fetch_interval{400}; // between two reads of the configuration from a peer
 constexpr milliseconds config_fetch_timeout{1'500};
-constexpr double no_limit = -1; // on the wire: the target has no limit any more
+constexpr milliseconds origin_repetition{1'100}; // three messages tell of a stream: one may be lost
+constexpr std::size_t max_new_origins = 500;     // streams in one message
+constexpr std::size_t max_all_origins = 1'000;   // in a message to a gateway that has just started
+constexpr double no_limit = -1;                  // on the wire: the target has no limit any more
 constexpr milliseconds adopted_retention{
     1'000}; // registrations from another group are passed on for that long
 
@@ -31,6 +34,7 @@
     out.slots = registration.slots;
     out.draining = registration.draining;
     out.cold_left = milliseconds{registration.cold_ms};
+    out.software_version = registration.software_version;
     return out;
 }
 
@@ -48,6 +52,17 @@
                                  (start.cold_ms > 0 ? " cold" : ""));
 }
 
+std::vector<wire::stream_origins> encode_origins(const core::streams::attempts_by_version& from) {
+    std::vector<wire::stream_origins> out;
+    for (const auto& [version, attempts] : from) {
+        wire::stream_origins entry;
+        entry.software_version = version;
+        entry.attempts.assign(attempts.begin(), attempts.end());
+        out.push_back(std::move(entry));
+    }
+    return out;
+}
+
 /// Moves what is due of `all`, which is ordered by target, to `out`, beginning at target `next`. Returns true
 /// if more may be due than fits into one message; the next call then begins there.
 template<class update_type, class predicate>
@@ -129,6 +144,15 @@
         message.suspect_parts.push_back(encode_part(report));
 }
 
+std::vector<wire::stream_origins> peer_news::recent_origins() const {
+    return encode_origins(
+        context_.origins.own_since(context_.loop.now() - origin_repetition, max_new_origins));
+}
+
+std::vector<wire::stream_origins> peer_news::all_origins() const {
+    return encode_origins(context_.origins.all(max_all_origins));
+}
+
 /// Targets' models and starts (also of targets that became cold) that changed or are due for resending.
 peer_news::target_updates peer_news::due_updates() {
     const auto now = context_.loop.now();
@@ -164,6 +188,7 @@
         registration.address = target.entry.address;
         registration.data_centre = target.entry.data_centre;
         registration.slots = target.entry.slots;
+        registration.software_version = target.entry.software_version;
         registration.draining = target.leaving();
         registration.cold_ms = std::max<std::int64_t>(0, wire_ms(target.cold_until - now));
         out.push_back(std::move(registration));
@@ -195,6 +220,8 @@
     starts_updates_.forget_old(context_.loop.now());
     dependencies_.forward.suspects().expire(context_.loop.now());
     context_.target_limits.expire(context_.loop.now());
+    context_.note_software_versions();
+    context_.origins.expire(context_.loop.now());
 }
 
 // ---- hearing ---------------------------------------------------------------------------------------
@@ -211,6 +238,10 @@
     apply_centres(message);
     const bool departures = apply_departures(message);
     const bool limits = apply_limits(message);
+    for (const auto& same_version : message.origins)
+        for (const std::int64_t attempt : same_version.attempts)
+            context_.origins.note(static_cast<std::uint64_t>(attempt), same_version.software_version,
+                                  core::streams::origin_source::peer, context_.loop.now());
     apply_store_state(message);
     apply_holdings(message);
     if (!own_speakers)
--- a/src/programs/gateway/peer_news.hpp
+++ b/src/programs/gateway/peer_news.hpp
@@ -43,6 +43,9 @@
     [[nodiscard]] target_updates due_updates(); // changed, or due to be sent again
     /// Updates that came from another group, to pass on in the own one; the oldest ones, once.
     [[nodiscard]] target_updates take_relayed();
+    /// Where this gateway's streams that were begun lately began; or all that it knows of.
+    [[nodiscard]] std::vector<wire::stream_origins> recent_origins() const;
+    [[nodiscard]] std::vector<wire::stream_origins> all_origins() const;
     /// Whether updates are left that didn't fit into the last message. `announces`: it had due_updates.
     [[nodiscard]] bool has_more(bool announces) const;
     [[nodiscard]] std::vector<wire::target_registration> registrations() const;
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -4,6 +4,7 @@
 #include "programs/gateway/peer_codec.hpp"
 
 #include <array>
+#include <tuple>
 
 namespace waxwinglb::programs::gateway {
 namespace {
@@ -16,6 +17,7 @@
 // Order givers hear every gateway. Larger fleets tell them details less often, except of what has begun to
 // wait.
 constexpr milliseconds details_period_per_gateway{3};
+constexpr milliseconds start_period{1'000};  // for that long a new peer is told all streams' origins
 constexpr std::size_t max_datagram = 65'000; // bytes
 constexpr std::size_t length_prefix = 4;     // of a frame; not sent, since a datagram has its own length
 constexpr std::size_t max_demands = 200;     // in one message; more are left out, in order of model name
@@ -225,10 +227,10 @@
 /// Encodings of one message for different receivers, each made on first use.
 struct peers::frame_cache {
     const wire::peer_status base;
-    std::map<std::pair<bool, bool>, std::string> encoded; // by (details, registrations)
+    std::map<std::tuple<bool, bool, bool>, std::string> encoded; // by (details, registrations, all_origins)
 
-    const std::string& find(const peers& from, bool details, bool registrations) {
-        std::string& frame = encoded[{details, registrations}];
+    const std::string& find(const peers& from, bool details, bool registrations, bool all_origins) {
+        std::string& frame = encoded[{details, registrations, all_origins}];
         if (!frame.empty())
             return frame;
         wire::peer_status full = base;
@@ -236,6 +238,8 @@
             from.add_demand_details(full);
         if (registrations)
             full.registrations = from.news_.registrations();
+        if (all_origins)
+            full.origins = from.news_.all_origins();
         frame = edge::encode_frame(wire::message_kind::peer_status, full.sequence, full);
         return frame;
     }
@@ -268,12 +272,13 @@
         const auto relayed = news_.take_relayed();
         base.holdings.insert(base.holdings.end(), relayed.holdings.begin(), relayed.holdings.end());
         base.starts.insert(base.starts.end(), relayed.starts.begin(), relayed.starts.end());
+        base.origins = news_.recent_origins();
     }
     frame_cache cache{std::move(base), {}};
     for (const std::string& name : members)
         if (is_receiver(name))
-            send(addresses_.at(name),
-                 cache.find(*this, order_givers.contains(name), sends_registrations_to(name)));
+            send(addresses_.at(name), cache.find(*this, order_givers.contains(name),
+                                                 sends_registrations_to(name), has_just_started(name)));
 }
 
 /// Sends to other groups: as a speaker to their speakers, and in any case to order givers.
@@ -298,7 +303,12 @@
     base.starts = updates.starts;
     frame_cache cache{std::move(base), {}};
     for (const auto& [name, address] : receivers)
-        send(address, cache.find(*this, order_givers.contains(name), sends_registrations_to(name)));
+        send(address, cache.find(*this, order_givers.contains(name), sends_registrations_to(name), false));
+}
+
+bool peers::has_just_started(const std::string& peer) const {
+    const auto known = details_.find(peer);
+    return known != details_.end() && context_.loop.now() - known->second.boot_heard_at <= start_period;
 }
 
 milliseconds peers::details_period() const {
@@ -390,6 +400,8 @@
         context_.log.write(edge::events::peer_regained, status.process);
     peer_details& details = details_[status.process];
     details.config_address = status.config_address;
+    if (std::exchange(details.boot, status.boot) != status.boot)
+        details.boot_heard_at = now;
     if (status.has_details ||
         status.data_centre.empty()) { // earlier versions state details to order givers only
         details.uses = status.uses;
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -17,7 +17,9 @@
     std::string config_address;         // serves the configuration and lease calls
     std::vector<wire::target_use> uses; // as of `told_at`
     std::vector<wire::model_demand> demands;
-    core::common::time_point told_at{}; // uses and demands; they are only told to order givers
+    std::int64_t boot = 0;                    // of its process
+    core::common::time_point boot_heard_at{}; // since when this process of it is heard
+    core::common::time_point told_at{};       // uses and demands; they are only told to order givers
 };
 
 class peers : private ACE_Event_Handler {
@@ -77,6 +79,7 @@
     void send(const std::string& address, const std::string& frame);
     void handle(std::string_view datagram);
     void handle(const wire::peer_status& status);
+    [[nodiscard]] bool has_just_started(const std::string& peer) const;
     [[nodiscard]] bool sends_registrations_to(const std::string& peer) const;
     void log_lost_peers();
 
