--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -228,7 +228,7 @@
         self.doors = {}
 
     async def open_door(self, name):
-        door = {"cut": False, "address": free_address(), "writers": set(), "paths": {}}
+        door = {"cut": False, "turned_away": False, "address": free_address(), "writers": set(), "paths": {}}
         self.doors[name] = door
         door["server"] = await HttpServer().listen(door["address"], lambda request, writer: self.serve(door, request, writer))
         return door["address"]
@@ -272,8 +272,17 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def turn_away(self, name, turned_away=True):
+        """The store refuses this machine's calls (503) and serves the others."""
+        self.doors[name]["turned_away"] = turned_away
+        self.record.line(f"the store {'turns away' if turned_away else 'serves'} {name}")
+
     async def serve(self, door, request, writer):
+        if door["turned_away"]:
+            return answer_bytes(503, {})
         out = await self.reply(request)
+        if door["turned_away"]:            # a watch that was waiting
+            return answer_bytes(503, {})
         for address, path in door["paths"].items():    # this gateway reaches that runner over a link of its own
             out = self.replace_address(out, address, path)
         if door["cut"]:
