Every program: one log line that says where, when the process ends by a signal of its own

The handler uses a stack of its own on the main thread and on the store client's, so that an overflowing stack is reported too; it neither allocates nor locks, and leaves the line out if nobody takes it at once. Afterwards the signal ends the process as before.

Ruled out: Boost.Stacktrace's safe dump, which writes a binary file, and there is no disk.

--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -20,6 +20,7 @@
 inline constexpr std::string_view process_started = "process_started";
 inline constexpr std::string_view process_stopping = "process_stopping";
 inline constexpr std::string_view process_stopped = "process_stopped";
+inline constexpr std::string_view process_crashed = "process_crashed"; // written by edge/crash_report
 inline constexpr std::string_view settings_reloaded = "settings_reloaded";
 inline constexpr std::string_view settings_refused = "settings_refused";
 inline constexpr std::string_view store_lost = "store_lost";
@@ -64,7 +65,7 @@
                                 request_waiting,   turn_missed,      request_sent,          request_retried,
                                 request_refused,   rate_refused,     request_answered,      request_cut,
                                 request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored,
-                                prompt_suspected,  target_limited};
+                                prompt_suspected,  target_limited,   process_crashed};
 /// Events that callers or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed, request_sent,      request_retried,  request_refused, rate_refused,
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -1,5 +1,7 @@
 #include "edge/http_client.hpp"
 
+#include "edge/crash_report.hpp"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -174,6 +176,7 @@
                    : client_outcome::interrupted;
     }
     void run() {
+        const crash_reported_thread this_thread{"http_client"};
         while (!stopping_) {
             take_commands();
             int running = 0;
--- a/src/edge/program.cpp
+++ b/src/edge/program.cpp
@@ -1,5 +1,6 @@
 #include "edge/program.hpp"
 
+#include "edge/crash_report.hpp"
 #include "edge/log.hpp"
 
 #include <getopt.h>
@@ -105,6 +106,8 @@
         std::cout << line.config << ": settings are valid\n";
         return exit_ok;
     }
+    const crash_reported_thread main_thread{"main"};
+    report_crashes(context.name);
     const sigset_t set = block_stop_signals();
     std::thread{[set, &context] {
         for (;;) {
