Gateway: a request that crashes its targets is counted over all gateways together

Callers of other requests saw them end with each target that the crashing one took along.

Cause: each gateway counted a request's broken connections by itself, a peer's count was merged by the maximum, and a count of one was not told at all: n gateways needed n + 2 crashes. The class: a count over the fleet merged by an operation that is no sum. A blocked request also stayed blocked for ever, even where it had been answered in between.

Ruled out: counts by gateway that are summed, since what a gateway counted before a restart would be lost, or counted twice when others pass it on.

Change: whole requests are kept like parts of prompts, as a set of evidence by fingerprint that merges in any order; each attempt is one piece, a whole answer clears it. Single attempts are told for 4 s, of at most 40 requests a message.

--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -177,8 +177,8 @@
 /** Streams that began at targets of one software version, by hashes of the request ids that brought their first events. */
 struct stream_origins { 1: string software_version, 2: list<i64> attempts }
 /**
- * What is known of a prompt's part that may crash targets: the target runs that ended under it, with their ages, and the
- * age of its latest complete answer (-1: none known).
+ * What is known of a prompt's part, or of a whole request by its fingerprint, that may crash targets: the target runs that
+ * ended under it (of a request: its attempts), with their ages, and the age of its latest complete answer (-1: none known).
  */
 struct suspect_part { 1: i64 part, 2: list<i64> target_runs, 3: list<i64> ages_ms, 4: i64 sound_age_ms }
 /** Requests that one gateway now has at a target. */
@@ -207,6 +207,7 @@
  * reads_store: the sender watches the store closely for the others.
  * informed: it knows all that gateways knew when it started.
  * wants_registrations: the sender can't read the store; registrations: all of them, sent only to such a peer.
+ * suspects: of earlier versions, in place of suspect_requests.
  * origins: the sender's streams that began lately; to a member that has just started, all that it knows of.
  * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
@@ -223,7 +224,7 @@
   26: string data_centre, 27: string group, 28: i32 fleet_size, 29: double processor_share, 30: bool to_other_group,
   31: optional group_status group_use, 32: optional outside_status outside, 33: bool has_details,
   34: list<suspect_part> suspect_parts, 35: list<target_limit> target_limits,
-  36: list<stream_origins> origins
+  36: list<stream_origins> origins, 37: list<suspect_part> suspect_requests
 }
 
 /**
--- a/src/core/quarantine/suspect_parts.cpp
+++ b/src/core/quarantine/suspect_parts.cpp
@@ -11,6 +11,12 @@
     return std::chrono::duration_cast<common::milliseconds>(std::max(now - at, common::duration::zero()));
 }
 
+common::time_point latest_of(const std::map<target_run, common::time_point>& crashes) {
+    return std::max_element(crashes.begin(), crashes.end(),
+                            [](const auto& a, const auto& b) { return a.second < b.second; })
+        ->second;
+}
+
 } // namespace
 
 // ---- verdicts --------------------------------------------------------------------------------------
@@ -123,16 +129,15 @@
     }
 }
 
+std::pair<int, common::time_point> suspect_parts::weight_of(const crash_map& crashes) const {
+    return {count_moments(crashes, {}), latest_of(crashes)};
+}
+
 void suspect_parts::shrink() {
-    const auto weight = [this](const crash_map& crashes) {
-        const auto latest = std::max_element(
-            crashes.begin(), crashes.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-        return std::pair{count_moments(crashes, {}), latest->second};
-    };
     while (suspects_.size() > options_.max_suspects)
         suspects_.erase(
             std::min_element(suspects_.begin(), suspects_.end(), [&](const auto& a, const auto& b) {
-                return weight(a.second) < weight(b.second);
+                return weight_of(a.second) < weight_of(b.second);
             }));
 }
 
@@ -154,6 +159,21 @@
     shrink();
 }
 
+/// Those whose evidence is new, and all that are blocked; of too many, those with the most evidence.
+std::vector<const std::pair<const part_id, suspect_parts::crash_map>*>
+suspect_parts::suspects_to_tell(common::time_point now) const {
+    std::vector<const std::pair<const part_id, crash_map>*> out;
+    for (const auto& known : suspects_)
+        if (now - latest_of(known.second) <= options_.told_for || is_blocked(known.first, now))
+            out.push_back(&known);
+    if (out.size() <= options_.max_told)
+        return out;
+    std::sort(out.begin(), out.end(),
+              [this](const auto* a, const auto* b) { return weight_of(a->second) > weight_of(b->second); });
+    out.resize(options_.max_told);
+    return out;
+}
+
 std::vector<part_report> suspect_parts::reports(common::time_point now) const {
     std::vector<part_report> out;
     const auto sound_age = [&](part_id part) -> std::optional<common::milliseconds> {
@@ -161,9 +181,9 @@
             return std::nullopt;
         return age_of(sound_.at(part), now);
     };
-    for (const auto& [part, crashes] : suspects_) {
-        part_report report{part, {}, sound_age(part)};
-        for (const auto& [target, at] : crashes)
+    for (const auto* known : suspects_to_tell(now)) {
+        part_report report{known->first, {}, sound_age(known->first)};
+        for (const auto& [target, at] : known->second)
             report.crashes.emplace_back(target, age_of(at, now));
         out.push_back(std::move(report));
     }
--- a/src/core/quarantine/suspect_parts.hpp
+++ b/src/core/quarantine/suspect_parts.hpp
@@ -1,5 +1,6 @@
-/// Parts of prompts that crash the targets which begin to answer them, whatever else the prompt holds. No two
-/// such requests are alike, so the quarantine of whole requests does not recognise them.
+/// Parts of prompts that crash the targets which begin to answer them, whatever else the prompt holds, and
+/// whole requests that do so each time their callers send them again. A whole request counts as a part, named
+/// by its fingerprint.
 ///
 /// Every process adds what it sees and merges what others tell, in any order and any number of times. All
 /// come to the same verdicts:
@@ -21,8 +22,9 @@
 
 namespace waxwinglb::core::quarantine {
 
-using part_id = std::uint64_t;    // hash of the part's id
-using target_run = std::uint64_t; // hash of a target and its start: it crashes once
+using part_id = std::uint64_t;    // hash of the part's id, or fingerprint of a whole request
+using target_run = std::uint64_t; // of a part: hash of a target and its start, which crashes once; of a whole
+                                  // request: hash of the attempt
 
 struct suspect_options {
     int crashes = 3;                              // at different moments, before a part is blocked
@@ -34,9 +36,22 @@
                                                   // than sound_memory, which it must not outlive
     common::milliseconds blocked_memory{600'000}; // since the last crash, of one that is
     common::milliseconds report_delay{2'000};     // most by which a report's ages may be too low on arrival
-    std::size_t max_suspects = 40;                // those at the fewest crashes are dropped first
-    std::size_t max_sound = 4'000;                // parts known as sound; the oldest are dropped first
-    std::size_t max_crashes = 8;                  // kept of one part, the latest
+    common::milliseconds told_for{60'000};        // since the last crash, of a part that is not blocked
+    std::size_t max_told = 40;     // suspects in one round of reports, those at the most crashes
+    std::size_t max_suspects = 40; // those at the fewest crashes are dropped first
+    std::size_t max_sound = 4'000; // parts known as sound; the oldest are dropped first
+    std::size_t max_crashes = 8;   // kept of one part, the latest
+};
+
+/// For whole requests: a caller may wait for minutes before it sends one again, and each attempt is a moment
+/// of its own.
+constexpr suspect_options whole_request_options{
+    .settle = common::milliseconds{0},
+    .same_moment = common::milliseconds{0},
+    .sound_memory = common::milliseconds{660'000},
+    .evidence_memory = common::milliseconds{600'000},
+    .told_for = common::milliseconds{4'000}, // longer than gateways in contact take to hear of it
+    .max_suspects = 400,
 };
 
 /// What one process tells others of a part. Times are ages, since clocks differ.
@@ -71,7 +86,10 @@
     [[nodiscard]] bool is_blocked(part_id part, common::time_point now) const;
     void add_evidence(part_id part, target_run target, common::time_point at);
     void note_sound(part_id part, common::time_point at);
+    [[nodiscard]] std::pair<int, common::time_point> weight_of(const crash_map& crashes) const;
     void shrink(); // to max_suspects
+    [[nodiscard]] std::vector<const std::pair<const part_id, crash_map>*>
+    suspects_to_tell(common::time_point now) const;
 
     suspect_options options_;
     std::map<part_id, crash_map> suspects_;                        // with the time of each crash
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -12234,6 +12234,10 @@
 void peer_status::__set_origins(const std::vector<stream_origins> & val) {
   this->origins = val;
 }
+
+void peer_status::__set_suspect_requests(const std::vector<suspect_part> & val) {
+  this->suspect_requests = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -12730,6 +12734,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 37:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspect_requests.clear();
+            uint32_t _size476;
+            ::apache::thrift::protocol::TType _etype479;
+            xfer += iprot->readListBegin(_etype479, _size476);
+            this->suspect_requests.resize(_size476);
+            uint32_t _i480;
+            for (_i480 = 0; _i480 < _size476; ++_i480)
+            {
+              xfer += this->suspect_requests[_i480].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspect_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12766,10 +12790,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter476;
-    for (_iter476 = this->heard.begin(); _iter476 != this->heard.end(); ++_iter476)
+    std::vector<std::string> ::const_iterator _iter481;
+    for (_iter481 = this->heard.begin(); _iter481 != this->heard.end(); ++_iter481)
     {
-      xfer += oprot->writeString((*_iter476));
+      xfer += oprot->writeString((*_iter481));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12790,10 +12814,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter477;
-    for (_iter477 = this->centres_out.begin(); _iter477 != this->centres_out.end(); ++_iter477)
+    std::vector<std::string> ::const_iterator _iter482;
+    for (_iter482 = this->centres_out.begin(); _iter482 != this->centres_out.end(); ++_iter482)
     {
-      xfer += oprot->writeString((*_iter477));
+      xfer += oprot->writeString((*_iter482));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12802,10 +12826,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter478;
-    for (_iter478 = this->uses.begin(); _iter478 != this->uses.end(); ++_iter478)
+    std::vector<target_use> ::const_iterator _iter483;
+    for (_iter483 = this->uses.begin(); _iter483 != this->uses.end(); ++_iter483)
     {
-      xfer += (*_iter478).write(oprot);
+      xfer += (*_iter483).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12814,10 +12838,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter479;
-    for (_iter479 = this->demands.begin(); _iter479 != this->demands.end(); ++_iter479)
+    std::vector<model_demand> ::const_iterator _iter484;
+    for (_iter484 = this->demands.begin(); _iter484 != this->demands.end(); ++_iter484)
     {
-      xfer += (*_iter479).write(oprot);
+      xfer += (*_iter484).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12826,10 +12850,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter480;
-    for (_iter480 = this->customers.begin(); _iter480 != this->customers.end(); ++_iter480)
+    std::vector<customer_use> ::const_iterator _iter485;
+    for (_iter485 = this->customers.begin(); _iter485 != this->customers.end(); ++_iter485)
     {
-      xfer += (*_iter480).write(oprot);
+      xfer += (*_iter485).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12838,10 +12862,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter481;
-    for (_iter481 = this->holdings.begin(); _iter481 != this->holdings.end(); ++_iter481)
+    std::vector<target_holding> ::const_iterator _iter486;
+    for (_iter486 = this->holdings.begin(); _iter486 != this->holdings.end(); ++_iter486)
     {
-      xfer += (*_iter481).write(oprot);
+      xfer += (*_iter486).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12850,10 +12874,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter482;
-    for (_iter482 = this->leaving_targets.begin(); _iter482 != this->leaving_targets.end(); ++_iter482)
+    std::vector<leaving_target> ::const_iterator _iter487;
+    for (_iter487 = this->leaving_targets.begin(); _iter487 != this->leaving_targets.end(); ++_iter487)
     {
-      xfer += (*_iter482).write(oprot);
+      xfer += (*_iter487).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12862,10 +12886,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter483;
-    for (_iter483 = this->suspects.begin(); _iter483 != this->suspects.end(); ++_iter483)
+    std::vector<quarantine> ::const_iterator _iter488;
+    for (_iter488 = this->suspects.begin(); _iter488 != this->suspects.end(); ++_iter488)
     {
-      xfer += (*_iter483).write(oprot);
+      xfer += (*_iter488).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12878,10 +12902,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter484;
-    for (_iter484 = this->registrations.begin(); _iter484 != this->registrations.end(); ++_iter484)
+    std::vector<target_registration> ::const_iterator _iter489;
+    for (_iter489 = this->registrations.begin(); _iter489 != this->registrations.end(); ++_iter489)
     {
-      xfer += (*_iter484).write(oprot);
+      xfer += (*_iter489).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12894,10 +12918,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter485;
-    for (_iter485 = this->loads.begin(); _iter485 != this->loads.end(); ++_iter485)
+    std::vector<target_load> ::const_iterator _iter490;
+    for (_iter490 = this->loads.begin(); _iter490 != this->loads.end(); ++_iter490)
     {
-      xfer += (*_iter485).write(oprot);
+      xfer += (*_iter490).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12910,10 +12934,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<target_registration> ::const_iterator _iter486;
-    for (_iter486 = this->starts.begin(); _iter486 != this->starts.end(); ++_iter486)
+    std::vector<target_registration> ::const_iterator _iter491;
+    for (_iter491 = this->starts.begin(); _iter491 != this->starts.end(); ++_iter491)
     {
-      xfer += (*_iter486).write(oprot);
+      xfer += (*_iter491).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12926,10 +12950,10 @@
   xfer += oprot->writeFieldBegin("centres_held", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->centres_held.size()));
-    std::vector<held_centre> ::const_iterator _iter487;
-    for (_iter487 = this->centres_held.begin(); _iter487 != this->centres_held.end(); ++_iter487)
+    std::vector<held_centre> ::const_iterator _iter492;
+    for (_iter492 = this->centres_held.begin(); _iter492 != this->centres_held.end(); ++_iter492)
     {
-      xfer += (*_iter487).write(oprot);
+      xfer += (*_iter492).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12980,10 +13004,10 @@
   xfer += oprot->writeFieldBegin("suspect_parts", ::apache::thrift::protocol::T_LIST, 34);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_parts.size()));
-    std::vector<suspect_part> ::const_iterator _iter488;
-    for (_iter488 = this->suspect_parts.begin(); _iter488 != this->suspect_parts.end(); ++_iter488)
+    std::vector<suspect_part> ::const_iterator _iter493;
+    for (_iter493 = this->suspect_parts.begin(); _iter493 != this->suspect_parts.end(); ++_iter493)
     {
-      xfer += (*_iter488).write(oprot);
+      xfer += (*_iter493).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12992,10 +13016,10 @@
   xfer += oprot->writeFieldBegin("target_limits", ::apache::thrift::protocol::T_LIST, 35);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->target_limits.size()));
-    std::vector<target_limit> ::const_iterator _iter489;
-    for (_iter489 = this->target_limits.begin(); _iter489 != this->target_limits.end(); ++_iter489)
+    std::vector<target_limit> ::const_iterator _iter494;
+    for (_iter494 = this->target_limits.begin(); _iter494 != this->target_limits.end(); ++_iter494)
     {
-      xfer += (*_iter489).write(oprot);
+      xfer += (*_iter494).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13004,10 +13028,22 @@
   xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 36);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->origins.size()));
-    std::vector<stream_origins> ::const_iterator _iter490;
-    for (_iter490 = this->origins.begin(); _iter490 != this->origins.end(); ++_iter490)
+    std::vector<stream_origins> ::const_iterator _iter495;
+    for (_iter495 = this->origins.begin(); _iter495 != this->origins.end(); ++_iter495)
     {
-      xfer += (*_iter490).write(oprot);
+      xfer += (*_iter495).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspect_requests", ::apache::thrift::protocol::T_LIST, 37);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_requests.size()));
+    std::vector<suspect_part> ::const_iterator _iter496;
+    for (_iter496 = this->suspect_requests.begin(); _iter496 != this->suspect_requests.end(); ++_iter496)
+    {
+      xfer += (*_iter496).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13056,165 +13092,170 @@
   swap(a.suspect_parts, b.suspect_parts);
   swap(a.target_limits, b.target_limits);
   swap(a.origins, b.origins);
+  swap(a.suspect_requests, b.suspect_requests);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other491) {
-  process = other491.process;
-  boot = other491.boot;
-  sequence = other491.sequence;
-  leaving = other491.leaving;
-  heard = other491.heard;
-  config_version = other491.config_version;
-  config_address = other491.config_address;
-  centres_revision = other491.centres_revision;
-  centres_out = other491.centres_out;
-  uses = other491.uses;
-  demands = other491.demands;
-  customers = other491.customers;
-  holdings = other491.holdings;
-  leaving_targets = other491.leaving_targets;
-  suspects = other491.suspects;
-  wants_registrations = other491.wants_registrations;
-  registrations = other491.registrations;
-  address = other491.address;
-  loads = other491.loads;
-  gives_orders = other491.gives_orders;
-  starts = other491.starts;
-  centres_era = other491.centres_era;
-  centres_held = other491.centres_held;
-  informed = other491.informed;
-  reads_store = other491.reads_store;
-  data_centre = other491.data_centre;
-  group = other491.group;
-  fleet_size = other491.fleet_size;
-  processor_share = other491.processor_share;
-  to_other_group = other491.to_other_group;
-  group_use = other491.group_use;
-  outside = other491.outside;
-  has_details = other491.has_details;
-  suspect_parts = other491.suspect_parts;
-  target_limits = other491.target_limits;
-  origins = other491.origins;
-  __isset = other491.__isset;
-}
-peer_status::peer_status(peer_status&& other492) noexcept {
-  process = std::move(other492.process);
-  boot = other492.boot;
-  sequence = other492.sequence;
-  leaving = other492.leaving;
-  heard = std::move(other492.heard);
-  config_version = other492.config_version;
-  config_address = std::move(other492.config_address);
-  centres_revision = other492.centres_revision;
-  centres_out = std::move(other492.centres_out);
-  uses = std::move(other492.uses);
-  demands = std::move(other492.demands);
-  customers = std::move(other492.customers);
-  holdings = std::move(other492.holdings);
-  leaving_targets = std::move(other492.leaving_targets);
-  suspects = std::move(other492.suspects);
-  wants_registrations = other492.wants_registrations;
-  registrations = std::move(other492.registrations);
-  address = std::move(other492.address);
-  loads = std::move(other492.loads);
-  gives_orders = other492.gives_orders;
-  starts = std::move(other492.starts);
-  centres_era = other492.centres_era;
-  centres_held = std::move(other492.centres_held);
-  informed = other492.informed;
-  reads_store = other492.reads_store;
-  data_centre = std::move(other492.data_centre);
-  group = std::move(other492.group);
-  fleet_size = other492.fleet_size;
-  processor_share = other492.processor_share;
-  to_other_group = other492.to_other_group;
-  group_use = std::move(other492.group_use);
-  outside = std::move(other492.outside);
-  has_details = other492.has_details;
-  suspect_parts = std::move(other492.suspect_parts);
-  target_limits = std::move(other492.target_limits);
-  origins = std::move(other492.origins);
-  __isset = other492.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other493) {
-  process = other493.process;
-  boot = other493.boot;
-  sequence = other493.sequence;
-  leaving = other493.leaving;
-  heard = other493.heard;
-  config_version = other493.config_version;
-  config_address = other493.config_address;
-  centres_revision = other493.centres_revision;
-  centres_out = other493.centres_out;
-  uses = other493.uses;
-  demands = other493.demands;
-  customers = other493.customers;
-  holdings = other493.holdings;
-  leaving_targets = other493.leaving_targets;
-  suspects = other493.suspects;
-  wants_registrations = other493.wants_registrations;
-  registrations = other493.registrations;
-  address = other493.address;
-  loads = other493.loads;
-  gives_orders = other493.gives_orders;
-  starts = other493.starts;
-  centres_era = other493.centres_era;
-  centres_held = other493.centres_held;
-  informed = other493.informed;
-  reads_store = other493.reads_store;
-  data_centre = other493.data_centre;
-  group = other493.group;
-  fleet_size = other493.fleet_size;
-  processor_share = other493.processor_share;
-  to_other_group = other493.to_other_group;
-  group_use = other493.group_use;
-  outside = other493.outside;
-  has_details = other493.has_details;
-  suspect_parts = other493.suspect_parts;
-  target_limits = other493.target_limits;
-  origins = other493.origins;
-  __isset = other493.__isset;
-  return *this;
-}
-peer_status& peer_status::operator=(peer_status&& other494) noexcept {
-  process = std::move(other494.process);
-  boot = other494.boot;
-  sequence = other494.sequence;
-  leaving = other494.leaving;
-  heard = std::move(other494.heard);
-  config_version = other494.config_version;
-  config_address = std::move(other494.config_address);
-  centres_revision = other494.centres_revision;
-  centres_out = std::move(other494.centres_out);
-  uses = std::move(other494.uses);
-  demands = std::move(other494.demands);
-  customers = std::move(other494.customers);
-  holdings = std::move(other494.holdings);
-  leaving_targets = std::move(other494.leaving_targets);
-  suspects = std::move(other494.suspects);
-  wants_registrations = other494.wants_registrations;
-  registrations = std::move(other494.registrations);
-  address = std::move(other494.address);
-  loads = std::move(other494.loads);
-  gives_orders = other494.gives_orders;
-  starts = std::move(other494.starts);
-  centres_era = other494.centres_era;
-  centres_held = std::move(other494.centres_held);
-  informed = other494.informed;
-  reads_store = other494.reads_store;
-  data_centre = std::move(other494.data_centre);
-  group = std::move(other494.group);
-  fleet_size = other494.fleet_size;
-  processor_share = other494.processor_share;
-  to_other_group = other494.to_other_group;
-  group_use = std::move(other494.group_use);
-  outside = std::move(other494.outside);
-  has_details = other494.has_details;
-  suspect_parts = std::move(other494.suspect_parts);
-  target_limits = std::move(other494.target_limits);
-  origins = std::move(other494.origins);
-  __isset = other494.__isset;
+peer_status::peer_status(const peer_status& other497) {
+  process = other497.process;
+  boot = other497.boot;
+  sequence = other497.sequence;
+  leaving = other497.leaving;
+  heard = other497.heard;
+  config_version = other497.config_version;
+  config_address = other497.config_address;
+  centres_revision = other497.centres_revision;
+  centres_out = other497.centres_out;
+  uses = other497.uses;
+  demands = other497.demands;
+  customers = other497.customers;
+  holdings = other497.holdings;
+  leaving_targets = other497.leaving_targets;
+  suspects = other497.suspects;
+  wants_registrations = other497.wants_registrations;
+  registrations = other497.registrations;
+  address = other497.address;
+  loads = other497.loads;
+  gives_orders = other497.gives_orders;
+  starts = other497.starts;
+  centres_era = other497.centres_era;
+  centres_held = other497.centres_held;
+  informed = other497.informed;
+  reads_store = other497.reads_store;
+  data_centre = other497.data_centre;
+  group = other497.group;
+  fleet_size = other497.fleet_size;
+  processor_share = other497.processor_share;
+  to_other_group = other497.to_other_group;
+  group_use = other497.group_use;
+  outside = other497.outside;
+  has_details = other497.has_details;
+  suspect_parts = other497.suspect_parts;
+  target_limits = other497.target_limits;
+  origins = other497.origins;
+  suspect_requests = other497.suspect_requests;
+  __isset = other497.__isset;
+}
+peer_status::peer_status(peer_status&& other498) noexcept {
+  process = std::move(other498.process);
+  boot = other498.boot;
+  sequence = other498.sequence;
+  leaving = other498.leaving;
+  heard = std::move(other498.heard);
+  config_version = other498.config_version;
+  config_address = std::move(other498.config_address);
+  centres_revision = other498.centres_revision;
+  centres_out = std::move(other498.centres_out);
+  uses = std::move(other498.uses);
+  demands = std::move(other498.demands);
+  customers = std::move(other498.customers);
+  holdings = std::move(other498.holdings);
+  leaving_targets = std::move(other498.leaving_targets);
+  suspects = std::move(other498.suspects);
+  wants_registrations = other498.wants_registrations;
+  registrations = std::move(other498.registrations);
+  address = std::move(other498.address);
+  loads = std::move(other498.loads);
+  gives_orders = other498.gives_orders;
+  starts = std::move(other498.starts);
+  centres_era = other498.centres_era;
+  centres_held = std::move(other498.centres_held);
+  informed = other498.informed;
+  reads_store = other498.reads_store;
+  data_centre = std::move(other498.data_centre);
+  group = std::move(other498.group);
+  fleet_size = other498.fleet_size;
+  processor_share = other498.processor_share;
+  to_other_group = other498.to_other_group;
+  group_use = std::move(other498.group_use);
+  outside = std::move(other498.outside);
+  has_details = other498.has_details;
+  suspect_parts = std::move(other498.suspect_parts);
+  target_limits = std::move(other498.target_limits);
+  origins = std::move(other498.origins);
+  suspect_requests = std::move(other498.suspect_requests);
+  __isset = other498.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other499) {
+  process = other499.process;
+  boot = other499.boot;
+  sequence = other499.sequence;
+  leaving = other499.leaving;
+  heard = other499.heard;
+  config_version = other499.config_version;
+  config_address = other499.config_address;
+  centres_revision = other499.centres_revision;
+  centres_out = other499.centres_out;
+  uses = other499.uses;
+  demands = other499.demands;
+  customers = other499.customers;
+  holdings = other499.holdings;
+  leaving_targets = other499.leaving_targets;
+  suspects = other499.suspects;
+  wants_registrations = other499.wants_registrations;
+  registrations = other499.registrations;
+  address = other499.address;
+  loads = other499.loads;
+  gives_orders = other499.gives_orders;
+  starts = other499.starts;
+  centres_era = other499.centres_era;
+  centres_held = other499.centres_held;
+  informed = other499.informed;
+  reads_store = other499.reads_store;
+  data_centre = other499.data_centre;
+  group = other499.group;
+  fleet_size = other499.fleet_size;
+  processor_share = other499.processor_share;
+  to_other_group = other499.to_other_group;
+  group_use = other499.group_use;
+  outside = other499.outside;
+  has_details = other499.has_details;
+  suspect_parts = other499.suspect_parts;
+  target_limits = other499.target_limits;
+  origins = other499.origins;
+  suspect_requests = other499.suspect_requests;
+  __isset = other499.__isset;
+  return *this;
+}
+peer_status& peer_status::operator=(peer_status&& other500) noexcept {
+  process = std::move(other500.process);
+  boot = other500.boot;
+  sequence = other500.sequence;
+  leaving = other500.leaving;
+  heard = std::move(other500.heard);
+  config_version = other500.config_version;
+  config_address = std::move(other500.config_address);
+  centres_revision = other500.centres_revision;
+  centres_out = std::move(other500.centres_out);
+  uses = std::move(other500.uses);
+  demands = std::move(other500.demands);
+  customers = std::move(other500.customers);
+  holdings = std::move(other500.holdings);
+  leaving_targets = std::move(other500.leaving_targets);
+  suspects = std::move(other500.suspects);
+  wants_registrations = other500.wants_registrations;
+  registrations = std::move(other500.registrations);
+  address = std::move(other500.address);
+  loads = std::move(other500.loads);
+  gives_orders = other500.gives_orders;
+  starts = std::move(other500.starts);
+  centres_era = other500.centres_era;
+  centres_held = std::move(other500.centres_held);
+  informed = other500.informed;
+  reads_store = other500.reads_store;
+  data_centre = std::move(other500.data_centre);
+  group = std::move(other500.group);
+  fleet_size = other500.fleet_size;
+  processor_share = other500.processor_share;
+  to_other_group = other500.to_other_group;
+  group_use = std::move(other500.group_use);
+  outside = std::move(other500.outside);
+  has_details = other500.has_details;
+  suspect_parts = std::move(other500.suspect_parts);
+  target_limits = std::move(other500.target_limits);
+  origins = std::move(other500.origins);
+  suspect_requests = std::move(other500.suspect_requests);
+  __isset = other500.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -13256,6 +13297,7 @@
   out << ", " << "suspect_parts=" << to_string(suspect_parts);
   out << ", " << "target_limits=" << to_string(target_limits);
   out << ", " << "origins=" << to_string(origins);
+  out << ", " << "suspect_requests=" << to_string(suspect_requests);
   out << ")";
 }
 
@@ -13386,34 +13428,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_request::turn_request(const turn_request& other495) {
-  process = other495.process;
-  target = other495.target;
-  number = other495.number;
-  tokens = other495.tokens;
-  __isset = other495.__isset;
+turn_request::turn_request(const turn_request& other501) {
+  process = other501.process;
+  target = other501.target;
+  number = other501.number;
+  tokens = other501.tokens;
+  __isset = other501.__isset;
 }
-turn_request::turn_request(turn_request&& other496) noexcept {
-  process = std::move(other496.process);
-  target = std::move(other496.target);
-  number = other496.number;
-  tokens = other496.tokens;
-  __isset = other496.__isset;
+turn_request::turn_request(turn_request&& other502) noexcept {
+  process = std::move(other502.process);
+  target = std::move(other502.target);
+  number = other502.number;
+  tokens = other502.tokens;
+  __isset = other502.__isset;
 }
-turn_request& turn_request::operator=(const turn_request& other497) {
-  process = other497.process;
-  target = other497.target;
-  number = other497.number;
-  tokens = other497.tokens;
-  __isset = other497.__isset;
+turn_request& turn_request::operator=(const turn_request& other503) {
+  process = other503.process;
+  target = other503.target;
+  number = other503.number;
+  tokens = other503.tokens;
+  __isset = other503.__isset;
   return *this;
 }
-turn_request& turn_request::operator=(turn_request&& other498) noexcept {
-  process = std::move(other498.process);
-  target = std::move(other498.target);
-  number = other498.number;
-  tokens = other498.tokens;
-  __isset = other498.__isset;
+turn_request& turn_request::operator=(turn_request&& other504) noexcept {
+  process = std::move(other504.process);
+  target = std::move(other504.target);
+  number = other504.number;
+  tokens = other504.tokens;
+  __isset = other504.__isset;
   return *this;
 }
 void turn_request::printTo(std::ostream& out) const {
@@ -13570,38 +13612,38 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_answer::turn_answer(const turn_answer& other499) {
-  process = other499.process;
-  target = other499.target;
-  number = other499.number;
-  given = other499.given;
-  wait_ms = other499.wait_ms;
-  __isset = other499.__isset;
+turn_answer::turn_answer(const turn_answer& other505) {
+  process = other505.process;
+  target = other505.target;
+  number = other505.number;
+  given = other505.given;
+  wait_ms = other505.wait_ms;
+  __isset = other505.__isset;
 }
-turn_answer::turn_answer(turn_answer&& other500) noexcept {
-  process = std::move(other500.process);
-  target = std::move(other500.target);
-  number = other500.number;
-  given = other500.given;
-  wait_ms = other500.wait_ms;
-  __isset = other500.__isset;
+turn_answer::turn_answer(turn_answer&& other506) noexcept {
+  process = std::move(other506.process);
+  target = std::move(other506.target);
+  number = other506.number;
+  given = other506.given;
+  wait_ms = other506.wait_ms;
+  __isset = other506.__isset;
 }
-turn_answer& turn_answer::operator=(const turn_answer& other501) {
-  process = other501.process;
-  target = other501.target;
-  number = other501.number;
-  given = other501.given;
-  wait_ms = other501.wait_ms;
-  __isset = other501.__isset;
+turn_answer& turn_answer::operator=(const turn_answer& other507) {
+  process = other507.process;
+  target = other507.target;
+  number = other507.number;
+  given = other507.given;
+  wait_ms = other507.wait_ms;
+  __isset = other507.__isset;
   return *this;
 }
-turn_answer& turn_answer::operator=(turn_answer&& other502) noexcept {
-  process = std::move(other502.process);
-  target = std::move(other502.target);
-  number = other502.number;
-  given = other502.given;
-  wait_ms = other502.wait_ms;
-  __isset = other502.__isset;
+turn_answer& turn_answer::operator=(turn_answer&& other508) noexcept {
+  process = std::move(other508.process);
+  target = std::move(other508.target);
+  number = other508.number;
+  given = other508.given;
+  wait_ms = other508.wait_ms;
+  __isset = other508.__isset;
   return *this;
 }
 void turn_answer::printTo(std::ostream& out) const {
@@ -13742,34 +13784,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_use::turn_use(const turn_use& other503) {
-  process = other503.process;
-  target = other503.target;
-  number = other503.number;
-  tokens = other503.tokens;
-  __isset = other503.__isset;
-}
-turn_use::turn_use(turn_use&& other504) noexcept {
-  process = std::move(other504.process);
-  target = std::move(other504.target);
-  number = other504.number;
-  tokens = other504.tokens;
-  __isset = other504.__isset;
-}
-turn_use& turn_use::operator=(const turn_use& other505) {
-  process = other505.process;
-  target = other505.target;
-  number = other505.number;
-  tokens = other505.tokens;
-  __isset = other505.__isset;
-  return *this;
-}
-turn_use& turn_use::operator=(turn_use&& other506) noexcept {
-  process = std::move(other506.process);
-  target = std::move(other506.target);
-  number = other506.number;
-  tokens = other506.tokens;
-  __isset = other506.__isset;
+turn_use::turn_use(const turn_use& other509) {
+  process = other509.process;
+  target = other509.target;
+  number = other509.number;
+  tokens = other509.tokens;
+  __isset = other509.__isset;
+}
+turn_use::turn_use(turn_use&& other510) noexcept {
+  process = std::move(other510.process);
+  target = std::move(other510.target);
+  number = other510.number;
+  tokens = other510.tokens;
+  __isset = other510.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other511) {
+  process = other511.process;
+  target = other511.target;
+  number = other511.number;
+  tokens = other511.tokens;
+  __isset = other511.__isset;
+  return *this;
+}
+turn_use& turn_use::operator=(turn_use&& other512) noexcept {
+  process = std::move(other512.process);
+  target = std::move(other512.target);
+  number = other512.number;
+  tokens = other512.tokens;
+  __isset = other512.__isset;
   return *this;
 }
 void turn_use::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -4410,8 +4410,8 @@
 } _suspect_part__isset;
 
 /**
- * What is known of a prompt's part that may crash targets: the target runs that ended under it, with their ages, and the
- * age of its latest complete answer (-1: none known).
+ * What is known of a prompt's part, or of a whole request by its fingerprint, that may crash targets: the target runs that
+ * ended under it (of a request: its attempts), with their ages, and the age of its latest complete answer (-1: none known).
  */
 class suspect_part : public virtual ::apache::thrift::TBase {
  public:
@@ -4818,7 +4818,7 @@
 std::ostream& operator<<(std::ostream& out, const outside_status& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4855,6 +4855,7 @@
   bool suspect_parts :1;
   bool target_limits :1;
   bool origins :1;
+  bool suspect_requests :1;
 } _peer_status__isset;
 
 /**
@@ -4867,6 +4868,7 @@
  * reads_store: the sender watches the store closely for the others.
  * informed: it knows all that gateways knew when it started.
  * wants_registrations: the sender can't read the store; registrations: all of them, sent only to such a peer.
+ * suspects: of earlier versions, in place of suspect_requests.
  * origins: the sender's streams that began lately; to a member that has just started, all that it knows of.
  * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
@@ -4938,6 +4940,7 @@
   std::vector<suspect_part>  suspect_parts;
   std::vector<target_limit>  target_limits;
   std::vector<stream_origins>  origins;
+  std::vector<suspect_part>  suspect_requests;
 
   _peer_status__isset __isset;
 
@@ -5013,6 +5016,8 @@
 
   void __set_origins(const std::vector<stream_origins> & val);
 
+  void __set_suspect_requests(const std::vector<suspect_part> & val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -5091,6 +5096,8 @@
       return false;
     if (!(origins == rhs.origins))
       return false;
+    if (!(suspect_requests == rhs.suspect_requests))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -16,9 +16,7 @@
 
 constexpr std::size_t max_unsent_bytes = 256U << 10U;  // to a slow caller; pauses reading from its target
 constexpr std::size_t max_buffered_answer = 8U << 20U; // bytes of an answer that isn't streamed
-constexpr std::size_t max_event = 1U << 20U; // bytes of one event of a stream; usual ones have some hundred
-constexpr int breaks_to_quarantine = 3;      // broken connections to targets while one request ran
-constexpr std::size_t max_tracked_fingerprints = 2'000;
+constexpr std::size_t max_event = 1U << 20U;   // bytes of one event of a stream; usual ones have some hundred
 constexpr int max_sends = 5;                   // of one request, including sends that targets rejected
 constexpr milliseconds rejection_backoff{150}; // models being loaded and slots of full targets get ready soon
 constexpr const char* ended_by_connection = "connection"; // of an answer with neither length nor chunks
@@ -260,7 +258,7 @@
     if (!request->session->answer_begun())
         request->session->begin_answer(request->head.status, forwarded_fields(request->head.fields));
     request->session->end_answer();
-    suspects_.add_sound(request->shared_parts, context_.loop.now());
+    note_sound(*request);
     close_exchange(request, dispatcher::attempt_outcome::succeeded);
     finish(request, edge::events::request_answered, "answered", "whole");
 }
@@ -268,7 +266,7 @@
 void forwarder::send_answer(const caller_request_ptr& request) {
     const bool failed = request->head.status >= 500;
     if (request->head.status < 300)
-        suspects_.add_sound(request->shared_parts, context_.loop.now());
+        note_sound(*request);
     context_.metrics.observe_first_byte(metric_kind(*request), context_.loop.now() - request->arrived);
     request->session->answer(request->head.status, forwarded_fields(request->head.fields), request->body);
     close_exchange(request,
@@ -295,18 +293,31 @@
         return handle_broken_answer(request, "connection_broken");
     request->may_have_run = true;
     if (failure == exchange_failure::silent)
-        ++connection_breaks_of(request->fingerprint);
+        note_broken_run(*request);
     handle_lost_answer(request,
                        failure == exchange_failure::silent ? "connection_timed_out" : "answer_malformed");
 }
 
 void forwarder::handle_broken_answer(const caller_request_ptr& request, const char* reason) {
     request->may_have_run = true;
-    ++connection_breaks_of(request->fingerprint);
+    note_broken_run(*request);
     note_crash(*request);
     handle_lost_answer(request, reason);
 }
 
+/// Each attempt is evidence of its own: a target may break the connection and go on.
+void forwarder::note_broken_run(const caller_request& request) {
+    const auto attempt =
+        core::common::hash_of(request.request_id, static_cast<std::uint64_t>(request.send_count));
+    suspect_requests_.add_crash({&request.fingerprint, 1}, attempt, context_.loop.now());
+}
+
+void forwarder::note_sound(const caller_request& request) {
+    const time_point now = context_.loop.now();
+    suspects_.add_sound(request.shared_parts, now);
+    suspect_requests_.add_sound({&request.fingerprint, 1}, now);
+}
+
 /// A part crashes the target that begins to answer it: an answer of which an event came has none. A kept
 /// connection that broke before any answer may have been closed before the request came.
 void forwarder::note_crash(const caller_request& request) {
@@ -448,26 +459,10 @@
         budget.change(limits);
 }
 
-/// Broken connections counted for a request. All counts are dropped when too many requests are tracked.
-int& forwarder::connection_breaks_of(std::uint64_t fingerprint) {
-    if (connection_breaks_.size() > max_tracked_fingerprints)
-        connection_breaks_.clear();
-    return connection_breaks_[fingerprint];
-}
-
-bool forwarder::is_quarantined(std::uint64_t fingerprint) const {
-    const auto found = connection_breaks_.find(fingerprint);
-    return found != connection_breaks_.end() && found->second >= breaks_to_quarantine;
-}
-
 bool forwarder::is_blocked(const caller_request& request) const {
-    return is_quarantined(request.fingerprint) ||
-           suspects_.find_blocked(request.shared_parts, context_.loop.now()).has_value();
-}
-
-void forwarder::merge_connection_breaks(std::uint64_t fingerprint, int count) {
-    int& known = connection_breaks_of(fingerprint);
-    known = std::max(known, count);
+    const time_point now = context_.loop.now();
+    return suspect_requests_.find_blocked({&request.fingerprint, 1}, now).has_value() ||
+           suspects_.find_blocked(request.shared_parts, now).has_value();
 }
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -21,12 +21,10 @@
     void on_caller_drained(const caller_request_ptr& request); // the caller's output buffer is empty
     void on_deadline(const caller_request_ptr& request);
 
-    /// Quarantine of requests that repeatedly break their target's connection. Peers exchange the counts.
-    [[nodiscard]] bool is_quarantined(std::uint64_t fingerprint) const;
-    void merge_connection_breaks(std::uint64_t fingerprint, int count);
-    [[nodiscard]] const std::map<std::uint64_t, int>& connection_breaks() const { return connection_breaks_; }
     /// Parts of prompts that crash targets. Peers exchange the evidence.
     [[nodiscard]] core::quarantine::suspect_parts& suspects() { return suspects_; }
+    /// The same of whole requests, by fingerprint.
+    [[nodiscard]] core::quarantine::suspect_parts& suspect_requests() { return suspect_requests_; }
     [[nodiscard]] bool is_blocked(const caller_request& request) const; // whether it must not be sent
     void update_budgets();
 
@@ -41,6 +39,8 @@
     void send_answer(const caller_request_ptr& request);
     void handle_rejection(const caller_request_ptr& request,
                           dispatcher::attempt_outcome outcome); // has not run
+    void note_broken_run(const caller_request& request);        // an attempt without a whole answer
+    void note_sound(const caller_request& request);             // it has got a whole answer
     void note_crash(const caller_request& request);             // its target may have ended because of it
     void handle_broken_answer(const caller_request_ptr& request,
                               const char* reason); // its target broke it off
@@ -54,14 +54,13 @@
     [[nodiscard]] std::string request_text(const caller_request& request, const std::string& target) const;
     [[nodiscard]] core::retries::window_limits budget_share() const;
     core::retries::window_budget& budget(const std::string& service);
-    int& connection_breaks_of(std::uint64_t fingerprint);
 
     gateway_context& context_;
     std::function<void(const caller_request_ptr&)> on_finished_;
     dispatcher* dispatcher_ = nullptr;
     std::map<std::string, core::retries::window_budget> budgets_; // by service
-    std::map<std::uint64_t, int> connection_breaks_;              // by fingerprint
     core::quarantine::suspect_parts suspects_;
+    core::quarantine::suspect_parts suspect_requests_{core::quarantine::whole_request_options};
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peer_news.cpp
+++ b/src/programs/gateway/peer_news.cpp
@@ -133,15 +133,11 @@
 }
 
 void peer_news::add_suspects_to(wire::peer_status& message) const {
-    for (const auto& [fingerprint, count] : dependencies_.forward.connection_breaks())
-        if (count > 1) { // a single broken connection is common
-            wire::quarantine suspect;
-            suspect.fingerprint = std::to_string(fingerprint);
-            suspect.crashes = count;
-            message.suspects.push_back(std::move(suspect));
-        }
-    for (const auto& report : dependencies_.forward.suspects().reports(context_.loop.now()))
+    const auto now = context_.loop.now();
+    for (const auto& report : dependencies_.forward.suspects().reports(now))
         message.suspect_parts.push_back(encode_part(report));
+    for (const auto& report : dependencies_.forward.suspect_requests().reports(now))
+        message.suspect_requests.push_back(encode_part(report));
 }
 
 std::vector<wire::stream_origins> peer_news::recent_origins() const {
@@ -219,6 +215,7 @@
     holdings_updates_.forget_old(context_.loop.now());
     starts_updates_.forget_old(context_.loop.now());
     dependencies_.forward.suspects().expire(context_.loop.now());
+    dependencies_.forward.suspect_requests().expire(context_.loop.now());
     context_.target_limits.expire(context_.loop.now());
     context_.note_software_versions();
     context_.origins.expire(context_.loop.now());
@@ -228,11 +225,10 @@
 
 peer_news::applied peer_news::apply(const wire::peer_status& message,
                                     const std::optional<std::vector<std::string>>& own_speakers) {
-    for (const auto& suspect : message.suspects)
-        dependencies_.forward.merge_connection_breaks(std::strtoull(suspect.fingerprint.c_str(), nullptr, 10),
-                                                      suspect.crashes);
     for (const auto& part : message.suspect_parts)
         dependencies_.forward.suspects().merge(decode_part(part), context_.loop.now());
+    for (const auto& request : message.suspect_requests)
+        dependencies_.forward.suspect_requests().merge(decode_part(request), context_.loop.now());
     if (own_speakers && !message.registrations.empty() && !dependencies_.watch.reads_targets())
         adopted_outside_at_ = context_.loop.now();
     apply_centres(message);
--- a/tests/core/suspect_parts_test.cpp
+++ b/tests/core/suspect_parts_test.cpp
@@ -120,6 +120,40 @@
     EXPECT_TRUE(suspects.reports(start + 2min).empty());
 }
 
+TEST(suspect_requests, attempts_at_one_target_shortly_after_one_another_count_each) {
+    suspect_parts suspects{whole_request_options};
+    for (target_run attempt = 1; attempt <= 3; ++attempt)
+        suspects.add_crash(std::vector{bad_part}, attempt, start + attempt * 1ms);
+    EXPECT_TRUE(blocks(suspects, bad_part, start + 4ms));
+}
+
+TEST(suspect_requests, attempts_minutes_apart_at_different_processes_block_it_at_all) {
+    std::vector<suspect_parts> processes(3, suspect_parts{whole_request_options});
+    for (std::size_t attempt = 0; attempt < processes.size(); ++attempt) {
+        const auto now = start + 4min * attempt;
+        for (auto& process : processes)
+            process.expire(now);
+        processes[attempt].add_crash(std::vector{bad_part}, attempt, now);
+        for (auto& process : processes)
+            for (const auto& report : processes[attempt].reports(now + 200ms))
+                process.merge(report, now + 200ms);
+    }
+    for (const auto& process : processes)
+        EXPECT_TRUE(blocks(process, bad_part, start + 8min + 1s));
+}
+
+TEST(suspect_requests, only_new_evidence_and_blocked_requests_are_told_and_within_the_bound) {
+    suspect_parts suspects{whole_request_options};
+    for (part_id request = 1; request <= 300; ++request)
+        suspects.add_crash(std::vector{request}, request, start);
+    EXPECT_EQ(suspects.reports(start).size(), whole_request_options.max_told);
+    for (target_run attempt = 1'000; attempt < 1'003; ++attempt)
+        suspects.add_crash(std::vector{bad_part}, attempt, start + 1ms * attempt);
+    const auto later = suspects.reports(start + 1min);
+    ASSERT_EQ(later.size(), 1U);
+    EXPECT_EQ(later.front().part, bad_part);
+}
+
 RC_GTEST_PROP(suspect_parts, processes_agree_whatever_order_and_repetition_the_reports_have, ()) {
     std::vector<suspect_parts> processes(3);
     const auto count = *rc::gen::inRange(1, 30);
