The event loop's tasks are destroyed one at a time: a stopping gateway no longer ends by SIGABRT

Cause: close_when_sent() leaves a timer whose task holds the connection. Destroying the loop destroyed the map of timers, that destroyed the connection, and its destructor cancelled its timer in the map under destruction: the node was freed twice. cancel() of a timer that holds the last reference to its owner had the same fault. Class: a container's elements run code that changes the container while it is being changed.

Change: event_loop::discard_tasks() takes each task out of the map before it destroys it, and cancel() does the same, so a destructor meets a map that is whole. ~event_loop() uses it, and ~gateway() calls it first, while the parts that tasks refer to exist. connection::release() cancels last.

Tests, before the change (three in event_loop_test, two in test_gateway_stop): free(): double free detected in tcache 2 (each of the three; exit code 134) AddressSanitizer: attempting double-free ... in thread T0 ... std::_Rb_tree<...>::_M_erase gateway_ends_in_order_while_a_caller_does_not_close: exit code with 1 open connections: expected 0, got -6 gateway_ends_in_order_while_many_callers_do_not_close: exit code with 60 open connections: expected 0, got -6 After: all pass, those of event_loop_test also under AddressSanitizer and UBSan. The third test of test_gateway_stop, with 40 requests open at the end of the drain, passed before too: it guards only.

--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -258,9 +258,9 @@
 }
 
 void connection::release() {
-    loop_.cancel(timer_);
     connecting_ = false;
     close_socket(loop_, socket_);
+    loop_.cancel(timer_); // last, as the timer may hold the last reference to this connection
 }
 
 bool acceptor::listen(const std::string& address) {
--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -20,6 +20,7 @@
       posted_capacity_(posted_capacity) {}
 
 event_loop::~event_loop() {
+    discard_tasks();
     reactor_->purge_pending_notifications(this);
 }
 
@@ -49,10 +50,21 @@
 }
 
 void event_loop::cancel(timer_id& timer) {
-    timers_.erase(timer);
+    // Destroyed after the map and `timer` have changed: the task may own `timer`, or cancel others.
+    const auto cancelled = timers_.extract(timer);
     timer = {};
 }
 
+void event_loop::discard_tasks() {
+    std::vector<task> posted;
+    {
+        const std::scoped_lock hold{mutex_};
+        posted.swap(posted_);
+    }
+    while (!timers_.empty())
+        const auto discarded = timers_.extract(timers_.begin());
+}
+
 bool event_loop::post(task work) {
     {
         const std::scoped_lock hold{mutex_};
--- a/src/edge/event_loop.hpp
+++ b/src/edge/event_loop.hpp
@@ -38,6 +38,10 @@
     void cancel(timer_id& timer);                              // no effect if it already ran; resets `timer`
     bool post(task work);                                      // from any thread; false if the queue is full
 
+    /// Destroys the tasks that have not run, one at a time: what a task holds may cancel others meanwhile.
+    /// For owners whose tasks hold what refers to other parts: call it while these exist.
+    void discard_tasks();
+
     /// Time at which the current iteration of the loop began.
     [[nodiscard]] core::common::time_point now() const { return now_; }
     ACE_Reactor& reactor() { return *reactor_; }
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -100,6 +100,11 @@
     session_callbacks_.draining = [this] { return context_.draining; };
 }
 
+/// Drops the tasks, which hold requests and connections, while the parts they refer to exist.
+gateway::~gateway() {
+    loop_.discard_tasks();
+}
+
 bool gateway::start() {
     log_.write(
         edge::events::process_started, settings_.name,
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -15,6 +15,11 @@
 class gateway {
 public:
     gateway(edge::program_context& program, const gateway_settings& settings);
+    ~gateway();
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+    gateway(gateway&&) = delete;
+    gateway& operator=(gateway&&) = delete;
     bool start(); // false: an address can't be bound
     void run();   // until SIGTERM and the end of the drain
 
--- a/tests/contract/event_loop_test.cpp
+++ b/tests/contract/event_loop_test.cpp
@@ -1,10 +1,16 @@
 // The event loop: order of timers, tasks posted by other threads, and that no timer can starve them.
 #include "edge/boot_clock.hpp"
+#include "edge/connection.hpp"
 #include "edge/event_loop.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <memory>
 #include <thread>
+#include <vector>
 
 using namespace waxwinglb;
 using namespace std::chrono_literals;
@@ -49,6 +55,75 @@
     EXPECT_EQ(ran, 1);
 }
 
+namespace {
+
+/// Cancels a timer when it is destroyed, as connections and links do.
+struct cancels_when_destroyed {
+    edge::event_loop& loop;
+    edge::event_loop::timer_id timer;
+    std::size_t& destroyed;
+    cancels_when_destroyed(edge::event_loop& used, std::size_t& counter) : loop(used), destroyed(counter) {}
+    cancels_when_destroyed(const cancels_when_destroyed&) = delete;
+    cancels_when_destroyed& operator=(const cancels_when_destroyed&) = delete;
+    cancels_when_destroyed(cancels_when_destroyed&&) = delete;
+    cancels_when_destroyed& operator=(cancels_when_destroyed&&) = delete;
+    ~cancels_when_destroyed() {
+        ++destroyed;
+        loop.cancel(timer);
+    }
+};
+
+} // namespace
+
+TEST(event_loop, ends_while_timers_hold_what_cancels_timers_when_destroyed) {
+    constexpr std::size_t count = 100;
+    std::size_t destroyed = 0;
+    {
+        edge::event_loop loop;
+        std::vector<std::shared_ptr<cancels_when_destroyed>> made;
+        for (std::size_t number = 0; number < count; ++number)
+            made.push_back(std::make_shared<cancels_when_destroyed>(loop, destroyed));
+        for (std::size_t number = 0; number < count; ++number) {
+            const auto timer = loop.schedule(loop.now() + 1h, [self = made[number]] { FAIL(); });
+            made[number * 37 % count]->timer = timer; // its own, or another's
+        }
+        loop.post([self = made.front()] { FAIL(); });
+    }
+    EXPECT_EQ(destroyed, count);
+}
+
+TEST(event_loop, ends_while_connections_of_callers_that_do_not_close_linger) {
+    constexpr int count = 100;
+    std::array<int, count> peers{};
+    {
+        edge::event_loop loop;
+        for (int& peer : peers) {
+            std::array<int, 2> pair{};
+            ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair.data()), 0);
+            peer = pair[1];
+            const auto lingering = edge::connection::adopt(loop, pair[0], {});
+            lingering->send("answer");
+            lingering->close_when_sent();
+        }
+    }
+    for (const int peer : peers) {
+        std::array<char, 16> bytes{};
+        EXPECT_EQ(::recv(peer, bytes.data(), bytes.size(), 0), 6);
+        EXPECT_EQ(::recv(peer, bytes.data(), bytes.size(), 0), 0) << "the connection is closed";
+        ::close(peer);
+    }
+}
+
+TEST(event_loop, a_timer_that_holds_the_last_reference_to_its_owner_can_be_cancelled) {
+    edge::event_loop loop;
+    std::size_t destroyed = 0;
+    auto made = std::make_shared<cancels_when_destroyed>(loop, destroyed);
+    auto* const raw = made.get();
+    raw->timer = loop.schedule(loop.now() + 1h, [held = std::move(made)] { FAIL(); });
+    loop.cancel(raw->timer);
+    EXPECT_EQ(destroyed, 1U);
+}
+
 TEST(boot_clock, is_monotonic) {
     const auto first = edge::boot_now();
     EXPECT_GE(edge::boot_now(), first);
--- /dev/null
+++ b/tests/programs/test_gateway_stop.py
@@ -0,0 +1,84 @@
+#!/usr/bin/env python3
+"""How a waxwing-gateway ends after SIGTERM: with exit code 0, and with every answer sent that was begun in time."""
+import signal
+import socket
+import sys
+import time
+
+from gateway_fleet import Fleet, expect
+from harness import Failure, arguments, run_cases, wait_until
+
+ARGUMENTS = arguments(__doc__)
+LATE_IN_THE_DRAIN_S = 2.3       # requests are refused, and the process ends soon
+
+
+def connect(fleet):
+    host, port = fleet.gateways[0].settings["http"].split(":")
+    return socket.create_connection((host, int(port)), timeout=30)
+
+
+def send_request(connection, headers, path="/svc/1"):
+    head = f"POST {path} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    connection.sendall(head.encode() + b"Content-Length: 1\r\n\r\nx")
+
+
+def leave_connections_open(fleet, count):
+    """Requests late in the drain whose callers read the answer and don't close."""
+    held = []
+    for _ in range(count):
+        try:
+            connection = connect(fleet)
+            send_request(connection, fleet.headers())
+            held.append(connection)
+            connection.recv(100)
+        except OSError:
+            break
+    return held
+
+
+def stop_with_callers_that_do_not_close(count):
+    with Fleet(ARGUMENTS.bin) as fleet:
+        gateway = fleet.start().gateways[0]
+        gateway.process.send_signal(signal.SIGTERM)
+        time.sleep(LATE_IN_THE_DRAIN_S)
+        held = leave_connections_open(fleet, count)
+        if not held:
+            raise Failure("no caller was connected")
+        expect(gateway.process.wait(30), 0, f"exit code with {len(held)} open connections")
+        expect(fleet.events("process_crashed"), [], "no crash")
+
+
+def gateway_ends_in_order_while_a_caller_does_not_close():
+    stop_with_callers_that_do_not_close(1)
+
+
+def gateway_ends_in_order_while_many_callers_do_not_close():
+    stop_with_callers_that_do_not_close(60)
+
+
+def gateway_ends_in_order_with_requests_still_open():
+    with Fleet(ARGUMENTS.bin, drain="3s") as fleet:
+        engine, ledger = fleet.target("t1", "engine", models=["m0"]), fleet.target("l1", "ledger", slots=64)
+        gateway = fleet.start().gateways[0]
+        wait_until(lambda: len(fleet.events("target_changed")) >= 2, "both targets are known")
+        engine.hold.clear()
+        ledger.hold.clear()
+        open_requests = [connect(fleet) for _ in range(40)]
+        for number, connection in enumerate(open_requests):
+            headers = fleet.headers("m0") if number % 2 else fleet.headers()
+            send_request(connection, headers, "/notes/1" if number % 2 else "/cert/1")
+        wait_until(lambda: len(engine.runs) + len(ledger.runs) == len(open_requests), "all requests run")
+        gateway.process.send_signal(signal.SIGTERM)
+        code = gateway.process.wait(30)
+        engine.hold.set()
+        ledger.hold.set()
+        expect(code, 0, "exit code")
+        expect(fleet.events("process_crashed"), [], "no crash")
+        expect([line["open_requests"] for line in fleet.events("process_stopped")], [len(open_requests)], "open at the end")
+
+
+if __name__ == "__main__":
+    run_cases([gateway_ends_in_order_while_a_caller_does_not_close,
+               gateway_ends_in_order_while_many_callers_do_not_close,
+               gateway_ends_in_order_with_requests_still_open])
+    sys.exit(0)
