Gateway: a request comes to a target again only on an unused connection

Cause: an exchange recognises the answer to another request by its Request-Id. A refused request is sent again under the same id, possibly to the same target, on another connection that was kept open there. A refusal that the target repeats on that connection has the right id, so the gateway believed it while the target ran the request, and sent it again or passed on the refusal. Class: the id names the request, but an answer belongs to one send of it.

Ruled out by reading: the connection that brought the refusal (the gateway closes it), answers without an id on kept connections (skipped), answers to other requests (skipped by their id), extra bytes after an answer (the connection is closed).

Change: a request that its target has got before is sent on a connection that has carried nothing, whatever its kind and whatever the earlier answer was; an earlier answer has no place there. A send that never reached the target no longer makes the gateway forget an earlier one to the same target.

--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -35,6 +35,7 @@
     // Dispatch state.
     std::string service;
     std::set<std::string> sent_to;         // targets that the request was sent to
+    bool came_before = false;              // its target had got it before the latest send
     std::set<std::string> failed_targets;  // targets excluded from further attempts
     core::common::time_point not_before{}; // earliest next attempt, after a target rejected the request
     int send_count = 0;                    // including sends that targets rejected
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -75,6 +75,12 @@
     return text.data();
 }
 
+connection_choice connection_for(const caller_request& request) {
+    if (request.came_before)
+        return connection_choice::unused;
+    return request.repeatable() ? connection_choice::any : connection_choice::recent;
+}
+
 /// Time since the target last sent something to forward; 0 while the request waits for a target.
 milliseconds silence_duration(const caller_request& request, time_point now) {
     if (request.send_count == 0 || request.sent_at < request.waiting_since)
@@ -123,7 +129,7 @@
     if (request->send_count == 0)
         budget(request->service).count_first(context_.loop.now());
     ++request->send_count;
-    request->sent_to.insert(target);
+    request->came_before = !request->sent_to.insert(target).second;
     request->body.clear();
     request->events.clear();
     request->ended_by = "";
@@ -152,7 +158,7 @@
     handlers.on_complete = [this, request] { on_complete(request); };
     handlers.on_failed = [this, request](exchange_failure failure) { on_failed(request, failure); };
     request->target_exchange = link->send(request_text(*request, target), request->request_id,
-                                          !request->repeatable(), std::move(handlers));
+                                          connection_for(*request), std::move(handlers));
 }
 
 /// Ends the exchange. Its object is destroyed later, since this may run inside one of the exchange's events.
@@ -284,7 +290,8 @@
         const std::string unreached = request->target;
         request->not_before = {};
         close_exchange(request, dispatcher::attempt_outcome::unreachable);
-        request->sent_to.erase(request->sent_to.find(unreached));
+        if (!request->came_before)
+            request->sent_to.erase(unreached);
         if (!retry(request, "target_unreachable", false))
             refuse(request, 503, "target_unreachable", milliseconds{500});
         return;
--- a/src/programs/gateway/target_link.cpp
+++ b/src/programs/gateway/target_link.cpp
@@ -152,13 +152,13 @@
 }
 
 std::unique_ptr<exchange> target_link::send(std::string request, const std::string& request_id,
-                                            bool require_fresh, exchange::events handlers) {
+                                            connection_choice choice, exchange::events handlers) {
     std::unique_ptr<exchange> created{new exchange{shared_from_this(), request_id, std::move(handlers)}};
     exchange* self = created.get();
     edge::connection::events events;
     events.on_data = [self](std::string_view bytes) { self->receive(bytes); };
     events.on_closed = [self](edge::close_reason reason) { self->handle_close(reason); };
-    if (auto idle = take_idle(require_fresh)) {
+    if (auto idle = take_idle(choice)) {
         ++totals_.reused;
         created->reused_ = true;
         idle->change_events(std::move(events));
@@ -177,14 +177,14 @@
     return created;
 }
 
-std::shared_ptr<edge::connection> target_link::take_idle(bool require_fresh) {
+std::shared_ptr<edge::connection> target_link::take_idle(connection_choice choice) {
     drop_expired();
-    if (idle_.empty())
+    if (idle_.empty() || choice == connection_choice::unused)
         return nullptr;
     idle_connection& freshest = idle_.back();
     const auto now = loop_.now();
     const auto age = now - freshest.since;
-    if (require_fresh && age > (freshest.until - freshest.since) * fresh_idle_part)
+    if (choice == connection_choice::recent && age > (freshest.until - freshest.since) * fresh_idle_part)
         return nullptr;
     auto out = std::move(freshest.connection);
     idle_.pop_back();
--- a/src/programs/gateway/target_link.hpp
+++ b/src/programs/gateway/target_link.hpp
@@ -20,6 +20,13 @@
     malformed, // the bytes received are not an answer to this request
 };
 
+/// Which open connection may carry a request.
+enum class connection_choice {
+    any,    // one that is kept open, whenever that is possible
+    recent, // a kept one only if it was idle for so short a time that the target surely has not closed it
+    unused, // one that has carried nothing, so that no earlier answer can be written on it
+};
+
 class target_link;
 
 /// One request at a target. The owner may call cancel() from inside an event, but must destroy the object
@@ -80,10 +87,11 @@
     target_link(target_link&&) = delete;
     target_link& operator=(target_link&&) = delete;
 
-    /// Sends `request` (head and body) once. `require_fresh`: reuses a connection only if it was idle for so
-    /// short a time that the target surely has not closed it.
-    std::unique_ptr<exchange> send(std::string request, const std::string& request_id, bool require_fresh,
-                                   exchange::events handlers);
+    /// Sends `request` (head and body) once. A target may write an earlier answer again on a kept connection.
+    /// Its id identifies it only at a target that gets the request for the first time, so a request that
+    /// comes to a target again needs an unused connection.
+    std::unique_ptr<exchange> send(std::string request, const std::string& request_id,
+                                   connection_choice choice, exchange::events handlers);
     [[nodiscard]] int open_count() const { return open_; }
 
 private:
@@ -93,7 +101,7 @@
         core::common::time_point since;
         core::common::time_point until; // the target may close the connection afterwards
     };
-    std::shared_ptr<edge::connection> take_idle(bool require_fresh);
+    std::shared_ptr<edge::connection> take_idle(connection_choice choice);
     void keep_idle(std::shared_ptr<edge::connection> connection, const edge::answer_head& head);
     void drop_expired();
     void schedule_expiry(); // starts the timer that closes expired idle connections
--- a/tests/contract/target_link_test.cpp
+++ b/tests/contract/target_link_test.cpp
@@ -12,6 +12,7 @@
 
 using namespace waxwinglb;
 using namespace std::chrono_literals;
+using programs::gateway::connection_choice;
 using programs::gateway::exchange;
 using programs::gateway::exchange_failure;
 using programs::gateway::target_link;
@@ -109,7 +110,7 @@
 struct test_client {
     explicit test_client(const std::string& address)
         : link(std::make_shared<target_link>(loop, address, totals)) {}
-    outcome ask(const std::string& id, bool require_fresh = false) {
+    outcome ask(const std::string& id, connection_choice choice = connection_choice::any) {
         outcome out;
         exchange::events events;
         events.on_head = [&](const edge::answer_head& head) { out.status = head.status; };
@@ -123,7 +124,7 @@
             loop.stop();
         };
         auto open_exchange = link->send("GET / HTTP/1.1\r\nHost: a\r\nRequest-Id: " + id + "\r\n\r\n", id,
-                                        require_fresh, std::move(events));
+                                        choice, std::move(events));
         run(test_timeout);
         return out;
     }
@@ -164,6 +165,25 @@
     EXPECT_TRUE(second.complete);
 }
 
+TEST(target_link, earlier_refusal_repeated_on_a_kept_connection_is_not_the_answer_to_the_repeated_request) {
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    std::map<int, int> carried; // requests by connection
+    bool refused = false;
+    scripted_target target{[&](const std::string&, int connection) {
+        if (!std::exchange(refused, true)) {
+            ++carried[connection];
+            return refusal;
+        }
+        return (carried[connection]++ > 0 ? refusal : std::string{}) + answer("r1", "ran");
+    }};
+    test_client client{target.address};
+    ASSERT_EQ(client.ask("r1").status, 503);
+    const auto second = client.ask("r1", connection_choice::unused);
+    EXPECT_EQ(second.status, 200);
+    EXPECT_EQ(second.body, "ran");
+}
+
 TEST(target_link, extra_bytes_after_an_answer_close_the_connection_and_keep_the_answer) {
     scripted_target target{[](const std::string& request, int) {
         return request.find("r2") == std::string::npos ? answer("r1", "first") + answer("r1", "again")
@@ -196,7 +216,7 @@
     test_client client{target.address};
     ASSERT_TRUE(client.ask("r1").complete);
     client.run(500ms); // over 0.4 of the time for which the connection is kept
-    EXPECT_TRUE(client.ask("r2", true).complete);
+    EXPECT_TRUE(client.ask("r2", connection_choice::recent).complete);
     EXPECT_EQ(client.totals.reused, 0U);
 }
 
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -174,6 +174,8 @@
         self.pause = None                  # value of Retry-After in the 503 that every request gets; None: it runs
         self.limit = None                  # value of the header Server-Limit in all answers; None: no header
         self.refused_at = []               # arrival time of each such request
+        self.refuse_once = set()           # bodies of requests that it refuses, each once
+        self.refusals = {}                 # by id of the request: its refusal, written again on kept connections
         self.orders = []                   # (time, holder, fencing number) of all orders
         self.hold = threading.Event()
         self.hold.set()                    # when cleared, runs wait
@@ -230,6 +232,13 @@
             self.refused_at.append(time.monotonic())
             return call.answer(503, b"", [("Request-Id", request_id), ("Not-Executed", "1"),
                                           ("Retry-After", self.pause)] + leaving)
+        if body in self.refuse_once:
+            self.refuse_once.remove(body)
+            self.refusals[request_id] = self.refusal(request_id)
+            return call.wfile.write(self.refusals[request_id])
+        call.carried = getattr(call, "carried", 0) + 1
+        if call.carried > 1 and request_id in self.refusals:
+            call.wfile.write(self.refusals[request_id])
         self.runs.append((request_id, dict(call.headers), body))
         self.run_started_at.append(time.monotonic())
         self.hold.wait()
@@ -246,6 +255,10 @@
             return self.plain_answer(call, b"recorded " + body, signed)
         return self.stream(call, signed)
 
+    @staticmethod
+    def refusal(request_id):
+        return f"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {request_id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+
     def crash(self, call):
         """Ends the call after the head of its answer, or without one, and starts anew, under another id."""
         call.close_connection = True
