Store: a deeply nested entry of another writer no longer ends the gateways

Callers saw: requests that ended without an answer, and gateways that ended by SIGSEGV, started, and ended again for as long as one entry of kind servers, nested 200,000 deep (400 kB), stayed in the store.

Cause: the JSON library parses and destroys without recursion, but copies, dumps and compares with one call for each level. The store client copied each entry's spec. Class: recursion over a depth that another process chooses.

Ruled out: the parser and the destructor.

Change: answers of the store are cut into their entries by a scanner that doesn't recurse and decides nothing (core/common/json_text); an entry's spec with more than 64 levels isn't parsed. It names no target and has the line target_ignored; the others hold. Reports, lease records and answers of peers are parsed with the same bound. It works because no value with more levels than the bound exists in the process any more, whatever is done with it later.

--- a/src/core/membership/lease.cpp
+++ b/src/core/membership/lease.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/lease.hpp"
 
+#include "core/common/json_text.hpp"
 #include "core/membership/store_eras.hpp"
 
 #include <nlohmann/json.hpp>
@@ -18,7 +19,7 @@
 } // namespace
 
 std::string encode(const lease_record& record) {
-    json state = json::parse(record.state, nullptr, false);
+    json state = common::parse_json(record.state);
     if (state.is_discarded())
         state = json::object();
     return json{{"holder", record.holder},     {"address", record.address}, {"boot", record.boot},
@@ -28,7 +29,7 @@
 }
 
 std::optional<lease_record> decode_lease(std::string_view text) {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = common::parse_json(text);
     if (!parsed.is_object())
         return std::nullopt;
     try {
--- a/src/programs/gateway/lease_store.cpp
+++ b/src/programs/gateway/lease_store.cpp
@@ -1,5 +1,7 @@
 #include "programs/gateway/lease_store.hpp"
 
+#include "core/common/json_text.hpp"
+
 namespace waxwinglb::programs::gateway {
 namespace {
 
@@ -32,7 +34,7 @@
 store_reply decode(const edge::client_result& answer) {
     store_reply out;
     out.why = {"lease through peer", "", answer.why.detail};
-    const json parsed = json::parse(answer.body, nullptr, false);
+    const json parsed = core::common::parse_json(answer.body);
     if (answer.outcome != edge::client_outcome::answered || !parsed.is_object() ||
         !parsed.contains("result") || !parsed["result"].is_number_integer()) {
         out.result =
@@ -45,7 +47,8 @@
         out.objects.push_back({platform::lease_name,
                                {out.at.era, parsed["revision"].get<std::int64_t>()},
                                parsed["spec"],
-                               false});
+                               false,
+                               {}});
     return out;
 }
 
@@ -97,7 +100,7 @@
 
 void lease_store::direct_write(store_position if_version, const std::string& value,
                                platform::store_client::on_reply done) {
-    auto spec = json::parse(value, nullptr, false);
+    auto spec = core::common::parse_json(value);
     const std::string name = platform::lease_name_of(if_version.era);
     if (if_version.revision == 0)
         store_.create(platform::lease_kind, name, std::move(spec), std::move(done));
@@ -121,10 +124,10 @@
     if (exchange->request().method == "GET") {
         const auto era = exchange->request().query.find(era_field);
         const json value =
-            era == exchange->request().query.end() ? json{} : json::parse(era->second, nullptr, false);
+            era == exchange->request().query.end() ? json{} : core::common::parse_json(era->second);
         return direct_read(value.is_number_integer() ? value.get<std::int64_t>() : 0, answer);
     }
-    const json arguments = json::parse(exchange->request().body, nullptr, false);
+    const json arguments = core::common::parse_json(exchange->request().body);
     if (!arguments.is_object() || !arguments.contains("if_version") ||
         !arguments["if_version"].is_number_integer() || !arguments.contains("value") ||
         !arguments["value"].is_string())
--- a/src/programs/gateway/peer_news.cpp
+++ b/src/programs/gateway/peer_news.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/peer_news.hpp"
 
 #include "core/common/hash.hpp"
+#include "core/common/json_text.hpp"
 #include "core/exchange/groups.hpp"
 #include "programs/gateway/peer_codec.hpp"
 
@@ -341,7 +342,7 @@
         context_.loop.post([this, address, answer = std::move(answer)] {
             if (answer.outcome != edge::client_outcome::answered || answer.status != 200)
                 return context_.log.write(edge::events::peer_lost, address, {{"step", "read configuration"}});
-            const auto document = nlohmann::json::parse(answer.body, nullptr, false);
+            const auto document = core::common::parse_json(answer.body);
             dependencies_.watch.apply_config(document, address);
         });
     });
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -264,6 +264,8 @@
     };
     return leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<core::fleet::target_entry>> {
+            if (!object.flaw.empty())
+                return leaf::new_error(core::common::error{"read registration", object.name, object.flaw});
             BOOST_LEAF_AUTO(entry, platform::decode_target(object.name, object.spec));
             return std::optional{std::move(entry)};
         },
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -65,6 +65,7 @@
         self.history_from = 0              # watches from an older revision get 410
         self.era = None                    # value of the header Store-Era; None: no header
         self.copy = ({}, self.revision)    # objects and revision, for restore()
+        self.texts = {}                    # mark that stands in the objects: the bytes that answers have there
         self.unavailable_kinds = set()     # calls for these kinds get 503
         self.calls = []                    # (time, method, kind) of all calls
         self.server = Server(address, Handler, self)
@@ -81,6 +82,10 @@
             self.lock.notify_all()
 
     def answer(self, call, status, value):
+        if self.texts:
+            value = json.dumps(value).encode()
+            for mark, text in self.texts.items():
+                value = value.replace(json.dumps(mark).encode(), text)
         call.answer(status, value, [] if self.era is None else [("Store-Era", str(self.era))])
 
     def put(self, kind, name, spec):
@@ -91,6 +96,12 @@
             self.lock.notify_all()
             return self.objects[kind, name]
 
+    def put_text(self, kind, name, spec_text):
+        """Puts an object whose spec is these bytes, JSON or not."""
+        mark = f"<text {len(self.texts)}>"
+        self.texts[mark] = spec_text
+        return self.put(kind, name, mark)
+
     def remove(self, kind, name):
         with self.lock:
             self.revision += 1
--- /dev/null
+++ b/tests/programs/test_gateway_store_entries.py
@@ -0,0 +1,79 @@
+#!/usr/bin/env python3
+"""waxwing-gateway with entries in the store that another writer left."""
+import sys
+
+from gateway_fleet import Fleet, expect
+from harness import Failure, arguments, run_cases, wait_until
+
+ARGUMENTS = arguments(__doc__)
+REGISTRATION = b'{"service":"ledger","address":"127.0.0.1:9","zone":"a","slots":1,"state":"ready","sequence":1,"x":%s}'
+DEEP = REGISTRATION % (b"[" * 200_000 + b"]" * 200_000)
+
+
+def serving_fleet():
+    """Two gateways that have used the target t1; t2 isn't there yet."""
+    fleet = Fleet(ARGUMENTS.bin, gateways=2)
+    fleet.__enter__()
+    fleet.first = fleet.target("t1", "ledger")
+    fleet.start()
+    fleet.wait_for_target()
+    expect_served(fleet)
+    return fleet
+
+
+def expect_served(fleet):
+    for gateway in range(len(fleet.gateways)):
+        expect(fleet.ask("/cert/1", fleet.headers(), gateway=gateway).status, 200, "a request")
+
+
+def runs_at(fleet, gateway):
+    """The target that a request ran at, by the gateway's own log."""
+    headers = fleet.headers()
+    expect(fleet.ask("/cert/1", headers, gateway=gateway).status, 200, "a request")
+    name = fleet.gateways[gateway].name
+    sent = wait_until(lambda: [line for line in fleet.events("request_sent", name) if line["subject"] == headers["Request-Id"]],
+                      "the request is in the log")
+    return sent[-1]["target"]
+
+
+def said_ignored(fleet):
+    """Whether each gateway has a line about the entry. Raises Failure if one has ended."""
+    for gateway in fleet.gateways:
+        if not gateway.running():
+            raise Failure(f"{gateway.name} has ended by signal {-gateway.process.returncode}")
+    return all(fleet.events("target_ignored", gateway.name) for gateway in fleet.gateways)
+
+
+def expect_followed(fleet):
+    """All gateways hear of a new target and of one that is draining, and serve."""
+    second = fleet.target("t2", "ledger")
+    fleet.first.register("draining")
+    for gateway in range(len(fleet.gateways)):
+        wait_until(lambda gateway=gateway: runs_at(fleet, gateway) == "t2", "the new target is used instead of the draining one")
+    began = len(second.runs)
+    expect_served(fleet)
+    expect(len(second.runs) - began, len(fleet.gateways), "requests at the new target")
+
+
+def expect_unharmed(spec_text):
+    """With the entry among those of the targets: the gateways go on, and after a restart they serve again."""
+    fleet = serving_fleet()
+    with fleet:
+        fleet.store.put_text("servers", "odd", spec_text)
+        wait_until(lambda: said_ignored(fleet), "each gateway says that it ignores the entry")
+        expect_followed(fleet)
+        for gateway in fleet.gateways:
+            gateway.kill()
+        fleet.start()
+        expect_served(fleet)
+        ignored = [line for line in fleet.events("target_ignored") if line["subject"] != "odd"]
+        expect(ignored, [], "lines about other entries")
+
+
+def deeply_nested_entry_does_not_end_the_gateways():
+    expect_unharmed(DEEP)
+
+
+if __name__ == "__main__":
+    run_cases([deeply_nested_entry_does_not_end_the_gateways])
+    sys.exit(0)
