Streams: an event that doesn't follow the one before is not passed on

What callers saw: a stream broke off after some events, and the next target answered 200 with a text, with JSON, or with an answer's head in its body. Where that ended in an empty line, the caller got it in the middle of its stream, which then ended as complete. The same where the second answer began anew (events twice) or left some out (a piece missing), and where one target wrote a head or a text behind its own events.

Cause: the gateway passed on whatever ended with an empty line. It took the id for Last-Event-Id from it, but compared it with nothing. Class: bytes of a second source are joined to a stream by their place in it and not by what they say they are.

Change: core/streams/event_sequence. A caller that takes its stream up (Last-Event-Id, resumable routes) is held to the same order. What breaks this ends the answer as lost: sound events before it are passed on, another target goes on, or the stream is cut.

Ruled out by cases that passed before the change as well: an answer with another status than 2xx (500, 502, 503, 421, 429, 404, 400, 304, with and without Not-Executed, by length, chunks or connection's end, broken off in itself), a 200 without signature or with a coding, and a head in place of a chunk never came into a begun stream.

Not known to the gateway: an answer that ends in order before its last event.

--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -154,6 +154,8 @@
     const std::string* after = edge::find_field(fields, platform::resume_header);
     if (!request->is_stream() || after == nullptr)
         return true;
+    if (request->route->resumable)
+        request->sequence.continue_after(*after);
     if (const std::string* origin = edge::find_field(fields, platform::origin_header))
         request->resumes = *origin;
     request->begun_at = context_.origins.version_of(hash_of(request->resumes));
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -3,6 +3,7 @@
 
 #include "core/fleet/model.hpp"
 #include "core/streams/event_buffer.hpp"
+#include "core/streams/event_sequence.hpp"
 #include "programs/gateway/caller_session.hpp"
 #include "programs/gateway/target_link.hpp"
 
@@ -54,10 +55,11 @@
     edge::event_loop::timer_id timer; // fires at the deadline
 
     // The answer.
-    edge::answer_head head;             // from the answering target
-    std::string body;                   // of a plain answer
-    core::streams::event_buffer events; // received of a stream, not yet forwarded
-    bool streaming = false;             // the answer is forwarded as it arrives
+    edge::answer_head head;                 // from the answering target
+    std::string body;                       // of a plain answer
+    core::streams::event_buffer events;     // received of a stream, not yet forwarded
+    core::streams::event_sequence sequence; // of the events forwarded
+    bool streaming = false;                 // the answer is forwarded as it arrives
     const char* ended_by = ""; // what marks the end of the target's body: "length", "chunks" or "connection"
     bool finished = false;     // answered, refused or abandoned
     std::string last_target;   // target of the latest send
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -13,6 +13,7 @@
 using core::common::duration;
 using core::common::milliseconds;
 using core::common::time_point;
+using core::streams::event_fault;
 
 constexpr std::size_t max_unsent_bytes = 256U << 10U;  // to a slow caller; pauses reading from its target
 constexpr std::size_t max_buffered_answer = 8U << 20U; // bytes of an answer that isn't streamed
@@ -132,6 +133,7 @@
     request->came_before = !request->sent_to.insert(target).second;
     request->body.clear();
     request->events.clear();
+    request->sequence.begin_answer();
     request->ended_by = "";
     request->last_target = target;
     if (const auto* known = context_.directory.find(target)) {
@@ -207,8 +209,9 @@
 void forwarder::on_body(const caller_request_ptr& request, std::string&& piece) {
     if (request->streaming) {
         request->events.add(piece);
-        relay_events(request);
-        if (request->events.size() > max_event)
+        if (const event_fault fault = relay_events(request); fault != event_fault::none)
+            handle_lost_answer(request, name_of(fault));
+        else if (request->events.size() > max_event)
             handle_lost_answer(request, "event_too_large");
         return;
     }
@@ -217,10 +220,17 @@
         handle_lost_answer(request, "answer_too_large");
 }
 
-void forwarder::relay_events(const caller_request_ptr& request) {
-    const std::string events = request->events.take_complete();
-    if (events.empty())
-        return;
+/// Forwards the events that have come up to the first that doesn't belong to the stream. Returns its fault.
+event_fault forwarder::relay_events(const caller_request_ptr& request) {
+    std::string events = request->events.take_complete();
+    const auto checked = request->sequence.check(events);
+    events.resize(checked.sound);
+    if (!events.empty())
+        write_events(request, events);
+    return checked.fault;
+}
+
+void forwarder::write_events(const caller_request_ptr& request, const std::string& events) {
     if (!request->session->answer_begun()) {
         const auto waited = context_.loop.now() - request->arrived;
         context_.metrics.observe_first_byte(metric_kind(*request), waited);
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -34,7 +34,8 @@
     void on_complete(const caller_request_ptr& request);
     void on_failed(const caller_request_ptr& request, exchange_failure failure);
 
-    void relay_events(const caller_request_ptr& request); // those that are complete
+    core::streams::event_fault relay_events(const caller_request_ptr& request); // those that are complete
+    void write_events(const caller_request_ptr& request, const std::string& events);
     void note_origin(caller_request& request);
     void send_answer(const caller_request_ptr& request);
     void handle_rejection(const caller_request_ptr& request,
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -5,6 +5,7 @@
 import http.server
 import json
 import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -14,6 +15,34 @@
 CONFIGURED_LOAD_S = 2.0      # load time in the configuration; shorter than the actual one
 
 
+class Script:
+    """Answers for the runs of one request, in the order of the runs, at whatever target; the last one repeats.
+
+    An answer is its bytes, or a list of parts that are sent one by one, and how its connection goes on: "kept",
+    "closed" or "reset". REQUEST_ID in them stands for the request's id.
+    """
+
+    def __init__(self, answers):
+        self.answers, self.runs, self.lock = list(answers), 0, threading.Lock()
+
+    def answer(self, call):
+        with self.lock:
+            data, after = self.answers[min(self.runs, len(self.answers) - 1)]
+            self.runs += 1
+        for part in data if isinstance(data, list) else [data]:
+            call.wfile.write(part.replace(b"REQUEST_ID", call.headers["Request-Id"].encode()))
+            call.wfile.flush()
+            time.sleep(EVENT_PAUSE_S)      # a reset drops what hasn't been read
+        if after == "kept":
+            return
+        call.close_connection = True
+        if after == "closed":
+            return call.connection.shutdown(socket.SHUT_RDWR)
+        call.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        for end in (call.rfile, call.wfile, call.connection):
+            end.close()
+
+
 class Server(http.server.ThreadingHTTPServer):
     """An HTTP server on its own port and thread."""
     daemon_threads = True
@@ -187,6 +216,7 @@
         self.refused_at = []               # arrival time of each such request
         self.refuse_once = set()           # bodies of requests that it refuses, each once
         self.refusals = {}                 # by id of the request: its refusal, written again on kept connections
+        self.script = None                 # Script that gives this target's answers; None: its own
         self.orders = []                   # (time, holder, fencing number) of all orders
         self.hold = threading.Event()
         self.hold.set()                    # when cleared, runs wait
@@ -253,6 +283,8 @@
         self.runs.append((request_id, dict(call.headers), body))
         self.run_started_at.append(time.monotonic())
         self.hold.wait()
+        if self.script is not None:
+            return self.script.answer(call)
         if self.break_all or self.break_on_body is not None and body == self.break_on_body:
             call.close_connection = True
             return call.connection.shutdown(socket.SHUT_RDWR)
