Streams: an answer without an event doesn't complete a stream that broke off

What callers saw: a stream broke off after four of its events; the next target answered 200, 204 or 205 with an empty body, and the stream ended as complete.

Cause: on_complete counted a body that had ended by length or chunks as whole, also that of a resumption. It says nothing of the events before it: a target that doesn't know the stream answers the same. Class: the end of one answer is taken for the end of another.

Change: a resumed answer that brought no event is lost like one that broke off: another target, or the stream is cut. Where the first target had sent its last event and only its end was missing, the caller now gets all events and a broken connection instead of an end that nobody vouched for; it may take the stream up, and an empty answer to that is passed on as its target's own.

--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -66,6 +66,12 @@
     return unmarked && !request.events.any_taken() ? "ended_without_event" : nullptr;
 }
 
+/// An answer without any event shows neither that the stream before it was whole nor that its target knew of
+/// it.
+bool resumed_with_nothing(const caller_request& request) {
+    return request.session->answer_begun() && !request.sequence.answer_has_event();
+}
+
 gateway_metrics::request_kind metric_kind(const caller_request& request) {
     return {name_of(request.route->kind), request.service};
 }
@@ -271,6 +277,8 @@
         return send_answer(request);
     if (const char* fault = incompleteness_of(*request))
         return handle_broken_answer(request, fault);
+    if (resumed_with_nothing(*request))
+        return handle_lost_answer(request, "resumption_empty");
     if (!request->session->answer_begun())
         request->session->begin_answer(request->head.status, forwarded_fields(request->head.fields));
     request->session->end_answer();
--- a/tests/programs/test_gateway_broken_streams.py
+++ b/tests/programs/test_gateway_broken_streams.py
@@ -148,6 +148,11 @@
              "a head until the connection's end": (open_ended(HEAD_AS_TEXT, "200 OK", STREAM), "closed"),
              "a head inside an event": (open_ended(b"id: 5\ndata: pie" + HEAD_AS_TEXT, "200 OK", STREAM), "closed"),
              "an event without id": (chunked(b"event: error\ndata: failure\n\n", "200 OK", STREAM), "kept")}
+EMPTY = {"204": (head("204 No Content"), "kept"),
+         "205": (measured(b"", "205 Reset Content"), "kept"),
+         "empty with length": (measured(b"", "200 OK", STREAM), "kept"),
+         "empty in chunks": (chunked(b"", "200 OK", STREAM), "kept"),
+         "empty until the connection's end": (open_ended(b"", "200 OK", STREAM), "closed")}
 OUT_OF_ORDER = {"from the first event on": (chunked(events(1, 10), "200 OK", STREAM), "kept"),
                 "with the last event again": (chunked(events(4, 10), "200 OK", STREAM), "kept"),
                 "without the next event": (chunked(events(6, 10), "200 OK", STREAM), "kept")}
@@ -166,6 +171,12 @@
         check([(name, RESUMABLE, FIRST_FOUR, answer) for name, answer in NO_EVENTS.items()], FOUR_THEN_CUT, fleet, callers)
 
 
+def stream_that_broke_off_is_cut_not_complete_when_the_next_answer_is_empty():
+    with clients() as fleet:
+        callers = Clients(fleet)
+        check([(name, RESUMABLE, FIRST_FOUR, answer) for name, answer in EMPTY.items()], FOUR_THEN_CUT, fleet, callers)
+
+
 def stream_that_broke_off_is_cut_when_the_next_answer_repeats_or_skips_events():
     with clients() as fleet:
         callers = Clients(fleet)
@@ -260,6 +271,7 @@
 if __name__ == "__main__":
     run_cases([stream_that_broke_off_is_cut_when_the_next_target_answers_with_an_error,
                stream_that_broke_off_is_cut_when_the_next_target_sends_text_without_events,
+               stream_that_broke_off_is_cut_not_complete_when_the_next_answer_is_empty,
                stream_that_broke_off_is_cut_when_the_next_answer_repeats_or_skips_events,
                stream_that_broke_off_is_whole_when_the_next_answer_has_the_rest,
                stream_of_one_target_is_cut_where_it_broke_off,
