Streams: the head of a target that brought no event doesn't stay in force

What callers saw: a target answered a resumable stream with its head and broke off before any event. The next target's stream came under the first one's Response-Signature; the next target's 500, 404, 400 or 304 was dropped, and the caller got a 502 of the gateway's own without a signature.

Cause: `streaming` and `head` were set by the first 2xx head and kept over the retry, also when nothing had been passed on. `streaming` stood for two things: this answer is a stream; the caller has a head already. Class: state of one attempt outlives it.

Change: whether the caller has a head is asked of the session (answer_begun()), and `streaming` is set anew by each head until then. A joined answer must have the status under which the caller reads the stream: a 206 went into a 200 before.

--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -194,9 +194,9 @@
                          edge::find_field(head.fields, "Content-Encoding") == nullptr;
     if (success && !genuine)
         return handle_lost_answer(request, "answer_without_signature");
-    if (request->streaming) { // resumed stream: the caller has the first target's head
-        if (!success)
-            return handle_lost_answer(request, "resumption_failed");
+    if (request->session->answer_begun()) { // the caller has the head under which the stream goes on
+        if (head.status != request->head.status)
+            handle_lost_answer(request, "resumption_failed");
         return;
     }
     if (head.status >= 500 && request->repeatable() && request->has_attempts_left()) {
@@ -207,9 +207,7 @@
         request->failed_targets.erase(failed_target);
     }
     request->head = head;
-    if (!success || !request->is_stream())
-        return;
-    request->streaming = true;
+    request->streaming = success && request->is_stream();
 }
 
 void forwarder::on_body(const caller_request_ptr& request, std::string&& piece) {
--- a/tests/programs/test_gateway_broken_streams.py
+++ b/tests/programs/test_gateway_broken_streams.py
@@ -134,6 +134,7 @@
             "404": (measured(ERROR, "404 Not Found"), "kept"),
             "400 not run": (measured(ERROR, "400 Bad Request", "Not-Executed: 1"), "kept"),
             "304": (head("304 Not Modified"), "kept"),
+            "206": (chunked(REST, "206 Partial Content", STREAM), "kept"),
             "200 without signature": (chunked(REST, "200 OK", STREAM, signature=None), "kept"),
             "200 with a coding": (chunked(REST, "200 OK", STREAM, "Content-Encoding: gzip"), "kept"),
             "no answer": (b"", "closed"),
@@ -235,6 +236,29 @@
               (200, events(1, 10).decode(), False), fleet, callers)
 
 
+def stream_without_an_event_yet_is_the_next_targets_answer_under_its_own_head():
+    nexts = {"stream": (chunked(events(1, 10), "200 OK", STREAM, signature="sig-2"), "kept", events(1, 10)),
+             "empty stream": (chunked(b"", "200 OK", STREAM, signature="sig-2"), "kept", b""),
+             "empty stream with length": (measured(b"", "200 OK", STREAM, signature="sig-2"), "kept", b""),
+             "500": (measured(ERROR, "500 Internal Server Error", signature="sig-2"), "kept", ERROR),
+             "404": (measured(ERROR, "404 Not Found", signature="sig-2"), "kept", ERROR),
+             "400": (chunked(ERROR, "400 Bad Request", signature="sig-2"), "kept", ERROR),
+             "304": (head("304 Not Modified", signature="sig-2"), "kept", b"")}
+    with clients() as fleet:
+        callers = Clients(fleet)
+        failed = []
+        for name, (data, after, body) in nexts.items():
+            try:
+                answer = callers.ask(RESUMABLE, NOTHING, (data, after))
+            except (Failure, OSError, http.client.HTTPException) as error:
+                failed.append(f"{name}: {error!r}")
+                continue
+            status = int(data.split(b" ")[1])
+            if (answer.status, answer.body, answer.whole, answer.signature) != (status, body, True, "sig-2"):
+                failed.append(f"{name}: {answer.seen()}, {answer.signature}")
+        expect(failed, [], "answers that are not those of the second target")
+
+
 def stream_without_an_event_yet_is_answered_with_a_failure_that_promises_nothing():
     with clients() as fleet:
         callers = Clients(fleet)
@@ -276,6 +300,7 @@
                stream_that_broke_off_is_whole_when_the_next_answer_has_the_rest,
                stream_of_one_target_is_cut_where_it_broke_off,
                stream_that_broke_off_after_its_last_event_is_not_complete,
+               stream_without_an_event_yet_is_the_next_targets_answer_under_its_own_head,
                stream_without_an_event_yet_is_answered_with_a_failure_that_promises_nothing,
                stream_that_its_client_takes_up_brings_no_event_twice,
                resumed_stream_asks_for_what_follows_the_last_event_passed_on])
