A paused connection is no longer lost by the reactor: a segmentation fault in full work (FAULT, LOST)

What callers saw: a gateway ended by SIGSEGV while it served, with all its open requests. In the same state, without the end: a paused stream never went on, and a new caller or target whose socket got the descriptor of a closed one was never read.

Cause: ACE's select reactor keeps the highest registered descriptor, and works it out anew, from the sets that it selects on, when that one is removed. A connection paused by backpressure (a slow caller with 256 kB unsent, a caller that sends 64 kB ahead) is registered but in no set. If the connection with the highest descriptor closes meanwhile, the paused one lies above the new bound, and the reactor refuses all calls for it as out of range: resume_reading() has no effect, and close() leaves a pointer to the connection in the reactor's table. The next socket with that descriptor can't be registered (the result wasn't looked at), and when it closes, the reactor calls a virtual function of the freed object. Class: a library keeps a pointer to a freed object, since an unregistration that it refused was taken for done.

The runs with AddressSanitizer can't see it: ACE itself isn't instrumented.

Ruled out: connect() that fails at once. Its socket was never registered, and ACE accepts the removal of such a one; it only reaches the stale entry if there is one. It isn't handed to the reactor any more either.

Change: a connection keeps the set of events that it is watched for, and is registered only while that isn't empty. So the reactor's bound covers every registered socket. A registration that fails, such as of a descriptor that select() can't take, ends the connection as not connected or reset, from the loop.

The same cause elsewhere: link connections, the peers' socket and the acceptors are always watched for reading.

--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <utility>
 
 namespace waxwinglb::edge {
 namespace {
@@ -42,15 +43,6 @@
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval_s, sizeof keepalive_interval_s);
 }
 
-/// Removes a socket from its loop and closes it. Does nothing if it is already closed.
-void close_socket(event_loop& loop, int& socket) {
-    if (socket < 0)
-        return;
-    loop.reactor().remove_handler(socket, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-    ::close(socket);
-    socket = -1;
-}
-
 bool would_block(int code) {
     return code == EAGAIN || code == EWOULDBLOCK || code == EINTR;
 }
@@ -82,7 +74,7 @@
 std::shared_ptr<connection> connection::adopt(event_loop& loop, int socket, events handlers) {
     set_options(socket, caller_tcp_timeout_ms);
     auto made = std::make_shared<connection>(loop, socket, std::move(handlers));
-    loop.reactor().register_handler(socket, made.get(), ACE_Event_Handler::READ_MASK);
+    made->watch(ACE_Event_Handler::READ_MASK);
     return made;
 }
 
@@ -111,10 +103,8 @@
         fail_later(loop.now());
         return made;
     }
-    loop.reactor().register_handler(made->socket_, made.get(),
-                                    ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK);
-    made->writing_ = true;
     fail_later(loop.now() + timeout);
+    made->watch(ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK);
     return made;
 }
 
@@ -122,16 +112,8 @@
     if (socket_ < 0 || closing_)
         return;
     unsent_.append(bytes);
-    if (!connecting_ && !writing_)
-        if (!flush()) {
-            // Reported from the loop: on_closed must not run inside the owner's call of send().
-            const std::weak_ptr<connection> weak = weak_from_this();
-            loop_.cancel(timer_);
-            timer_ = loop_.schedule(loop_.now(), [weak] {
-                if (const auto self = weak.lock())
-                    self->fail(close_reason::reset);
-            });
-        }
+    if (!connecting_ && !writing() && !flush())
+        fail_soon(close_reason::reset);
 }
 
 void connection::close() {
@@ -152,22 +134,34 @@
 
 void connection::pause_reading() {
     if (socket_ >= 0)
-        loop_.reactor().cancel_wakeup(socket_, ACE_Event_Handler::READ_MASK);
+        watch(watched_ & ~ACE_Event_Handler::READ_MASK);
 }
 
 void connection::resume_reading() {
     if (socket_ >= 0)
-        loop_.reactor().schedule_wakeup(socket_, ACE_Event_Handler::READ_MASK);
+        watch(watched_ | ACE_Event_Handler::READ_MASK);
 }
 
-void connection::watch_writable(bool writing) {
-    if (writing == writing_)
-        return;
-    writing_ = writing;
-    if (writing)
-        loop_.reactor().schedule_wakeup(socket_, ACE_Event_Handler::WRITE_MASK);
-    else
-        loop_.reactor().cancel_wakeup(socket_, ACE_Event_Handler::WRITE_MASK);
+/// A socket that is watched for nothing must not stay registered: the reactor works out its highest
+/// descriptor from what it watches for, and ignores all calls for those above.
+void connection::watch(ACE_Reactor_Mask events) {
+    const ACE_Reactor_Mask before = std::exchange(watched_, events);
+    const ACE_Reactor_Mask added = events & ~before;
+    const ACE_Reactor_Mask dropped = before & ~events;
+    ACE_Reactor& reactor = loop_.reactor();
+    if (before == ACE_Event_Handler::NULL_MASK && added != ACE_Event_Handler::NULL_MASK) {
+        if (reactor.register_handler(socket_, this, added) == 0)
+            return;
+        watched_ = ACE_Event_Handler::NULL_MASK;
+        fail_soon(connecting_ ? close_reason::not_connected : close_reason::reset);
+    } else if (events == ACE_Event_Handler::NULL_MASK && dropped != ACE_Event_Handler::NULL_MASK) {
+        reactor.remove_handler(socket_, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    } else {
+        if (added != ACE_Event_Handler::NULL_MASK)
+            reactor.schedule_wakeup(socket_, added);
+        if (dropped != ACE_Event_Handler::NULL_MASK)
+            reactor.cancel_wakeup(socket_, dropped);
+    }
 }
 
 bool connection::flush() {
@@ -176,14 +170,14 @@
         if (count < 0) {
             if (!would_block(errno) && errno != ENOTCONN)
                 return false;
-            watch_writable(true);
+            watch(watched_ | ACE_Event_Handler::WRITE_MASK);
             return true;
         }
         sent_ += static_cast<std::size_t>(count);
     }
     unsent_.clear();
     sent_ = 0;
-    watch_writable(false);
+    watch(watched_ & ~ACE_Event_Handler::WRITE_MASK);
     if (closing_)
         ::shutdown(socket_, SHUT_WR);
     return true;
@@ -216,7 +210,7 @@
         fail(close_reason::reset);
         return 0;
     }
-    if (const auto handlers = events_; !writing_ && handlers->on_drained)
+    if (const auto handlers = events_; !writing() && handlers->on_drained)
         handlers->on_drained();
     return 0;
 }
@@ -257,9 +251,21 @@
         handlers->on_closed(reason);
 }
 
+void connection::fail_soon(close_reason reason) {
+    loop_.cancel(timer_);
+    timer_ = loop_.schedule(loop_.now(), [weak = weak_from_this(), reason] {
+        if (const auto self = weak.lock())
+            self->fail(reason);
+    });
+}
+
 void connection::release() {
     connecting_ = false;
-    close_socket(loop_, socket_);
+    if (socket_ >= 0) {
+        watch(ACE_Event_Handler::NULL_MASK);
+        ::close(socket_);
+        socket_ = -1;
+    }
     loop_.cancel(timer_); // last, as the timer may hold the last reference to this connection
 }
 
@@ -281,7 +287,12 @@
 }
 
 void acceptor::close() {
-    close_socket(loop_, socket_);
+    if (socket_ < 0)
+        return;
+    loop_.reactor().remove_handler(socket_,
+                                   ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    ::close(socket_);
+    socket_ = -1;
 }
 
 std::uint16_t acceptor::port() const {
--- a/src/edge/connection.hpp
+++ b/src/edge/connection.hpp
@@ -58,9 +58,11 @@
     int handle_input(ACE_HANDLE) override;
     int handle_output(ACE_HANDLE) override;
     ACE_HANDLE get_handle() const override { return socket_; }
-    void watch_writable(bool writing);
+    void watch(ACE_Reactor_Mask events); // sets what the reactor watches this socket for
+    [[nodiscard]] bool writing() const { return (watched_ & ACE_Event_Handler::WRITE_MASK) != 0; }
     bool flush(); // sends unsent bytes; false: the connection broke
     void fail(close_reason reason);
+    void fail_soon(close_reason reason); // from the loop, not from within the owner's call
     void release();
 
     event_loop& loop_;
@@ -69,8 +71,8 @@
     std::string unsent_;
     std::size_t sent_ = 0; // bytes at the start of unsent_ that have been sent
     bool connecting_ = false;
-    bool writing_ = false; // the reactor watches for writability
-    bool closing_ = false; // close_when_sent() was called
+    bool closing_ = false;                                    // close_when_sent() was called
+    ACE_Reactor_Mask watched_ = ACE_Event_Handler::NULL_MASK; // the socket is registered unless this is empty
     event_loop::timer_id timer_;
 };
 
