Store: an unreadable entry of another writer no longer hides the others

Cause: the whole answer of the store was parsed in one step. One entry with half of a surrogate pair, bytes that are no UTF-8 or the number 1e999 made lists and watches unusable, and the watch began again at the same revision for ever. Class: one part of an answer decides about the others, which come from other writers.

Ruled out: that only the entry's own fields are at fault.

Change: the answer is cut into its entries by brackets and strings alone, and spec, name and revision of each are parsed by themselves. One without a readable name or revision is counted (line entries_ignored); when a watch brings it, the kind is listed once, 0.8 s later, and the watch goes on from that list's revision, so nothing is listed for ever. A list goes on after the last readable name, encoded for the URL; a page without one fails the list instead of ending it as if it were complete. A top level that can't be read stays unknown. target_ignored is written once for an entry and reason. It works because no text of one entry takes part in the parsing of another.

An entry whose brackets don't balance still makes the whole answer unreadable (docs/incidents/odd-store-entries.md).

--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -34,6 +34,7 @@
 inline constexpr std::string_view data_centres_out = "data_centres_out";
 inline constexpr std::string_view target_changed = "target_changed";
 inline constexpr std::string_view target_ignored = "target_ignored";
+inline constexpr std::string_view entries_ignored = "entries_ignored";
 inline constexpr std::string_view target_suspected = "target_suspected";
 inline constexpr std::string_view target_leaving = "target_leaving";
 inline constexpr std::string_view target_paused = "target_paused";
@@ -65,7 +66,7 @@
                                 request_waiting,   turn_missed,      request_sent,          request_retried,
                                 request_refused,   rate_refused,     request_answered,      request_cut,
                                 request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored,
-                                prompt_suspected,  target_limited,   process_crashed};
+                                prompt_suspected,  target_limited,   process_crashed,       entries_ignored};
 /// Events that callers or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed, request_sent,      request_retried,  request_refused, rate_refused,
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -16,7 +16,9 @@
 
 constexpr milliseconds min_retry_delay{100}; // after a failed call, doubles
 constexpr milliseconds max_retry_delay{800};
-constexpr milliseconds restore_spread{400}; // over which gateways list again after a restore of the store
+constexpr milliseconds unnamed_delay{800};    // before the list that follows a change without a readable name
+constexpr std::size_t max_ignored_lines = 64; // entries that name no target and have a line, at one time
+constexpr milliseconds restore_spread{400};   // over which gateways list again after a restore of the store
 // A dead connection is only noticed when its watch times out. Gateways that watch closely use watches that
 // are short enough to stay within the platform's tightest bound (2 s, for a leaving target and for a
 // configuration).
@@ -128,6 +130,9 @@
 void kind_watch::handle_list_reply(const store_reply& reply) {
     if (reply.result != store_result::ok)
         return schedule_next(std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, 4))));
+    if (reply.unnamed != unnamed_in_list_)
+        log_unnamed(reply, "list");
+    unnamed_in_list_ = reply.unnamed;
     position_ = reply.at;
     const bool restored = listed_era_ >= 0 && reply.at.era > listed_era_;
     listed_era_ = reply.at.era;
@@ -158,9 +163,19 @@
         position_ = reply.at;
     if (!reply.objects.empty())
         callbacks_.on_events(reply);
+    if (reply.unnamed > 0) {
+        // The list shows which known entry is not among the readable ones any more.
+        log_unnamed(reply, "watch");
+        position_ = {};
+        return schedule_next(unnamed_delay);
+    }
     schedule_after_reply(reply.objects.empty() ? milliseconds{0} : timing_.batch_delay);
 }
 
+void kind_watch::log_unnamed(const store_reply& reply, const char* call) {
+    context_.log.write(edge::events::entries_ignored, kind_, {{"call", call}, {"count", reply.unnamed}});
+}
+
 // ---- store_watch -----------------------------------------------------------------------------------
 
 store_watch::store_watch(gateway_context& context, platform::store_client& store, callbacks handlers)
@@ -256,10 +271,19 @@
                         {"models", entry.models.size()}});
 }
 
+/// One line for each entry and reason, however often it is listed or written.
+void store_watch::log_ignored(const std::string& target, const std::string& why) {
+    const auto known = ignored_.find(target);
+    if (known == ignored_.end() ? ignored_.size() >= max_ignored_lines : known->second == why)
+        return;
+    ignored_[target] = why;
+    context_.log.write(edge::events::target_ignored, target, {{"why", why}});
+}
+
 /// nullopt if the registration is invalid; the reason is logged.
 std::optional<core::fleet::target_entry> store_watch::decode_target(const platform::stored_object& object) {
     const auto report = [&](const core::common::error& why) {
-        context_.log.write(edge::events::target_ignored, object.name, {{"why", describe(why)}});
+        log_ignored(object.name, describe(why));
         return std::optional<core::fleet::target_entry>{};
     };
     return leaf::try_handle_all(
@@ -267,6 +291,7 @@
             if (!object.flaw.empty())
                 return leaf::new_error(core::common::error{"read registration", object.name, object.flaw});
             BOOST_LEAF_AUTO(entry, platform::decode_target(object.name, object.spec));
+            ignored_.erase(object.name);
             return std::optional{std::move(entry)};
         },
         report,
@@ -276,6 +301,10 @@
 }
 
 void store_watch::list_targets(const store_reply& reply, list_source source) {
+    std::set<std::string> listed;
+    for (const auto& object : reply.objects)
+        listed.insert(object.name);
+    std::erase_if(ignored_, [&](const auto& entry) { return !listed.contains(entry.first); });
     std::vector<core::fleet::target_entry> entries;
     for (const auto& object : reply.objects)
         if (auto entry = decode_target(object)) {
@@ -291,6 +320,7 @@
     for (const auto& object : reply.objects) {
         if (object.removed) {
             context_.log.write(edge::events::target_changed, object.name, {{"change", "removed"}});
+            ignored_.erase(object.name);
             changes.push_back({object.name, std::nullopt});
         } else if (auto entry = decode_target(object)) {
             log_target(*entry, "changed");
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -43,6 +43,7 @@
     void watch();
     void handle_list_reply(const platform::store_reply& reply);
     void handle_watch_reply(const platform::store_reply& reply);
+    void log_unnamed(const platform::store_reply& reply, const char* call);
     void schedule_next(core::common::milliseconds after);
     void schedule_after_reply(core::common::milliseconds close_delay);
     /// Notes the store's era and whether it answered. Returns false if the reply must not be used, because it
@@ -55,6 +56,7 @@
     watch_timing timing_;
     callbacks callbacks_;
     core::common::store_position position_; // to watch from; revision 0: list first
+    int unnamed_in_list_ = 0;               // entries of the latest list that had no readable name
     std::int64_t listed_era_ = -1;          // of the latest list; -1: none yet
     bool answering_ = true;
     core::common::time_point answered_at_{}; // last answer of the store; start time before the first
@@ -98,6 +100,7 @@
     void list_members(const platform::store_reply& reply, core::fleet::list_source source);
     void change_members(const platform::store_reply& reply);
     std::optional<core::fleet::target_entry> decode_target(const platform::stored_object& object);
+    void log_ignored(const std::string& target, const std::string& why);
     void log_target(const core::fleet::target_entry& entry, const char* change);
 
     gateway_context& context_;
@@ -107,7 +110,8 @@
     kind_watch centres_watch_;
     kind_watch members_watch_;
     std::string config_text_;
-    std::map<std::string, member> members_; // by name
+    std::map<std::string, member> members_;      // by name
+    std::map<std::string, std::string> ignored_; // why, by name: entries that name no target and have a line
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/tests/contract/store_entries_test.cpp
+++ b/tests/contract/store_entries_test.cpp
@@ -64,3 +64,55 @@
     ASSERT_EQ(reply.objects.size(), 1U);
     EXPECT_EQ(reply.objects[0].spec["n"], 1);
 }
+
+TEST(store_entries, an_unreadable_entry_costs_only_itself) {
+    for (const char* spec : {"{\"address\":\"\\ud83d\"}", "{\"address\":\"\xff\xfe\x01\"}",
+                             "{\"slots\":1e999}", "{\"x\":}", "@"}) {
+        const std::string items =
+            entry("a", R"({"n":1})") + "," + entry("odd", spec) + "," + entry("z", R"({"n":2})");
+        const auto reply = decode(list_of(items));
+        ASSERT_EQ(reply.result, store_result::ok) << spec;
+        EXPECT_EQ(reply.at.revision, 9) << spec;
+        ASSERT_EQ(reply.objects.size(), 3U) << spec;
+        EXPECT_EQ(reply.objects[0].spec["n"], 1) << spec;
+        EXPECT_EQ(reply.objects[1].name, "odd") << spec;
+        EXPECT_EQ(reply.objects[1].flaw, "expected JSON") << spec;
+        EXPECT_EQ(reply.objects[2].spec["n"], 2) << spec;
+        EXPECT_EQ(reply.unnamed, 0) << spec;
+    }
+}
+
+TEST(store_entries, entries_without_a_readable_name_are_counted) {
+    const std::string odd = "{\"metadata\":{\"name\":\"\xff\",\"revision\":7},\"spec\":{}}";
+    const auto listed = decode(list_of(odd + ",4," + entry("z", "{}")));
+    EXPECT_EQ(listed.result, store_result::ok);
+    EXPECT_EQ(listed.objects.size(), 1U);
+    EXPECT_EQ(listed.unnamed, 2);
+    const auto watched =
+        decode("{\"events\":[{\"object\":" + odd + ",\"removed\":false}],\"current_rev\":9}");
+    EXPECT_EQ(watched.result, store_result::ok);
+    EXPECT_EQ(watched.at.revision, 9);
+    EXPECT_EQ(watched.unnamed, 1);
+}
+
+TEST(store_entries, a_list_goes_on_after_an_unreadable_last_entry) {
+    std::string next;
+    EXPECT_EQ(
+        decode(list_of(entry("a", "{}") + "," + entry("odd", "{\"x\":\"\xff\"}"), "true"), &next).result,
+        store_result::ok);
+    EXPECT_EQ(next, "odd");
+    next.clear();
+    EXPECT_EQ(decode(list_of(entry("a", "{}") + ",4", "true"), &next).result, store_result::ok);
+    EXPECT_EQ(next, "a");
+}
+
+TEST(store_entries, a_list_that_cant_be_continued_is_not_taken_as_complete) {
+    std::string next;
+    EXPECT_EQ(decode(list_of("4", "true"), &next).result, store_result::unknown);
+}
+
+TEST(store_entries, an_answer_that_is_unreadable_as_a_whole_is_unknown) {
+    for (const char* body : {"", "<html>", "[]", "{\"items\":[", "{\"items\":[],\"current_rev\":1e999}",
+                             "{\"events\":[],\"current_rev\":\"\xff\"}", "{\"items\":[]} x"})
+        EXPECT_EQ(decode(body).result, store_result::unknown) << body;
+}
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -97,6 +97,7 @@
         self.texts = {}                    # mark that stands in the objects: the bytes that answers have there
         self.unavailable_kinds = set()     # calls for these kinds get 503
         self.calls = []                    # (time, method, kind) of all calls
+        self.lists = []                    # kinds of all lists
         self.server = Server(address, Handler, self)
 
     def take_copy(self):
@@ -131,6 +132,12 @@
         self.texts[mark] = spec_text
         return self.put(kind, name, mark)
 
+    def put_unnamed(self, kind, name_text):
+        """Puts an object whose name is these bytes, JSON or not."""
+        mark = f"<text {len(self.texts)}>"
+        self.texts[mark] = name_text
+        return self.put(kind, mark, {})
+
     def remove(self, kind, name):
         with self.lock:
             self.revision += 1
@@ -170,6 +177,7 @@
 
     def list(self, kind):
         with self.lock:
+            self.lists.append(kind)
             return {"items": [item for (item_kind, _), item in sorted(self.objects.items()) if item_kind == kind],
                     "more_pages": False, "current_rev": self.revision}
 
--- a/tests/programs/test_gateway_store_entries.py
+++ b/tests/programs/test_gateway_store_entries.py
@@ -27,9 +27,10 @@
 
 
 def runs_at(fleet, gateway):
-    """The target that a request ran at, by the gateway's own log."""
+    """The target that a request ran at, by the gateway's own log; None if it wasn't answered by one."""
     headers = fleet.headers()
-    expect(fleet.ask("/cert/1", headers, gateway=gateway).status, 200, "a request")
+    if fleet.ask("/cert/1", headers, gateway=gateway).status != 200:
+        return None
     name = fleet.gateways[gateway].name
     sent = wait_until(lambda: [line for line in fleet.events("request_sent", name) if line["subject"] == headers["Request-Id"]],
                       "the request is in the log")
@@ -74,6 +75,24 @@
     expect_unharmed(DEEP)
 
 
+def unreadable_entry_does_not_hide_the_others():
+    for odd in (b'"\\ud83d"', b'"\xff\xfe\x01"', b'1e999', b'{"x":}'):
+        expect_unharmed(REGISTRATION % odd)
+
+
+def entry_without_a_readable_name_is_listed_once_and_hides_nothing():
+    fleet = serving_fleet()
+    with fleet:
+        before = fleet.store.lists.count("servers")
+        fleet.store.put_unnamed("servers", b'"\xff"')
+        wait_until(lambda: all(fleet.events("entries_ignored", gateway.name) for gateway in fleet.gateways),
+                   "each gateway says that it ignores an entry")
+        wait_until(lambda: fleet.store.lists.count("servers") >= before + len(fleet.gateways), "each gateway lists again")
+        expect_followed(fleet)
+        expect(fleet.store.lists.count("servers"), before + len(fleet.gateways), "lists of the targets")
+
+
 if __name__ == "__main__":
-    run_cases([deeply_nested_entry_does_not_end_the_gateways])
+    run_cases([deeply_nested_entry_does_not_end_the_gateways, unreadable_entry_does_not_hide_the_others,
+               entry_without_a_readable_name_is_listed_once_and_hides_nothing])
     sys.exit(0)
