Store: a known target whose entry becomes unusable is no longer used

Callers saw: requests at a target whose entry another writer had replaced by one that names no target (another state, a field missing, bytes that can't be read), for as long as the gateway watched; a list dropped the target.

Cause: a watch's event with such an entry was left out instead of applied, so that the earlier entry stayed in the directory. Class: a change that isn't understood is taken as no change.

Ruled out: the list's path. Targets that a list doesn't name with a usable entry are removed (directory::replace_all).

Change: such an event removes the target, as the event of a removed entry does, with the same care while the store is out.

--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -325,6 +325,9 @@
         } else if (auto entry = decode_target(object)) {
             log_target(*entry, "changed");
             changes.push_back({object.name, std::move(entry)});
+        } else {
+            // Whatever the entry named before, it names no target now.
+            changes.push_back({object.name, std::nullopt});
         }
     }
     context_.directory.apply(changes, context_.loop.now());
--- a/tests/programs/test_gateway_store_entries.py
+++ b/tests/programs/test_gateway_store_entries.py
@@ -80,6 +80,27 @@
         expect_unharmed(REGISTRATION % odd)
 
 
+def known_target_with_an_unusable_entry_is_no_longer_used():
+    for spec_text in (REGISTRATION % b'"\xff"', REGISTRATION.replace(b'"ready"', b'"resting"') % b"1"):
+        expect_dropped_while_unusable(spec_text)
+
+
+def expect_dropped_while_unusable(spec_text):
+    fleet = serving_fleet()
+    with fleet:
+        fleet.target("t2", "ledger")
+        fleet.store.put_text("servers", "t1", spec_text)
+        wait_until(lambda: said_ignored(fleet), "each gateway says that it ignores the entry")
+        for gateway in range(len(fleet.gateways)):
+            wait_until(lambda gateway=gateway: runs_at(fleet, gateway) == "t2", "the other target is used")
+        began = len(fleet.first.runs)
+        for _ in range(8):
+            expect_served(fleet)
+        expect(len(fleet.first.runs) - began, 0, "requests at t1")
+        fleet.first.register()
+        wait_until(lambda: [expect_served(fleet), len(fleet.first.runs) > began][1], "t1 is used again")
+
+
 def entry_without_a_readable_name_is_listed_once_and_hides_nothing():
     fleet = serving_fleet()
     with fleet:
@@ -94,5 +115,6 @@
 
 if __name__ == "__main__":
     run_cases([deeply_nested_entry_does_not_end_the_gateways, unreadable_entry_does_not_hide_the_others,
+               known_target_with_an_unusable_entry_is_no_longer_used,
                entry_without_a_readable_name_is_listed_once_and_hides_nothing])
     sys.exit(0)
