Streams: an answer without any event is passed on with its length, not in chunks

What callers saw: a target answered a request of a streaming route with 204, and the gateway passed it on with Transfer-Encoding: chunked and a last chunk.

Cause: on_complete began a chunked answer for whatever 2xx a stream had. Class: framing chosen by the route, not by the answer.

Change: an answer that ends before its first event takes the way of plain answers (send_answer), which knows the statuses without a body.

--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -278,7 +278,7 @@
     if (resumed_with_nothing(*request))
         return handle_lost_answer(request, "resumption_empty");
     if (!request->session->answer_begun())
-        request->session->begin_answer(request->head.status, forwarded_fields(request->head.fields));
+        return send_answer(request);
     request->session->end_answer();
     note_sound(*request);
     close_exchange(request, dispatcher::attempt_outcome::succeeded);
--- a/tests/programs/test_gateway_broken_streams.py
+++ b/tests/programs/test_gateway_broken_streams.py
@@ -59,6 +59,8 @@
     def __init__(self, connection):
         answer = connection.getresponse()
         self.status, self.signature = answer.status, answer.getheader("Response-Signature")
+        if answer.status in (204, 304) and answer.getheader("Transfer-Encoding"):
+            raise Failure(f"{answer.status} has no body, and here one in chunks")
         try:
             self.body, self.whole = answer.read(), True
         except http.client.IncompleteRead as error:
@@ -243,6 +245,7 @@
              "500": (measured(ERROR, "500 Internal Server Error", signature="sig-2"), "kept", ERROR),
              "404": (measured(ERROR, "404 Not Found", signature="sig-2"), "kept", ERROR),
              "400": (chunked(ERROR, "400 Bad Request", signature="sig-2"), "kept", ERROR),
+             "204": (head("204 No Content", signature="sig-2"), "kept", b""),
              "304": (head("304 Not Modified", signature="sig-2"), "kept", b"")}
     with clients() as fleet:
         callers = Clients(fleet)
@@ -259,6 +262,14 @@
         expect(failed, [], "answers that are not those of the second target")
 
 
+def stream_route_answered_without_a_body_leaves_the_connection_in_order():
+    answers = {"204": head("204 No Content"), "205": measured(b"", "205 Reset Content"), "200": chunked(b"", "200 OK", STREAM)}
+    with clients() as fleet:
+        callers = Clients(fleet)
+        for status, answer in answers.items():
+            expect(callers.ask(SINGLE, (answer, "kept")).seen(), (int(status), "", True), status)
+
+
 def stream_without_an_event_yet_is_answered_with_a_failure_that_promises_nothing():
     with clients() as fleet:
         callers = Clients(fleet)
@@ -301,6 +312,7 @@
                stream_of_one_target_is_cut_where_it_broke_off,
                stream_that_broke_off_after_its_last_event_is_not_complete,
                stream_without_an_event_yet_is_the_next_targets_answer_under_its_own_head,
+               stream_route_answered_without_a_body_leaves_the_connection_in_order,
                stream_without_an_event_yet_is_answered_with_a_failure_that_promises_nothing,
                stream_that_its_client_takes_up_brings_no_event_twice,
                resumed_stream_asks_for_what_follows_the_last_event_passed_on])
