Targets' interim answers (1xx) that name the request are not its answer

What callers saw: a target wrote 100 Continue or 103 with the request's id before its answer. The gateway took it for the answer: a stream that went on there was cut, and a plain request would have got it as its answer.

Cause: 1xx was passed over only where it named no request. Class: a head is told from another by one of its fields and not by its kind.

Change: an answer below 200 is passed over like one to another request; at most two of both on one exchange, as before.

The contract tests of target_link were not run on this commit.

--- a/src/programs/gateway/target_link.cpp
+++ b/src/programs/gateway/target_link.cpp
@@ -70,7 +70,9 @@
         if (const edge::answer_head* head = reader_->head(); head != nullptr && !head_delivered_) {
             const std::string* id = edge::find_field(head->fields, platform::request_id_header);
             head_delivered_ = true;
-            other_request_ = id != nullptr ? *id != request_id_ : (reused_ || head->status < 300);
+            const bool interim = head->status < 200; // the answer follows it
+            other_request_ =
+                interim || (id != nullptr ? *id != request_id_ : (reused_ || head->status < 300));
             if (!other_request_) {
                 events_.on_head(*head);
                 if (!connection_)
--- a/tests/programs/test_gateway_broken_streams.py
+++ b/tests/programs/test_gateway_broken_streams.py
@@ -191,6 +191,8 @@
              "with length": (measured(REST, "200 OK", STREAM, signature="sig-2"), "kept"),
              "until the connection's end": (open_ended(REST, "200 OK", STREAM), "closed"),
              "of HTTP/1.0": (open_ended(REST, "200 OK", STREAM, version="1.0"), "closed"),
+             "after 100 Continue with an id": (head("100 Continue", signature=None) + chunked(REST, "200 OK", STREAM), "kept"),
+             "after 103": ([head("103 Early Hints", "Link: </a>", signature=None), chunked(REST, "200 OK", STREAM)], "kept"),
              "after 100 Continue": (b"HTTP/1.1 100 Continue\r\n\r\n" + chunked(REST, "200 OK", STREAM), "kept"),
              "with comments": (chunked(b": ping\n\n" + REST + b": end\n\n", "200 OK", STREAM), "kept"),
              "with the version of its weights": (chunked(b"weight-versions: 2\n" + REST, "200 OK", STREAM), "kept")}
