--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -2,8 +2,10 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,11 +21,12 @@
 
 constexpr std::size_t read_size = 32U << 10U; // bytes taken from a socket at once
 constexpr int reads_per_turn = 4;             // before other connections are served
-constexpr milliseconds linger_limit{1'500};   // longest wait of a closing connection for its peer
+constexpr milliseconds linger_limit{1'500};   // longest wait for the peer to close after the last byte
 // TCP_USER_TIMEOUT: a connection breaks if sent bytes or probes stay unacknowledged for that long. Callers
 // get more time, as they may have worse links. A target that lost power must be given up before its callers
 // disconnect, which they do after 3.2 s for a target latency of 0.8 s.
 constexpr unsigned caller_tcp_timeout_ms = 2'500;
+constexpr milliseconds stall_limit{caller_tcp_timeout_ms}; // of a closing connection whose peer takes no byte
 constexpr unsigned target_tcp_timeout_ms = 1'500;
 constexpr int keepalive_interval_s = 1; // probe interval on an idle connection to a target
 constexpr int accepts_per_turn = 32;
@@ -124,12 +127,31 @@
     if (socket_ < 0)
         return;
     closing_ = true;
-    change_events({});
+    events last;
+    last.on_closed = events_->on_closed;
+    change_events(std::move(last));
     if (unsent() == 0)
         ::shutdown(socket_, SHUT_WR);
     resume_reading();
+    await_peer();
+}
+
+std::size_t connection::not_taken() const {
+    int in_kernel = 0;
+    ::ioctl(socket_, SIOCOUTQ, &in_kernel);
+    return unsent() + static_cast<std::size_t>(in_kernel);
+}
+
+void connection::await_peer() {
+    const std::size_t left = not_taken();
     loop_.cancel(timer_);
-    timer_ = loop_.schedule(loop_.now() + linger_limit, [self = shared_from_this()] { self->release(); });
+    timer_ = loop_.schedule(loop_.now() + (left > 0 ? stall_limit : linger_limit),
+                            [self = shared_from_this(), left] {
+                                if (self->not_taken() < left)
+                                    self->await_peer();
+                                else
+                                    self->fail(close_reason::ended);
+                            });
 }
 
 void connection::pause_reading() {
--- a/src/edge/connection.hpp
+++ b/src/edge/connection.hpp
@@ -28,6 +28,7 @@
         std::function<void(std::string_view)> on_data; // bytes received
         std::function<void()> on_drained;              // the kernel has taken all unsent bytes
         std::function<void(close_reason)> on_closed;   // by the peer or the network; never after close()
+                                                       // or, after close_when_sent(), by the end of its wait
     };
 
     /// Takes over an accepted socket.
@@ -46,8 +47,10 @@
 
     void send(std::string_view bytes); // queues what the kernel does not take at once
     void close();                      // closes at once; unsent bytes are dropped
-    void close_when_sent(); // closes after the unsent bytes; reads on, as unread input would cause a reset
-    void pause_reading();   // for backpressure
+    /// Closes once the peer has taken the unsent bytes and closed in turn; waits only for a peer that goes on
+    /// taking bytes. Reads on, as unread input would cause a reset. Of the events, only on_closed follows.
+    void close_when_sent();
+    void pause_reading(); // for backpressure
     void resume_reading();
     void change_events(events handlers) { events_ = std::make_shared<const events>(std::move(handlers)); }
 
@@ -64,6 +67,8 @@
     void fail(close_reason reason);
     void fail_soon(close_reason reason); // from the loop, not from within the owner's call
     void release();
+    void await_peer();                           // after close_when_sent()
+    [[nodiscard]] std::size_t not_taken() const; // bytes that the peer has not acknowledged
 
     event_loop& loop_;
     int socket_;
--- a/src/programs/gateway/caller_session.cpp
+++ b/src/programs/gateway/caller_session.cpp
@@ -143,10 +143,8 @@
     request_open_ = false;
     answer_begun_ = false;
     if (!keep_alive_ || callbacks_.draining()) {
-        connection_->close_when_sent();
-        connection_.reset();
         loop_.cancel(timer_);
-        callbacks_.on_closed(*this);
+        connection_->close_when_sent(); // handle_close() follows
         return;
     }
     if (paused_) {
--- a/src/programs/gateway/caller_session.hpp
+++ b/src/programs/gateway/caller_session.hpp
@@ -37,7 +37,7 @@
 
     [[nodiscard]] bool answer_begun() const { return answer_begun_; }
     [[nodiscard]] std::size_t unsent() const { return connection_ ? connection_->unsent() : 0; }
-    void close_if_idle(); // when the process ends
+    void close_if_idle(); // when the process ends; drops what is unsent
 
 private:
     void receive(std::string_view bytes);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -295,7 +295,9 @@
     if (lasted > drain_accept_period)
         dispatcher_.refuse_all(drain_retry_after);
     const bool out_of_time = lasted > settings_.drain - drain_reserve;
-    if (!out_of_time && (lasted < min_drain_time || admission_.open_requests() > 0))
+    const bool unsent = std::any_of(sessions_.begin(), sessions_.end(),
+                                    [](const auto& session) { return session->unsent() > 0; });
+    if (!out_of_time && (lasted < min_drain_time || admission_.open_requests() > 0 || unsent))
         return;
     peers_.announce_leaving();
     const auto open = sessions_;
--- a/tests/contract/event_loop_test.cpp
+++ b/tests/contract/event_loop_test.cpp
@@ -1,4 +1,5 @@
-// The event loop: order of timers, tasks posted by other threads, and that no timer can starve them.
+// The event loop: order of timers, tasks posted by other threads, that no timer can starve them, and its end.
+// How connections on it close.
 #include "edge/boot_clock.hpp"
 #include "edge/connection.hpp"
 #include "edge/event_loop.hpp"
@@ -8,7 +9,9 @@
 #include <unistd.h>
 
 #include <array>
+#include <functional>
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -114,6 +117,44 @@
     }
 }
 
+TEST(connection, closing_does_not_cut_the_answer_of_a_peer_that_reads_slowly) {
+    constexpr std::size_t answer_size = 8'000'000;
+    constexpr auto read_interval = 20ms; // the whole answer takes at least 2.4 s
+    edge::event_loop loop;
+    std::array<int, 2> pair{};
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair.data()), 0);
+    const auto closing = edge::connection::adopt(loop, pair[0], {});
+    closing->send(std::string(answer_size, 'x'));
+    closing->close_when_sent();
+    std::size_t received = 0;
+    std::vector<char> bytes(64U << 10U);
+    std::function<void()> read = [&] {
+        const auto count = ::recv(pair[1], bytes.data(), bytes.size(), 0);
+        if (count == 0)
+            return loop.stop();
+        received += count > 0 ? static_cast<std::size_t>(count) : 0;
+        loop.schedule(loop.now() + read_interval, read);
+    };
+    read();
+    loop.run();
+    ::close(pair[1]);
+    EXPECT_EQ(received, answer_size);
+}
+
+TEST(connection, closing_does_not_wait_for_a_peer_that_takes_nothing) {
+    edge::event_loop loop;
+    std::array<int, 2> pair{};
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair.data()), 0);
+    edge::connection::events handlers;
+    handlers.on_closed = [&](edge::close_reason) { loop.stop(); };
+    const auto closing = edge::connection::adopt(loop, pair[0], std::move(handlers));
+    closing->send(std::string(8'000'000, 'x'));
+    closing->close_when_sent();
+    loop.run();
+    EXPECT_FALSE(closing->open());
+    ::close(pair[1]);
+}
+
 TEST(event_loop, a_timer_that_holds_the_last_reference_to_its_owner_can_be_cancelled) {
     edge::event_loop loop;
     std::size_t destroyed = 0;
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -212,6 +212,7 @@
         self.end_chunks_on_break = False   # such a stream has its last chunk
         self.endless = None                # what it sends without end, until the gateway closes: see send_without_end
         self.closed_by_gateway = []        # what it was sending then
+        self.padding = 0                   # bytes at the end of every plain answer
         self.unframed = False              # answers have neither length nor chunks and end with their connection
         self.break_on_body = None          # request body that breaks the connection when it runs
         self.crash_on_part = None          # id of a prompt's part, not the last, that crashes it as it begins to answer
@@ -303,7 +304,7 @@
         if self.endless is not None:
             return self.send_without_end(call, signed)
         if not model:
-            return self.plain_answer(call, b"recorded " + body, signed)
+            return self.plain_answer(call, b"recorded " + body + b"." * self.padding, signed)
         return self.stream(call, signed)
 
     @staticmethod
--- a/tests/programs/test_gateway_stop.py
+++ b/tests/programs/test_gateway_stop.py
@@ -4,6 +4,7 @@
 import socket
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from gateway_fleet import Fleet, expect
 from harness import Failure, arguments, run_cases, wait_until
@@ -12,6 +13,11 @@
 LATE_IN_THE_DRAIN_S = 2.3       # requests are refused, and the process ends soon
 
 
+ANSWER_BYTES = 7_500_000        # more than the kernel takes at once
+SLOW_BYTES_PER_S = 1_200_000
+PIECE_BYTES = 50_000
+
+
 def connect(fleet):
     host, port = fleet.gateways[0].settings["http"].split(":")
     return socket.create_connection((host, int(port)), timeout=30)
@@ -77,8 +83,36 @@
         expect([line["open_requests"] for line in fleet.events("process_stopped")], [len(open_requests)], "open at the end")
 
 
+def read_slowly(connection):
+    """Reads to the end at the rate of a slow link. Returns the number of bytes of the body."""
+    got = b""
+    while piece := connection.recv(PIECE_BYTES):
+        got += piece
+        time.sleep(len(piece) / SLOW_BYTES_PER_S)
+    return len(got.partition(b"\r\n\r\n")[2])
+
+
+def begun_answers_reach_slow_callers_although_the_gateway_stops():
+    with Fleet(ARGUMENTS.bin, drain="30s") as fleet:
+        ledger = fleet.target("l1", "ledger", slots=64)
+        ledger.padding = ANSWER_BYTES
+        gateway = fleet.start().gateways[0]
+        fleet.wait_for_target()
+        callers = [connect(fleet) for _ in range(3)]
+        for connection in callers:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+            send_request(connection, fleet.headers(), "/cert/1")
+        wait_until(lambda: len(fleet.events("request_answered")) == len(callers), "the answers are handed over")
+        gateway.process.send_signal(signal.SIGTERM)
+        with ThreadPoolExecutor(len(callers)) as pool:
+            sizes = list(pool.map(read_slowly, callers))
+        expect(sizes, [len(b"recorded x") + ANSWER_BYTES] * len(callers), "bytes of the answers")
+        expect(gateway.process.wait(30), 0, "exit code")
+
+
 if __name__ == "__main__":
     run_cases([gateway_ends_in_order_while_a_caller_does_not_close,
                gateway_ends_in_order_while_many_callers_do_not_close,
-               gateway_ends_in_order_with_requests_still_open])
+               gateway_ends_in_order_with_requests_still_open,
+               begun_answers_reach_slow_callers_although_the_gateway_stops])
     sys.exit(0)
