A gateway's other threads end before its parts are destroyed; postmortem of the end by a signal

Nobody has seen this one: it was found by looking for the same class beside the event loop's tasks. The HTTP client's thread ran until ~http_client(), which ended the open calls by calling back; by then the parts that the callbacks refer to (watches of the store, the order giver, peers' news) had been destroyed, as they are declared after the client. A gateway has such calls open at each stop. Class: an object outlives what it refers to.

Change: http_client::stop() ends the thread while the owner's parts exist, and nothing is called back afterwards; ~gateway() ends its HTTP servers and its client first.

Evidence: the contract test without its stop(), which is the order that the gateway had, under AddressSanitizer: ERROR: AddressSanitizer: heap-use-after-free ... operator() (the callback) With stop() it passes, also under AddressSanitizer and UBSan. In the gateway itself the fault was not shown: the parts lie in one object on the stack and their memory stays.

--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -29,9 +29,7 @@
 public:
     impl() : multi_(init()), thread_([this] { run(); }) {}
     ~impl() {
-        stopping_ = true;
-        curl_multi_wakeup(multi_);
-        thread_.join();
+        stop();
         curl_multi_cleanup(multi_);
     }
     impl(const impl&) = delete;
@@ -39,6 +37,12 @@
     impl(impl&&) = delete;
     impl& operator=(impl&&) = delete;
 
+    void stop() {
+        stopping_ = true;
+        curl_multi_wakeup(multi_);
+        if (thread_.joinable())
+            thread_.join();
+    }
     client_call add(client_request request, std::function<void(client_result&&)> on_done,
                     std::function<void(int, std::string_view)> on_data) {
         auto made = std::make_unique<call>();
@@ -248,6 +252,9 @@
                               std::function<void(int, std::string_view)> on_data) {
     return impl_->add(std::move(request), std::move(on_done), std::move(on_data));
 }
+void http_client::stop() {
+    impl_->stop();
+}
 void http_client::cancel(client_call call) {
     impl_->cancel(call);
 }
--- a/src/edge/http_client.hpp
+++ b/src/edge/http_client.hpp
@@ -44,7 +44,7 @@
 class http_client {
 public:
     http_client();
-    ~http_client(); // open calls end as interrupted
+    ~http_client(); // stops
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     http_client(http_client&&) = delete;
@@ -56,6 +56,10 @@
                      std::function<void(int status, std::string_view data)> on_data = {});
     void cancel(client_call call); // on_done is then called with `interrupted`
 
+    /// Ends the client's thread. Open calls end as interrupted; no callback runs afterwards. For owners whose
+    /// callbacks refer to other parts: call it while these exist.
+    void stop();
+
 private:
     class impl;
     std::unique_ptr<impl> impl_;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -100,8 +100,12 @@
     session_callbacks_.draining = [this] { return context_.draining; };
 }
 
-/// Drops the tasks, which hold requests and connections, while the parts they refer to exist.
+/// Ends the other threads, whose callbacks refer to all parts, then drops the tasks, which hold requests and
+/// connections; the parts are destroyed afterwards.
 gateway::~gateway() {
+    readiness_.reset();
+    metrics_.reset();
+    client_.stop();
     loop_.discard_tasks();
 }
 
--- a/tests/contract/http_test.cpp
+++ b/tests/contract/http_test.cpp
@@ -9,6 +9,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace waxwinglb;
 using namespace std::chrono_literals;
 
@@ -226,3 +230,28 @@
     EXPECT_NE(first.wait().outcome, edge::client_outcome::answered);
     EXPECT_NE(second.wait().outcome, edge::client_outcome::answered);
 }
+
+TEST(http_client, calls_nothing_back_after_it_has_been_stopped) {
+    const int listening = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(::bind(listening, reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    ASSERT_EQ(::listen(listening, 16), 0);
+    socklen_t size = sizeof at;
+    getsockname(listening, reinterpret_cast<sockaddr*>(&at), &size);
+    edge::http_client client;
+    // Owned by the test, not by the callbacks, as the gateway's parts are.
+    auto seen = std::make_unique<std::vector<edge::client_outcome>>();
+    edge::client_request request;
+    request.url = "http://127.0.0.1:" + std::to_string(ntohs(at.sin_port)) + "/never-answered";
+    client.send(request,
+                [owner = seen.get()](edge::client_result&& result) { owner->push_back(result.outcome); });
+    const int accepted = ::accept(listening, nullptr, nullptr);
+    client.stop();
+    EXPECT_EQ(*seen, std::vector{edge::client_outcome::interrupted});
+    seen.reset();
+    client.send(request, [](edge::client_result&&) { FAIL(); });
+    ::close(accepted);
+    ::close(listening);
+}
