--- a/src/programs/gateway/caller_session.cpp
+++ b/src/programs/gateway/caller_session.cpp
@@ -84,6 +84,8 @@
         return;
     if (reader_.current() == edge::request_reader::state::partial)
         return refuse(408);
+    if (connection_->unsent() > 0)
+        return restart_timeout(); // not idle: an answer is still being sent
     abort();
 }
 
