A signal while a program exits no longer writes to the stack of its exit handlers

Nobody reported this one: it was found by looking for what outlives what it refers to at the stop. The detached thread that waits for signals held a reference to the program's state on the stack of run_program(). After that had returned, a SIGHUP or a second SIGTERM wrote into frames of whatever ran then, in every program.

The test before the change: signal_after_its_end_does_not_write_to_the_stack_of_what_runs_then: bytes_changed_by_a_signal() is 1, expected 0 After: 0. The thread shares the ownership of the state.

The test was run alone, linked to the edge library, and not yet as a part of contract_tests.

--- a/src/edge/program.cpp
+++ b/src/edge/program.cpp
@@ -91,7 +91,8 @@
     const command_line line = parse(argc, argv, description);
     if (line.exit_code >= 0)
         return line.exit_code;
-    program_context context;
+    const auto owned = std::make_shared<program_context>(); // the signal thread may outlast this call
+    program_context& context = *owned;
     context.config = line.config;
     const auto faults = settings_file::load(line.config, [&](settings_section& top) {
         context.name = top.text("name");
@@ -109,7 +110,8 @@
     const crash_reported_thread main_thread{"main"};
     report_crashes(context.name);
     const sigset_t set = block_stop_signals();
-    std::thread{[set, &context] {
+    std::thread{[set, owned] {
+        program_context& context = *owned;
         for (;;) {
             int signal_number = 0;
             sigwait(&set, &signal_number);
