Gateway: an order that is given up is withdrawn by a reset of its connection

The order was held up in a cut of the link; its holder gave it up after 1.2 s and libcurl closed the connection, but closing doesn't take back what was written: it arrived 1.24 s after the link had healed and got 202.

Cause: a call's timeout ends the waiting, not the sending. Class: an act outlives the right to it.

Change: connections to targets that carry orders (and reports, which share them) have SO_LINGER 0 from their opening, so that every close, also the end of the process, resets them. Bytes held up behind a partition are lost when their sender resets (DEPLOY.md, Network).

review/common/standins.py: the link delivered held bytes even after a reset, against DEPLOY.md. It now drops them after a reset and delivers them after a mere close, as before.

Not covered: bytes that a frozen target's kernel has already acknowledged; and an order on its way up to 1.2 s counts against the 3.3 s that the next holder waits.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -456,7 +456,8 @@
 
     In a cut nothing passes. Bytes that were sent meanwhile on a connection that stood before come when their sender's
     TCP sends them again after the cut: 0.2 s after the first time, then after twice the pause each time, until they are
-    acknowledged; a program that closes its socket doesn't change that. New connections can't be made in a cut.
+    acknowledged; a program that closes its socket doesn't change that, but one that resets its connection loses them
+    (DEPLOY.md, Network). New connections can't be made in a cut.
     """
     RESENT_AFTER_S = [0.2 * (2 ** count - 1) for count in range(1, 9)]     # 0.2, 0.6, 1.4, 3.0, 6.2 s, ...
 
@@ -502,6 +503,9 @@
                 if held:
                     self.record.line(f"held up in the cut: {len(piece)} bytes, {piece.split(chr(13).encode())[0].decode('latin-1')}")
                 await self.arrival(now())
+                if held and reader.exception():
+                    self.record.line("lost: the sender has reset the connection")
+                    break
                 writer.write(piece)
                 await writer.drain()
                 if passed:
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -3,6 +3,7 @@
 #include "edge/crash_report.hpp"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
@@ -118,6 +119,11 @@
         }
         return unit * count;
     }
+    static int reset_on_close(void*, curl_socket_t socket, curlsocktype) {
+        const linger reset{1, 0};
+        const bool set = ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset) == 0;
+        return set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+    }
     void start_call(std::unique_ptr<call> transfer) {
         const client_request& request = transfer->request;
         transfer->easy = curl_easy_init();
@@ -146,6 +152,8 @@
             curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
         }
+        if (request.withdrawn_when_ended)
+            curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &impl::reset_on_close);
         transfer->last_byte = core::common::clock::now();
         curl_multi_add_handle(multi_, easy);
         calls_[transfer->id] = std::move(transfer);
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -115,6 +115,7 @@
     request.url = "http://" + target->entry.address + platform::report_path;
     request.headers.push_back({std::string{platform::instance_header}, id});
     request.timeout = report_timeout;
+    request.withdrawn_when_ended = true; // orders use the connection afterwards
     request.connect_timeout = connect_timeout;
     client_.send(std::move(request), [this, id, at = known.requested_at](edge::client_result&& answer) {
         context_.loop.post([this, id, at, answer = std::move(answer)] { handle_report(id, answer, at); });
@@ -338,6 +339,7 @@
     request.body = platform::encode_order(
         {order.load, order.ref, known.ledger.sequence(), context_.settings.name, lease_.fencing()});
     request.timeout = order_timeout;
+    request.withdrawn_when_ended = true; // the next holder may order before a held-up one arrives
     request.connect_timeout = connect_timeout;
     client_.send(std::move(request), [this, number, order](edge::client_result&& answer) {
         context_.loop.post([this, number, order, answer = std::move(answer)] {
--- a/tests/contract/http_test.cpp
+++ b/tests/contract/http_test.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <vector>
+#include <array>
 
 using namespace waxwinglb;
 using namespace std::chrono_literals;
@@ -76,6 +77,20 @@
 /// A listening socket whose backlog accepts connections and bytes but that never answers; closes on
 /// destruction.
 struct mute_peer {
+    /// Takes the waiting connection and reads until it ends. Returns how many bytes came.
+    [[nodiscard]] std::size_t read_late() const {
+        const int socket = ::accept(listening, nullptr, nullptr);
+        std::size_t total = 0;
+        std::array<char, 4096> bytes{};
+        for (;;) {
+            const auto count = ::recv(socket, bytes.data(), bytes.size(), 0);
+            if (count <= 0)
+                break;
+            total += static_cast<std::size_t>(count);
+        }
+        ::close(socket);
+        return total;
+    }
     mute_peer() : listening(::socket(AF_INET, SOCK_STREAM, 0)) {
         sockaddr_in local{};
         local.sin_family = AF_INET;
@@ -179,6 +194,20 @@
     EXPECT_EQ(requester.wait().outcome, edge::client_outcome::interrupted);
 }
 
+TEST(http, a_withdrawn_call_that_is_given_up_does_not_arrive_later) {
+    const mute_peer peer;
+    const int few_bytes = 2'048; // the rest of the request waits in the caller's kernel
+    ::setsockopt(peer.listening, SOL_SOCKET, SO_RCVBUF, &few_bytes, sizeof few_bytes);
+    constexpr std::size_t size = 48U << 10U;
+    caller requester;
+    auto request = post("http://127.0.0.1:" + std::to_string(peer.port) + "/order", std::string(size, 'x'));
+    request.timeout = 300ms;
+    request.withdrawn_when_ended = true;
+    requester.send(request);
+    EXPECT_EQ(requester.wait().outcome, edge::client_outcome::interrupted);
+    EXPECT_LT(peer.read_late(), size);
+}
+
 TEST(http, a_cancelled_call_ends_at_once) {
     const mute_peer peer;
     caller requester;
