A closing connection counts the time since its peer took the last byte, also of its end

Cause: the kernel's count of unacknowledged bytes includes the connection's end, so something was always left at the first look, which came only after the stall limit. The class: one look at a moment taken for progress over a time.

Change: what the peer has left is looked at four times a second, and the wait starts anew with each byte taken. Ruled out: leaving the kernel's bytes out, since an answer in the kernel can still be cut.

connection.*, event_loop.* (38 contract tests with http, target_link) and programs.test_gateway_stop, test_gateway_slow_callers pass.

--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -27,6 +27,7 @@
 // disconnect, which they do after 3.2 s for a target latency of 0.8 s.
 constexpr unsigned caller_tcp_timeout_ms = 2'500;
 constexpr milliseconds stall_limit{caller_tcp_timeout_ms}; // of a closing connection whose peer takes no byte
+constexpr milliseconds progress_interval{250};             // between two looks at what the peer has taken
 constexpr unsigned target_tcp_timeout_ms = 1'500;
 constexpr int keepalive_interval_s = 1; // probe interval on an idle connection to a target
 constexpr int accepts_per_turn = 32;
@@ -133,7 +134,7 @@
     if (unsent() == 0)
         ::shutdown(socket_, SHUT_WR);
     resume_reading();
-    await_peer();
+    await_peer(not_taken(), loop_.now());
 }
 
 std::size_t connection::not_taken() const {
@@ -142,16 +143,17 @@
     return unsent() + static_cast<std::size_t>(in_kernel);
 }
 
-void connection::await_peer() {
-    const std::size_t left = not_taken();
+void connection::await_peer(std::size_t left, core::common::time_point since) {
     loop_.cancel(timer_);
-    timer_ = loop_.schedule(loop_.now() + (left > 0 ? stall_limit : linger_limit),
-                            [self = shared_from_this(), left] {
-                                if (self->not_taken() < left)
-                                    self->await_peer();
-                                else
-                                    self->fail(close_reason::ended);
-                            });
+    timer_ = loop_.schedule(loop_.now() + progress_interval, [self = shared_from_this(), left, since] {
+        const auto now = self->loop_.now();
+        const std::size_t still_left = self->not_taken();
+        if (still_left < left)
+            return self->await_peer(still_left, now);
+        if (now - since < (left > 0 ? stall_limit : linger_limit))
+            return self->await_peer(left, since);
+        self->fail(close_reason::ended);
+    });
 }
 
 void connection::pause_reading() {
--- a/src/edge/connection.hpp
+++ b/src/edge/connection.hpp
@@ -67,8 +67,9 @@
     void fail(close_reason reason);
     void fail_soon(close_reason reason); // from the loop, not from within the owner's call
     void release();
-    void await_peer();                           // after close_when_sent()
-    [[nodiscard]] std::size_t not_taken() const; // bytes that the peer has not acknowledged
+    /// After close_when_sent(): the peer has left `left` bytes untaken since `since`.
+    void await_peer(std::size_t left, core::common::time_point since);
+    [[nodiscard]] std::size_t not_taken() const; // bytes, and the end, that the peer has not acknowledged
 
     event_loop& loop_;
     int socket_;
