A session whose connection is closing starts no idle timeout

Seen in a review of the change that sends answers before a stop, by a trial with two pipelined requests: the second one asked for Connection: close and was answered at once, and the idle timeout began on the closing session; with one of 0.4 s the connection was cut after 0.4 s instead of waiting for its peer. By reading, late bytes of the caller could then reset it and cost the answer's tail.

Cause: a session keeps its connection until that has closed, so 'has a connection' no longer means 'goes on'. The class: a field that came to stand for two things.

Change: the session knows that it closes. No test of its own was added; programs.test_gateway_stop, test_gateway_slow_callers and test_gateway_limits_change pass.

--- a/src/programs/gateway/caller_session.cpp
+++ b/src/programs/gateway/caller_session.cpp
@@ -146,6 +146,7 @@
     answer_begun_ = false;
     if (!keep_alive_ || callbacks_.draining()) {
         loop_.cancel(timer_);
+        closing_ = true;
         connection_->close_when_sent(); // handle_close() follows
         return;
     }
@@ -161,7 +162,7 @@
             return;
         session->timer_ = {};
         session->receive("");
-        if (!session->request_open_ && session->connection_)
+        if (!session->request_open_ && !session->closing_ && session->connection_)
             session->restart_timeout();
     });
 }
--- a/src/programs/gateway/caller_session.hpp
+++ b/src/programs/gateway/caller_session.hpp
@@ -59,6 +59,7 @@
     bool request_open_ = false;
     bool answer_begun_ = false;
     bool keep_alive_ = true; // the caller wants to reuse the connection
+    bool closing_ = false;   // the last answer has been handed over; the connection closes when it is sent
     bool paused_ = false;
     bool continue_sent_ = false;  // "100 Continue" was sent for this request
     bool header_timeout_ = false; // the timer is the header timeout, not the idle timeout
