--- a/src/core/fleet/model.hpp
+++ b/src/core/fleet/model.hpp
@@ -84,6 +84,7 @@
     std::size_t max_body = 4U << 20U;
     common::milliseconds header_timeout{3'000};
     common::milliseconds idle_timeout{15'000};
+    bool operator==(const ingress_limits&) const = default;
 };
 
 struct config {
--- a/src/edge/http_reader.cpp
+++ b/src/edge/http_reader.cpp
@@ -85,6 +85,13 @@
     state_ = buffer_.empty() ? state::idle : state::partial;
 }
 
+void request_reader::change_limits(std::size_t max_header, std::size_t max_body) {
+    max_header_ = max_header;
+    max_body_ = max_body;
+    if (state_ == state::idle)
+        begin();
+}
+
 request_reader::state request_reader::feed(std::string_view bytes) {
     buffer_.append(bytes);
     if (state_ == state::idle && !buffer_.empty())
--- a/src/edge/http_reader.hpp
+++ b/src/edge/http_reader.hpp
@@ -52,6 +52,7 @@
     request_reader(request_reader&&) = delete;
     request_reader& operator=(request_reader&&) = delete;
 
+    void change_limits(std::size_t max_header, std::size_t max_body); // for the next request that begins
     state feed(std::string_view bytes); // bytes after a complete request stay buffered
     [[nodiscard]] state current() const { return state_; }
     [[nodiscard]] int refusal() const { return refusal_; }
--- a/src/programs/gateway/caller_session.cpp
+++ b/src/programs/gateway/caller_session.cpp
@@ -31,6 +31,8 @@
 
 void caller_session::receive(std::string_view bytes) {
     const auto self = shared_from_this();
+    if (reader_.current() == edge::request_reader::state::idle)
+        update_limits();
     const bool had_header = reader_.header_complete();
     const auto state = reader_.feed(bytes);
     if (request_open_) {
@@ -57,11 +59,20 @@
     answer_begun_ = false;
     continue_sent_ = false;
     loop_.cancel(timer_);
+    update_limits();
     auto request = reader_.take();
     keep_alive_ = request.keep_alive;
     callbacks_.on_request(shared_from_this(), std::move(request));
 }
 
+void caller_session::update_limits() {
+    const auto in_force = callbacks_.limits();
+    if (in_force == limits_)
+        return;
+    limits_ = in_force;
+    reader_.change_limits(limits_.max_header, limits_.max_body);
+}
+
 /// Starts the header timeout while a header is incomplete, otherwise the idle timeout.
 void caller_session::restart_timeout() {
     const bool in_header =
--- a/src/programs/gateway/caller_session.hpp
+++ b/src/programs/gateway/caller_session.hpp
@@ -19,11 +19,12 @@
         std::function<void(caller_session&)> on_drained;      // the output buffer is empty
         std::function<void(caller_session&)> on_closed;       // the connection is closed
         std::function<bool()> draining; // the process is ending: close after the next answer
+        std::function<core::fleet::ingress_limits()> limits; // in force now
     };
 
-    caller_session(edge::event_loop& loop, const core::fleet::ingress_limits& limits,
-                   const callbacks& handlers)
-        : loop_(loop), limits_(limits), callbacks_(handlers), reader_(limits.max_header, limits.max_body) {}
+    caller_session(edge::event_loop& loop, const callbacks& handlers)
+        : loop_(loop), limits_(handlers.limits()), callbacks_(handlers),
+          reader_(limits_.max_header, limits_.max_body) {}
 
     void start(int socket);
 
@@ -42,6 +43,7 @@
 private:
     void receive(std::string_view bytes);
     void open_request();
+    void update_limits(); // for the request that begins next
     void refuse(int status);
     void finish_answer();
     void restart_timeout();
@@ -50,7 +52,7 @@
     [[nodiscard]] std::string head(int status, const std::vector<edge::http_field>& fields) const;
 
     edge::event_loop& loop_;
-    core::fleet::ingress_limits limits_;
+    core::fleet::ingress_limits limits_; // of the request being read
     const callbacks& callbacks_;
     edge::request_reader reader_;
     std::shared_ptr<edge::connection> connection_;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -98,6 +98,9 @@
         sessions_.erase(session.shared_from_this());
     };
     session_callbacks_.draining = [this] { return context_.draining; };
+    session_callbacks_.limits = [this] {
+        return context_.config ? context_.config->limits : core::fleet::ingress_limits{};
+    };
 }
 
 /// Ends the other threads, whose callbacks refer to all parts, then drops the tasks, which hold requests and
@@ -147,8 +150,7 @@
         ::close(socket);
         return;
     }
-    const auto limits = context_.config ? context_.config->limits : core::fleet::ingress_limits{};
-    auto created = std::make_shared<caller_session>(loop_, limits, session_callbacks_);
+    auto created = std::make_shared<caller_session>(loop_, session_callbacks_);
     sessions_.insert(created);
     created->start(socket);
 }
