Equal requests that one broken target takes along are one piece of evidence

Callers that repeat at once and sticky sessions bring equal requests to one target.

Cause: each attempt was evidence of its own, also where one end broke several. The class: counting effects for causes.

Change: an attempt that was sent before the latest known break of an equal request isn't counted again. A complete answer of any status below 500 shows that the target lives through the request, so it clears it too. Ruled out: counting a target's start once, as for parts of prompts: a target may break the connection and go on, and the existing test of that must hold. Breaks within some time as one: attempts sent one after the other can be that close.

programs.test_gateway_repeated_crashes, equal_requests_under_way_at_a_target_that_ends_once_are_not_blocked, failed before: 'the same request afterwards: expected [200], got [503]'; all four of its cases pass now. What remains: equal requests at one target from several gateways that break at the same moment count once for each gateway.

--- a/src/core/quarantine/suspect_parts.cpp
+++ b/src/core/quarantine/suspect_parts.cpp
@@ -36,6 +36,11 @@
     });
 }
 
+std::optional<common::time_point> suspect_parts::latest_crash(part_id part) const {
+    const auto known = suspects_.find(part);
+    return known == suspects_.end() ? std::nullopt : std::optional{latest_of(known->second)};
+}
+
 bool suspect_parts::known_sound(part_id part, common::time_point now) const {
     const auto known = sound_.find(part);
     return known != sound_.end() && now - known->second < options_.sound_memory;
--- a/src/core/quarantine/suspect_parts.hpp
+++ b/src/core/quarantine/suspect_parts.hpp
@@ -71,6 +71,9 @@
     /// Whether a part was at several crashes and is not known as sound: such a request is not worth a repeat.
     [[nodiscard]] bool suspected(std::span<const part_id> parts, common::time_point now) const;
 
+    /// The latest crash that a part was at; nullopt: none is known.
+    [[nodiscard]] std::optional<common::time_point> latest_crash(part_id part) const;
+
     /// A target ended when it was about to send the first event of a request with these parts.
     void add_crash(std::span<const part_id> parts, target_run target, common::time_point now);
     void add_sound(std::span<const part_id> parts, common::time_point now); // a complete answer
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -289,6 +289,8 @@
     const bool failed = request->head.status >= 500;
     if (request->head.status < 300)
         note_sound(*request);
+    else if (!failed) // of a part of the prompt it says nothing: the target may not have begun to read it
+        suspect_requests_.add_sound({&request->fingerprint, 1}, context_.loop.now());
     context_.metrics.observe_first_byte(metric_kind(*request), context_.loop.now() - request->arrived);
     request->session->answer(request->head.status, forwarded_fields(request->head.fields), request->body);
     close_exchange(request,
@@ -328,8 +330,12 @@
     handle_lost_answer(request, reason);
 }
 
-/// Each attempt is evidence of its own: a target may break the connection and go on.
+/// Each attempt is evidence of its own: a target may break the connection and go on. But equal requests that
+/// were under way together broke off for one reason.
 void forwarder::note_broken_run(const caller_request& request) {
+    if (const auto latest = suspect_requests_.latest_crash(request.fingerprint);
+        latest && request.sent_at < *latest)
+        return;
     const auto attempt =
         core::common::hash_of(request.request_id, static_cast<std::uint64_t>(request.send_count));
     suspect_requests_.add_crash({&request.fingerprint, 1}, attempt, context_.loop.now());
--- a/tests/core/suspect_parts_test.cpp
+++ b/tests/core/suspect_parts_test.cpp
@@ -142,6 +142,17 @@
         EXPECT_TRUE(blocks(process, bad_part, start + 8min + 1s));
 }
 
+TEST(suspect_requests, latest_crash_is_that_of_any_process) {
+    suspect_parts own{whole_request_options};
+    suspect_parts other{whole_request_options};
+    EXPECT_FALSE(own.latest_crash(bad_part));
+    own.add_crash(std::vector{bad_part}, 1, start);
+    other.add_crash(std::vector{bad_part}, 2, start + 3s);
+    for (const auto& report : other.reports(start + 3s))
+        own.merge(report, start + 3s);
+    EXPECT_EQ(own.latest_crash(bad_part), start + 3s);
+}
+
 TEST(suspect_requests, only_new_evidence_and_blocked_requests_are_told_and_within_the_bound) {
     suspect_parts suspects{whole_request_options};
     for (part_id request = 1; request <= 300; ++request)
--- a/tests/programs/test_gateway_repeated_crashes.py
+++ b/tests/programs/test_gateway_repeated_crashes.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """waxwing-gateway and a request that crashes each target that runs it and comes again at one gateway after the other."""
 import sys
+import threading
 import time
 
 from gateway_fleet import Fleet, expect
@@ -63,8 +64,24 @@
         expect(retry_at(fleet, [0, 1], b"lot", "/lookup/1"), [200, 200], "the lookup at both gateways")
 
 
+def equal_requests_under_way_at_a_target_that_ends_once_are_not_blocked():
+    with Fleet(ARGUMENTS.bin) as fleet:
+        target = fleet_with_fragile_target(fleet)
+        target.hold.clear()
+        callers = [threading.Thread(target=fleet.ask, args=("/cert/1", fleet.headers(), b"poison")) for _ in range(4)]
+        for caller in callers:
+            caller.start()
+        wait_until(lambda: len(target.runs) == len(callers), "all of them run")
+        target.hold.set()
+        for caller in callers:
+            caller.join()
+        target.break_on_body = None
+        expect(retry_at(fleet, [0]), [200], "the same request afterwards")
+
+
 if __name__ == "__main__":
     run_cases([request_that_crashes_targets_stops_after_the_third_wherever_it_comes_again,
                request_that_crashes_targets_stays_blocked_at_a_gateway_that_starts_later,
-               lookup_that_met_broken_connections_is_served_again_once_it_was_answered])
+               lookup_that_met_broken_connections_is_served_again_once_it_was_answered,
+               equal_requests_under_way_at_a_target_that_ends_once_are_not_blocked])
     sys.exit(0)
