A registration that can't be used for a moment doesn't say that its target has left

Cause: such an entry was applied as a removal, which is also news for peers. The class: 'not known' stored as 'known to be gone'.

Change: the directory forgets such a target, without a record of its leaving; lists and watches alike. Ruled out: keeping the target in use, since such an entry names none (PROTOCOL.md).

target_directory.a_registration_that_can_not_be_used_for_a_moment_does_not_say_that_its_target_has_left states it; the old code has no such change to apply, so it could not be run there. programs.test_gateway_store_entries passes. Open, and older: in fleets of several groups a departure that was only heard is passed on until the target starts again.

--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -53,10 +53,16 @@
     for (const target_change& change : changes)
         if (change.entry)
             upsert(*change.entry, now);
+        else if (change.unusable)
+            forget(change.id);
         else
             remove(change.id, now);
 }
 
+void directory::forget(const std::string& id) {
+    targets_.erase(id);
+}
+
 void directory::replace_all(const std::vector<target_entry>& entries, time_point now, list_source source) {
     if (source == list_source::restored_store) {
         in_store_outage_ = outage_reported_only_ = false;
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -61,7 +61,8 @@
 /// One change of a registration, as a watch reports it.
 struct target_change {
     std::string id;
-    std::optional<target_entry> entry; // nullopt: the registration was removed
+    std::optional<target_entry> entry; // nullopt: the registration was removed, or can't be used
+    bool unusable = false;             // it can't be used, which doesn't say that its target has left
 };
 
 /// Where a complete list of registrations comes from.
@@ -89,6 +90,7 @@
                      list_source source = list_source::store);
     void upsert(const target_entry& entry, common::time_point now);
     void remove(const std::string& id, common::time_point now);
+    void forget(const std::string& id); // its registration names no target any more; it may name one again
 
     // The store's state, as seen by the calls to it.
     void store_failed(); // a call failed or timed out
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -310,6 +310,8 @@
         if (auto entry = decode_target(object)) {
             log_target(*entry, "listed");
             entries.push_back(std::move(*entry));
+        } else {
+            context_.directory.forget(object.name);
         }
     context_.directory.replace_all(entries, context_.loop.now(), source);
     callbacks_.on_targets();
@@ -327,7 +329,7 @@
             changes.push_back({object.name, std::move(entry)});
         } else {
             // Whatever the entry named before, it names no target now.
-            changes.push_back({object.name, std::nullopt});
+            changes.push_back({object.name, std::nullopt, true});
         }
     }
     context_.directory.apply(changes, context_.loop.now());
--- a/tests/core/fleet_test.cpp
+++ b/tests/core/fleet_test.cpp
@@ -285,6 +285,22 @@
     EXPECT_EQ(targets.expire(start + 1s + fleet::lapse_grace), (std::vector<std::string>{"t1"}));
 }
 
+TEST(target_directory,
+     a_registration_that_can_not_be_used_for_a_moment_does_not_say_that_its_target_has_left) {
+    directory targets;
+    directory peer;
+    for (directory* each : {&targets, &peer})
+        each->upsert(entry("t1"), start);
+    targets.apply({{"t1", std::nullopt, true}}, start + 1s);
+    EXPECT_EQ(targets.find("t1"), nullptr);
+    EXPECT_TRUE(targets.leaving_targets().empty()) << "peers would take it for gone until it starts again";
+    targets.apply({{"t1", entry("t1")}}, start + 2s);
+    ASSERT_NE(targets.find("t1"), nullptr);
+    EXPECT_FALSE(targets.find("t1")->leaving());
+    peer.merge_from_peer(entry("t1"), start + 2s);
+    EXPECT_FALSE(peer.find("t1")->leaving());
+}
+
 TEST(target_directory, a_target_that_says_it_leaves_gets_no_more_requests_until_it_starts_again) {
     directory targets;
     targets.replace_all({entry("t1", 1)}, start);
