A pass over the waiting requests skips those that a pass within it has sent

If a target's entry went while a request is sent to it, sending would begin a pass of its own inside the first, which then sent the same requests again from its list (TWICE). No sequence of events leads there today: the directory doesn't change within a pass. The check makes that independent of it. No test: the state can't be reached from outside.

--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -105,9 +105,11 @@
 /// Tries to send each waiting request and refuses those whose wait limit has passed.
 void dispatcher::dispatch_waiting() {
     dispatch_pass current_pass;
-    for (const caller_request_ptr& request : waiting_in_order())
-        if (context_.loop.now() >= request->not_before)
+    for (const caller_request_ptr& request : waiting_in_order()) {
+        const bool still_waits = waiting_.contains(request->arrival_number); // sending one may start a pass
+        if (still_waits && context_.loop.now() >= request->not_before)
             try_dispatch(request, current_pass);
+    }
     for (const auto& [request, why, retry_after] : current_pass.refused) {
         withdraw(request);
         callbacks_.on_refuse(request, why, retry_after);
