--- a/bench/limits_bench.cpp
+++ b/bench/limits_bench.cpp
@@ -63,7 +63,7 @@
     double draws = 0;
     const auto draw = [&] {
         if (const auto order = grant_cache.next_draw(now)) {
-            grant_cache.draw_answered(now, order->id, bucket.draw(now, order->wanted, order->settled));
+            grant_cache.draw_answered(now, order->id, bucket.draw(now, order->requested, order->settled));
             ++draws;
         }
     };
--- a/src/core/dispatch/request_target_choice.cpp
+++ b/src/core/dispatch/request_target_choice.cpp
@@ -16,17 +16,18 @@
 
 enum class fit { fits, wrong_model, wrong_adapter, loading };
 
-fit model_fit(const fleet::target& target, const fleet::model_ref& wanted) {
-    if (wanted.model.empty())
+fit model_fit(const fleet::target& target, const fleet::model_ref& requested) {
+    if (requested.model.empty())
         return fit::fits;
-    const auto loaded = target.entry.models.find(wanted.model);
+    const auto loaded = target.entry.models.find(requested.model);
     if (loaded == target.entry.models.end())
-        return target.coming.contains(wanted.model) ? fit::loading : fit::wrong_model;
-    if (wanted.adapter.empty())
+        return target.coming.contains(requested.model) ? fit::loading : fit::wrong_model;
+    if (requested.adapter.empty())
         return fit::fits;
     const auto& adapters = loaded->second;
-    return std::find(adapters.begin(), adapters.end(), wanted.adapter) != adapters.end() ? fit::fits
-                                                                                         : fit::wrong_adapter;
+    return std::find(adapters.begin(), adapters.end(), requested.adapter) != adapters.end()
+               ? fit::fits
+               : fit::wrong_adapter;
 }
 
 double fullness(const candidate& option) {
--- a/src/core/limits/bucket.cpp
+++ b/src/core/limits/bucket.cpp
@@ -28,19 +28,20 @@
       assumed_until_(taken_over + grant_term + lapse_margin), assumed_(std::max(left.outstanding, 0.0)),
       reserved_(std::clamp(left.reserve, 0.0, burst())), proposed_(reserved_) {}
 
-draw_answer bucket::draw(common::time_point now, std::int64_t wanted, std::span<const settlement> settled) {
+draw_answer bucket::draw(common::time_point now, std::int64_t requested,
+                         std::span<const settlement> settled) {
     advance(now);
     for (const settlement& report : settled)
         settle(report);
-    if (wanted <= 0 || closed_)
+    if (requested <= 0 || closed_)
         return {0, 0, {}, closed_ ? common::duration{grant_term} : common::duration{}};
 
-    recent_demand_ += static_cast<double>(wanted);
+    recent_demand_ += static_cast<double>(requested);
     const auto available = static_cast<std::int64_t>(std::floor(tokens_));
     draw_answer out;
-    out.tokens = std::clamp<std::int64_t>(wanted, 0, available);
-    if (out.tokens < wanted)
-        out.retry_after = wait_for(static_cast<double>(wanted));
+    out.tokens = std::clamp<std::int64_t>(requested, 0, available);
+    if (out.tokens < requested)
+        out.retry_after = wait_for(static_cast<double>(requested));
     if (out.tokens == 0)
         return out;
     out.grant = (fencing_ << fencing_shift) + ++issued_;
@@ -107,9 +108,9 @@
     clip();
 }
 
-bool bucket::needs_write(common::time_point now, std::int64_t wanted) {
+bool bucket::needs_write(common::time_point now, std::int64_t requested) {
     advance(now);
-    const double needed = std::min(static_cast<double>(wanted), std::floor(burst()));
+    const double needed = std::min(static_cast<double>(requested), std::floor(burst()));
     if (closed_ || limits_.lapsed || tokens_ >= needed || reserved_ < 1)
         return false;
     recent_demand_ += needed;
--- a/src/core/limits/bucket.hpp
+++ b/src/core/limits/bucket.hpp
@@ -43,9 +43,10 @@
 /// Answer to a draw; grants nothing if `tokens` is 0.
 struct draw_answer {
     grant_id grant = 0;
-    std::int64_t tokens = 0;        // at most the amount wanted and the amount available
-    common::duration valid_for{};   // counted by the router from before it sent the draw
-    common::duration retry_after{}; // until `wanted` (at most the burst) is available: 0 if it is, or `never`
+    std::int64_t tokens = 0;      // at most the amount requested and the amount available
+    common::duration valid_for{}; // counted by the router from before it sent the draw
+    common::duration
+        retry_after{}; // until `requested` (at most the burst) is available: 0 if it is, or `never`
 };
 
 /// State that a holder passes to its successor at a planned handover.
@@ -78,8 +79,8 @@
     bucket(common::time_point taken_over, std::int64_t fencing, bucket_limits limits,
            predecessor_state left = {});
 
-    /// Applies the settlements, then grants up to `wanted` tokens; 0: only settles.
-    draw_answer draw(common::time_point now, std::int64_t wanted, std::span<const settlement> settled);
+    /// Applies the settlements, then grants up to `requested` tokens; 0: only settles.
+    draw_answer draw(common::time_point now, std::int64_t requested, std::span<const settlement> settled);
 
     /// Changes rate, burst or share; a lower burst takes effect at once.
     void change_limits(common::time_point now, bucket_limits limits);
@@ -96,9 +97,9 @@
     double propose_reserve(common::time_point now);
     /// The write with the newest proposal has taken effect: a lower reserve frees tokens.
     void confirm_reserve(common::time_point now);
-    /// True if a draw of `wanted` exceeds the free tokens and part of the reserve could serve it: the next
+    /// True if a draw of `requested` exceeds the free tokens and part of the reserve could serve it: the next
     /// proposal then lowers the reserve.
-    [[nodiscard]] bool needs_write(common::time_point now, std::int64_t wanted);
+    [[nodiscard]] bool needs_write(common::time_point now, std::int64_t requested);
     [[nodiscard]] double reserved() const { return reserved_; } // set aside
 
     [[nodiscard]] double tokens(common::time_point now); // free for grants
--- a/src/core/limits/grant_cache.cpp
+++ b/src/core/limits/grant_cache.cpp
@@ -91,13 +91,13 @@
         return std::nullopt;
     return_expiring_tokens(now);
     draw_order out{0, amount_to_draw(now), settlements()};
-    if (out.wanted == 0 && (out.settled.empty() || now < settle_after_))
+    if (out.requested == 0 && (out.settled.empty() || now < settle_after_))
         return std::nullopt;
     settle_after_ = now + settle_gap;
     for (const settlement& entry : out.settled)
         grants_.at(entry.grant).reported = entry;
     out.id = ++last_id_;
-    in_flight_ = draw_in_progress{out.id, now, out.wanted, out.settled};
+    in_flight_ = draw_in_progress{out.id, now, out.requested, out.settled};
     return out;
 }
 
@@ -117,10 +117,10 @@
     for (const settlement& entry : in_flight_->settled)
         if (const auto found = grants_.find(entry.grant); found != grants_.end())
             found->second.confirmed = entry;
-    if (answer.tokens < in_flight_->wanted) {
+    if (answer.tokens < in_flight_->requested) {
         draw_after_ = now + std::clamp(answer.retry_after, shortage_hold_min, shortage_hold_max);
         shortage_retry_after_ = answer.retry_after;
-        shortage_ = in_flight_->wanted - answer.tokens;
+        shortage_ = in_flight_->requested - answer.tokens;
     }
     waiting_ = 0;
     in_flight_.reset();
--- a/src/core/limits/grant_cache.hpp
+++ b/src/core/limits/grant_cache.hpp
@@ -36,7 +36,7 @@
 /// A draw to send to the customer's holder.
 struct draw_order {
     draw_id id = 0;
-    std::int64_t wanted = 0; // tokens; 0: only settles
+    std::int64_t requested = 0; // tokens; 0: only settles
     std::vector<settlement> settled;
 };
 
@@ -86,7 +86,7 @@
     struct draw_in_progress {
         draw_id id = 0;
         common::time_point sent{};
-        std::int64_t wanted = 0;
+        std::int64_t requested = 0;
         std::vector<settlement> settled;
     };
 
--- a/src/core/membership/announcements.cpp
+++ b/src/core/membership/announcements.cpp
@@ -23,10 +23,11 @@
     return std::clamp(period_per_member * static_cast<int>(members), min_period, max_period);
 }
 
-bool is_informant(const std::string& self, const std::string& asker, std::span<const std::string> others) {
-    const auto own_rank = common::rendezvous_rank(self, asker);
+bool is_informant(const std::string& self, const std::string& requester,
+                  std::span<const std::string> others) {
+    const auto own_rank = common::rendezvous_rank(self, requester);
     const auto higher_ranked = std::count_if(others.begin(), others.end(), [&](const std::string& other) {
-        return common::rendezvous_rank(other, asker) > own_rank;
+        return common::rendezvous_rank(other, requester) > own_rank;
     });
     return higher_ranked < informant_count;
 }
--- a/src/core/membership/announcements.hpp
+++ b/src/core/membership/announcements.hpp
@@ -19,9 +19,9 @@
 /// s).
 [[nodiscard]] common::milliseconds announcement_period(std::size_t members);
 
-/// True if `self` is one of the few gateways that send the registrations to `asker`. `others`: the other
-/// gateways that `self` knows to be in contact with the asker and to read the store.
-[[nodiscard]] bool is_informant(const std::string& self, const std::string& asker,
+/// True if `self` is one of the few gateways that send the registrations to `requester`. `others`: the other
+/// gateways that `self` knows to be in contact with the requester and to read the store.
+[[nodiscard]] bool is_informant(const std::string& self, const std::string& requester,
                                 std::span<const std::string> others);
 
 /// Decides which subjects go into the next announcement. A changed subject is repeated for a short time,
--- a/src/core/placement/replica_set.cpp
+++ b/src/core/placement/replica_set.cpp
@@ -28,7 +28,7 @@
     bool changed = false;
 
     void unload(member& entry) {
-        entry.wanted = intent::unload;
+        entry.intended = intent::unload;
         entry.since = next.number;
         changed = true;
     }
@@ -39,12 +39,12 @@
     try {
         result.current_.number = value.at("number").get<std::int64_t>();
         for (const json& item : value.at("members")) {
-            const auto wanted = item.at("wanted").get<std::string>();
-            if (wanted != "load" && wanted != "unload")
+            const auto action = item.at("wanted").get<std::string>();
+            if (action != "load" && action != "unload")
                 return std::nullopt;
             result.current_.members.push_back(
                 {item.at("target").get<std::string>(), item.at("version").get<std::string>(),
-                 wanted == "load" ? intent::load : intent::unload, item.at("since").get<std::int64_t>()});
+                 action == "load" ? intent::load : intent::unload, item.at("since").get<std::int64_t>()});
         }
     } catch (const json::exception&) {
         return std::nullopt;
@@ -57,7 +57,7 @@
     for (const member& entry : value.members)
         members.push_back({{"target", entry.target},
                            {"version", entry.version},
-                           {"wanted", entry.wanted == intent::load ? "load" : "unload"},
+                           {"wanted", entry.intended == intent::load ? "load" : "unload"},
                            {"since", entry.since}});
     return {{"number", value.number}, {"members", std::move(members)}};
 }
@@ -80,7 +80,7 @@
     ++work.next.number;
     drop_members(work);
     add_members(work);
-    unload_unwanted_members(work);
+    unload_surplus_members(work);
     unload_surplus(work);
     if (!work.changed)
         return std::nullopt;
@@ -119,12 +119,12 @@
         const agent_state known = found == agent_states_.end() ? agent_state{} : found->second;
         if (now < known.order_due)
             continue;
-        const bool load = entry.wanted == intent::load;
+        const bool load = entry.intended == intent::load;
         if (load && (known.state != member_state::unknown || !view->usable()))
             continue;
         if (!load && unloaded_.contains(entry.target))
             continue;
-        due.push_back({entry.wanted, entry.target, entry.version, view->boot, entry.since});
+        due.push_back({entry.intended, entry.target, entry.version, view->boot, entry.since});
     }
     return due;
 }
@@ -140,7 +140,7 @@
     if (mine == nullptr || outcome.decision != mine->since)
         return; // the answer to an order that a later decision replaced
     agent_state& known = agent_states_[outcome.target];
-    const bool load = mine->wanted == intent::load;
+    const bool load = mine->intended == intent::load;
     switch (outcome.result) {
     case order_result::loading:
         if (load && known.state != member_state::loaded)
@@ -169,7 +169,7 @@
 
 void replica_set::on_report(const std::string& target, member_state state, common::duration idle) {
     const member* mine = find_member(current_, target);
-    if (mine == nullptr || mine->wanted == intent::unload)
+    if (mine == nullptr || mine->intended == intent::unload)
         return; // only the answer to the unload order shows that no load can still arrive
     agent_state& known = agent_states_[target];
     known.state = state;
@@ -214,7 +214,7 @@
 
 /// True if the member should serve and its target is expected to be able to.
 bool replica_set::serves(const plan_state& work, const member& entry) const {
-    if (entry.wanted == intent::unload || entry.version != work.input.version ||
+    if (entry.intended == intent::unload || entry.version != work.input.version ||
         failed_.contains(entry.target))
         return false;
     const target_view* view = find_view(work.input.targets, entry.target);
@@ -250,7 +250,7 @@
 
 bool replica_set::used_recently(const member& entry, common::duration idle_limit) const {
     const auto found = agent_states_.find(entry.target);
-    return entry.wanted == intent::load && found != agent_states_.end() &&
+    return entry.intended == intent::load && found != agent_states_.end() &&
            found->second.state == member_state::loaded && found->second.idle < idle_limit;
 }
 
@@ -270,8 +270,8 @@
     for (const auto& [target, until] : avoid_until_)
         taken.push_back(target);
     const int most = 2 * in.max_replicas; // including replacements
-    const int wanted = desired(work);
-    while (kept < wanted && static_cast<int>(work.next.members.size()) < most) {
+    const int target_count = desired(work);
+    while (kept < target_count && static_cast<int>(work.next.members.size()) < most) {
         const auto choice = choose_replica_target(in.targets, in.bytes, in.times, taken, centres);
         if (!choice)
             return;
@@ -283,7 +283,7 @@
     }
 }
 
-void replica_set::unload_unwanted_members(plan_state& work) const {
+void replica_set::unload_surplus_members(plan_state& work) const {
     const auto serving = [&](const member& entry) {
         return serves(work, entry) && state_of(entry.target) == member_state::loaded;
     };
@@ -294,7 +294,7 @@
     const bool served = std::any_of(members.begin(), members.end(), serving);
     const bool replaced_soon = std::any_of(members.begin(), members.end(), coming);
     for (member& entry : members) {
-        if (entry.wanted == intent::unload || serves(work, entry))
+        if (entry.intended == intent::unload || serves(work, entry))
             continue;
         const bool failed = failed_.contains(entry.target);
         if (silent(work.now, entry.target) && !failed)
--- a/src/core/placement/replica_set.hpp
+++ b/src/core/placement/replica_set.hpp
@@ -32,8 +32,8 @@
 struct member {
     std::string target;
     std::string version; // of the model's weights
-    intent wanted = intent::load;
-    std::int64_t since = 0; // number of the decision that set `wanted`; sent with its orders
+    intent intended = intent::load;
+    std::int64_t since = 0; // number of the decision that set `intended`; sent with its orders
 };
 
 /// A numbered list of targets.
@@ -145,7 +145,7 @@
 
     void note_silence(common::time_point now, std::span<const target_view> targets);
     void drop_members(plan_state& work) const;
-    void unload_unwanted_members(plan_state& work) const;
+    void unload_surplus_members(plan_state& work) const;
     void add_members(plan_state& work) const;
     void unload_surplus(plan_state& work);
     [[nodiscard]] bool serves(const plan_state& work, const member& one) const;
--- a/src/core/placement/weight_slots.cpp
+++ b/src/core/placement/weight_slots.cpp
@@ -9,11 +9,11 @@
 using namespace std::chrono_literals;
 
 slot_answer weight_slots::request(common::time_point now, const slot_claim& claim) {
-    if (const auto mine = held_.find(claim.asker); mine != held_.end()) {
+    if (const auto mine = held_.find(claim.requester); mine != held_.end()) {
         mine->second.until = now + limits_.max_hold_time;
         return {true, {}};
     }
-    auto [place, added] = queue_.try_emplace(claim.asker);
+    auto [place, added] = queue_.try_emplace(claim.requester);
     if (added) {
         place->second.order = ++arrivals_;
         // Start-time fair queuing: a customer's next load starts at the virtual finish of its last one.
@@ -24,17 +24,17 @@
     place->second.claim = claim;
     place->second.renewed_at = now;
     admit(now);
-    if (held_.contains(claim.asker)) {
-        std::erase(granted_, claim.asker); // this answer reports the grant
+    if (held_.contains(claim.requester)) {
+        std::erase(granted_, claim.requester); // this answer reports the grant
         return {true, {}};
     }
     return {false, estimate(now)};
 }
 
-void weight_slots::release(common::time_point now, const std::string& asker) {
-    held_.erase(asker);
-    queue_.erase(asker);
-    std::erase(granted_, asker);
+void weight_slots::release(common::time_point now, const std::string& requester) {
+    held_.erase(requester);
+    queue_.erase(requester);
+    std::erase(granted_, requester);
     admit(now);
 }
 
@@ -71,10 +71,10 @@
     for (auto queued = next_claim(now); queued != queue_.end(); queued = next_claim(now)) {
         const slot_claim& claim = queued->second.claim;
         virtual_time_ = std::max(virtual_time_, queued->second.start);
-        held_[claim.asker] = {now + limits_.max_hold_time, claim.adapters};
+        held_[claim.requester] = {now + limits_.max_hold_time, claim.adapters};
         if (claim.adapters == 0)
             started_.push_back(now);
-        granted_.push_back(claim.asker);
+        granted_.push_back(claim.requester);
         queue_.erase(queued);
     }
     std::erase_if(finish_, [this](const auto& entry) { return entry.second <= virtual_time_; });
@@ -99,7 +99,7 @@
 bool weight_slots::has_room(common::time_point now, const slot_claim& claim) const {
     if (claim.adapters > 0) {
         int in_flight = 0;
-        for (const auto& [asker, slot] : held_)
+        for (const auto& [requester, slot] : held_)
             in_flight += slot.adapters;
         return in_flight + claim.adapters <= limits_.adapters_in_flight || in_flight == 0;
     }
--- a/src/core/placement/weight_slots.hpp
+++ b/src/core/placement/weight_slots.hpp
@@ -25,7 +25,7 @@
 
 /// A request for a slot.
 struct slot_claim {
-    std::string asker;             // "<steward>|<service>/<model>|<target>": one load
+    std::string requester;         // "<steward>|<service>/<model>|<target>": one load
     std::string customer;          // whose request has waited longest; empty if none
     double weight = 1;             // of the customer
     int adapters = 0;              // >0: loads this many adapters instead of model weights
@@ -41,10 +41,10 @@
 public:
     explicit weight_slots(slot_limits limits) : limits_(limits) {}
 
-    /// Requests a slot or renews a request: the same asker keeps its place in the queue, or its slot.
+    /// Requests a slot or renews a request: the same requester keeps its place in the queue, or its slot.
     slot_answer request(common::time_point now, const slot_claim& claim);
     /// Frees the slot or drops the claim: the load has ended or was given up.
-    void release(common::time_point now, const std::string& asker);
+    void release(common::time_point now, const std::string& requester);
     /// Askers granted a slot since the last call, which have to be notified.
     std::vector<std::string> granted(common::time_point now);
 
@@ -68,8 +68,8 @@
     [[nodiscard]] bool has_room(common::time_point now, const slot_claim& claim) const;
 
     slot_limits limits_;
-    std::map<std::string, queued_claim> queue_; // by asker
-    std::map<std::string, held> held_;          // by asker
+    std::map<std::string, queued_claim> queue_; // by requester
+    std::map<std::string, held> held_;          // by requester
     std::map<std::string, double> finish_; // virtual finish time of each customer's last load, by customer
     std::vector<std::string> granted_;
     std::deque<common::time_point> started_; // start times within the last second
--- a/src/edge/http_client.hpp
+++ b/src/edge/http_client.hpp
@@ -22,7 +22,8 @@
     core::common::milliseconds connect_timeout{500};
     core::common::milliseconds stall_timeout{0}; // longest time without a received byte; 0: none
     bool send_once = false; // uses a new connection, as libcurl may resend a request on a reused one
-    /// Its connection is reset when it closes, so that the peer gets nothing more of a call that was given up.
+    /// Its connection is reset when it closes, so that the peer gets nothing more of a call that was given
+    /// up.
     bool withdrawn_when_ended = false;
 };
 
--- a/src/programs/experiment/rates.cpp
+++ b/src/programs/experiment/rates.cpp
@@ -72,7 +72,7 @@
         const auto order = grant_cache.next_draw(now);
         if (!order)
             return false;
-        const auto answer = bucket.draw(now + round_trip / 2, order->wanted, order->settled);
+        const auto answer = bucket.draw(now + round_trip / 2, order->requested, order->settled);
         now += round_trip;
         grant_cache.draw_answered(now, order->id, answer);
     }
@@ -88,7 +88,7 @@
         for (limits::grant_cache& one : grant_caches)
             if (const auto order = one.next_draw(now)) {
                 one.draw_answered(now + round_trip, order->id,
-                                  bucket.draw(now, order->wanted, order->settled));
+                                  bucket.draw(now, order->requested, order->settled));
                 ++draws;
             }
 }
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "platform/target_notice.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace waxwinglb::programs::gateway {
 namespace {
@@ -18,30 +17,14 @@
 constexpr milliseconds max_unreachable_backoff{2'000}; // the pause doubles up to this
 constexpr milliseconds min_missing_model_backoff{150}; // pause for a model that the target doesn't hold
 constexpr milliseconds max_missing_model_backoff{1'200}; // the pause doubles up to this
-constexpr double arrival_rate_time_constant_s = 4.0;     // time constant of the arrival rates
-constexpr double engine_slot_fraction = 0.75; // of an engine's slots in use; a full batch delays first tokens
-constexpr int plain_service_queue = 2;        // requests that may queue at a plain service beyond its slots
 constexpr milliseconds min_wait_check{20};
-constexpr milliseconds peer_news_interval{20}; // between two passes over the queue because of peers' loads
-
-double seconds(duration value) {
-    return std::chrono::duration<double>(value).count();
-}
-
-/// Requests for models have prompts, which are sent in turns.
-bool uses_prompt_turns(const core::fleet::model_ref& model) {
-    return !model.model.empty();
-}
+constexpr milliseconds peer_update_interval{20}; // between two passes over the queue because of peers' loads
 
 /// Prompt tokens that a turn is for. A plain request counts as one: 0 stands for a turn that was not used.
 int turn_size(const caller_request& request) {
     return std::max(1, request.prompt_tokens);
 }
 
-double decay(double sum, duration age) {
-    return sum * std::exp(-seconds(age) / arrival_rate_time_constant_s);
-}
-
 } // namespace
 
 void dispatcher::submit(const caller_request_ptr& request) {
@@ -78,7 +61,7 @@
     if (dispatch_soon_ || waiting_.empty())
         return;
     dispatch_soon_ = true;
-    context_.loop.schedule(context_.loop.now() + peer_news_interval, [this] {
+    context_.loop.schedule(context_.loop.now() + peer_update_interval, [this] {
         dispatch_soon_ = false;
         dispatch_waiting();
     });
@@ -253,7 +236,7 @@
                            {{"born", from.born}, {"status", status}, {"fields", notice.not_understood}});
     if (notice.leaving && context_.directory.note_said_leaving(from, now)) {
         context_.log.write(edge::events::target_leaving, from.id, {{"born", from.born}, {"status", status}});
-        callbacks_.on_urgent_news();
+        callbacks_.on_urgent_update();
     }
     if (notice.limit || call == answered_call::request)
         note_limit(from, notice.limit);
@@ -269,7 +252,7 @@
     if (!context_.target_limits.note({from, per_second, context_.loop.now()}))
         return;
     log_limit(from, per_second, context_.settings.name);
-    callbacks_.on_urgent_news();
+    callbacks_.on_urgent_update();
     schedule_dispatch();
 }
 
@@ -302,74 +285,6 @@
     });
 }
 
-int dispatcher::limit_of(const core::fleet::target& target) const {
-    const auto* service = context_.config->find_service(target.entry.service);
-    if (service != nullptr && service->engine)
-        return std::max(1, static_cast<int>(target.entry.slots * engine_slot_fraction));
-    return target.entry.slots + plain_service_queue;
-}
-
-/// Whether the rate limit of a cold target allows a request. The limit holds for all gateways together: each
-/// uses an equal share.
-bool dispatcher::has_cold_allowance(const core::fleet::target& target, target_runtime& runtime) {
-    const time_point now = context_.loop.now();
-    if (now >= target.cold_until)
-        return true;
-    const auto* service = context_.config->find_service(target.entry.service);
-    if (service == nullptr || service->cold_rate <= 0)
-        return true;
-    const double rate = service->cold_rate / std::max(1, context_.gateway_count);
-    runtime.cold_tokens = std::min(1.0, runtime.cold_tokens + rate * seconds(now - runtime.cold_filled_at));
-    runtime.cold_filled_at = now;
-    return runtime.cold_tokens >= 1;
-}
-
-dispatcher::candidate_list dispatcher::candidates(const group_key& group, bool holders_only) {
-    const auto& [service, ref] = group;
-    candidate_list out;
-    for (const auto& [id, target] : context_.directory.targets()) {
-        if (target.entry.service != service)
-            continue;
-        const bool holds =
-            ref.model.empty() || target.entry.models.contains(ref.model) || target.coming.contains(ref.model);
-        if (holds || !holders_only)
-            out.push_back(make_candidate(target, ref));
-    }
-    return out;
-}
-
-core::dispatch::candidate dispatcher::make_candidate(const core::fleet::target& target,
-                                                     const core::fleet::model_ref& ref) {
-    const time_point now = context_.loop.now();
-    const std::string& id = target.entry.id;
-    target_runtime& runtime = runtimes_[id];
-    core::dispatch::candidate out;
-    out.target = &target;
-    out.load = runtime.running + peer_load_.at(id);
-    out.limit = limit_of(target);
-    out.failure_rate = runtime.failure_rate;
-    out.unread_tokens = runtime.unread_prompt_tokens;
-    out.unread_limit = ref.model.empty() ? 0 : context_.settings.prompt_tokens_at_once;
-    out.limited = turns_->is_limited(id);
-    if (const auto until = turns_->queued_until(id); until && (out.limited || uses_prompt_turns(ref))) {
-        out.turn_queued = true;
-        out.turn_at = *until;
-    }
-    out.reachable = now >= runtime.unreachable_until;
-    out.cold_allowance = has_cold_allowance(target, runtime);
-    if (const auto missing = runtime.missing_models.find(ref); missing != runtime.missing_models.end())
-        out.lacks_model = now < missing->second.until;
-    out.near = target.entry.data_centre == context_.settings.data_centre;
-    return out;
-}
-
-/// Brings one target's entry in a list up to date.
-void dispatcher::refresh(candidate_list& list, const std::string& target, const core::fleet::model_ref& ref) {
-    for (core::dispatch::candidate& option : list)
-        if (option.target->entry.id == target)
-            option = make_candidate(*option.target, ref);
-}
-
 void dispatcher::begin_attempt(const caller_request_ptr& request, const std::string& target) {
     request->target = target;
     request->sent_at = context_.loop.now();
@@ -479,35 +394,4 @@
     schedule_dispatch_soon();
 }
 
-std::map<core::fleet::model_ref, dispatcher::waiting_summary> dispatcher::waiting_by_model() const {
-    std::map<core::fleet::model_ref, waiting_summary> out;
-    for (const auto& [number, request] : waiting_) {
-        if (request->model.model.empty())
-            continue;
-        waiting_summary& sum = out[request->model];
-        sum.service = request->service;
-        sum.oldest = sum.count == 0 ? request->arrived : std::min(sum.oldest, request->arrived);
-        sum.priority = std::min(sum.priority, request->priority);
-        ++sum.count;
-    }
-    return out;
-}
-
-void dispatcher::count_arrival(const caller_request& request) {
-    if (request.model.model.empty())
-        return;
-    arrival_counter& sum = arrivals_[request.model];
-    sum.service = request.service;
-    sum.sum = decay(sum.sum, context_.loop.now() - sum.updated_at) + 1;
-    sum.updated_at = context_.loop.now();
-}
-
-std::map<core::fleet::model_ref, dispatcher::arrival_rate> dispatcher::arrival_rates() const {
-    std::map<core::fleet::model_ref, arrival_rate> out;
-    for (const auto& [ref, sum] : arrivals_)
-        out[ref] = {sum.service,
-                    decay(sum.sum, context_.loop.now() - sum.updated_at) / arrival_rate_time_constant_s};
-    return out;
-}
-
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -38,7 +38,7 @@
             on_refuse;
         std::function<void()> on_new_wait; // a request has started to wait
         std::function<void()>
-            on_urgent_news; // a target has said in an answer that it leaves, or another limit
+            on_urgent_update; // a target has said in an answer that it leaves, or another limit
     };
     dispatcher(gateway_context& context, callbacks handlers)
         : context_(context), callbacks_(std::move(handlers)) {}
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -47,7 +47,7 @@
            [this](const caller_request_ptr& request, core::dispatch::obstacle why, duration retry_after) {
                forwarder_.refuse(request, 503, core::dispatch::name_of(why), retry_after);
            },
-           [this] { peers_.notify_order_giver(); }, [this] { peers_.notify_urgent_news(); }}),
+           [this] { peers_.notify_order_giver(); }, [this] { peers_.notify_urgent_updates(); }}),
       admission_(context_, forwarder_, dispatcher_),
       watch_(context_, store_,
              {[this] {
@@ -61,7 +61,7 @@
               [this] {
                   update_readiness();
                   dispatcher_.schedule_dispatch();
-                  peers_.notify_urgent_news();
+                  peers_.notify_urgent_updates();
               },
               [this](const std::map<std::string, store_watch::member>& members) {
                   context_.gateway_count =
@@ -70,8 +70,10 @@
                   forwarder_.update_budgets();
               }}),
       boot_(unix_ms()), order_giver_(context_, lease_store_client_, client_, dispatcher_, boot_),
-      news_(context_, {dispatcher_, forwarder_, watch_, client_, [this] { return order_giver_.holdings(); }}),
-      peers_(context_, {dispatcher_, watch_, [this] { return order_giver_.gives_orders(); }}, news_, boot_),
+      updates_(context_,
+               {dispatcher_, forwarder_, watch_, client_, [this] { return order_giver_.holdings(); }}),
+      peers_(context_, {dispatcher_, watch_, [this] { return order_giver_.gives_orders(); }}, updates_,
+             boot_),
       turns_(context_,
              {[this](const std::string& to, const std::string& frame) { peers_.send_to(to, frame); },
               [this] { return peers_.coordinators(); }, [this] { dispatcher_.dispatch_waiting(); }}),
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -52,7 +52,7 @@
     store_watch watch_;
     std::int64_t boot_;
     order_giver order_giver_;
-    peer_news news_;
+    peer_updates updates_;
     peers peers_;
     prompt_turns turns_;
     edge::acceptor acceptor_;
--- a/src/programs/gateway/peer_news.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -1,4 +1,4 @@
-#include "programs/gateway/peer_news.hpp"
+#include "programs/gateway/peer_updates.hpp"
 
 #include "core/common/hash.hpp"
 #include "core/common/json_text.hpp"
@@ -86,7 +86,7 @@
 
 // ---- telling ---------------------------------------------------------------------------------------
 
-void peer_news::add_to(wire::peer_status& message) const {
+void peer_updates::add_to(wire::peer_status& message) const {
     message.config_version = context_.config ? context_.config->version : 0;
     message.config_address = context_.settings.metrics;
     message.centres_era = context_.centres.known_at().era;
@@ -109,7 +109,7 @@
     add_suspects_to(message);
 }
 
-void peer_news::add_limits_to(wire::peer_status& message) const {
+void peer_updates::add_limits_to(wire::peer_status& message) const {
     for (const auto& known : context_.target_limits.statements()) {
         wire::target_limit entry;
         entry.target = known.target.id;
@@ -121,7 +121,7 @@
 }
 
 /// What was heard holds for one start of a target, so passing it on ends with that start.
-std::vector<core::fleet::target_start> peer_news::leaving_to_tell() const {
+std::vector<core::fleet::target_start> peer_updates::leaving_to_tell() const {
     auto out = context_.directory.leaving_targets();
     if (!grouped_)
         return out;
@@ -133,7 +133,7 @@
     return out;
 }
 
-void peer_news::add_suspects_to(wire::peer_status& message) const {
+void peer_updates::add_suspects_to(wire::peer_status& message) const {
     const auto now = context_.loop.now();
     for (const auto& report : dependencies_.forward.suspects().reports(now))
         message.suspect_parts.push_back(encode_part(report));
@@ -141,17 +141,17 @@
         message.suspect_requests.push_back(encode_part(report));
 }
 
-std::vector<wire::stream_origins> peer_news::recent_origins() const {
+std::vector<wire::stream_origins> peer_updates::recent_origins() const {
     return encode_origins(
         context_.origins.own_since(context_.loop.now() - origin_repetition, max_new_origins));
 }
 
-std::vector<wire::stream_origins> peer_news::all_origins() const {
+std::vector<wire::stream_origins> peer_updates::all_origins() const {
     return encode_origins(context_.origins.all(max_all_origins));
 }
 
 /// Targets' models and starts (also of targets that became cold) that changed or are due for resending.
-peer_news::target_updates peer_news::due_updates() {
+peer_updates::target_updates peer_updates::due_updates() {
     const auto now = context_.loop.now();
     target_updates out;
     const auto holding_due = [&](const wire::target_holding& holding) {
@@ -166,15 +166,15 @@
     return out;
 }
 
-peer_news::target_updates peer_news::take_relayed() {
+peer_updates::target_updates peer_updates::take_relayed() {
     return {relayed_holdings_.take(max_updates), relayed_starts_.take(max_updates)};
 }
 
-bool peer_news::has_more(bool announces) const {
+bool peer_updates::has_more(bool announces) const {
     return (announces && updates_left_) || !relayed_holdings_.empty() || !relayed_starts_.empty();
 }
 
-std::vector<wire::target_registration> peer_news::registrations() const {
+std::vector<wire::target_registration> peer_updates::registrations() const {
     const auto now = context_.loop.now();
     std::vector<wire::target_registration> out;
     for (const auto& [id, target] : context_.directory.targets()) {
@@ -193,11 +193,11 @@
     return out;
 }
 
-bool peer_news::has_registrations(core::common::time_point now) const {
+bool peer_updates::has_registrations(core::common::time_point now) const {
     return dependencies_.watch.reads_targets() || now - adopted_outside_at_ <= adopted_retention;
 }
 
-bool peer_news::urgent_news_changed() {
+bool peer_updates::urgent_updates_changed() {
     std::string text;
     for (const auto& target : leaving_to_tell())
         text.append(target.id).append(" ").append(std::to_string(target.born)).append(" ");
@@ -209,10 +209,10 @@
             .append(std::to_string(known.per_second.value_or(no_limit)))
             .append(" ");
     const std::uint64_t urgent = core::common::hash_of(text);
-    return std::exchange(announced_urgent_news_, urgent) != urgent;
+    return std::exchange(announced_urgent_updates_, urgent) != urgent;
 }
 
-void peer_news::forget_old() {
+void peer_updates::forget_old() {
     holdings_updates_.forget_old(context_.loop.now());
     starts_updates_.forget_old(context_.loop.now());
     dependencies_.forward.suspects().expire(context_.loop.now());
@@ -224,8 +224,8 @@
 
 // ---- hearing ---------------------------------------------------------------------------------------
 
-peer_news::applied peer_news::apply(const wire::peer_status& message,
-                                    const std::optional<std::vector<std::string>>& own_speakers) {
+peer_updates::applied peer_updates::apply(const wire::peer_status& message,
+                                          const std::optional<std::vector<std::string>>& own_speakers) {
     for (const auto& part : message.suspect_parts)
         dependencies_.forward.suspects().merge(decode_part(part), context_.loop.now());
     for (const auto& request : message.suspect_requests)
@@ -253,7 +253,7 @@
     return {!relayed_holdings_.empty() || !relayed_starts_.empty(), departures || limits};
 }
 
-bool peer_news::apply_limits(const wire::peer_status& message) {
+bool peer_updates::apply_limits(const wire::peer_status& message) {
     bool any_new = false;
     for (const auto& entry : message.target_limits) {
         core::limits::limit_statement statement{
@@ -270,14 +270,14 @@
     return any_new;
 }
 
-bool peer_news::apply_departures(const wire::peer_status& message) {
+bool peer_updates::apply_departures(const wire::peer_status& message) {
     bool any_new = false;
     for (const auto& target : message.leaving_targets)
         any_new = context_.directory.mark_leaving({target.target, target.born}) || any_new;
     return any_new;
 }
 
-void peer_news::apply_centres(const wire::peer_status& message) {
+void peer_updates::apply_centres(const wire::peer_status& message) {
     const auto now = context_.loop.now();
     const core::common::store_position at{message.centres_era, message.centres_revision};
     bool changed =
@@ -288,13 +288,13 @@
         dependencies_.watch.centres_changed(at, message.process);
 }
 
-bool peer_news::knows_all_of(const wire::peer_status& message) const {
+bool peer_updates::knows_all_of(const wire::peer_status& message) const {
     const core::common::store_position centres_at{message.centres_era, message.centres_revision};
     return context_.config && context_.config->version >= message.config_version &&
            context_.centres.known_at() >= centres_at;
 }
 
-void peer_news::apply_store_state(const wire::peer_status& message) {
+void peer_updates::apply_store_state(const wire::peer_status& message) {
     for (const auto& start : message.starts)
         context_.directory.merge_from_peer(decode(start), context_.loop.now());
     if (!message.registrations.empty() && !dependencies_.watch.reads_targets())
@@ -306,7 +306,7 @@
         fetch_config(message.config_address);
 }
 
-void peer_news::adopt_registrations(const wire::peer_status& message) {
+void peer_updates::adopt_registrations(const wire::peer_status& message) {
     std::vector<core::fleet::target_entry> entries;
     for (const auto& registration : message.registrations)
         entries.push_back(decode(registration));
@@ -314,7 +314,7 @@
     dependencies_.dispatch.schedule_dispatch();
 }
 
-void peer_news::apply_holdings(const wire::peer_status& message) {
+void peer_updates::apply_holdings(const wire::peer_status& message) {
     for (const auto& holding : message.holdings) {
         std::map<std::string, std::vector<std::string>> models;
         for (const std::string& text : holding.models) {
@@ -333,7 +333,7 @@
         dependencies_.dispatch.schedule_dispatch();
 }
 
-void peer_news::fetch_config(const std::string& address) {
+void peer_updates::fetch_config(const std::string& address) {
     config_fetched_at_ = context_.loop.now();
     edge::client_request request;
     request.url = "http://" + address + "/peer/config";
--- a/src/programs/gateway/peer_news.hpp
+++ b/src/programs/gateway/peer_updates.hpp
@@ -20,7 +20,7 @@
 /// Updates of targets in one message, which takes about 30 kB with them. The rest goes with the next ones.
 constexpr std::size_t max_updates = 400;
 
-class peer_news {
+class peer_updates {
 public:
     struct dependencies {
         dispatcher& dispatch;
@@ -34,7 +34,7 @@
         std::vector<wire::target_holding> holdings;
         std::vector<wire::target_registration> starts;
     };
-    peer_news(gateway_context& context, dependencies used)
+    peer_updates(gateway_context& context, dependencies used)
         : context_(context), dependencies_(std::move(used)) {}
 
     /// In a fleet of several groups what was heard of leaving targets is passed on: not all hear who saw it.
@@ -53,7 +53,7 @@
     [[nodiscard]] bool has_registrations(core::common::time_point now) const;
     /// Whether the leaving targets, the targets' limits or the data centres taken out changed since the last
     /// call.
-    [[nodiscard]] bool urgent_news_changed();
+    [[nodiscard]] bool urgent_updates_changed();
 
     /// What a message brought that this gateway must tell others.
     struct applied {
@@ -90,7 +90,7 @@
     std::string next_holding_; // targets from there on come first in the next message
     std::string next_start_;
     bool updates_left_ = false;
-    std::uint64_t announced_urgent_news_ = 0; // hash of what was last announced
+    std::uint64_t announced_urgent_updates_ = 0; // hash of what was last announced
     core::common::time_point config_fetched_at_{};
     core::common::time_point adopted_outside_at_{}; // registrations from another group
 };
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -30,8 +30,8 @@
 
 } // namespace
 
-peers::peers(gateway_context& context, dependencies used, peer_news& news, std::int64_t boot)
-    : context_(context), dependencies_(std::move(used)), news_(news),
+peers::peers(gateway_context& context, dependencies used, peer_updates& updates, std::int64_t boot)
+    : context_(context), dependencies_(std::move(used)), updates_(updates),
       exchange_({context.settings.name, context.settings.data_centre, context.settings.peers, boot,
                  context.settings.processor_share},
                 context.settings.single_group) {}
@@ -68,8 +68,8 @@
     exchange_.expire(context_.quota, now);
     log_lost_peers();
     dependencies_.dispatch.set_peer_load(outside_load, exchange_.outside_running(now));
-    news_.forget_old();
-    news_.set_grouped(exchange_.grouped());
+    updates_.forget_old();
+    updates_.set_grouped(exchange_.grouped());
     send_status(audience::everybody);
     context_.loop.schedule(now + exchange_.period(now), [this] { tick(); });
 }
@@ -96,8 +96,8 @@
     schedule_status(audience::order_givers);
 }
 
-void peers::notify_urgent_news() {
-    if (news_.urgent_news_changed())
+void peers::notify_urgent_updates() {
+    if (updates_.urgent_updates_changed())
         notify_all();
 }
 
@@ -190,7 +190,7 @@
 wire::peer_status peers::message_of(const core::exchange::report& report) const {
     wire::peer_status out;
     encode_report(report, out);
-    news_.add_to(out);
+    updates_.add_to(out);
     return out;
 }
 
@@ -237,9 +237,9 @@
         if (details)
             from.add_demand_details(full);
         if (registrations)
-            full.registrations = from.news_.registrations();
+            full.registrations = from.updates_.registrations();
         if (all_origins)
-            full.origins = from.news_.all_origins();
+            full.origins = from.updates_.all_origins();
         frame = edge::encode_frame(wire::message_kind::peer_status, full.sequence, full);
         return frame;
     }
@@ -248,15 +248,15 @@
 void peers::send_status(audience to) {
     status_sent_at_ = context_.loop.now();
     const bool announces = to == audience::everybody && context_.reads_store_closely;
-    const auto updates = announces ? news_.due_updates() : peer_news::target_updates{};
+    const auto updates = announces ? updates_.due_updates() : peer_updates::target_updates{};
     send_to_members(to, updates);
     if (exchange_.grouped())
         send_outside(to, updates);
-    if (to == audience::everybody && news_.has_more(announces))
+    if (to == audience::everybody && updates_.has_more(announces))
         schedule_status(audience::everybody);
 }
 
-void peers::send_to_members(audience to, const peer_news::target_updates& updates) {
+void peers::send_to_members(audience to, const peer_updates::target_updates& updates) {
     const auto now = context_.loop.now();
     const auto order_givers = exchange_.order_givers(now);
     const auto is_receiver = [&](const std::string& name) {
@@ -269,10 +269,10 @@
     base.holdings = updates.holdings;
     base.starts = updates.starts;
     if (to == audience::everybody) {
-        const auto relayed = news_.take_relayed();
+        const auto relayed = updates_.take_relayed();
         base.holdings.insert(base.holdings.end(), relayed.holdings.begin(), relayed.holdings.end());
         base.starts.insert(base.starts.end(), relayed.starts.begin(), relayed.starts.end());
-        base.origins = news_.recent_origins();
+        base.origins = updates_.recent_origins();
     }
     frame_cache cache{std::move(base), {}};
     for (const std::string& name : members)
@@ -282,7 +282,7 @@
 }
 
 /// Sends to other groups: as a speaker to their speakers, and in any case to order givers.
-void peers::send_outside(audience to, const peer_news::target_updates& updates) {
+void peers::send_outside(audience to, const peer_updates::target_updates& updates) {
     const auto now = context_.loop.now();
     std::map<std::string, std::string> receivers; // addresses by name
     const bool announces = dependencies_.gives_orders() || context_.reads_store_closely;
@@ -323,9 +323,9 @@
 bool peers::sends_registrations_to(const std::string& peer) const {
     const auto now = context_.loop.now();
     const auto& known_peers = exchange_.peers();
-    const auto asker = known_peers.find(peer);
-    if (!news_.has_registrations(now) || asker == known_peers.end() || asker->second.last.reads_targets ||
-        !exchange_.hears(peer, now))
+    const auto requester = known_peers.find(peer);
+    if (!updates_.has_registrations(now) || requester == known_peers.end() ||
+        requester->second.last.reads_targets || !exchange_.hears(peer, now))
         return false;
     if (!dependencies_.watch.reads_targets()) // they came from another group, to two members at most
         return exchange_.members().contains(peer);
@@ -333,10 +333,10 @@
     for (const auto& [name, other] : known_peers) {
         const auto& heard = other.last.heard;
         // Speakers of other groups don't say whom they hear: all of them hear those of a group.
-        const bool hears_asker =
+        const bool hears_requester =
             !other.is_member || std::find(heard.begin(), heard.end(), peer) != heard.end();
-        if (name != peer && exchange_.hears(name, now) && other.last.reads_targets && hears_asker &&
-            other.is_member == asker->second.is_member)
+        if (name != peer && exchange_.hears(name, now) && other.last.reads_targets && hears_requester &&
+            other.is_member == requester->second.is_member)
             informants.push_back(name);
     }
     return core::membership::is_informant(context_.settings.name, peer, informants);
@@ -418,11 +418,11 @@
     std::optional<std::vector<std::string>> own_speakers; // set if the message comes from another group
     if (exchange_.grouped() && !report.own && report.group != exchange_.group())
         own_speakers = exchange_.own_speakers(now);
-    const auto applied = news_.apply(status, own_speakers);
+    const auto applied = updates_.apply(status, own_speakers);
     if (applied.updates)
         schedule_status(audience::everybody);
     if (applied.urgent && exchange_.grouped())
-        notify_urgent_news();
+        notify_urgent_updates();
 }
 
 void peers::log_lost_peers() {
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -1,11 +1,11 @@
 /// Messages between the gateways: datagrams, several times a second. Which gateway reports to which is
-/// decided in core/exchange; the news that they carry are in peer_news. The order giver also gets details of
-/// the models in use and in demand, from every gateway.
+/// decided in core/exchange; the news that they carry are in peer_updates. The order giver also gets details
+/// of the models in use and in demand, from every gateway.
 #pragma once
 
 #include "core/exchange/exchange.hpp"
 #include "edge/codec.hpp"
-#include "programs/gateway/peer_news.hpp"
+#include "programs/gateway/peer_updates.hpp"
 #include "programs/gateway/prompt_turns.hpp"
 
 #include <ace/SOCK_Dgram.h>
@@ -29,7 +29,7 @@
         store_watch& watch;
         std::function<bool()> gives_orders;
     };
-    peers(gateway_context& context, dependencies used, peer_news& news, std::int64_t boot);
+    peers(gateway_context& context, dependencies used, peer_updates& updates, std::int64_t boot);
     ~peers() override;
     peers(const peers&) = delete;
     peers& operator=(const peers&) = delete;
@@ -40,9 +40,9 @@
     bool start(); // false: the address can't be bound
     void change_members(const std::map<std::string, store_watch::member>& members);
     // Schedule a message soon, in addition to the periodic ones:
-    void notify_all();         // this gateway's orders changed the models on targets
-    void notify_order_giver(); // a request has started to wait
-    void notify_urgent_news(); // if leaving targets, limits of targets or data centres taken out changed
+    void notify_all();            // this gateway's orders changed the models on targets
+    void notify_order_giver();    // a request has started to wait
+    void notify_urgent_updates(); // if leaving targets, limits of targets or data centres taken out changed
     void announce_leaving();
     void send_to(const std::string& peer, const std::string& frame); // no effect if its address is unknown
 
@@ -69,8 +69,8 @@
     void tick();
     void schedule_status(audience to);
     void send_status(audience to);
-    void send_to_members(audience to, const peer_news::target_updates& updates);
-    void send_outside(audience to, const peer_news::target_updates& updates);
+    void send_to_members(audience to, const peer_updates::target_updates& updates);
+    void send_outside(audience to, const peer_updates::target_updates& updates);
     [[nodiscard]] wire::peer_status message_of(const core::exchange::report& report) const;
     [[nodiscard]] core::exchange::local_state local_state() const;
     void add_demand_details(wire::peer_status& to) const;
@@ -85,7 +85,7 @@
 
     gateway_context& context_;
     dependencies dependencies_;
-    peer_news& news_;
+    peer_updates& updates_;
     prompt_turns* turns_ = nullptr;
     core::exchange::exchange exchange_;
     ACE_SOCK_Dgram socket_;
--- a/src/programs/gateway/prompt_turns.hpp
+++ b/src/programs/gateway/prompt_turns.hpp
@@ -14,6 +14,11 @@
 
 namespace waxwinglb::programs::gateway {
 
+/// Requests for models have prompts, which are sent in turns.
+[[nodiscard]] inline bool uses_prompt_turns(const core::fleet::model_ref& model) {
+    return !model.model.empty();
+}
+
 class prompt_turns {
 public:
     struct callbacks {
--- a/src/programs/router/rates.cpp
+++ b/src/programs/router/rates.cpp
@@ -65,7 +65,7 @@
     entry.sent = now;
     wire::draw_request request;
     request.__set_customer(customer);
-    request.__set_wanted(draw->wanted);
+    request.__set_wanted(draw->requested);
     request.__set_router(context_.name);
     for (const core::limits::settlement& settled : draw->settled) {
         wire::grant_settlement settlement;
--- a/src/programs/steward/claims_service.cpp
+++ b/src/programs/steward/claims_service.cpp
@@ -86,7 +86,7 @@
 
 void claims_service::on_lost(int shard) {
     shards_.erase(shard);
-    for (auto it = askers_.begin(); it != askers_.end();) {
+    for (auto it = requesters_.begin(); it != requesters_.end();) {
         if (it->second.shard != shard) {
             ++it;
             continue;
@@ -94,13 +94,13 @@
         wire::not_holder out;
         out.__set_shard(shard);
         context_.links.send(it->second.link, kind::not_holder, it->second.call, out);
-        it = askers_.erase(it);
+        it = requesters_.erase(it);
     }
 }
 
-core::claims::ticket claims_service::add_asker(const edge::link_event& event, int shard,
-                                               const std::string& key, bool outcome) {
-    askers_[++last_ticket_] = {event.link, event.frame.header.call, shard, key, outcome};
+core::claims::ticket claims_service::add_requester(const edge::link_event& event, int shard,
+                                                   const std::string& key, bool outcome) {
+    requesters_[++last_ticket_] = {event.link, event.frame.header.call, shard, key, outcome};
     return last_ticket_;
 }
 
@@ -109,7 +109,7 @@
     const auto found = shards_.find(shard);
     if (found == shards_.end())
         return;
-    const auto ticket = add_asker(event, shard, request.record.key, false);
+    const auto ticket = add_requester(event, shard, request.record.key, false);
     const core::common::milliseconds remaining{std::max<std::int64_t>(0, request.remaining_ms)};
     found->second.log.claim_key(ticket, from_wire(request.record), remaining, now);
     advance(shard, found->second, now);
@@ -120,7 +120,7 @@
     const auto found = shards_.find(shard);
     if (found == shards_.end())
         return;
-    const auto ticket = add_asker(event, shard, message.record.key, true);
+    const auto ticket = add_requester(event, shard, message.record.key, true);
     found->second.log.record_outcome(ticket, from_wire(message.record), now);
     advance(shard, found->second, now);
 }
@@ -192,11 +192,11 @@
 }
 
 void claims_service::send_answer(const core::claims::answer& answer) {
-    const auto found = askers_.find(answer.to);
-    if (found == askers_.end())
+    const auto found = requesters_.find(answer.to);
+    if (found == requesters_.end())
         return;
-    const asker to = found->second;
-    askers_.erase(found);
+    const requester to = found->second;
+    requesters_.erase(found);
     if (to.outcome) {
         wire::claim_outcome_ack out;
         out.__set_key(to.key);
--- a/src/programs/steward/claims_service.hpp
+++ b/src/programs/steward/claims_service.hpp
@@ -31,7 +31,7 @@
         core::claims::claim_log log;
         std::int64_t epoch = 0; // answers to calls of an earlier log of this shard have another epoch
     };
-    struct asker {
+    struct requester {
         edge::link_id link = 0;
         std::int64_t call = 0;
         int shard = 0;
@@ -42,12 +42,12 @@
     void execute(int shard, const shard_claims& claims, const core::claims::step& step,
                  core::common::time_point now);
     void send_answer(const core::claims::answer& answer);
-    core::claims::ticket add_asker(const edge::link_event& event, int shard, const std::string& key,
-                                   bool outcome);
+    core::claims::ticket add_requester(const edge::link_event& event, int shard, const std::string& key,
+                                       bool outcome);
 
     steward_context& context_;
     std::map<int, shard_claims> shards_;
-    std::map<core::claims::ticket, asker> askers_;
+    std::map<core::claims::ticket, requester> requesters_;
     core::claims::ticket last_ticket_ = 0;
     std::int64_t last_epoch_ = 0;
     prometheus::Counter& granted_;
--- a/src/programs/steward/replicas.cpp
+++ b/src/programs/steward/replicas.cpp
@@ -261,7 +261,7 @@
     std::string list;
     for (const member& planned : entry.proposed.members)
         list += (list.empty() ? "" : ", ") + planned.target +
-                (planned.wanted == core::placement::intent::unload ? " (unload)" : "");
+                (planned.intended == core::placement::intent::unload ? " (unload)" : "");
     context_.program.timeline.add(edge::event_kind::load, name.text(), "decided: " + list,
                                   "decision " + std::to_string(entry.proposed.number));
     return true;
@@ -302,7 +302,7 @@
         entry.set.sent(now, order);
     }
     for (const member& replica : entry.set.current().members)
-        if (replica.wanted == core::placement::intent::load &&
+        if (replica.intended == core::placement::intent::load &&
             entry.set.state_of(replica.target) == member_state::loading)
             slot(replica.target); // renews the slot during the load
 }
--- a/src/programs/steward/slots.cpp
+++ b/src/programs/steward/slots.cpp
@@ -21,7 +21,7 @@
     return out;
 }
 
-std::string asker_of(const std::string& process, const wire::slot_request& request) {
+std::string requester_of(const std::string& process, const wire::slot_request& request) {
     return process + "|" + request.service_name + "/" + request.model;
 }
 
@@ -30,16 +30,17 @@
 void slot_service::on_acquired(bool first_holder, time_point now) {
     queue_.emplace(core::placement::slot_limits{});
     learning_until_ = first_holder ? now : now + slot_learning_period;
-    askers_.clear();
+    requesters_.clear();
 }
 
 /// Requests a slot from the queue. A new holder grants no new slots until the holders of its predecessor's
 /// slots have had time to report them.
-slot_answer slot_service::ask(const std::string& asker, const wire::slot_request& request, time_point now) {
+slot_answer slot_service::ask(const std::string& requester, const wire::slot_request& request,
+                              time_point now) {
     if (now < learning_until_ && !request.held)
         return {false, learning_until_ - now};
     core::placement::slot_claim claim;
-    claim.asker = asker;
+    claim.requester = requester;
     claim.customer = request.customer;
     claim.adapters = request.adapters;
     claim.deadline = now + core::common::milliseconds{request.remaining_ms};
@@ -52,38 +53,38 @@
 void slot_service::on_request(edge::link_id link, std::int64_t call, const std::string& process,
                               const wire::slot_request& request, time_point now) {
     if (!queue_)
-        return; // the asker repeats the request to the new holder
-    const std::string asker = asker_of(process, request);
+        return; // the requester repeats the request to the new holder
+    const std::string requester = requester_of(process, request);
     if (request.release)
-        return release(asker, now);
-    askers_[asker] = {link, call, request.service_name, request.model};
-    const slot_answer answer = ask(asker, request, now);
+        return release(requester, now);
+    requesters_[requester] = {link, call, request.service_name, request.model};
+    const slot_answer answer = ask(requester, request, now);
     context_.links.send(link, kind::slot_result, call,
                         result_of(request.service_name, request.model, answer));
 }
 
-slot_answer slot_service::request_local(const std::string& asker, const wire::slot_request& request,
+slot_answer slot_service::request_local(const std::string& requester, const wire::slot_request& request,
                                         time_point now) {
-    askers_[asker] = {0, 0, request.service_name, request.model};
-    return ask(asker, request, now);
+    requesters_[requester] = {0, 0, request.service_name, request.model};
+    return ask(requester, request, now);
 }
 
-void slot_service::release(const std::string& asker, time_point now) {
-    askers_.erase(asker);
+void slot_service::release(const std::string& requester, time_point now) {
+    requesters_.erase(requester);
     if (queue_)
-        queue_->release(now, asker);
+        queue_->release(now, requester);
 }
 
 void slot_service::tick(time_point now) {
     if (!queue_)
         return;
-    for (const std::string& asker : queue_->granted(now)) {
-        const auto found = askers_.find(asker);
-        if (found == askers_.end())
+    for (const std::string& requester : queue_->granted(now)) {
+        const auto found = requesters_.find(requester);
+        if (found == requesters_.end())
             continue;
-        const asker_entry& asked_by = found->second;
+        const requester_entry& asked_by = found->second;
         if (asked_by.link == 0)
-            local_granted_.insert(asker);
+            local_granted_.insert(requester);
         else
             context_.links.send(asked_by.link, kind::slot_result, asked_by.call,
                                 result_of(asked_by.service, asked_by.model, {true, {}}));
@@ -112,7 +113,7 @@
     request.__set_customer(entry.load.customer);
     request.__set_held(entry.granted);
     request.__set_remaining_ms(core::common::to_wire_ms(entry.deadline - now));
-    const auto answer = local_.request_local(asker_of(context_.self.holder, request), request, now);
+    const auto answer = local_.request_local(requester_of(context_.self.holder, request), request, now);
     entry.granted = entry.granted || answer.granted;
     estimate_ = answer.estimate;
 }
@@ -152,8 +153,9 @@
 /// Repeats requests, also for slots already held, so that a new holder of the queue learns of them. Releases
 /// the slots of loads that were given up.
 void slot_client::tick(time_point now) {
-    for (const std::string& asker : local_.take_local_granted()) {
-        const auto found = loads_.find(asker.substr(std::min(asker.size(), context_.self.holder.size() + 1)));
+    for (const std::string& requester : local_.take_local_granted()) {
+        const auto found =
+            loads_.find(requester.substr(std::min(requester.size(), context_.self.holder.size() + 1)));
         if (found != loads_.end())
             found->second.granted = true;
     }
--- a/src/programs/steward/slots.hpp
+++ b/src/programs/steward/slots.hpp
@@ -12,7 +12,7 @@
 
 namespace waxwinglb::programs::steward {
 
-constexpr core::common::milliseconds slot_repeat_interval{500}; // also while the asker holds a slot
+constexpr core::common::milliseconds slot_repeat_interval{500}; // also while the requester holds a slot
 constexpr core::common::milliseconds slot_learning_period{800}; // a new holder learns of running loads
 
 /// Queue of the shard's holder.
@@ -27,26 +27,27 @@
     void on_request(edge::link_id link, std::int64_t call, const std::string& process,
                     const wire::slot_request& request, core::common::time_point now);
     /// Requests a slot for a load of this steward, without a link.
-    core::placement::slot_answer request_local(const std::string& asker, const wire::slot_request& request,
+    core::placement::slot_answer request_local(const std::string& requester,
+                                               const wire::slot_request& request,
                                                core::common::time_point now);
-    void release(const std::string& asker, core::common::time_point now);
+    void release(const std::string& requester, core::common::time_point now);
     void tick(core::common::time_point now);
     [[nodiscard]] std::set<std::string> take_local_granted() { return std::exchange(local_granted_, {}); }
 
 private:
-    struct asker_entry {
+    struct requester_entry {
         edge::link_id link = 0; // 0: this steward
         std::int64_t call = 0;
         std::string service;
         std::string model;
     };
-    core::placement::slot_answer ask(const std::string& asker, const wire::slot_request& request,
+    core::placement::slot_answer ask(const std::string& requester, const wire::slot_request& request,
                                      core::common::time_point now);
 
     steward_context& context_;
     std::optional<core::placement::weight_slots> queue_;
     core::common::time_point learning_until_{};
-    std::map<std::string, asker_entry> askers_;
+    std::map<std::string, requester_entry> requesters_;
     std::set<std::string> local_granted_;
 };
 
--- a/src/programs/steward/targets.cpp
+++ b/src/programs/steward/targets.cpp
@@ -60,12 +60,12 @@
     for (auto& [address, entry] : by_address_) {
         // An agent that is no longer on the list keeps its link while the link is open: the list may be
         // wrong.
-        const bool wanted = services_.contains(entry.listed.service) && (entry.on_list || entry.link_open);
-        if (wanted && entry.link == 0) {
+        const bool needed = services_.contains(entry.listed.service) && (entry.on_list || entry.link_open);
+        if (needed && entry.link == 0) {
             entry.link = context_.links.connect(address);
             entry.watched_since = now;
             links_[entry.link] = address;
-        } else if (!wanted && entry.link != 0) {
+        } else if (!needed && entry.link != 0) {
             context_.links.disconnect(entry.link);
             links_.erase(entry.link);
             entry.link = 0;
--- a/src/programs/steward/views.cpp
+++ b/src/programs/steward/views.cpp
@@ -95,7 +95,7 @@
     out.__set_decision(entry.set.current().number);
     for (const auto& view : targets_.views(name.service, now)) {
         const member* found = find_member(entry.set, view.target);
-        if (found == nullptr || found->wanted != core::placement::intent::load || !view.usable())
+        if (found == nullptr || found->intended != core::placement::intent::load || !view.usable())
             continue;
         const target_entry& target = *targets_.find(view.target);
         wire::replica replica;
--- a/tests/contract/http_test.cpp
+++ b/tests/contract/http_test.cpp
@@ -9,10 +9,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
-#include <array>
 
 using namespace waxwinglb;
 using namespace std::chrono_literals;
--- a/tests/core/announcements_test.cpp
+++ b/tests/core/announcements_test.cpp
@@ -42,10 +42,10 @@
 
 RC_GTEST_PROP(informants, one_or_two_if_all_gateways_have_the_same_view, ()) {
     const auto gateways = names(*rc::gen::inRange(1, 40));
-    const std::string asker = "cut-" + std::to_string(*rc::gen::inRange(0, 1'000));
+    const std::string requester = "cut-" + std::to_string(*rc::gen::inRange(0, 1'000));
     int count = 0;
     for (const std::string& self : gateways)
-        count += is_informant(self, asker, without(gateways, self)) ? 1 : 0;
+        count += is_informant(self, requester, without(gateways, self)) ? 1 : 0;
     RC_ASSERT(count == std::min(2, static_cast<int>(gateways.size())));
 }
 
@@ -57,7 +57,7 @@
         for (const std::string& other : without(gateways, self))
             if (*rc::gen::arbitrary<bool>())
                 seen.push_back(other);
-        count += is_informant(self, "asker", seen) ? 1 : 0;
+        count += is_informant(self, "requester", seen) ? 1 : 0;
     }
     RC_ASSERT(count >= 1);
 }
--- a/tests/core/limits_model.hpp
+++ b/tests/core/limits_model.hpp
@@ -206,7 +206,7 @@
         if (!at.bucket)
             return;
         at.bucket->change_limits(now_, limits_of(at));
-        const auto result = at.bucket->draw(now_, asked.wanted, asked.settled);
+        const auto result = at.bucket->draw(now_, asked.requested, asked.settled);
         send(luck, [this, router, id = asked.id, result] {
             routers_[router].draw_answered(now_, id, result);
             reserve_waiting(router);
--- a/tests/core/limits_test.cpp
+++ b/tests/core/limits_test.cpp
@@ -136,7 +136,7 @@
     EXPECT_EQ(bucket.draw(start, 100, {}).tokens, 20);
 }
 
-TEST(limits_bucket, reports_when_the_wanted_amount_will_be_available) {
+TEST(limits_bucket, reports_when_the_requested_amount_will_be_available) {
     limits::bucket bucket = ready_bucket(10, 100);
     const auto all = bucket.draw(start, 100, {});
     const auto unsettled = bucket.draw(start, 30, {});
@@ -170,9 +170,9 @@
     EXPECT_EQ(cache.reserve(start, 40).outcome, limits::reserve_outcome::wait);
     auto order = cache.next_draw(start);
     ASSERT_TRUE(order.has_value());
-    EXPECT_EQ(order->wanted, 40);
+    EXPECT_EQ(order->requested, 40);
     EXPECT_FALSE(cache.next_draw(start).has_value()); // one in flight
-    cache.draw_answered(start, order->id, holder.draw(start, order->wanted, order->settled));
+    cache.draw_answered(start, order->id, holder.draw(start, order->requested, order->settled));
     const auto mine = cache.reserve(start, 40);
     ASSERT_EQ(mine.outcome, limits::reserve_outcome::served);
     cache.settle(start + 100ms, mine.reservation, 10);
@@ -189,7 +189,7 @@
     limits::grant_cache cache;
     EXPECT_EQ(cache.reserve(start, 30).outcome, limits::reserve_outcome::wait);
     const auto order = cache.next_draw(start);
-    cache.draw_answered(start, order->id, holder.draw(start, order->wanted, order->settled));
+    cache.draw_answered(start, order->id, holder.draw(start, order->requested, order->settled));
     const auto refused = cache.reserve(start, 30);
     EXPECT_EQ(refused.outcome, limits::reserve_outcome::refused);
     EXPECT_GT(refused.retry_after, 0s);
@@ -201,7 +201,7 @@
     limits::grant_cache cache;
     cache.reserve(start, 10);
     const auto order = cache.next_draw(start);
-    const auto got = holder.draw(start + 1s, order->wanted, order->settled);
+    const auto got = holder.draw(start + 1s, order->requested, order->settled);
     cache.draw_answered(start + 2s, order->id, got);
     EXPECT_EQ(cache.available(start + 2s), 0);
 }
--- a/tests/core/placement_model.hpp
+++ b/tests/core/placement_model.hpp
@@ -240,7 +240,7 @@
     void count_serving() {
         const auto serving =
             std::count_if(stored_.members.begin(), stored_.members.end(), [](const placement::member& entry) {
-                return entry.wanted == placement::intent::load;
+                return entry.intended == placement::intent::load;
             });
         most_serving_ = std::max(most_serving_, static_cast<int>(serving));
     }
--- a/tests/core/placement_test.cpp
+++ b/tests/core/placement_test.cpp
@@ -104,7 +104,7 @@
     auto next = set.plan(start, input_for(views, 1));
     ASSERT_TRUE(next.has_value());
     ASSERT_EQ(next->members.size(), 2U);
-    EXPECT_EQ(next->members.at(0).wanted, placement::intent::load);
+    EXPECT_EQ(next->members.at(0).intended, placement::intent::load);
     set.stored(next->number);
     EXPECT_FALSE(set.plan(start, input_for(views, 1)).has_value()); // the replacement is still loading
     settle(set, start, input_for(views, 1));
@@ -160,7 +160,7 @@
     set.on_outcome(start, {order.target, order.decision, placement::order_result::refused});
     const auto next = set.plan(start, input_for(views));
     ASSERT_TRUE(next.has_value());
-    EXPECT_EQ(next->members.at(0).wanted, placement::intent::unload);
+    EXPECT_EQ(next->members.at(0).intended, placement::intent::unload);
     EXPECT_NE(next->members.at(1).target, order.target);
 }
 
@@ -226,8 +226,9 @@
         last = slots.granted(start).at(0);
         order.push_back(last);
     }
-    EXPECT_EQ(std::count_if(order.begin(), order.end(), [](const auto& asker) { return asker[0] == 's'; }),
-              2);
+    EXPECT_EQ(
+        std::count_if(order.begin(), order.end(), [](const auto& requester) { return requester[0] == 's'; }),
+        2);
 }
 
 TEST(placement_slots, adapters_in_flight_are_bounded) {
