--- a/tests/contract/target_link_test.cpp
+++ b/tests/contract/target_link_test.cpp
@@ -173,7 +173,7 @@
     scripted_target target{[&](const std::string&, int connection) {
         if (!std::exchange(refused, true)) {
             ++carried[connection];
-            return refusal;
+            return std::string{refusal};
         }
         return (carried[connection]++ > 0 ? refusal : std::string{}) + answer("r1", "ran");
     }};
