--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -181,6 +181,12 @@
  * ended under it (of a request: its attempts), with their ages, and the age of its latest complete answer (-1: none known).
  */
 struct suspect_part { 1: i64 part, 2: list<i64> target_runs, 3: list<i64> ages_ms, 4: i64 sound_age_ms }
+/** Requests of a customer that began to run in one usage window, counted by one gateway. */
+struct customer_runs { 1: string customer, 2: i64 requests }
+/** A gateway's counts of one usage window. Totals, not changes: a repeated message counts once. */
+struct usage_window { 1: i64 window, 2: list<customer_runs> runs }
+/** What one gateway has learned of a target's lasting speed; 1 is the usual one. samples: answers it rests on. */
+struct target_speed { 1: string target, 2: i64 born, 3: double speed, 4: i32 samples }
 /** Requests that one gateway now has at a target. */
 struct target_load { 1: string target, 2: i32 running }
 /** Tokens by customer since the sender's start, and requests by target. */
@@ -210,6 +216,9 @@
  * suspects: of earlier versions, in place of suspect_requests.
  * origins: the sender's streams that began lately; to a member that has just started, all that it knows of.
  * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
+ * unix_ms: the sender's time of day; set where duties are configured, as usage is: the sender's usage windows that may not
+ * have been reported yet, sent to gateways that give orders.
+ * speeds: lasting speeds of targets; set only where targets state their load.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
  */
@@ -224,14 +233,20 @@
   26: string data_centre, 27: string group, 28: i32 fleet_size, 29: double processor_share, 30: bool to_other_group,
   31: optional group_status group_use, 32: optional outside_status outside, 33: bool has_details,
   34: list<suspect_part> suspect_parts, 35: list<target_limit> target_limits,
-  36: list<stream_origins> origins, 37: list<suspect_part> suspect_requests
+  36: list<stream_origins> origins, 37: list<suspect_part> suspect_requests, 38: optional i64 unix_ms,
+  39: optional list<usage_window> usage, 40: optional list<target_speed> speeds
 }
 
 /**
  * A gateway asks the gateway that schedules a target's turns (its keeper) for a turn to send it a request. tokens: of
- * the prompt; 1 for a plain request.
+ * the prompt; 1 for a plain request. The optional fields describe the most urgent request for which the turn is asked, set
+ * where turns are granted by urgency: priority, customer, slack_ms (until its latency target; negative: missed),
+ * total_tokens (of prompt and answer), running (requests of the sender at the target).
  */
-struct turn_request { 1: string process, 2: string target, 3: i64 number, 4: i32 tokens }
+struct turn_request {
+  1: string process, 2: string target, 3: i64 number, 4: i32 tokens, 5: optional i32 priority, 6: optional string customer,
+  7: optional i64 slack_ms, 8: optional i64 total_tokens, 9: optional i32 running
+}
 /** given: the turn begins now; otherwise it is expected in about wait_ms. */
 struct turn_answer { 1: string process, 2: string target, 3: i64 number, 4: bool given, 5: i64 wait_ms }
 /** Reports the prompt tokens sent in a turn if they differ from those requested; 0: the turn was not used. */
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -11143,6 +11143,439 @@
 }
 
 
+customer_runs::~customer_runs() noexcept {
+}
+
+
+void customer_runs::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void customer_runs::__set_requests(const int64_t val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const customer_runs& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t customer_runs::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t customer_runs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("customer_runs");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(customer_runs &a, customer_runs &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+customer_runs::customer_runs(const customer_runs& other356) {
+  customer = other356.customer;
+  requests = other356.requests;
+  __isset = other356.__isset;
+}
+customer_runs::customer_runs(customer_runs&& other357) noexcept {
+  customer = std::move(other357.customer);
+  requests = other357.requests;
+  __isset = other357.__isset;
+}
+customer_runs& customer_runs::operator=(const customer_runs& other358) {
+  customer = other358.customer;
+  requests = other358.requests;
+  __isset = other358.__isset;
+  return *this;
+}
+customer_runs& customer_runs::operator=(customer_runs&& other359) noexcept {
+  customer = std::move(other359.customer);
+  requests = other359.requests;
+  __isset = other359.__isset;
+  return *this;
+}
+void customer_runs::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "customer_runs(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+usage_window::~usage_window() noexcept {
+}
+
+
+void usage_window::__set_window(const int64_t val) {
+  this->window = val;
+}
+
+void usage_window::__set_runs(const std::vector<customer_runs> & val) {
+  this->runs = val;
+}
+std::ostream& operator<<(std::ostream& out, const usage_window& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t usage_window::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->window);
+          this->__isset.window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->runs.clear();
+            uint32_t _size360;
+            ::apache::thrift::protocol::TType _etype363;
+            xfer += iprot->readListBegin(_etype363, _size360);
+            this->runs.resize(_size360);
+            uint32_t _i364;
+            for (_i364 = 0; _i364 < _size360; ++_i364)
+            {
+              xfer += this->runs[_i364].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t usage_window::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("usage_window");
+
+  xfer += oprot->writeFieldBegin("window", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
+    std::vector<customer_runs> ::const_iterator _iter365;
+    for (_iter365 = this->runs.begin(); _iter365 != this->runs.end(); ++_iter365)
+    {
+      xfer += (*_iter365).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(usage_window &a, usage_window &b) {
+  using ::std::swap;
+  swap(a.window, b.window);
+  swap(a.runs, b.runs);
+  swap(a.__isset, b.__isset);
+}
+
+usage_window::usage_window(const usage_window& other366) {
+  window = other366.window;
+  runs = other366.runs;
+  __isset = other366.__isset;
+}
+usage_window::usage_window(usage_window&& other367) noexcept {
+  window = other367.window;
+  runs = std::move(other367.runs);
+  __isset = other367.__isset;
+}
+usage_window& usage_window::operator=(const usage_window& other368) {
+  window = other368.window;
+  runs = other368.runs;
+  __isset = other368.__isset;
+  return *this;
+}
+usage_window& usage_window::operator=(usage_window&& other369) noexcept {
+  window = other369.window;
+  runs = std::move(other369.runs);
+  __isset = other369.__isset;
+  return *this;
+}
+void usage_window::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "usage_window(";
+  out << "window=" << to_string(window);
+  out << ", " << "runs=" << to_string(runs);
+  out << ")";
+}
+
+
+target_speed::~target_speed() noexcept {
+}
+
+
+void target_speed::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void target_speed::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void target_speed::__set_speed(const double val) {
+  this->speed = val;
+}
+
+void target_speed::__set_samples(const int32_t val) {
+  this->samples = val;
+}
+std::ostream& operator<<(std::ostream& out, const target_speed& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t target_speed::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->speed);
+          this->__isset.speed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->samples);
+          this->__isset.samples = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t target_speed::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("target_speed");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("speed", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->speed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->samples);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(target_speed &a, target_speed &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.born, b.born);
+  swap(a.speed, b.speed);
+  swap(a.samples, b.samples);
+  swap(a.__isset, b.__isset);
+}
+
+target_speed::target_speed(const target_speed& other370) {
+  target = other370.target;
+  born = other370.born;
+  speed = other370.speed;
+  samples = other370.samples;
+  __isset = other370.__isset;
+}
+target_speed::target_speed(target_speed&& other371) noexcept {
+  target = std::move(other371.target);
+  born = other371.born;
+  speed = other371.speed;
+  samples = other371.samples;
+  __isset = other371.__isset;
+}
+target_speed& target_speed::operator=(const target_speed& other372) {
+  target = other372.target;
+  born = other372.born;
+  speed = other372.speed;
+  samples = other372.samples;
+  __isset = other372.__isset;
+  return *this;
+}
+target_speed& target_speed::operator=(target_speed&& other373) noexcept {
+  target = std::move(other373.target);
+  born = other373.born;
+  speed = other373.speed;
+  samples = other373.samples;
+  __isset = other373.__isset;
+  return *this;
+}
+void target_speed::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "target_speed(";
+  out << "target=" << to_string(target);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "speed=" << to_string(speed);
+  out << ", " << "samples=" << to_string(samples);
+  out << ")";
+}
+
+
 target_load::~target_load() noexcept {
 }
 
@@ -11235,26 +11668,26 @@
   swap(a.__isset, b.__isset);
 }
 
-target_load::target_load(const target_load& other356) {
-  target = other356.target;
-  running = other356.running;
-  __isset = other356.__isset;
+target_load::target_load(const target_load& other374) {
+  target = other374.target;
+  running = other374.running;
+  __isset = other374.__isset;
 }
-target_load::target_load(target_load&& other357) noexcept {
-  target = std::move(other357.target);
-  running = other357.running;
-  __isset = other357.__isset;
+target_load::target_load(target_load&& other375) noexcept {
+  target = std::move(other375.target);
+  running = other375.running;
+  __isset = other375.__isset;
 }
-target_load& target_load::operator=(const target_load& other358) {
-  target = other358.target;
-  running = other358.running;
-  __isset = other358.__isset;
+target_load& target_load::operator=(const target_load& other376) {
+  target = other376.target;
+  running = other376.running;
+  __isset = other376.__isset;
   return *this;
 }
-target_load& target_load::operator=(target_load&& other359) noexcept {
-  target = std::move(other359.target);
-  running = other359.running;
-  __isset = other359.__isset;
+target_load& target_load::operator=(target_load&& other377) noexcept {
+  target = std::move(other377.target);
+  running = other377.running;
+  __isset = other377.__isset;
   return *this;
 }
 void target_load::printTo(std::ostream& out) const {
@@ -11309,14 +11742,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size360;
-            ::apache::thrift::protocol::TType _etype363;
-            xfer += iprot->readListBegin(_etype363, _size360);
-            this->customers.resize(_size360);
-            uint32_t _i364;
-            for (_i364 = 0; _i364 < _size360; ++_i364)
+            uint32_t _size378;
+            ::apache::thrift::protocol::TType _etype381;
+            xfer += iprot->readListBegin(_etype381, _size378);
+            this->customers.resize(_size378);
+            uint32_t _i382;
+            for (_i382 = 0; _i382 < _size378; ++_i382)
             {
-              xfer += this->customers[_i364].read(iprot);
+              xfer += this->customers[_i382].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11329,14 +11762,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size365;
-            ::apache::thrift::protocol::TType _etype368;
-            xfer += iprot->readListBegin(_etype368, _size365);
-            this->loads.resize(_size365);
-            uint32_t _i369;
-            for (_i369 = 0; _i369 < _size365; ++_i369)
+            uint32_t _size383;
+            ::apache::thrift::protocol::TType _etype386;
+            xfer += iprot->readListBegin(_etype386, _size383);
+            this->loads.resize(_size383);
+            uint32_t _i387;
+            for (_i387 = 0; _i387 < _size383; ++_i387)
             {
-              xfer += this->loads[_i369].read(iprot);
+              xfer += this->loads[_i387].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11365,10 +11798,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter370;
-    for (_iter370 = this->customers.begin(); _iter370 != this->customers.end(); ++_iter370)
+    std::vector<customer_use> ::const_iterator _iter388;
+    for (_iter388 = this->customers.begin(); _iter388 != this->customers.end(); ++_iter388)
     {
-      xfer += (*_iter370).write(oprot);
+      xfer += (*_iter388).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11377,10 +11810,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter371;
-    for (_iter371 = this->loads.begin(); _iter371 != this->loads.end(); ++_iter371)
+    std::vector<target_load> ::const_iterator _iter389;
+    for (_iter389 = this->loads.begin(); _iter389 != this->loads.end(); ++_iter389)
     {
-      xfer += (*_iter371).write(oprot);
+      xfer += (*_iter389).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11398,26 +11831,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_sums::usage_sums(const usage_sums& other372) {
-  customers = other372.customers;
-  loads = other372.loads;
-  __isset = other372.__isset;
+usage_sums::usage_sums(const usage_sums& other390) {
+  customers = other390.customers;
+  loads = other390.loads;
+  __isset = other390.__isset;
 }
-usage_sums::usage_sums(usage_sums&& other373) noexcept {
-  customers = std::move(other373.customers);
-  loads = std::move(other373.loads);
-  __isset = other373.__isset;
+usage_sums::usage_sums(usage_sums&& other391) noexcept {
+  customers = std::move(other391.customers);
+  loads = std::move(other391.loads);
+  __isset = other391.__isset;
 }
-usage_sums& usage_sums::operator=(const usage_sums& other374) {
-  customers = other374.customers;
-  loads = other374.loads;
-  __isset = other374.__isset;
+usage_sums& usage_sums::operator=(const usage_sums& other392) {
+  customers = other392.customers;
+  loads = other392.loads;
+  __isset = other392.__isset;
   return *this;
 }
-usage_sums& usage_sums::operator=(usage_sums&& other375) noexcept {
-  customers = std::move(other375.customers);
-  loads = std::move(other375.loads);
-  __isset = other375.__isset;
+usage_sums& usage_sums::operator=(usage_sums&& other393) noexcept {
+  customers = std::move(other393.customers);
+  loads = std::move(other393.loads);
+  __isset = other393.__isset;
   return *this;
 }
 void usage_sums::printTo(std::ostream& out) const {
@@ -11572,38 +12005,38 @@
   swap(a.__isset, b.__isset);
 }
 
-order_giver_sighting::order_giver_sighting(const order_giver_sighting& other376) {
-  process = other376.process;
-  address = other376.address;
-  age_ms = other376.age_ms;
-  active = other376.active;
-  reads_store = other376.reads_store;
-  __isset = other376.__isset;
-}
-order_giver_sighting::order_giver_sighting(order_giver_sighting&& other377) noexcept {
-  process = std::move(other377.process);
-  address = std::move(other377.address);
-  age_ms = other377.age_ms;
-  active = other377.active;
-  reads_store = other377.reads_store;
-  __isset = other377.__isset;
-}
-order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other378) {
-  process = other378.process;
-  address = other378.address;
-  age_ms = other378.age_ms;
-  active = other378.active;
-  reads_store = other378.reads_store;
-  __isset = other378.__isset;
-  return *this;
-}
-order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other379) noexcept {
-  process = std::move(other379.process);
-  address = std::move(other379.address);
-  age_ms = other379.age_ms;
-  active = other379.active;
-  reads_store = other379.reads_store;
-  __isset = other379.__isset;
+order_giver_sighting::order_giver_sighting(const order_giver_sighting& other394) {
+  process = other394.process;
+  address = other394.address;
+  age_ms = other394.age_ms;
+  active = other394.active;
+  reads_store = other394.reads_store;
+  __isset = other394.__isset;
+}
+order_giver_sighting::order_giver_sighting(order_giver_sighting&& other395) noexcept {
+  process = std::move(other395.process);
+  address = std::move(other395.address);
+  age_ms = other395.age_ms;
+  active = other395.active;
+  reads_store = other395.reads_store;
+  __isset = other395.__isset;
+}
+order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other396) {
+  process = other396.process;
+  address = other396.address;
+  age_ms = other396.age_ms;
+  active = other396.active;
+  reads_store = other396.reads_store;
+  __isset = other396.__isset;
+  return *this;
+}
+order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other397) noexcept {
+  process = std::move(other397.process);
+  address = std::move(other397.address);
+  age_ms = other397.age_ms;
+  active = other397.active;
+  reads_store = other397.reads_store;
+  __isset = other397.__isset;
   return *this;
 }
 void order_giver_sighting::printTo(std::ostream& out) const {
@@ -11694,15 +12127,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->hears.clear();
-            uint32_t _size380;
-            ::apache::thrift::protocol::TType _etype383;
-            xfer += iprot->readSetBegin(_etype383, _size380);
-            uint32_t _i384;
-            for (_i384 = 0; _i384 < _size380; ++_i384)
+            uint32_t _size398;
+            ::apache::thrift::protocol::TType _etype401;
+            xfer += iprot->readSetBegin(_etype401, _size398);
+            uint32_t _i402;
+            for (_i402 = 0; _i402 < _size398; ++_i402)
             {
-              std::string _elem385;
-              xfer += iprot->readString(_elem385);
-              this->hears.insert(_elem385);
+              std::string _elem403;
+              xfer += iprot->readString(_elem403);
+              this->hears.insert(_elem403);
             }
             xfer += iprot->readSetEnd();
           }
@@ -11763,10 +12196,10 @@
   xfer += oprot->writeFieldBegin("hears", ::apache::thrift::protocol::T_SET, 3);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hears.size()));
-    std::set<std::string> ::const_iterator _iter386;
-    for (_iter386 = this->hears.begin(); _iter386 != this->hears.end(); ++_iter386)
+    std::set<std::string> ::const_iterator _iter404;
+    for (_iter404 = this->hears.begin(); _iter404 != this->hears.end(); ++_iter404)
     {
-      xfer += oprot->writeString((*_iter386));
+      xfer += oprot->writeString((*_iter404));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -11801,42 +12234,42 @@
   swap(a.__isset, b.__isset);
 }
 
-group_status::group_status(const group_status& other387) {
-  in_contact = other387.in_contact;
-  departed = other387.departed;
-  hears = other387.hears;
-  reader = other387.reader;
-  sums = other387.sums;
-  order_giver = other387.order_giver;
-  __isset = other387.__isset;
-}
-group_status::group_status(group_status&& other388) noexcept {
-  in_contact = other388.in_contact;
-  departed = other388.departed;
-  hears = std::move(other388.hears);
-  reader = other388.reader;
-  sums = std::move(other388.sums);
-  order_giver = std::move(other388.order_giver);
-  __isset = other388.__isset;
-}
-group_status& group_status::operator=(const group_status& other389) {
-  in_contact = other389.in_contact;
-  departed = other389.departed;
-  hears = other389.hears;
-  reader = other389.reader;
-  sums = other389.sums;
-  order_giver = other389.order_giver;
-  __isset = other389.__isset;
-  return *this;
-}
-group_status& group_status::operator=(group_status&& other390) noexcept {
-  in_contact = other390.in_contact;
-  departed = other390.departed;
-  hears = std::move(other390.hears);
-  reader = other390.reader;
-  sums = std::move(other390.sums);
-  order_giver = std::move(other390.order_giver);
-  __isset = other390.__isset;
+group_status::group_status(const group_status& other405) {
+  in_contact = other405.in_contact;
+  departed = other405.departed;
+  hears = other405.hears;
+  reader = other405.reader;
+  sums = other405.sums;
+  order_giver = other405.order_giver;
+  __isset = other405.__isset;
+}
+group_status::group_status(group_status&& other406) noexcept {
+  in_contact = other406.in_contact;
+  departed = other406.departed;
+  hears = std::move(other406.hears);
+  reader = other406.reader;
+  sums = std::move(other406.sums);
+  order_giver = std::move(other406.order_giver);
+  __isset = other406.__isset;
+}
+group_status& group_status::operator=(const group_status& other407) {
+  in_contact = other407.in_contact;
+  departed = other407.departed;
+  hears = other407.hears;
+  reader = other407.reader;
+  sums = other407.sums;
+  order_giver = other407.order_giver;
+  __isset = other407.__isset;
+  return *this;
+}
+group_status& group_status::operator=(group_status&& other408) noexcept {
+  in_contact = other408.in_contact;
+  departed = other408.departed;
+  hears = std::move(other408.hears);
+  reader = other408.reader;
+  sums = std::move(other408.sums);
+  order_giver = std::move(other408.order_giver);
+  __isset = other408.__isset;
   return *this;
 }
 void group_status::printTo(std::ostream& out) const {
@@ -11928,14 +12361,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speakers.clear();
-            uint32_t _size391;
-            ::apache::thrift::protocol::TType _etype394;
-            xfer += iprot->readListBegin(_etype394, _size391);
-            this->speakers.resize(_size391);
-            uint32_t _i395;
-            for (_i395 = 0; _i395 < _size391; ++_i395)
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->speakers.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
             {
-              xfer += iprot->readString(this->speakers[_i395]);
+              xfer += iprot->readString(this->speakers[_i413]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11996,10 +12429,10 @@
   xfer += oprot->writeFieldBegin("speakers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->speakers.size()));
-    std::vector<std::string> ::const_iterator _iter396;
-    for (_iter396 = this->speakers.begin(); _iter396 != this->speakers.end(); ++_iter396)
+    std::vector<std::string> ::const_iterator _iter414;
+    for (_iter414 = this->speakers.begin(); _iter414 != this->speakers.end(); ++_iter414)
     {
-      xfer += oprot->writeString((*_iter396));
+      xfer += oprot->writeString((*_iter414));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12034,42 +12467,42 @@
   swap(a.__isset, b.__isset);
 }
 
-outside_status::outside_status(const outside_status& other397) {
-  in_contact = other397.in_contact;
-  departed = other397.departed;
-  speakers = other397.speakers;
-  reader = other397.reader;
-  sums = other397.sums;
-  order_giver = other397.order_giver;
-  __isset = other397.__isset;
-}
-outside_status::outside_status(outside_status&& other398) noexcept {
-  in_contact = other398.in_contact;
-  departed = other398.departed;
-  speakers = std::move(other398.speakers);
-  reader = other398.reader;
-  sums = std::move(other398.sums);
-  order_giver = std::move(other398.order_giver);
-  __isset = other398.__isset;
-}
-outside_status& outside_status::operator=(const outside_status& other399) {
-  in_contact = other399.in_contact;
-  departed = other399.departed;
-  speakers = other399.speakers;
-  reader = other399.reader;
-  sums = other399.sums;
-  order_giver = other399.order_giver;
-  __isset = other399.__isset;
-  return *this;
-}
-outside_status& outside_status::operator=(outside_status&& other400) noexcept {
-  in_contact = other400.in_contact;
-  departed = other400.departed;
-  speakers = std::move(other400.speakers);
-  reader = other400.reader;
-  sums = std::move(other400.sums);
-  order_giver = std::move(other400.order_giver);
-  __isset = other400.__isset;
+outside_status::outside_status(const outside_status& other415) {
+  in_contact = other415.in_contact;
+  departed = other415.departed;
+  speakers = other415.speakers;
+  reader = other415.reader;
+  sums = other415.sums;
+  order_giver = other415.order_giver;
+  __isset = other415.__isset;
+}
+outside_status::outside_status(outside_status&& other416) noexcept {
+  in_contact = other416.in_contact;
+  departed = other416.departed;
+  speakers = std::move(other416.speakers);
+  reader = other416.reader;
+  sums = std::move(other416.sums);
+  order_giver = std::move(other416.order_giver);
+  __isset = other416.__isset;
+}
+outside_status& outside_status::operator=(const outside_status& other417) {
+  in_contact = other417.in_contact;
+  departed = other417.departed;
+  speakers = other417.speakers;
+  reader = other417.reader;
+  sums = other417.sums;
+  order_giver = other417.order_giver;
+  __isset = other417.__isset;
+  return *this;
+}
+outside_status& outside_status::operator=(outside_status&& other418) noexcept {
+  in_contact = other418.in_contact;
+  departed = other418.departed;
+  speakers = std::move(other418.speakers);
+  reader = other418.reader;
+  sums = std::move(other418.sums);
+  order_giver = std::move(other418.order_giver);
+  __isset = other418.__isset;
   return *this;
 }
 void outside_status::printTo(std::ostream& out) const {
@@ -12238,6 +12671,21 @@
 void peer_status::__set_suspect_requests(const std::vector<suspect_part> & val) {
   this->suspect_requests = val;
 }
+
+void peer_status::__set_unix_ms(const int64_t val) {
+  this->unix_ms = val;
+__isset.unix_ms = true;
+}
+
+void peer_status::__set_usage(const std::vector<usage_window> & val) {
+  this->usage = val;
+__isset.usage = true;
+}
+
+void peer_status::__set_speeds(const std::vector<target_speed> & val) {
+  this->speeds = val;
+__isset.speeds = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -12302,14 +12750,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size401;
-            ::apache::thrift::protocol::TType _etype404;
-            xfer += iprot->readListBegin(_etype404, _size401);
-            this->heard.resize(_size401);
-            uint32_t _i405;
-            for (_i405 = 0; _i405 < _size401; ++_i405)
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->heard.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
             {
-              xfer += iprot->readString(this->heard[_i405]);
+              xfer += iprot->readString(this->heard[_i423]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12346,14 +12794,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size406;
-            ::apache::thrift::protocol::TType _etype409;
-            xfer += iprot->readListBegin(_etype409, _size406);
-            this->centres_out.resize(_size406);
-            uint32_t _i410;
-            for (_i410 = 0; _i410 < _size406; ++_i410)
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->centres_out.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
             {
-              xfer += iprot->readString(this->centres_out[_i410]);
+              xfer += iprot->readString(this->centres_out[_i428]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12366,14 +12814,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size411;
-            ::apache::thrift::protocol::TType _etype414;
-            xfer += iprot->readListBegin(_etype414, _size411);
-            this->uses.resize(_size411);
-            uint32_t _i415;
-            for (_i415 = 0; _i415 < _size411; ++_i415)
+            uint32_t _size429;
+            ::apache::thrift::protocol::TType _etype432;
+            xfer += iprot->readListBegin(_etype432, _size429);
+            this->uses.resize(_size429);
+            uint32_t _i433;
+            for (_i433 = 0; _i433 < _size429; ++_i433)
             {
-              xfer += this->uses[_i415].read(iprot);
+              xfer += this->uses[_i433].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12386,14 +12834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size416;
-            ::apache::thrift::protocol::TType _etype419;
-            xfer += iprot->readListBegin(_etype419, _size416);
-            this->demands.resize(_size416);
-            uint32_t _i420;
-            for (_i420 = 0; _i420 < _size416; ++_i420)
+            uint32_t _size434;
+            ::apache::thrift::protocol::TType _etype437;
+            xfer += iprot->readListBegin(_etype437, _size434);
+            this->demands.resize(_size434);
+            uint32_t _i438;
+            for (_i438 = 0; _i438 < _size434; ++_i438)
             {
-              xfer += this->demands[_i420].read(iprot);
+              xfer += this->demands[_i438].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12406,14 +12854,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size421;
-            ::apache::thrift::protocol::TType _etype424;
-            xfer += iprot->readListBegin(_etype424, _size421);
-            this->customers.resize(_size421);
-            uint32_t _i425;
-            for (_i425 = 0; _i425 < _size421; ++_i425)
+            uint32_t _size439;
+            ::apache::thrift::protocol::TType _etype442;
+            xfer += iprot->readListBegin(_etype442, _size439);
+            this->customers.resize(_size439);
+            uint32_t _i443;
+            for (_i443 = 0; _i443 < _size439; ++_i443)
             {
-              xfer += this->customers[_i425].read(iprot);
+              xfer += this->customers[_i443].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12426,14 +12874,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size426;
-            ::apache::thrift::protocol::TType _etype429;
-            xfer += iprot->readListBegin(_etype429, _size426);
-            this->holdings.resize(_size426);
-            uint32_t _i430;
-            for (_i430 = 0; _i430 < _size426; ++_i430)
+            uint32_t _size444;
+            ::apache::thrift::protocol::TType _etype447;
+            xfer += iprot->readListBegin(_etype447, _size444);
+            this->holdings.resize(_size444);
+            uint32_t _i448;
+            for (_i448 = 0; _i448 < _size444; ++_i448)
             {
-              xfer += this->holdings[_i430].read(iprot);
+              xfer += this->holdings[_i448].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12446,14 +12894,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size431;
-            ::apache::thrift::protocol::TType _etype434;
-            xfer += iprot->readListBegin(_etype434, _size431);
-            this->leaving_targets.resize(_size431);
-            uint32_t _i435;
-            for (_i435 = 0; _i435 < _size431; ++_i435)
+            uint32_t _size449;
+            ::apache::thrift::protocol::TType _etype452;
+            xfer += iprot->readListBegin(_etype452, _size449);
+            this->leaving_targets.resize(_size449);
+            uint32_t _i453;
+            for (_i453 = 0; _i453 < _size449; ++_i453)
             {
-              xfer += this->leaving_targets[_i435].read(iprot);
+              xfer += this->leaving_targets[_i453].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12466,14 +12914,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size436;
-            ::apache::thrift::protocol::TType _etype439;
-            xfer += iprot->readListBegin(_etype439, _size436);
-            this->suspects.resize(_size436);
-            uint32_t _i440;
-            for (_i440 = 0; _i440 < _size436; ++_i440)
+            uint32_t _size454;
+            ::apache::thrift::protocol::TType _etype457;
+            xfer += iprot->readListBegin(_etype457, _size454);
+            this->suspects.resize(_size454);
+            uint32_t _i458;
+            for (_i458 = 0; _i458 < _size454; ++_i458)
             {
-              xfer += this->suspects[_i440].read(iprot);
+              xfer += this->suspects[_i458].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12494,14 +12942,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size441;
-            ::apache::thrift::protocol::TType _etype444;
-            xfer += iprot->readListBegin(_etype444, _size441);
-            this->registrations.resize(_size441);
-            uint32_t _i445;
-            for (_i445 = 0; _i445 < _size441; ++_i445)
+            uint32_t _size459;
+            ::apache::thrift::protocol::TType _etype462;
+            xfer += iprot->readListBegin(_etype462, _size459);
+            this->registrations.resize(_size459);
+            uint32_t _i463;
+            for (_i463 = 0; _i463 < _size459; ++_i463)
             {
-              xfer += this->registrations[_i445].read(iprot);
+              xfer += this->registrations[_i463].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12522,14 +12970,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size446;
-            ::apache::thrift::protocol::TType _etype449;
-            xfer += iprot->readListBegin(_etype449, _size446);
-            this->loads.resize(_size446);
-            uint32_t _i450;
-            for (_i450 = 0; _i450 < _size446; ++_i450)
+            uint32_t _size464;
+            ::apache::thrift::protocol::TType _etype467;
+            xfer += iprot->readListBegin(_etype467, _size464);
+            this->loads.resize(_size464);
+            uint32_t _i468;
+            for (_i468 = 0; _i468 < _size464; ++_i468)
             {
-              xfer += this->loads[_i450].read(iprot);
+              xfer += this->loads[_i468].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12550,14 +12998,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size451;
-            ::apache::thrift::protocol::TType _etype454;
-            xfer += iprot->readListBegin(_etype454, _size451);
-            this->starts.resize(_size451);
-            uint32_t _i455;
-            for (_i455 = 0; _i455 < _size451; ++_i455)
+            uint32_t _size469;
+            ::apache::thrift::protocol::TType _etype472;
+            xfer += iprot->readListBegin(_etype472, _size469);
+            this->starts.resize(_size469);
+            uint32_t _i473;
+            for (_i473 = 0; _i473 < _size469; ++_i473)
             {
-              xfer += this->starts[_i455].read(iprot);
+              xfer += this->starts[_i473].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12578,14 +13026,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_held.clear();
-            uint32_t _size456;
-            ::apache::thrift::protocol::TType _etype459;
-            xfer += iprot->readListBegin(_etype459, _size456);
-            this->centres_held.resize(_size456);
-            uint32_t _i460;
-            for (_i460 = 0; _i460 < _size456; ++_i460)
+            uint32_t _size474;
+            ::apache::thrift::protocol::TType _etype477;
+            xfer += iprot->readListBegin(_etype477, _size474);
+            this->centres_held.resize(_size474);
+            uint32_t _i478;
+            for (_i478 = 0; _i478 < _size474; ++_i478)
             {
-              xfer += this->centres_held[_i460].read(iprot);
+              xfer += this->centres_held[_i478].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12678,14 +13126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_parts.clear();
-            uint32_t _size461;
-            ::apache::thrift::protocol::TType _etype464;
-            xfer += iprot->readListBegin(_etype464, _size461);
-            this->suspect_parts.resize(_size461);
-            uint32_t _i465;
-            for (_i465 = 0; _i465 < _size461; ++_i465)
+            uint32_t _size479;
+            ::apache::thrift::protocol::TType _etype482;
+            xfer += iprot->readListBegin(_etype482, _size479);
+            this->suspect_parts.resize(_size479);
+            uint32_t _i483;
+            for (_i483 = 0; _i483 < _size479; ++_i483)
             {
-              xfer += this->suspect_parts[_i465].read(iprot);
+              xfer += this->suspect_parts[_i483].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12698,14 +13146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->target_limits.clear();
-            uint32_t _size466;
-            ::apache::thrift::protocol::TType _etype469;
-            xfer += iprot->readListBegin(_etype469, _size466);
-            this->target_limits.resize(_size466);
-            uint32_t _i470;
-            for (_i470 = 0; _i470 < _size466; ++_i470)
+            uint32_t _size484;
+            ::apache::thrift::protocol::TType _etype487;
+            xfer += iprot->readListBegin(_etype487, _size484);
+            this->target_limits.resize(_size484);
+            uint32_t _i488;
+            for (_i488 = 0; _i488 < _size484; ++_i488)
             {
-              xfer += this->target_limits[_i470].read(iprot);
+              xfer += this->target_limits[_i488].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12718,14 +13166,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->origins.clear();
-            uint32_t _size471;
-            ::apache::thrift::protocol::TType _etype474;
-            xfer += iprot->readListBegin(_etype474, _size471);
-            this->origins.resize(_size471);
-            uint32_t _i475;
-            for (_i475 = 0; _i475 < _size471; ++_i475)
+            uint32_t _size489;
+            ::apache::thrift::protocol::TType _etype492;
+            xfer += iprot->readListBegin(_etype492, _size489);
+            this->origins.resize(_size489);
+            uint32_t _i493;
+            for (_i493 = 0; _i493 < _size489; ++_i493)
             {
-              xfer += this->origins[_i475].read(iprot);
+              xfer += this->origins[_i493].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12738,14 +13186,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_requests.clear();
-            uint32_t _size476;
-            ::apache::thrift::protocol::TType _etype479;
-            xfer += iprot->readListBegin(_etype479, _size476);
-            this->suspect_requests.resize(_size476);
-            uint32_t _i480;
-            for (_i480 = 0; _i480 < _size476; ++_i480)
+            uint32_t _size494;
+            ::apache::thrift::protocol::TType _etype497;
+            xfer += iprot->readListBegin(_etype497, _size494);
+            this->suspect_requests.resize(_size494);
+            uint32_t _i498;
+            for (_i498 = 0; _i498 < _size494; ++_i498)
             {
-              xfer += this->suspect_requests[_i480].read(iprot);
+              xfer += this->suspect_requests[_i498].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12754,6 +13202,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 38:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unix_ms);
+          this->__isset.unix_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 39:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->usage.clear();
+            uint32_t _size499;
+            ::apache::thrift::protocol::TType _etype502;
+            xfer += iprot->readListBegin(_etype502, _size499);
+            this->usage.resize(_size499);
+            uint32_t _i503;
+            for (_i503 = 0; _i503 < _size499; ++_i503)
+            {
+              xfer += this->usage[_i503].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 40:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->speeds.clear();
+            uint32_t _size504;
+            ::apache::thrift::protocol::TType _etype507;
+            xfer += iprot->readListBegin(_etype507, _size504);
+            this->speeds.resize(_size504);
+            uint32_t _i508;
+            for (_i508 = 0; _i508 < _size504; ++_i508)
+            {
+              xfer += this->speeds[_i508].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.speeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12790,10 +13286,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter481;
-    for (_iter481 = this->heard.begin(); _iter481 != this->heard.end(); ++_iter481)
+    std::vector<std::string> ::const_iterator _iter509;
+    for (_iter509 = this->heard.begin(); _iter509 != this->heard.end(); ++_iter509)
     {
-      xfer += oprot->writeString((*_iter481));
+      xfer += oprot->writeString((*_iter509));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12814,10 +13310,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter482;
-    for (_iter482 = this->centres_out.begin(); _iter482 != this->centres_out.end(); ++_iter482)
+    std::vector<std::string> ::const_iterator _iter510;
+    for (_iter510 = this->centres_out.begin(); _iter510 != this->centres_out.end(); ++_iter510)
     {
-      xfer += oprot->writeString((*_iter482));
+      xfer += oprot->writeString((*_iter510));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12826,10 +13322,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter483;
-    for (_iter483 = this->uses.begin(); _iter483 != this->uses.end(); ++_iter483)
+    std::vector<target_use> ::const_iterator _iter511;
+    for (_iter511 = this->uses.begin(); _iter511 != this->uses.end(); ++_iter511)
     {
-      xfer += (*_iter483).write(oprot);
+      xfer += (*_iter511).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12838,10 +13334,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter484;
-    for (_iter484 = this->demands.begin(); _iter484 != this->demands.end(); ++_iter484)
+    std::vector<model_demand> ::const_iterator _iter512;
+    for (_iter512 = this->demands.begin(); _iter512 != this->demands.end(); ++_iter512)
     {
-      xfer += (*_iter484).write(oprot);
+      xfer += (*_iter512).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12850,10 +13346,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter485;
-    for (_iter485 = this->customers.begin(); _iter485 != this->customers.end(); ++_iter485)
+    std::vector<customer_use> ::const_iterator _iter513;
+    for (_iter513 = this->customers.begin(); _iter513 != this->customers.end(); ++_iter513)
     {
-      xfer += (*_iter485).write(oprot);
+      xfer += (*_iter513).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12862,10 +13358,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter486;
-    for (_iter486 = this->holdings.begin(); _iter486 != this->holdings.end(); ++_iter486)
+    std::vector<target_holding> ::const_iterator _iter514;
+    for (_iter514 = this->holdings.begin(); _iter514 != this->holdings.end(); ++_iter514)
     {
-      xfer += (*_iter486).write(oprot);
+      xfer += (*_iter514).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12874,10 +13370,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter487;
-    for (_iter487 = this->leaving_targets.begin(); _iter487 != this->leaving_targets.end(); ++_iter487)
+    std::vector<leaving_target> ::const_iterator _iter515;
+    for (_iter515 = this->leaving_targets.begin(); _iter515 != this->leaving_targets.end(); ++_iter515)
     {
-      xfer += (*_iter487).write(oprot);
+      xfer += (*_iter515).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12886,10 +13382,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter488;
-    for (_iter488 = this->suspects.begin(); _iter488 != this->suspects.end(); ++_iter488)
+    std::vector<quarantine> ::const_iterator _iter516;
+    for (_iter516 = this->suspects.begin(); _iter516 != this->suspects.end(); ++_iter516)
     {
-      xfer += (*_iter488).write(oprot);
+      xfer += (*_iter516).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12902,10 +13398,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter489;
-    for (_iter489 = this->registrations.begin(); _iter489 != this->registrations.end(); ++_iter489)
+    std::vector<target_registration> ::const_iterator _iter517;
+    for (_iter517 = this->registrations.begin(); _iter517 != this->registrations.end(); ++_iter517)
     {
-      xfer += (*_iter489).write(oprot);
+      xfer += (*_iter517).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12918,10 +13414,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter490;
-    for (_iter490 = this->loads.begin(); _iter490 != this->loads.end(); ++_iter490)
+    std::vector<target_load> ::const_iterator _iter518;
+    for (_iter518 = this->loads.begin(); _iter518 != this->loads.end(); ++_iter518)
     {
-      xfer += (*_iter490).write(oprot);
+      xfer += (*_iter518).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12934,10 +13430,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<target_registration> ::const_iterator _iter491;
-    for (_iter491 = this->starts.begin(); _iter491 != this->starts.end(); ++_iter491)
+    std::vector<target_registration> ::const_iterator _iter519;
+    for (_iter519 = this->starts.begin(); _iter519 != this->starts.end(); ++_iter519)
     {
-      xfer += (*_iter491).write(oprot);
+      xfer += (*_iter519).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12950,10 +13446,10 @@
   xfer += oprot->writeFieldBegin("centres_held", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->centres_held.size()));
-    std::vector<held_centre> ::const_iterator _iter492;
-    for (_iter492 = this->centres_held.begin(); _iter492 != this->centres_held.end(); ++_iter492)
+    std::vector<held_centre> ::const_iterator _iter520;
+    for (_iter520 = this->centres_held.begin(); _iter520 != this->centres_held.end(); ++_iter520)
     {
-      xfer += (*_iter492).write(oprot);
+      xfer += (*_iter520).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13004,10 +13500,10 @@
   xfer += oprot->writeFieldBegin("suspect_parts", ::apache::thrift::protocol::T_LIST, 34);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_parts.size()));
-    std::vector<suspect_part> ::const_iterator _iter493;
-    for (_iter493 = this->suspect_parts.begin(); _iter493 != this->suspect_parts.end(); ++_iter493)
+    std::vector<suspect_part> ::const_iterator _iter521;
+    for (_iter521 = this->suspect_parts.begin(); _iter521 != this->suspect_parts.end(); ++_iter521)
     {
-      xfer += (*_iter493).write(oprot);
+      xfer += (*_iter521).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13016,10 +13512,10 @@
   xfer += oprot->writeFieldBegin("target_limits", ::apache::thrift::protocol::T_LIST, 35);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->target_limits.size()));
-    std::vector<target_limit> ::const_iterator _iter494;
-    for (_iter494 = this->target_limits.begin(); _iter494 != this->target_limits.end(); ++_iter494)
+    std::vector<target_limit> ::const_iterator _iter522;
+    for (_iter522 = this->target_limits.begin(); _iter522 != this->target_limits.end(); ++_iter522)
     {
-      xfer += (*_iter494).write(oprot);
+      xfer += (*_iter522).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13028,10 +13524,10 @@
   xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 36);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->origins.size()));
-    std::vector<stream_origins> ::const_iterator _iter495;
-    for (_iter495 = this->origins.begin(); _iter495 != this->origins.end(); ++_iter495)
+    std::vector<stream_origins> ::const_iterator _iter523;
+    for (_iter523 = this->origins.begin(); _iter523 != this->origins.end(); ++_iter523)
     {
-      xfer += (*_iter495).write(oprot);
+      xfer += (*_iter523).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13040,15 +13536,46 @@
   xfer += oprot->writeFieldBegin("suspect_requests", ::apache::thrift::protocol::T_LIST, 37);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_requests.size()));
-    std::vector<suspect_part> ::const_iterator _iter496;
-    for (_iter496 = this->suspect_requests.begin(); _iter496 != this->suspect_requests.end(); ++_iter496)
+    std::vector<suspect_part> ::const_iterator _iter524;
+    for (_iter524 = this->suspect_requests.begin(); _iter524 != this->suspect_requests.end(); ++_iter524)
     {
-      xfer += (*_iter496).write(oprot);
+      xfer += (*_iter524).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.unix_ms) {
+    xfer += oprot->writeFieldBegin("unix_ms", ::apache::thrift::protocol::T_I64, 38);
+    xfer += oprot->writeI64(this->unix_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.usage) {
+    xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 39);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
+      std::vector<usage_window> ::const_iterator _iter525;
+      for (_iter525 = this->usage.begin(); _iter525 != this->usage.end(); ++_iter525)
+      {
+        xfer += (*_iter525).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.speeds) {
+    xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 40);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
+      std::vector<target_speed> ::const_iterator _iter526;
+      for (_iter526 = this->speeds.begin(); _iter526 != this->speeds.end(); ++_iter526)
+      {
+        xfer += (*_iter526).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13093,169 +13620,184 @@
   swap(a.target_limits, b.target_limits);
   swap(a.origins, b.origins);
   swap(a.suspect_requests, b.suspect_requests);
+  swap(a.unix_ms, b.unix_ms);
+  swap(a.usage, b.usage);
+  swap(a.speeds, b.speeds);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other497) {
-  process = other497.process;
-  boot = other497.boot;
-  sequence = other497.sequence;
-  leaving = other497.leaving;
-  heard = other497.heard;
-  config_version = other497.config_version;
-  config_address = other497.config_address;
-  centres_revision = other497.centres_revision;
-  centres_out = other497.centres_out;
-  uses = other497.uses;
-  demands = other497.demands;
-  customers = other497.customers;
-  holdings = other497.holdings;
-  leaving_targets = other497.leaving_targets;
-  suspects = other497.suspects;
-  wants_registrations = other497.wants_registrations;
-  registrations = other497.registrations;
-  address = other497.address;
-  loads = other497.loads;
-  gives_orders = other497.gives_orders;
-  starts = other497.starts;
-  centres_era = other497.centres_era;
-  centres_held = other497.centres_held;
-  informed = other497.informed;
-  reads_store = other497.reads_store;
-  data_centre = other497.data_centre;
-  group = other497.group;
-  fleet_size = other497.fleet_size;
-  processor_share = other497.processor_share;
-  to_other_group = other497.to_other_group;
-  group_use = other497.group_use;
-  outside = other497.outside;
-  has_details = other497.has_details;
-  suspect_parts = other497.suspect_parts;
-  target_limits = other497.target_limits;
-  origins = other497.origins;
-  suspect_requests = other497.suspect_requests;
-  __isset = other497.__isset;
-}
-peer_status::peer_status(peer_status&& other498) noexcept {
-  process = std::move(other498.process);
-  boot = other498.boot;
-  sequence = other498.sequence;
-  leaving = other498.leaving;
-  heard = std::move(other498.heard);
-  config_version = other498.config_version;
-  config_address = std::move(other498.config_address);
-  centres_revision = other498.centres_revision;
-  centres_out = std::move(other498.centres_out);
-  uses = std::move(other498.uses);
-  demands = std::move(other498.demands);
-  customers = std::move(other498.customers);
-  holdings = std::move(other498.holdings);
-  leaving_targets = std::move(other498.leaving_targets);
-  suspects = std::move(other498.suspects);
-  wants_registrations = other498.wants_registrations;
-  registrations = std::move(other498.registrations);
-  address = std::move(other498.address);
-  loads = std::move(other498.loads);
-  gives_orders = other498.gives_orders;
-  starts = std::move(other498.starts);
-  centres_era = other498.centres_era;
-  centres_held = std::move(other498.centres_held);
-  informed = other498.informed;
-  reads_store = other498.reads_store;
-  data_centre = std::move(other498.data_centre);
-  group = std::move(other498.group);
-  fleet_size = other498.fleet_size;
-  processor_share = other498.processor_share;
-  to_other_group = other498.to_other_group;
-  group_use = std::move(other498.group_use);
-  outside = std::move(other498.outside);
-  has_details = other498.has_details;
-  suspect_parts = std::move(other498.suspect_parts);
-  target_limits = std::move(other498.target_limits);
-  origins = std::move(other498.origins);
-  suspect_requests = std::move(other498.suspect_requests);
-  __isset = other498.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other499) {
-  process = other499.process;
-  boot = other499.boot;
-  sequence = other499.sequence;
-  leaving = other499.leaving;
-  heard = other499.heard;
-  config_version = other499.config_version;
-  config_address = other499.config_address;
-  centres_revision = other499.centres_revision;
-  centres_out = other499.centres_out;
-  uses = other499.uses;
-  demands = other499.demands;
-  customers = other499.customers;
-  holdings = other499.holdings;
-  leaving_targets = other499.leaving_targets;
-  suspects = other499.suspects;
-  wants_registrations = other499.wants_registrations;
-  registrations = other499.registrations;
-  address = other499.address;
-  loads = other499.loads;
-  gives_orders = other499.gives_orders;
-  starts = other499.starts;
-  centres_era = other499.centres_era;
-  centres_held = other499.centres_held;
-  informed = other499.informed;
-  reads_store = other499.reads_store;
-  data_centre = other499.data_centre;
-  group = other499.group;
-  fleet_size = other499.fleet_size;
-  processor_share = other499.processor_share;
-  to_other_group = other499.to_other_group;
-  group_use = other499.group_use;
-  outside = other499.outside;
-  has_details = other499.has_details;
-  suspect_parts = other499.suspect_parts;
-  target_limits = other499.target_limits;
-  origins = other499.origins;
-  suspect_requests = other499.suspect_requests;
-  __isset = other499.__isset;
-  return *this;
-}
-peer_status& peer_status::operator=(peer_status&& other500) noexcept {
-  process = std::move(other500.process);
-  boot = other500.boot;
-  sequence = other500.sequence;
-  leaving = other500.leaving;
-  heard = std::move(other500.heard);
-  config_version = other500.config_version;
-  config_address = std::move(other500.config_address);
-  centres_revision = other500.centres_revision;
-  centres_out = std::move(other500.centres_out);
-  uses = std::move(other500.uses);
-  demands = std::move(other500.demands);
-  customers = std::move(other500.customers);
-  holdings = std::move(other500.holdings);
-  leaving_targets = std::move(other500.leaving_targets);
-  suspects = std::move(other500.suspects);
-  wants_registrations = other500.wants_registrations;
-  registrations = std::move(other500.registrations);
-  address = std::move(other500.address);
-  loads = std::move(other500.loads);
-  gives_orders = other500.gives_orders;
-  starts = std::move(other500.starts);
-  centres_era = other500.centres_era;
-  centres_held = std::move(other500.centres_held);
-  informed = other500.informed;
-  reads_store = other500.reads_store;
-  data_centre = std::move(other500.data_centre);
-  group = std::move(other500.group);
-  fleet_size = other500.fleet_size;
-  processor_share = other500.processor_share;
-  to_other_group = other500.to_other_group;
-  group_use = std::move(other500.group_use);
-  outside = std::move(other500.outside);
-  has_details = other500.has_details;
-  suspect_parts = std::move(other500.suspect_parts);
-  target_limits = std::move(other500.target_limits);
-  origins = std::move(other500.origins);
-  suspect_requests = std::move(other500.suspect_requests);
-  __isset = other500.__isset;
+peer_status::peer_status(const peer_status& other527) {
+  process = other527.process;
+  boot = other527.boot;
+  sequence = other527.sequence;
+  leaving = other527.leaving;
+  heard = other527.heard;
+  config_version = other527.config_version;
+  config_address = other527.config_address;
+  centres_revision = other527.centres_revision;
+  centres_out = other527.centres_out;
+  uses = other527.uses;
+  demands = other527.demands;
+  customers = other527.customers;
+  holdings = other527.holdings;
+  leaving_targets = other527.leaving_targets;
+  suspects = other527.suspects;
+  wants_registrations = other527.wants_registrations;
+  registrations = other527.registrations;
+  address = other527.address;
+  loads = other527.loads;
+  gives_orders = other527.gives_orders;
+  starts = other527.starts;
+  centres_era = other527.centres_era;
+  centres_held = other527.centres_held;
+  informed = other527.informed;
+  reads_store = other527.reads_store;
+  data_centre = other527.data_centre;
+  group = other527.group;
+  fleet_size = other527.fleet_size;
+  processor_share = other527.processor_share;
+  to_other_group = other527.to_other_group;
+  group_use = other527.group_use;
+  outside = other527.outside;
+  has_details = other527.has_details;
+  suspect_parts = other527.suspect_parts;
+  target_limits = other527.target_limits;
+  origins = other527.origins;
+  suspect_requests = other527.suspect_requests;
+  unix_ms = other527.unix_ms;
+  usage = other527.usage;
+  speeds = other527.speeds;
+  __isset = other527.__isset;
+}
+peer_status::peer_status(peer_status&& other528) noexcept {
+  process = std::move(other528.process);
+  boot = other528.boot;
+  sequence = other528.sequence;
+  leaving = other528.leaving;
+  heard = std::move(other528.heard);
+  config_version = other528.config_version;
+  config_address = std::move(other528.config_address);
+  centres_revision = other528.centres_revision;
+  centres_out = std::move(other528.centres_out);
+  uses = std::move(other528.uses);
+  demands = std::move(other528.demands);
+  customers = std::move(other528.customers);
+  holdings = std::move(other528.holdings);
+  leaving_targets = std::move(other528.leaving_targets);
+  suspects = std::move(other528.suspects);
+  wants_registrations = other528.wants_registrations;
+  registrations = std::move(other528.registrations);
+  address = std::move(other528.address);
+  loads = std::move(other528.loads);
+  gives_orders = other528.gives_orders;
+  starts = std::move(other528.starts);
+  centres_era = other528.centres_era;
+  centres_held = std::move(other528.centres_held);
+  informed = other528.informed;
+  reads_store = other528.reads_store;
+  data_centre = std::move(other528.data_centre);
+  group = std::move(other528.group);
+  fleet_size = other528.fleet_size;
+  processor_share = other528.processor_share;
+  to_other_group = other528.to_other_group;
+  group_use = std::move(other528.group_use);
+  outside = std::move(other528.outside);
+  has_details = other528.has_details;
+  suspect_parts = std::move(other528.suspect_parts);
+  target_limits = std::move(other528.target_limits);
+  origins = std::move(other528.origins);
+  suspect_requests = std::move(other528.suspect_requests);
+  unix_ms = other528.unix_ms;
+  usage = std::move(other528.usage);
+  speeds = std::move(other528.speeds);
+  __isset = other528.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other529) {
+  process = other529.process;
+  boot = other529.boot;
+  sequence = other529.sequence;
+  leaving = other529.leaving;
+  heard = other529.heard;
+  config_version = other529.config_version;
+  config_address = other529.config_address;
+  centres_revision = other529.centres_revision;
+  centres_out = other529.centres_out;
+  uses = other529.uses;
+  demands = other529.demands;
+  customers = other529.customers;
+  holdings = other529.holdings;
+  leaving_targets = other529.leaving_targets;
+  suspects = other529.suspects;
+  wants_registrations = other529.wants_registrations;
+  registrations = other529.registrations;
+  address = other529.address;
+  loads = other529.loads;
+  gives_orders = other529.gives_orders;
+  starts = other529.starts;
+  centres_era = other529.centres_era;
+  centres_held = other529.centres_held;
+  informed = other529.informed;
+  reads_store = other529.reads_store;
+  data_centre = other529.data_centre;
+  group = other529.group;
+  fleet_size = other529.fleet_size;
+  processor_share = other529.processor_share;
+  to_other_group = other529.to_other_group;
+  group_use = other529.group_use;
+  outside = other529.outside;
+  has_details = other529.has_details;
+  suspect_parts = other529.suspect_parts;
+  target_limits = other529.target_limits;
+  origins = other529.origins;
+  suspect_requests = other529.suspect_requests;
+  unix_ms = other529.unix_ms;
+  usage = other529.usage;
+  speeds = other529.speeds;
+  __isset = other529.__isset;
+  return *this;
+}
+peer_status& peer_status::operator=(peer_status&& other530) noexcept {
+  process = std::move(other530.process);
+  boot = other530.boot;
+  sequence = other530.sequence;
+  leaving = other530.leaving;
+  heard = std::move(other530.heard);
+  config_version = other530.config_version;
+  config_address = std::move(other530.config_address);
+  centres_revision = other530.centres_revision;
+  centres_out = std::move(other530.centres_out);
+  uses = std::move(other530.uses);
+  demands = std::move(other530.demands);
+  customers = std::move(other530.customers);
+  holdings = std::move(other530.holdings);
+  leaving_targets = std::move(other530.leaving_targets);
+  suspects = std::move(other530.suspects);
+  wants_registrations = other530.wants_registrations;
+  registrations = std::move(other530.registrations);
+  address = std::move(other530.address);
+  loads = std::move(other530.loads);
+  gives_orders = other530.gives_orders;
+  starts = std::move(other530.starts);
+  centres_era = other530.centres_era;
+  centres_held = std::move(other530.centres_held);
+  informed = other530.informed;
+  reads_store = other530.reads_store;
+  data_centre = std::move(other530.data_centre);
+  group = std::move(other530.group);
+  fleet_size = other530.fleet_size;
+  processor_share = other530.processor_share;
+  to_other_group = other530.to_other_group;
+  group_use = std::move(other530.group_use);
+  outside = std::move(other530.outside);
+  has_details = other530.has_details;
+  suspect_parts = std::move(other530.suspect_parts);
+  target_limits = std::move(other530.target_limits);
+  origins = std::move(other530.origins);
+  suspect_requests = std::move(other530.suspect_requests);
+  unix_ms = other530.unix_ms;
+  usage = std::move(other530.usage);
+  speeds = std::move(other530.speeds);
+  __isset = other530.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -13298,6 +13840,9 @@
   out << ", " << "target_limits=" << to_string(target_limits);
   out << ", " << "origins=" << to_string(origins);
   out << ", " << "suspect_requests=" << to_string(suspect_requests);
+  out << ", " << "unix_ms="; (__isset.unix_ms ? (out << to_string(unix_ms)) : (out << "<null>"));
+  out << ", " << "usage="; (__isset.usage ? (out << to_string(usage)) : (out << "<null>"));
+  out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
   out << ")";
 }
 
@@ -13321,6 +13866,31 @@
 void turn_request::__set_tokens(const int32_t val) {
   this->tokens = val;
 }
+
+void turn_request::__set_priority(const int32_t val) {
+  this->priority = val;
+__isset.priority = true;
+}
+
+void turn_request::__set_customer(const std::string& val) {
+  this->customer = val;
+__isset.customer = true;
+}
+
+void turn_request::__set_slack_ms(const int64_t val) {
+  this->slack_ms = val;
+__isset.slack_ms = true;
+}
+
+void turn_request::__set_total_tokens(const int64_t val) {
+  this->total_tokens = val;
+__isset.total_tokens = true;
+}
+
+void turn_request::__set_running(const int32_t val) {
+  this->running = val;
+__isset.running = true;
+}
 std::ostream& operator<<(std::ostream& out, const turn_request& obj)
 {
   obj.printTo(out);
@@ -13381,6 +13951,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slack_ms);
+          this->__isset.slack_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total_tokens);
+          this->__isset.total_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13414,6 +14024,31 @@
   xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.priority) {
+    xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->priority);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.customer) {
+    xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->customer);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.slack_ms) {
+    xfer += oprot->writeFieldBegin("slack_ms", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->slack_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.total_tokens) {
+    xfer += oprot->writeFieldBegin("total_tokens", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->total_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.running) {
+    xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 9);
+    xfer += oprot->writeI32(this->running);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13425,37 +14060,62 @@
   swap(a.target, b.target);
   swap(a.number, b.number);
   swap(a.tokens, b.tokens);
+  swap(a.priority, b.priority);
+  swap(a.customer, b.customer);
+  swap(a.slack_ms, b.slack_ms);
+  swap(a.total_tokens, b.total_tokens);
+  swap(a.running, b.running);
   swap(a.__isset, b.__isset);
 }
 
-turn_request::turn_request(const turn_request& other501) {
-  process = other501.process;
-  target = other501.target;
-  number = other501.number;
-  tokens = other501.tokens;
-  __isset = other501.__isset;
-}
-turn_request::turn_request(turn_request&& other502) noexcept {
-  process = std::move(other502.process);
-  target = std::move(other502.target);
-  number = other502.number;
-  tokens = other502.tokens;
-  __isset = other502.__isset;
-}
-turn_request& turn_request::operator=(const turn_request& other503) {
-  process = other503.process;
-  target = other503.target;
-  number = other503.number;
-  tokens = other503.tokens;
-  __isset = other503.__isset;
-  return *this;
-}
-turn_request& turn_request::operator=(turn_request&& other504) noexcept {
-  process = std::move(other504.process);
-  target = std::move(other504.target);
-  number = other504.number;
-  tokens = other504.tokens;
-  __isset = other504.__isset;
+turn_request::turn_request(const turn_request& other531) {
+  process = other531.process;
+  target = other531.target;
+  number = other531.number;
+  tokens = other531.tokens;
+  priority = other531.priority;
+  customer = other531.customer;
+  slack_ms = other531.slack_ms;
+  total_tokens = other531.total_tokens;
+  running = other531.running;
+  __isset = other531.__isset;
+}
+turn_request::turn_request(turn_request&& other532) noexcept {
+  process = std::move(other532.process);
+  target = std::move(other532.target);
+  number = other532.number;
+  tokens = other532.tokens;
+  priority = other532.priority;
+  customer = std::move(other532.customer);
+  slack_ms = other532.slack_ms;
+  total_tokens = other532.total_tokens;
+  running = other532.running;
+  __isset = other532.__isset;
+}
+turn_request& turn_request::operator=(const turn_request& other533) {
+  process = other533.process;
+  target = other533.target;
+  number = other533.number;
+  tokens = other533.tokens;
+  priority = other533.priority;
+  customer = other533.customer;
+  slack_ms = other533.slack_ms;
+  total_tokens = other533.total_tokens;
+  running = other533.running;
+  __isset = other533.__isset;
+  return *this;
+}
+turn_request& turn_request::operator=(turn_request&& other534) noexcept {
+  process = std::move(other534.process);
+  target = std::move(other534.target);
+  number = other534.number;
+  tokens = other534.tokens;
+  priority = other534.priority;
+  customer = std::move(other534.customer);
+  slack_ms = other534.slack_ms;
+  total_tokens = other534.total_tokens;
+  running = other534.running;
+  __isset = other534.__isset;
   return *this;
 }
 void turn_request::printTo(std::ostream& out) const {
@@ -13465,6 +14125,11 @@
   out << ", " << "target=" << to_string(target);
   out << ", " << "number=" << to_string(number);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "priority="; (__isset.priority ? (out << to_string(priority)) : (out << "<null>"));
+  out << ", " << "customer="; (__isset.customer ? (out << to_string(customer)) : (out << "<null>"));
+  out << ", " << "slack_ms="; (__isset.slack_ms ? (out << to_string(slack_ms)) : (out << "<null>"));
+  out << ", " << "total_tokens="; (__isset.total_tokens ? (out << to_string(total_tokens)) : (out << "<null>"));
+  out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
   out << ")";
 }
 
@@ -13612,38 +14277,38 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_answer::turn_answer(const turn_answer& other505) {
-  process = other505.process;
-  target = other505.target;
-  number = other505.number;
-  given = other505.given;
-  wait_ms = other505.wait_ms;
-  __isset = other505.__isset;
-}
-turn_answer::turn_answer(turn_answer&& other506) noexcept {
-  process = std::move(other506.process);
-  target = std::move(other506.target);
-  number = other506.number;
-  given = other506.given;
-  wait_ms = other506.wait_ms;
-  __isset = other506.__isset;
-}
-turn_answer& turn_answer::operator=(const turn_answer& other507) {
-  process = other507.process;
-  target = other507.target;
-  number = other507.number;
-  given = other507.given;
-  wait_ms = other507.wait_ms;
-  __isset = other507.__isset;
-  return *this;
-}
-turn_answer& turn_answer::operator=(turn_answer&& other508) noexcept {
-  process = std::move(other508.process);
-  target = std::move(other508.target);
-  number = other508.number;
-  given = other508.given;
-  wait_ms = other508.wait_ms;
-  __isset = other508.__isset;
+turn_answer::turn_answer(const turn_answer& other535) {
+  process = other535.process;
+  target = other535.target;
+  number = other535.number;
+  given = other535.given;
+  wait_ms = other535.wait_ms;
+  __isset = other535.__isset;
+}
+turn_answer::turn_answer(turn_answer&& other536) noexcept {
+  process = std::move(other536.process);
+  target = std::move(other536.target);
+  number = other536.number;
+  given = other536.given;
+  wait_ms = other536.wait_ms;
+  __isset = other536.__isset;
+}
+turn_answer& turn_answer::operator=(const turn_answer& other537) {
+  process = other537.process;
+  target = other537.target;
+  number = other537.number;
+  given = other537.given;
+  wait_ms = other537.wait_ms;
+  __isset = other537.__isset;
+  return *this;
+}
+turn_answer& turn_answer::operator=(turn_answer&& other538) noexcept {
+  process = std::move(other538.process);
+  target = std::move(other538.target);
+  number = other538.number;
+  given = other538.given;
+  wait_ms = other538.wait_ms;
+  __isset = other538.__isset;
   return *this;
 }
 void turn_answer::printTo(std::ostream& out) const {
@@ -13784,34 +14449,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_use::turn_use(const turn_use& other509) {
-  process = other509.process;
-  target = other509.target;
-  number = other509.number;
-  tokens = other509.tokens;
-  __isset = other509.__isset;
-}
-turn_use::turn_use(turn_use&& other510) noexcept {
-  process = std::move(other510.process);
-  target = std::move(other510.target);
-  number = other510.number;
-  tokens = other510.tokens;
-  __isset = other510.__isset;
-}
-turn_use& turn_use::operator=(const turn_use& other511) {
-  process = other511.process;
-  target = other511.target;
-  number = other511.number;
-  tokens = other511.tokens;
-  __isset = other511.__isset;
-  return *this;
-}
-turn_use& turn_use::operator=(turn_use&& other512) noexcept {
-  process = std::move(other512.process);
-  target = std::move(other512.target);
-  number = other512.number;
-  tokens = other512.tokens;
-  __isset = other512.__isset;
+turn_use::turn_use(const turn_use& other539) {
+  process = other539.process;
+  target = other539.target;
+  number = other539.number;
+  tokens = other539.tokens;
+  __isset = other539.__isset;
+}
+turn_use::turn_use(turn_use&& other540) noexcept {
+  process = std::move(other540.process);
+  target = std::move(other540.target);
+  number = other540.number;
+  tokens = other540.tokens;
+  __isset = other540.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other541) {
+  process = other541.process;
+  target = other541.target;
+  number = other541.number;
+  tokens = other541.tokens;
+  __isset = other541.__isset;
+  return *this;
+}
+turn_use& turn_use::operator=(turn_use&& other542) noexcept {
+  process = std::move(other542.process);
+  target = std::move(other542.target);
+  number = other542.number;
+  tokens = other542.tokens;
+  __isset = other542.__isset;
   return *this;
 }
 void turn_use::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -242,6 +242,12 @@
 
 class suspect_part;
 
+class customer_runs;
+
+class usage_window;
+
+class target_speed;
+
 class target_load;
 
 class usage_sums;
@@ -4469,6 +4475,184 @@
 
 std::ostream& operator<<(std::ostream& out, const suspect_part& obj);
 
+typedef struct _customer_runs__isset {
+  _customer_runs__isset() : customer(false), requests(false) {}
+  bool customer :1;
+  bool requests :1;
+} _customer_runs__isset;
+
+/**
+ * Requests of a customer that began to run in one usage window, counted by one gateway.
+ */
+class customer_runs : public virtual ::apache::thrift::TBase {
+ public:
+
+  customer_runs(const customer_runs&);
+  customer_runs(customer_runs&&) noexcept;
+  customer_runs& operator=(const customer_runs&);
+  customer_runs& operator=(customer_runs&&) noexcept;
+  customer_runs() noexcept
+                : customer(),
+                  requests(0) {
+  }
+
+  virtual ~customer_runs() noexcept;
+  std::string customer;
+  int64_t requests;
+
+  _customer_runs__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_requests(const int64_t val);
+
+  bool operator == (const customer_runs & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const customer_runs &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const customer_runs & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(customer_runs &a, customer_runs &b);
+
+std::ostream& operator<<(std::ostream& out, const customer_runs& obj);
+
+typedef struct _usage_window__isset {
+  _usage_window__isset() : window(false), runs(false) {}
+  bool window :1;
+  bool runs :1;
+} _usage_window__isset;
+
+/**
+ * A gateway's counts of one usage window. Totals, not changes: a repeated message counts once.
+ */
+class usage_window : public virtual ::apache::thrift::TBase {
+ public:
+
+  usage_window(const usage_window&);
+  usage_window(usage_window&&) noexcept;
+  usage_window& operator=(const usage_window&);
+  usage_window& operator=(usage_window&&) noexcept;
+  usage_window() noexcept
+               : window(0) {
+  }
+
+  virtual ~usage_window() noexcept;
+  int64_t window;
+  std::vector<customer_runs>  runs;
+
+  _usage_window__isset __isset;
+
+  void __set_window(const int64_t val);
+
+  void __set_runs(const std::vector<customer_runs> & val);
+
+  bool operator == (const usage_window & rhs) const
+  {
+    if (!(window == rhs.window))
+      return false;
+    if (!(runs == rhs.runs))
+      return false;
+    return true;
+  }
+  bool operator != (const usage_window &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const usage_window & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(usage_window &a, usage_window &b);
+
+std::ostream& operator<<(std::ostream& out, const usage_window& obj);
+
+typedef struct _target_speed__isset {
+  _target_speed__isset() : target(false), born(false), speed(false), samples(false) {}
+  bool target :1;
+  bool born :1;
+  bool speed :1;
+  bool samples :1;
+} _target_speed__isset;
+
+/**
+ * What one gateway has learned of a target's lasting speed; 1 is the usual one. samples: answers it rests on.
+ */
+class target_speed : public virtual ::apache::thrift::TBase {
+ public:
+
+  target_speed(const target_speed&);
+  target_speed(target_speed&&) noexcept;
+  target_speed& operator=(const target_speed&);
+  target_speed& operator=(target_speed&&) noexcept;
+  target_speed() noexcept
+               : target(),
+                 born(0),
+                 speed(0),
+                 samples(0) {
+  }
+
+  virtual ~target_speed() noexcept;
+  std::string target;
+  int64_t born;
+  double speed;
+  int32_t samples;
+
+  _target_speed__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_speed(const double val);
+
+  void __set_samples(const int32_t val);
+
+  bool operator == (const target_speed & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(speed == rhs.speed))
+      return false;
+    if (!(samples == rhs.samples))
+      return false;
+    return true;
+  }
+  bool operator != (const target_speed &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const target_speed & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(target_speed &a, target_speed &b);
+
+std::ostream& operator<<(std::ostream& out, const target_speed& obj);
+
 typedef struct _target_load__isset {
   _target_load__isset() : target(false), running(false) {}
   bool target :1;
@@ -4818,7 +5002,7 @@
 std::ostream& operator<<(std::ostream& out, const outside_status& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false), unix_ms(false), usage(false), speeds(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -4856,6 +5040,9 @@
   bool target_limits :1;
   bool origins :1;
   bool suspect_requests :1;
+  bool unix_ms :1;
+  bool usage :1;
+  bool speeds :1;
 } _peer_status__isset;
 
 /**
@@ -4871,6 +5058,9 @@
  * suspects: of earlier versions, in place of suspect_requests.
  * origins: the sender's streams that began lately; to a member that has just started, all that it knows of.
  * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
+ * unix_ms: the sender's time of day; set where duties are configured, as usage is: the sender's usage windows that may not
+ * have been reported yet, sent to gateways that give orders.
+ * speeds: lasting speeds of targets; set only where targets state their load.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
  */
@@ -4900,7 +5090,8 @@
                 fleet_size(0),
                 processor_share(0),
                 to_other_group(0),
-                has_details(0) {
+                has_details(0),
+                unix_ms(0) {
   }
 
   virtual ~peer_status() noexcept;
@@ -4941,6 +5132,9 @@
   std::vector<target_limit>  target_limits;
   std::vector<stream_origins>  origins;
   std::vector<suspect_part>  suspect_requests;
+  int64_t unix_ms;
+  std::vector<usage_window>  usage;
+  std::vector<target_speed>  speeds;
 
   _peer_status__isset __isset;
 
@@ -5018,6 +5212,12 @@
 
   void __set_suspect_requests(const std::vector<suspect_part> & val);
 
+  void __set_unix_ms(const int64_t val);
+
+  void __set_usage(const std::vector<usage_window> & val);
+
+  void __set_speeds(const std::vector<target_speed> & val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -5098,6 +5298,18 @@
       return false;
     if (!(suspect_requests == rhs.suspect_requests))
       return false;
+    if (__isset.unix_ms != rhs.__isset.unix_ms)
+      return false;
+    else if (__isset.unix_ms && !(unix_ms == rhs.unix_ms))
+      return false;
+    if (__isset.usage != rhs.__isset.usage)
+      return false;
+    else if (__isset.usage && !(usage == rhs.usage))
+      return false;
+    if (__isset.speeds != rhs.__isset.speeds)
+      return false;
+    else if (__isset.speeds && !(speeds == rhs.speeds))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
@@ -5117,16 +5329,23 @@
 std::ostream& operator<<(std::ostream& out, const peer_status& obj);
 
 typedef struct _turn_request__isset {
-  _turn_request__isset() : process(false), target(false), number(false), tokens(false) {}
+  _turn_request__isset() : process(false), target(false), number(false), tokens(false), priority(false), customer(false), slack_ms(false), total_tokens(false), running(false) {}
   bool process :1;
   bool target :1;
   bool number :1;
   bool tokens :1;
+  bool priority :1;
+  bool customer :1;
+  bool slack_ms :1;
+  bool total_tokens :1;
+  bool running :1;
 } _turn_request__isset;
 
 /**
  * A gateway asks the gateway that schedules a target's turns (its keeper) for a turn to send it a request. tokens: of
- * the prompt; 1 for a plain request.
+ * the prompt; 1 for a plain request. The optional fields describe the most urgent request for which the turn is asked, set
+ * where turns are granted by urgency: priority, customer, slack_ms (until its latency target; negative: missed),
+ * total_tokens (of prompt and answer), running (requests of the sender at the target).
  */
 class turn_request : public virtual ::apache::thrift::TBase {
  public:
@@ -5139,7 +5358,12 @@
                : process(),
                  target(),
                  number(0),
-                 tokens(0) {
+                 tokens(0),
+                 priority(0),
+                 customer(),
+                 slack_ms(0),
+                 total_tokens(0),
+                 running(0) {
   }
 
   virtual ~turn_request() noexcept;
@@ -5147,6 +5371,11 @@
   std::string target;
   int64_t number;
   int32_t tokens;
+  int32_t priority;
+  std::string customer;
+  int64_t slack_ms;
+  int64_t total_tokens;
+  int32_t running;
 
   _turn_request__isset __isset;
 
@@ -5158,6 +5387,16 @@
 
   void __set_tokens(const int32_t val);
 
+  void __set_priority(const int32_t val);
+
+  void __set_customer(const std::string& val);
+
+  void __set_slack_ms(const int64_t val);
+
+  void __set_total_tokens(const int64_t val);
+
+  void __set_running(const int32_t val);
+
   bool operator == (const turn_request & rhs) const
   {
     if (!(process == rhs.process))
@@ -5168,6 +5407,26 @@
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (__isset.priority != rhs.__isset.priority)
+      return false;
+    else if (__isset.priority && !(priority == rhs.priority))
+      return false;
+    if (__isset.customer != rhs.__isset.customer)
+      return false;
+    else if (__isset.customer && !(customer == rhs.customer))
+      return false;
+    if (__isset.slack_ms != rhs.__isset.slack_ms)
+      return false;
+    else if (__isset.slack_ms && !(slack_ms == rhs.slack_ms))
+      return false;
+    if (__isset.total_tokens != rhs.__isset.total_tokens)
+      return false;
+    else if (__isset.total_tokens && !(total_tokens == rhs.total_tokens))
+      return false;
+    if (__isset.running != rhs.__isset.running)
+      return false;
+    else if (__isset.running && !(running == rhs.running))
+      return false;
     return true;
   }
   bool operator != (const turn_request &rhs) const {
