--- a/src/core/limits/fleet_quota.cpp
+++ b/src/core/limits/fleet_quota.cpp
@@ -112,7 +112,7 @@
     state.refilled_at = now;
 }
 
-quota_answer fleet_quota::take(const std::string& customer, double tokens, time_point now) {
+quota_answer fleet_quota::check(const std::string& customer, double tokens, time_point now) {
     const auto found = accounts_.find(customer);
     if (found == accounts_.end() || found->second.rate <= 0)
         return {true, {}};
@@ -122,10 +122,18 @@
     const double needed = std::min(tokens, state.burst * part * required_part);
     if (state.level < needed)
         return {false, from_seconds((needed - state.level) / (state.rate * part))};
-    state.level -= tokens;
+    return {true, {}};
+}
+
+quota_answer fleet_quota::take(const std::string& customer, double tokens, time_point now) {
+    const auto answer = check(customer, tokens, now);
+    const auto found = accounts_.find(customer);
+    if (!answer.granted || found == accounts_.end() || found->second.rate <= 0)
+        return answer;
+    found->second.level -= tokens;
     taken_[customer] += tokens;
     group_taken_[customer] += tokens;
-    return {true, {}};
+    return answer;
 }
 
 void fleet_quota::give_back(const std::string& customer, double tokens) {
--- a/src/core/limits/fleet_quota.hpp
+++ b/src/core/limits/fleet_quota.hpp
@@ -52,6 +52,8 @@
                       common::time_point now);                         // by gateways that don't report here
     void set_outside(outside_members outside, common::time_point now); // holds for the contact limit
 
+    /// Whether take() would grant the tokens now; nothing is taken.
+    [[nodiscard]] quota_answer check(const std::string& customer, double tokens, common::time_point now);
     quota_answer take(const std::string& customer, double tokens, common::time_point now);
     void give_back(const std::string& customer, double tokens); // of a request that will never run
 
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -206,27 +206,21 @@
     }
     if (request->customer.empty())
         return true;
-    const auto quota = context_.quota.take(request->customer, request->tokens, context_.loop.now());
-    if (!quota.granted) {
-        context_.log.write(edge::events::rate_refused, request->request_id,
-                           {{"customer", request->customer},
-                            {"tokens", request->tokens},
-                            {"level", context_.quota.level(request->customer)},
-                            {"available_part", context_.quota.available_part(context_.loop.now())},
-                            {"retry_ms", core::common::to_wire_ms(quota.retry_after)}});
-        reject(request, 429, "over_rate", quota.retry_after);
-    }
+    // The tokens are taken when the request is sent: those of requests that wait are not in use.
+    const auto quota = context_.quota.check(request->customer, request->tokens, context_.loop.now());
+    if (!quota.granted)
+        forwarder_.refuse_over_rate(request, quota.retry_after);
     return quota.granted;
 }
 
 void admission::reject(const caller_request_ptr& request, int status, const std::string& reason,
                        duration retry_after) {
-    request->tokens = 0;
     forwarder_.refuse(request, status, reason, retry_after);
 }
 
 void admission::on_request_finished(const caller_request_ptr& request) {
-    if (request->send_count == 0 && request->tokens > 0)
+    const bool ran = request->may_have_run || request->unsettled;
+    if (request->charged && !ran)
         context_.quota.give_back(request->customer, request->tokens);
     requests_.erase(request->session.get());
 }
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -23,7 +23,7 @@
     const core::fleet::route* route = nullptr;
     std::string customer;                    // empty on routes without authentication
     core::fleet::model_ref model;            // model empty for plain services
-    double tokens = 0;                       // charged to the customer's rate
+    double tokens = 0;                       // charged to the customer's rate when it is first sent
     int prompt_tokens = 0;                   // part of `tokens`; 0 unless the request states it
     std::uint64_t sticky_session = 0;        // hash of the session id; 0: none
     std::vector<std::uint64_t> shared_parts; // hashes of the prompt's parts but the last, which is its own
@@ -41,6 +41,8 @@
     core::common::time_point not_before{}; // earliest next attempt, after a target rejected the request
     int send_count = 0;                    // including sends that targets rejected
     bool may_have_run = false;             // the caller can no longer be told that the request has not run
+    bool charged = false;                  // its tokens were taken from the customer's rate
+    bool unsettled = false;                // sent, and its target has not said that it didn't run it
     core::common::time_point waiting_since{};
     core::common::time_point wait_until{}; // refused if still waiting then
     std::string blocked_by;                // what a target said that keeps it from being sent, with its age
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -133,9 +133,12 @@
         dispatcher_->submit(request);
         return;
     }
+    if (!charge(request))
+        return;
     if (request->send_count == 0)
         budget(request->service).count_first(context_.loop.now());
     ++request->send_count;
+    request->unsettled = true;
     request->came_before = !request->sent_to.insert(target).second;
     request->body.clear();
     request->events.clear();
@@ -169,6 +172,16 @@
                                           connection_for(*request), std::move(handlers));
 }
 
+bool forwarder::charge(const caller_request_ptr& request) {
+    if (request->charged || request->customer.empty())
+        return true;
+    const auto quota = context_.quota.take(request->customer, request->tokens, context_.loop.now());
+    if (!quota.granted)
+        refuse_over_rate(request, quota.retry_after);
+    request->charged = quota.granted;
+    return quota.granted;
+}
+
 /// Ends the exchange. Its object is destroyed later, since this may run inside one of the exchange's events.
 void forwarder::close_exchange(const caller_request_ptr& request, dispatcher::attempt_outcome outcome) {
     if (request->target_exchange) {
@@ -307,6 +320,7 @@
     if (failure == exchange_failure::not_sent) {
         const std::string unreached = request->target;
         request->not_before = {};
+        request->unsettled = false;
         close_exchange(request, dispatcher::attempt_outcome::unreachable);
         if (!request->came_before)
             request->sent_to.erase(unreached);
@@ -365,6 +379,7 @@
 void forwarder::handle_rejection(const caller_request_ptr& request, dispatcher::attempt_outcome outcome) {
     const char* reason = outcome == dispatcher::attempt_outcome::lacks_model ? "wrong_target" : "target_full";
     close_exchange(request, outcome);
+    request->unsettled = false;
     request->not_before = context_.loop.now() + rejection_backoff;
     if (retry(request, reason, true))
         return;
@@ -420,6 +435,16 @@
     finish(request, edge::events::request_refused, "refused", reason);
 }
 
+void forwarder::refuse_over_rate(const caller_request_ptr& request, duration retry_after) {
+    context_.log.write(edge::events::rate_refused, request->request_id,
+                       {{"customer", request->customer},
+                        {"tokens", request->tokens},
+                        {"level", context_.quota.level(request->customer)},
+                        {"available_part", context_.quota.available_part(context_.loop.now())},
+                        {"retry_ms", core::common::to_wire_ms(retry_after)}});
+    refuse(request, 429, "over_rate", retry_after);
+}
+
 void forwarder::abandon(const caller_request_ptr& request) {
     if (request->target.empty())
         dispatcher_->withdraw(request);
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -17,6 +17,7 @@
     void send(const caller_request_ptr& request, const std::string& target);
     void refuse(const caller_request_ptr& request, int status, const std::string& reason,
                 core::common::duration retry_after);
+    void refuse_over_rate(const caller_request_ptr& request, core::common::duration retry_after);
     void abandon(const caller_request_ptr& request);           // the caller disconnected
     void on_caller_drained(const caller_request_ptr& request); // the caller's output buffer is empty
     void on_deadline(const caller_request_ptr& request);
@@ -29,6 +30,8 @@
     void update_budgets();
 
 private:
+    /// Takes its tokens from the customer's rate when it is sent for the first time. False: refused.
+    bool charge(const caller_request_ptr& request);
     void on_head(const caller_request_ptr& request, const edge::answer_head& head);
     void on_body(const caller_request_ptr& request, std::string&& piece);
     void on_complete(const caller_request_ptr& request);
--- a/tests/core/fleet_quota_test.cpp
+++ b/tests/core/fleet_quota_test.cpp
@@ -162,6 +162,15 @@
     EXPECT_DOUBLE_EQ(quota.taken().at("c"), 0);
 }
 
+TEST(fleet_quota, a_check_takes_no_tokens) {
+    fleet_quota quota{"g0"};
+    quota.configure(customers(), time_point{100s});
+    const double before = quota.level("c");
+    EXPECT_TRUE(quota.check("c", 2'000, time_point{100s}).granted);
+    EXPECT_DOUBLE_EQ(quota.level("c"), before);
+    EXPECT_TRUE(quota.taken().empty());
+}
+
 TEST(fleet_quota, a_request_larger_than_the_burst_is_granted_and_leaves_a_debt) {
     fleet_quota quota{"g0"};
     time_point now{100s};
