Admission by the backlog of a queue: reverted

A gateway's own queue of a model is mostly one request long, so its drain rate is only the reciprocal of the last waits, and it also counts time in which the model was being loaded: requests with a short target latency were refused although there was room. A rate would have to come from the target's scheduler, which sees all gateways.

--- a/src/core/dispatch/wait_policy.cpp
+++ b/src/core/dispatch/wait_policy.cpp
@@ -38,12 +38,6 @@
     }
 }
 
-/// Whether its queue alone keeps the request from being answered on time.
-bool backlog_too_long(obstacle reason, const wait_context& context, time_point now) {
-    const bool queued = reason == obstacle::full || reason == obstacle::reading || reason == obstacle::cold;
-    return queued && context.expected_wait && now + *context.expected_wait > context.arrived + context.aim;
-}
-
 } // namespace
 
 wait_decision decide_wait(obstacle reason, const wait_context& context, time_point now) {
@@ -51,11 +45,9 @@
     const bool too_late = needs_model && context.model_ready && *context.model_ready > latest_start(context);
     const bool is_held = reason == obstacle::paused || reason == obstacle::limited;
     const bool held_too_long = is_held && context.back_at && *context.back_at > wait_limit(reason, context);
-    const bool backlogged = backlog_too_long(reason, context, now);
     wait_decision decision;
-    decision.until = too_late || held_too_long || backlogged
-                         ? now
-                         : std::min(wait_limit(reason, context), context.deadline);
+    decision.until =
+        too_late || held_too_long ? now : std::min(wait_limit(reason, context), context.deadline);
     duration room = context.aim / 2;
     if (needs_model && context.model_ready)
         room = std::max(room, *context.model_ready - now);
@@ -64,8 +56,6 @@
         room = std::max(room, *context.back_at - now);
         longest = std::max(longest, room); // the target named the time, or the rate, itself
     }
-    if (context.drain_time && (backlogged || reason == obstacle::full || reason == obstacle::reading))
-        room = std::max(room, *context.drain_time);
     decision.retry_after = std::clamp<duration>(room, min_retry_after, longest) +
                            retry_spread_step * static_cast<int>(context.number % retry_spread_steps);
     return decision;
--- a/src/core/dispatch/wait_policy.hpp
+++ b/src/core/dispatch/wait_policy.hpp
@@ -4,9 +4,7 @@
 /// many (fetched), and for targets that ask for some time without requests or for a lower rate. A request
 /// that can't be answered before its deadline, or whose targets are all paused, or in use by others, beyond
 /// its target latency, is refused at once, with the time after which there will be room. A request that may
-/// still be answered on time waits, but not until its deadline. Where the drain rate of its queue is known, a
-/// request whose turn would come too late for an answer on time is refused at once: it would take room from
-/// those that can still be on time. Its caller is told when the queue will have drained.
+/// still be answered on time waits, but not until its deadline.
 #pragma once
 
 #include "core/dispatch/request_target_choice.hpp"
@@ -22,10 +20,6 @@
         model_ready; // earliest expected time at which a target has its model loaded
     std::optional<common::time_point> back_at; // when the first of its paused or limited targets takes it
     std::uint64_t number = 0; // of the request; spreads the retries of requests refused together
-    /// Until its turn in its queue, by the rate at which the queue drains, and until the whole queue has
-    /// drained. Unset if unknown or not in use.
-    std::optional<common::duration> expected_wait;
-    std::optional<common::duration> drain_time;
 };
 
 struct wait_decision {
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -97,8 +97,6 @@
         withdraw(request);
         callbacks_.on_refuse(request, why, retry_after);
     }
-    if (context_.settings.backlog_admission)
-        note_queues(current_pass);
     schedule_wait_check();
     if (current_pass.new_wait)
         callbacks_.on_new_wait();
@@ -119,8 +117,6 @@
     }
     const std::string target = choice.chosen->target->entry.id;
     withdraw(request);
-    if (const auto queue = drain_rates_.find(group); queue != drain_rates_.end())
-        queue->second.note_sent(context_.loop.now());
     callbacks_.on_send(request, target);
     for (auto* lists : {&current_pass.holders, &current_pass.all}) // its load has changed
         for (auto& [other, list] : *lists)
@@ -164,9 +160,8 @@
         request->waiting_since = now;
     current_pass.new_wait = current_pass.new_wait || first;
     const auto found = current_pass.all.find({request->service, request->model});
-    const int ahead = current_pass.kept_waiting[{request->service, request->model}]++;
-    const auto wait_limit = wait_limit_for(
-        *request, blocked, found == current_pass.all.end() ? candidate_list{} : found->second, ahead);
+    const auto wait_limit =
+        wait_limit_for(*request, blocked, found == current_pass.all.end() ? candidate_list{} : found->second);
     request->wait_until = wait_limit.until;
     request->blocked_by = describe(blocked);
     if (now >= wait_limit.until) {
@@ -196,14 +191,11 @@
 
 core::dispatch::wait_decision dispatcher::wait_limit_for(const caller_request& request,
                                                          const core::dispatch::choice& blocked,
-                                                         const candidate_list& among, int ahead) const {
+                                                         const candidate_list& among) const {
     const time_point now = context_.loop.now();
-    core::dispatch::wait_context facts;
-    facts.since = request.waiting_since;
-    facts.arrived = request.arrived;
-    facts.deadline = request.deadline;
-    facts.aim = request.route->target_latency;
-    facts.number = request.arrival_number;
+    core::dispatch::wait_context facts{request.waiting_since,         request.arrived, request.deadline,
+                                       request.route->target_latency, std::nullopt,    std::nullopt,
+                                       request.arrival_number};
     if (blocked.first_back != nullptr)
         facts.back_at = core::dispatch::back_at(*blocked.first_back, blocked.why);
     const auto* service = context_.config->find_service(request.service);
@@ -211,36 +203,9 @@
         if (const auto spec = service->engine->models.find(request.model.model);
             spec != service->engine->models.end())
             facts.model_ready = core::dispatch::earliest_ready(among, spec->second, now);
-    if (context_.settings.backlog_admission)
-        add_backlog({request.service, request.model}, ahead, facts);
     return core::dispatch::decide_wait(blocked.why, facts, now);
 }
 
-void dispatcher::add_backlog(const group_key& group, int ahead, core::dispatch::wait_context& facts) const {
-    const auto rate = drain_rates_.find(group);
-    if (rate == drain_rates_.end())
-        return;
-    const auto per_second = rate->second.per_second(context_.loop.now());
-    const auto longest = facts.deadline - facts.arrived;
-    const auto length = queue_lengths_.find(group);
-    facts.expected_wait = core::dispatch::expected_wait(ahead, per_second, longest);
-    facts.drain_time = core::dispatch::expected_wait(length == queue_lengths_.end() ? 0 : length->second,
-                                                     per_second, longest);
-}
-
-void dispatcher::note_queues(const dispatch_pass& current_pass) {
-    const time_point now = context_.loop.now();
-    queue_lengths_ = current_pass.kept_waiting;
-    for (auto& [group, rate] : drain_rates_)
-        rate.note_waiting(queue_lengths_.contains(group), now);
-    for (const auto& [group, length] : queue_lengths_)
-        if (!drain_rates_.contains(group))
-            drain_rates_[group].note_waiting(true, now);
-    std::erase_if(drain_rates_, [&](const auto& entry) {
-        return !queue_lengths_.contains(entry.first) && !entry.second.per_second(now);
-    });
-}
-
 /// The targets' own words that decided, with their age; empty if none did.
 std::string dispatcher::describe(const core::dispatch::choice& blocked) const {
     if (blocked.first_back == nullptr)
@@ -259,9 +224,7 @@
 duration dispatcher::retry_after_for(const caller_request& request) {
     const auto among = candidates({request.service, request.model}, false);
     const auto blocked = core::dispatch::choose(among, criteria_for(request), context_.loop.now());
-    const auto queue = queue_lengths_.find({request.service, request.model});
-    return wait_limit_for(request, blocked, among, queue == queue_lengths_.end() ? 0 : queue->second)
-        .retry_after;
+    return wait_limit_for(request, blocked, among).retry_after;
 }
 
 void dispatcher::note_answer(const core::fleet::target_start& from, int status,
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -2,7 +2,6 @@
 /// of the targets as this gateway sees them.
 #pragma once
 
-#include "core/dispatch/drain_rate.hpp"
 #include "core/dispatch/fleet_load.hpp"
 #include "core/dispatch/wait_policy.hpp"
 #include "programs/gateway/caller_request.hpp"
@@ -121,7 +120,6 @@
         std::map<group_key, candidate_list> holders; // targets that hold the model of the group, or load it
         std::map<group_key, candidate_list> all;     // all targets, where no holder can take a request
         std::map<group_key, core::dispatch::choice> blocked;
-        std::map<group_key, int> kept_waiting; // requests of the group that have been passed over
         std::vector<std::tuple<caller_request_ptr, core::dispatch::obstacle, core::common::duration>> refused;
         bool new_wait = false;
     };
@@ -142,13 +140,10 @@
     void count_arrival(const caller_request& request);
     [[nodiscard]] core::dispatch::target_criteria criteria_for(const caller_request& request) const;
     void schedule_wait_check();
-    /// Notes of each queue of a service and model whether requests wait in it.
-    void note_queues(const dispatch_pass& current_pass);
-    void add_backlog(const group_key& group, int ahead, core::dispatch::wait_context& facts) const;
     void note_limit(const core::fleet::target_start& from, std::optional<double> per_second);
     [[nodiscard]] core::dispatch::wait_decision wait_limit_for(const caller_request& request,
                                                                const core::dispatch::choice& blocked,
-                                                               const candidate_list& among, int ahead) const;
+                                                               const candidate_list& among) const;
     [[nodiscard]] std::string describe(const core::dispatch::choice& blocked) const;
 
     gateway_context& context_;
@@ -157,8 +152,6 @@
     std::map<std::uint64_t, caller_request_ptr> waiting_; // by arrival number
     std::map<std::string, target_runtime> runtimes_;      // by target id
     core::dispatch::fleet_load peer_load_;
-    std::map<group_key, core::dispatch::drain_rate> drain_rates_; // only with the setting backlog_admission
-    std::map<group_key, int> queue_lengths_;                      // after the latest pass
     usage_map usage_;
     std::map<core::fleet::model_ref, arrival_counter> arrivals_;
     std::uint64_t last_arrival_number_ = 0;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -285,7 +285,6 @@
     settings_.request_lines = new_settings.request_lines;
     settings_.prompt_tokens_at_once = new_settings.prompt_tokens_at_once;
     settings_.prompt_tokens_per_second = new_settings.prompt_tokens_per_second;
-    settings_.backlog_admission = new_settings.backlog_admission;
     log_.limit_request_lines(new_settings.request_lines);
     forwarder_.update_budgets();
     log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
--- a/tests/core/wait_policy_test.cpp
+++ b/tests/core/wait_policy_test.cpp
@@ -15,11 +15,7 @@
 constexpr time_point now{100s};
 
 dispatch::wait_context context_with(common::milliseconds left, common::milliseconds aim = 1'000ms) {
-    dispatch::wait_context out;
-    out.since = out.arrived = now;
-    out.deadline = now + left;
-    out.aim = aim;
-    return out;
+    return {now, now, now + left, aim, std::nullopt, std::nullopt, 0};
 }
 
 } // namespace
@@ -66,32 +62,6 @@
     }
 }
 
-// Under lasting overload, requests that wait in vain for their whole target latency keep others waiting too.
-TEST(wait_policy, a_request_whose_queue_drains_too_slowly_for_it_is_refused_on_arrival) {
-    auto context = context_with(12'000ms, 800ms);
-    context.expected_wait = 900ms;
-    context.drain_time = 2'500ms;
-    for (const obstacle why : {obstacle::full, obstacle::reading}) {
-        const auto decision = decide_wait(why, context, now);
-        EXPECT_LE(decision.until, now);
-        EXPECT_EQ(decision.retry_after, 2'500ms);
-    }
-}
-
-TEST(wait_policy, a_request_whose_queue_drains_in_time_waits) {
-    auto context = context_with(12'000ms, 800ms);
-    context.expected_wait = 700ms;
-    context.drain_time = 2'500ms;
-    EXPECT_EQ(decide_wait(obstacle::full, context, now).until, now + 800ms);
-}
-
-TEST(wait_policy, a_backlog_does_not_refuse_requests_that_wait_for_a_model) {
-    auto context = context_with(12'000ms, 800ms);
-    context.expected_wait = 5s;
-    context.model_ready = now + 1s;
-    EXPECT_GT(decide_wait(obstacle::loading, context, now).until, now);
-}
-
 TEST(wait_policy, requests_refused_together_get_different_retry_delays) {
     std::set<common::duration> delays;
     for (std::uint64_t number = 0; number < 16; ++number) {
