--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """waxwing-gateway on stand-ins of the users' platform: requests, refusals, faults, and finding the cause of a failed
 request from the logs alone."""
+import concurrent.futures
 import http.client
 import json
 import pathlib
@@ -115,6 +116,18 @@
         expect_contains(fleet.timeline(headers["Request-Id"]), "rate_refused", "cause: Its customer had used up its rate and burst over all gateways.")
 
 
+def requests_that_wait_hold_no_tokens_of_their_customers_rate():
+    """Customers were refused inside their rate while requests of theirs that never ran held its tokens."""
+    settings = configuration(version=3)
+    settings["tenants"][0].update(rate_per_s=10, burst=1000)   # a start grants 500 tokens, and a plain request costs 200
+    with Fleet(ARGUMENTS.bin) as fleet:
+        fleet.store.put("config", "main", settings)
+        fleet.start()                                          # without a target of the service: requests wait in vain
+        with concurrent.futures.ThreadPoolExecutor(6) as callers:
+            asked = [callers.submit(fleet.ask, "/lookup/1", fleet.headers()) for _ in range(6)]
+            expect({answer.result().status for answer in asked}, {503}, "statuses while no target is there")
+
+
 def logs_show_the_cause_of_a_cut_stream_at_a_change_of_order_giver():
     with Fleet(ARGUMENTS.bin, gateways=2) as fleet:
         target = fleet.target("t1", "engine", models=["m0"])
@@ -360,6 +373,7 @@
                request_is_abandoned_when_its_caller_disconnects,
                broken_stream_resumes_at_another_target,
                logs_show_the_cause_of_a_rate_refusal,
+               requests_that_wait_hold_no_tokens_of_their_customers_rate,
                logs_show_the_cause_of_a_cut_stream_at_a_change_of_order_giver,
                restarted_order_giver_gives_orders_without_waiting,
                logs_show_the_cause_of_a_refusal_after_waiting_for_a_model,
