--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -70,6 +70,7 @@
                   forwarder_.update_budgets();
               }}),
       boot_(unix_ms()), order_giver_(context_, lease_store_client_, client_, dispatcher_, boot_),
+      duties_(context_, client_, order_giver_.lease()),
       updates_(context_,
                {dispatcher_, forwarder_, watch_, client_, [this] { return order_giver_.holdings(); }}),
       peers_(context_, {dispatcher_, watch_, [this] { return order_giver_.gives_orders(); }}, updates_,
@@ -135,6 +136,7 @@
         return false;
     watch_.start();
     order_giver_.start([this] { watch_.watch_closely(); });
+    duties_.start();
     housekeeping();
     return true;
 }
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 
 #include "edge/program.hpp"
 #include "programs/gateway/admission.hpp"
+#include "programs/gateway/duties.hpp"
 #include "programs/gateway/order_giver.hpp"
 
 #include <filesystem>
@@ -52,6 +53,7 @@
     store_watch watch_;
     std::int64_t boot_;
     order_giver order_giver_;
+    duties duties_;
     peer_updates updates_;
     peers peers_;
     prompt_turns turns_;
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -76,6 +76,10 @@
                       "Turns to send a prompt to a target, by what became of them")),
       finished_loads_(counters(registry, data_centre, "waxwing_finished_loads_total",
                                "Loads from the weight store that a report has shown to be over")),
+      duty_calls_(counters(registry, data_centre, "waxwing_duty_calls_total",
+                           "Calls to the platform that one gateway at a time makes, by path and result")),
+      usage_reports_(counters(registry, data_centre, "waxwing_usage_reports_total",
+                              "Windows of usage by what became of their report")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
                          "Time since the store last answered the watch of a kind of object")) {}
 
@@ -110,6 +114,14 @@
     finished_loads_.Add({{"result", late ? "late" : "in_time"}}).Increment();
 }
 
+void gateway_metrics::count_duty_call(const std::string& path, const std::string& result) {
+    duty_calls_.Add({{"path", path}, {"result", result}}).Increment();
+}
+
+void gateway_metrics::count_usage_report(const std::string& result) {
+    usage_reports_.Add({{"result", result}}).Increment();
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -29,7 +29,9 @@
     void count_order(const std::string& operation, const std::string& result);
     void count_turn(const std::string& result); // turns to send a prompt: given, missed, unused
     void count_finished_load(bool late);        // loads from the weight store
-    void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
+    void count_duty_call(const std::string& path, const std::string& result); // each attempt
+    void count_usage_report(const std::string& result);                       // windows: sent, late, given_up
+    void set_watch_age(const std::string& kind, core::common::duration age);  // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
     prometheus::Gauge& running;    // requests at targets
@@ -50,6 +52,8 @@
     prometheus::Family<prometheus::Counter>& orders_;
     prometheus::Family<prometheus::Counter>& turns_;
     prometheus::Family<prometheus::Counter>& finished_loads_;
+    prometheus::Family<prometheus::Counter>& duty_calls_;
+    prometheus::Family<prometheus::Counter>& usage_reports_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
 };
 
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -1,6 +1,41 @@
 #include "programs/gateway/settings.hpp"
 
+#include <sstream>
+
 namespace waxwinglb::programs::gateway {
+namespace {
+
+constexpr core::common::milliseconds min_window{1'000};
+constexpr core::common::milliseconds max_window{60'000}; // totals are kept for four windows
+
+/// Reads a comma-separated list of duties.
+void read_kinds(const std::string& text, duty_settings& out) {
+    std::istringstream list{text};
+    for (std::string kind; std::getline(list, kind, ',');) {
+        const auto first = kind.find_first_not_of(' ');
+        kind = first == std::string::npos ? "" : kind.substr(first, kind.find_last_not_of(' ') + 1 - first);
+        if (kind == "usage_report")
+            out.usage_report = true;
+        else if (kind == "autoscale")
+            out.autoscale = true;
+        else if (!kind.empty())
+            out.unknown_kinds.push_back(kind);
+    }
+}
+
+void read_duties(edge::settings_section& duties, duty_settings& out) {
+    out.address = duties.address("address");
+    out.calls_per_second = duties.number("calls_per_second", 0.01, 10'000, out.calls_per_second);
+    read_kinds(duties.text("kinds"), out);
+    out.usage_window = duties.duration("usage_window", out.usage_window);
+    out.usage_late = duties.duration("usage_late", out.usage_late);
+    if (out.usage_window < min_window || out.usage_window > max_window)
+        duties.fault("usage_window", "expected 1s to 60s");
+    if (out.usage_late.count() < 1)
+        duties.fault("usage_late", "expected more than 0");
+}
+
+} // namespace
 
 void read_settings(edge::settings_section& in, gateway_settings& out) {
     out.data_centre = in.text("data_centre");
@@ -33,6 +68,7 @@
         out.retries.slack = retries.number("slack", 0, 1e6, out.retries.slack);
         out.retries.window = retries.duration("window", out.retries.window);
     });
+    in.section("duties", false, [&](edge::settings_section& duties) { read_duties(duties, out.duties); });
     in.section("placing", false, [&](edge::settings_section& placing) {
         out.placing.parallel_store_loads = static_cast<int>(
             placing.integer("parallel_store_loads", 1, 1'000, out.placing.parallel_store_loads));
--- a/src/programs/gateway/settings.hpp
+++ b/src/programs/gateway/settings.hpp
@@ -7,9 +7,21 @@
 #include "edge/settings.hpp"
 
 #include <string>
+#include <vector>
 
 namespace waxwinglb::programs::gateway {
 
+/// Calls to the platform that only one gateway at a time may make.
+struct duty_settings {
+    std::string address;                    // "ip:port" of the platform's duty calls; empty: no duties
+    double calls_per_second = 1;            // of all gateways together
+    bool usage_report = false;              // report requests by customer and window
+    bool autoscale = false;                 // set the number of targets of services with `scaling`
+    std::vector<std::string> unknown_kinds; // named in `kinds`, ignored
+    core::common::milliseconds usage_window{5'000};
+    core::common::milliseconds usage_late{10'000}; // after a window's end, its report is late
+};
+
 struct gateway_settings {
     std::string name; // of the VM that this gateway runs on
     std::string data_centre;
@@ -28,6 +40,7 @@
     std::size_t single_group{core::exchange::max_single_group}; // gateways up to which each reports to each
     core::retries::window_limits retries;                       // of all gateways together
     core::load_planning::planner_limits placing;
+    duty_settings duties;
 };
 
 void read_settings(edge::settings_section& in, gateway_settings& out);
