--- a/src/core/duties/fenced_calls.cpp
+++ b/src/core/duties/fenced_calls.cpp
@@ -94,8 +94,10 @@
     // Every second call of the budget is left to other subjects, however often this one is repeated.
     if (answer == call_answer::none)
         call.not_before = now + std::max<duration>(options_.retry_delay, 2 * interval());
-    if (repeat)
+    if (repeat) {
+        call.order = ++last_order_; // behind the calls of other subjects
         return std::nullopt;
+    }
     if (!call.successor) {
         calls_.erase(found);
         return over;
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -52,6 +52,7 @@
 inline constexpr std::string_view usage_decided = "usage_decided";
 inline constexpr std::string_view usage_reported = "usage_reported";
 inline constexpr std::string_view usage_given_up = "usage_given_up";
+inline constexpr std::string_view usage_not_counted = "usage_not_counted";
 inline constexpr std::string_view usage_object_ignored = "usage_object_ignored";
 inline constexpr std::string_view clock_jumped = "clock_jumped";
 inline constexpr std::string_view request_waiting = "request_waiting";
@@ -66,16 +67,20 @@
 inline constexpr std::string_view request_abandoned = "request_abandoned";
 inline constexpr std::string_view lines_left_out = "lines_left_out";
 inline constexpr std::string_view lines_dropped = "lines_dropped";
-inline constexpr std::array all{process_started,   process_stopping, process_stopped,       settings_reloaded,
-                                settings_refused,  store_lost,       store_regained,        store_restored,
-                                target_leaving,    target_paused,    target_notice_ignored, peer_lost,
-                                peer_regained,     config_in_force,  config_refused,        data_centres_out,
-                                target_changed,    target_ignored,   target_suspected,      lease_taken,
-                                lease_lost,        order_sent,       order_answered,        load_finished,
-                                request_waiting,   turn_missed,      request_sent,          request_retried,
-                                request_refused,   rate_refused,     request_answered,      request_cut,
-                                request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored,
-                                prompt_suspected,  target_limited,   process_crashed,       entries_ignored};
+inline constexpr std::array all{
+    process_started,      process_stopping,   process_stopped,       settings_reloaded,
+    settings_refused,     store_lost,         store_regained,        store_restored,
+    target_leaving,       target_paused,      target_notice_ignored, peer_lost,
+    peer_regained,        config_in_force,    config_refused,        data_centres_out,
+    target_changed,       target_ignored,     target_suspected,      lease_taken,
+    lease_lost,           order_sent,         order_answered,        load_finished,
+    request_waiting,      turn_missed,        request_sent,          request_retried,
+    request_refused,      rate_refused,       request_answered,      request_cut,
+    request_abandoned,    lines_left_out,     lines_dropped,         datagram_ignored,
+    prompt_suspected,     target_limited,     process_crashed,       entries_ignored,
+    duty_call_sent,       duty_call_answered, duty_call_refused,     duty_unknown,
+    usage_decided,        usage_reported,     usage_given_up,        usage_not_counted,
+    usage_object_ignored, clock_jumped};
 /// Events that callers or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed, request_sent,      request_retried,  request_refused, rate_refused,
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -61,6 +61,7 @@
     core::streams::event_sequence sequence; // of the events forwarded
     bool streaming = false;                 // the answer is forwarded as it arrives
     const char* ended_by = ""; // what marks the end of the target's body: "length", "chunks" or "connection"
+    bool run_counted = false;  // as a request that began to run
     bool finished = false;     // answered, refused or abandoned
     std::string last_target;   // target of the latest send
     core::common::time_point first_chunk_at{}; // when the first part of the answer was forwarded
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -37,6 +37,8 @@
     bool reads_store_closely = true; // false: others do, and their messages arrive
     bool draining = false;           // SIGTERM was received
     core::common::time_point drain_started{};
+    /// Counts a customer's request that began to run; empty unless usage is to be reported.
+    std::function<void(const std::string& customer, core::common::time_point began)> count_run;
 
     /// Takes note of the software versions that targets have now.
     void note_software_versions() {
--- a/src/programs/gateway/duties.hpp
+++ b/src/programs/gateway/duties.hpp
@@ -18,8 +18,8 @@
 
 class duties {
 public:
-    /// Called on the event loop when a call is over: accepted or refused, or replaced by a later one. Not
-    /// called if the lease ends first.
+    /// Called on the event loop when a call was accepted or refused. Not called if a later call of its
+    /// subject replaces it, or if the lease ends first.
     using on_over = std::function<void(core::duties::call_answer)>;
 
     duties(gateway_context& context, edge::http_client& client, order_lease& lease);
@@ -35,6 +35,9 @@
     bool enqueue(const std::string& subject, const std::string& path, const std::string& body,
                  on_over done = {});
 
+    /// True while a call of the subject waits or is in flight.
+    [[nodiscard]] bool pending(const std::string& subject) const { return calls_.pending(subject); }
+
     void start();
 
 private:
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -50,6 +50,13 @@
            edge::find_field(head.fields, platform::not_run_header) != nullptr;
 }
 
+/// Whether an answer to a plain call shows that the target ran it, well or not.
+bool began_to_run(const edge::answer_head& head) {
+    constexpr int too_many_requests = 429;
+    return edge::find_field(head.fields, platform::signature_header) != nullptr &&
+           head.status != platform::unavailable_status && head.status != too_many_requests;
+}
+
 /// What marks the end of the answer's body, for the log.
 const char* name_of_end(const edge::answer_head& head) {
     if (head.length)
@@ -194,6 +201,8 @@
                          edge::find_field(head.fields, "Content-Encoding") == nullptr;
     if (success && !genuine)
         return handle_lost_answer(request, "answer_without_signature");
+    if (!request->is_stream() && began_to_run(head))
+        count_run(*request, request->sent_at);
     if (request->session->answer_begun()) { // the caller has the head under which the stream goes on
         if (head.status != request->head.status)
             handle_lost_answer(request, "resumption_failed");
@@ -244,6 +253,8 @@
     if (request->first_chunk_at == time_point{}) {
         request->first_chunk_at = now;
         note_origin(*request);
+        if (edge::find_field(request->received.fields, platform::resume_header) == nullptr)
+            count_run(*request, now); // a stream that is resumed began earlier
     } else
         request->longest_pause = std::max(request->longest_pause, now - request->last_chunk_at);
     request->last_chunk_at = now;
@@ -263,6 +274,13 @@
                           core::streams::origin_source::own, context_.loop.now());
 }
 
+void forwarder::count_run(caller_request& request, time_point began) {
+    if (request.run_counted || !context_.count_run)
+        return;
+    request.run_counted = true;
+    context_.count_run(request.customer, began);
+}
+
 void forwarder::on_caller_drained(const caller_request_ptr& request) {
     if (request->target_exchange)
         request->target_exchange->resume();
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -37,6 +37,7 @@
     core::streams::event_fault relay_events(const caller_request_ptr& request); // those that are complete
     void write_events(const caller_request_ptr& request, const std::string& events);
     void note_origin(caller_request& request);
+    void count_run(caller_request& request, core::common::time_point began); // once for each request
     void send_answer(const caller_request_ptr& request);
     void handle_rejection(const caller_request_ptr& request,
                           dispatcher::attempt_outcome outcome); // has not run
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -71,6 +71,7 @@
               }}),
       boot_(unix_ms()), order_giver_(context_, lease_store_client_, client_, dispatcher_, boot_),
       duties_(context_, client_, order_giver_.lease()),
+      usage_(context_, duties_, lease_store_client_, client_, boot_),
       updates_(context_,
                {dispatcher_, forwarder_, watch_, client_, [this] { return order_giver_.holdings(); }}),
       peers_(context_, {dispatcher_, watch_, [this] { return order_giver_.gives_orders(); }}, updates_,
@@ -83,8 +84,11 @@
     dispatcher_.attach(turns_);
     peers_.attach(turns_);
     order_giver_.attach(peers_);
+    peers_.attach(usage_);
+    usage_.attach(peers_);
     context_.history.attach({[this] {
                                  order_giver_.lease().enter_era(context_.history.era());
+                                 usage_.enter_era(context_.history.era());
                                  register_self();
                              },
                              [this] { on_store_restored(); }});
@@ -137,6 +141,7 @@
     watch_.start();
     order_giver_.start([this] { watch_.watch_closely(); });
     duties_.start();
+    usage_.start();
     housekeeping();
     return true;
 }
@@ -173,6 +178,8 @@
     }
     if (exchange->request().path == "/peer/lease")
         return order_giver_.lease().store().serve(exchange);
+    if (usage_.due() && exchange->request().path == "/peer/duties")
+        return usage_.store().serve(exchange);
     if (!edge::answer_operations(exchange, program_))
         exchange->respond({404, {}, ""});
 }
@@ -215,6 +222,7 @@
 /// All gateways learn of a restore at about the same time: their registrations are spread over a short time.
 void gateway::on_store_restored() {
     order_giver_.lease().enter_era(context_.history.era());
+    usage_.enter_era(context_.history.era());
     watch_.list_again();
     const auto spread =
         core::common::hash_of(settings_.name, boot_) % static_cast<std::uint64_t>(register_spread.count());
@@ -310,6 +318,8 @@
     if (!out_of_time && (lasted < min_drain_time || admission_.open_requests() > 0 || unsent))
         return;
     peers_.announce_leaving();
+    if (usage_.due()) // once more: the totals in it would be lost with the datagram
+        peers_.announce_leaving();
     const auto open = sessions_;
     for (const auto& session : open)
         session->close_if_idle();
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "programs/gateway/admission.hpp"
 #include "programs/gateway/duties.hpp"
 #include "programs/gateway/order_giver.hpp"
+#include "programs/gateway/usage_reports.hpp"
 
 #include <filesystem>
 #include <memory>
@@ -54,6 +55,7 @@
     std::int64_t boot_;
     order_giver order_giver_;
     duties duties_;
+    usage_reports usage_;
     peer_updates updates_;
     peers peers_;
     prompt_turns turns_;
--- a/src/programs/gateway/lease_store.cpp
+++ b/src/programs/gateway/lease_store.cpp
@@ -33,7 +33,7 @@
 
 store_reply decode(const edge::client_result& answer) {
     store_reply out;
-    out.why = {"lease through peer", "", answer.why.detail};
+    out.why = {"store through peer", "", answer.why.detail};
     const json parsed = core::common::parse_json(answer.body);
     if (answer.outcome != edge::client_outcome::answered || !parsed.is_object() ||
         !parsed.contains("result") || !parsed["result"].is_number_integer()) {
@@ -95,22 +95,22 @@
 }
 
 void lease_store::direct_read(std::int64_t era, platform::store_client::on_reply done) {
-    store_.read(platform::lease_kind, platform::lease_name_of(era), std::move(done));
+    store_.read(object_.kind, object_.name_of(era), std::move(done));
 }
 
 void lease_store::direct_write(store_position if_version, const std::string& value,
                                platform::store_client::on_reply done) {
     auto spec = core::common::parse_json(value);
-    const std::string name = platform::lease_name_of(if_version.era);
+    const std::string name = object_.name_of(if_version.era);
     if (if_version.revision == 0)
-        store_.create(platform::lease_kind, name, std::move(spec), std::move(done));
+        store_.create(object_.kind, name, std::move(spec), std::move(done));
     else
-        store_.replace(platform::lease_kind, name, if_version, std::move(spec), std::move(done));
+        store_.replace(object_.kind, name, if_version, std::move(spec), std::move(done));
 }
 
 /// `request` has the method, the body, and as its URL the query.
 void lease_store::call_through_peer(const std::string& address, edge::client_request request, on_reply done) {
-    request.url = "http://" + address + "/peer/lease" + request.url;
+    request.url = "http://" + address + object_.peer_path + request.url;
     request.timeout = peer_timeout;
     client_.send(std::move(request), [this, done = std::move(done)](edge::client_result&& answer) {
         finish(false, decode(answer), done);
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -2,6 +2,7 @@
 
 #include "core/membership/store_readers.hpp"
 #include "programs/gateway/peer_codec.hpp"
+#include "programs/gateway/usage_reports.hpp"
 
 #include <array>
 #include <tuple>
@@ -175,6 +176,15 @@
     return out;
 }
 
+std::set<std::string> peers::telling_details() const {
+    std::set<std::string> out;
+    const auto& known = exchange_.peers();
+    for (const auto& [name, details] : fresh_details())
+        if (const auto found = known.find(name); found == known.end() || !found->second.last.leaving)
+            out.insert(name);
+    return out;
+}
+
 // ---- sending ---------------------------------------------------------------------------------------
 
 core::exchange::local_state peers::local_state() const {
@@ -191,6 +201,9 @@
     wire::peer_status out;
     encode_report(report, out);
     updates_.add_to(out);
+    usage_->add_time_to(out);
+    if (leaving_) // all gateways keep them: the one that gives orders next has to know them
+        usage_->add_totals_to(out);
     return out;
 }
 
@@ -198,6 +211,7 @@
 void peers::add_demand_details(wire::peer_status& to) const {
     const auto now = context_.loop.now();
     to.has_details = true;
+    usage_->add_totals_to(to);
     for (const auto& [key, use] : dependencies_.dispatch.usage()) {
         wire::target_use entry;
         entry.target = key.first;
@@ -398,6 +412,7 @@
         addresses_[status.process] = status.address;
     if (silent_peers_.erase(status.process) > 0)
         context_.log.write(edge::events::peer_regained, status.process);
+    usage_->take(status);
     peer_details& details = details_[status.process];
     details.config_address = status.config_address;
     if (std::exchange(details.boot, status.boot) != status.boot)
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -12,6 +12,8 @@
 
 namespace waxwinglb::programs::gateway {
 
+class usage_reports;
+
 /// What else a peer's messages told.
 struct peer_details {
     std::string config_address;         // serves the configuration and lease calls
@@ -37,6 +39,7 @@
     peers& operator=(peers&&) = delete;
 
     void attach(prompt_turns& turns) { turns_ = &turns; }
+    void attach(usage_reports& usage) { usage_ = &usage; }
     bool start(); // false: the address can't be bound
     void change_members(const std::map<std::string, store_watch::member>& members);
     // Schedule a message soon, in addition to the periodic ones:
@@ -60,6 +63,8 @@
     [[nodiscard]] std::string reader_address() const;
     /// Details that are new enough to plan by; by gateway's name.
     [[nodiscard]] std::map<std::string, const peer_details*> fresh_details() const;
+    /// Gateways that tell such details, but those that are about to end.
+    [[nodiscard]] std::set<std::string> telling_details() const;
 
 private:
     int handle_input(ACE_HANDLE) override;
@@ -87,6 +92,7 @@
     dependencies dependencies_;
     peer_updates& updates_;
     prompt_turns* turns_ = nullptr;
+    usage_reports* usage_ = nullptr;
     core::exchange::exchange exchange_;
     ACE_SOCK_Dgram socket_;
     std::map<std::string, std::string> addresses_; // by gateway's name
