--- a/src/core/duties/usage_decisions.cpp
+++ b/src/core/duties/usage_decisions.cpp
@@ -54,7 +54,7 @@
 
 std::optional<usage_write> usage_decisions::write_due(const usage_sources& sources, const true_time& clock,
                                                       time_point now) {
-    if (!token_ || !known_ || writing_)
+    if (!token_ || !known_ || writing_ || now < sources.gathered_since + options_.wait)
         return std::nullopt;
     const milliseconds true_now = clock.at(now);
     const auto& windows = options_.windows;
--- a/src/core/duties/usage_decisions.hpp
+++ b/src/core/duties/usage_decisions.hpp
@@ -29,6 +29,9 @@
 struct usage_sources {
     const usage_totals& totals;
     std::set<std::string> in_contact; // gateways whose totals are waited for
+    /// Since when the gateways may know that their totals are needed here. A process that has just started
+    /// has heard nothing yet, and must not take that for the counts.
+    common::time_point gathered_since{};
 };
 
 /// A conditional write of the stored object.
--- a/src/programs/gateway/duties.cpp
+++ b/src/programs/gateway/duties.cpp
@@ -10,7 +10,8 @@
 using core::common::milliseconds;
 using core::duties::call_answer;
 
-constexpr milliseconds tick_interval{20}; // a call is aborted at most so long after the end of the term
+constexpr milliseconds tick_interval{20};  // a call is aborted at most so long after the end of the term
+constexpr milliseconds idle_interval{100}; // while this gateway may not call
 constexpr milliseconds connect_timeout{500};
 constexpr milliseconds call_timeout{1'200}; // of one attempt; longer than most terms last without a renewal
 
@@ -44,12 +45,17 @@
 void duties::tick() {
     update_token();
     send_due();
-    context_.loop.schedule(context_.loop.now() + tick_interval, [this] { tick(); });
+    context_.loop.schedule(context_.loop.now() + (calls_.token() ? tick_interval : idle_interval),
+                           [this] { tick(); });
 }
 
 /// Reads the clock anew: the process may have been frozen since the iteration of the loop began.
 void duties::update_token() {
     const bool may_call = lease_.may_order(edge::boot_now()) && !context_.draining;
+    if (!lease_.held())
+        held_since_.reset();
+    else if (!held_since_)
+        held_since_ = context_.loop.now();
     const auto aborted = calls_.allow(may_call ? std::optional{lease_.fencing()} : std::nullopt);
     for (const std::int64_t number : aborted)
         if (const auto call = in_flight_.find(number); call != in_flight_.end())
--- a/src/programs/gateway/duties.hpp
+++ b/src/programs/gateway/duties.hpp
@@ -28,6 +28,9 @@
     /// nullopt: it may not, or duties are not configured.
     [[nodiscard]] std::optional<std::int64_t> token() const { return calls_.token(); }
 
+    /// Since when this gateway holds the lease, without or with the right to call; nullopt: it does not.
+    [[nodiscard]] std::optional<core::common::time_point> lease_held_since() const { return held_since_; }
+
     /// Sends a call: POST `path` with the JSON text `body`, repeated unchanged until it gets a usable answer.
     /// A later call of the same subject replaces an earlier one. All calls are dropped when this gateway's
     /// term ends; the next holder has to decide anew what is due. Returns false, without effect, without a
@@ -50,6 +53,7 @@
     edge::http_client& client_;
     order_lease& lease_;
     core::duties::fenced_calls calls_;
+    std::optional<core::common::time_point> held_since_;
     std::map<std::int64_t, edge::client_call> in_flight_; // by the attempt's number
     std::map<std::string, on_over> callbacks_;            // by subject
 };
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -287,6 +287,7 @@
         base.holdings.insert(base.holdings.end(), relayed.holdings.begin(), relayed.holdings.end());
         base.starts.insert(base.starts.end(), relayed.starts.begin(), relayed.starts.end());
         base.origins = updates_.recent_origins();
+        usage_->add_totals_for_successor(base);
     }
     frame_cache cache{std::move(base), {}};
     for (const std::string& name : members)
--- a/src/programs/gateway/usage_reports.cpp
+++ b/src/programs/gateway/usage_reports.cpp
@@ -18,7 +18,8 @@
 
 constexpr milliseconds tick_interval{100};
 constexpr milliseconds store_retry_delay{300};
-constexpr std::size_t max_entries = 1'500; // of one message; about 35 kB of a datagram's 65 kB
+constexpr milliseconds successor_interval{1'000};
+constexpr std::size_t max_entries = 1'000; // of one message; about 26 kB of a datagram's 65 kB
 
 milliseconds wall_ms() {
     return std::chrono::floor<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
@@ -99,29 +100,44 @@
         message.__set_unix_ms(wall_ms().count());
 }
 
-/// Totals of the newest windows come first: without the current one the receiver would wait in vain.
+/// What doesn't fit into one message goes with the next ones in turn. The current window always does: it
+/// shows the receiver that those before it are over.
 void usage_reports::add_totals_to(wire::peer_status& message) {
     if (!due())
         return;
-    std::vector<wire::usage_window> out;
-    std::size_t entries = 0;
     const auto& totals = counter_.totals(clock_.at(context_.loop.now()));
-    for (auto it = totals.rbegin(); it != totals.rend() && entries < max_entries; ++it) {
+    std::size_t count = 0;
+    for (const auto& [window, counts] : totals)
+        count += counts.size();
+    const std::size_t first = count > max_entries ? next_entry_ % count : 0;
+    next_entry_ = first + max_entries;
+    std::vector<wire::usage_window> out;
+    std::size_t index = 0;
+    for (const auto& [number, counts] : totals) {
         wire::usage_window window;
-        window.window = it->first;
-        for (const auto& [customer, requests] : it->second) {
+        window.window = number;
+        for (const auto& [customer, requests] : counts) {
+            const std::size_t place = (index++ + count - first) % count;
+            if (place >= max_entries)
+                continue;
             wire::customer_runs runs;
             runs.customer = customer;
             runs.requests = requests;
             window.runs.push_back(std::move(runs));
         }
-        entries += 1 + window.runs.size();
-        if (entries <= max_entries || out.empty())
-            out.push_back(std::move(window));
+        out.push_back(std::move(window));
     }
     message.__set_usage(out);
 }
 
+void usage_reports::add_totals_for_successor(wire::peer_status& message) {
+    const auto now = context_.loop.now();
+    if (!due() || !calls_.lease_held_since() || now - told_all_at_ < successor_interval)
+        return;
+    told_all_at_ = now;
+    add_totals_to(message);
+}
+
 void usage_reports::take(const wire::peer_status& message) {
     if (!due())
         return;
@@ -146,7 +162,7 @@
     totals_.note(context_.settings.name, boot_, counter_.totals(true_now), true_now);
     auto in_contact = peers_->telling_details();
     in_contact.insert(context_.settings.name);
-    return {totals_, std::move(in_contact)};
+    return {totals_, std::move(in_contact), calls_.lease_held_since().value_or(context_.loop.now())};
 }
 
 void usage_reports::step_store(time_point now) {
--- a/src/programs/gateway/usage_reports.hpp
+++ b/src/programs/gateway/usage_reports.hpp
@@ -27,6 +27,8 @@
     // Messages to and from peers.
     void add_time_to(wire::peer_status& message) const;
     void add_totals_to(wire::peer_status& message);
+    /// Adds them once a second to what the holder of the lease tells all: its successor needs them.
+    void add_totals_for_successor(wire::peer_status& message);
     void take(const wire::peer_status& message);
 
 private:
@@ -54,6 +56,8 @@
     std::int64_t era_ = 0;
     bool reading_ = false;
     core::common::time_point store_not_before_{}; // after a call that the store did not answer
+    core::common::time_point told_all_at_{};      // the own totals, as holder of the lease
+    std::size_t next_entry_ = 0;                  // of the totals: the first one of the next message
     std::int64_t left_out_ = 0;                   // requests not counted, as last logged
 };
 
--- a/tests/core/duties_test.cpp
+++ b/tests/core/duties_test.cpp
@@ -229,6 +229,7 @@
     usage_totals totals{usage_windows{}};
     usage_decisions decisions{usage_decisions::options{}};
     std::set<std::string> in_contact{"g"};
+    time_point gathered_since{};
 
     explicit holder(std::int64_t token = 1) {
         decisions.enter_era(0, at(0));
@@ -239,7 +240,9 @@
         totals.note(gateway, 1, {{first_window, {{"a", count}}}, {usage_windows{}.at(true_now), {}}},
                     true_now);
     }
-    auto write_due(int ms) { return decisions.write_due({totals, in_contact}, clock, at(ms)); }
+    auto write_due(int ms) {
+        return decisions.write_due({totals, in_contact, gathered_since}, clock, at(ms));
+    }
     void read_absent(int ms) { decisions.observe({0, 0}, std::nullopt, clock, at(ms)); }
 };
 
@@ -264,6 +267,16 @@
     EXPECT_FALSE(one.decisions.report_due());
 }
 
+TEST(usage_decisions, a_holder_that_has_just_started_does_not_take_silence_for_the_counts) {
+    holder one;
+    one.in_contact.clear();
+    one.gathered_since = at(6'000);
+    one.read_absent(0);
+    EXPECT_FALSE(one.write_due(9'900));
+    one.tell("h", 9'950, 5);
+    EXPECT_EQ(one.write_due(10'000)->windows.at(first_window), (customer_counts{{"a", 5}}));
+}
+
 TEST(usage_decisions, on_a_conflict_take_the_counts_that_another_holder_wrote) {
     holder one;
     one.read_absent(0);
@@ -427,7 +440,7 @@
         tell(which, which);
         if (each.decisions.read_due())
             read(which, store);
-        else if (auto write = each.decisions.write_due({each.totals, names()}, clock_, at(now_ms_)))
+        else if (auto write = each.decisions.write_due({each.totals, names(), {}}, clock_, at(now_ms_)))
             execute(which, std::move(*write), store);
         if (const auto due = each.decisions.report_due(); due && !each.calls.pending(usage_subject)) {
             each.calls.enqueue(usage_subject, "/usage", text_of(due->window, due->counts));
