--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -194,6 +194,21 @@
                 self.lock.wait(left)
 
 
+class StoreLink:
+    """Another address of a store. When it is cut, connections there are closed without an answer."""
+
+    def __init__(self, store, address):
+        self.store, self.address, self.cut = store, address, False
+        self.server = Server(address, Handler, self)
+
+    def serve(self, call):
+        if not self.cut:
+            return self.store.serve(call)
+        call.body()
+        call.close_connection = True
+        return call.connection.shutdown(socket.SHUT_RDWR)
+
+
 class Target:
     """A model engine or a plain service, registered in the store."""
 
