Short notice: requests leave a target before it is gone, and its models are placed elsewhere

Cause: a registration may say that its target is gone after remaining_ms, whatever it runs. Requests were left there until their connections broke, and that counted as evidence that they crash targets. Models that only such a target held were loaded elsewhere only once requests waited for them.

Change: core/dispatch/short_notice foresees the end of each request from the tokens still due and its pace, and programs/gateway/short_notice moves those that can't end in time (old exchange closed first, within the retry budget and max_attempts). A connection that breaks with its target is no evidence. The planner loads models in use whose only holders are leaving, by demand; copies at such targets don't count as kept. A remaining_ms that is negative, no number or above a year now names no end and is logged. The earliest end that was named stands. The services' `scaling` is decoded; not used yet.

--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -116,8 +116,9 @@
         known.coming.clear();
     if (entry.cold_left.count() > 0)
         known.cold_until = now + entry.cold_left;
-    if (entry.remaining && !known.gone_at)
-        known.gone_at = now + *entry.remaining;
+    // A registration may be read late or written again unchanged, so the earliest time stands.
+    if (entry.remaining)
+        known.gone_at = std::min(known.gone_at.value_or(time_point::max()), now + *entry.remaining);
 }
 
 void directory::remove(const std::string& id, time_point now) {
--- a/src/core/fleet/model.hpp
+++ b/src/core/fleet/model.hpp
@@ -61,12 +61,20 @@
     std::map<std::string, model_spec> models; // by name
 };
 
+/// How many targets of a service may run in each data centre.
+struct scaling_spec {
+    int min = 0;
+    int max = 0;
+    common::milliseconds boot{0}; // from the call that asks for a target until it serves
+};
+
 struct service {
     std::string name;
     std::string health_path;
-    int max_connections = 100;         // at one target, over all callers
-    double cold_rate = 0;              // requests per second that a cold target can serve; 0: no limit
-    std::optional<engine_spec> engine; // model engines only
+    int max_connections = 100;           // at one target, over all callers
+    double cold_rate = 0;                // requests per second that a cold target can serve; 0: no limit
+    std::optional<engine_spec> engine;   // model engines only
+    std::optional<scaling_spec> scaling; // set: gateways may change the number of targets
 };
 
 struct customer {
@@ -94,6 +102,7 @@
     std::map<std::string, customer> customers;    // by name
     std::map<std::string, std::string> key_owner; // key -> customer's name
     ingress_limits limits;
+    std::vector<std::string> not_understood; // invalid parts that count as absent; for the log
 
     /// The route of `host` with the longest prefix of `path`; nullptr if none matches.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
@@ -120,6 +129,7 @@
     bool draining = false;
     common::milliseconds cold_left{0};                      // remaining time for which it is slow
     std::optional<common::milliseconds> remaining;          // time until it is removed at short notice
+    std::string not_understood;                             // field that counts as absent; for the log
     std::map<std::string, std::vector<std::string>> models; // loaded models and their adapters
     std::vector<std::string> copies_in_memory;              // models that load fast
     std::vector<std::string> copies_on_disk;                // models that load without the weight store
--- a/src/core/load_planning/planner.cpp
+++ b/src/core/load_planning/planner.cpp
@@ -1,6 +1,7 @@
 #include "core/load_planning/planner.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <unordered_map>
 
@@ -17,6 +18,7 @@
 constexpr milliseconds adapter_time{50}; // one round trip; an adapter itself loads in milliseconds
 constexpr double unload_cost_ms = 30.0;  // for each model that has to be unloaded first
 constexpr double victim_cost_ms = 300.0; // for each request per second that such a model receives
+constexpr double least_rate_in_use = 0.02; // requests per second of a model that is still in use
 
 /// One planning pass over the input; each decision is applied to it.
 ///
@@ -38,6 +40,7 @@
     std::vector<planned_order> run() {
         load_requested_models();
         load_requested_adapters();
+        replace_leaving_replicas();
         add_replicas();
         make_first_copies();
         return std::move(orders_);
@@ -57,7 +60,8 @@
     struct model_facts {
         demand all;            // including requests for its adapters
         int replicas = 0;      // on targets that serve
-        bool has_copy = false; // loaded, in memory or on disk at any target
+        bool has_copy = false; // loaded, in memory or on disk at any target that isn't leaving
+        bool leaves = false;   // loaded at a target that is leaving
     };
     /// What can be unloaded at a target for another model.
     struct room_facts {
@@ -69,8 +73,11 @@
         for (const auto& [model, use] : target.models) {
             model_facts& facts = facts_[model];
             facts.replicas += target.serves ? 1 : 0;
-            facts.has_copy = true;
+            facts.has_copy = facts.has_copy || !target.leaving;
+            facts.leaves = facts.leaves || target.leaving;
         }
+        if (target.leaving)
+            return;
         for (const auto* copies : {&target.copies_in_memory, &target.copies_on_disk})
             for (const std::string& model : *copies)
                 facts_[model].has_copy = true;
@@ -229,6 +236,8 @@
         bool from_store = true;
         double max_busy_share = 1; // fraction of a target's slots that may be in use
         bool may_wait = true;      // for a target that has a copy but doesn't take orders yet
+        /// A model that loses its only replica may have at most so many requests per second.
+        double max_lost_rate = std::numeric_limits<double>::max();
     };
 
     /// The target with the lowest cost, in milliseconds: the time until the model is ready there, plus
@@ -248,7 +257,7 @@
             if (!wait || (*wait > milliseconds{0} && (!where.may_wait || copy == copy_tier::store)))
                 continue;
             auto victims = victims_for(target, model, where.idle);
-            if (!victims)
+            if (!victims || loses_more(*victims, where.max_lost_rate))
                 continue;
             // A busy target runs the new model more slowly.
             double cost = static_cast<double>((*wait + load_time(model, copy)).count());
@@ -262,6 +271,12 @@
         return best;
     }
 
+    [[nodiscard]] bool loses_more(const std::vector<std::string>& victims, double rate) const {
+        return std::any_of(victims.begin(), victims.end(), [&](const std::string& victim) {
+            return replicas_of(victim) == 1 && facts_of(victim).all.per_second >= rate;
+        });
+    }
+
     /// A target takes one order at a time.
     void mark_busy(target_state& target, milliseconds busy_for) const {
         target.takes_orders = false;
@@ -325,6 +340,23 @@
         return now_ - need.all.oldest > load_time(need.model, copy_tier::store);
     }
 
+    /// Loads models in use whose only holders are leaving, before requests wait for them: the most demanded
+    /// first. One takes the place of another's only replica only where it has more demand.
+    void replace_leaving_replicas() {
+        std::vector<model_need> needs = needs_by_name();
+        std::erase_if(needs, [&](const model_need& need) {
+            const bool in_use = need.all.running > 0 || need.all.per_second >= least_rate_in_use;
+            return !in_use || !facts_of(need.model).leaves || replicas_of(need.model) > 0;
+        });
+        std::stable_sort(needs.begin(), needs.end(), [](const model_need& a, const model_need& b) {
+            return a.all.per_second > b.all.per_second;
+        });
+        for (const model_need& need : needs)
+            if (const auto chosen =
+                    best_target(need.model, {limits_.settle, true, 1.0, true, need.all.per_second}))
+                issue_load(*chosen, need.model, "its holders are leaving");
+    }
+
     /// Adds a replica of each busy model if a target has room.
     void add_replicas() {
         for (const auto& [model, all] : needs_by_name()) {
--- a/src/core/load_planning/planner_input.hpp
+++ b/src/core/load_planning/planner_input.hpp
@@ -23,6 +23,7 @@
     bool takes_orders = false; // state known, registered, and no order under way or unsettled
     common::time_point takes_orders_at = common::time_point::max(); // expected, if it doesn't now
     bool serves = true;                  // may get requests: not leaving, its data centre isn't taken out
+    bool leaving = false;                // what it holds will be lost; it doesn't serve either
     int running = 0;                     // requests, of all gateways
     std::map<std::string, usage> models; // loaded or being loaded
     std::map<fleet::model_ref, usage> adapters;
--- a/src/core/streams/event_sequence.cpp
+++ b/src/core/streams/event_sequence.cpp
@@ -113,6 +113,7 @@
         if (out.fault != event_fault::none)
             return out;
         out.sound = events.size() - rest.size();
+        out.events += next.is_event ? 1 : 0;
     }
     return out;
 }
--- a/src/core/streams/event_sequence.hpp
+++ b/src/core/streams/event_sequence.hpp
@@ -19,12 +19,15 @@
 public:
     struct result {
         std::size_t sound = 0; // bytes of the events before the first fault
+        int events = 0;        // in them
         event_fault fault = event_fault::none;
     };
 
     void continue_after(std::string_view id); // the caller has the events up to this one
     void begin_answer();                      // the events that follow are those of another answer
     [[nodiscard]] bool answer_has_event() const { return answer_has_event_; }
+    /// Each id so far was one above the id before, the first one of a stream 1.
+    [[nodiscard]] bool consecutive() const { return consecutive_; }
 
     /// Checks whole events in the order of their arrival. Blocks that hold only comments are no events.
     [[nodiscard]] result check(std::string_view events);
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -14,9 +14,10 @@
 using core::common::milliseconds;
 
 constexpr std::int64_t max_prompt_tokens = 1'000'000; // upper bound for the count of one request
-constexpr std::size_t max_parts = 32;                 // of a prompt that are told apart
-constexpr milliseconds origin_retry_after{400};       // peers tell of their streams every 350 ms
-constexpr milliseconds default_retry_after{1'000};    // Retry-After while the gateway has no configuration
+constexpr std::int64_t max_output_tokens = 1'000'000;
+constexpr std::size_t max_parts = 32;              // of a prompt that are told apart
+constexpr milliseconds origin_retry_after{400};    // peers tell of their streams every 350 ms
+constexpr milliseconds default_retry_after{1'000}; // Retry-After while the gateway has no configuration
 
 /// Hashes of the ids of a prompt's parts ("ID:TOKENS,ID:TOKENS"); the last one is the session's. Of more than
 /// max_parts the first ones and the last one.
@@ -191,6 +192,7 @@
         }
         request->tokens = static_cast<double>(tokens->prompt) + static_cast<double>(tokens->max_output);
         request->prompt_tokens = static_cast<int>(std::min<std::int64_t>(tokens->prompt, max_prompt_tokens));
+        request->output_tokens = static_cast<int>(std::min(tokens->max_output, max_output_tokens));
     }
     if (const std::string* prefix = edge::find_field(fields, platform::prefix_header)) {
         request->shared_parts = hash_parts(*prefix);
@@ -231,6 +233,14 @@
     requests_.erase(request->session.get());
 }
 
+std::vector<caller_request_ptr> admission::running_at(const std::string& target) const {
+    std::vector<caller_request_ptr> out;
+    for (const auto& [session, request] : requests_)
+        if (!request->finished && request->target == target)
+            out.push_back(request);
+    return out;
+}
+
 void admission::on_caller_disconnected(caller_session& session) {
     if (const auto found = requests_.find(&session); found != requests_.end())
         forwarder_.abandon(caller_request_ptr{found->second});
--- a/src/programs/gateway/admission.hpp
+++ b/src/programs/gateway/admission.hpp
@@ -22,6 +22,7 @@
     void on_caller_disconnected(caller_session& session);
     void on_caller_drained(caller_session& session); // its output buffer is empty
     [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
+    [[nodiscard]] std::vector<caller_request_ptr> running_at(const std::string& target) const;
 
 private:
     bool find_route(const caller_request_ptr& request);
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -1,6 +1,7 @@
 /// One caller's request while the gateway handles it.
 #pragma once
 
+#include "core/dispatch/short_notice.hpp"
 #include "core/fleet/model.hpp"
 #include "core/streams/event_buffer.hpp"
 #include "core/streams/event_sequence.hpp"
@@ -25,6 +26,7 @@
     core::fleet::model_ref model;            // model empty for plain services
     double tokens = 0;                       // charged to the customer's rate
     int prompt_tokens = 0;                   // part of `tokens`; 0 unless the request states it
+    int output_tokens = 0;                   // likewise: at most
     std::uint64_t sticky_session = 0;        // hash of the session id; 0: none
     std::vector<std::uint64_t> shared_parts; // hashes of the prompt's parts but the last, which is its own
     std::string resumes;           // request id of the attempt that brought the first event; empty: none
@@ -52,14 +54,17 @@
     std::string target_version;             // software version of that target
     std::optional<std::string> begun_at;    // software version at which the stream began; set if it goes on
     core::common::time_point sent_at{};
-    edge::event_loop::timer_id timer; // fires at the deadline
+    edge::event_loop::timer_id timer;                         // fires at the deadline
+    std::optional<core::common::time_point> target_gone_at;   // its target is removed at short notice
+    std::optional<core::dispatch::notice_decision> on_notice; // the latest decision because of that
 
     // The answer.
     edge::answer_head head;                 // from the answering target
     std::string body;                       // of a plain answer
     core::streams::event_buffer events;     // received of a stream, not yet forwarded
     core::streams::event_sequence sequence; // of the events forwarded
-    bool streaming = false;                 // the answer is forwarded as it arrives
+    core::dispatch::stream_progress progress;
+    bool streaming = false;    // the answer is forwarded as it arrives
     const char* ended_by = ""; // what marks the end of the target's body: "length", "chunks" or "connection"
     bool finished = false;     // answered, refused or abandoned
     std::string last_target;   // target of the latest send
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -227,6 +227,11 @@
     return wait_limit_for(request, blocked, among).retry_after;
 }
 
+bool dispatcher::has_room_for(const caller_request& request) {
+    const auto among = candidates({request.service, request.model}, true);
+    return core::dispatch::choose(among, criteria_for(request), context_.loop.now()).chosen != nullptr;
+}
+
 void dispatcher::note_answer(const core::fleet::target_start& from, int status,
                              std::span<const edge::http_field> fields, answered_call call) {
     const auto notice = platform::decode_notice(status, fields);
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -64,7 +64,10 @@
     /// When there will be room for a request that no target took, for its caller.
     [[nodiscard]] core::common::duration retry_after_for(const caller_request& request);
     void on_answer_started(const caller_request_ptr& request); // the target has read the prompt
+    /// Whether a target can take the request now. Where it runs doesn't count if its target is leaving.
+    [[nodiscard]] bool has_room_for(const caller_request& request);
     std::shared_ptr<target_link> link(const std::string& target);
+    [[nodiscard]] int room_of(const core::fleet::target& target) const; // requests that it runs at once
     [[nodiscard]] int load_of(const std::string& target) const; // requests at the target from all gateways
     void remove_missing_targets();                              // those no longer in the directory
 
--- a/src/programs/gateway/dispatcher_views.cpp
+++ b/src/programs/gateway/dispatcher_views.cpp
@@ -33,6 +33,11 @@
     return target.entry.slots + plain_service_queue;
 }
 
+int dispatcher::room_of(const core::fleet::target& target) const {
+    const auto* service = context_.config->find_service(target.entry.service);
+    return service != nullptr && service->engine ? limit_of(target) : target.entry.slots;
+}
+
 /// Whether the rate limit of a cold target allows a request. The limit holds for all gateways together: each
 /// uses an equal share.
 bool dispatcher::has_cold_allowance(const core::fleet::target& target, target_runtime& runtime) {
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -82,6 +82,11 @@
     return text.data();
 }
 
+/// A connection that breaks when its target is removed says nothing against the request.
+bool ended_with_its_target(const caller_request& request, time_point now) {
+    return request.target_gone_at && now >= *request.target_gone_at - core::dispatch::notice_delay;
+}
+
 connection_choice connection_for(const caller_request& request) {
     if (request.came_before)
         return connection_choice::unused;
@@ -140,6 +145,9 @@
     request->body.clear();
     request->events.clear();
     request->sequence.begin_answer();
+    request->progress.begin_answer();
+    request->target_gone_at.reset();
+    request->on_notice.reset();
     request->ended_by = "";
     request->last_target = target;
     if (const auto* known = context_.directory.find(target)) {
@@ -229,6 +237,7 @@
     std::string events = request->events.take_complete();
     const auto checked = request->sequence.check(events);
     events.resize(checked.sound);
+    request->progress.note(checked.events, request->sent_at, context_.loop.now());
     if (!events.empty())
         write_events(request, events);
     return checked.fault;
@@ -281,15 +290,17 @@
         return send_answer(request);
     request->session->end_answer();
     note_sound(*request);
+    note_duration(*request);
     close_exchange(request, dispatcher::attempt_outcome::succeeded);
     finish(request, edge::events::request_answered, "answered", "whole");
 }
 
 void forwarder::send_answer(const caller_request_ptr& request) {
     const bool failed = request->head.status >= 500;
-    if (request->head.status < 300)
+    if (request->head.status < 300) {
         note_sound(*request);
-    else if (!failed) // of a part of the prompt it says nothing: the target may not have begun to read it
+        note_duration(*request);
+    } else if (!failed) // of a part of the prompt it says nothing: the target may not have begun to read it
         suspect_requests_.add_sound({&request->fingerprint, 1}, context_.loop.now());
     context_.metrics.observe_first_byte(metric_kind(*request), context_.loop.now() - request->arrived);
     request->session->answer(request->head.status, forwarded_fields(request->head.fields), request->body);
@@ -333,6 +344,8 @@
 /// Each attempt is evidence of its own: a target may break the connection and go on. But equal requests that
 /// were under way together broke off for one reason.
 void forwarder::note_broken_run(const caller_request& request) {
+    if (ended_with_its_target(request, context_.loop.now()))
+        return;
     if (const auto latest = suspect_requests_.latest_crash(request.fingerprint);
         latest && request.sent_at < *latest)
         return;
@@ -353,7 +366,8 @@
     const bool answered = request.ended_by[0] != '\0';
     const bool maybe_stale =
         !answered && request.target_exchange && request.target_exchange->reused_connection();
-    if (request.events.any_taken() || request.shared_parts.empty() || maybe_stale)
+    if (request.events.any_taken() || request.shared_parts.empty() || maybe_stale ||
+        ended_with_its_target(request, context_.loop.now()))
         return;
     const auto& start = request.target_start;
     context_.log.write(edge::events::prompt_suspected, request.request_id,
@@ -382,7 +396,8 @@
 }
 
 /// Submits the request again. Returns false if it may not be retried.
-bool forwarder::retry(const caller_request_ptr& request, const char* reason, bool spend_budget) {
+bool forwarder::retry(const caller_request_ptr& request, const char* reason, bool spend_budget,
+                      dispatcher::attempt_outcome outcome) {
     const time_point now = context_.loop.now();
     if (request->send_count >= max_sends || is_blocked(*request) ||
         suspects_.suspected(request->shared_parts, now) || request->deadline - now < min_useful_time)
@@ -391,7 +406,7 @@
         return false;
     if (spend_budget && !budget(request->service).take(now))
         return false;
-    close_exchange(request, dispatcher::attempt_outcome::failed);
+    close_exchange(request, outcome);
     context_.log.write(
         edge::events::request_retried, request->request_id,
         {{"reason", reason}, {"sends", request->send_count}, {"after_event", request->last_event}});
@@ -399,6 +414,23 @@
     return true;
 }
 
+bool forwarder::move_elsewhere(const caller_request_ptr& request) {
+    return request->repeatable() && request->has_attempts_left() &&
+           retry(request, "target_ending", true, dispatcher::attempt_outcome::abandoned);
+}
+
+/// Answers that came from several targets, or only in part from here, say nothing of the usual duration.
+void forwarder::note_duration(const caller_request& request) {
+    const bool resumed = edge::find_field(request.received.fields, platform::resume_header) != nullptr;
+    if (request.send_count != 1 || resumed)
+        return;
+    core::dispatch::usual_answers& usual = usual_answers_[request.service];
+    if (request.streaming)
+        usual.note_stream(request.output_tokens, request.progress);
+    else
+        usual.note_plain(context_.loop.now() - request.sent_at);
+}
+
 /// Answers a request that may have run, without the promise that it has not.
 void forwarder::fail(const caller_request_ptr& request, int status, const std::string& reason) {
     if (request->session->answer_begun())
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -20,6 +20,12 @@
     void abandon(const caller_request_ptr& request);           // the caller disconnected
     void on_caller_drained(const caller_request_ptr& request); // the caller's output buffer is empty
     void on_deadline(const caller_request_ptr& request);
+    /// Takes a running request off its target, which will be gone, and submits it again. False: it may not be
+    /// sent again, or not now.
+    bool move_elsewhere(const caller_request_ptr& request);
+    [[nodiscard]] const core::dispatch::usual_answers& usual_answers(const std::string& service) {
+        return usual_answers_[service];
+    }
 
     /// Parts of prompts that crash targets. Peers exchange the evidence.
     [[nodiscard]] core::quarantine::suspect_parts& suspects() { return suspects_; }
@@ -47,7 +53,9 @@
                               const char* reason); // its target broke it off
     void handle_lost_answer(const caller_request_ptr& request,
                             const char* reason); // may have run
-    bool retry(const caller_request_ptr& request, const char* reason, bool spend_budget);
+    bool retry(const caller_request_ptr& request, const char* reason, bool spend_budget,
+               dispatcher::attempt_outcome outcome = dispatcher::attempt_outcome::failed);
+    void note_duration(const caller_request& request); // of a whole answer
     void close_exchange(const caller_request_ptr& request, dispatcher::attempt_outcome outcome);
     void fail(const caller_request_ptr& request, int status, const std::string& reason);
     void finish(const caller_request_ptr& request, std::string_view event, const std::string& outcome,
@@ -59,7 +67,8 @@
     gateway_context& context_;
     std::function<void(const caller_request_ptr&)> on_finished_;
     dispatcher* dispatcher_ = nullptr;
-    std::map<std::string, core::retries::window_budget> budgets_; // by service
+    std::map<std::string, core::retries::window_budget> budgets_;        // by service
+    std::map<std::string, core::dispatch::usual_answers> usual_answers_; // by service
     core::quarantine::suspect_parts suspects_;
     core::quarantine::suspect_parts suspect_requests_{core::quarantine::whole_request_options};
 };
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -48,7 +48,7 @@
                forwarder_.refuse(request, 503, core::dispatch::name_of(why), retry_after);
            },
            [this] { peers_.notify_order_giver(); }, [this] { peers_.notify_urgent_updates(); }}),
-      admission_(context_, forwarder_, dispatcher_),
+      admission_(context_, forwarder_, dispatcher_), notices_(context_, dispatcher_, forwarder_, admission_),
       watch_(context_, store_,
              {[this] {
                   {
@@ -62,6 +62,7 @@
                   update_readiness();
                   dispatcher_.schedule_dispatch();
                   peers_.notify_urgent_updates();
+                  notices_.follow_directory();
               },
               [this](const std::map<std::string, store_watch::member>& members) {
                   context_.gateway_count =
@@ -229,6 +230,7 @@
     update_readiness();
     dispatcher_.remove_missing_targets();
     turns_.remove_missing_targets();
+    notices_.step();
     update_metrics(now);
     reload_if_changed();
     if (program_.stopping && !context_.draining)
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "edge/program.hpp"
 #include "programs/gateway/admission.hpp"
 #include "programs/gateway/order_giver.hpp"
+#include "programs/gateway/short_notice.hpp"
 
 #include <filesystem>
 #include <memory>
@@ -49,6 +50,7 @@
     forwarder forwarder_;
     dispatcher dispatcher_;
     admission admission_;
+    short_notice notices_;
     store_watch watch_;
     std::int64_t boot_;
     order_giver order_giver_;
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -76,6 +76,12 @@
                       "Turns to send a prompt to a target, by what became of them")),
       finished_loads_(counters(registry, data_centre, "waxwing_finished_loads_total",
                                "Loads from the weight store that a report has shown to be over")),
+      on_notice_(counters(registry, data_centre, "waxwing_requests_on_notice_total",
+                          "Decisions on requests at targets that are removed at short notice")),
+      scale_calls_(counters(registry, data_centre, "waxwing_scale_calls_total",
+                            "Calls for a number of targets that were decided")),
+      targets_needed_(gauges(registry, data_centre, "waxwing_targets_needed",
+                             "Targets that demand needs, as the gateway that gives orders sees it")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
                          "Time since the store last answered the watch of a kind of object")) {}
 
@@ -110,6 +116,18 @@
     finished_loads_.Add({{"result", late ? "late" : "in_time"}}).Increment();
 }
 
+void gateway_metrics::count_on_notice(const std::string& decision, const std::string& result) {
+    on_notice_.Add({{"decision", decision}, {"result", result}}).Increment();
+}
+
+void gateway_metrics::count_scale_call(const std::string& service) {
+    scale_calls_.Add({{"service", service}}).Increment();
+}
+
+void gateway_metrics::set_targets_needed(const std::string& service, int count) {
+    targets_needed_.Add({{"service", service}}).Set(count);
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -29,6 +29,10 @@
     void count_order(const std::string& operation, const std::string& result);
     void count_turn(const std::string& result); // turns to send a prompt: given, missed, unused
     void count_finished_load(bool late);        // loads from the weight store
+    void count_on_notice(const std::string& decision,
+                         const std::string& result); // of requests at targets removed at short notice
+    void count_scale_call(const std::string& service);
+    void set_targets_needed(const std::string& service, int count);
     void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
@@ -50,6 +54,9 @@
     prometheus::Family<prometheus::Counter>& orders_;
     prometheus::Family<prometheus::Counter>& turns_;
     prometheus::Family<prometheus::Counter>& finished_loads_;
+    prometheus::Family<prometheus::Counter>& on_notice_;
+    prometheus::Family<prometheus::Counter>& scale_calls_;
+    prometheus::Family<prometheus::Gauge>& targets_needed_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
 };
 
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -241,6 +241,7 @@
         out.takes_orders_at =
             std::max(known.ledger.takes_orders_at(now), target->pause ? target->pause->until : time_point{});
     out.coming = known.ledger.coming(now);
+    out.leaving = target->leaving();
     out.serves = !target->leaving() && !context_.centres.out().contains(target->entry.data_centre);
     out.copies_in_memory = known.copies_in_memory;
     out.copies_on_disk = known.copies_on_disk;
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -24,6 +24,7 @@
     void start(std::function<void()> on_read_closely);
 
     [[nodiscard]] bool gives_orders() const { return lease_.held(); }
+    [[nodiscard]] bool may_order(core::common::time_point now) const;
     /// Models that each target holds, for the other gateways; empty unless the lease is held.
     [[nodiscard]] std::vector<wire::target_holding> holdings() const;
 
@@ -38,7 +39,6 @@
     };
 
     void tick();
-    [[nodiscard]] bool may_order(core::common::time_point now) const;
 
     // Targets' state.
     void follow_directory();
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -246,7 +246,8 @@
                        {{"source", source},
                         {"routes", decoded->routes.size()},
                         {"services", decoded->services.size()},
-                        {"customers", decoded->customers.size()}});
+                        {"customers", decoded->customers.size()},
+                        {"not_understood", decoded->not_understood}});
     callbacks_.on_config();
 }
 
@@ -257,7 +258,8 @@
         return std::tie(from.service, from.address, from.data_centre, from.born, from.draining, from.slots);
     };
     if (known != nullptr && !known->lapsed_until && decisive(known->entry) == decisive(entry) &&
-        (entry.cold_left > milliseconds{0}) == (known->cold_until > context_.loop.now()))
+        (entry.cold_left > milliseconds{0}) == (known->cold_until > context_.loop.now()) &&
+        entry.remaining.has_value() == known->gone_at.has_value())
         return;
     context_.log.write(edge::events::target_changed, entry.id,
                        {{"change", change},
@@ -267,6 +269,7 @@
                         {"software_version", entry.software_version},
                         {"born", entry.born},
                         {"draining", entry.draining},
+                        {"remaining_ms", entry.remaining ? entry.remaining->count() : -1},
                         {"cold_ms", entry.cold_left.count()},
                         {"models", entry.models.size()}});
 }
@@ -280,6 +283,21 @@
     context_.log.write(edge::events::target_ignored, target, {{"why", why}});
 }
 
+/// One line for each value of each target, however often it is listed or written.
+void store_watch::log_not_understood(const core::fleet::target_entry& entry) {
+    if (entry.not_understood.empty()) {
+        not_understood_.erase(entry.id);
+        return;
+    }
+    const auto known = not_understood_.find(entry.id);
+    if (known == not_understood_.end() ? not_understood_.size() >= max_ignored_lines
+                                       : known->second == entry.not_understood)
+        return;
+    not_understood_[entry.id] = entry.not_understood;
+    context_.log.write(edge::events::target_notice_ignored, entry.id,
+                       {{"born", entry.born}, {"status", 0}, {"fields", entry.not_understood}});
+}
+
 /// nullopt if the registration is invalid; the reason is logged.
 std::optional<core::fleet::target_entry> store_watch::decode_target(const platform::stored_object& object) {
     const auto report = [&](const core::common::error& why) {
@@ -291,6 +309,7 @@
             if (!object.flaw.empty())
                 return leaf::new_error(core::common::error{"read registration", object.name, object.flaw});
             BOOST_LEAF_AUTO(entry, platform::decode_target(object.name, object.spec));
+            log_not_understood(entry);
             ignored_.erase(object.name);
             return std::optional{std::move(entry)};
         },
@@ -305,6 +324,7 @@
     for (const auto& object : reply.objects)
         listed.insert(object.name);
     std::erase_if(ignored_, [&](const auto& entry) { return !listed.contains(entry.first); });
+    std::erase_if(not_understood_, [&](const auto& entry) { return !listed.contains(entry.first); });
     std::vector<core::fleet::target_entry> entries;
     for (const auto& object : reply.objects)
         if (auto entry = decode_target(object)) {
@@ -323,6 +343,7 @@
         if (object.removed) {
             context_.log.write(edge::events::target_changed, object.name, {{"change", "removed"}});
             ignored_.erase(object.name);
+            not_understood_.erase(object.name);
             changes.push_back({object.name, std::nullopt});
         } else if (auto entry = decode_target(object)) {
             log_target(*entry, "changed");
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -100,7 +100,9 @@
     void list_members(const platform::store_reply& reply, core::fleet::list_source source);
     void change_members(const platform::store_reply& reply);
     std::optional<core::fleet::target_entry> decode_target(const platform::stored_object& object);
+    void log_odd_notice(const core::fleet::target_entry& entry);
     void log_ignored(const std::string& target, const std::string& why);
+    void log_not_understood(const core::fleet::target_entry& entry);
     void log_target(const core::fleet::target_entry& entry, const char* change);
 
     gateway_context& context_;
@@ -112,6 +114,7 @@
     std::string config_text_;
     std::map<std::string, member> members_;      // by name
     std::map<std::string, std::string> ignored_; // why, by name: entries that name no target and have a line
+    std::map<std::string, std::string> not_understood_; // fields, by name of the target; likewise
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/tests/core/load_planning_test.cpp
+++ b/tests/core/load_planning_test.cpp
@@ -239,6 +239,64 @@
     EXPECT_EQ(orders[0].ref, (model_ref{"m0", "a9"}));
 }
 
+TEST(planner, models_whose_only_holder_is_leaving_are_loaded_elsewhere_in_order_of_demand) {
+    const auto spec = engine(4);
+    planner_input input;
+    input.engine = &spec;
+    input.targets = {target("t1", {"m0", "m1", "m2"}), target("t2", {"m3"})};
+    input.targets[0].leaving = true;
+    input.targets[0].serves = false;
+    input.targets[1].copies_on_disk = {"m0", "m1", "m2", "m3"};
+    input.demands[{"m0", ""}].per_second = 1;
+    input.demands[{"m1", ""}].per_second = 5;
+    input.demands[{"m3", ""}].per_second = 9;
+    const auto orders = load_planning::plan(input, limits, start);
+    const planned_order* order = order_for(orders, "t2");
+    ASSERT_NE(order, nullptr);
+    EXPECT_TRUE(order->load);
+    EXPECT_EQ(order->ref.model, "m1");
+    EXPECT_EQ(order_for(orders, "t1"), nullptr);
+
+    // Without the notice nothing is moved while a holder serves.
+    input.targets[0].leaving = false;
+    input.targets[0].serves = true;
+    EXPECT_EQ(order_for(load_planning::plan(input, limits, start), "t2"), nullptr);
+}
+
+TEST(planner, a_model_of_a_leaving_target_does_not_displace_the_only_replica_of_a_busier_one) {
+    const auto spec = engine(4);
+    planner_input input;
+    input.engine = &spec;
+    input.targets = {target("t1", {"m0"}), target("t2", {"m1", "m2", "m3"})};
+    input.targets[0].leaving = true;
+    input.targets[0].serves = false;
+    input.targets[1].copies_on_disk.insert("m0");
+    input.demands[{"m0", ""}].per_second = 1;
+    for (const char* model : {"m1", "m2", "m3"})
+        input.demands[{model, ""}].per_second = 2;
+    EXPECT_EQ(order_for(load_planning::plan(input, limits, start), "t2"), nullptr);
+    input.demands[{"m3", ""}].per_second = 0.5;
+    const auto orders = load_planning::plan(input, limits, start);
+    const planned_order* order = order_for(orders, "t2");
+    ASSERT_NE(order, nullptr);
+    EXPECT_FALSE(order->load);
+    EXPECT_EQ(order->ref.model, "m3");
+}
+
+TEST(planner, copies_at_a_leaving_target_do_not_count_as_kept) {
+    const auto spec = engine(1);
+    planner_input input;
+    input.engine = &spec;
+    input.targets = {target("t1", {"m0"}), target("t2", {})};
+    EXPECT_EQ(order_for(load_planning::plan(input, limits, start), "t2"), nullptr);
+    input.targets[0].leaving = true;
+    input.targets[0].serves = false;
+    const auto orders = load_planning::plan(input, limits, start);
+    const planned_order* order = order_for(orders, "t2");
+    ASSERT_NE(order, nullptr);
+    EXPECT_TRUE(order->from_weight_store);
+}
+
 TEST(planner, a_target_that_does_not_serve_gets_no_model) {
     const auto spec = engine(2);
     planner_input in{&spec, {target("t1", {})}, {}, 0};
