--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -82,6 +82,10 @@
                             "Calls for a number of targets that were decided")),
       targets_needed_(gauges(registry, data_centre, "waxwing_targets_needed",
                              "Targets that demand needs, as the gateway that gives orders sees it")),
+      duty_calls_(counters(registry, data_centre, "waxwing_duty_calls_total",
+                           "Calls to the platform that one gateway at a time makes, by path and result")),
+      usage_reports_(counters(registry, data_centre, "waxwing_usage_reports_total",
+                              "Windows of usage by what became of their report")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
                          "Time since the store last answered the watch of a kind of object")) {}
 
@@ -128,6 +132,14 @@
     targets_needed_.Add({{"service", service}}).Set(count);
 }
 
+void gateway_metrics::count_duty_call(const std::string& path, const std::string& result) {
+    duty_calls_.Add({{"path", path}, {"result", result}}).Increment();
+}
+
+void gateway_metrics::count_usage_report(const std::string& result) {
+    usage_reports_.Add({{"result", result}}).Increment();
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -33,7 +33,9 @@
                          const std::string& result); // of requests at targets removed at short notice
     void count_scale_call(const std::string& service);
     void set_targets_needed(const std::string& service, int count);
-    void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
+    void count_duty_call(const std::string& path, const std::string& result); // each attempt
+    void count_usage_report(const std::string& result);                       // windows: sent, late, given_up
+    void set_watch_age(const std::string& kind, core::common::duration age);  // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
     prometheus::Gauge& running;    // requests at targets
@@ -57,6 +59,8 @@
     prometheus::Family<prometheus::Counter>& on_notice_;
     prometheus::Family<prometheus::Counter>& scale_calls_;
     prometheus::Family<prometheus::Gauge>& targets_needed_;
+    prometheus::Family<prometheus::Counter>& duty_calls_;
+    prometheus::Family<prometheus::Counter>& usage_reports_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
 };
 
