Autoscaling on the fenced duties; peers are told when a target is removed at short notice

Cause: the calls for targets had nobody to send them. Gateways that don't watch the store closely look at registrations every 10 s, so they learned of a removal at short notice too late. Change: programs/gateway/scaling evaluates once a second while this gateway holds the duties' token, and enqueues its calls. leaving_target has the optional field remaining_ms, unset for all other departures. Times are rounded up where they are told, so that they don't creep forward between gateways. Requests that find no room are asked for once per group in a step.

--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -164,7 +164,8 @@
 struct coming_model { 1: string model, 2: i64 ready_ms }
 /** What a target holds, as known to the gateway that sends it orders. coming: models being loaded. */
 struct target_holding { 1: string target, 2: i64 born, 3: i64 sequence, 4: list<string> models, 5: list<coming_model> coming }
-struct leaving_target { 1: string target, 2: i64 born }
+/** remaining_ms: time until it is removed at short notice; unset if it isn't, or nothing is known of it. */
+struct leaving_target { 1: string target, 2: i64 born, 3: optional i64 remaining_ms }
 /** Requests a second that a target takes from all gateways together, as it said age_ms ago; -1: no limit any more. */
 struct target_limit { 1: string target, 2: i64 born, 3: double per_second, 4: i64 age_ms }
 /** A data centre that stays out for so long, although the store, restored from an older copy, lacks its entry. */
--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -116,9 +116,14 @@
         known.coming.clear();
     if (entry.cold_left.count() > 0)
         known.cold_until = now + entry.cold_left;
-    // A registration may be read late or written again unchanged, so the earliest time stands.
     if (entry.remaining)
-        known.gone_at = std::min(known.gone_at.value_or(time_point::max()), now + *entry.remaining);
+        set_gone_at(known, now + *entry.remaining);
+}
+
+/// A registration may be read late or written again unchanged, so the earliest time stands.
+void directory::set_gone_at(target& known, time_point at) {
+    removals_noted_ += known.gone_at ? 0 : 1;
+    known.gone_at = std::min(known.gone_at.value_or(time_point::max()), at);
 }
 
 void directory::remove(const std::string& id, time_point now) {
@@ -155,6 +160,15 @@
     return !std::exchange(found->second.leaving_by_peer, true);
 }
 
+bool directory::note_removal(const target_start& start, common::milliseconds remaining, time_point now) {
+    const auto found = targets_.find(start.id);
+    if (found == targets_.end() || found->second.entry.born != start.born)
+        return false;
+    const bool is_new = !found->second.gone_at;
+    set_gone_at(found->second, now + remaining);
+    return is_new;
+}
+
 bool directory::note_said_leaving(const target_start& start, time_point now) {
     const auto found = targets_.find(start.id);
     if (found == targets_.end() || found->second.entry.born != start.born || found->second.said_leaving_at)
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -110,6 +110,12 @@
     /// Returns true if no peer had reported it before.
     bool mark_leaving(const target_start& start);
 
+    /// A peer reports when a target will be removed at short notice. The earliest time that was named stands.
+    /// Returns true if none was known.
+    bool note_removal(const target_start& start, common::milliseconds remaining, common::time_point now);
+    /// Rises with each start of a target that is found to be removed at short notice.
+    [[nodiscard]] std::int64_t removals_noted() const { return removals_noted_; }
+
     // What a target said in an answer to this process. No effect if another start has taken its place.
     bool note_said_leaving(const target_start& start, common::time_point now); // true: this is new
     void note_pause(const target_start& start, common::milliseconds length, common::time_point now);
@@ -136,7 +142,10 @@
     [[nodiscard]] std::optional<target_entry> corrected(const target_entry& entry) const;
     void begin_lapse_grace(common::time_point now);
 
+    void set_gone_at(target& known, common::time_point at);
+
     std::map<std::string, target> targets_;
+    std::int64_t removals_noted_ = 0;
     std::map<target_start, common::time_point> left_;         // -> when it left
     std::map<target_start, common::time_point> said_leaving_; // -> when it said so; kept while it lapses
     bool loaded_ = false;
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10114,6 +10114,11 @@
 void leaving_target::__set_born(const int64_t val) {
   this->born = val;
 }
+
+void leaving_target::__set_remaining_ms(const int64_t val) {
+  this->remaining_ms = val;
+__isset.remaining_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const leaving_target& obj)
 {
   obj.printTo(out);
@@ -10158,6 +10163,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remaining_ms);
+          this->__isset.remaining_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10183,6 +10196,11 @@
   xfer += oprot->writeI64(this->born);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.remaining_ms) {
+    xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->remaining_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10192,28 +10210,33 @@
   using ::std::swap;
   swap(a.target, b.target);
   swap(a.born, b.born);
+  swap(a.remaining_ms, b.remaining_ms);
   swap(a.__isset, b.__isset);
 }
 
 leaving_target::leaving_target(const leaving_target& other314) {
   target = other314.target;
   born = other314.born;
+  remaining_ms = other314.remaining_ms;
   __isset = other314.__isset;
 }
 leaving_target::leaving_target(leaving_target&& other315) noexcept {
   target = std::move(other315.target);
   born = other315.born;
+  remaining_ms = other315.remaining_ms;
   __isset = other315.__isset;
 }
 leaving_target& leaving_target::operator=(const leaving_target& other316) {
   target = other316.target;
   born = other316.born;
+  remaining_ms = other316.remaining_ms;
   __isset = other316.__isset;
   return *this;
 }
 leaving_target& leaving_target::operator=(leaving_target&& other317) noexcept {
   target = std::move(other317.target);
   born = other317.born;
+  remaining_ms = other317.remaining_ms;
   __isset = other317.__isset;
   return *this;
 }
@@ -10222,6 +10245,7 @@
   out << "leaving_target(";
   out << "target=" << to_string(target);
   out << ", " << "born=" << to_string(born);
+  out << ", " << "remaining_ms="; (__isset.remaining_ms ? (out << to_string(remaining_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -4074,11 +4074,15 @@
 std::ostream& operator<<(std::ostream& out, const target_holding& obj);
 
 typedef struct _leaving_target__isset {
-  _leaving_target__isset() : target(false), born(false) {}
+  _leaving_target__isset() : target(false), born(false), remaining_ms(false) {}
   bool target :1;
   bool born :1;
+  bool remaining_ms :1;
 } _leaving_target__isset;
 
+/**
+ * remaining_ms: time until it is removed at short notice; unset if it isn't, or nothing is known of it.
+ */
 class leaving_target : public virtual ::apache::thrift::TBase {
  public:
 
@@ -4088,12 +4092,14 @@
   leaving_target& operator=(leaving_target&&) noexcept;
   leaving_target() noexcept
                  : target(),
-                   born(0) {
+                   born(0),
+                   remaining_ms(0) {
   }
 
   virtual ~leaving_target() noexcept;
   std::string target;
   int64_t born;
+  int64_t remaining_ms;
 
   _leaving_target__isset __isset;
 
@@ -4101,12 +4107,18 @@
 
   void __set_born(const int64_t val);
 
+  void __set_remaining_ms(const int64_t val);
+
   bool operator == (const leaving_target & rhs) const
   {
     if (!(target == rhs.target))
       return false;
     if (!(born == rhs.born))
       return false;
+    if (__isset.remaining_ms != rhs.__isset.remaining_ms)
+      return false;
+    else if (__isset.remaining_ms && !(remaining_ms == rhs.remaining_ms))
+      return false;
     return true;
   }
   bool operator != (const leaving_target &rhs) const {
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -62,12 +62,12 @@
                   update_readiness();
                   dispatcher_.schedule_dispatch();
                   peers_.notify_urgent_updates();
-                  notices_.follow_directory();
               },
               [this](const std::map<std::string, store_watch::member>& members) {
                   context_.gateway_count =
                       static_cast<int>(members.size()) + (members.contains(settings_.name) ? 0 : 1);
                   peers_.change_members(members);
+                  scaling_.change_members(members);
                   forwarder_.update_budgets();
               }}),
       boot_(unix_ms()), order_giver_(context_, lease_store_client_, client_, dispatcher_, boot_),
@@ -79,6 +79,7 @@
       turns_(context_,
              {[this](const std::string& to, const std::string& frame) { peers_.send_to(to, frame); },
               [this] { return peers_.coordinators(); }, [this] { dispatcher_.dispatch_waiting(); }}),
+      scaling_(context_, {dispatcher_, peers_, order_giver_, duties_}),
       acceptor_(loop_, [this](int socket) { accept(socket); }) {
     forwarder_.attach(dispatcher_);
     dispatcher_.attach(turns_);
@@ -233,6 +234,7 @@
     dispatcher_.remove_missing_targets();
     turns_.remove_missing_targets();
     notices_.step();
+    scaling_.step();
     update_metrics(now);
     reload_if_changed();
     if (program_.stopping && !context_.draining)
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "programs/gateway/admission.hpp"
 #include "programs/gateway/duties.hpp"
 #include "programs/gateway/order_giver.hpp"
+#include "programs/gateway/scaling.hpp"
 #include "programs/gateway/short_notice.hpp"
 
 #include <filesystem>
@@ -59,6 +60,7 @@
     peer_updates updates_;
     peers peers_;
     prompt_turns turns_;
+    scaling scaling_;
     edge::acceptor acceptor_;
     caller_session::callbacks session_callbacks_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -14,10 +14,11 @@
 
 constexpr milliseconds config_fetch_interval{400}; // between two reads of the configuration from a peer
 constexpr milliseconds config_fetch_timeout{1'500};
-constexpr milliseconds origin_repetition{1'100}; // three messages tell of a stream: one may be lost
-constexpr std::size_t max_new_origins = 500;     // streams in one message
-constexpr std::size_t max_all_origins = 1'000;   // in a message to a gateway that has just started
-constexpr double no_limit = -1;                  // on the wire: the target has no limit any more
+constexpr milliseconds origin_repetition{1'100};      // three messages tell of a stream: one may be lost
+constexpr std::size_t max_new_origins = 500;          // streams in one message
+constexpr std::size_t max_all_origins = 1'000;        // in a message to a gateway that has just started
+constexpr milliseconds max_remaining{31'536'000'000}; // a year, as in registrations
+constexpr double no_limit = -1;                       // on the wire: the target has no limit any more
 constexpr milliseconds adopted_retention{
     1'000}; // registrations from another group are passed on for that long
 
@@ -25,6 +26,11 @@
     return core::common::to_wire_ms(value);
 }
 
+/// Gateways tell each other the same time again and again: rounding it down would move it a bit each time.
+std::int64_t rounded_up_ms(core::common::duration value) {
+    return std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(value).count());
+}
+
 core::fleet::target_entry decode(const wire::target_registration& registration) {
     core::fleet::target_entry out;
     out.id = registration.target;
@@ -103,6 +109,9 @@
         wire::leaving_target entry;
         entry.target = leaving.id;
         entry.born = leaving.born;
+        const auto* known = context_.directory.find(leaving.id);
+        if (known != nullptr && known->entry.born == leaving.born && known->gone_at)
+            entry.__set_remaining_ms(rounded_up_ms(*known->gone_at - context_.loop.now()));
         message.leaving_targets.push_back(std::move(entry));
     }
     add_limits_to(message);
@@ -272,8 +281,15 @@
 
 bool peer_updates::apply_departures(const wire::peer_status& message) {
     bool any_new = false;
-    for (const auto& target : message.leaving_targets)
-        any_new = context_.directory.mark_leaving({target.target, target.born}) || any_new;
+    for (const auto& target : message.leaving_targets) {
+        const core::fleet::target_start start{target.target, target.born};
+        any_new = context_.directory.mark_leaving(start) || any_new;
+        if (target.__isset.remaining_ms && target.remaining_ms >= 0 &&
+            target.remaining_ms <= max_remaining.count())
+            any_new = context_.directory.note_removal(start, milliseconds{target.remaining_ms},
+                                                      context_.loop.now()) ||
+                      any_new;
+    }
     return any_new;
 }
 
--- a/src/programs/gateway/scaling.cpp
+++ b/src/programs/gateway/scaling.cpp
@@ -1,9 +1,11 @@
 #include "programs/gateway/scaling.hpp"
 
 #include "platform/documents.hpp"
+#include "platform/duties.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace waxwinglb::programs::gateway {
 namespace {
@@ -12,8 +14,9 @@
 using core::scaling::observation;
 
 constexpr milliseconds evaluation_interval{1'000};
-constexpr double least_rate_in_use = 0.02; // requests per second of a model that is still in use
-constexpr double usable_slots = 0.75;      // of an engine's; only where no target says how many it has
+constexpr milliseconds answer_limit{15'000}; // a call that is still repeated then is only replaced by itself
+constexpr double least_rate_in_use = 0.02;   // requests per second of a model that is still in use
+constexpr double usable_slots = 0.75;        // of an engine's; only where no target says how many it has
 
 double rounded(double value) {
     return std::round(value * 100) / 100;
@@ -35,10 +38,14 @@
     if (now < evaluate_at_)
         return;
     evaluate_at_ = now + evaluation_interval;
-    if (!dependencies_.switched_on() || !dependencies_.orders.may_order(now)) {
-        known_.clear(); // whoever gives orders next begins by what it sees
-        return;
+    const auto token = dependencies_.calls.token();
+    if (std::exchange(token_, token) != token) { // a new holder begins with what it sees
+        known_.clear();
+        open_calls_.clear();
     }
+    if (!context_.settings.duties.autoscale || !token || !dependencies_.orders.may_order(now))
+        return;
+    repeat_dropped_calls();
     std::erase_if(known_, [&](const auto& entry) {
         const auto* service = context_.config->find_service(entry.first);
         return service == nullptr || !service->scaling;
@@ -70,11 +77,26 @@
                             {"per_second", rounded(seen.per_second)},
                             {"holders_needed", seen.holders_needed},
                             {"models_placed", seen.models_placed}});
-        dependencies_.enqueue(subject, platform::scale_path,
-                              platform::encode_scale(service.name, call.data_centre, call.desired));
+        this->call(subject, platform::encode_scale(service.name, call.data_centre, call.desired));
     }
 }
 
+void scaling::call(const std::string& subject, const std::string& body) {
+    open_calls_[subject] = {body, context_.loop.now()};
+    dependencies_.calls.enqueue(subject, platform::scale_path, body,
+                                [this, subject](core::duties::call_answer) { open_calls_.erase(subject); });
+}
+
+/// Calls are dropped when the term ends, also if this gateway renews its lease at once, with the same token.
+void scaling::repeat_dropped_calls() {
+    std::map<std::string, std::string> due;
+    for (const auto& [subject, open] : open_calls_)
+        if (context_.loop.now() - open.enqueued_at >= answer_limit)
+            due[subject] = open.body;
+    for (const auto& [subject, body] : due)
+        call(subject, body);
+}
+
 // ---- what is seen ----------------------------------------------------------------------------------
 
 bool scaling::serves(const core::fleet::target& target, const std::string& service) const {
--- a/src/programs/gateway/scaling.hpp
+++ b/src/programs/gateway/scaling.hpp
@@ -3,11 +3,12 @@
 #pragma once
 
 #include "core/scaling/autoscaler.hpp"
+#include "programs/gateway/duties.hpp"
 #include "programs/gateway/order_giver.hpp"
 #include "programs/gateway/peers.hpp"
 
-#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -19,10 +20,7 @@
         const dispatcher& dispatch;
         const peers& others;
         const order_giver& orders;
-        std::function<bool()> switched_on; // the settings ask for autoscaling
-        /// Sends a call as the holder of a duty. A later call for the same subject replaces an unsent one.
-        std::function<void(const std::string& subject, const std::string& path, const std::string& body)>
-            enqueue;
+        duties& calls;
     };
     scaling(gateway_context& context, dependencies used)
         : context_(context), dependencies_(std::move(used)) {}
@@ -38,7 +36,14 @@
         double per_second = 0;
         std::set<std::string> models_in_use;
     };
+    /// A call without a final answer.
+    struct open_call {
+        std::string body;
+        core::common::time_point enqueued_at{};
+    };
     void evaluate(const core::fleet::service& service);
+    void call(const std::string& subject, const std::string& body);
+    void repeat_dropped_calls();
     [[nodiscard]] demand_sum sum_demand(const std::string& service) const;
     void add_use(const std::string& service, const std::string& target, const core::fleet::model_ref& ref,
                  int running, demand_sum& to) const;
@@ -52,6 +57,8 @@
     dependencies dependencies_;
     std::set<std::string> data_centres_;                     // of the gateways
     std::map<std::string, core::scaling::autoscaler> known_; // by service
+    std::optional<std::int64_t> token_;                      // of the duties when they were last evaluated
+    std::map<std::string, open_call> open_calls_;            // by subject
     core::common::time_point evaluate_at_{};
 };
 
--- a/src/programs/gateway/short_notice.cpp
+++ b/src/programs/gateway/short_notice.cpp
@@ -55,16 +55,18 @@
                             {"remaining_ms", signed_ms(*target.gone_at - context_.loop.now())},
                             {"running", admission_.running_at(id).size()},
                             {"load", dispatcher_.load_of(id)}});
-        look_at(id, notices_[id]);
     }
 }
 
 void short_notice::step() {
     const time_point now = context_.loop.now();
+    if (std::exchange(followed_, context_.directory.removals_noted()) != followed_ || !notices_.empty())
+        follow_directory();
     std::erase_if(notices_, [&](const auto& entry) {
         return now >= entry.second.gone_at + notice_retention &&
                context_.directory.find(entry.first) == nullptr;
     });
+    full_groups_.clear();
     const auto notices = notices_;
     for (const auto& [id, known] : notices)
         look_at(id, known);
@@ -85,9 +87,15 @@
                                      time_point gone_at) {
     const time_point now = context_.loop.now();
     const auto without_room = decide_on_notice(end, gone_at, false, now);
-    if (without_room != notice_decision::wait_for_room || !request.repeatable())
+    if (without_room != notice_decision::wait_for_room || !request.repeatable() ||
+        !request.has_attempts_left())
         return without_room;
-    return decide_on_notice(end, gone_at, dispatcher_.has_room_for(request), now);
+    const group_key group{request.service, request.model, request.begun_at.value_or("")};
+    if (full_groups_.contains(group))
+        return without_room;
+    if (!dispatcher_.has_room_for(request))
+        full_groups_.insert(group);
+    return decide_on_notice(end, gone_at, !full_groups_.contains(group), now);
 }
 
 void short_notice::consider(const caller_request_ptr& request, time_point gone_at) {
--- a/tests/core/fleet_test.cpp
+++ b/tests/core/fleet_test.cpp
@@ -185,6 +185,23 @@
     EXPECT_EQ(*targets.find("t1")->gone_at, start + 2s);
 }
 
+TEST(target_directory, a_removal_at_short_notice_that_only_peers_tell_of_is_known_and_not_postponed) {
+    directory targets;
+    targets.replace_all({entry("t1")}, start);
+    EXPECT_FALSE(targets.note_removal({"t1", 2}, 5'000ms, start)) << "another start of it";
+    EXPECT_FALSE(targets.find("t1")->gone_at.has_value());
+    EXPECT_TRUE(targets.note_removal({"t1", 1}, 5'000ms, start));
+    EXPECT_FALSE(targets.note_removal({"t1", 1}, 5'000ms, start + 1s)) << "told again";
+    EXPECT_EQ(*targets.find("t1")->gone_at, start + 5s);
+    EXPECT_EQ(targets.removals_noted(), 1);
+    auto own = entry("t1");
+    own.remaining = 3'900ms; // read by this process itself
+    targets.upsert(own, start + 1s);
+    EXPECT_EQ(*targets.find("t1")->gone_at, start + 4'900ms);
+    targets.upsert(entry("t1", 7), start + 2s);
+    EXPECT_FALSE(targets.find("t1")->gone_at.has_value()) << "the next start";
+}
+
 // Guards against keeping a target whose heartbeat and removal come in one batch. Found in a search over
 // Cámara (mix, seed 13478659555).
 TEST(target_directory, a_target_that_changed_and_was_removed_in_one_batch_is_gone) {
--- a/tests/programs/test_gateway_short_notice.py
+++ b/tests/programs/test_gateway_short_notice.py
@@ -62,14 +62,15 @@
         leaving, staying, thread, got = begin_stream(fleet, engines(fleet), LONG_STREAM)
         told = announce(leaving, 3_000)
         wait_until(lambda: staying.runs, "the stream is taken up by the other target")
-        leaving.break_stream_after = 0
+        closed_at = wait_until(lambda: leaving.streams_left_at, "the first exchange was closed")[0][0]
+        if closed_at > told + 3.0:
+            raise Failure("the first exchange was closed after its target was gone")
         thread.join(15)
         expect_whole(got, LONG_STREAM)
         if staying.run_started_at[0] > told + 2.0:
             raise Failure(f"moved {staying.run_started_at[0] - told:.2f} s after the notice: not when the end was foreseen")
         if int(staying.runs[0][1]["Last-Event-Id"]) < 1:
             raise Failure("the stream began anew")
-        wait_until(lambda: leaving.streams_left_at, "the first exchange was closed")
         expect(decisions(fleet), [("cannot_end_in_time", "moved")], "decisions")
         expect([line["subject"] for line in fleet.events("target_ending")], [leaving.name], "notices")
         expect(len(leaving.runs) + len(staying.runs), 2, "runs")
@@ -173,6 +174,35 @@
         expect(fleet.events("target_ending") + fleet.events("request_on_notice"), [], "effects")
 
 
+def gateways_that_do_not_watch_the_store_closely_learn_of_the_end_from_their_peers():
+    with Fleet(ARGUMENTS.bin, gateways=4) as fleet:
+        targets = engines(fleet)
+        fleet.wait_for_contact()
+        fleet.wait_for_orders()
+        time.sleep(2.5)                       # two gateways watch closely, the others look every 10 s
+        streams = []
+        for gateway in range(4):
+            expect(fleet.ask("/notes/1", fleet.headers("m0"), gateway=gateway).status, 200, "a short stream")
+        for target in targets:
+            target.runs.clear()
+            target.run_started_at.clear()
+            target.events = LONG_STREAM
+        for gateway in range(4):
+            headers = fleet.headers("m0", Token_Count=f"100,{LONG_STREAM * 4}")
+            streams.append((headers["Request-Id"], *in_background(fleet, "/notes/1", headers, gateway)))
+        wait_until(lambda: sum(len(target.runs) for target in targets) == 4, "the streams run")
+        leaving, staying = targets
+        at_leaving = {run[0] for run in leaving.runs}
+        told = announce(leaving, 3_000)
+        wait_until(lambda: len(fleet.events("target_ending")) == 4, "all gateways know of it", 2)
+        for request_id, thread, got in streams:
+            thread.join(15)
+            expect_whole(got, LONG_STREAM)
+        late = [at - told for (request_id, _, _), at in zip(staying.runs, staying.run_started_at) if request_id in at_leaving and at > told + 3.0]
+        expect(late, [], "streams that moved after their target was gone")
+        expect(at_leaving <= {run[0] for run in staying.runs}, True, "all were moved")
+
+
 def model_that_only_the_leaving_target_holds_is_loaded_elsewhere_before_a_request_waits_for_it():
     with Fleet(ARGUMENTS.bin) as fleet:
         leaving = fleet.target("e1", "engine", models=["m0"])
@@ -196,5 +226,6 @@
                plain_call_of_unknown_length_moves_at_the_last_moment_unless_it_may_run_only_once,
                calls_lost_with_their_target_are_not_blocked_as_its_cause,
                end_that_makes_no_sense_leaves_the_target_draining_without_one,
+               gateways_that_do_not_watch_the_store_closely_learn_of_the_end_from_their_peers,
                model_that_only_the_leaving_target_holds_is_loaded_elsewhere_before_a_request_waits_for_it])
     sys.exit(0)
