--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -40,6 +40,9 @@
 inline constexpr std::string_view target_paused = "target_paused";
 inline constexpr std::string_view target_limited = "target_limited";
 inline constexpr std::string_view target_notice_ignored = "target_notice_ignored";
+inline constexpr std::string_view target_ending = "target_ending";
+inline constexpr std::string_view request_on_notice = "request_on_notice";
+inline constexpr std::string_view scale_decided = "scale_decided";
 inline constexpr std::string_view lease_taken = "lease_taken";
 inline constexpr std::string_view lease_lost = "lease_lost";
 inline constexpr std::string_view order_sent = "order_sent";
@@ -80,11 +83,12 @@
     prompt_suspected,     target_limited,     process_crashed,       entries_ignored,
     duty_call_sent,       duty_call_answered, duty_call_refused,     duty_unknown,
     usage_decided,        usage_reported,     usage_given_up,        usage_not_counted,
-    usage_object_ignored, clock_jumped};
+    usage_object_ignored, clock_jumped,       target_ending,         request_on_notice,
+    scale_decided};
 /// Events that callers or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
-    request_waiting,  turn_missed, request_sent,      request_retried,  request_refused, rate_refused,
-    request_answered, request_cut, request_abandoned, datagram_ignored, prompt_suspected};
+    request_waiting,  turn_missed, request_sent,      request_retried,  request_refused,  rate_refused,
+    request_answered, request_cut, request_abandoned, datagram_ignored, prompt_suspected, request_on_notice};
 } // namespace events
 
 class decision_log {
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -5,6 +5,8 @@
 #include "programs/gateway/admission.hpp"
 #include "programs/gateway/duties.hpp"
 #include "programs/gateway/order_giver.hpp"
+#include "programs/gateway/scaling.hpp"
+#include "programs/gateway/short_notice.hpp"
 #include "programs/gateway/usage_reports.hpp"
 
 #include <filesystem>
@@ -51,6 +53,7 @@
     forwarder forwarder_;
     dispatcher dispatcher_;
     admission admission_;
+    short_notice notices_;
     store_watch watch_;
     std::int64_t boot_;
     order_giver order_giver_;
@@ -59,6 +62,7 @@
     peer_updates updates_;
     peers peers_;
     prompt_turns turns_;
+    scaling scaling_;
     edge::acceptor acceptor_;
     caller_session::callbacks session_callbacks_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
