Choice by targets' speeds, learned from their answers

Targets of one service differ in speed (0.6 to 1.6 of the usual one), but all got the same limits, prompt rates and share of the load: requests at the slow ones missed their target latency, and gateways that saw the same figures chose the same target at once.

With dispatch.learn_speeds (default false: as before), gateways learn the lasting speed of each start of a target from the pauses between events, or from the time of plain calls, at the load then, and tell it their peers. The choice compares load over limit times speed plus the prompt tokens to read, and is spread in proportion to the room below the level that requests not yet reported would reach. Limits and prompt rates scale with the speed.

--- a/src/core/dispatch/request_target_choice.cpp
+++ b/src/core/dispatch/request_target_choice.cpp
@@ -3,16 +3,18 @@
 #include "core/common/hash.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace waxwinglb::core::dispatch {
 namespace {
 
 using common::time_point;
 
-constexpr double failure_weight = 3.0;  // added to the fullness of a target whose answers all fail
-constexpr double far_weight = 0.02;     // added for another data centre: mild preference for the own one
-constexpr double reading_weight = 0.1;  // added in full when unread prompts reach their limit
-constexpr double affinity_slack = 0.06; // a session's own target may be this much fuller than the best
+constexpr double failure_weight = 3.0;   // added to the fullness of a target whose answers all fail
+constexpr double far_weight = 0.02;      // added for another data centre: mild preference for the own one
+constexpr double reading_weight = 0.1;   // added in full when unread prompts reach their limit
+constexpr double max_unseen_share = 0.1; // of the capacity; then a target's load counts for rare requests too
+constexpr double affinity_slack = 0.06;  // a session's own target may be this much fuller than the best
 
 enum class fit { fits, wrong_model, wrong_adapter, loading };
 
@@ -30,10 +32,68 @@
                : fit::wrong_adapter;
 }
 
-double fullness(const candidate& option) {
-    return static_cast<double>(option.load) / static_cast<double>(std::max(1, option.limit)) +
-           failure_weight * option.failure_rate + (option.near ? 0 : far_weight) +
-           reading_weight * option.unread_tokens / std::max(1, option.unread_limit);
+double capacity_of(const candidate& option) {
+    return option.capacity > 0 ? option.capacity : std::max(1, option.limit);
+}
+
+/// Expected time to answer, in units that are the same for all targets of a service. `prompt_tokens`: of the
+/// request, if they count.
+double cost_of(const candidate& option, int prompt_tokens) {
+    return option.load / capacity_of(option) + failure_weight * option.failure_rate +
+           (option.near ? 0 : far_weight) +
+           reading_weight * (option.unread_tokens + prompt_tokens) / std::max(1, option.unread_limit);
+}
+
+/// Spreads a request over the targets below the cost that all would reach if the unseen requests, and this
+/// one, went to the cheapest ones: each is chosen as often as it has capacity left below that cost. If each
+/// gateway chose the cheapest target, the one that looks best would get the requests of all of them at once.
+const candidate* spread_over(std::span<const candidate* const> usable, const target_criteria& criteria) {
+    struct weighted {
+        const candidate* option;
+        double cost;
+        double capacity;
+    };
+    std::vector<weighted> below;
+    below.reserve(usable.size());
+    double capacity = 0;
+    double used = 0; // capacity times cost
+    const int prompt_tokens = criteria.prompt_tokens;
+    for (const candidate* option : usable) {
+        const double cost = cost_of(*option, option->unread_limit > 0 ? prompt_tokens : 0);
+        below.push_back({option, cost, capacity_of(*option)});
+        capacity += below.back().capacity;
+        used += below.back().capacity * cost;
+    }
+    const double added = 1 + std::min(criteria.spread.unseen, max_unseen_share * capacity);
+    double level = (used + added) / capacity;
+    for (;
+         ;) { // a target above the level takes no part, which lowers the level; ends with one target at least
+        const auto above =
+            std::partition(below.begin(), below.end(), [&](const weighted& one) { return one.cost < level; });
+        if (above == below.end())
+            break;
+        std::for_each(above, below.end(), [&](const weighted& one) {
+            capacity -= one.capacity;
+            used -= one.capacity * one.cost;
+        });
+        below.erase(above, below.end());
+        level = (used + added) / capacity;
+    }
+    // Weighted rendezvous hashing: the chosen one has the lowest -ln(hash)/weight.
+    const candidate* best = nullptr;
+    double best_rank = 0;
+    for (const weighted& one : below) {
+        constexpr double hash_range = 18'446'744'073'709'551'616.0; // 2 to the 64th
+        const double hash =
+            (static_cast<double>(common::hash_of(one.option->target->entry.id, criteria.spread.salt)) + 1) /
+            (hash_range + 1'024);
+        const double rank = -std::log(hash) / ((level - one.cost) * one.capacity);
+        if (best == nullptr || rank < best_rank) {
+            best = one.option;
+            best_rank = rank;
+        }
+    }
+    return best;
 }
 
 /// True if the prompt would exceed the limit on unread prompts. A target reads prompts between the steps of
@@ -120,6 +180,10 @@
     return why == obstacle::limited ? option.turn_at : option.target->pause->until;
 }
 
+int scaled_limit(int usual, double speed, int most) {
+    return std::clamp(static_cast<int>(std::lround(usual * speed)), 1, std::max(1, most));
+}
+
 choice choose(std::span<const candidate> candidates, const target_criteria& criteria,
               common::time_point now) {
     choice result;
@@ -142,17 +206,22 @@
     }
     if (usable.empty())
         return result;
-    const candidate* best = *std::min_element(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
-        return fullness(*a) < fullness(*b);
-    });
+    const auto cost = [&](const candidate* option) {
+        return cost_of(*option,
+                       criteria.spread.active && option->unread_limit > 0 ? criteria.prompt_tokens : 0);
+    };
+    const candidate* best = *std::min_element(
+        usable.begin(), usable.end(), [&](const auto* a, const auto* b) { return cost(a) < cost(b); });
     if (criteria.session != 0) {
         const candidate* own =
             *std::max_element(usable.begin(), usable.end(), [&](const auto* a, const auto* b) {
                 return affinity(*a, criteria.session) < affinity(*b, criteria.session);
             });
-        if (fullness(*own) <= fullness(*best) + affinity_slack)
-            best = own;
+        if (cost(own) <= cost(best) + affinity_slack)
+            return {own, obstacle::none};
     }
+    if (criteria.spread.active)
+        best = spread_over(usable, criteria);
     return {best, obstacle::none};
 }
 
--- a/src/core/dispatch/request_target_choice.hpp
+++ b/src/core/dispatch/request_target_choice.hpp
@@ -24,6 +24,15 @@
     bool turn_queued = false;     // this gateway's turn to send it a request has not come yet
     bool limited = false;         // it has named the rate that it takes; turns keep it
     common::time_point turn_at{}; // if queued: when the turn is expected
+    double capacity = 0;          // requests at once that it serves as fast as usual; 0: as many as the limit
+};
+
+/// How one gateway spreads its requests while others choose by the same figures. Not active by default: then
+/// the target with the lowest cost is chosen, and the expected time to answer counts no prompt to be read.
+struct choice_spread {
+    bool active = false;
+    std::uint64_t salt = 0; // of this gateway and request; choices with other salts differ
+    double unseen = 0;      // requests that others may have sent since their last reports
 };
 
 /// What one request needs of its target.
@@ -36,6 +45,7 @@
         nullptr;           // if set: the only targets allowed (no attempts are left for others)
     int prompt_tokens = 0; // of the request, if it goes to an engine
     const std::string* software_version = nullptr; // if set: a stream goes on, at a target of this one only
+    choice_spread spread{};
 };
 
 /// Why no target could take a request, mildest first.
@@ -63,6 +73,9 @@
     const candidate* first_back = nullptr; // if `why` is limited or paused: the target that is usable first
 };
 
+/// The limit on requests at a target of this speed: `usual`, scaled, between 1 and `most`.
+[[nodiscard]] int scaled_limit(int usual, double speed, int most);
+
 [[nodiscard]] choice choose(std::span<const candidate> candidates, const target_criteria& criteria,
                             common::time_point now);
 
--- a/src/core/streams/event_buffer.cpp
+++ b/src/core/streams/event_buffer.cpp
@@ -59,4 +59,13 @@
     return std::string{value};
 }
 
+int count_events(std::string_view events) {
+    int count = 0;
+    for (std::size_t at = events.find('\n'); at != events.npos; at = events.find('\n', at + 1)) {
+        const std::string_view rest = events.substr(at + 1);
+        count += rest.starts_with('\n') || rest.starts_with("\r\n") ? 1 : 0;
+    }
+    return count;
+}
+
 } // namespace waxwinglb::core::streams
--- a/src/core/streams/event_buffer.hpp
+++ b/src/core/streams/event_buffer.hpp
@@ -26,4 +26,7 @@
 /// Id of the last event that has one in `events`, which holds complete events; empty if none has.
 [[nodiscard]] std::string last_event_id(std::string_view events);
 
+/// Number of blocks, each of which ends with an empty line, in `events`, which holds complete events.
+[[nodiscard]] int count_events(std::string_view events);
+
 } // namespace waxwinglb::core::streams
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -4,6 +4,7 @@
 #include "core/fleet/model.hpp"
 #include "core/streams/event_buffer.hpp"
 #include "core/streams/event_sequence.hpp"
+#include "core/target_speed/pace_meter.hpp"
 #include "programs/gateway/caller_session.hpp"
 #include "programs/gateway/target_link.hpp"
 
@@ -66,6 +67,7 @@
     core::common::time_point first_chunk_at{}; // when the first part of the answer was forwarded
     core::common::time_point last_chunk_at{};
     core::common::duration longest_pause{}; // between two forwarded chunks
+    core::target_speed::pace_meter pace;    // of the stream at its present target
     std::string last_event;                 // id of the last event forwarded; empty: none
 
     [[nodiscard]] bool has_attempts_left() const {
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -7,6 +7,7 @@
 #include "core/limits/target_limits.hpp"
 #include "core/membership/catch_up.hpp"
 #include "core/streams/origins.hpp"
+#include "core/target_speed/speeds.hpp"
 #include "edge/decision_log.hpp"
 #include "edge/event_loop.hpp"
 #include "programs/gateway/metrics.hpp"
@@ -32,10 +33,11 @@
     core::fleet::centres_out centres; // data centres taken out of service
     core::limits::fleet_quota quota;
     core::limits::target_limits target_limits;
-    core::streams::origins origins;  // of callers' streams
-    int gateway_count = 1;           // registered gateways, this one included
-    bool reads_store_closely = true; // false: others do, and their messages arrive
-    bool draining = false;           // SIGTERM was received
+    core::streams::origins origins;    // of callers' streams
+    core::target_speed::speeds speeds; // of targets; empty unless dispatch.learn_speeds is set
+    int gateway_count = 1;             // registered gateways, this one included
+    bool reads_store_closely = true;   // false: others do, and their messages arrive
+    bool draining = false;             // SIGTERM was received
     core::common::time_point drain_started{};
 
     /// Takes note of the software versions that targets have now.
@@ -43,6 +45,10 @@
         for (const auto& [id, target] : directory.targets())
             origins.note_target(target.entry.service, target.entry.software_version, loop.now());
     }
+    /// A target's lasting speed; 1 is the usual one.
+    [[nodiscard]] double speed_of(const core::fleet::target& target) const {
+        return settings.learn_speeds ? speeds.lasting(target.entry.id, target.entry.born) : 1;
+    }
     /// Whether requests may be served by what this process knows.
     [[nodiscard]] bool informed() const { return config && start.done(loop.now()); }
 };
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -186,6 +186,7 @@
     out.only = request.has_attempts_left() ? nullptr : &request.sent_to;
     out.prompt_tokens = request.prompt_tokens;
     out.software_version = request.begun_at ? &*request.begun_at : nullptr;
+    out.spread = spread_for(request);
     return out;
 }
 
@@ -234,6 +235,7 @@
     if (!notice.not_understood.empty())
         context_.log.write(edge::events::target_notice_ignored, from.id,
                            {{"born", from.born}, {"status", status}, {"fields", notice.not_understood}});
+    note_load(from, notice);
     if (notice.leaving && context_.directory.note_said_leaving(from, now)) {
         context_.log.write(edge::events::target_leaving, from.id, {{"born", from.born}, {"status", status}});
         callbacks_.on_urgent_update();
@@ -295,6 +297,7 @@
     if (uses_prompt_turns(request->model) || turns_->is_limited(target))
         turns_->record_sent(target, turn_size(*request));
     runtime.unread_prompt_tokens += request->unread_prompt_tokens;
+    count_send(*request);
     target_usage& use = usage_[{target, request->model}];
     ++use.running;
     use.last_used = context_.loop.now();
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include "core/dispatch/fleet_load.hpp"
 #include "core/dispatch/wait_policy.hpp"
+#include "platform/target_notice.hpp"
 #include "programs/gateway/caller_request.hpp"
 #include "programs/gateway/context.hpp"
 #include "programs/gateway/prompt_turns.hpp"
@@ -88,6 +89,11 @@
     [[nodiscard]] std::map<core::fleet::model_ref, arrival_rate> arrival_rates() const;
     [[nodiscard]] const target_link::connection_counters& connection_counters() const { return connections_; }
 
+    // Speeds of targets (dispatcher_speeds.cpp); without effect unless dispatch.learn_speeds is set.
+    /// Takes note of how long a unit of work took: the pause before one event of a stream, or a whole call.
+    void note_work(const caller_request& request, core::common::duration took);
+    void update_speeds(); // to be called regularly
+
 private:
     struct target_runtime {
         std::shared_ptr<target_link> link;
@@ -135,7 +141,7 @@
     [[nodiscard]] core::dispatch::candidate make_candidate(const core::fleet::target& target,
                                                            const core::fleet::model_ref& ref);
     void refresh(candidate_list& list, const std::string& target, const core::fleet::model_ref& ref);
-    [[nodiscard]] int limit_of(const core::fleet::target& target) const;
+    [[nodiscard]] int limit_of(const core::fleet::target& target) const; // of one of the usual speed
     bool has_cold_allowance(const core::fleet::target& target, target_runtime& runtime);
     void count_arrival(const caller_request& request);
     [[nodiscard]] core::dispatch::target_criteria criteria_for(const caller_request& request) const;
@@ -146,6 +152,19 @@
                                                                const candidate_list& among) const;
     [[nodiscard]] std::string describe(const core::dispatch::choice& blocked) const;
 
+    /// Requests of one group that this gateway sent lately; the sum decays with time.
+    struct send_counter {
+        double sum = 0;
+        core::common::time_point updated_at{};
+    };
+    void note_load(const core::fleet::target_start& from, const platform::target_notice& notice);
+    void count_send(const caller_request& request);
+    [[nodiscard]] core::dispatch::choice_spread spread_for(const caller_request& request) const;
+    void scale_by_speed(core::dispatch::candidate& option) const;
+
+    std::map<group_key, send_counter> recent_sends_;
+    core::common::time_point speeds_checked_at_{};
+
     gateway_context& context_;
     callbacks callbacks_;
     prompt_turns* turns_ = nullptr;
--- a/src/programs/gateway/dispatcher_views.cpp
+++ b/src/programs/gateway/dispatcher_views.cpp
@@ -84,6 +84,7 @@
     if (const auto missing = runtime.missing_models.find(ref); missing != runtime.missing_models.end())
         out.lacks_model = now < missing->second.until;
     out.near = target.entry.data_centre == context_.settings.data_centre;
+    scale_by_speed(out);
     return out;
 }
 
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -139,6 +139,7 @@
     request->came_before = !request->sent_to.insert(target).second;
     request->body.clear();
     request->events.clear();
+    request->pace.restart();
     request->sequence.begin_answer();
     request->ended_by = "";
     request->last_target = target;
@@ -247,12 +248,16 @@
     } else
         request->longest_pause = std::max(request->longest_pause, now - request->last_chunk_at);
     request->last_chunk_at = now;
+    if (const auto each = request->pace.add(core::streams::count_events(events), now))
+        dispatcher_->note_work(*request, *each);
     dispatcher_->on_answer_started(request);
     request->session->write(events);
     if (std::string id = core::streams::last_event_id(events); !id.empty())
         request->last_event = std::move(id);
-    if (request->session->unsent() > max_unsent_bytes)
+    if (request->session->unsent() > max_unsent_bytes) {
         request->target_exchange->pause();
+        request->pace.restart(); // the next pause is the caller's
+    }
 }
 
 /// From its first event on, a stream goes on only at targets of the version that sent it.
@@ -264,6 +269,7 @@
 }
 
 void forwarder::on_caller_drained(const caller_request_ptr& request) {
+    request->pace.restart();
     if (request->target_exchange)
         request->target_exchange->resume();
 }
@@ -292,6 +298,8 @@
     else if (!failed) // of a part of the prompt it says nothing: the target may not have begun to read it
         suspect_requests_.add_sound({&request->fingerprint, 1}, context_.loop.now());
     context_.metrics.observe_first_byte(metric_kind(*request), context_.loop.now() - request->arrived);
+    if (!request->is_stream() && request->head.status < 300)
+        dispatcher_->note_work(*request, context_.loop.now() - request->sent_at);
     request->session->answer(request->head.status, forwarded_fields(request->head.fields), request->body);
     close_exchange(request,
                    failed ? dispatcher::attempt_outcome::failed : dispatcher::attempt_outcome::succeeded);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -229,6 +229,7 @@
     update_readiness();
     dispatcher_.remove_missing_targets();
     turns_.remove_missing_targets();
+    dispatcher_.update_speeds();
     update_metrics(now);
     reload_if_changed();
     if (program_.stopping && !context_.draining)
@@ -285,6 +286,7 @@
     settings_.request_lines = new_settings.request_lines;
     settings_.prompt_tokens_at_once = new_settings.prompt_tokens_at_once;
     settings_.prompt_tokens_per_second = new_settings.prompt_tokens_per_second;
+    settings_.learn_speeds = new_settings.learn_speeds;
     log_.limit_request_lines(new_settings.request_lines);
     forwarder_.update_budgets();
     log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -77,7 +77,13 @@
       finished_loads_(counters(registry, data_centre, "waxwing_finished_loads_total",
                                "Loads from the weight store that a report has shown to be over")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
-                         "Time since the store last answered the watch of a kind of object")) {}
+                         "Time since the store last answered the watch of a kind of object")),
+      ignored_loads_(counters(registry, data_centre, "waxwing_target_loads_ignored_total",
+                              "Loads or momentary figures of targets that were not understood")),
+      target_speeds_(gauges(registry, data_centre, "waxwing_target_speed",
+                            "Lowest and highest lasting speed of a target; 1 is the usual one")),
+      target_speeds_known_(gauges(registry, data_centre, "waxwing_target_speeds_known",
+                                  "Targets whose lasting speed is learned")) {}
 
 void gateway_metrics::count_request(const request_kind& kind, const std::string& outcome,
                                     const std::string& reason) {
@@ -110,6 +116,16 @@
     finished_loads_.Add({{"result", late ? "late" : "in_time"}}).Increment();
 }
 
+void gateway_metrics::count_ignored_load() {
+    ignored_loads_.Add({}).Increment();
+}
+
+void gateway_metrics::set_target_speeds(const core::target_speed::speeds::range& extent) {
+    target_speeds_.Add({{"which", "lowest"}}).Set(extent.lowest);
+    target_speeds_.Add({{"which", "highest"}}).Set(extent.highest);
+    target_speeds_known_.Add({}).Set(extent.known);
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/common/time.hpp"
+#include "core/target_speed/speeds.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -29,6 +30,8 @@
     void count_order(const std::string& operation, const std::string& result);
     void count_turn(const std::string& result); // turns to send a prompt: given, missed, unused
     void count_finished_load(bool late);        // loads from the weight store
+    void count_ignored_load();                  // a target's stated load or figure that was not understood
+    void set_target_speeds(const core::target_speed::speeds::range& extent);
     void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
@@ -51,6 +54,9 @@
     prometheus::Family<prometheus::Counter>& turns_;
     prometheus::Family<prometheus::Counter>& finished_loads_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
+    prometheus::Family<prometheus::Counter>& ignored_loads_;
+    prometheus::Family<prometheus::Gauge>& target_speeds_;
+    prometheus::Family<prometheus::Gauge>& target_speeds_known_;
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peer_codec.cpp
+++ b/src/programs/gateway/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/peer_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace waxwinglb::programs::gateway {
 namespace {
@@ -168,4 +169,19 @@
         to.__set_outside(encode(*report.outside));
 }
 
+std::optional<core::target_speed::learned_speed> decode_speed(const wire::target_speed& from) {
+    if (!std::isfinite(from.speed) || from.speed <= 0 || from.samples < 0)
+        return std::nullopt;
+    return core::target_speed::learned_speed{{from.target, from.born}, from.speed, from.samples};
+}
+
+wire::target_speed encode_speed(const core::target_speed::learned_speed& from) {
+    wire::target_speed out;
+    out.target = from.target.id;
+    out.born = from.target.born;
+    out.speed = from.speed;
+    out.samples = from.samples;
+    return out;
+}
+
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peer_codec.hpp
+++ b/src/programs/gateway/peer_codec.hpp
@@ -3,8 +3,11 @@
 
 #include "core/exchange/report.hpp"
 #include "core/quarantine/suspect_parts.hpp"
+#include "core/target_speed/speeds.hpp"
 #include "waxwing_types.h"
 
+#include <optional>
+
 namespace waxwinglb::programs::gateway {
 
 /// The part of a message that core/exchange decides by. A message of an earlier version reads as that of a
@@ -16,4 +19,8 @@
 [[nodiscard]] core::quarantine::part_report decode_part(const wire::suspect_part& from);
 [[nodiscard]] wire::suspect_part encode_part(const core::quarantine::part_report& report);
 
+/// nullopt: the number of samples is negative or the speed is no positive number.
+[[nodiscard]] std::optional<core::target_speed::learned_speed> decode_speed(const wire::target_speed& from);
+[[nodiscard]] wire::target_speed encode_speed(const core::target_speed::learned_speed& from);
+
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -273,6 +273,7 @@
         base.holdings.insert(base.holdings.end(), relayed.holdings.begin(), relayed.holdings.end());
         base.starts.insert(base.starts.end(), relayed.starts.begin(), relayed.starts.end());
         base.origins = updates_.recent_origins();
+        add_speeds(base);
     }
     frame_cache cache{std::move(base), {}};
     for (const std::string& name : members)
@@ -306,6 +307,35 @@
         send(address, cache.find(*this, order_givers.contains(name), sends_registrations_to(name), false));
 }
 
+/// Members of the own group are told what this gateway has learned itself, not what it was told.
+void peers::add_speeds(wire::peer_status& to) {
+    if (!context_.settings.learn_speeds)
+        return;
+    std::vector<wire::target_speed> told;
+    for (const auto& known : context_.speeds.next_to_tell(core::target_speed::max_told, context_.loop.now()))
+        told.push_back(encode_speed(known));
+    if (!told.empty())
+        to.__set_speeds(told);
+}
+
+/// Speeds of targets that this gateway doesn't know are left out: it can't tell whether they are of this
+/// start.
+void peers::take_speeds(const wire::peer_status& status) {
+    if (!context_.settings.learn_speeds || !status.__isset.speeds)
+        return;
+    int malformed = 0;
+    for (const auto& entry : status.speeds) {
+        const auto told = decode_speed(entry);
+        malformed += told ? 0 : 1;
+        const auto* target = told ? context_.directory.find(told->target.id) : nullptr;
+        if (target != nullptr && target->entry.born == told->target.born)
+            context_.speeds.note_told(*told, context_.loop.now());
+    }
+    if (malformed > 0)
+        context_.log.write(edge::events::datagram_ignored, status.process,
+                           {{"step", "decode speeds"}, {"entries", malformed}});
+}
+
 bool peers::has_just_started(const std::string& peer) const {
     const auto known = details_.find(peer);
     return known != details_.end() && context_.loop.now() - known->second.boot_heard_at <= start_period;
@@ -418,6 +448,7 @@
     std::optional<std::vector<std::string>> own_speakers; // set if the message comes from another group
     if (exchange_.grouped() && !report.own && report.group != exchange_.group())
         own_speakers = exchange_.own_speakers(now);
+    take_speeds(status);
     const auto applied = updates_.apply(status, own_speakers);
     if (applied.updates)
         schedule_status(audience::everybody);
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -73,6 +73,8 @@
     void send_outside(audience to, const peer_updates::target_updates& updates);
     [[nodiscard]] wire::peer_status message_of(const core::exchange::report& report) const;
     [[nodiscard]] core::exchange::local_state local_state() const;
+    void add_speeds(wire::peer_status& to); // of targets, if dispatch.learn_speeds is set
+    void take_speeds(const wire::peer_status& status);
     void add_demand_details(wire::peer_status& to) const;
     [[nodiscard]] bool details_due(core::common::time_point now) const;
     [[nodiscard]] core::common::milliseconds details_period() const;
--- a/src/programs/gateway/prompt_turns.cpp
+++ b/src/programs/gateway/prompt_turns.cpp
@@ -29,6 +29,8 @@
 core::dispatch::turn_pace prompt_turns::pace_of(const std::string& target) const {
     core::dispatch::turn_pace out;
     out.tokens_per_ms = std::max(0.0, context_.settings.prompt_tokens_per_second / ms_per_second);
+    if (const auto* known = context_.directory.find(target))
+        out.tokens_per_ms *= context_.speed_of(*known); // a slow target reads as many prompts in more time
     if (const auto limit = limit_of(target))
         out.turns_per_second = *limit * context_.quota.available_part(context_.loop.now());
     return out;
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -222,6 +222,8 @@
         self.leaving = None                # value of the header Server-Leaving in all answers; None: no header
         self.pause = None                  # value of Retry-After in the 503 that every request gets; None: it runs
         self.limit = None                  # value of the header Server-Limit in all answers; None: no header
+        self.load = None                   # value of the header Server-Load in all answers; None: no header
+        self.event_pause_s = EVENT_PAUSE_S # between two events of a stream
         self.refused_at = []               # arrival time of each such request
         self.refuse_once = set()           # bodies of requests that it refuses, each once
         self.refusals = {}                 # by id of the request: its refusal, written again on kept connections
@@ -278,6 +280,7 @@
             return call.answer(421, {}, [("Instance-Id", self.name)])
         leaving = [] if self.leaving is None else [("Server-Leaving", self.leaving)]
         leaving += [] if self.limit is None else [("Server-Limit", self.limit)]
+        leaving += [] if self.load is None else [("Server-Load", self.load)]
         if self.pause is not None:
             self.refused_at.append(time.monotonic())
             return call.answer(503, b"", [("Request-Id", request_id), ("Not-Executed", "1"),
@@ -356,7 +359,7 @@
                 call.close_connection = True
                 return call.connection.shutdown(socket.SHUT_RDWR)
             write(event)
-            time.sleep(EVENT_PAUSE_S)
+            time.sleep(self.event_pause_s)
         call.close_connection = self.unframed
         return call.wfile.write(b"" if self.unframed else b"0\r\n\r\n")
 
