Placement by targets' speeds, several replicas at once

A model whose demand grew got one replica at a time, each after the load before it had ended, and each replica counted the same at a slow target. Several targets could be ordered in one pass to unload the same rare model.

With dispatch.learn_speeds, the planner counts replicas by their targets' speeds, loads all that is missing at once, fast targets preferred, and keeps models loaded just now, those that demand needs and, unless more than a replica is missing, the last replica of a model. An order to unload names the model it makes room for, so that the passes until the unload ends order no others.

--- a/src/core/load_planning/planner.cpp
+++ b/src/core/load_planning/planner.cpp
@@ -1,6 +1,7 @@
 #include "core/load_planning/planner.hpp"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <unordered_map>
 
@@ -18,6 +19,14 @@
 constexpr double unload_cost_ms = 30.0;  // for each model that has to be unloaded first
 constexpr double victim_cost_ms = 300.0; // for each request per second that such a model receives
 
+// With planner_limits::by_speed:
+constexpr double slowness_cost_ms = 400.0; // of a target of half the usual speed, against a usual one
+constexpr milliseconds min_stay{4'000};    // a model loaded more recently isn't unloaded for a replica
+constexpr double spare_share = 0.75;       // unloading a replica must leave the others this full at most
+constexpr milliseconds idle_before_loss{10'000}; // a last replica may go only after as long without requests
+constexpr double min_shortage = 0.01;            // replicas missing, from which another one is loaded
+constexpr double urgent_shortage = 1.0;          // replicas missing, from which last replicas may go
+
 /// One planning pass over the input; each decision is applied to it.
 ///
 /// The pass looks at each target for each model that requests wait for. What it needs to know of a model or a
@@ -36,9 +45,14 @@
     }
 
     std::vector<planned_order> run() {
+        if (limits_.by_speed)
+            use_rooms();
         load_requested_models();
         load_requested_adapters();
-        add_replicas();
+        if (limits_.by_speed)
+            add_replicas_by_speed();
+        else
+            add_replicas();
         make_first_copies();
         return std::move(orders_);
     }
@@ -57,8 +71,17 @@
     struct model_facts {
         demand all;            // including requests for its adapters
         int replicas = 0;      // on targets that serve
+        double capacity = 0;   // speeds of these targets
+        double planned = 0;    // speeds of targets where a place for the model is being made
         bool has_copy = false; // loaded, in memory or on disk at any target
     };
+    /// Which models may be unloaded for another one.
+    enum class kept_models {
+        in_use,      // those in use, and the only replica of a model that requests wait for
+        in_demand,   // also those loaded just now, and what is needed for present demand
+        one_of_each, // also the last replica of any model
+    };
+    using unload_rule = std::pair<milliseconds, kept_models>; // idle for at least this long, and not kept
     /// What can be unloaded at a target for another model.
     struct room_facts {
         double free_mb = 0;                  // beyond the part kept for adapters
@@ -69,6 +92,7 @@
         for (const auto& [model, use] : target.models) {
             model_facts& facts = facts_[model];
             facts.replicas += target.serves ? 1 : 0;
+            facts.capacity += target.serves ? target.speed : 0;
             facts.has_copy = true;
         }
         for (const auto* copies : {&target.copies_in_memory, &target.copies_on_disk})
@@ -85,17 +109,30 @@
         target.models[model].last_used = now_;
         model_facts& facts = facts_[model];
         facts.replicas += target.serves ? 1 : 0;
+        facts.capacity += target.serves ? target.speed : 0;
         facts.has_copy = true;
-        for (std::size_t i = 0; i < targets_.size();
-             ++i) // another replica changes the arrivals at each of them
+        forget_rooms(model);
+    }
+    /// `model` is being unloaded at `target` from now on; its memory isn't free yet.
+    void note_unload(const target_state& target, const std::string& model) {
+        if (!limits_.by_speed || !target.serves)
+            return;
+        model_facts& facts = facts_[model];
+        --facts.replicas;
+        facts.capacity -= target.speed;
+        forget_rooms(model);
+    }
+    /// Another number of replicas changes the arrivals at each of them.
+    void forget_rooms(const std::string& model) {
+        for (std::size_t i = 0; i < targets_.size(); ++i)
             if (targets_[i].models.contains(model))
                 rooms_[i].clear();
     }
-    [[nodiscard]] const room_facts& room_at(const target_state& target, milliseconds idle) const {
+    [[nodiscard]] const room_facts& room_at(const target_state& target, const unload_rule& rule) const {
         auto& known = rooms_[static_cast<std::size_t>(&target - targets_.data())];
-        const auto found = known.find(idle);
+        const auto found = known.find(rule);
         return found != known.end() ? found->second
-                                    : known.emplace(idle, find_room(target, idle)).first->second;
+                                    : known.emplace(rule, find_room(target, rule)).first->second;
     }
 
     // ---- demand ----------------------------------------------------------------------------------
@@ -173,18 +210,35 @@
     /// True if a model may be unloaded for another one: idle for long enough, not loading, no request runs on
     /// it and none waits for its only replica.
     [[nodiscard]] bool may_be_unloaded(const target_state& target, const std::string& model,
-                                       milliseconds idle) const {
+                                       const unload_rule& rule) const {
+        const auto& [idle, kept] = rule;
         const usage& use = target.models.at(model);
         if (use.running > 0 || target.coming.contains(model) || now_ - use.last_used < idle)
             return false;
-        return facts_of(model).all.waiting <= 0 || replicas_of(model) > 1;
+        if (facts_of(model).all.waiting > 0 && replicas_of(model) <= 1)
+            return false;
+        return kept == kept_models::in_use || !is_kept(target, model, kept);
+    }
+    [[nodiscard]] bool is_kept(const target_state& target, const std::string& model, kept_models kept) const {
+        const usage& use = target.models.at(model);
+        const model_facts& facts = facts_of(model);
+        if (now_ - use.loaded_at < min_stay)
+            return true;
+        if (facts.replicas <= 1)
+            return kept == kept_models::one_of_each || now_ - use.last_used < idle_before_loss;
+        return replicas_needed(model) > spare_share * (facts.capacity - (target.serves ? target.speed : 0));
+    }
+    /// Replicas at targets of the usual speed that the requests of the model need.
+    [[nodiscard]] double replicas_needed(const std::string& model) const {
+        const demand& all = facts_of(model).all;
+        return static_cast<double>(all.running + all.waiting) / std::max(1, limits_.requests_per_replica);
     }
 
-    [[nodiscard]] room_facts find_room(const target_state& target, milliseconds idle) const {
+    [[nodiscard]] room_facts find_room(const target_state& target, const unload_rule& rule) const {
         room_facts room{engine_.megabytes - adapter_reserve_ - used_mb(target), {}};
         std::vector<std::tuple<double, time_point, std::string>> keyed;
         for (const auto& [name, use] : target.models)
-            if (may_be_unloaded(target, name, idle))
+            if (may_be_unloaded(target, name, rule))
                 keyed.emplace_back(arrivals_per_replica(name), use.last_used, name);
         std::sort(keyed.begin(), keyed.end());
         for (auto& [arrivals, last_used, name] : keyed)
@@ -194,8 +248,8 @@
 
     /// Models to unload so that `model` fits, fewest arrivals first; nullopt if it can't be made to fit.
     [[nodiscard]] std::optional<std::vector<std::string>>
-    victims_for(const target_state& target, const std::string& model, milliseconds idle) const {
-        const room_facts& known = room_at(target, idle);
+    victims_for(const target_state& target, const std::string& model, const unload_rule& rule) const {
+        const room_facts& known = room_at(target, rule);
         double room = known.free_mb - spec_mb(model);
         std::vector<std::string> chosen;
         for (const std::string& name : known.unloadable) {
@@ -229,6 +283,8 @@
         bool from_store = true;
         double max_busy_share = 1; // fraction of a target's slots that may be in use
         bool may_wait = true;      // for a target that has a copy but doesn't take orders yet
+        kept_models kept = kept_models::in_use;
+        const std::set<std::string>* not_at = nullptr; // targets that are left out
     };
 
     /// The target with the lowest cost, in milliseconds: the time until the model is ready there, plus
@@ -238,7 +294,9 @@
         for (target_state& target : targets_) {
             if (!target.serves || target.models.contains(model))
                 continue;
-            if (target.running > where.max_busy_share * engine_.slots)
+            if (where.not_at != nullptr && where.not_at->contains(target.id))
+                continue;
+            if (target.running > where.max_busy_share * engine_.slots * speed_of(target))
                 continue;
             const copy_tier copy = copy_of(target, model);
             if (copy == copy_tier::store &&
@@ -247,12 +305,13 @@
             const auto wait = wait_for(target);
             if (!wait || (*wait > milliseconds{0} && (!where.may_wait || copy == copy_tier::store)))
                 continue;
-            auto victims = victims_for(target, model, where.idle);
+            auto victims = victims_for(target, model, {where.idle, where.kept});
             if (!victims)
                 continue;
             // A busy target runs the new model more slowly.
             double cost = static_cast<double>((*wait + load_time(model, copy)).count());
-            cost += static_cast<double>(limits_.running_cost.count()) * target.running;
+            cost += static_cast<double>(limits_.running_cost.count()) * target.running / speed_of(target);
+            cost += slowness_cost_ms * (1 / speed_of(target) - 1);
             cost += unload_cost_ms * static_cast<double>(victims->size());
             for (const std::string& victim : *victims)
                 cost += victim_cost_ms * arrivals_per_replica(victim);
@@ -262,6 +321,10 @@
         return best;
     }
 
+    [[nodiscard]] double speed_of(const target_state& target) const {
+        return limits_.by_speed ? target.speed : 1;
+    }
+
     /// A target takes one order at a time.
     void mark_busy(target_state& target, milliseconds busy_for) const {
         target.takes_orders = false;
@@ -280,12 +343,13 @@
         mark_busy(target, chosen.victims.empty() ? load : load + unload_time);
         if (!chosen.victims.empty()) {
             orders_.push_back(
-                {target.id, false, {chosen.victims.front(), {}}, false, "makes room for " + model});
+                {target.id, false, {chosen.victims.front(), {}}, false, "makes room for " + model, model});
+            note_unload(target, chosen.victims.front());
             return;
         }
         const bool store = chosen.copy == copy_tier::store;
         store_loads_ += store ? 1 : 0;
-        orders_.push_back({target.id, true, {model, {}}, store, why});
+        orders_.push_back({target.id, true, {model, {}}, store, why, {}});
         note_load(target, model);
         target.coming[model] = now_ + load;
     }
@@ -295,7 +359,7 @@
     void load_requested_models() {
         for (const model_need& need : needs_in_order()) {
             const auto ready = earliest_ready(need.model);
-            if (ready && *ready <= now_)
+            if ((ready && *ready <= now_) || facts_of(need.model).planned > 0)
                 continue;
             const auto chosen =
                 best_target(need.model, {limits_.settle, !ready, 1.0, !waited_too_long(need)});
@@ -339,6 +403,68 @@
         }
     }
 
+    /// Loads the models for which a place was made in an earlier pass, if they are still needed. Without
+    /// this, each pass would choose other targets while the unloads are under way.
+    void use_rooms() {
+        for (target_state& target : targets_) {
+            const std::string model = target.room_for;
+            if (model.empty() || !target.serves || target.models.contains(model) ||
+                !engine_.models.contains(model) || replicas_needed(model) <= facts_of(model).capacity)
+                continue;
+            if (!target.takes_orders) {
+                facts_[model].planned += target.speed;
+                continue;
+            }
+            const auto victims = victims_for(target, model, {limits_.settle, kept_models::one_of_each});
+            const copy_tier copy = copy_of(target, model);
+            const bool store_is_busy = store_loads_ >= limits_.parallel_store_loads;
+            if (victims && victims->empty() && (copy != copy_tier::store || !store_is_busy))
+                issue_load({&target, copy, {}, milliseconds{0}, 0}, model, "room was made for it");
+        }
+    }
+
+    /// Adds replicas of busy models until the speeds of their targets suffice: one of each model in turn,
+    /// those that lack most first, so that no model takes all targets.
+    void add_replicas_by_speed() {
+        struct shortage {
+            std::string model;
+            double missing = 0; // replicas at targets of the usual speed
+            std::set<std::string> chosen;
+        };
+        std::vector<shortage> shortages;
+        for (const auto& [model, all] : needs_by_name()) {
+            const model_facts& facts = facts_of(model);
+            const double missing = replicas_needed(model) - facts.capacity - facts.planned;
+            if (facts.replicas > 0 && missing > min_shortage)
+                shortages.push_back({model, missing, {}});
+        }
+        while (!shortages.empty()) {
+            std::stable_sort(shortages.begin(), shortages.end(),
+                             [](const auto& a, const auto& b) { return a.missing > b.missing; });
+            for (shortage& one : shortages)
+                add_replica(one.model, one.missing, one.chosen);
+            std::erase_if(shortages, [](const shortage& one) { return one.missing <= min_shortage; });
+        }
+    }
+    /// Adds one replica, and subtracts it from what is missing; nothing is missing any more if no target has
+    /// room.
+    void add_replica(const std::string& model, double& missing, std::set<std::string>& chosen_before) {
+        const auto search = [&](kept_models kept) {
+            return best_target(model,
+                               {limits_.settle, true, limits_.load_factor, true, kept, &chosen_before});
+        };
+        auto chosen = search(kept_models::one_of_each);
+        if (!chosen && missing >= urgent_shortage)
+            chosen = search(kept_models::in_demand);
+        if (!chosen) {
+            missing = 0;
+            return;
+        }
+        chosen_before.insert(chosen->target->id);
+        missing -= chosen->target->speed;
+        issue_load(*chosen, model, "its replicas are busy");
+    }
+
     [[nodiscard]] bool is_loading(const std::string& model) const {
         return std::any_of(targets_.begin(), targets_.end(),
                            [&](const target_state& target) { return target.coming.contains(model); });
@@ -388,12 +514,16 @@
             return;
         mark_busy(*best, adapter_time);
         if (!has_adapter_room(*best)) {
-            orders_.push_back({best->id, false, *idle_adapter(*best), false,
-                               "makes room for " + ref.model + "/" + ref.adapter});
+            orders_.push_back({best->id,
+                               false,
+                               *idle_adapter(*best),
+                               false,
+                               "makes room for " + ref.model + "/" + ref.adapter,
+                               {}});
             return;
         }
         best->adapters[ref].last_used = now_;
-        orders_.push_back({best->id, true, ref, false, "requests wait for it"});
+        orders_.push_back({best->id, true, ref, false, "requests wait for it", {}});
     }
     [[nodiscard]] bool has_adapter_room(const target_state& target) const {
         return static_cast<int>(target.adapters.size()) < engine_.adapter_places;
@@ -419,8 +549,7 @@
     int store_loads_;
     double adapter_reserve_; // MB
     std::unordered_map<std::string, model_facts> facts_;
-    mutable std::vector<std::map<milliseconds, room_facts>>
-        rooms_; // by target, by idle time; worked out on use
+    mutable std::vector<std::map<unload_rule, room_facts>> rooms_; // by target, by rule; worked out on use
     std::vector<planned_order> orders_;
 };
 
--- a/src/core/load_planning/planner.hpp
+++ b/src/core/load_planning/planner.hpp
@@ -20,7 +20,8 @@
     bool load = true;
     fleet::model_ref ref;
     bool from_weight_store = false;
-    std::string why; // reason, for the log
+    std::string why;        // reason, for the log
+    std::string room_for{}; // of an unload: the model that is to be loaded instead
 };
 
 struct planner_limits {
@@ -30,6 +31,10 @@
     common::milliseconds running_cost{16}; // added to a target's cost for each request that runs there
     common::milliseconds settle{1'000};    // a model used more recently is not unloaded for another
     common::milliseconds idle_before_refill{2'000}; // same, if the other is loaded only to make a copy
+    /// Counts replicas by the speeds of their targets, adds as many at once as demand needs, prefers fast
+    /// targets for them, and keeps what was loaded just now, what is in demand, and the last replica of a
+    /// model.
+    bool by_speed = false;
 };
 
 /// Returns at most one order for each target.
--- a/src/core/load_planning/planner_input.hpp
+++ b/src/core/load_planning/planner_input.hpp
@@ -14,6 +14,7 @@
 struct usage {
     int running = 0;                // requests, of all gateways
     common::time_point last_used{}; // or loaded
+    common::time_point loaded_at{}; // unknown: long ago
 };
 
 /// State of one target of the planned service, as the order giver knows it.
@@ -24,6 +25,8 @@
     common::time_point takes_orders_at = common::time_point::max(); // expected, if it doesn't now
     bool serves = true;                  // may get requests: not leaving, its data centre isn't taken out
     int running = 0;                     // requests, of all gateways
+    double speed = 1;                    // 1 is the usual one
+    std::string room_for;                // model for which another one was ordered to be unloaded just now
     std::map<std::string, usage> models; // loaded or being loaded
     std::map<fleet::model_ref, usage> adapters;
     std::map<std::string, common::time_point> coming; // models being loaded, and when they should be ready
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds connect_timeout{400};
 constexpr milliseconds load_time_margin{40}; // added to the expected load time; then a model counts as loaded
 constexpr milliseconds adapter_load_time{25}; // expected; adapters load within milliseconds
+constexpr milliseconds room_retention{1'000}; // for a model to be loaded, after another was to be unloaded
 constexpr int lowest_priority = 9;            // of requests
 
 std::string operation_of(const planned_order& order) {
@@ -242,10 +243,13 @@
             std::max(known.ledger.takes_orders_at(now), target->pause ? target->pause->until : time_point{});
     out.coming = known.ledger.coming(now);
     out.serves = !target->leaving() && !context_.centres.out().contains(target->entry.data_centre);
+    out.speed = context_.speed_of(*target);
+    out.room_for = now < known.room_until ? known.room_for : std::string{};
     out.copies_in_memory = known.copies_in_memory;
     out.copies_on_disk = known.copies_on_disk;
     for (const auto& [model, adapters] : known.ledger.models()) {
-        out.models[model].last_used = known.ledger.loaded_at(model);
+        const auto loaded_at = known.ledger.loaded_at(model);
+        out.models[model] = {0, loaded_at, loaded_at};
         for (const std::string& adapter : adapters)
             out.adapters[{model, adapter}];
     }
@@ -300,6 +304,7 @@
 void order_giver::plan_service(const core::fleet::service& service) {
     core::load_planning::planner_limits limits = context_.settings.placing;
     limits.parallel_store_loads = store_load_limit_.limit(limits.parallel_store_loads);
+    limits.by_speed = context_.settings.learn_speeds;
     const auto orders = core::load_planning::plan(planner_input_for(service), limits, context_.loop.now());
     for (const planned_order& order : orders)
         send(order, service);
@@ -322,6 +327,8 @@
     }
     const std::int64_t number = ++last_order_number_;
     known.ledger.note_sent(number, order, expected, now);
+    known.room_for = order.room_for;
+    known.room_until = now + room_retention;
     context_.log.write(edge::events::order_sent, order.target,
                        {{"operation", operation_of(order)},
                         {"model", order.ref.model},
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -35,6 +35,8 @@
         std::set<std::string> copies_on_disk;
         core::common::time_point requested_at{}; // last report request
         bool report_pending = false;
+        std::string room_for; // model for which the latest order unloads another one
+        core::common::time_point room_until{};
     };
 
     void tick();
