--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -87,7 +87,13 @@
       usage_reports_(counters(registry, data_centre, "waxwing_usage_reports_total",
                               "Windows of usage by what became of their report")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
-                         "Time since the store last answered the watch of a kind of object")) {}
+                         "Time since the store last answered the watch of a kind of object")),
+      ignored_loads_(counters(registry, data_centre, "waxwing_target_loads_ignored_total",
+                              "Loads or momentary figures of targets that were not understood")),
+      target_speeds_(gauges(registry, data_centre, "waxwing_target_speed",
+                            "Lowest and highest lasting speed of a target; 1 is the usual one")),
+      target_speeds_known_(gauges(registry, data_centre, "waxwing_target_speeds_known",
+                                  "Targets whose lasting speed is learned")) {}
 
 void gateway_metrics::count_request(const request_kind& kind, const std::string& outcome,
                                     const std::string& reason) {
@@ -140,6 +146,16 @@
     usage_reports_.Add({{"result", result}}).Increment();
 }
 
+void gateway_metrics::count_ignored_load() {
+    ignored_loads_.Add({}).Increment();
+}
+
+void gateway_metrics::set_target_speeds(const core::target_speed::speeds::range& extent) {
+    target_speeds_.Add({{"which", "lowest"}}).Set(extent.lowest);
+    target_speeds_.Add({{"which", "highest"}}).Set(extent.highest);
+    target_speeds_known_.Add({}).Set(extent.known);
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/common/time.hpp"
+#include "core/target_speed/speeds.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -36,6 +37,9 @@
     void count_duty_call(const std::string& path, const std::string& result); // each attempt
     void count_usage_report(const std::string& result);                       // windows: sent, late, given_up
     void set_watch_age(const std::string& kind, core::common::duration age);  // since the last answer
+    void count_ignored_load(); // a target's stated load or figure that was not understood
+    void set_target_speeds(const core::target_speed::speeds::range& extent);
+    void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
     prometheus::Gauge& running;    // requests at targets
@@ -62,6 +66,9 @@
     prometheus::Family<prometheus::Counter>& duty_calls_;
     prometheus::Family<prometheus::Counter>& usage_reports_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
+    prometheus::Family<prometheus::Counter>& ignored_loads_;
+    prometheus::Family<prometheus::Gauge>& target_speeds_;
+    prometheus::Family<prometheus::Gauge>& target_speeds_known_;
 };
 
 } // namespace waxwinglb::programs::gateway
