--- a/src/core/dispatch/fleet_load.hpp
+++ b/src/core/dispatch/fleet_load.hpp
@@ -15,6 +15,8 @@
     using counts = std::map<std::string, int>; // requests by target
 
     void set(const std::string& gateway, counts running); // replaces its last report; empty: forgets it
+    /// Brings one target's number in the gateway's last report up to date; no effect without a report.
+    void set_one(const std::string& gateway, const std::string& target, int running);
     [[nodiscard]] int at(const std::string& target) const;
 
 private:
--- a/src/core/dispatch/prompt_turns.cpp
+++ b/src/core/dispatch/prompt_turns.cpp
@@ -15,7 +15,9 @@
 constexpr milliseconds answer_limit{40};      // a round trip between gateways takes a few milliseconds
 constexpr milliseconds unanswered_pause{300}; // a silent scheduler is replaced within about a second
 constexpr double rounding = 1e-6;             // of a turn
-constexpr milliseconds turn_slack{150}; // after the expected time the turn or its message counts as lost
+constexpr milliseconds turn_slack{150};  // after the expected time the turn or its message counts as lost
+constexpr milliseconds full_wait{200};   // told to gateways that wait for a place at a full target
+constexpr milliseconds place_check{100}; // of a full target without news of its load
 
 /// Zero if nothing was sent, or if the pace has no positive rate: the setting may be switched off while turns
 /// are pending.
@@ -44,50 +46,95 @@
 
 // ---- scheduler ---------------------------------------------------------------------------------------
 
-duration turn_scheduler::ask(const turn& from, int tokens, const turn_pace& pace, time_point now) {
+duration turn_scheduler::ask(const turn& from, int tokens, const urgency& need, const turn_pace& pace,
+                             time_point now) {
     accrue(pace, now);
+    grants_.close_earlier(from.gateway, from.number);
     duration wait = due_at(pace, now) - now;
+    const turn_request request{from, tokens, need};
+    turn_request* older = nullptr;
     for (turn_request& queued : requests_) {
         if (queued.from.gateway == from.gateway) {
-            queued = {from, tokens};
-            return wait;
+            older = &queued;
+            if (!pace.shared)
+                break;
+            continue;
         }
-        wait += std::max(reading_time(queued.tokens, pace), limit_time(1, pace));
+        if (!pace.shared || order_.precedes(queued.need, need, now))
+            wait += std::max(reading_time(queued.tokens, pace), limit_time(1, pace));
     }
-    requests_.push_back({from, tokens});
-    return wait;
+    if (older != nullptr)
+        *older = request;
+    else
+        requests_.push_back(request);
+    return has_place(pace) ? wait : std::max<duration>(wait, full_wait);
 }
 
 std::optional<turn_scheduler::turn> turn_scheduler::next(const turn_pace& pace, time_point now) {
     accrue(pace, now);
-    if (requests_.empty() || now < due_at(pace, now))
+    if (requests_.empty() || now < due_at(pace, now) || !has_place(pace))
         return std::nullopt;
-    const turn_request first = std::move(requests_.front());
-    requests_.pop_front();
-    newest_ = first.from;
+    newest_ = take_next(pace, now);
     given_at_ = now;
-    free_at_ = now + reading_time(first.tokens, pace);
+    free_at_ = now + reading_time(newest_.tokens, pace);
     allowance_ -= 1;
-    return first.from;
+    return newest_.from;
+}
+
+turn_scheduler::turn_request turn_scheduler::take_next(const turn_pace& pace, time_point now) {
+    std::size_t index = 0;
+    if (pace.shared) {
+        std::vector<const urgency*> waiting;
+        waiting.reserve(requests_.size());
+        for (const turn_request& queued : requests_)
+            waiting.push_back(&queued.need);
+        index = order_.first(waiting, now);
+    }
+    const auto at = requests_.begin() + static_cast<std::ptrdiff_t>(index);
+    turn_request out = std::move(*at);
+    requests_.erase(at);
+    if (pace.shared) {
+        const bool late_ones_wait = std::any_of(requests_.begin(), requests_.end(),
+                                                [&](const auto& queued) { return queued.need.late(now); });
+        order_.granted(out.need, late_ones_wait, now);
+        grants_.add(out.from.gateway, out.from.number, out.need, now);
+    }
+    return out;
 }
 
 void turn_scheduler::sent(const turn& in, int tokens, const turn_pace& pace) {
-    if (in.gateway != newest_.gateway || in.number != newest_.number)
+    if (tokens == 0)
+        if (const auto need = grants_.give_back(in.gateway, in.number))
+            order_.returned(*need);
+    if (in.gateway != newest_.from.gateway || in.number != newest_.from.number)
         return;
     free_at_ = given_at_ + reading_time(tokens, pace);
     if (tokens == 0)
         allowance_ = std::min(allowance_ + 1, 1.0);
 }
 
+bool turn_scheduler::has_place(const turn_pace& pace) const {
+    return !pace.shared || pace.places <= 0 || pace.load + grants_.count() < pace.places;
+}
+
+std::array<int, lowest_priority + 1> turn_scheduler::waiting_by_priority() const {
+    std::array<int, lowest_priority + 1> out{};
+    for (const turn_request& queued : requests_)
+        ++out[static_cast<std::size_t>(std::clamp(queued.need.priority, 0, lowest_priority))];
+    return out;
+}
+
 std::vector<turn_scheduler::turn> turn_scheduler::release() {
     std::vector<turn> out;
+    grants_.clear();
     for (const turn_request& queued : std::exchange(requests_, {}))
         out.push_back(queued.from);
     return out;
 }
 
 time_point turn_scheduler::due_at(const turn_pace& pace, time_point now) const {
-    return std::max({free_at_, now, now + limit_time(1 - allowance_ - rounding, pace)});
+    const duration until_place = has_place(pace) ? duration::zero() : place_check;
+    return std::max({free_at_, now + until_place, now + limit_time(1 - allowance_ - rounding, pace)});
 }
 
 void turn_scheduler::accrue(const turn_pace& pace, time_point now) {
--- a/src/core/dispatch/request_target_choice.cpp
+++ b/src/core/dispatch/request_target_choice.cpp
@@ -80,7 +80,8 @@
         return obstacle::limited;
     if (!option.cold_allowance)
         return obstacle::cold;
-    if (option.load >= option.limit)
+    const bool may_ask = option.place_by_turn && !option.turn_queued;
+    if (option.load >= option.limit && !may_ask)
         return obstacle::full;
     return option.turn_queued || exceeds_unread_limit(option, criteria.prompt_tokens) ? obstacle::reading
                                                                                       : obstacle::none;
--- a/src/core/dispatch/request_target_choice.hpp
+++ b/src/core/dispatch/request_target_choice.hpp
@@ -24,6 +24,7 @@
     bool turn_queued = false;     // this gateway's turn to send it a request has not come yet
     bool limited = false;         // it has named the rate that it takes; turns keep it
     common::time_point turn_at{}; // if queued: when the turn is expected
+    bool place_by_turn = false;   // a turn is only granted while it has a place: may be asked at its limit
 };
 
 /// What one request needs of its target.
--- a/src/core/fairness/queue.cpp
+++ b/src/core/fairness/queue.cpp
@@ -5,17 +5,15 @@
 namespace waxwinglb::core::fairness {
 namespace {
 
-constexpr double min_weight = 0.001;         // so that a wrong weight can't stop a customer forever
-constexpr std::size_t prune_threshold = 256; // customers; above it those without backlog are dropped
+constexpr double min_weight = 0.001; // so that a wrong weight can't stop a customer forever
 
 } // namespace
 
 bool fair_queue::push(const waiting_request& request) {
     if (waiting_.size() >= capacity_ || positions_.contains(request.id))
         return false;
-    const double start = start_tag(request.customer);
     const auto cost = static_cast<double>(std::max<std::int64_t>(1, request.tokens));
-    last_finish_[request.customer] = start + cost / std::max(min_weight, request.weight);
+    const double start = tags_.charge(request.customer, cost / std::max(min_weight, request.weight));
     const position at{start, ++arrivals_};
     waiting_.emplace(at, request);
     positions_.emplace(request.id, at);
@@ -27,10 +25,9 @@
     if (waiting_.empty())
         return std::nullopt;
     const auto first = waiting_.begin();
-    virtual_time_ = std::max(virtual_time_, first->first.first);
+    tags_.advance(first->first.first);
     waiting_request out = first->second;
     erase(first);
-    prune_customers();
     return out;
 }
 
@@ -57,7 +54,7 @@
 }
 
 std::size_t fair_queue::ahead_of(const std::string& customer) const {
-    const position after_equals{start_tag(customer), arrivals_ + 1};
+    const position after_equals{tags_.start_of(customer), arrivals_ + 1};
     return static_cast<std::size_t>(std::distance(waiting_.begin(), waiting_.lower_bound(after_equals)));
 }
 
@@ -72,22 +69,10 @@
     return out;
 }
 
-double fair_queue::start_tag(const std::string& customer) const {
-    const auto found = last_finish_.find(customer);
-    return found == last_finish_.end() ? virtual_time_ : std::max(virtual_time_, found->second);
-}
-
 void fair_queue::erase(std::map<position, waiting_request>::iterator at) {
     positions_.erase(at->second.id);
     deadlines_.erase({at->second.deadline, at->second.id});
     waiting_.erase(at);
 }
 
-/// Drops customers whose last finish tag has passed: they are treated like new ones.
-void fair_queue::prune_customers() {
-    if (last_finish_.size() <= prune_threshold)
-        return;
-    std::erase_if(last_finish_, [&](const auto& entry) { return entry.second <= virtual_time_; });
-}
-
 } // namespace waxwinglb::core::fairness
--- a/src/core/fairness/queue.hpp
+++ b/src/core/fairness/queue.hpp
@@ -1,11 +1,11 @@
 /// Waiting requests of one target in weighted fair order: customers share its capacity by tokens and weight,
 /// and none is starved.
 ///
-/// Start-time fair queuing: a request's start tag is the later of the virtual time and its customer's last
-/// finish tag; the lowest start tag runs next, and becomes the virtual time.
+/// Start-time fair queuing (customer_tags): requests are tagged on arrival, and the lowest start tag runs next.
 #pragma once
 
 #include "core/common/time.hpp"
+#include "core/fairness/customer_tags.hpp"
 
 #include <cstdint>
 #include <map>
@@ -42,16 +42,13 @@
 private:
     using position = std::pair<double, std::uint64_t>; // start tag, order of arrival
 
-    [[nodiscard]] double start_tag(const std::string& customer) const;
     void erase(std::map<position, waiting_request>::iterator at);
-    void prune_customers();
 
     std::size_t capacity_;
     std::map<position, waiting_request> waiting_;
     std::map<std::uint64_t, position> positions_;                                     // by id
     std::map<std::pair<common::time_point, std::uint64_t>, std::uint64_t> deadlines_; // (deadline, id) -> id
-    std::map<std::string, double> last_finish_; // by customer; dropped once below the virtual time
-    double virtual_time_ = 0;
+    customer_tags tags_;
     std::uint64_t arrivals_ = 0;
 };
 
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -47,6 +47,9 @@
 inline constexpr std::string_view load_finished = "load_finished";
 inline constexpr std::string_view request_waiting = "request_waiting";
 inline constexpr std::string_view turn_missed = "turn_missed";
+inline constexpr std::string_view turn_asked = "turn_asked";
+inline constexpr std::string_view turn_granted = "turn_granted";
+inline constexpr std::string_view turns_held = "turns_held";
 inline constexpr std::string_view request_sent = "request_sent";
 inline constexpr std::string_view request_retried = "request_retried";
 inline constexpr std::string_view prompt_suspected = "prompt_suspected";
@@ -66,11 +69,13 @@
                                 request_waiting,   turn_missed,      request_sent,          request_retried,
                                 request_refused,   rate_refused,     request_answered,      request_cut,
                                 request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored,
-                                prompt_suspected,  target_limited,   process_crashed,       entries_ignored};
+                                prompt_suspected,  target_limited,   process_crashed,       entries_ignored,
+                                turn_asked,        turn_granted,     turns_held};
 /// Events that callers or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed, request_sent,      request_retried,  request_refused, rate_refused,
-    request_answered, request_cut, request_abandoned, datagram_ignored, prompt_suspected};
+    request_answered, request_cut, request_abandoned, datagram_ignored, prompt_suspected, turn_asked,
+    turn_granted,     turns_held};
 } // namespace events
 
 class decision_log {
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -70,6 +70,8 @@
 /// Waiting requests by urgency: those that can still meet their route's target latency first, then by
 /// priority, then by arrival.
 std::vector<caller_request_ptr> dispatcher::waiting_in_order() const {
+    if (turns_->shares_capacity())
+        return waiting_by_urgency();
     const time_point now = context_.loop.now();
     std::vector<std::pair<priority_key, caller_request_ptr>> keyed;
     keyed.reserve(waiting_.size());
@@ -140,10 +142,12 @@
         if (choice.chosen == nullptr && choice.why >= obstacle::no_adapter)
             choice = core::dispatch::choose(list(current_pass.all, false), criteria_for(request),
                                             context_.loop.now());
+        if (choice.chosen == nullptr && turns_->shares_capacity())
+            offer_turns(request, holders, current_pass);
         if (choice.chosen == nullptr || !(choice.chosen->limited || uses_prompt_turns(request.model)))
             return choice;
         const std::string target = choice.chosen->target->entry.id;
-        if (turns_->may_send(target, turn_size(request)))
+        if (turns_->may_send(target, {turn_size(request), need_of(request), request.request_id}))
             return choice;
         if (!turns_->queued_until(target)) // the scheduler's answer arrives shortly
             return {nullptr, choice.chosen->limited ? obstacle::limited : obstacle::reading, nullptr};
@@ -164,7 +168,10 @@
         wait_limit_for(*request, blocked, found == current_pass.all.end() ? candidate_list{} : found->second);
     request->wait_until = wait_limit.until;
     request->blocked_by = describe(blocked);
-    if (now >= wait_limit.until) {
+    const bool hopeless =
+        turns_->shares_capacity() &&
+        !core::dispatch::can_be_answered(request->deadline, request->prompt_tokens, tokens_per_ms(), now);
+    if (now >= wait_limit.until || hopeless) {
         current_pass.refused.emplace_back(request, why, wait_limit.retry_after);
         return;
     }
@@ -291,6 +298,7 @@
     target_runtime& runtime = runtimes_[target];
     ++runtime.running;
     runtime.cold_tokens -= 1;
+    count_granted(*request);
     request->unread_prompt_tokens = request->model.model.empty() ? 0 : request->prompt_tokens;
     if (uses_prompt_turns(request->model) || turns_->is_limited(target))
         turns_->record_sent(target, turn_size(*request));
@@ -371,6 +379,16 @@
     return (own == runtimes_.end() ? 0 : own->second.running) + peer_load_.at(target);
 }
 
+target_room dispatcher::room_at(const std::string& target) const {
+    target_room out;
+    out.load = load_of(target);
+    if (const auto own = runtimes_.find(target); own != runtimes_.end())
+        out.own = own->second.running;
+    if (const auto* known = context_.directory.find(target))
+        out.limit = limit_of(*known);
+    return out;
+}
+
 std::map<std::string, int> dispatcher::own_loads() const {
     std::map<std::string, int> out;
     for (const auto& [target, runtime] : runtimes_)
@@ -391,7 +409,13 @@
 
 void dispatcher::set_peer_load(const std::string& peer, core::dispatch::fleet_load::counts running) {
     peer_load_.set(peer, std::move(running));
+    if (turns_ != nullptr)
+        turns_->note_report(peer);
     schedule_dispatch_soon();
 }
 
+void dispatcher::set_peer_load_at(const std::string& peer, const std::string& target, int running) {
+    peer_load_.set_one(peer, target, running);
+}
+
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -68,9 +68,12 @@
     [[nodiscard]] int load_of(const std::string& target) const; // requests at the target from all gateways
     void remove_missing_targets();                              // those no longer in the directory
 
+    [[nodiscard]] target_room room_at(const std::string& target) const;
     [[nodiscard]] std::map<std::string, int> own_loads() const; // this gateway's running requests by target
     /// Sets the running requests by target that a peer last reported.
     void set_peer_load(const std::string& peer, core::dispatch::fleet_load::counts running);
+    /// Sets those at one target, which the peer has stated since.
+    void set_peer_load_at(const std::string& peer, const std::string& target, int running);
 
     /// For the order giver and the peers.
     struct waiting_summary {
@@ -121,10 +124,17 @@
         std::map<group_key, candidate_list> all;     // all targets, where no holder can take a request
         std::map<group_key, core::dispatch::choice> blocked;
         std::vector<std::tuple<caller_request_ptr, core::dispatch::obstacle, core::common::duration>> refused;
+        std::set<std::string> offered; // targets for which a more urgent request wants the turn
         bool new_wait = false;
     };
 
     [[nodiscard]] std::vector<caller_request_ptr> waiting_in_order() const;
+    [[nodiscard]] std::vector<caller_request_ptr> waiting_by_urgency() const; // with shared capacity
+    [[nodiscard]] core::dispatch::urgency need_of(const caller_request& request) const;
+    void count_granted(const caller_request& request);
+    [[nodiscard]] double tokens_per_ms() const; // that a target reads, as set; 0: unknown
+    void offer_turns(const caller_request& request, const candidate_list& holders,
+                     dispatch_pass& current_pass);
     void try_dispatch(const caller_request_ptr& request, dispatch_pass& current_pass);
     [[nodiscard]] core::dispatch::choice choose_target(const caller_request& request,
                                                        dispatch_pass& current_pass);
@@ -152,6 +162,7 @@
     std::map<std::uint64_t, caller_request_ptr> waiting_; // by arrival number
     std::map<std::string, target_runtime> runtimes_;      // by target id
     core::dispatch::fleet_load peer_load_;
+    core::dispatch::urgency_order order_; // of this gateway's queue, with shared capacity
     usage_map usage_;
     std::map<core::fleet::model_ref, arrival_counter> arrivals_;
     std::uint64_t last_arrival_number_ = 0;
--- a/src/programs/gateway/dispatcher_views.cpp
+++ b/src/programs/gateway/dispatcher_views.cpp
@@ -75,6 +75,7 @@
     out.unread_tokens = runtime.unread_prompt_tokens;
     out.unread_limit = ref.model.empty() ? 0 : context_.settings.prompt_tokens_at_once;
     out.limited = turns_->is_limited(id);
+    out.place_by_turn = turns_->shares_capacity() && uses_prompt_turns(ref);
     if (const auto until = turns_->queued_until(id); until && (out.limited || uses_prompt_turns(ref))) {
         out.turn_queued = true;
         out.turn_at = *until;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -76,7 +76,11 @@
              boot_),
       turns_(context_,
              {[this](const std::string& to, const std::string& frame) { peers_.send_to(to, frame); },
-              [this] { return peers_.coordinators(); }, [this] { dispatcher_.dispatch_waiting(); }}),
+              [this] { return peers_.coordinators(); }, [this] { dispatcher_.dispatch_waiting(); },
+              [this](const std::string& target) { return dispatcher_.room_at(target); },
+              [this](const std::string& from, const std::string& target, int running) {
+                  dispatcher_.set_peer_load_at(from, target, running);
+              }}),
       acceptor_(loop_, [this](int socket) { accept(socket); }) {
     forwarder_.attach(dispatcher_);
     dispatcher_.attach(turns_);
@@ -229,6 +233,7 @@
     update_readiness();
     dispatcher_.remove_missing_targets();
     turns_.remove_missing_targets();
+    turns_.tick();
     update_metrics(now);
     reload_if_changed();
     if (program_.stopping && !context_.draining)
@@ -285,6 +290,7 @@
     settings_.request_lines = new_settings.request_lines;
     settings_.prompt_tokens_at_once = new_settings.prompt_tokens_at_once;
     settings_.prompt_tokens_per_second = new_settings.prompt_tokens_per_second;
+    settings_.shared_room = new_settings.shared_room;
     log_.limit_request_lines(new_settings.request_lines);
     forwarder_.update_budgets();
     log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -74,6 +74,10 @@
                        "Orders to targets by operation and result")),
       turns_(counters(registry, data_centre, "waxwing_reading_turns_total",
                       "Turns to send a prompt to a target, by what became of them")),
+      grants_(counters(registry, data_centre, "waxwing_shared_grants_total",
+                       "Turns granted by urgency to all gateways, by what became of them")),
+      turns_waiting_(gauges(registry, data_centre, "waxwing_shared_turns_waiting",
+                            "Gateways that wait for a turn of a target scheduled here, by priority")),
       finished_loads_(counters(registry, data_centre, "waxwing_finished_loads_total",
                                "Loads from the weight store that a report has shown to be over")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
@@ -106,6 +110,16 @@
     turns_.Add({{"result", result}}).Increment();
 }
 
+void gateway_metrics::count_grants(const std::string& result, int count) {
+    if (count > 0)
+        grants_.Add({{"result", result}}).Increment(count);
+}
+
+void gateway_metrics::set_turns_waiting(std::span<const int> by_priority) {
+    for (std::size_t priority = 0; priority < by_priority.size(); ++priority)
+        turns_waiting_.Add({{"priority", std::to_string(priority)}}).Set(by_priority[priority]);
+}
+
 void gateway_metrics::count_finished_load(bool late) {
     finished_loads_.Add({{"result", late ? "late" : "in_time"}}).Increment();
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -9,6 +9,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <span>
 #include <string>
 
 namespace waxwinglb::programs::gateway {
@@ -28,6 +29,8 @@
     void count_store_call(const std::string& call, const std::string& result);
     void count_order(const std::string& operation, const std::string& result);
     void count_turn(const std::string& result); // turns to send a prompt: given, missed, unused
+    void count_grants(const std::string& result, int count); // on_time, late, lost, no_place
+    void set_turns_waiting(std::span<const int> by_priority);
     void count_finished_load(bool late);        // loads from the weight store
     void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
@@ -49,6 +52,8 @@
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Family<prometheus::Counter>& orders_;
     prometheus::Family<prometheus::Counter>& turns_;
+    prometheus::Family<prometheus::Counter>& grants_;
+    prometheus::Family<prometheus::Gauge>& turns_waiting_;
     prometheus::Family<prometheus::Counter>& finished_loads_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
 };
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -22,6 +22,7 @@
             dispatch.integer("prompt_tokens_at_once", 0, 1'000'000, out.prompt_tokens_at_once));
         out.prompt_tokens_per_second = static_cast<int>(
             dispatch.integer("prompt_tokens_per_second", 0, 10'000'000, out.prompt_tokens_per_second));
+        out.shared_room = dispatch.flag("shared_room", out.shared_room);
     });
     in.section("exchange", false, [&](edge::settings_section& exchange) {
         out.processor_share = exchange.number("processor_share", 0, 1'000, out.processor_share);
--- a/src/programs/gateway/settings.hpp
+++ b/src/programs/gateway/settings.hpp
@@ -23,6 +23,7 @@
     int request_lines{500};                       // log lines a second of each request event
     int prompt_tokens_at_once{0};    // unread prompt tokens at one engine, from this gateway; 0: no limit
     int prompt_tokens_per_second{0}; // prompt tokens to one engine, from all gateways; 0: no limit
+    bool shared_room{false};         // capacity of targets is granted by urgency over all gateways
     double processor_share{
         0}; // of a core, of this VM; larger ones speak for their group of gateways; 0: unknown
     std::size_t single_group{core::exchange::max_single_group}; // gateways up to which each reports to each
