--- a/src/core/dispatch/outstanding_grants.hpp
+++ b/src/core/dispatch/outstanding_grants.hpp
@@ -28,6 +28,7 @@
     std::optional<urgency> give_back(const std::string& gateway, std::int64_t number);
     /// The gateway's turns before `number` are used, and counted in its load, or lost.
     void close_earlier(const std::string& gateway, std::int64_t number);
+    [[nodiscard]] bool contains(const std::string& gateway, std::int64_t number) const;
     /// Drops covered and old grants. Returns the number of old ones.
     int settle(const report_times& reported, common::time_point now);
     void clear() { grants_.clear(); }
--- a/src/core/dispatch/prompt_turns.cpp
+++ b/src/core/dispatch/prompt_turns.cpp
@@ -49,6 +49,8 @@
 duration turn_scheduler::ask(const turn& from, int tokens, const urgency& need, const turn_pace& pace,
                              time_point now) {
     accrue(pace, now);
+    if (grants_.contains(from.gateway, from.number))
+        return duration::zero();
     grants_.close_earlier(from.gateway, from.number);
     duration wait = due_at(pace, now) - now;
     const turn_request request{from, tokens, need};
@@ -83,25 +85,26 @@
 
 turn_scheduler::turn_request turn_scheduler::take_next(const turn_pace& pace, time_point now) {
     std::size_t index = 0;
-    if (pace.shared) {
-        std::vector<const urgency*> waiting;
-        waiting.reserve(requests_.size());
-        for (const turn_request& queued : requests_)
-            waiting.push_back(&queued.need);
-        index = order_.first(waiting, now);
-    }
+    if (pace.shared)
+        index = order_.first(waiting_needs(), now);
     const auto at = requests_.begin() + static_cast<std::ptrdiff_t>(index);
     turn_request out = std::move(*at);
     requests_.erase(at);
     if (pace.shared) {
-        const bool late_ones_wait = std::any_of(requests_.begin(), requests_.end(),
-                                                [&](const auto& queued) { return queued.need.late(now); });
-        order_.granted(out.need, late_ones_wait, now);
+        order_.granted(out.need, waiting_needs(), now);
         grants_.add(out.from.gateway, out.from.number, out.need, now);
     }
     return out;
 }
 
+std::vector<const urgency*> turn_scheduler::waiting_needs() const {
+    std::vector<const urgency*> out;
+    out.reserve(requests_.size());
+    for (const turn_request& queued : requests_)
+        out.push_back(&queued.need);
+    return out;
+}
+
 void turn_scheduler::sent(const turn& in, int tokens, const turn_pace& pace) {
     if (tokens == 0)
         if (const auto need = grants_.give_back(in.gateway, in.number))
@@ -171,6 +174,11 @@
     return ++number_;
 }
 
+std::int64_t turn_client::replace(int tokens) {
+    asked_for_ = tokens;
+    return number_;
+}
+
 void turn_client::queued(std::int64_t number, duration wait, time_point now) {
     if ((state_ != state::asked && state_ != state::queued) || number != number_)
         return;
--- a/src/core/dispatch/prompt_turns.hpp
+++ b/src/core/dispatch/prompt_turns.hpp
@@ -55,7 +55,8 @@
     common::duration ask(const turn& from, int tokens, const turn_pace& pace, common::time_point now) {
         return ask(from, tokens, {default_priority, {}, now + unstated_slack, tokens}, pace, now);
     }
-    /// Also states how urgent the request is. The gateway's earlier turns count as used or lost.
+    /// Also states how urgent the request is. The gateway's earlier turns count as used or lost. A request
+    /// whose turn was granted meanwhile is ignored.
     common::duration ask(const turn& from, int tokens, const urgency& need, const turn_pace& pace,
                          common::time_point now);
     /// Grants the next turn if it is due.
@@ -87,6 +88,7 @@
 
 private:
     void accrue(const turn_pace& pace, common::time_point now);
+    [[nodiscard]] std::vector<const urgency*> waiting_needs() const;
     [[nodiscard]] turn_request take_next(const turn_pace& pace, common::time_point now);
 
     std::deque<turn_request> requests_;
@@ -114,6 +116,9 @@
     [[nodiscard]] common::time_point look_again() const { return until_; }
 
     std::int64_t ask(int tokens, common::time_point now); // returns the number of the request
+    /// The queued request is now for another prompt. It keeps its number: a grant of it that is on its way
+    /// holds.
+    std::int64_t replace(int tokens);
     void forget() { state_ = state::idle; } // a turn granted before would come too late
     /// The scheduler has queued the request; the turn is expected after `wait`. It may correct that later.
     void queued(std::int64_t number, common::duration wait, common::time_point now);
--- a/src/core/dispatch/urgency.cpp
+++ b/src/core/dispatch/urgency.cpp
@@ -67,12 +67,12 @@
         best = index;
         best_rank = own;
     }
-    return late_one_is_due() && latest ? *latest : *best;
+    return late_one_is_due() && latest && !best_rank.late ? *latest : *best;
 }
 
 /// Tags each customer's requests as if they were granted one after another: within a customer by slack, those
 /// on time before late ones.
-std::vector<std::size_t> urgency_order::sorted(waiting_list waiting, time_point now) const {
+std::vector<std::size_t> urgency_order::sorted(waiting_list waiting, late_floor floor, time_point now) const {
     std::vector<std::size_t> out(waiting.size());
     for (std::size_t index = 0; index < out.size(); ++index)
         out[index] = index;
@@ -94,7 +94,7 @@
                      [&](std::size_t a, std::size_t b) { return ranks[a] < ranks[b]; });
     const auto first_late =
         std::find_if(out.begin(), out.end(), [&](std::size_t index) { return ranks[index].late; });
-    if (first_late == out.begin() || first_late == out.end())
+    if (floor == late_floor::left_out || first_late == out.begin() || first_late == out.end())
         return out;
     std::vector<std::size_t> late(first_late, out.end());
     std::vector<std::size_t> merged;
@@ -123,13 +123,18 @@
     return rank_of(before) < rank_of(than);
 }
 
-void urgency_order::granted(const urgency& one, bool late_ones_wait, time_point now) {
-    if (one.late(now) || !late_ones_wait)
-        passed_over_ = 0;
-    else
-        ++passed_over_;
+/// Late requests wait behind those on time whatever their tags: the virtual time must not pass the tags of
+/// customers that wait, or these would lose what others have had more than they.
+void urgency_order::granted(const urgency& one, waiting_list others, time_point now) {
+    const bool late_ones_wait =
+        std::any_of(others.begin(), others.end(), [&](const urgency* other) { return other->late(now); });
+    passed_over_ = one.late(now) || !late_ones_wait ? 0 : passed_over_ + 1;
     fairness::customer_tags& tags = tags_[priority_index(one)];
-    tags.advance(tags.charge(one.customer, cost_of(one)));
+    double least = tags.charge(one.customer, cost_of(one));
+    for (const urgency* other : others)
+        if (priority_index(*other) == priority_index(one))
+            least = std::min(least, tags.start_of(other->customer));
+    tags.advance(least);
 }
 
 void urgency_order::returned(const urgency& one) {
--- a/src/core/dispatch/urgency.hpp
+++ b/src/core/dispatch/urgency.hpp
@@ -45,13 +45,17 @@
 
     /// Index of the request that is next. `waiting` must not be empty.
     [[nodiscard]] std::size_t first(waiting_list waiting, common::time_point now) const;
-    /// Indexes of all requests in the order in which they would be granted if no other came.
-    [[nodiscard]] std::vector<std::size_t> sorted(waiting_list waiting, common::time_point now) const;
+    /// Indexes of all requests in the order in which they would be granted if no other came. Without the floor
+    /// the late ones come last: for a gateway that asks for a turn. A late request in front would get the turn
+    /// last, and everything that waits at the gateway with it.
+    enum class late_floor { kept, left_out };
+    [[nodiscard]] std::vector<std::size_t> sorted(waiting_list waiting, late_floor floor,
+                                                  common::time_point now) const;
     /// Whether `before` goes before `than`, apart from the floor for late ones; for estimates of the wait.
     [[nodiscard]] bool precedes(const urgency& before, const urgency& than, common::time_point now) const;
 
-    /// `one` is granted. `late_ones_wait`: others that are late wait on.
-    void granted(const urgency& one, bool late_ones_wait, common::time_point now);
+    /// `one` is granted while `others` wait on.
+    void granted(const urgency& one, waiting_list others, common::time_point now);
     void returned(const urgency& one); // the grant was not used
 
 private:
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -130,6 +130,8 @@
 
     [[nodiscard]] std::vector<caller_request_ptr> waiting_in_order() const;
     [[nodiscard]] std::vector<caller_request_ptr> waiting_by_urgency() const; // with shared capacity
+    [[nodiscard]] std::vector<core::dispatch::urgency>
+    needs_of(const std::vector<caller_request_ptr>& requests) const;
     [[nodiscard]] core::dispatch::urgency need_of(const caller_request& request) const;
     void count_granted(const caller_request& request);
     [[nodiscard]] double tokens_per_ms() const; // that a target reads, as set; 0: unknown
@@ -162,7 +164,7 @@
     std::map<std::uint64_t, caller_request_ptr> waiting_; // by arrival number
     std::map<std::string, target_runtime> runtimes_;      // by target id
     core::dispatch::fleet_load peer_load_;
-    core::dispatch::urgency_order order_; // of this gateway's queue, with shared capacity
+    std::map<std::string, core::dispatch::urgency_order> orders_; // by service, with shared capacity
     usage_map usage_;
     std::map<core::fleet::model_ref, arrival_counter> arrivals_;
     std::uint64_t last_arrival_number_ = 0;
--- a/src/programs/gateway/dispatcher_urgency.cpp
+++ b/src/programs/gateway/dispatcher_urgency.cpp
@@ -9,6 +9,14 @@
 
 constexpr double ms_per_second = 1'000;
 
+std::vector<const core::dispatch::urgency*> pointers_to(const std::vector<core::dispatch::urgency>& needs) {
+    std::vector<const core::dispatch::urgency*> out;
+    out.reserve(needs.size());
+    for (const auto& need : needs)
+        out.push_back(&need);
+    return out;
+}
+
 } // namespace
 
 double dispatcher::tokens_per_ms() const {
@@ -26,23 +34,34 @@
     return out;
 }
 
+/// By service, since others don't compete for the same targets. The floor for late requests holds where they
+/// are sent: in a turn, or at services without turns.
 std::vector<caller_request_ptr> dispatcher::waiting_by_urgency() const {
-    std::vector<caller_request_ptr> requests;
-    std::vector<core::dispatch::urgency> needs;
-    requests.reserve(waiting_.size());
-    needs.reserve(waiting_.size());
-    for (const auto& [number, request] : waiting_) {
-        requests.push_back(request);
-        needs.push_back(need_of(*request));
-    }
-    std::vector<const core::dispatch::urgency*> listed;
-    listed.reserve(needs.size());
-    for (const auto& need : needs)
-        listed.push_back(&need);
+    using floor = core::dispatch::urgency_order::late_floor;
+    std::map<std::string, std::vector<caller_request_ptr>> by_service;
+    for (const auto& [number, request] : waiting_)
+        by_service[request->service].push_back(request);
     std::vector<caller_request_ptr> out;
+    out.reserve(waiting_.size());
+    for (auto& [service, requests] : by_service) {
+        const auto needs = needs_of(requests);
+        const bool sent_now = turns_->in_turn() || !uses_prompt_turns(requests.front()->model);
+        const auto order = orders_.find(service);
+        const core::dispatch::urgency_order none_granted;
+        for (const std::size_t index :
+             (order == orders_.end() ? none_granted : order->second)
+                 .sorted(pointers_to(needs), sent_now ? floor::kept : floor::left_out, context_.loop.now()))
+            out.push_back(std::move(requests[index]));
+    }
+    return out;
+}
+
+std::vector<core::dispatch::urgency>
+dispatcher::needs_of(const std::vector<caller_request_ptr>& requests) const {
+    std::vector<core::dispatch::urgency> out;
     out.reserve(requests.size());
-    for (const std::size_t index : order_.sorted(listed, context_.loop.now()))
-        out.push_back(std::move(requests[index]));
+    for (const auto& request : requests)
+        out.push_back(need_of(*request));
     return out;
 }
 
@@ -50,11 +69,12 @@
 void dispatcher::count_granted(const caller_request& request) {
     if (!turns_->shares_capacity())
         return;
-    const auto now = context_.loop.now();
-    const bool late_ones_wait = std::any_of(waiting_.begin(), waiting_.end(), [&](const auto& entry) {
-        return need_of(*entry.second).late(now);
-    });
-    order_.granted(need_of(request), late_ones_wait, now);
+    std::vector<caller_request_ptr> others;
+    for (const auto& [number, other] : waiting_)
+        if (other->service == request.service)
+            others.push_back(other);
+    const auto needs = needs_of(others);
+    orders_[request.service].granted(need_of(request), pointers_to(needs), context_.loop.now());
 }
 
 /// Offers the request, which no target takes now, to the targets where a turn of this gateway is queued.
--- a/src/programs/gateway/prompt_turns.cpp
+++ b/src/programs/gateway/prompt_turns.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr double ms_per_second = 1'000;
-constexpr milliseconds urgent_replace_interval{30};  // between two requests for a turn at a target
-constexpr milliseconds replace_interval{100};        // likewise, if only the customer or the load differs
+constexpr milliseconds urgent_replace_interval{5};   // between two requests for a turn at a target
+constexpr milliseconds replace_interval{10};         // likewise, if only the customer or the load differs
 constexpr milliseconds stand_still{500};             // a tick that is so late: turns on the way are too old
 constexpr milliseconds full_log_interval{1'000};     // for each target
 constexpr std::int64_t max_slack_ms = 3'600'000;     // stated by a peer; beyond it the value is ignored
@@ -84,9 +84,15 @@
 }
 
 void prompt_turns::ask(const std::string& target, target_turns& turns, const turn_wish& wish) {
-    const auto now = context_.loop.now();
     turns.asked_scheduler = core::dispatch::scheduler_of(target, callbacks_.gateways());
-    const std::int64_t number = turns.client.ask(wish.tokens, now);
+    send_request(target, turns, wish, turns.client.ask(wish.tokens, context_.loop.now()));
+    if (!turns.client.has_turn())
+        schedule_check(turns);
+}
+
+void prompt_turns::send_request(const std::string& target, target_turns& turns, const turn_wish& wish,
+                                std::int64_t number) {
+    const auto now = context_.loop.now();
     if (shares_capacity()) {
         turns.asked_need = wish.need;
         turns.asked_running = callbacks_.room(target).own;
@@ -126,8 +132,6 @@
         callbacks_.send(turns.asked_scheduler,
                         edge::encode_frame(message_kind::turn_request, number, request));
     }
-    if (!turns.client.has_turn())
-        schedule_check(turns);
 }
 
 void prompt_turns::offer(const std::string& target, const turn_wish& wish) {
@@ -141,7 +145,9 @@
     const bool other = other_class || wish.need.customer != turns.asked_need.customer ||
                        callbacks_.room(target).own < turns.asked_running;
     if (other && now - turns.asked_at >= (other_class ? urgent_replace_interval : replace_interval))
-        ask(target, turns, wish);
+        send_request(target, turns, wish, turns.client.replace(wish.tokens));
+    if (turns.client.has_turn()) // granted by this gateway itself
+        context_.loop.schedule(now, [this] { callbacks_.on_turn(); });
 }
 
 /// Checks again after the time by which the scheduler should have answered: its datagram may be lost.
@@ -185,7 +191,9 @@
     if (found == targets_.end())
         return;
     found->second.client.given(number);
+    in_turn_ = found->second.client.has_turn();
     callbacks_.on_turn();
+    in_turn_ = false;
     if (!found->second.client.has_turn())
         return;
     context_.metrics.count_turn("unused"); // the prompt went elsewhere, or its caller disconnected
--- a/src/programs/gateway/prompt_turns.hpp
+++ b/src/programs/gateway/prompt_turns.hpp
@@ -53,6 +53,7 @@
     /// With shared capacity: `wish` is of the most urgent waiting request that a turn at the target would
     /// serve. Replaces a queued request for a turn that was made for another kind of request.
     void offer(const std::string& target, const turn_wish& wish);
+    [[nodiscard]] bool in_turn() const { return in_turn_; } // a turn was granted and can be used now
     [[nodiscard]] bool shares_capacity() const { return context_.settings.shared_room; }
     /// A peer has reported what it runs at the targets.
     void note_report(const std::string& peer);
@@ -84,6 +85,8 @@
         edge::event_loop::timer_id timer;         // fires at the next turn to grant, as scheduler
     };
     void ask(const std::string& target, target_turns& turns, const turn_wish& wish);
+    void send_request(const std::string& target, target_turns& turns, const turn_wish& wish,
+                      std::int64_t number);
     void grant_due_turn(const std::string& target);
     std::optional<std::int64_t> grant_next_turn(const std::string& target, target_turns& turns);
     void release_requests(const std::string& target, target_turns& turns);
@@ -107,6 +110,7 @@
     core::dispatch::scheduler_tenure tenure_;
     core::dispatch::report_times reported_at_; // when each peer's last status was received
     std::set<std::string> full_;               // targets whose next turn waits for a place
+    bool in_turn_ = false;
     core::common::time_point ticked_at_{};     // with shared capacity
 };
 
