--- a/src/core/dispatch/fleet_load.cpp
+++ b/src/core/dispatch/fleet_load.cpp
@@ -13,18 +13,14 @@
 }
 
 void fleet_load::set_one(const std::string& gateway, const std::string& target, int running) {
-    const auto known = reports_.find(gateway);
-    if (known == reports_.end())
-        return;
-    const auto stated = known->second.find(target);
-    const int before = stated == known->second.end() ? 0 : stated->second;
-    if (running > 0)
-        known->second[target] = running;
-    else if (stated != known->second.end())
-        known->second.erase(stated);
-    add({{target, running - before}}, 1);
-    if (known->second.empty())
-        reports_.erase(known);
+    counts& report = reports_[gateway];
+    int& stated = report[target];
+    add({{target, running - stated}}, 1);
+    stated = running;
+    if (running == 0)
+        report.erase(target);
+    if (report.empty())
+        reports_.erase(gateway);
 }
 
 int fleet_load::at(const std::string& target) const {
--- a/src/core/dispatch/fleet_load.hpp
+++ b/src/core/dispatch/fleet_load.hpp
@@ -15,7 +15,7 @@
     using counts = std::map<std::string, int>; // requests by target
 
     void set(const std::string& gateway, counts running); // replaces its last report; empty: forgets it
-    /// Brings one target's number in the gateway's last report up to date; no effect without a report.
+    /// Brings one target's number in the gateway's last report up to date.
     void set_one(const std::string& gateway, const std::string& target, int running);
     [[nodiscard]] int at(const std::string& target) const;
 
--- a/src/programs/gateway/prompt_turns.cpp
+++ b/src/programs/gateway/prompt_turns.cpp
@@ -238,7 +238,7 @@
         out.send_by = context_.loop.now() + milliseconds{request.slack_ms};
     if (stated.total_tokens)
         out.total_tokens = request.total_tokens;
-    if (stated.running)
+    if (stated.running && reported_at_.contains(request.process)) // otherwise its group's sum has them
         callbacks_.on_running_stated(request.process, request.target, request.running);
     return out;
 }
