--- a/src/core/dispatch/outstanding_grants.cpp
+++ b/src/core/dispatch/outstanding_grants.cpp
@@ -23,14 +23,12 @@
 }
 
 bool outstanding_grants::contains(const std::string& gateway, std::int64_t number) const {
-    return std::any_of(grants_.begin(), grants_.end(), [&](const grant& one) {
-        return one.gateway == gateway && one.number == number;
-    });
+    return std::any_of(grants_.begin(), grants_.end(),
+                       [&](const grant& one) { return one.gateway == gateway && one.number == number; });
 }
 
 void outstanding_grants::close_earlier(const std::string& gateway, std::int64_t number) {
-    std::erase_if(grants_,
-                  [&](const grant& one) { return one.gateway == gateway && one.number < number; });
+    std::erase_if(grants_, [&](const grant& one) { return one.gateway == gateway && one.number < number; });
 }
 
 int outstanding_grants::settle(const report_times& reported, time_point now) {
--- a/src/core/dispatch/prompt_turns.hpp
+++ b/src/core/dispatch/prompt_turns.hpp
@@ -67,7 +67,8 @@
 
     /// The turn was used, and the load counts its request from now on.
     void counted(const turn& in) { grants_.close_earlier(in.gateway, in.number + 1); }
-    /// Drops grants that the reported load counts, and those that were lost; returns the number of the latter.
+    /// Drops grants that the reported load counts, and those that were lost; returns the number of the
+    /// latter.
     int settle(const report_times& reported, common::time_point now) { return grants_.settle(reported, now); }
 
     /// Removes and returns all requests, when another gateway has become the scheduler.
--- a/src/core/dispatch/scheduler_tenure.hpp
+++ b/src/core/dispatch/scheduler_tenure.hpp
@@ -1,5 +1,5 @@
-/// Whether this gateway may grant places of a target as its scheduler: it must be the scheduler of the target,
-/// and must know what its predecessor granted.
+/// Whether this gateway may grant places of a target as its scheduler: it must be the scheduler of the
+/// target, and must know what its predecessor granted.
 ///
 /// A gateway that has just become a target's scheduler grants nothing until every gateway in contact has
 /// reported its load since, for `takeover_limit` at most; one that has just started, or stood still, for
--- a/src/core/dispatch/urgency.hpp
+++ b/src/core/dispatch/urgency.hpp
@@ -45,9 +45,9 @@
 
     /// Index of the request that is next. `waiting` must not be empty.
     [[nodiscard]] std::size_t first(waiting_list waiting, common::time_point now) const;
-    /// Indexes of all requests in the order in which they would be granted if no other came. Without the floor
-    /// the late ones come last: for a gateway that asks for a turn. A late request in front would get the turn
-    /// last, and everything that waits at the gateway with it.
+    /// Indexes of all requests in the order in which they would be granted if no other came. Without the
+    /// floor the late ones come last: for a gateway that asks for a turn. A late request in front would get
+    /// the turn last, and everything that waits at the gateway with it.
     enum class late_floor { kept, left_out };
     [[nodiscard]] std::vector<std::size_t> sorted(waiting_list waiting, late_floor floor,
                                                   common::time_point now) const;
--- a/src/core/fairness/queue.hpp
+++ b/src/core/fairness/queue.hpp
@@ -1,7 +1,8 @@
 /// Waiting requests of one target in weighted fair order: customers share its capacity by tokens and weight,
 /// and none is starved.
 ///
-/// Start-time fair queuing (customer_tags): requests are tagged on arrival, and the lowest start tag runs next.
+/// Start-time fair queuing (customer_tags): requests are tagged on arrival, and the lowest start tag runs
+/// next.
 #pragma once
 
 #include "core/common/time.hpp"
--- a/src/programs/gateway/dispatcher_urgency.cpp
+++ b/src/programs/gateway/dispatcher_urgency.cpp
@@ -86,8 +86,7 @@
         const bool usable = option.turn_queued && !request.failed_targets.contains(target) &&
                             option.target->entry.models.contains(request.model.model);
         if (usable && current_pass.offered.insert(target).second)
-            turns_->offer(target,
-                          {std::max(1, request.prompt_tokens), need_of(request), request.request_id});
+            turns_->offer(target, {std::max(1, request.prompt_tokens), need_of(request), request.request_id});
     }
 }
 
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -28,10 +28,10 @@
     void observe_first_byte(const request_kind& kind, core::common::duration value); // from arrival
     void count_store_call(const std::string& call, const std::string& result);
     void count_order(const std::string& operation, const std::string& result);
-    void count_turn(const std::string& result); // turns to send a prompt: given, missed, unused
+    void count_turn(const std::string& result);              // turns to send a prompt: given, missed, unused
     void count_grants(const std::string& result, int count); // on_time, late, lost, no_place
     void set_turns_waiting(std::span<const int> by_priority);
-    void count_finished_load(bool late);        // loads from the weight store
+    void count_finished_load(bool late);                                     // loads from the weight store
     void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
--- a/src/programs/gateway/prompt_turns.cpp
+++ b/src/programs/gateway/prompt_turns.cpp
@@ -12,11 +12,11 @@
 namespace {
 
 constexpr double ms_per_second = 1'000;
-constexpr milliseconds urgent_replace_interval{5};   // between two requests for a turn at a target
-constexpr milliseconds replace_interval{10};         // likewise, if only the customer or the load differs
-constexpr milliseconds stand_still{500};             // a tick that is so late: turns on the way are too old
-constexpr milliseconds full_log_interval{1'000};     // for each target
-constexpr std::int64_t max_slack_ms = 3'600'000;     // stated by a peer; beyond it the value is ignored
+constexpr milliseconds urgent_replace_interval{5}; // between two requests for a turn at a target
+constexpr milliseconds replace_interval{10};       // likewise, if only the customer or the load differs
+constexpr milliseconds stand_still{500};           // a tick that is so late: turns on the way are too old
+constexpr milliseconds full_log_interval{1'000};   // for each target
+constexpr std::int64_t max_slack_ms = 3'600'000;   // stated by a peer; beyond it the value is ignored
 constexpr std::int64_t max_total_tokens = 100'000'000;
 constexpr std::int32_t max_running = 100'000;
 constexpr std::size_t max_customer_name = 256; // bytes
@@ -140,8 +140,8 @@
     if (!shares_capacity() || found == targets_.end() || !found->second.client.is_queued(now))
         return;
     target_turns& turns = found->second;
-    const bool other_class = wish.need.priority != turns.asked_need.priority ||
-                             wish.need.late(now) != turns.asked_need.late(now);
+    const bool other_class =
+        wish.need.priority != turns.asked_need.priority || wish.need.late(now) != turns.asked_need.late(now);
     const bool other = other_class || wish.need.customer != turns.asked_need.customer ||
                        callbacks_.room(target).own < turns.asked_running;
     if (other && now - turns.asked_at >= (other_class ? urgent_replace_interval : replace_interval))
@@ -220,7 +220,8 @@
     out.total_tokens = request.tokens;
     const auto& stated = request.__isset;
     const bool sound =
-        (!stated.priority || (request.priority >= 0 && request.priority <= core::dispatch::lowest_priority)) &&
+        (!stated.priority ||
+         (request.priority >= 0 && request.priority <= core::dispatch::lowest_priority)) &&
         (!stated.customer || request.customer.size() <= max_customer_name) &&
         (!stated.slack_ms || (request.slack_ms >= -max_slack_ms && request.slack_ms <= max_slack_ms)) &&
         (!stated.total_tokens || (request.total_tokens >= 0 && request.total_tokens <= max_total_tokens)) &&
@@ -253,8 +254,8 @@
         wait = turns.scheduler.ask({request.process, request.number}, request.tokens, need,
                                    pace_of(request.target), context_.loop.now());
     } else {
-        wait = turns.scheduler.ask({request.process, request.number}, request.tokens,
-                                   pace_of(request.target), context_.loop.now());
+        wait = turns.scheduler.ask({request.process, request.number}, request.tokens, pace_of(request.target),
+                                   context_.loop.now());
     }
     if (wait > duration::zero()) {
         wire::turn_answer answer;
--- a/src/programs/gateway/prompt_turns.hpp
+++ b/src/programs/gateway/prompt_turns.hpp
@@ -82,7 +82,7 @@
         int asked_running = 0;
         core::common::time_point asked_at{};
         core::common::time_point full_logged_at{};
-        edge::event_loop::timer_id timer;         // fires at the next turn to grant, as scheduler
+        edge::event_loop::timer_id timer; // fires at the next turn to grant, as scheduler
     };
     void ask(const std::string& target, target_turns& turns, const turn_wish& wish);
     void send_request(const std::string& target, target_turns& turns, const turn_wish& wish,
@@ -111,7 +111,7 @@
     core::dispatch::report_times reported_at_; // when each peer's last status was received
     std::set<std::string> full_;               // targets whose next turn waits for a place
     bool in_turn_ = false;
-    core::common::time_point ticked_at_{};     // with shared capacity
+    core::common::time_point ticked_at_{}; // with shared capacity
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/tests/core/shared_capacity_model.hpp
+++ b/tests/core/shared_capacity_model.hpp
@@ -217,8 +217,8 @@
     [[nodiscard]] std::vector<std::string> in_contact(const gateway& one) const {
         std::vector<std::string> out;
         for (const auto& other : gateways_)
-            if (other->name == one.name || (one.reports.contains(other->name) &&
-                                            now_ - one.reports.at(other->name).at <= contact_limit))
+            if (other->name == one.name ||
+                (one.reports.contains(other->name) && now_ - one.reports.at(other->name).at <= contact_limit))
                 out.push_back(other->name);
         return out;
     }
@@ -295,7 +295,8 @@
         }
         using floor = core::dispatch::urgency_order::late_floor;
         const auto needs = needs_of(one);
-        for (const std::size_t index : one.order.sorted(listed(needs), in_turn ? floor::kept : floor::left_out, now_))
+        for (const std::size_t index :
+             one.order.sorted(listed(needs), in_turn ? floor::kept : floor::left_out, now_))
             out.push_back(one.waiting[index]);
         return out;
     }
@@ -352,7 +353,8 @@
                 scheduler.reports[from].running = running;
             const duration wait =
                 scheduler.scheduler.ask({from, number}, tokens, need, pace_of(scheduler), now_);
-            answer(scheduler, from, [number, wait, this](gateway& to) { to.client.queued(number, wait, now_); });
+            answer(scheduler, from,
+                   [number, wait, this](gateway& to) { to.client.queued(number, wait, now_); });
             grant(scheduler);
         };
         if (one.asked == one.name)
--- a/tests/core/shared_capacity_test.cpp
+++ b/tests/core/shared_capacity_test.cpp
@@ -1,5 +1,6 @@
-// Shared capacity: the order of urgency, places of a target, and what callers get of both under the loads that
-// the order is meant for. Each load test also runs today's order, which must fail it.
+// Shared capacity: the order of urgency, places of a target, and what callers get of both under the loads
+// that the order is meant for. Each load test also runs today's order, which must fail it.
+#include "core/dispatch/fleet_load.hpp"
 #include "shared_capacity_model.hpp"
 
 #include <gtest/gtest.h>
@@ -54,8 +55,10 @@
 
 TEST(urgency_order, alternates_between_customers_of_one_priority_by_tokens) {
     const urgency_order order;
-    const std::vector<urgency> needs{{5, "much", now + 10ms, 100}, {5, "much", now + 20ms, 100},
-                                     {5, "much", now + 30ms, 100}, {5, "little", now + 40ms, 100},
+    const std::vector<urgency> needs{{5, "much", now + 10ms, 100},
+                                     {5, "much", now + 20ms, 100},
+                                     {5, "much", now + 30ms, 100},
+                                     {5, "little", now + 40ms, 100},
                                      {5, "little", now + 50ms, 100}};
     EXPECT_EQ(sorted(order, needs), (order_of_indexes{0, 3, 1, 4, 2}));
 }
@@ -72,8 +75,7 @@
 
 TEST(urgency_order, at_least_every_tenth_grant_goes_to_the_request_that_is_late_for_longest) {
     urgency_order order;
-    const std::vector<urgency> needs{
-        {0, "a", now + 10ms, 1}, {9, "b", now - 5s, 1}, {1, "c", now - 1s, 1}};
+    const std::vector<urgency> needs{{0, "a", now + 10ms, 1}, {9, "b", now - 5s, 1}, {1, "c", now - 1s, 1}};
     std::vector<std::size_t> granted;
     for (int i = 0; i < 20; ++i) {
         granted.push_back(first(order, needs));
@@ -224,6 +226,24 @@
     EXPECT_FALSE(tenure.may_grant(target, {{"g3", now + 3s}}, now + 2'999ms)) << "it stood still";
 }
 
+// A turn request states its gateway's load at one target between two reports, also if the last report was
+// empty.
+TEST(fleet_load, a_number_stated_for_one_target_replaces_that_of_the_last_report) {
+    core::dispatch::fleet_load loads;
+    loads.set_one("g1", "t1", 3);
+    EXPECT_EQ(loads.at("t1"), 3);
+    loads.set("g1", {{"t1", 2}, {"t2", 5}});
+    loads.set("g2", {{"t1", 1}});
+    loads.set_one("g1", "t1", 4);
+    EXPECT_EQ(loads.at("t1"), 5);
+    EXPECT_EQ(loads.at("t2"), 5);
+    loads.set_one("g1", "t1", 0);
+    loads.set("g2", {});
+    EXPECT_EQ(loads.at("t1"), 0);
+    loads.set("g1", {});
+    EXPECT_EQ(loads.at("t2"), 0);
+}
+
 // ---- loads -------------------------------------------------------------------------------------------
 
 namespace {
@@ -248,7 +268,8 @@
             for (int n = std::poisson_distribution<int>{load.per_second / 1'000}(random); n > 0; --n) {
                 model_request request = load.kind;
                 do
-                    request.gateway = std::uniform_int_distribution<std::size_t>{0, load.gateways - 1}(random);
+                    request.gateway =
+                        std::uniform_int_distribution<std::size_t>{0, load.gateways - 1}(random);
                 while (!model.is_alive(request.gateway)); // the balancer leaves out those that have ended
                 model.submit(request);
             }
@@ -397,8 +418,7 @@
 double lights_on_time_with(bool shared, std::uint64_t seed, double loss, const fault_plan& faults,
                            int* most_at_target = nullptr) {
     capacity_model model{{shared, 8, 24, 16, false, loss, seed}};
-    run_traffic(model, one_heavy_customer(8, 20s), 20s, seed,
-                [&](milliseconds at) { faults(model, at); });
+    run_traffic(model, one_heavy_customer(8, 20s), 20s, seed, [&](milliseconds at) { faults(model, at); });
     if (most_at_target != nullptr)
         *most_at_target = model.most_at_target();
     return model.on_time([](const auto& one) { return !is_heavy(one); });
@@ -479,8 +499,9 @@
 } // namespace
 
 // Whatever is lost, ends, starts again or stands still: turns never bring the target above its limit, and no
-// request waits past its deadline. Loss and stand-still stay within the contact limit: a gateway out of contact
-// counts as ended, with its load. Sends without a turn are left out: they depend on what each gateway sees.
+// request waits past its deadline. Loss and stand-still stay within the contact limit: a gateway out of
+// contact counts as ended, with its load. Sends without a turn are left out: they depend on what each gateway
+// sees.
 RC_GTEST_PROP(shared_capacity, turns_never_exceed_the_limit_and_nothing_waits_past_its_deadline, ()) {
     model_options options;
     options.gateways = *rc::gen::inRange(2, 6);
