--- a/src/core/load_planning/planner.cpp
+++ b/src/core/load_planning/planner.cpp
@@ -482,8 +482,10 @@
     /// room.
     void add_replica(const std::string& model, double& missing, std::set<std::string>& chosen_before) {
         const auto search = [&](kept_models kept) {
-            return best_target(model,
-                               {limits_.settle, true, limits_.load_factor, true, kept, &chosen_before});
+            target_search where{limits_.settle, true, limits_.load_factor, true};
+            where.kept = kept;
+            where.not_at = &chosen_before;
+            return best_target(model, where);
         };
         auto chosen = search(kept_models::one_of_each);
         if (!chosen && missing >= urgent_shortage)
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -79,7 +79,11 @@
              boot_),
       turns_(context_,
              {[this](const std::string& to, const std::string& frame) { peers_.send_to(to, frame); },
-              [this] { return peers_.coordinators(); }, [this] { dispatcher_.dispatch_waiting(); }}),
+              [this] { return peers_.coordinators(); }, [this] { dispatcher_.dispatch_waiting(); },
+              [this](const std::string& target) { return dispatcher_.room_at(target); },
+              [this](const std::string& from, const std::string& target, int running) {
+                  dispatcher_.set_peer_load_at(from, target, running);
+              }}),
       scaling_(context_, {dispatcher_, peers_, order_giver_, duties_}),
       acceptor_(loop_, [this](int socket) { accept(socket); }) {
     forwarder_.attach(dispatcher_);
@@ -244,6 +248,7 @@
     notices_.step();
     scaling_.step();
     dispatcher_.update_speeds();
+    turns_.tick();
     update_metrics(now);
     reload_if_changed();
     if (program_.stopping && !context_.draining)
@@ -301,6 +306,7 @@
     settings_.prompt_tokens_at_once = new_settings.prompt_tokens_at_once;
     settings_.prompt_tokens_per_second = new_settings.prompt_tokens_per_second;
     settings_.learn_speeds = new_settings.learn_speeds;
+    settings_.shared_room = new_settings.shared_room;
     log_.limit_request_lines(new_settings.request_lines);
     forwarder_.update_budgets();
     log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
