--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -75,17 +75,22 @@
 inline constexpr std::string_view request_abandoned = "request_abandoned";
 inline constexpr std::string_view lines_left_out = "lines_left_out";
 inline constexpr std::string_view lines_dropped = "lines_dropped";
-inline, constexpr, std, array, all, process_started, process_stopping, process_stopped, settings_reloaded,
-    settings_refused, store_lost, store_regained, store_restored, target_leaving, target_paused,
-    target_notice_ignored, peer_lost, peer_regained, config_in_force, config_refused, data_centres_out,
-    target_changed, target_ignored, target_suspected, lease_taken, lease_lost, order_sent, order_answered,
-    load_finished, request_waiting, turn_missed, request_sent, request_retried, request_refused, rate_refused,
-    request_answered, request_cut, request_abandoned, lines_left_out, lines_dropped, datagram_ignored,
-    prompt_suspected, target_limited, process_crashed, entries_ignored, duty_call_sent, duty_call_answered,
-    duty_call_refused, duty_unknown, usage_decided, usage_reported, usage_given_up, usage_not_counted,
-    usage_object_ignored, clock_jumped, target_ending, request_on_notice, scale_decided, target_load_ignored,
-    target_speed_changed, turn_asked, turn_granted, turns_held
-};
+inline constexpr std::array all{
+    process_started,      process_stopping,    process_stopped,       settings_reloaded,
+    settings_refused,     store_lost,          store_regained,        store_restored,
+    target_leaving,       target_paused,       target_notice_ignored, peer_lost,
+    peer_regained,        config_in_force,     config_refused,        data_centres_out,
+    target_changed,       target_ignored,      target_suspected,      lease_taken,
+    lease_lost,           order_sent,          order_answered,        load_finished,
+    request_waiting,      turn_missed,         request_sent,          request_retried,
+    request_refused,      rate_refused,        request_answered,      request_cut,
+    request_abandoned,    lines_left_out,      lines_dropped,         datagram_ignored,
+    prompt_suspected,     target_limited,      process_crashed,       entries_ignored,
+    duty_call_sent,       duty_call_answered,  duty_call_refused,     duty_unknown,
+    usage_decided,        usage_reported,      usage_given_up,        usage_not_counted,
+    usage_object_ignored, clock_jumped,        target_ending,         request_on_notice,
+    scale_decided,        target_load_ignored, target_speed_changed,  turn_asked,
+    turn_granted,         turns_held};
 /// Events that callers, targets or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed,       request_sent,        request_retried,      request_refused,
