Account for what clients hold, and limit those that misbehave

Cause: bodies, short fields, pipelined requests and unread answers of clients that the operator doesn't control took more memory than the VM has, and idle or half-read connections kept their places for ever.

Change: core/ingress/client_ledger charges each connection for its request, its answer and its unread bytes against one budget (`ingress.memory` less 40 MB). While it is short, reading pauses, stalled peers are closed, requests without room get 503 with Retry-After. At the connection limit the one that was idle or half-read longest is closed. Readiness and metrics pages have 32 connections of 16 KiB each. Fewer copies: bytes are parsed where they are read, large answers are sent without joining them with their heads.

Also found by the generated inputs: whether a head over its limit was taken depended on how it was cut (Beast doesn't count a request line that came in a piece of its own), and Beast's parser asserts on a last chunk that comes in pieces; without NDEBUG a client could end the process.

--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -30,6 +30,11 @@
 constexpr milliseconds progress_interval{250};             // between two looks at what the peer has taken
 constexpr unsigned target_tcp_timeout_ms = 1'500;
 constexpr int keepalive_interval_s = 1; // probe interval on an idle connection to a target
+constexpr milliseconds peer_watch_interval{
+    100}; // between two looks whether a paused connection's peer has ended
+constexpr std::size_t kept_capacity = 16U << 10U; // bytes of an empty output buffer that are not given back
+constexpr std::size_t least_compaction =
+    64U << 10U; // sent bytes at the start of the output buffer that are dropped
 constexpr int accepts_per_turn = 32;
 constexpr int accept_backlog = 512;
 
@@ -78,6 +83,7 @@
 std::shared_ptr<connection> connection::adopt(event_loop& loop, int socket, events handlers) {
     set_options(socket, caller_tcp_timeout_ms);
     auto made = std::make_shared<connection>(loop, socket, std::move(handlers));
+    made->adopted_ = true;
     made->watch(ACE_Event_Handler::READ_MASK);
     return made;
 }
@@ -115,6 +121,14 @@
 void connection::send(std::string_view bytes) {
     if (socket_ < 0 || closing_)
         return;
+    queued_ += bytes.size();
+    if (!connecting_ && unsent_.empty() && !bytes.empty()) { // large answers needn't be copied
+        const auto count = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (count == static_cast<ssize_t>(bytes.size()))
+            return;
+        if (count > 0)
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+    }
     unsent_.append(bytes);
     if (!connecting_ && !writing() && !flush())
         fail_soon(close_reason::reset);
@@ -156,12 +170,39 @@
     });
 }
 
+bool connection::has_unread() const {
+    int count = 0;
+    return socket_ >= 0 && ::ioctl(socket_, FIONREAD, &count) == 0 && count > 0;
+}
+
 void connection::pause_reading() {
-    if (socket_ >= 0)
-        watch(watched_ & ~ACE_Event_Handler::READ_MASK);
+    if (socket_ < 0 || (watched_ & ACE_Event_Handler::READ_MASK) == 0)
+        return;
+    watch(watched_ & ~ACE_Event_Handler::READ_MASK);
+    if (adopted_)
+        watch_peer();
+}
+
+void connection::watch_peer() {
+    loop_.cancel(peer_timer_);
+    peer_timer_ = loop_.schedule(loop_.now() + peer_watch_interval, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || self->socket_ < 0 || (self->watched_ & ACE_Event_Handler::READ_MASK) != 0)
+            return;
+        tcp_info state{};
+        socklen_t size = sizeof state;
+        if (getsockopt(self->socket_, IPPROTO_TCP, TCP_INFO, &state, &size) != 0)
+            return self->watch_peer();
+        if (state.tcpi_state == TCP_CLOSE)
+            return self->fail(close_reason::reset);
+        if (state.tcpi_state == TCP_CLOSE_WAIT || state.tcpi_state == TCP_LAST_ACK)
+            return self->fail(close_reason::ended);
+        self->watch_peer();
+    });
 }
 
 void connection::resume_reading() {
+    loop_.cancel(peer_timer_);
     if (socket_ >= 0)
         watch(watched_ | ACE_Event_Handler::READ_MASK);
 }
@@ -195,10 +236,17 @@
             if (!would_block(errno) && errno != ENOTCONN)
                 return false;
             watch(watched_ | ACE_Event_Handler::WRITE_MASK);
+            if (sent_ >= least_compaction && sent_ >= unsent_.size() / 2) {
+                unsent_.erase(0, sent_);
+                unsent_.shrink_to_fit();
+                sent_ = 0;
+            }
             return true;
         }
         sent_ += static_cast<std::size_t>(count);
     }
+    if (unsent_.capacity() > kept_capacity)
+        std::string{}.swap(unsent_);
     unsent_.clear();
     sent_ = 0;
     watch(watched_ & ~ACE_Event_Handler::WRITE_MASK);
@@ -242,7 +290,9 @@
 int connection::handle_input(ACE_HANDLE) {
     const auto self = shared_from_this();
     std::array<char, read_size> bytes;
-    for (int turn = 0; turn < reads_per_turn && socket_ >= 0; ++turn) {
+    // A connection that a handler has paused is not read any further.
+    const auto reading = [this] { return socket_ >= 0 && (watched_ & ACE_Event_Handler::READ_MASK) != 0; };
+    for (int turn = 0; turn < reads_per_turn && reading(); ++turn) {
         const auto count = ::recv(socket_, bytes.data(), bytes.size(), 0);
         if (count > 0) {
             if (const auto handlers = events_; !closing_ && handlers->on_data)
@@ -290,9 +340,25 @@
         ::close(socket_);
         socket_ = -1;
     }
+    loop_.cancel(peer_timer_);
     loop_.cancel(timer_); // last, as the timer may hold the last reference to this connection
 }
 
+std::uint32_t peer_address_of(int socket) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) != 0 || peer.sin_family != AF_INET)
+        return 0;
+    return ntohl(peer.sin_addr.s_addr);
+}
+
+std::string address_text(std::uint32_t address) {
+    const in_addr in{htonl(address)};
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &in, text.data(), text.size());
+    return text.data();
+}
+
 bool acceptor::listen(const std::string& address) {
     sockaddr_in at{};
     if (!parse_address(address, at))
--- a/src/edge/connection.hpp
+++ b/src/edge/connection.hpp
@@ -7,6 +7,7 @@
 
 #include "edge/event_loop.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -50,12 +51,18 @@
     /// Closes once the peer has taken the unsent bytes and closed in turn; waits only for a peer that goes on
     /// taking bytes. Reads on, as unread input would cause a reset. Of the events, only on_closed follows.
     void close_when_sent();
-    void pause_reading(); // for backpressure
+    /// For backpressure. The end of an adopted connection's peer is noticed also while its bytes are left
+    /// unread.
+    void pause_reading();
     void resume_reading();
     void change_events(events handlers) { events_ = std::make_shared<const events>(std::move(handlers)); }
 
     [[nodiscard]] bool open() const { return socket_ >= 0; }
     [[nodiscard]] std::size_t unsent() const { return unsent_.size() - sent_; }
+    /// Bytes that the peer's kernel has acknowledged since the connection began.
+    [[nodiscard]] std::uint64_t taken() const { return queued_ - not_taken(); }
+    [[nodiscard]] bool has_unread() const;       // bytes, or the peer's end, that wait in the kernel
+    [[nodiscard]] std::size_t not_taken() const; // bytes, and the end, that the peer has not acknowledged
 
 private:
     int handle_input(ACE_HANDLE) override;
@@ -69,19 +76,26 @@
     void release();
     /// After close_when_sent(): the peer has left `left` bytes untaken since `since`.
     void await_peer(std::size_t left, core::common::time_point since);
-    [[nodiscard]] std::size_t not_taken() const; // bytes, and the end, that the peer has not acknowledged
+    void watch_peer(); // looks now and then whether the peer of a paused connection has ended it
 
     event_loop& loop_;
     int socket_;
     std::shared_ptr<const events> events_; // never null; callers hold a copy, as a handler may replace it
     std::string unsent_;
-    std::size_t sent_ = 0; // bytes at the start of unsent_ that have been sent
+    std::size_t sent_ = 0;     // bytes at the start of unsent_ that have been sent
+    std::uint64_t queued_ = 0; // bytes passed to send()
+    bool adopted_ = false;
     bool connecting_ = false;
     bool closing_ = false;                                    // close_when_sent() was called
     ACE_Reactor_Mask watched_ = ACE_Event_Handler::NULL_MASK; // the socket is registered unless this is empty
     event_loop::timer_id timer_;
+    event_loop::timer_id peer_timer_; // of watch_peer()
 };
 
+/// Address of a socket's peer, IPv4 in host byte order; 0 if it has none.
+[[nodiscard]] std::uint32_t peer_address_of(int socket);
+[[nodiscard]] std::string address_text(std::uint32_t address); // "127.0.0.1"
+
 /// Listens at "ip:port" and passes each accepted socket to a callback, which owns it.
 class acceptor : private ACE_Event_Handler {
 public:
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -55,6 +55,7 @@
 inline constexpr std::string_view request_answered = "request_answered";
 inline constexpr std::string_view request_cut = "request_cut";
 inline constexpr std::string_view request_abandoned = "request_abandoned";
+inline constexpr std::string_view client_limited = "client_limited";
 inline constexpr std::string_view lines_left_out = "lines_left_out";
 inline constexpr std::string_view lines_dropped = "lines_dropped";
 inline constexpr std::array all{process_started,   process_stopping, process_stopped,       settings_reloaded,
@@ -66,11 +67,12 @@
                                 request_waiting,   turn_missed,      request_sent,          request_retried,
                                 request_refused,   rate_refused,     request_answered,      request_cut,
                                 request_abandoned, lines_left_out,   lines_dropped,         datagram_ignored,
-                                prompt_suspected,  target_limited,   process_crashed,       entries_ignored};
+                                prompt_suspected,  target_limited,   process_crashed,       entries_ignored,
+                                client_limited};
 /// Events that callers or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
-    request_waiting,  turn_missed, request_sent,      request_retried,  request_refused, rate_refused,
-    request_answered, request_cut, request_abandoned, datagram_ignored, prompt_suspected};
+    request_waiting,  turn_missed, request_sent,      request_retried,  request_refused,  rate_refused,
+    request_answered, request_cut, request_abandoned, datagram_ignored, prompt_suspected, client_limited};
 } // namespace events
 
 class decision_log {
--- a/src/edge/http_reader.hpp
+++ b/src/edge/http_reader.hpp
@@ -35,6 +35,10 @@
     }
 };
 
+/// A chunked body, whose length isn't known, is charged as a power of two from this size on, as its buffer
+/// grows.
+inline constexpr std::size_t least_chunked_body = 4U << 10U; // bytes
+
 /// Reads the requests of one connection, one after the other.
 class request_reader {
 public:
@@ -59,11 +63,31 @@
     [[nodiscard]] bool header_complete() const;
     [[nodiscard]] bool wants_continue() const; // the caller waits for "100 Continue"
     [[nodiscard]] std::size_t buffered() const { return buffer_.size(); }
+    /// Upper bound of the memory that the request being read takes once it is whole, as far as that is known,
+    /// with the copy of its body that is sent to a target, and of the bytes buffered.
+    [[nodiscard]] std::size_t cost() const;
+    /// A head of very many fields is complete but not parsed, as the fields take much more memory than its
+    /// text. Once there is room for cost(), call allow_fields() and feed("").
+    [[nodiscard]] bool awaits_room() const { return awaits_room_; }
+    void allow_fields() {
+        fields_allowed_ = true;
+        awaits_room_ = false;
+    }
+    [[nodiscard]] std::string_view field(std::string_view name) const; // of a complete header; empty: none
+    /// Keeps bytes that come while an earlier request is open; feed("") parses them later.
+    void store(std::string_view bytes);
+    /// Memory of the bytes that are buffered; 0 while the text is short enough to stay in the object.
+    [[nodiscard]] std::size_t stored() const {
+        return buffer_.capacity() < sizeof buffer_ ? 0 : buffer_.capacity();
+    }
+    void discard();      // drops what was read, for a connection that is closed after its answer
     wire_request take(); // then call feed("") to read the next request from the buffer
 
 private:
     struct parts;
-    void parse();
+    std::size_t parse(std::string_view bytes);
+    bool may_parse_head(std::string_view head);
+    void note_head();
     void refuse(int status);
     void begin();
 
@@ -72,6 +96,12 @@
     std::string buffer_;
     state state_ = state::idle;
     int refusal_ = 0;
+    std::size_t head_used_ = 0;    // bytes of the head that the parser has taken
+    std::size_t head_scanned_ = 0; // bytes of the head in which its end was not found
+    std::size_t lines_ = 0;        // of a complete head that was counted
+    std::size_t head_cost_ = 0;    // memory of the parsed fields
+    bool fields_allowed_ = false;
+    bool awaits_room_ = false;
     std::unique_ptr<parts> parts_;
 };
 
--- a/src/edge/http_server.cpp
+++ b/src/edge/http_server.cpp
@@ -9,15 +9,17 @@
 #include <atomic>
 #include <cctype>
 #include <cstring>
+#include <list>
 #include <mutex>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace waxwinglb::edge {
 namespace {
 
 constexpr std::size_t stream_block = 32U << 10U; // bytes that MHD requests from a stream at a time
-constexpr unsigned idle_timeout_s = 75;          // for keep-alive connections without a request
+constexpr unsigned closing_connections = 32;     // beyond kept_connections: evicted, not yet closed by MHD
 
 std::string lower(std::string_view text) {
     std::string out{text};
@@ -173,7 +175,14 @@
         return open_.size();
     }
 
+    http_server::evictions take_evicted() {
+        const std::scoped_lock hold{connections_mutex_};
+        return std::exchange(evicted_, {});
+    }
+
 private:
+    static void connection_changed(void* self, MHD_Connection* connection, void** state,
+                                   MHD_ConnectionNotificationCode code);
     [[nodiscard]] std::set<exchange_ptr> copy_open() const {
         const std::scoped_lock hold{open_mutex_};
         return open_;
@@ -196,6 +205,14 @@
     std::atomic<bool> ending_{false};
     mutable std::mutex open_mutex_;
     std::set<exchange_ptr> open_; // exchanges not yet completely answered
+    struct open_connection {
+        MHD_Connection* connection;
+        MHD_socket socket;
+        bool evicted = false;
+    };
+    std::mutex connections_mutex_;
+    std::list<open_connection> connections_; // oldest first; only with kept_connections
+    http_server::evictions evicted_;
     std::uint16_t port_ = 0;
     MHD_socket quiesced_ = MHD_INVALID_SOCKET; // the listening socket after stop_accepting()
 };
@@ -274,6 +291,37 @@
     *state = nullptr;
 }
 
+/// Called by MHD's thread for each connection that it opens and closes. An evicted one is shut down; MHD then
+/// reads its end and closes it.
+void http_server::impl::connection_changed(void* self, MHD_Connection* connection, void** state,
+                                           MHD_ConnectionNotificationCode code) {
+    (void)state;
+    auto& server = *static_cast<impl*>(self);
+    const std::scoped_lock hold{server.connections_mutex_};
+    auto& all = server.connections_;
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        all.remove_if([&](const open_connection& each) { return each.connection == connection; });
+        return;
+    }
+    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info == nullptr)
+        return;
+    all.push_back({connection, info->connect_fd});
+    const auto kept = static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [](const open_connection& each) { return !each.evicted; }));
+    if (kept <= server.options_.kept_connections)
+        return;
+    const auto oldest =
+        std::find_if(all.begin(), all.end(), [](const open_connection& each) { return !each.evicted; });
+    oldest->evicted = true;
+    ++server.evicted_.connections;
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (getpeername(oldest->socket, reinterpret_cast<sockaddr*>(&peer), &size) == 0)
+        server.evicted_.peer = ntohl(peer.sin_addr.s_addr);
+    ::shutdown(oldest->socket, SHUT_RDWR);
+}
+
 bool http_server::impl::start() {
     const auto colon = options_.address.rfind(':');
     if (colon == std::string::npos)
@@ -290,10 +338,16 @@
     flags |= MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG;
     std::vector<MHD_OptionItem> extra{
         {MHD_OPTION_THREAD_POOL_SIZE, static_cast<intptr_t>(std::max(1U, options_.threads)), nullptr},
-        {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options_.max_connections), nullptr},
-        {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<intptr_t>(options_.max_header + stream_block * 2),
+        {MHD_OPTION_CONNECTION_LIMIT,
+         static_cast<intptr_t>(options_.kept_connections == 0
+                                   ? options_.max_connections
+                                   : options_.kept_connections + closing_connections),
+         nullptr},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+         static_cast<intptr_t>(options_.connection_memory == 0 ? options_.max_header + stream_block * 2
+                                                               : options_.connection_memory),
          nullptr},
-        {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(idle_timeout_s), nullptr},
+        {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(options_.timeout_s), nullptr},
         {MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024, nullptr},
     };
     if (options_.threads <= 1)
@@ -303,6 +357,9 @@
         extra.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, options_.certificate.data()});
         extra.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, options_.key.data()});
     }
+    if (options_.kept_connections > 0)
+        extra.push_back(
+            {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&impl::connection_changed), this});
     extra.push_back({MHD_OPTION_END, 0, nullptr});
     daemon_ = MHD_start_daemon(flags, 0, nullptr, nullptr, &impl::handle, this, MHD_OPTION_SOCK_ADDR, &local,
                                MHD_OPTION_NOTIFY_COMPLETED, &impl::completed, this, MHD_OPTION_ARRAY,
@@ -326,6 +383,9 @@
 std::uint16_t http_server::port() const {
     return impl_->port();
 }
+http_server::evictions http_server::take_evicted() {
+    return impl_->take_evicted();
+}
 std::size_t http_server::open_exchanges() const {
     return impl_->open();
 }
--- a/src/edge/http_server.hpp
+++ b/src/edge/http_server.hpp
@@ -94,6 +94,13 @@
     std::size_t max_header = 32U << 10U; // bytes for all headers of one request
     std::size_t max_unsent = 8U << 20U;  // bytes of a stream that may wait for a slow caller
     unsigned max_connections = 4'000;
+    std::size_t connection_memory =
+        0;                   // bytes that MHD uses for each connection; 0: from max_header and streams
+    unsigned timeout_s = 75; // of a connection without a byte in either direction
+    /// Connections beyond this number are closed, the oldest first, so that new ones are always served;
+    /// max_connections is then this number and some that are just being closed. 0: no limit but
+    /// max_connections.
+    unsigned kept_connections = 0;
     std::string certificate; // PEM text; empty: plain HTTP
     std::string key;         // PEM text
 };
@@ -111,6 +118,11 @@
     void stop_accepting(); // open exchanges continue; no effect without the option `drains`
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t open_exchanges() const; // requests not yet completely answered
+    struct evictions {
+        std::uint64_t connections = 0;
+        std::uint32_t peer = 0; // address of the latest, IPv4 in host byte order
+    };
+    evictions take_evicted(); // connections closed since the last call because of kept_connections
 
 private:
     class impl;
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -124,6 +124,7 @@
         return false;
     }
     request->customer = customer->name;
+    request->session->note_customer(customer->name);
     request->priority = customer->priority.value_or(request->priority);
     request->tokens = customer->tokens_without_count;
     return true;
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -15,10 +15,11 @@
 using core::common::time_point;
 using core::streams::event_fault;
 
-constexpr std::size_t max_unsent_bytes = 256U << 10U;  // to a slow caller; pauses reading from its target
 constexpr std::size_t max_buffered_answer = 8U << 20U; // bytes of an answer that isn't streamed
-constexpr std::size_t max_event = 1U << 20U;   // bytes of one event of a stream; usual ones have some hundred
-constexpr int max_sends = 5;                   // of one request, including sends that targets rejected
+constexpr std::size_t max_event = 1U << 20U; // bytes of one event of a stream; usual ones have some hundred
+constexpr std::size_t copies = 2; // of an answer while it is handed over to the caller's connection
+constexpr std::size_t small_event = 16U << 10U; // bytes of an incomplete event that needs no room of its own
+constexpr int max_sends = 5;                    // of one request, including sends that targets rejected
 constexpr milliseconds rejection_backoff{150}; // models being loaded and slots of full targets get ready soon
 constexpr const char* ended_by_connection = "connection"; // of an answer with neither length nor chunks
 constexpr milliseconds min_useful_time{20};               // no retry with less time to the deadline
@@ -208,6 +209,9 @@
     }
     request->head = head;
     request->streaming = success && request->is_stream();
+    if (!request->streaming && head.length)
+        wait_for_room(*request,
+                      static_cast<std::size_t>(std::min<std::uint64_t>(*head.length, max_buffered_answer)));
 }
 
 void forwarder::on_body(const caller_request_ptr& request, std::string&& piece) {
@@ -217,11 +221,21 @@
             handle_lost_answer(request, name_of(fault));
         else if (request->events.size() > max_event)
             handle_lost_answer(request, "event_too_large");
+        else if (request->events.size() > small_event)
+            wait_for_room(*request, request->events.size());
         return;
     }
     request->body.append(piece);
     if (request->body.size() > max_buffered_answer)
         handle_lost_answer(request, "answer_too_large");
+    else
+        wait_for_room(*request, request->body.size());
+}
+
+/// Stops reading from the target while there is no memory for `bytes` of its answer.
+void forwarder::wait_for_room(caller_request& request, std::size_t bytes) {
+    if (!request.session->reserve_answer(copies * bytes) && request.target_exchange)
+        request.target_exchange->pause();
 }
 
 /// Forwards the events that have come up to the first that doesn't belong to the stream. Returns its fault.
@@ -251,7 +265,7 @@
     request->session->write(events);
     if (std::string id = core::streams::last_event_id(events); !id.empty())
         request->last_event = std::move(id);
-    if (request->session->unsent() > max_unsent_bytes)
+    if (request->session->unsent() > request->session->max_unsent())
         request->target_exchange->pause();
 }
 
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -35,6 +35,7 @@
     void on_failed(const caller_request_ptr& request, exchange_failure failure);
 
     core::streams::event_fault relay_events(const caller_request_ptr& request); // those that are complete
+    void wait_for_room(caller_request& request, std::size_t bytes);
     void write_events(const caller_request_ptr& request, const std::string& events);
     void note_origin(caller_request& request);
     void send_answer(const caller_request_ptr& request);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -24,7 +24,10 @@
     1'000}; // over which gateways register again after a restore of the store
 constexpr milliseconds min_drain_time{2'600}; // the load balancer notices after two unready answers
 constexpr milliseconds drain_reserve{400};    // part of the drain time kept for the shutdown itself
-constexpr std::size_t max_sessions = 900;     // the select reactor serves 1,024 descriptors
+// Of the readiness and metrics pages. Their requests have short heads; bodies come from peers alone.
+constexpr std::size_t page_memory = 16U << 10U;   // bytes, of a connection: head and answer's head
+constexpr std::size_t max_page_body = 64U << 10U; // bytes, of the metrics page: a peer's call to the store
+constexpr unsigned page_timeout_s = 5;            // of a connection without a byte in either direction
 
 std::int64_t unix_ms() {
     return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
@@ -48,7 +51,7 @@
                forwarder_.refuse(request, 503, core::dispatch::name_of(why), retry_after);
            },
            [this] { peers_.notify_order_giver(); }, [this] { peers_.notify_urgent_updates(); }}),
-      admission_(context_, forwarder_, dispatcher_),
+      admission_(context_, forwarder_, dispatcher_), guard_(context_),
       watch_(context_, store_,
              {[this] {
                   {
@@ -97,8 +100,13 @@
         admission_.on_caller_drained(session);
     };
     session_callbacks_.on_closed = [this](caller_session& session) {
+        guard_.remove(session);
         sessions_.erase(session.shared_from_this());
     };
+    session_callbacks_.ledger = &guard_.ledger();
+    session_callbacks_.on_room = [this] { guard_.grant_soon(); };
+    session_callbacks_.on_limited = [this](const caller_session& session, const char* action,
+                                           const char* reason) { guard_.report(session, action, reason); };
     session_callbacks_.draining = [this] { return context_.draining; };
     session_callbacks_.limits = [this] {
         return context_.config ? context_.config->limits : core::fleet::ingress_limits{};
@@ -120,17 +128,21 @@
         {{"version", program_.name}, {"boot", boot_}, {"http", settings_.http}, {"store", settings_.store}});
     if (!acceptor_.listen(settings_.http) || !peers_.start())
         return false;
-    const auto serve = [this](const std::string& address, auto handler) {
+    const auto serve = [this](const std::string& address, std::size_t max_body, auto handler) {
         edge::http_server_options options;
         options.address = address;
         options.threads = 1;
+        options.max_body = max_body;
+        options.connection_memory = page_memory;
+        options.timeout_s = page_timeout_s;
+        options.kept_connections = static_cast<unsigned>(settings_.ingress.page_connections);
         auto created = std::make_unique<edge::http_server>(std::move(options), handler);
         return created->start() ? std::move(created) : nullptr;
     };
-    readiness_ =
-        serve(settings_.readiness, [this](const edge::exchange_ptr& exchange) { serve_readiness(exchange); });
-    metrics_ =
-        serve(settings_.metrics, [this](const edge::exchange_ptr& exchange) { serve_metrics(exchange); });
+    readiness_ = serve(settings_.readiness, 0,
+                       [this](const edge::exchange_ptr& exchange) { serve_readiness(exchange); });
+    metrics_ = serve(settings_.metrics, max_page_body,
+                     [this](const edge::exchange_ptr& exchange) { serve_metrics(exchange); });
     if (!readiness_ || !metrics_)
         return false;
     watch_.start();
@@ -148,13 +160,14 @@
 // ---- process ---------------------------------------------------------------------------------------
 
 void gateway::accept(int socket) {
-    if (sessions_.size() >= max_sessions) {
+    if (!guard_.make_place(socket)) {
         ::close(socket);
         return;
     }
     auto created = std::make_shared<caller_session>(loop_, session_callbacks_);
     sessions_.insert(created);
     created->start(socket);
+    guard_.add(*created);
 }
 
 void gateway::serve_readiness(const edge::exchange_ptr& exchange) {
@@ -230,6 +243,8 @@
     dispatcher_.remove_missing_targets();
     turns_.remove_missing_targets();
     update_metrics(now);
+    guard_.sweep();
+    report_pages();
     reload_if_changed();
     if (program_.stopping && !context_.draining)
         begin_drain();
@@ -246,6 +261,15 @@
     watch_.report_ages(now);
 }
 
+void gateway::report_pages() {
+    const auto closed_at_readiness = readiness_->take_evicted();
+    if (closed_at_readiness.connections > 0)
+        guard_.report_page("readiness_page", closed_at_readiness.peer, closed_at_readiness.connections);
+    const auto closed_at_metrics = metrics_->take_evicted();
+    if (closed_at_metrics.connections > 0)
+        guard_.report_page("metrics_page", closed_at_metrics.peer, closed_at_metrics.connections);
+}
+
 /// Reloads on SIGHUP and when the settings file was modified.
 void gateway::reload_if_changed() {
     const auto now = loop_.now();
@@ -285,6 +309,8 @@
     settings_.request_lines = new_settings.request_lines;
     settings_.prompt_tokens_at_once = new_settings.prompt_tokens_at_once;
     settings_.prompt_tokens_per_second = new_settings.prompt_tokens_per_second;
+    settings_.ingress = new_settings.ingress;
+    guard_.change_settings();
     log_.limit_request_lines(new_settings.request_lines);
     forwarder_.update_budgets();
     log_.write(edge::events::settings_reloaded, program_.config, {{"addresses_need_restart", needs_restart}});
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 
 #include "edge/program.hpp"
 #include "programs/gateway/admission.hpp"
+#include "programs/gateway/client_guard.hpp"
 #include "programs/gateway/order_giver.hpp"
 
 #include <filesystem>
@@ -32,6 +33,7 @@
     void on_store_restored();
     void housekeeping();
     void update_metrics(core::common::time_point now);
+    void report_pages();
     void begin_drain();
     void drain_step();
     void update_readiness();
@@ -49,6 +51,7 @@
     forwarder forwarder_;
     dispatcher dispatcher_;
     admission admission_;
+    client_guard guard_;
     store_watch watch_;
     std::int64_t boot_;
     order_giver order_giver_;
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -62,6 +62,14 @@
       peer_bytes(counters(registry, data_centre, "waxwing_peer_bytes_total",
                           "Bytes of the datagrams sent to other gateways")
                      .Add({})),
+      client_memory(gauges(registry, data_centre, "waxwing_client_memory_bytes",
+                           "Memory charged for clients' connections, requests and unread answers")
+                        .Add({})),
+      client_connections(
+          gauges(registry, data_centre, "waxwing_client_connections", "Connections of clients").Add({})),
+      clients_waiting(gauges(registry, data_centre, "waxwing_clients_waiting",
+                             "Connections of clients that wait for memory")
+                          .Add({})),
       requests_(counters(registry, data_centre, "waxwing_requests_total",
                          "Requests by kind of call, service, outcome and reason")),
       waits_(histograms(registry, data_centre, "waxwing_request_wait_seconds",
@@ -77,7 +85,9 @@
       finished_loads_(counters(registry, data_centre, "waxwing_finished_loads_total",
                                "Loads from the weight store that a report has shown to be over")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
-                         "Time since the store last answered the watch of a kind of object")) {}
+                         "Time since the store last answered the watch of a kind of object")),
+      limited_clients_(counters(registry, data_centre, "waxwing_clients_limited_total",
+                                "Clients' connections that were paused, refused, closed or turned away")) {}
 
 void gateway_metrics::count_request(const request_kind& kind, const std::string& outcome,
                                     const std::string& reason) {
@@ -110,6 +120,10 @@
     finished_loads_.Add({{"result", late ? "late" : "in_time"}}).Increment();
 }
 
+void gateway_metrics::count_limited_client(const std::string& action, const std::string& reason) {
+    limited_clients_.Add({{"action", action}, {"reason", reason}}).Increment();
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -29,6 +29,8 @@
     void count_order(const std::string& operation, const std::string& result);
     void count_turn(const std::string& result); // turns to send a prompt: given, missed, unused
     void count_finished_load(bool late);        // loads from the weight store
+    void count_limited_client(const std::string& action,
+                              const std::string& reason);                    // fixed names from the code
     void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
@@ -41,6 +43,9 @@
     prometheus::Gauge& gateways_heard; // other gateways in contact
     prometheus::Gauge& rate_part;      // share of each customer's rate that this gateway may use, 0 to 1
     prometheus::Counter& peer_bytes;   // of datagrams to other gateways
+    prometheus::Gauge& client_memory;  // bytes charged for clients
+    prometheus::Gauge& client_connections;
+    prometheus::Gauge& clients_waiting; // connections that wait for room
 
 private:
     prometheus::Family<prometheus::Counter>& requests_;
@@ -51,6 +56,7 @@
     prometheus::Family<prometheus::Counter>& turns_;
     prometheus::Family<prometheus::Counter>& finished_loads_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
+    prometheus::Family<prometheus::Counter>& limited_clients_;
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -1,6 +1,12 @@
 #include "programs/gateway/settings.hpp"
 
 namespace waxwinglb::programs::gateway {
+namespace {
+
+// With less, a single body of the usual largest size, 4 MB and its copy, would find no room.
+constexpr std::int64_t least_memory = 64'000'000; // bytes
+
+} // namespace
 
 void read_settings(edge::settings_section& in, gateway_settings& out) {
     out.data_centre = in.text("data_centre");
@@ -28,6 +34,18 @@
         out.single_group = static_cast<std::size_t>(
             exchange.integer("single_group", 1, 1'000, static_cast<std::int64_t>(out.single_group)));
     });
+    in.section("ingress", false, [&](edge::settings_section& ingress) {
+        out.ingress.memory = ingress.bytes("memory", out.ingress.memory);
+        out.ingress.connections =
+            static_cast<int>(ingress.integer("connections", 1, 900, out.ingress.connections));
+        out.ingress.page_connections =
+            static_cast<int>(ingress.integer("page_connections", 1, 1'000, out.ingress.page_connections));
+        out.ingress.progress_timeout = ingress.duration("progress_timeout", out.ingress.progress_timeout);
+        if (out.ingress.memory < least_memory)
+            ingress.fault("memory", "expected 64MB or more");
+        if (out.ingress.progress_timeout.count() < 100)
+            ingress.fault("progress_timeout", "expected 100ms or more");
+    });
     in.section("retries", false, [&](edge::settings_section& retries) {
         out.retries.ratio = retries.number("ratio", 0, 10, out.retries.ratio);
         out.retries.slack = retries.number("slack", 0, 1e6, out.retries.slack);
--- a/src/programs/gateway/settings.hpp
+++ b/src/programs/gateway/settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/exchange/groups.hpp"
+#include "core/ingress/client_ledger.hpp"
 #include "core/load_planning/planner.hpp"
 #include "core/retries/window_budget.hpp"
 #include "edge/settings.hpp"
@@ -10,6 +11,21 @@
 
 namespace waxwinglb::programs::gateway {
 
+/// Limits for clients.
+struct ingress_settings {
+    /// Memory of a process without clients: measured 19 MB with a small fleet; the rest is for the fleet's
+    /// state.
+    static constexpr std::int64_t own_memory = 40'000'000;
+    std::int64_t memory = 1'000'000'000;                // bytes of the VM
+    int connections = 900;                              // of clients
+    int page_connections = 32;                          // of the readiness page, and of the metrics page
+    core::common::milliseconds progress_timeout{2'000}; // of a peer, while the memory for clients is short
+    [[nodiscard]] core::ingress::ledger_limits clients() const {
+        return {static_cast<std::size_t>(memory - own_memory), static_cast<std::size_t>(connections),
+                progress_timeout};
+    }
+};
+
 struct gateway_settings {
     std::string name; // of the VM that this gateway runs on
     std::string data_centre;
@@ -26,7 +42,8 @@
     double processor_share{
         0}; // of a core, of this VM; larger ones speak for their group of gateways; 0: unknown
     std::size_t single_group{core::exchange::max_single_group}; // gateways up to which each reports to each
-    core::retries::window_limits retries;                       // of all gateways together
+    ingress_settings ingress;
+    core::retries::window_limits retries; // of all gateways together
     core::load_planning::planner_limits placing;
 };
 
