Pipelined requests: answer what was read ahead before reading more

Cause: a caller whose requests are answered at once (no route) was read at 128 KiB a turn while one of its requests was answered, so what was read ahead grew until its answers were unread. Change: above 8 KiB reading pauses until the requests read are answered, unless the rest of one is needed.

--- a/src/programs/gateway/caller_session.cpp
+++ b/src/programs/gateway/caller_session.cpp
@@ -67,6 +67,7 @@
     if (state == edge::request_reader::state::complete)
         return open_request();
     if (state == edge::request_reader::state::partial) {
+        resume_reading(); // the rest of this request is needed
         if (begins || timeout_at_ == core::common::time_point{})
             ledger_.enter(id_, phase::reading, loop_.now());
         ledger_.note_received(id_, bytes.size(), loop_.now());
@@ -103,6 +104,13 @@
         callbacks_.on_room();
 }
 
+void caller_session::resume_reading() {
+    if (!paused_)
+        return;
+    paused_ = false;
+    connection_->resume_reading();
+}
+
 /// Charges for the request being read. Returns false if there is no room for it now.
 bool caller_session::account() {
     const std::size_t cost = reader_.cost();
@@ -143,7 +151,7 @@
     }
     if (!awaits_room_)
         return;
-    awaits_room_ = false;
+    awaits_room_ = paused_ = false;
     charged_ = wanted_;
     ledger_.enter(id_, phase::reading, loop_.now());
     connection_->resume_reading();
@@ -375,10 +383,10 @@
 /// Goes on to the next request, which may have been read already.
 void caller_session::read_next() {
     answers_unread_ = false;
-    if (paused_) {
-        paused_ = false;
-        connection_->resume_reading();
-    }
+    // What was read ahead comes first: a caller would otherwise fill the buffer faster than its requests are
+    // answered.
+    if (reader_.buffered() <= max_read_ahead)
+        resume_reading();
     timeout_at_ = {};
     // Deferred to the event loop: pipelined requests would otherwise recurse and grow the stack.
     loop_.cancel(timer_);
--- a/src/programs/gateway/caller_session.hpp
+++ b/src/programs/gateway/caller_session.hpp
@@ -68,6 +68,7 @@
     void receive(std::string_view bytes);
     void store(std::string_view bytes);
     void limit_read_ahead();
+    void resume_reading();
     bool account();
     void wait_for_room();
     void open_request();
