--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -73,6 +73,7 @@
 inline constexpr std::string_view request_answered = "request_answered";
 inline constexpr std::string_view request_cut = "request_cut";
 inline constexpr std::string_view request_abandoned = "request_abandoned";
+inline constexpr std::string_view client_limited = "client_limited";
 inline constexpr std::string_view lines_left_out = "lines_left_out";
 inline constexpr std::string_view lines_dropped = "lines_dropped";
 inline constexpr std::array all{
@@ -90,13 +91,13 @@
     usage_decided,        usage_reported,      usage_given_up,        usage_not_counted,
     usage_object_ignored, clock_jumped,        target_ending,         request_on_notice,
     scale_decided,        target_load_ignored, target_speed_changed,  turn_asked,
-    turn_granted,         turns_held};
+    turn_granted,         turns_held,          client_limited};
 /// Events that callers, targets or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed,       request_sent,        request_retried,      request_refused,
     rate_refused,     request_answered,  request_cut,         request_abandoned,    datagram_ignored,
     prompt_suspected, request_on_notice, target_load_ignored, target_speed_changed, turn_asked,
-    turn_granted,     turns_held};
+    turn_granted,     turns_held,        client_limited};
 } // namespace events
 
 class decision_log {
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -62,6 +62,14 @@
       peer_bytes(counters(registry, data_centre, "waxwing_peer_bytes_total",
                           "Bytes of the datagrams sent to other gateways")
                      .Add({})),
+      client_memory(gauges(registry, data_centre, "waxwing_client_memory_bytes",
+                           "Memory charged for clients' connections, requests and unread answers")
+                        .Add({})),
+      client_connections(
+          gauges(registry, data_centre, "waxwing_client_connections", "Connections of clients").Add({})),
+      clients_waiting(gauges(registry, data_centre, "waxwing_clients_waiting",
+                             "Connections of clients that wait for memory")
+                          .Add({})),
       requests_(counters(registry, data_centre, "waxwing_requests_total",
                          "Requests by kind of call, service, outcome and reason")),
       waits_(histograms(registry, data_centre, "waxwing_request_wait_seconds",
@@ -98,6 +106,8 @@
                             "Lowest and highest lasting speed of a target; 1 is the usual one")),
       target_speeds_known_(gauges(registry, data_centre, "waxwing_target_speeds_known",
                                   "Targets whose lasting speed is learned")) {}
+limited_clients_(counters(registry, data_centre, "waxwing_clients_limited_total",
+                          "Clients' connections that were paused, refused, closed or turned away")) {}
 
 void gateway_metrics::count_request(const request_kind& kind, const std::string& outcome,
                                     const std::string& reason) {
@@ -170,6 +180,10 @@
     target_speeds_known_.Add({}).Set(extent.known);
 }
 
+void gateway_metrics::count_limited_client(const std::string& action, const std::string& reason) {
+    limited_clients_.Add({{"action", action}, {"reason", reason}}).Increment();
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -41,6 +41,8 @@
     void count_usage_report(const std::string& result);                       // windows: sent, late, given_up
     void count_ignored_load(); // a target's stated load or figure that was not understood
     void set_target_speeds(const core::target_speed::speeds::range& extent);
+    void count_limited_client(const std::string& action,
+                              const std::string& reason);                    // fixed names from the code
     void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
@@ -53,6 +55,9 @@
     prometheus::Gauge& gateways_heard; // other gateways in contact
     prometheus::Gauge& rate_part;      // share of each customer's rate that this gateway may use, 0 to 1
     prometheus::Counter& peer_bytes;   // of datagrams to other gateways
+    prometheus::Gauge& client_memory;  // bytes charged for clients
+    prometheus::Gauge& client_connections;
+    prometheus::Gauge& clients_waiting; // connections that wait for room
 
 private:
     prometheus::Family<prometheus::Counter>& requests_;
@@ -73,6 +78,7 @@
     prometheus::Family<prometheus::Counter>& ignored_loads_;
     prometheus::Family<prometheus::Gauge>& target_speeds_;
     prometheus::Family<prometheus::Gauge>& target_speeds_known_;
+    prometheus::Family<prometheus::Counter>& limited_clients_;
 };
 
 } // namespace waxwinglb::programs::gateway
