--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -105,9 +105,9 @@
       target_speeds_(gauges(registry, data_centre, "waxwing_target_speed",
                             "Lowest and highest lasting speed of a target; 1 is the usual one")),
       target_speeds_known_(gauges(registry, data_centre, "waxwing_target_speeds_known",
-                                  "Targets whose lasting speed is learned")) {}
-limited_clients_(counters(registry, data_centre, "waxwing_clients_limited_total",
-                          "Clients' connections that were paused, refused, closed or turned away")) {}
+                                  "Targets whose lasting speed is learned")),
+      limited_clients_(counters(registry, data_centre, "waxwing_clients_limited_total",
+                                "Clients' connections that were paused, refused, closed or turned away")) {}
 
 void gateway_metrics::count_request(const request_kind& kind, const std::string& outcome,
                                     const std::string& reason) {
