--- a/src/programs/gateway/scaling.hpp
+++ b/src/programs/gateway/scaling.hpp
@@ -22,8 +22,7 @@
         const order_giver& orders;
         duties& calls;
     };
-    scaling(gateway_context& context, dependencies used)
-        : context_(context), dependencies_(std::move(used)) {}
+    scaling(gateway_context& context, dependencies used) : context_(context), dependencies_(used) {}
 
     void change_members(const std::map<std::string, store_watch::member>& members);
     void step(); // evaluates about once a second
