--- a/src/edge/http_reader.hpp
+++ b/src/edge/http_reader.hpp
@@ -78,7 +78,7 @@
     void store(std::string_view bytes);
     /// Memory of the bytes that are buffered; 0 while the text is short enough to stay in the object.
     [[nodiscard]] std::size_t stored() const {
-        return buffer_.capacity() < sizeof buffer_ ? 0 : buffer_.capacity();
+        return buffer_.capacity() < sizeof(std::string) ? 0 : buffer_.capacity();
     }
     void discard();      // drops what was read, for a connection that is closed after its answer
     wire_request take(); // then call feed("") to read the next request from the buffer
