--- a/src/core/dispatch/fleet_load.cpp
+++ b/src/core/dispatch/fleet_load.cpp
@@ -12,6 +12,17 @@
         reports_[gateway] = std::move(running);
 }
 
+void fleet_load::set_one(const std::string& gateway, const std::string& target, int running) {
+    counts& report = reports_[gateway];
+    int& stated = report[target];
+    add({{target, running - stated}}, 1);
+    stated = running;
+    if (running == 0)
+        report.erase(target);
+    if (report.empty())
+        reports_.erase(gateway);
+}
+
 int fleet_load::at(const std::string& target) const {
     const auto found = sums_.find(target);
     return found == sums_.end() ? 0 : found->second;
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -14,9 +14,10 @@
 using core::common::milliseconds;
 
 constexpr std::int64_t max_prompt_tokens = 1'000'000; // upper bound for the count of one request
-constexpr std::size_t max_parts = 32;                 // of a prompt that are told apart
-constexpr milliseconds origin_retry_after{400};       // peers tell of their streams every 350 ms
-constexpr milliseconds default_retry_after{1'000};    // Retry-After while the gateway has no configuration
+constexpr std::int64_t max_output_tokens = 1'000'000;
+constexpr std::size_t max_parts = 32;              // of a prompt that are told apart
+constexpr milliseconds origin_retry_after{400};    // peers tell of their streams every 350 ms
+constexpr milliseconds default_retry_after{1'000}; // Retry-After while the gateway has no configuration
 
 /// Hashes of the ids of a prompt's parts ("ID:TOKENS,ID:TOKENS"); the last one is the session's. Of more than
 /// max_parts the first ones and the last one.
@@ -124,6 +125,7 @@
         return false;
     }
     request->customer = customer->name;
+    request->session->note_customer(customer->name);
     request->priority = customer->priority.value_or(request->priority);
     request->tokens = customer->tokens_without_count;
     return true;
@@ -191,6 +193,7 @@
         }
         request->tokens = static_cast<double>(tokens->prompt) + static_cast<double>(tokens->max_output);
         request->prompt_tokens = static_cast<int>(std::min<std::int64_t>(tokens->prompt, max_prompt_tokens));
+        request->output_tokens = static_cast<int>(std::min(tokens->max_output, max_output_tokens));
     }
     if (const std::string* prefix = edge::find_field(fields, platform::prefix_header)) {
         request->shared_parts = hash_parts(*prefix);
@@ -206,31 +209,33 @@
     }
     if (request->customer.empty())
         return true;
-    const auto quota = context_.quota.take(request->customer, request->tokens, context_.loop.now());
-    if (!quota.granted) {
-        context_.log.write(edge::events::rate_refused, request->request_id,
-                           {{"customer", request->customer},
-                            {"tokens", request->tokens},
-                            {"level", context_.quota.level(request->customer)},
-                            {"available_part", context_.quota.available_part(context_.loop.now())},
-                            {"retry_ms", core::common::to_wire_ms(quota.retry_after)}});
-        reject(request, 429, "over_rate", quota.retry_after);
-    }
+    // The tokens are taken when the request is sent: those of requests that wait are not in use.
+    const auto quota = context_.quota.check(request->customer, request->tokens, context_.loop.now());
+    if (!quota.granted)
+        forwarder_.refuse_over_rate(request, quota.retry_after);
     return quota.granted;
 }
 
 void admission::reject(const caller_request_ptr& request, int status, const std::string& reason,
                        duration retry_after) {
-    request->tokens = 0;
     forwarder_.refuse(request, status, reason, retry_after);
 }
 
 void admission::on_request_finished(const caller_request_ptr& request) {
-    if (request->send_count == 0 && request->tokens > 0)
+    const bool ran = request->may_have_run || request->unsettled;
+    if (request->charged && !ran)
         context_.quota.give_back(request->customer, request->tokens);
     requests_.erase(request->session.get());
 }
 
+std::vector<caller_request_ptr> admission::running_at(const std::string& target) const {
+    std::vector<caller_request_ptr> out;
+    for (const auto& [session, request] : requests_)
+        if (!request->finished && request->target == target)
+            out.push_back(request);
+    return out;
+}
+
 void admission::on_caller_disconnected(caller_session& session) {
     if (const auto found = requests_.find(&session); found != requests_.end())
         forwarder_.abandon(caller_request_ptr{found->second});
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -1,9 +1,11 @@
 /// One caller's request while the gateway handles it.
 #pragma once
 
+#include "core/dispatch/short_notice.hpp"
 #include "core/fleet/model.hpp"
 #include "core/streams/event_buffer.hpp"
 #include "core/streams/event_sequence.hpp"
+#include "core/target_speed/pace_meter.hpp"
 #include "programs/gateway/caller_session.hpp"
 #include "programs/gateway/target_link.hpp"
 
@@ -23,8 +25,9 @@
     const core::fleet::route* route = nullptr;
     std::string customer;                    // empty on routes without authentication
     core::fleet::model_ref model;            // model empty for plain services
-    double tokens = 0;                       // charged to the customer's rate
+    double tokens = 0;                       // charged to the customer's rate when it is first sent
     int prompt_tokens = 0;                   // part of `tokens`; 0 unless the request states it
+    int output_tokens = 0;                   // likewise: at most
     std::uint64_t sticky_session = 0;        // hash of the session id; 0: none
     std::vector<std::uint64_t> shared_parts; // hashes of the prompt's parts but the last, which is its own
     std::string resumes;           // request id of the attempt that brought the first event; empty: none
@@ -41,6 +44,8 @@
     core::common::time_point not_before{}; // earliest next attempt, after a target rejected the request
     int send_count = 0;                    // including sends that targets rejected
     bool may_have_run = false;             // the caller can no longer be told that the request has not run
+    bool charged = false;                  // its tokens were taken from the customer's rate
+    bool unsettled = false;                // sent, and its target has not said that it didn't run it
     core::common::time_point waiting_since{};
     core::common::time_point wait_until{}; // refused if still waiting then
     std::string blocked_by;                // what a target said that keeps it from being sent, with its age
@@ -52,20 +57,25 @@
     std::string target_version;             // software version of that target
     std::optional<std::string> begun_at;    // software version at which the stream began; set if it goes on
     core::common::time_point sent_at{};
-    edge::event_loop::timer_id timer; // fires at the deadline
+    edge::event_loop::timer_id timer;                         // fires at the deadline
+    std::optional<core::common::time_point> target_gone_at;   // its target is removed at short notice
+    std::optional<core::dispatch::notice_decision> on_notice; // the latest decision because of that
 
     // The answer.
     edge::answer_head head;                 // from the answering target
     std::string body;                       // of a plain answer
     core::streams::event_buffer events;     // received of a stream, not yet forwarded
     core::streams::event_sequence sequence; // of the events forwarded
-    bool streaming = false;                 // the answer is forwarded as it arrives
+    core::dispatch::stream_progress progress;
+    bool streaming = false;    // the answer is forwarded as it arrives
     const char* ended_by = ""; // what marks the end of the target's body: "length", "chunks" or "connection"
+    bool run_counted = false;  // as a request that began to run
     bool finished = false;     // answered, refused or abandoned
     std::string last_target;   // target of the latest send
     core::common::time_point first_chunk_at{}; // when the first part of the answer was forwarded
     core::common::time_point last_chunk_at{};
     core::common::duration longest_pause{}; // between two forwarded chunks
+    core::target_speed::pace_meter pace;    // of the stream at its present target
     std::string last_event;                 // id of the last event forwarded; empty: none
 
     [[nodiscard]] bool has_attempts_left() const {
--- a/src/programs/gateway/dispatcher.hpp
+++ b/src/programs/gateway/dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include "core/dispatch/fleet_load.hpp"
 #include "core/dispatch/wait_policy.hpp"
+#include "platform/target_notice.hpp"
 #include "programs/gateway/caller_request.hpp"
 #include "programs/gateway/context.hpp"
 #include "programs/gateway/prompt_turns.hpp"
@@ -64,13 +65,19 @@
     /// When there will be room for a request that no target took, for its caller.
     [[nodiscard]] core::common::duration retry_after_for(const caller_request& request);
     void on_answer_started(const caller_request_ptr& request); // the target has read the prompt
+    /// Whether a target can take the request now. Where it runs doesn't count if its target is leaving.
+    [[nodiscard]] bool has_room_for(const caller_request& request);
     std::shared_ptr<target_link> link(const std::string& target);
+    [[nodiscard]] int room_of(const core::fleet::target& target) const; // requests that it runs at once
     [[nodiscard]] int load_of(const std::string& target) const; // requests at the target from all gateways
     void remove_missing_targets();                              // those no longer in the directory
 
+    [[nodiscard]] target_room room_at(const std::string& target) const;
     [[nodiscard]] std::map<std::string, int> own_loads() const; // this gateway's running requests by target
     /// Sets the running requests by target that a peer last reported.
     void set_peer_load(const std::string& peer, core::dispatch::fleet_load::counts running);
+    /// Sets those at one target, which the peer has stated since.
+    void set_peer_load_at(const std::string& peer, const std::string& target, int running);
 
     /// For the order giver and the peers.
     struct waiting_summary {
@@ -88,6 +95,11 @@
     [[nodiscard]] std::map<core::fleet::model_ref, arrival_rate> arrival_rates() const;
     [[nodiscard]] const target_link::connection_counters& connection_counters() const { return connections_; }
 
+    // Speeds of targets (dispatcher_speeds.cpp); without effect unless dispatch.learn_speeds is set.
+    /// Takes note of how long a unit of work took: the pause before one event of a stream, or a whole call.
+    void note_work(const caller_request& request, core::common::duration took);
+    void update_speeds(); // to be called regularly
+
 private:
     struct target_runtime {
         std::shared_ptr<target_link> link;
@@ -121,10 +133,19 @@
         std::map<group_key, candidate_list> all;     // all targets, where no holder can take a request
         std::map<group_key, core::dispatch::choice> blocked;
         std::vector<std::tuple<caller_request_ptr, core::dispatch::obstacle, core::common::duration>> refused;
+        std::set<std::string> offered; // targets for which a more urgent request wants the turn
         bool new_wait = false;
     };
 
     [[nodiscard]] std::vector<caller_request_ptr> waiting_in_order() const;
+    [[nodiscard]] std::vector<caller_request_ptr> waiting_by_urgency() const; // with shared capacity
+    [[nodiscard]] std::vector<core::dispatch::urgency>
+    needs_of(const std::vector<caller_request_ptr>& requests) const;
+    [[nodiscard]] core::dispatch::urgency need_of(const caller_request& request) const;
+    void count_granted(const caller_request& request);
+    [[nodiscard]] double tokens_per_ms() const; // that a target reads, as set; 0: unknown
+    void offer_turns(const caller_request& request, const candidate_list& holders,
+                     dispatch_pass& current_pass);
     void try_dispatch(const caller_request_ptr& request, dispatch_pass& current_pass);
     [[nodiscard]] core::dispatch::choice choose_target(const caller_request& request,
                                                        dispatch_pass& current_pass);
@@ -135,7 +156,7 @@
     [[nodiscard]] core::dispatch::candidate make_candidate(const core::fleet::target& target,
                                                            const core::fleet::model_ref& ref);
     void refresh(candidate_list& list, const std::string& target, const core::fleet::model_ref& ref);
-    [[nodiscard]] int limit_of(const core::fleet::target& target) const;
+    [[nodiscard]] int limit_of(const core::fleet::target& target) const; // of one of the usual speed
     bool has_cold_allowance(const core::fleet::target& target, target_runtime& runtime);
     void count_arrival(const caller_request& request);
     [[nodiscard]] core::dispatch::target_criteria criteria_for(const caller_request& request) const;
@@ -146,12 +167,26 @@
                                                                const candidate_list& among) const;
     [[nodiscard]] std::string describe(const core::dispatch::choice& blocked) const;
 
+    /// Requests of one group that this gateway sent lately; the sum decays with time.
+    struct send_counter {
+        double sum = 0;
+        core::common::time_point updated_at{};
+    };
+    void note_load(const core::fleet::target_start& from, const platform::target_notice& notice);
+    void count_send(const caller_request& request);
+    [[nodiscard]] core::dispatch::choice_spread spread_for(const caller_request& request) const;
+    void scale_by_speed(core::dispatch::candidate& option) const;
+
+    std::map<group_key, send_counter> recent_sends_;
+    core::common::time_point speeds_checked_at_{};
+
     gateway_context& context_;
     callbacks callbacks_;
     prompt_turns* turns_ = nullptr;
     std::map<std::uint64_t, caller_request_ptr> waiting_; // by arrival number
     std::map<std::string, target_runtime> runtimes_;      // by target id
     core::dispatch::fleet_load peer_load_;
+    std::map<std::string, core::dispatch::urgency_order> orders_; // by service, with shared capacity
     usage_map usage_;
     std::map<core::fleet::model_ref, arrival_counter> arrivals_;
     std::uint64_t last_arrival_number_ = 0;
--- a/src/programs/gateway/dispatcher_views.cpp
+++ b/src/programs/gateway/dispatcher_views.cpp
@@ -33,6 +33,11 @@
     return target.entry.slots + plain_service_queue;
 }
 
+int dispatcher::room_of(const core::fleet::target& target) const {
+    const auto* service = context_.config->find_service(target.entry.service);
+    return service != nullptr && service->engine ? limit_of(target) : target.entry.slots;
+}
+
 /// Whether the rate limit of a cold target allows a request. The limit holds for all gateways together: each
 /// uses an equal share.
 bool dispatcher::has_cold_allowance(const core::fleet::target& target, target_runtime& runtime) {
@@ -75,6 +80,7 @@
     out.unread_tokens = runtime.unread_prompt_tokens;
     out.unread_limit = ref.model.empty() ? 0 : context_.settings.prompt_tokens_at_once;
     out.limited = turns_->is_limited(id);
+    out.place_by_turn = turns_->shares_capacity() && uses_prompt_turns(ref);
     if (const auto until = turns_->queued_until(id); until && (out.limited || uses_prompt_turns(ref))) {
         out.turn_queued = true;
         out.turn_at = *until;
@@ -84,6 +90,7 @@
     if (const auto missing = runtime.missing_models.find(ref); missing != runtime.missing_models.end())
         out.lacks_model = now < missing->second.until;
     out.near = target.entry.data_centre == context_.settings.data_centre;
+    scale_by_speed(out);
     return out;
 }
 
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -15,10 +15,11 @@
 using core::common::time_point;
 using core::streams::event_fault;
 
-constexpr std::size_t max_unsent_bytes = 256U << 10U;  // to a slow caller; pauses reading from its target
 constexpr std::size_t max_buffered_answer = 8U << 20U; // bytes of an answer that isn't streamed
-constexpr std::size_t max_event = 1U << 20U;   // bytes of one event of a stream; usual ones have some hundred
-constexpr int max_sends = 5;                   // of one request, including sends that targets rejected
+constexpr std::size_t max_event = 1U << 20U; // bytes of one event of a stream; usual ones have some hundred
+constexpr std::size_t copies = 2; // of an answer while it is handed over to the caller's connection
+constexpr std::size_t small_event = 16U << 10U; // bytes of an incomplete event that needs no room of its own
+constexpr int max_sends = 5;                    // of one request, including sends that targets rejected
 constexpr milliseconds rejection_backoff{150}; // models being loaded and slots of full targets get ready soon
 constexpr const char* ended_by_connection = "connection"; // of an answer with neither length nor chunks
 constexpr milliseconds min_useful_time{20};               // no retry with less time to the deadline
@@ -50,6 +51,13 @@
            edge::find_field(head.fields, platform::not_run_header) != nullptr;
 }
 
+/// Whether an answer to a plain call shows that the target ran it, well or not.
+bool began_to_run(const edge::answer_head& head) {
+    constexpr int too_many_requests = 429;
+    return edge::find_field(head.fields, platform::signature_header) != nullptr &&
+           head.status != platform::unavailable_status && head.status != too_many_requests;
+}
+
 /// What marks the end of the answer's body, for the log.
 const char* name_of_end(const edge::answer_head& head) {
     if (head.length)
@@ -82,6 +90,11 @@
     return text.data();
 }
 
+/// A connection that breaks when its target is removed says nothing against the request.
+bool ended_with_its_target(const caller_request& request, time_point now) {
+    return request.target_gone_at && now >= *request.target_gone_at - core::dispatch::notice_delay;
+}
+
 connection_choice connection_for(const caller_request& request) {
     if (request.came_before)
         return connection_choice::unused;
@@ -133,13 +146,20 @@
         dispatcher_->submit(request);
         return;
     }
+    if (!charge(request))
+        return;
     if (request->send_count == 0)
         budget(request->service).count_first(context_.loop.now());
     ++request->send_count;
+    request->unsettled = true;
     request->came_before = !request->sent_to.insert(target).second;
     request->body.clear();
     request->events.clear();
+    request->pace.restart();
     request->sequence.begin_answer();
+    request->progress.begin_answer();
+    request->target_gone_at.reset();
+    request->on_notice.reset();
     request->ended_by = "";
     request->last_target = target;
     if (const auto* known = context_.directory.find(target)) {
@@ -169,6 +189,16 @@
                                           connection_for(*request), std::move(handlers));
 }
 
+bool forwarder::charge(const caller_request_ptr& request) {
+    if (request->charged || request->customer.empty())
+        return true;
+    const auto quota = context_.quota.take(request->customer, request->tokens, context_.loop.now());
+    if (!quota.granted)
+        refuse_over_rate(request, quota.retry_after);
+    request->charged = quota.granted;
+    return quota.granted;
+}
+
 /// Ends the exchange. Its object is destroyed later, since this may run inside one of the exchange's events.
 void forwarder::close_exchange(const caller_request_ptr& request, dispatcher::attempt_outcome outcome) {
     if (request->target_exchange) {
@@ -194,6 +224,8 @@
                          edge::find_field(head.fields, "Content-Encoding") == nullptr;
     if (success && !genuine)
         return handle_lost_answer(request, "answer_without_signature");
+    if (!request->is_stream() && began_to_run(head))
+        count_run(*request, request->sent_at);
     if (request->session->answer_begun()) { // the caller has the head under which the stream goes on
         if (head.status != request->head.status)
             handle_lost_answer(request, "resumption_failed");
@@ -208,6 +240,9 @@
     }
     request->head = head;
     request->streaming = success && request->is_stream();
+    if (!request->streaming && head.length)
+        wait_for_room(*request,
+                      static_cast<std::size_t>(std::min<std::uint64_t>(*head.length, max_buffered_answer)));
 }
 
 void forwarder::on_body(const caller_request_ptr& request, std::string&& piece) {
@@ -217,11 +252,21 @@
             handle_lost_answer(request, name_of(fault));
         else if (request->events.size() > max_event)
             handle_lost_answer(request, "event_too_large");
+        else if (request->events.size() > small_event)
+            wait_for_room(*request, request->events.size());
         return;
     }
     request->body.append(piece);
     if (request->body.size() > max_buffered_answer)
         handle_lost_answer(request, "answer_too_large");
+    else
+        wait_for_room(*request, request->body.size());
+}
+
+/// Stops reading from the target while there is no memory for `bytes` of its answer.
+void forwarder::wait_for_room(caller_request& request, std::size_t bytes) {
+    if (!request.session->reserve_answer(copies * bytes) && request.target_exchange)
+        request.target_exchange->pause();
 }
 
 /// Forwards the events that have come up to the first that doesn't belong to the stream. Returns its fault.
@@ -229,6 +274,7 @@
     std::string events = request->events.take_complete();
     const auto checked = request->sequence.check(events);
     events.resize(checked.sound);
+    request->progress.note(checked.events, request->sent_at, context_.loop.now());
     if (!events.empty())
         write_events(request, events);
     return checked.fault;
@@ -244,15 +290,21 @@
     if (request->first_chunk_at == time_point{}) {
         request->first_chunk_at = now;
         note_origin(*request);
+        if (edge::find_field(request->received.fields, platform::resume_header) == nullptr)
+            count_run(*request, now); // a stream that is resumed began earlier
     } else
         request->longest_pause = std::max(request->longest_pause, now - request->last_chunk_at);
     request->last_chunk_at = now;
+    if (const auto each = request->pace.add(core::streams::count_events(events), now))
+        dispatcher_->note_work(*request, *each);
     dispatcher_->on_answer_started(request);
     request->session->write(events);
     if (std::string id = core::streams::last_event_id(events); !id.empty())
         request->last_event = std::move(id);
-    if (request->session->unsent() > max_unsent_bytes)
+    if (request->session->unsent() > request->session->max_unsent()) {
         request->target_exchange->pause();
+        request->pace.restart(); // the next pause is the caller's
+    }
 }
 
 /// From its first event on, a stream goes on only at targets of the version that sent it.
@@ -263,7 +315,15 @@
                           core::streams::origin_source::own, context_.loop.now());
 }
 
+void forwarder::count_run(caller_request& request, time_point began) {
+    if (request.run_counted || !context_.count_run)
+        return;
+    request.run_counted = true;
+    context_.count_run(request.customer, began);
+}
+
 void forwarder::on_caller_drained(const caller_request_ptr& request) {
+    request->pace.restart();
     if (request->target_exchange)
         request->target_exchange->resume();
 }
@@ -281,17 +341,21 @@
         return send_answer(request);
     request->session->end_answer();
     note_sound(*request);
+    note_duration(*request);
     close_exchange(request, dispatcher::attempt_outcome::succeeded);
     finish(request, edge::events::request_answered, "answered", "whole");
 }
 
 void forwarder::send_answer(const caller_request_ptr& request) {
     const bool failed = request->head.status >= 500;
-    if (request->head.status < 300)
+    if (request->head.status < 300) {
         note_sound(*request);
-    else if (!failed) // of a part of the prompt it says nothing: the target may not have begun to read it
+        note_duration(*request);
+    } else if (!failed) // of a part of the prompt it says nothing: the target may not have begun to read it
         suspect_requests_.add_sound({&request->fingerprint, 1}, context_.loop.now());
     context_.metrics.observe_first_byte(metric_kind(*request), context_.loop.now() - request->arrived);
+    if (!request->is_stream() && request->head.status < 300)
+        dispatcher_->note_work(*request, context_.loop.now() - request->sent_at);
     request->session->answer(request->head.status, forwarded_fields(request->head.fields), request->body);
     close_exchange(request,
                    failed ? dispatcher::attempt_outcome::failed : dispatcher::attempt_outcome::succeeded);
@@ -307,6 +371,7 @@
     if (failure == exchange_failure::not_sent) {
         const std::string unreached = request->target;
         request->not_before = {};
+        request->unsettled = false;
         close_exchange(request, dispatcher::attempt_outcome::unreachable);
         if (!request->came_before)
             request->sent_to.erase(unreached);
@@ -333,6 +398,8 @@
 /// Each attempt is evidence of its own: a target may break the connection and go on. But equal requests that
 /// were under way together broke off for one reason.
 void forwarder::note_broken_run(const caller_request& request) {
+    if (ended_with_its_target(request, context_.loop.now()))
+        return;
     if (const auto latest = suspect_requests_.latest_crash(request.fingerprint);
         latest && request.sent_at < *latest)
         return;
@@ -353,7 +420,8 @@
     const bool answered = request.ended_by[0] != '\0';
     const bool maybe_stale =
         !answered && request.target_exchange && request.target_exchange->reused_connection();
-    if (request.events.any_taken() || request.shared_parts.empty() || maybe_stale)
+    if (request.events.any_taken() || request.shared_parts.empty() || maybe_stale ||
+        ended_with_its_target(request, context_.loop.now()))
         return;
     const auto& start = request.target_start;
     context_.log.write(edge::events::prompt_suspected, request.request_id,
@@ -365,6 +433,7 @@
 void forwarder::handle_rejection(const caller_request_ptr& request, dispatcher::attempt_outcome outcome) {
     const char* reason = outcome == dispatcher::attempt_outcome::lacks_model ? "wrong_target" : "target_full";
     close_exchange(request, outcome);
+    request->unsettled = false;
     request->not_before = context_.loop.now() + rejection_backoff;
     if (retry(request, reason, true))
         return;
@@ -382,7 +451,8 @@
 }
 
 /// Submits the request again. Returns false if it may not be retried.
-bool forwarder::retry(const caller_request_ptr& request, const char* reason, bool spend_budget) {
+bool forwarder::retry(const caller_request_ptr& request, const char* reason, bool spend_budget,
+                      dispatcher::attempt_outcome outcome) {
     const time_point now = context_.loop.now();
     if (request->send_count >= max_sends || is_blocked(*request) ||
         suspects_.suspected(request->shared_parts, now) || request->deadline - now < min_useful_time)
@@ -391,7 +461,7 @@
         return false;
     if (spend_budget && !budget(request->service).take(now))
         return false;
-    close_exchange(request, dispatcher::attempt_outcome::failed);
+    close_exchange(request, outcome);
     context_.log.write(
         edge::events::request_retried, request->request_id,
         {{"reason", reason}, {"sends", request->send_count}, {"after_event", request->last_event}});
@@ -399,6 +469,23 @@
     return true;
 }
 
+bool forwarder::move_elsewhere(const caller_request_ptr& request) {
+    return request->repeatable() && request->has_attempts_left() &&
+           retry(request, "target_ending", true, dispatcher::attempt_outcome::abandoned);
+}
+
+/// Answers that came from several targets, or only in part from here, say nothing of the usual duration.
+void forwarder::note_duration(const caller_request& request) {
+    const bool resumed = edge::find_field(request.received.fields, platform::resume_header) != nullptr;
+    if (request.send_count != 1 || resumed)
+        return;
+    core::dispatch::usual_answers& usual = usual_answers_[request.service];
+    if (request.streaming)
+        usual.note_stream(request.output_tokens, request.progress);
+    else
+        usual.note_plain(context_.loop.now() - request.sent_at);
+}
+
 /// Answers a request that may have run, without the promise that it has not.
 void forwarder::fail(const caller_request_ptr& request, int status, const std::string& reason) {
     if (request->session->answer_begun())
@@ -420,6 +507,16 @@
     finish(request, edge::events::request_refused, "refused", reason);
 }
 
+void forwarder::refuse_over_rate(const caller_request_ptr& request, duration retry_after) {
+    context_.log.write(edge::events::rate_refused, request->request_id,
+                       {{"customer", request->customer},
+                        {"tokens", request->tokens},
+                        {"level", context_.quota.level(request->customer)},
+                        {"available_part", context_.quota.available_part(context_.loop.now())},
+                        {"retry_ms", core::common::to_wire_ms(retry_after)}});
+    refuse(request, 429, "over_rate", retry_after);
+}
+
 void forwarder::abandon(const caller_request_ptr& request) {
     if (request->target.empty())
         dispatcher_->withdraw(request);
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -3,7 +3,12 @@
 
 #include "edge/program.hpp"
 #include "programs/gateway/admission.hpp"
+#include "programs/gateway/client_guard.hpp"
+#include "programs/gateway/duties.hpp"
 #include "programs/gateway/order_giver.hpp"
+#include "programs/gateway/scaling.hpp"
+#include "programs/gateway/short_notice.hpp"
+#include "programs/gateway/usage_reports.hpp"
 
 #include <filesystem>
 #include <memory>
@@ -32,6 +37,7 @@
     void on_store_restored();
     void housekeeping();
     void update_metrics(core::common::time_point now);
+    void report_pages();
     void begin_drain();
     void drain_step();
     void update_readiness();
@@ -49,12 +55,17 @@
     forwarder forwarder_;
     dispatcher dispatcher_;
     admission admission_;
+    short_notice notices_;
+    client_guard guard_;
     store_watch watch_;
     std::int64_t boot_;
     order_giver order_giver_;
+    duties duties_;
+    usage_reports usage_;
     peer_updates updates_;
     peers peers_;
     prompt_turns turns_;
+    scaling scaling_;
     edge::acceptor acceptor_;
     caller_session::callbacks session_callbacks_;
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -62,6 +62,14 @@
       peer_bytes(counters(registry, data_centre, "waxwing_peer_bytes_total",
                           "Bytes of the datagrams sent to other gateways")
                      .Add({})),
+      client_memory(gauges(registry, data_centre, "waxwing_client_memory_bytes",
+                           "Memory charged for clients' connections, requests and unread answers")
+                        .Add({})),
+      client_connections(
+          gauges(registry, data_centre, "waxwing_client_connections", "Connections of clients").Add({})),
+      clients_waiting(gauges(registry, data_centre, "waxwing_clients_waiting",
+                             "Connections of clients that wait for memory")
+                          .Add({})),
       requests_(counters(registry, data_centre, "waxwing_requests_total",
                          "Requests by kind of call, service, outcome and reason")),
       waits_(histograms(registry, data_centre, "waxwing_request_wait_seconds",
@@ -74,10 +82,32 @@
                        "Orders to targets by operation and result")),
       turns_(counters(registry, data_centre, "waxwing_reading_turns_total",
                       "Turns to send a prompt to a target, by what became of them")),
+      grants_(counters(registry, data_centre, "waxwing_shared_grants_total",
+                       "Turns granted by urgency to all gateways, by what became of them")),
+      turns_waiting_(gauges(registry, data_centre, "waxwing_shared_turns_waiting",
+                            "Gateways that wait for a turn of a target scheduled here, by priority")),
       finished_loads_(counters(registry, data_centre, "waxwing_finished_loads_total",
                                "Loads from the weight store that a report has shown to be over")),
+      on_notice_(counters(registry, data_centre, "waxwing_requests_on_notice_total",
+                          "Decisions on requests at targets that are removed at short notice")),
+      scale_calls_(counters(registry, data_centre, "waxwing_scale_calls_total",
+                            "Calls for a number of targets that were decided")),
+      targets_needed_(gauges(registry, data_centre, "waxwing_targets_needed",
+                             "Targets that demand needs, as the gateway that gives orders sees it")),
+      duty_calls_(counters(registry, data_centre, "waxwing_duty_calls_total",
+                           "Calls to the platform that one gateway at a time makes, by path and result")),
+      usage_reports_(counters(registry, data_centre, "waxwing_usage_reports_total",
+                              "Windows of usage by what became of their report")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
-                         "Time since the store last answered the watch of a kind of object")) {}
+                         "Time since the store last answered the watch of a kind of object")),
+      ignored_loads_(counters(registry, data_centre, "waxwing_target_loads_ignored_total",
+                              "Loads or momentary figures of targets that were not understood")),
+      target_speeds_(gauges(registry, data_centre, "waxwing_target_speed",
+                            "Lowest and highest lasting speed of a target; 1 is the usual one")),
+      target_speeds_known_(gauges(registry, data_centre, "waxwing_target_speeds_known",
+                                  "Targets whose lasting speed is learned")),
+      limited_clients_(counters(registry, data_centre, "waxwing_clients_limited_total",
+                                "Clients' connections that were paused, refused, closed or turned away")) {}
 
 void gateway_metrics::count_request(const request_kind& kind, const std::string& outcome,
                                     const std::string& reason) {
@@ -106,10 +136,54 @@
     turns_.Add({{"result", result}}).Increment();
 }
 
+void gateway_metrics::count_grants(const std::string& result, int count) {
+    if (count > 0)
+        grants_.Add({{"result", result}}).Increment(count);
+}
+
+void gateway_metrics::set_turns_waiting(std::span<const int> by_priority) {
+    for (std::size_t priority = 0; priority < by_priority.size(); ++priority)
+        turns_waiting_.Add({{"priority", std::to_string(priority)}}).Set(by_priority[priority]);
+}
+
 void gateway_metrics::count_finished_load(bool late) {
     finished_loads_.Add({{"result", late ? "late" : "in_time"}}).Increment();
 }
 
+void gateway_metrics::count_on_notice(const std::string& decision, const std::string& result) {
+    on_notice_.Add({{"decision", decision}, {"result", result}}).Increment();
+}
+
+void gateway_metrics::count_scale_call(const std::string& service) {
+    scale_calls_.Add({{"service", service}}).Increment();
+}
+
+void gateway_metrics::set_targets_needed(const std::string& service, int count) {
+    targets_needed_.Add({{"service", service}}).Set(count);
+}
+
+void gateway_metrics::count_duty_call(const std::string& path, const std::string& result) {
+    duty_calls_.Add({{"path", path}, {"result", result}}).Increment();
+}
+
+void gateway_metrics::count_usage_report(const std::string& result) {
+    usage_reports_.Add({{"result", result}}).Increment();
+}
+
+void gateway_metrics::count_ignored_load() {
+    ignored_loads_.Add({}).Increment();
+}
+
+void gateway_metrics::set_target_speeds(const core::target_speed::speeds::range& extent) {
+    target_speeds_.Add({{"which", "lowest"}}).Set(extent.lowest);
+    target_speeds_.Add({{"which", "highest"}}).Set(extent.highest);
+    target_speeds_known_.Add({}).Set(extent.known);
+}
+
+void gateway_metrics::count_limited_client(const std::string& action, const std::string& reason) {
+    limited_clients_.Add({{"action", action}, {"reason", reason}}).Increment();
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -3,12 +3,14 @@
 #pragma once
 
 #include "core/common/time.hpp"
+#include "core/target_speed/speeds.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <span>
 #include <string>
 
 namespace waxwinglb::programs::gateway {
@@ -27,8 +29,20 @@
     void observe_first_byte(const request_kind& kind, core::common::duration value); // from arrival
     void count_store_call(const std::string& call, const std::string& result);
     void count_order(const std::string& operation, const std::string& result);
-    void count_turn(const std::string& result); // turns to send a prompt: given, missed, unused
-    void count_finished_load(bool late);        // loads from the weight store
+    void count_turn(const std::string& result);              // turns to send a prompt: given, missed, unused
+    void count_grants(const std::string& result, int count); // on_time, late, lost, no_place
+    void set_turns_waiting(std::span<const int> by_priority);
+    void count_finished_load(bool late); // loads from the weight store
+    void count_on_notice(const std::string& decision,
+                         const std::string& result); // of requests at targets removed at short notice
+    void count_scale_call(const std::string& service);
+    void set_targets_needed(const std::string& service, int count);
+    void count_duty_call(const std::string& path, const std::string& result); // each attempt
+    void count_usage_report(const std::string& result);                       // windows: sent, late, given_up
+    void count_ignored_load(); // a target's stated load or figure that was not understood
+    void set_target_speeds(const core::target_speed::speeds::range& extent);
+    void count_limited_client(const std::string& action,
+                              const std::string& reason);                    // fixed names from the code
     void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
@@ -41,6 +55,9 @@
     prometheus::Gauge& gateways_heard; // other gateways in contact
     prometheus::Gauge& rate_part;      // share of each customer's rate that this gateway may use, 0 to 1
     prometheus::Counter& peer_bytes;   // of datagrams to other gateways
+    prometheus::Gauge& client_memory;  // bytes charged for clients
+    prometheus::Gauge& client_connections;
+    prometheus::Gauge& clients_waiting; // connections that wait for room
 
 private:
     prometheus::Family<prometheus::Counter>& requests_;
@@ -49,8 +66,19 @@
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Family<prometheus::Counter>& orders_;
     prometheus::Family<prometheus::Counter>& turns_;
+    prometheus::Family<prometheus::Counter>& grants_;
+    prometheus::Family<prometheus::Gauge>& turns_waiting_;
     prometheus::Family<prometheus::Counter>& finished_loads_;
+    prometheus::Family<prometheus::Counter>& on_notice_;
+    prometheus::Family<prometheus::Counter>& scale_calls_;
+    prometheus::Family<prometheus::Gauge>& targets_needed_;
+    prometheus::Family<prometheus::Counter>& duty_calls_;
+    prometheus::Family<prometheus::Counter>& usage_reports_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
+    prometheus::Family<prometheus::Counter>& ignored_loads_;
+    prometheus::Family<prometheus::Gauge>& target_speeds_;
+    prometheus::Family<prometheus::Gauge>& target_speeds_known_;
+    prometheus::Family<prometheus::Counter>& limited_clients_;
 };
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -24,6 +24,7 @@
     void start(std::function<void()> on_read_closely);
 
     [[nodiscard]] bool gives_orders() const { return lease_.held(); }
+    [[nodiscard]] bool may_order(core::common::time_point now) const;
     /// Models that each target holds, for the other gateways; empty unless the lease is held.
     [[nodiscard]] std::vector<wire::target_holding> holdings() const;
 
@@ -35,10 +36,11 @@
         std::set<std::string> copies_on_disk;
         core::common::time_point requested_at{}; // last report request
         bool report_pending = false;
+        std::string room_for; // model for which the latest order unloads another one
+        core::common::time_point room_until{};
     };
 
     void tick();
-    [[nodiscard]] bool may_order(core::common::time_point now) const;
 
     // Targets' state.
     void follow_directory();
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -194,6 +194,21 @@
                 self.lock.wait(left)
 
 
+class StoreLink:
+    """Another address of a store. When it is cut, connections there are closed without an answer."""
+
+    def __init__(self, store, address):
+        self.store, self.address, self.cut = store, address, False
+        self.server = Server(address, Handler, self)
+
+    def serve(self, call):
+        if not self.cut:
+            return self.store.serve(call)
+        call.body()
+        call.close_connection = True
+        return call.connection.shutdown(socket.SHUT_RDWR)
+
+
 class Target:
     """A model engine or a plain service, registered in the store."""
 
@@ -210,6 +225,9 @@
         self.break_stream_after = None     # number of events after which every stream breaks
         self.break_inside_event = False    # it breaks in the middle of the next event
         self.end_chunks_on_break = False   # such a stream has its last chunk
+        self.events = 10                   # of a stream
+        self.remaining_ms = None           # in the registration: time until it is removed
+        self.streams_left_at = []          # (time, request id, event) of streams whose connection the gateway closed
         self.endless = None                # what it sends without end, until the gateway closes: see send_without_end
         self.closed_by_gateway = []        # what it was sending then
         self.padding = 0                   # bytes at the end of every plain answer
@@ -222,6 +240,8 @@
         self.leaving = None                # value of the header Server-Leaving in all answers; None: no header
         self.pause = None                  # value of Retry-After in the 503 that every request gets; None: it runs
         self.limit = None                  # value of the header Server-Limit in all answers; None: no header
+        self.load = None                   # value of the header Server-Load in all answers; None: no header
+        self.event_pause_s = EVENT_PAUSE_S # between two events of a stream
         self.refused_at = []               # arrival time of each such request
         self.refuse_once = set()           # bodies of requests that it refuses, each once
         self.refusals = {}                 # by id of the request: its refusal, written again on kept connections
@@ -236,6 +256,8 @@
         spec = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": self.slots,
                 "state": state, "cold_left_ms": self.cold_ms, "born": self.born, "sequence": 1, "models": self.holding(),
                 "at_hand": {"in_memory": [], "on_disk": sorted(self.on_disk)}}
+        if self.remaining_ms is not None:
+            spec["remaining_ms"] = self.remaining_ms
         self.store.put("servers", self.name, spec)
 
     def holding(self):
@@ -278,6 +300,7 @@
             return call.answer(421, {}, [("Instance-Id", self.name)])
         leaving = [] if self.leaving is None else [("Server-Leaving", self.leaving)]
         leaving += [] if self.limit is None else [("Server-Limit", self.limit)]
+        leaving += [] if self.load is None else [("Server-Load", self.load)]
         if self.pause is not None:
             self.refused_at.append(time.monotonic())
             return call.answer(503, b"", [("Request-Id", request_id), ("Not-Executed", "1"),
@@ -342,10 +365,14 @@
         self.send_head(call, signed + [("Content-Type", "text/event-stream")] + framing)
 
         def write(data):
-            call.wfile.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
-            call.wfile.flush()
+            try:
+                call.wfile.write(data if self.unframed else b"%x\r\n%s\r\n" % (len(data), data))
+                call.wfile.flush()
+            except OSError:
+                self.streams_left_at.append((time.monotonic(), call.headers["Request-Id"], number))
+                raise
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
-        for number in range(first, 11):
+        for number in range(first, self.events + 1):
             mark = f" of {self.version}" if self.marks_version else ""
             event = f"id: {number}\ndata: piece {number}{mark}\n\n".encode()
             if self.break_stream_after is not None and number > self.break_stream_after:
@@ -356,7 +383,7 @@
                 call.close_connection = True
                 return call.connection.shutdown(socket.SHUT_RDWR)
             write(event)
-            time.sleep(EVENT_PAUSE_S)
+            time.sleep(self.event_pause_s)
         call.close_connection = self.unframed
         return call.wfile.write(b"" if self.unframed else b"0\r\n\r\n")
 
@@ -382,6 +409,34 @@
             "sticky": kind == "streaming", "resumable": False, "gap_aim_ms": 300, **more}
 
 
+class DutyPlatform:
+    """The platform's calls that one gateway at a time may make. It records all of them, also those that it refuses."""
+
+    def __init__(self, address):
+        self.address, self.lock = address, threading.Lock()
+        self.calls = []                    # (time, path, holder, fencing token, body) in order of arrival
+        self.answers = []                  # for the next calls: a status, or "lost"; then 200
+        self.server = Server(address, Handler, self)
+
+    def serve(self, call):
+        body = json.loads(call.body())
+        with self.lock:
+            self.calls.append((time.monotonic(), call.path, call.headers["Duty-Holder"], int(call.headers["Fencing-Token"]), body))
+            answer = self.answers.pop(0) if self.answers else 200
+        if answer != "lost":
+            return call.answer(answer, {})
+        call.close_connection = True
+        return call.connection.shutdown(socket.SHUT_RDWR)
+
+    def reports(self):
+        """{window: [(holder, token, counts) of each call]}"""
+        out = {}
+        for _, path, holder, token, body in list(self.calls):
+            assert path == "/usage", path
+            out.setdefault(body["window_id"], []).append((holder, token, body["counts"]))
+        return out
+
+
 def configuration(version=2, keys=("k-norte",), rate=1_000_000):
     engine = {"slots": 64, "kv_capacity": 100000, "weights_mb": 230000.0, "adapter_slots": 8, "loads_per_s": 4.0,
               "models": [{"name": f"m{number}", "weights_mb": 70000.0, "load_time_s": CONFIGURED_LOAD_S, "adapters": 4,
