--- a/tests/core/load_planning_speed_test.cpp
+++ b/tests/core/load_planning_speed_test.cpp
@@ -219,7 +219,7 @@
         int lost = 0;
         for (const auto& [model, spec] : spec_.models)
             lost += std::none_of(targets_.begin(), targets_.end(),
-                                 [&](const auto& one) { return one.models.contains(model); })
+                                 [&name = model](const auto& one) { return one.models.contains(name); })
                         ? 1
                         : 0;
         return lost;
