--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -18,7 +18,8 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-BINARY = ROOT / "target" / "waxwing-gateway"          # the program of deploy/system.toml
+BINARY = pathlib.Path(os.environ.get("GATEWAY", ROOT / "target" / "waxwing-gateway"))  # default: that of deploy/system.toml
+MEMORY_MB = int(os.environ.get("MEMORY_MB", 260))     # of an entry VM; the sheets name 120 to 512
 TEMPLATE = ROOT / "deploy" / "gateway.yaml.template"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 START = time.monotonic()
@@ -524,14 +525,73 @@
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)
 
 
-def fill_in(template, fields):
-    """The platform's filling in of a template: {{a}}, {{a.b}} and {{a.0}}."""
-    def value(match):
-        at = fields
-        for part in match[1].split("."):
-            at = at[int(part)] if isinstance(at, list) else at[part]
-        return str(at)
-    return re.sub(r"\{\{([\w.]+)\}\}", value, template)
+class Template:
+    """The platform's filling in of a template (DEPLOY.md): {{a}}, {{a.b}} and {{a.0}}, nothing where there is no value;
+    sections {{#a}} .. {{/a}}, once for each entry of a list or table, or once if the value is there, and {{^a}} .. {{/a}},
+    if it isn't."""
+    PART = re.compile(r"\{\{([#^/]?)([\w.@,]+)\}\}")
+
+    def __init__(self, text):
+        self.parts, self.at = self.PART.split(text), 0
+
+    def fill_in(self, fields):
+        return self.block([fields], None)
+
+    def block(self, scopes, until, entry="", separator="", used=True):
+        """The text up to the end of section `until`; empty if the section isn't `used`, which is read all the same."""
+        out = self.parts[self.at]
+        while self.at + 3 < len(self.parts):
+            mark, name = self.parts[self.at + 1:self.at + 3]
+            self.at += 3
+            if mark == "/":
+                if name != until:
+                    raise Unusable(f"section {until} ends as {name}")
+                return out if used else ""
+            if mark:
+                out += self.section(mark, name, scopes, used)
+            else:
+                out += {"@": entry, ",": separator}.get(name) if name in "@," else self.text(self.find(name, scopes))
+            out += self.parts[self.at]
+        if until is not None:
+            raise Unusable(f"section {until} has no end")
+        return out
+
+    def section(self, mark, name, scopes, used):
+        value, start = self.find(name, scopes), self.at
+        empty = value is None or value is False or value == [] or value == {}
+        if mark == "^" or empty:
+            return self.block(scopes, name, used=used and (mark == "^") == empty)
+        entries = [("", value)]
+        if isinstance(value, list):
+            entries = list(enumerate(value))
+        elif isinstance(value, dict):
+            entries = list(value.items())
+        out = ""
+        for number, (key, item) in enumerate(entries):
+            self.at = start
+            out += self.block([*scopes, item], name, str(key), "," if number + 1 < len(entries) else "", used)
+        return out
+
+    @staticmethod
+    def find(name, scopes):
+        if name == ".":
+            return scopes[-1]
+        for scope in reversed(scopes):
+            at = scope
+            for part in name.split("."):
+                known = at.get(part) if isinstance(at, dict) else None
+                if isinstance(at, list) and part.isdigit() and int(part) < len(at):
+                    known = at[int(part)]
+                at = known
+            if at is not None:
+                return at
+        return None
+
+    @staticmethod
+    def text(value):
+        if isinstance(value, list):
+            return ",".join(str(entry) for entry in value)
+        return "" if value is None else json.dumps(value) if isinstance(value, (dict, bool)) else str(value)
 
 
 class Gateway:
@@ -542,9 +602,9 @@
         self.front, self.ready = free_address(), free_address()
         fields = {"node": name, "zone": zone, "ip": "127.0.0.1", "listen": {"front": self.front, "ready": self.ready},
                   "internal_ports": [free_port(), free_port()], "platform": {"address": store_address},
-                  "limits": {"cpu_share": 0.19}, "bounds": BOUNDS}
+                  "limits": {"cpu_share": 0.19, "memory_mb": MEMORY_MB}, "bounds": BOUNDS}
         self.settings = pathlib.Path(folder) / f"{name}.yaml"
-        self.settings.write_text(fill_in(TEMPLATE.read_text(), fields))
+        self.settings.write_text(Template(TEMPLATE.read_text()).fill_in(fields))
         self.log = pathlib.Path(folder) / f"{name}.log"
         self.metrics = f"127.0.0.1:{fields['internal_ports'][1]}"
 
--- a/tests/contract/http_test.cpp
+++ b/tests/contract/http_test.cpp
@@ -91,6 +91,15 @@
         ::close(socket);
         return total;
     }
+    /// Takes the waiting connection, reads once, sends `bytes` and closes.
+    void answer(std::string_view bytes) const {
+        const int socket = ::accept(listening, nullptr, nullptr);
+        std::array<char, 4096> request{};
+        EXPECT_GT(::recv(socket, request.data(), request.size(), 0), 0);
+        EXPECT_EQ(::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+        ::close(socket);
+    }
     mute_peer() : listening(::socket(AF_INET, SOCK_STREAM, 0)) {
         sockaddr_in local{};
         local.sin_family = AF_INET;
@@ -194,6 +203,17 @@
     EXPECT_EQ(requester.wait().outcome, edge::client_outcome::interrupted);
 }
 
+TEST(http, an_answer_that_ends_inside_its_head_ends_as_interrupted) {
+    const std::string head = "HTTP/1.1 200 OK\r\nResponse-Signature: s1\r\nContent-Length: 4\r\n\r\n";
+    const mute_peer peer;
+    caller requester;
+    for (std::size_t size = 1; size < head.size(); ++size) {
+        requester.send(get("http://127.0.0.1:" + std::to_string(peer.port) + "/"));
+        peer.answer(head.substr(0, size));
+        EXPECT_EQ(requester.wait().outcome, edge::client_outcome::interrupted) << size << " bytes";
+    }
+}
+
 TEST(http, a_withdrawn_call_that_is_given_up_does_not_arrive_later) {
     const mute_peer peer;
     const int few_bytes = 2'048; // the rest of the request waits in the caller's kernel
--- a/tests/contract/target_link_test.cpp
+++ b/tests/contract/target_link_test.cpp
@@ -270,6 +270,18 @@
     }
 }
 
+TEST(target_link, a_head_that_ends_at_any_byte_is_no_answer) {
+    const std::string whole = answer("r1", "", "Response-Signature: s1\r\n");
+    for (std::size_t size = 1; size < whole.size(); ++size) {
+        scripted_target target{[&](const std::string&, int) { return whole.substr(0, size) + "close"; }};
+        test_client client{target.address};
+        const auto out = client.ask("r1");
+        ASSERT_TRUE(out.failure.has_value()) << size << " bytes";
+        EXPECT_FALSE(out.complete) << size << " bytes";
+        EXPECT_EQ(out.status, 0) << size << " bytes: a head was taken for whole";
+    }
+}
+
 TEST(target_link, late_answer_without_end_fails_and_closes_the_connection) {
     scripted_target target{[](const std::string& request, int) {
         if (request.find("r2") == std::string::npos)
