Test: registrations from before a departure bring no target back (known red)

The stand-in of the store answers a watch with a part of a long history, as the platform's does. A gateway that relies on its peers reads the registrations itself every 10 s, from where it stopped: the part that it gets then ends before the departure that a peer had told of, and resets it.

--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -95,6 +95,7 @@
         self.era = None                    # value of the header Store-Era; None: no header
         self.copy = ({}, self.revision)    # objects and revision, for restore()
         self.texts = {}                    # mark that stands in the objects: the bytes that answers have there
+        self.max_events = None             # in one answer to a watch; the rest comes with the next ones
         self.unavailable_kinds = set()     # calls for these kinds get 503
         self.calls = []                    # (time, method, kind) of all calls
         self.lists = []                    # kinds of all lists
@@ -187,10 +188,12 @@
             while True:
                 if since < self.history_from or since > self.revision:
                     return 410, {}
-                events = [event for revision, event_kind, event in self.history if event_kind == kind and revision > since]
+                events = [(revision, event) for revision, event_kind, event in self.history if event_kind == kind and revision > since]
                 left = until - time.monotonic()
                 if events or left <= 0:
-                    return 200, {"events": events, "current_rev": self.revision}
+                    part = events[:self.max_events]
+                    at = self.revision if len(part) == len(events) else part[-1][0]
+                    return 200, {"events": [event for _, event in part], "current_rev": at}
                 self.lock.wait(left)
 
 
