--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -164,17 +164,29 @@
 struct coming_model { 1: string model, 2: i64 ready_ms }
 /** What a target holds, as known to the gateway that sends it orders. coming: models being loaded. */
 struct target_holding { 1: string target, 2: i64 born, 3: i64 sequence, 4: list<string> models, 5: list<coming_model> coming }
-/** remaining_ms: time until it is removed at short notice; unset if it isn't, or nothing is known of it. */
-struct leaving_target { 1: string target, 2: i64 born, 3: optional i64 remaining_ms }
+/**
+ * A start of a target that was draining or not registered as of a place in the store's history (era, revision; the highest
+ * values: it said so itself), which a gateway read age_ms ago. remaining_ms: time until it is removed at short notice; unset
+ * if it isn't, or nothing is known of it.
+ */
+struct leaving_target {
+  1: string target, 2: i64 born, 3: optional i64 remaining_ms, 4: optional i64 era, 5: optional i64 revision,
+  6: optional i64 age_ms
+}
 /** Requests a second that a target takes from all gateways together, as it said age_ms ago; -1: no limit any more. */
 struct target_limit { 1: string target, 2: i64 born, 3: double per_second, 4: i64 age_ms }
 /** A data centre that stays out for so long, although the store, restored from an older copy, lacks its entry. */
 struct held_centre { 1: string data_centre, 2: i64 left_ms }
-/** A target's registration, for a gateway that can't read the store. */
+/** A target's registration, for a gateway that can't read the store. era, revision: of its last change. */
 struct target_registration {
   1: string target, 2: i64 born, 3: string service_name, 4: string address, 5: string data_centre, 6: i32 slots,
-  7: bool draining, 8: i64 cold_ms, 9: string software_version
+  7: bool draining, 8: i64 cold_ms, 9: string software_version, 10: optional i64 era, 11: optional i64 revision
 }
+/**
+ * How old what the sender knows of the store is: it knows all changes up to that time ago, of one kind each; -1: it has
+ * known of none. era, revision: of the registrations that it sends.
+ */
+struct store_view { 1: i64 departures_ms, 2: i64 configuration_ms, 3: i64 data_centres_ms, 4: i64 era, 5: i64 revision }
 /** Streams that began at targets of one software version, by hashes of the request ids that brought their first events. */
 struct stream_origins { 1: string software_version, 2: list<i64> attempts }
 /**
@@ -219,6 +231,7 @@
  * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
  * unix_ms: the sender's time of day; set where duties are configured, as usage is: the sender's usage windows that may not
  * have been reported yet, sent to gateways that give orders.
+ * view: how old what it knows of the store is; leaving_targets then has all departures that it knows.
  * speeds: lasting speeds of targets; set only where targets state their load.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
@@ -235,7 +248,7 @@
   31: optional group_status group_use, 32: optional outside_status outside, 33: bool has_details,
   34: list<suspect_part> suspect_parts, 35: list<target_limit> target_limits,
   36: list<stream_origins> origins, 37: list<suspect_part> suspect_requests, 38: optional i64 unix_ms,
-  39: optional list<usage_window> usage, 40: optional list<target_speed> speeds
+  39: optional list<usage_window> usage, 40: optional list<target_speed> speeds, 41: optional store_view view
 }
 
 /**
--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -5,6 +5,7 @@
 
 namespace waxwinglb::core::fleet {
 
+using common::store_position;
 using common::time_point;
 
 bool directory::in_outage(time_point now) const {
@@ -49,29 +50,35 @@
             known.lapsed_until = now + grace();
 }
 
-void directory::apply(const std::vector<target_change>& changes, time_point now) {
+void directory::apply(const std::vector<target_change>& changes, store_position at, time_point now) {
     for (const target_change& change : changes)
         if (change.entry)
             upsert(*change.entry, now);
         else if (change.unusable)
             forget(change.id);
         else
-            remove(change.id, now);
+            remove(change.id, at, now);
+    read_at_ = std::max(read_at_, at);
 }
 
 void directory::forget(const std::string& id) {
     targets_.erase(id);
 }
 
-void directory::replace_all(const std::vector<target_entry>& entries, time_point now, list_source source) {
-    if (source == list_source::restored_store) {
+void directory::replace_all(const target_list& list, time_point now) {
+    const bool restored = list.source == list_source::restored_store;
+    if (restored) {
         in_store_outage_ = outage_reported_only_ = false;
         begin_lapse_grace(now);
     }
+    if (list.at.era > read_at_.era) {
+        departures_.begin_era(list.at);
+        era_begun_at_ = list.at;
+    }
     std::set<std::string> listed;
-    for (const target_entry& entry : entries) {
+    for (const target_entry& entry : list.entries) {
         listed.insert(entry.id);
-        const auto used = source == list_source::store ? entry : corrected(entry);
+        const auto used = restored ? corrected(entry) : entry;
         if (used)
             upsert(*used, now);
     }
@@ -80,24 +87,33 @@
         if (!listed.contains(id) && !known.lapsed_until)
             missing.push_back(id);
     for (const std::string& id : missing)
-        remove(id, now);
+        remove(id, list.at, now);
+    read_at_ = std::max(read_at_, list.at);
     loaded_ = true;
 }
 
 std::optional<target_entry> directory::corrected(const target_entry& entry) const {
     const target* known = find(entry.id);
-    if (left_.contains({entry.id, entry.born}) || (known != nullptr && known->entry.born > entry.born))
+    const bool departed = departures_.contains({entry.id, entry.born});
+    if ((known != nullptr && known->entry.born > entry.born) ||
+        (departed && (known == nullptr || known->entry.born != entry.born)))
         return std::nullopt;
     target_entry out = entry;
-    if (known != nullptr && known->entry.born == entry.born)
-        out.draining = entry.draining || known->entry.draining || known->leaving_by_peer;
+    out.draining = entry.draining || departed;
     return out;
 }
 
+bool directory::is_registered(const target_start& start) const {
+    const target* known = find(start.id);
+    return known != nullptr && known->entry.born == start.born;
+}
+
 void directory::upsert(const target_entry& entry, time_point now) {
     const target_start start{entry.id, entry.born};
-    if (!entry.draining)
-        left_.erase(start); // its registration had lapsed for longer than the grace
+    if (entry.draining)
+        departures_.note({start, entry.changed}, now);
+    else
+        departures_.note_registered(start, entry.changed); // it may have lapsed for longer than the grace
     target& known = targets_[entry.id];
     const bool same_start = known.entry.born == entry.born && !known.entry.id.empty();
     if (!same_start)
@@ -109,7 +125,7 @@
         same_start && known.described_at != time_point{} && now - known.described_at < description_term;
     auto known_models = std::move(known.entry.models);
     known.entry = entry;
-    known.leaving_by_peer = false; // the new registration supersedes the peer
+    known.departed = departures_.contains(start);
     if (described || (same_start && !entry.describes_models))
         known.entry.models = std::move(known_models);
     else
@@ -126,12 +142,12 @@
     known.gone_at = std::min(known.gone_at.value_or(time_point::max()), at);
 }
 
-void directory::remove(const std::string& id, time_point now) {
+void directory::remove(const std::string& id, store_position at, time_point now) {
     const auto found = targets_.find(id);
     if (found == targets_.end())
         return;
-    if (!in_outage(now) || found->second.entry.draining || found->second.said_leaving_at) {
-        left_[{id, found->second.entry.born}] = now;
+    if (!in_outage(now) || found->second.leaving()) {
+        departures_.note({{id, found->second.entry.born}, at}, now);
         targets_.erase(found);
         return;
     }
@@ -153,11 +169,21 @@
     known.described_at = now;
 }
 
-bool directory::mark_leaving(const target_start& start) {
-    const auto found = targets_.find(start.id);
-    if (found == targets_.end() || found->second.entry.born != start.born)
+bool directory::note_departure(const departure& heard, time_point now) {
+    const bool registered = is_registered(heard.start);
+    if (!registered && heard.age > departure_retention)
         return false;
-    return !std::exchange(found->second.leaving_by_peer, true);
+    departure noted = heard;
+    if (registered) {
+        target& known = targets_[heard.start.id];
+        const store_position changed = known.entry.changed;
+        if (heard.at.era < changed.era && changed <= era_begun_at_)
+            noted.at = era_begun_at_; // the registration may be older than the restore
+        else if (heard.at != store_position{} && heard.at < changed)
+            return false; // it has been registered again since
+        known.departed = true;
+    }
+    return departures_.note(noted, now);
 }
 
 bool directory::note_removal(const target_start& start, common::milliseconds remaining, time_point now) {
@@ -175,6 +201,7 @@
         return false;
     found->second.said_leaving_at = now;
     said_leaving_[start] = now;
+    departures_.note({start, whole_start}, now);
     return true;
 }
 
@@ -185,42 +212,46 @@
 }
 
 void directory::merge_from_peer(const target_entry& entry, time_point now) {
-    if (entry.draining || left_.contains({entry.id, entry.born}))
+    const target_start start{entry.id, entry.born};
+    const bool stated = entry.changed != store_position{};
+    if (entry.draining || (departures_.contains(start) && !stated) ||
+        departures_.covers(start, entry.changed))
         return;
     const auto known = targets_.find(entry.id);
+    if (known == targets_.end() && stated && entry.changed <= read_at_)
+        return; // this process has read a later state without it
     if (known == targets_.end() || known->second.entry.born < entry.born)
         upsert(entry, now);
     else if (known->second.entry.born == entry.born)
         known->second.cold_until = std::max(known->second.cold_until, now + entry.cold_left);
 }
 
-void directory::adopt(const std::vector<target_entry>& entries, time_point now) {
+void directory::adopt(const target_list& list, time_point now) {
     std::set<std::string> listed;
-    for (const target_entry& entry : entries) {
+    for (const target_entry& entry : list.entries) {
+        const target_start start{entry.id, entry.born};
         listed.insert(entry.id);
-        const auto known = targets_.find(entry.id);
-        if (known == targets_.end() || known->second.entry.born != entry.born)
+        if (departures_.covers(start, entry.changed))
+            continue;
+        if (!is_registered(start))
             upsert(entry, now);
-        target& adopted = targets_[entry.id];
-        adopted.leaving_by_peer = adopted.leaving_by_peer || entry.draining;
-        adopted.entry.draining = adopted.entry.draining && known != targets_.end();
+        else if (entry.draining)
+            note_departure({start, entry.changed}, now);
     }
-    std::erase_if(targets_, [&](const auto& entry) { return !listed.contains(entry.first); });
-    loaded_ = loaded_ || !entries.empty();
-}
-
-std::vector<target_start> directory::leaving_targets() const {
-    std::vector<target_start> result;
-    for (const auto& [start, at] : left_)
-        result.push_back(start);
-    for (const auto& [id, known] : targets_)
-        if ((known.entry.draining || known.said_leaving_at) && !left_.contains({id, known.entry.born}))
-            result.push_back({id, known.entry.born});
-    return result;
+    std::erase_if(targets_, [&](const auto& known) {
+        const target_entry& entry = known.second.entry;
+        if (listed.contains(known.first) || (list.at != store_position{} && entry.changed > list.at))
+            return false;
+        if (list.at != store_position{})
+            departures_.note({{entry.id, entry.born}, list.at}, now);
+        return true;
+    });
+    read_at_ = std::max(read_at_, list.at);
+    loaded_ = loaded_ || !list.entries.empty();
 }
 
 std::vector<std::string> directory::expire(time_point now) {
-    std::erase_if(left_, [&](const auto& entry) { return now - entry.second > left_retention; });
+    departures_.expire(now, [this](const target_start& start) { return is_registered(start); });
     std::erase_if(said_leaving_,
                   [&](const auto& entry) { return now - entry.second > said_leaving_retention; });
     std::vector<std::string> dropped;
@@ -231,7 +262,7 @@
             continue;
         }
         dropped.push_back(known->first);
-        left_[{known->first, known->second.entry.born}] = now;
+        departures_.note({{known->first, known->second.entry.born}, read_at_}, now);
         known = targets_.erase(known);
     }
     return dropped;
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -10,10 +10,14 @@
 /// A store that was restored from an older copy lists registrations as they were some seconds ago. Until a
 /// target writes its registration again, what was known before the restore holds.
 ///
+/// Registrations and departures bear their place in the store's history, so the later one holds in whatever
+/// order and from whomever they arrive (core/fleet/departures).
+///
 /// A target also speaks for itself in its answers: that it is leaving, or that it wants no requests from this
 /// process for some time. Both hold for the start of the target that said so.
 #pragma once
 
+#include "core/fleet/departures.hpp"
 #include "core/fleet/model.hpp"
 
 #include <map>
@@ -29,9 +33,8 @@
 // missing registration means that the target has left, and no request may reach the target later than 2 s
 // after that. So this is 2 s less the time to learn of the removal and to reach the target.
 constexpr common::milliseconds reported_lapse_grace{1'500};
-constexpr common::milliseconds outage_report_delay{1'600}; // from the store's last answer to that report
-constexpr common::milliseconds left_retention{30'000};     // how long peers are told that a target has left
-constexpr common::milliseconds description_term{3'000};    // order giver's data overrides registrations
+constexpr common::milliseconds outage_report_delay{1'600};      // from the store's last answer to that report
+constexpr common::milliseconds description_term{3'000};         // order giver's data overrides registrations
 constexpr common::milliseconds said_leaving_retention{600'000}; // longer than any target takes to leave
 
 /// A time for which a target wants no requests from this process.
@@ -49,12 +52,12 @@
     std::map<std::string, common::time_point> coming;  // models being loaded -> when they should be ready
     std::int64_t orders = 0;                           // accepted orders, as of `described_at`
     common::time_point described_at{};                 // time of the order giver's last description
-    bool leaving_by_peer = false;                      // a peer says so; reset by the next registration
+    bool departed = false;                             // its start is among the departures
     std::optional<common::time_point> said_leaving_at; // by an answer of the target; holds for this start
     std::optional<target_pause> pause;                 // the latest that the target asked for
 
     /// True if no more requests may be sent to it.
-    [[nodiscard]] bool leaving() const { return entry.draining || leaving_by_peer || said_leaving_at; }
+    [[nodiscard]] bool leaving() const { return entry.draining || departed || said_leaving_at; }
     [[nodiscard]] bool paused(common::time_point now) const { return pause && now < pause->until; }
 };
 
@@ -71,25 +74,22 @@
     restored_store, // the first list after the store was restored from an older copy
 };
 
-/// One start of a target.
-struct target_start {
-    std::string id;
-    std::int64_t born = 0;
-    bool operator==(const target_start&) const = default;
-    bool operator<(const target_start& other) const {
-        return std::tie(id, born) < std::tie(other.id, other.born);
-    }
+/// All registrations as of one place in the store's history.
+struct target_list {
+    std::vector<target_entry> entries;
+    common::store_position at{}; // default: not stated
+    list_source source = list_source::store;
 };
 
 class directory {
 public:
     /// Applies changes in the order in which they were made; one batch may both change and remove a target.
-    void apply(const std::vector<target_change>& changes, common::time_point now);
+    /// `at`: the store's position after them.
+    void apply(const std::vector<target_change>& changes, common::store_position at, common::time_point now);
     /// Applies a complete list. Targets that it lacks are treated like removed ones.
-    void replace_all(const std::vector<target_entry>& entries, common::time_point now,
-                     list_source source = list_source::store);
+    void replace_all(const target_list& list, common::time_point now);
     void upsert(const target_entry& entry, common::time_point now);
-    void remove(const std::string& id, common::time_point now);
+    void remove(const std::string& id, common::store_position at, common::time_point now);
     void forget(const std::string& id); // its registration names no target any more; it may name one again
 
     // The store's state, as seen by the calls to it.
@@ -106,9 +106,9 @@
     void describe(const std::string& id, std::int64_t born, std::int64_t orders,
                   const std::map<std::string, std::vector<std::string>>& models,
                   const std::map<std::string, common::time_point>& coming, common::time_point now);
-    /// A peer reports that a target is leaving or has left: no more requests are sent to this start of it.
-    /// Returns true if no peer had reported it before.
-    bool mark_leaving(const target_start& start);
+    /// A peer reports that a start of a target is leaving or has left. Holds also for a start that isn't
+    /// known yet. Returns true if this is new.
+    bool note_departure(const departure& heard, common::time_point now);
 
     /// A peer reports when a target will be removed at short notice. The earliest time that was named stands.
     /// Returns true if none was known.
@@ -123,10 +123,14 @@
     /// A peer reports a target that has started or become cold. Applied only where newer than what is known.
     void merge_from_peer(const target_entry& entry, common::time_point now);
     /// Replaces the list by a peer's, for a process that can't read the store itself. Known models are kept.
-    void adopt(const std::vector<target_entry>& entries, common::time_point now);
+    void adopt(const target_list& list, common::time_point now);
 
-    /// Starts of targets that are leaving or have left recently, to tell the peers.
-    [[nodiscard]] std::vector<target_start> leaving_targets() const;
+    /// Starts of targets that are leaving or have left recently, as read or heard, for the peers.
+    [[nodiscard]] std::vector<departure> departures_known(common::time_point now) const {
+        return departures_.all(now);
+    }
+    /// Place in the store's history up to which this process has read the registrations.
+    [[nodiscard]] common::store_position read_at() const { return read_at_; }
 
     /// Drops targets whose grace has ended. Returns their ids.
     std::vector<std::string> expire(common::time_point now);
@@ -140,13 +144,16 @@
     [[nodiscard]] common::milliseconds grace() const; // for lapsed registrations
     /// The entry of a restored store's list, corrected by what is known; nullopt: it must not be used.
     [[nodiscard]] std::optional<target_entry> corrected(const target_entry& entry) const;
+    [[nodiscard]] bool is_registered(const target_start& start) const;
     void begin_lapse_grace(common::time_point now);
 
     void set_gone_at(target& known, common::time_point at);
 
     std::map<std::string, target> targets_;
     std::int64_t removals_noted_ = 0;
-    std::map<target_start, common::time_point> left_;         // -> when it left
+    departures departures_;
+    common::store_position read_at_;
+    common::store_position era_begun_at_;                     // of the first list of the store's present era
     std::map<target_start, common::time_point> said_leaving_; // -> when it said so; kept while it lapses
     bool loaded_ = false;
     bool in_store_outage_ = false;
--- a/src/core/fleet/model.hpp
+++ b/src/core/fleet/model.hpp
@@ -2,6 +2,7 @@
 /// Plain data; units as the field comments say, sizes of models in megabytes.
 #pragma once
 
+#include "core/common/store_position.hpp"
 #include "core/common/time.hpp"
 
 #include <cstdint>
@@ -119,8 +120,9 @@
 
 /// A target as it registered itself.
 struct target_entry {
-    std::string id;        // of this start of the target or, for some targets, of its machine
-    std::int64_t born = 0; // Unix ms of its start; after another start it holds nothing from before
+    std::string id;                 // of this start of the target or, for some targets, of its machine
+    std::int64_t born = 0;          // Unix ms of its start; after another start it holds nothing from before
+    common::store_position changed; // of the registration; default: not stated
     std::string service;
     std::string address; // "ip:port"
     std::string data_centre;
--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -26,6 +26,7 @@
 inline constexpr std::string_view store_lost = "store_lost";
 inline constexpr std::string_view store_regained = "store_regained";
 inline constexpr std::string_view store_restored = "store_restored";
+inline constexpr std::string_view store_view_old = "store_view_old";
 inline constexpr std::string_view peer_lost = "peer_lost";
 inline constexpr std::string_view peer_regained = "peer_regained";
 inline constexpr std::string_view datagram_ignored = "datagram_ignored";
@@ -91,7 +92,7 @@
     usage_decided,        usage_reported,      usage_given_up,        usage_not_counted,
     usage_object_ignored, clock_jumped,        target_ending,         request_on_notice,
     scale_decided,        target_load_ignored, target_speed_changed,  turn_asked,
-    turn_granted,         turns_held,          client_limited};
+    turn_granted,         turns_held,          client_limited,        store_view_old};
 /// Events that callers, targets or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed,       request_sent,        request_retried,      request_refused,
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -10119,6 +10119,21 @@
   this->remaining_ms = val;
 __isset.remaining_ms = true;
 }
+
+void leaving_target::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void leaving_target::__set_revision(const int64_t val) {
+  this->revision = val;
+__isset.revision = true;
+}
+
+void leaving_target::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+__isset.age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const leaving_target& obj)
 {
   obj.printTo(out);
@@ -10171,6 +10186,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10201,6 +10240,21 @@
     xfer += oprot->writeI64(this->remaining_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.revision) {
+    xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->revision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.age_ms) {
+    xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10211,6 +10265,9 @@
   swap(a.target, b.target);
   swap(a.born, b.born);
   swap(a.remaining_ms, b.remaining_ms);
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
+  swap(a.age_ms, b.age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -10218,18 +10275,27 @@
   target = other314.target;
   born = other314.born;
   remaining_ms = other314.remaining_ms;
+  era = other314.era;
+  revision = other314.revision;
+  age_ms = other314.age_ms;
   __isset = other314.__isset;
 }
 leaving_target::leaving_target(leaving_target&& other315) noexcept {
   target = std::move(other315.target);
   born = other315.born;
   remaining_ms = other315.remaining_ms;
+  era = other315.era;
+  revision = other315.revision;
+  age_ms = other315.age_ms;
   __isset = other315.__isset;
 }
 leaving_target& leaving_target::operator=(const leaving_target& other316) {
   target = other316.target;
   born = other316.born;
   remaining_ms = other316.remaining_ms;
+  era = other316.era;
+  revision = other316.revision;
+  age_ms = other316.age_ms;
   __isset = other316.__isset;
   return *this;
 }
@@ -10237,6 +10303,9 @@
   target = std::move(other317.target);
   born = other317.born;
   remaining_ms = other317.remaining_ms;
+  era = other317.era;
+  revision = other317.revision;
+  age_ms = other317.age_ms;
   __isset = other317.__isset;
   return *this;
 }
@@ -10246,6 +10315,9 @@
   out << "target=" << to_string(target);
   out << ", " << "born=" << to_string(born);
   out << ", " << "remaining_ms="; (__isset.remaining_ms ? (out << to_string(remaining_ms)) : (out << "<null>"));
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "revision="; (__isset.revision ? (out << to_string(revision)) : (out << "<null>"));
+  out << ", " << "age_ms="; (__isset.age_ms ? (out << to_string(age_ms)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10579,6 +10651,16 @@
 void target_registration::__set_software_version(const std::string& val) {
   this->software_version = val;
 }
+
+void target_registration::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void target_registration::__set_revision(const int64_t val) {
+  this->revision = val;
+__isset.revision = true;
+}
 std::ostream& operator<<(std::ostream& out, const target_registration& obj)
 {
   obj.printTo(out);
@@ -10679,6 +10761,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10732,6 +10830,16 @@
   xfer += oprot->writeString(this->software_version);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 10);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.revision) {
+    xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->revision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10748,6 +10856,8 @@
   swap(a.draining, b.draining);
   swap(a.cold_ms, b.cold_ms);
   swap(a.software_version, b.software_version);
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -10761,6 +10871,8 @@
   draining = other326.draining;
   cold_ms = other326.cold_ms;
   software_version = other326.software_version;
+  era = other326.era;
+  revision = other326.revision;
   __isset = other326.__isset;
 }
 target_registration::target_registration(target_registration&& other327) noexcept {
@@ -10773,6 +10885,8 @@
   draining = other327.draining;
   cold_ms = other327.cold_ms;
   software_version = std::move(other327.software_version);
+  era = other327.era;
+  revision = other327.revision;
   __isset = other327.__isset;
 }
 target_registration& target_registration::operator=(const target_registration& other328) {
@@ -10785,6 +10899,8 @@
   draining = other328.draining;
   cold_ms = other328.cold_ms;
   software_version = other328.software_version;
+  era = other328.era;
+  revision = other328.revision;
   __isset = other328.__isset;
   return *this;
 }
@@ -10798,6 +10914,8 @@
   draining = other329.draining;
   cold_ms = other329.cold_ms;
   software_version = std::move(other329.software_version);
+  era = other329.era;
+  revision = other329.revision;
   __isset = other329.__isset;
   return *this;
 }
@@ -10813,6 +10931,197 @@
   out << ", " << "draining=" << to_string(draining);
   out << ", " << "cold_ms=" << to_string(cold_ms);
   out << ", " << "software_version=" << to_string(software_version);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "revision="; (__isset.revision ? (out << to_string(revision)) : (out << "<null>"));
+  out << ")";
+}
+
+
+store_view::~store_view() noexcept {
+}
+
+
+void store_view::__set_departures_ms(const int64_t val) {
+  this->departures_ms = val;
+}
+
+void store_view::__set_configuration_ms(const int64_t val) {
+  this->configuration_ms = val;
+}
+
+void store_view::__set_data_centres_ms(const int64_t val) {
+  this->data_centres_ms = val;
+}
+
+void store_view::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void store_view::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const store_view& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t store_view::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->departures_ms);
+          this->__isset.departures_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration_ms);
+          this->__isset.configuration_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->data_centres_ms);
+          this->__isset.data_centres_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t store_view::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("store_view");
+
+  xfer += oprot->writeFieldBegin("departures_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->departures_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configuration_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->configuration_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centres_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->data_centres_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(store_view &a, store_view &b) {
+  using ::std::swap;
+  swap(a.departures_ms, b.departures_ms);
+  swap(a.configuration_ms, b.configuration_ms);
+  swap(a.data_centres_ms, b.data_centres_ms);
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+store_view::store_view(const store_view& other330) noexcept {
+  departures_ms = other330.departures_ms;
+  configuration_ms = other330.configuration_ms;
+  data_centres_ms = other330.data_centres_ms;
+  era = other330.era;
+  revision = other330.revision;
+  __isset = other330.__isset;
+}
+store_view::store_view(store_view&& other331) noexcept {
+  departures_ms = other331.departures_ms;
+  configuration_ms = other331.configuration_ms;
+  data_centres_ms = other331.data_centres_ms;
+  era = other331.era;
+  revision = other331.revision;
+  __isset = other331.__isset;
+}
+store_view& store_view::operator=(const store_view& other332) noexcept {
+  departures_ms = other332.departures_ms;
+  configuration_ms = other332.configuration_ms;
+  data_centres_ms = other332.data_centres_ms;
+  era = other332.era;
+  revision = other332.revision;
+  __isset = other332.__isset;
+  return *this;
+}
+store_view& store_view::operator=(store_view&& other333) noexcept {
+  departures_ms = other333.departures_ms;
+  configuration_ms = other333.configuration_ms;
+  data_centres_ms = other333.data_centres_ms;
+  era = other333.era;
+  revision = other333.revision;
+  __isset = other333.__isset;
+  return *this;
+}
+void store_view::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "store_view(";
+  out << "departures_ms=" << to_string(departures_ms);
+  out << ", " << "configuration_ms=" << to_string(configuration_ms);
+  out << ", " << "data_centres_ms=" << to_string(data_centres_ms);
+  out << ", " << "era=" << to_string(era);
+  out << ", " << "revision=" << to_string(revision);
   out << ")";
 }
 
@@ -10868,14 +11177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attempts.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->attempts.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size334;
+            ::apache::thrift::protocol::TType _etype337;
+            xfer += iprot->readListBegin(_etype337, _size334);
+            this->attempts.resize(_size334);
+            uint32_t _i338;
+            for (_i338 = 0; _i338 < _size334; ++_i338)
             {
-              xfer += iprot->readI64(this->attempts[_i334]);
+              xfer += iprot->readI64(this->attempts[_i338]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10908,10 +11217,10 @@
   xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->attempts.size()));
-    std::vector<int64_t> ::const_iterator _iter335;
-    for (_iter335 = this->attempts.begin(); _iter335 != this->attempts.end(); ++_iter335)
+    std::vector<int64_t> ::const_iterator _iter339;
+    for (_iter339 = this->attempts.begin(); _iter339 != this->attempts.end(); ++_iter339)
     {
-      xfer += oprot->writeI64((*_iter335));
+      xfer += oprot->writeI64((*_iter339));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10929,26 +11238,26 @@
   swap(a.__isset, b.__isset);
 }
 
-stream_origins::stream_origins(const stream_origins& other336) {
-  software_version = other336.software_version;
-  attempts = other336.attempts;
-  __isset = other336.__isset;
+stream_origins::stream_origins(const stream_origins& other340) {
+  software_version = other340.software_version;
+  attempts = other340.attempts;
+  __isset = other340.__isset;
 }
-stream_origins::stream_origins(stream_origins&& other337) noexcept {
-  software_version = std::move(other337.software_version);
-  attempts = std::move(other337.attempts);
-  __isset = other337.__isset;
+stream_origins::stream_origins(stream_origins&& other341) noexcept {
+  software_version = std::move(other341.software_version);
+  attempts = std::move(other341.attempts);
+  __isset = other341.__isset;
 }
-stream_origins& stream_origins::operator=(const stream_origins& other338) {
-  software_version = other338.software_version;
-  attempts = other338.attempts;
-  __isset = other338.__isset;
+stream_origins& stream_origins::operator=(const stream_origins& other342) {
+  software_version = other342.software_version;
+  attempts = other342.attempts;
+  __isset = other342.__isset;
   return *this;
 }
-stream_origins& stream_origins::operator=(stream_origins&& other339) noexcept {
-  software_version = std::move(other339.software_version);
-  attempts = std::move(other339.attempts);
-  __isset = other339.__isset;
+stream_origins& stream_origins::operator=(stream_origins&& other343) noexcept {
+  software_version = std::move(other343.software_version);
+  attempts = std::move(other343.attempts);
+  __isset = other343.__isset;
   return *this;
 }
 void stream_origins::printTo(std::ostream& out) const {
@@ -11019,14 +11328,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->target_runs.clear();
-            uint32_t _size340;
-            ::apache::thrift::protocol::TType _etype343;
-            xfer += iprot->readListBegin(_etype343, _size340);
-            this->target_runs.resize(_size340);
-            uint32_t _i344;
-            for (_i344 = 0; _i344 < _size340; ++_i344)
+            uint32_t _size344;
+            ::apache::thrift::protocol::TType _etype347;
+            xfer += iprot->readListBegin(_etype347, _size344);
+            this->target_runs.resize(_size344);
+            uint32_t _i348;
+            for (_i348 = 0; _i348 < _size344; ++_i348)
             {
-              xfer += iprot->readI64(this->target_runs[_i344]);
+              xfer += iprot->readI64(this->target_runs[_i348]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11039,14 +11348,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ages_ms.clear();
-            uint32_t _size345;
-            ::apache::thrift::protocol::TType _etype348;
-            xfer += iprot->readListBegin(_etype348, _size345);
-            this->ages_ms.resize(_size345);
-            uint32_t _i349;
-            for (_i349 = 0; _i349 < _size345; ++_i349)
+            uint32_t _size349;
+            ::apache::thrift::protocol::TType _etype352;
+            xfer += iprot->readListBegin(_etype352, _size349);
+            this->ages_ms.resize(_size349);
+            uint32_t _i353;
+            for (_i353 = 0; _i353 < _size349; ++_i353)
             {
-              xfer += iprot->readI64(this->ages_ms[_i349]);
+              xfer += iprot->readI64(this->ages_ms[_i353]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11087,10 +11396,10 @@
   xfer += oprot->writeFieldBegin("target_runs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->target_runs.size()));
-    std::vector<int64_t> ::const_iterator _iter350;
-    for (_iter350 = this->target_runs.begin(); _iter350 != this->target_runs.end(); ++_iter350)
+    std::vector<int64_t> ::const_iterator _iter354;
+    for (_iter354 = this->target_runs.begin(); _iter354 != this->target_runs.end(); ++_iter354)
     {
-      xfer += oprot->writeI64((*_iter350));
+      xfer += oprot->writeI64((*_iter354));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11099,10 +11408,10 @@
   xfer += oprot->writeFieldBegin("ages_ms", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ages_ms.size()));
-    std::vector<int64_t> ::const_iterator _iter351;
-    for (_iter351 = this->ages_ms.begin(); _iter351 != this->ages_ms.end(); ++_iter351)
+    std::vector<int64_t> ::const_iterator _iter355;
+    for (_iter355 = this->ages_ms.begin(); _iter355 != this->ages_ms.end(); ++_iter355)
     {
-      xfer += oprot->writeI64((*_iter351));
+      xfer += oprot->writeI64((*_iter355));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11126,34 +11435,34 @@
   swap(a.__isset, b.__isset);
 }
 
-suspect_part::suspect_part(const suspect_part& other352) {
-  part = other352.part;
-  target_runs = other352.target_runs;
-  ages_ms = other352.ages_ms;
-  sound_age_ms = other352.sound_age_ms;
-  __isset = other352.__isset;
+suspect_part::suspect_part(const suspect_part& other356) {
+  part = other356.part;
+  target_runs = other356.target_runs;
+  ages_ms = other356.ages_ms;
+  sound_age_ms = other356.sound_age_ms;
+  __isset = other356.__isset;
 }
-suspect_part::suspect_part(suspect_part&& other353) noexcept {
-  part = other353.part;
-  target_runs = std::move(other353.target_runs);
-  ages_ms = std::move(other353.ages_ms);
-  sound_age_ms = other353.sound_age_ms;
-  __isset = other353.__isset;
+suspect_part::suspect_part(suspect_part&& other357) noexcept {
+  part = other357.part;
+  target_runs = std::move(other357.target_runs);
+  ages_ms = std::move(other357.ages_ms);
+  sound_age_ms = other357.sound_age_ms;
+  __isset = other357.__isset;
 }
-suspect_part& suspect_part::operator=(const suspect_part& other354) {
-  part = other354.part;
-  target_runs = other354.target_runs;
-  ages_ms = other354.ages_ms;
-  sound_age_ms = other354.sound_age_ms;
-  __isset = other354.__isset;
+suspect_part& suspect_part::operator=(const suspect_part& other358) {
+  part = other358.part;
+  target_runs = other358.target_runs;
+  ages_ms = other358.ages_ms;
+  sound_age_ms = other358.sound_age_ms;
+  __isset = other358.__isset;
   return *this;
 }
-suspect_part& suspect_part::operator=(suspect_part&& other355) noexcept {
-  part = other355.part;
-  target_runs = std::move(other355.target_runs);
-  ages_ms = std::move(other355.ages_ms);
-  sound_age_ms = other355.sound_age_ms;
-  __isset = other355.__isset;
+suspect_part& suspect_part::operator=(suspect_part&& other359) noexcept {
+  part = other359.part;
+  target_runs = std::move(other359.target_runs);
+  ages_ms = std::move(other359.ages_ms);
+  sound_age_ms = other359.sound_age_ms;
+  __isset = other359.__isset;
   return *this;
 }
 void suspect_part::printTo(std::ostream& out) const {
@@ -11259,26 +11568,26 @@
   swap(a.__isset, b.__isset);
 }
 
-customer_runs::customer_runs(const customer_runs& other356) {
-  customer = other356.customer;
-  requests = other356.requests;
-  __isset = other356.__isset;
+customer_runs::customer_runs(const customer_runs& other360) {
+  customer = other360.customer;
+  requests = other360.requests;
+  __isset = other360.__isset;
 }
-customer_runs::customer_runs(customer_runs&& other357) noexcept {
-  customer = std::move(other357.customer);
-  requests = other357.requests;
-  __isset = other357.__isset;
+customer_runs::customer_runs(customer_runs&& other361) noexcept {
+  customer = std::move(other361.customer);
+  requests = other361.requests;
+  __isset = other361.__isset;
 }
-customer_runs& customer_runs::operator=(const customer_runs& other358) {
-  customer = other358.customer;
-  requests = other358.requests;
-  __isset = other358.__isset;
+customer_runs& customer_runs::operator=(const customer_runs& other362) {
+  customer = other362.customer;
+  requests = other362.requests;
+  __isset = other362.__isset;
   return *this;
 }
-customer_runs& customer_runs::operator=(customer_runs&& other359) noexcept {
-  customer = std::move(other359.customer);
-  requests = other359.requests;
-  __isset = other359.__isset;
+customer_runs& customer_runs::operator=(customer_runs&& other363) noexcept {
+  customer = std::move(other363.customer);
+  requests = other363.requests;
+  __isset = other363.__isset;
   return *this;
 }
 void customer_runs::printTo(std::ostream& out) const {
@@ -11341,14 +11650,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size360;
-            ::apache::thrift::protocol::TType _etype363;
-            xfer += iprot->readListBegin(_etype363, _size360);
-            this->runs.resize(_size360);
-            uint32_t _i364;
-            for (_i364 = 0; _i364 < _size360; ++_i364)
+            uint32_t _size364;
+            ::apache::thrift::protocol::TType _etype367;
+            xfer += iprot->readListBegin(_etype367, _size364);
+            this->runs.resize(_size364);
+            uint32_t _i368;
+            for (_i368 = 0; _i368 < _size364; ++_i368)
             {
-              xfer += this->runs[_i364].read(iprot);
+              xfer += this->runs[_i368].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11381,10 +11690,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<customer_runs> ::const_iterator _iter365;
-    for (_iter365 = this->runs.begin(); _iter365 != this->runs.end(); ++_iter365)
+    std::vector<customer_runs> ::const_iterator _iter369;
+    for (_iter369 = this->runs.begin(); _iter369 != this->runs.end(); ++_iter369)
     {
-      xfer += (*_iter365).write(oprot);
+      xfer += (*_iter369).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11402,26 +11711,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_window::usage_window(const usage_window& other366) {
-  window = other366.window;
-  runs = other366.runs;
-  __isset = other366.__isset;
+usage_window::usage_window(const usage_window& other370) {
+  window = other370.window;
+  runs = other370.runs;
+  __isset = other370.__isset;
 }
-usage_window::usage_window(usage_window&& other367) noexcept {
-  window = other367.window;
-  runs = std::move(other367.runs);
-  __isset = other367.__isset;
+usage_window::usage_window(usage_window&& other371) noexcept {
+  window = other371.window;
+  runs = std::move(other371.runs);
+  __isset = other371.__isset;
 }
-usage_window& usage_window::operator=(const usage_window& other368) {
-  window = other368.window;
-  runs = other368.runs;
-  __isset = other368.__isset;
+usage_window& usage_window::operator=(const usage_window& other372) {
+  window = other372.window;
+  runs = other372.runs;
+  __isset = other372.__isset;
   return *this;
 }
-usage_window& usage_window::operator=(usage_window&& other369) noexcept {
-  window = other369.window;
-  runs = std::move(other369.runs);
-  __isset = other369.__isset;
+usage_window& usage_window::operator=(usage_window&& other373) noexcept {
+  window = other373.window;
+  runs = std::move(other373.runs);
+  __isset = other373.__isset;
   return *this;
 }
 void usage_window::printTo(std::ostream& out) const {
@@ -11559,34 +11868,34 @@
   swap(a.__isset, b.__isset);
 }
 
-target_speed::target_speed(const target_speed& other370) {
-  target = other370.target;
-  born = other370.born;
-  speed = other370.speed;
-  samples = other370.samples;
-  __isset = other370.__isset;
+target_speed::target_speed(const target_speed& other374) {
+  target = other374.target;
+  born = other374.born;
+  speed = other374.speed;
+  samples = other374.samples;
+  __isset = other374.__isset;
 }
-target_speed::target_speed(target_speed&& other371) noexcept {
-  target = std::move(other371.target);
-  born = other371.born;
-  speed = other371.speed;
-  samples = other371.samples;
-  __isset = other371.__isset;
+target_speed::target_speed(target_speed&& other375) noexcept {
+  target = std::move(other375.target);
+  born = other375.born;
+  speed = other375.speed;
+  samples = other375.samples;
+  __isset = other375.__isset;
 }
-target_speed& target_speed::operator=(const target_speed& other372) {
-  target = other372.target;
-  born = other372.born;
-  speed = other372.speed;
-  samples = other372.samples;
-  __isset = other372.__isset;
+target_speed& target_speed::operator=(const target_speed& other376) {
+  target = other376.target;
+  born = other376.born;
+  speed = other376.speed;
+  samples = other376.samples;
+  __isset = other376.__isset;
   return *this;
 }
-target_speed& target_speed::operator=(target_speed&& other373) noexcept {
-  target = std::move(other373.target);
-  born = other373.born;
-  speed = other373.speed;
-  samples = other373.samples;
-  __isset = other373.__isset;
+target_speed& target_speed::operator=(target_speed&& other377) noexcept {
+  target = std::move(other377.target);
+  born = other377.born;
+  speed = other377.speed;
+  samples = other377.samples;
+  __isset = other377.__isset;
   return *this;
 }
 void target_speed::printTo(std::ostream& out) const {
@@ -11692,26 +12001,26 @@
   swap(a.__isset, b.__isset);
 }
 
-target_load::target_load(const target_load& other374) {
-  target = other374.target;
-  running = other374.running;
-  __isset = other374.__isset;
+target_load::target_load(const target_load& other378) {
+  target = other378.target;
+  running = other378.running;
+  __isset = other378.__isset;
 }
-target_load::target_load(target_load&& other375) noexcept {
-  target = std::move(other375.target);
-  running = other375.running;
-  __isset = other375.__isset;
+target_load::target_load(target_load&& other379) noexcept {
+  target = std::move(other379.target);
+  running = other379.running;
+  __isset = other379.__isset;
 }
-target_load& target_load::operator=(const target_load& other376) {
-  target = other376.target;
-  running = other376.running;
-  __isset = other376.__isset;
+target_load& target_load::operator=(const target_load& other380) {
+  target = other380.target;
+  running = other380.running;
+  __isset = other380.__isset;
   return *this;
 }
-target_load& target_load::operator=(target_load&& other377) noexcept {
-  target = std::move(other377.target);
-  running = other377.running;
-  __isset = other377.__isset;
+target_load& target_load::operator=(target_load&& other381) noexcept {
+  target = std::move(other381.target);
+  running = other381.running;
+  __isset = other381.__isset;
   return *this;
 }
 void target_load::printTo(std::ostream& out) const {
@@ -11766,14 +12075,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size378;
-            ::apache::thrift::protocol::TType _etype381;
-            xfer += iprot->readListBegin(_etype381, _size378);
-            this->customers.resize(_size378);
-            uint32_t _i382;
-            for (_i382 = 0; _i382 < _size378; ++_i382)
+            uint32_t _size382;
+            ::apache::thrift::protocol::TType _etype385;
+            xfer += iprot->readListBegin(_etype385, _size382);
+            this->customers.resize(_size382);
+            uint32_t _i386;
+            for (_i386 = 0; _i386 < _size382; ++_i386)
             {
-              xfer += this->customers[_i382].read(iprot);
+              xfer += this->customers[_i386].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11786,14 +12095,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size383;
-            ::apache::thrift::protocol::TType _etype386;
-            xfer += iprot->readListBegin(_etype386, _size383);
-            this->loads.resize(_size383);
-            uint32_t _i387;
-            for (_i387 = 0; _i387 < _size383; ++_i387)
+            uint32_t _size387;
+            ::apache::thrift::protocol::TType _etype390;
+            xfer += iprot->readListBegin(_etype390, _size387);
+            this->loads.resize(_size387);
+            uint32_t _i391;
+            for (_i391 = 0; _i391 < _size387; ++_i391)
             {
-              xfer += this->loads[_i387].read(iprot);
+              xfer += this->loads[_i391].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11822,10 +12131,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter388;
-    for (_iter388 = this->customers.begin(); _iter388 != this->customers.end(); ++_iter388)
+    std::vector<customer_use> ::const_iterator _iter392;
+    for (_iter392 = this->customers.begin(); _iter392 != this->customers.end(); ++_iter392)
     {
-      xfer += (*_iter388).write(oprot);
+      xfer += (*_iter392).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11834,10 +12143,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter389;
-    for (_iter389 = this->loads.begin(); _iter389 != this->loads.end(); ++_iter389)
+    std::vector<target_load> ::const_iterator _iter393;
+    for (_iter393 = this->loads.begin(); _iter393 != this->loads.end(); ++_iter393)
     {
-      xfer += (*_iter389).write(oprot);
+      xfer += (*_iter393).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11855,26 +12164,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_sums::usage_sums(const usage_sums& other390) {
-  customers = other390.customers;
-  loads = other390.loads;
-  __isset = other390.__isset;
+usage_sums::usage_sums(const usage_sums& other394) {
+  customers = other394.customers;
+  loads = other394.loads;
+  __isset = other394.__isset;
 }
-usage_sums::usage_sums(usage_sums&& other391) noexcept {
-  customers = std::move(other391.customers);
-  loads = std::move(other391.loads);
-  __isset = other391.__isset;
+usage_sums::usage_sums(usage_sums&& other395) noexcept {
+  customers = std::move(other395.customers);
+  loads = std::move(other395.loads);
+  __isset = other395.__isset;
 }
-usage_sums& usage_sums::operator=(const usage_sums& other392) {
-  customers = other392.customers;
-  loads = other392.loads;
-  __isset = other392.__isset;
+usage_sums& usage_sums::operator=(const usage_sums& other396) {
+  customers = other396.customers;
+  loads = other396.loads;
+  __isset = other396.__isset;
   return *this;
 }
-usage_sums& usage_sums::operator=(usage_sums&& other393) noexcept {
-  customers = std::move(other393.customers);
-  loads = std::move(other393.loads);
-  __isset = other393.__isset;
+usage_sums& usage_sums::operator=(usage_sums&& other397) noexcept {
+  customers = std::move(other397.customers);
+  loads = std::move(other397.loads);
+  __isset = other397.__isset;
   return *this;
 }
 void usage_sums::printTo(std::ostream& out) const {
@@ -12029,38 +12338,38 @@
   swap(a.__isset, b.__isset);
 }
 
-order_giver_sighting::order_giver_sighting(const order_giver_sighting& other394) {
-  process = other394.process;
-  address = other394.address;
-  age_ms = other394.age_ms;
-  active = other394.active;
-  reads_store = other394.reads_store;
-  __isset = other394.__isset;
-}
-order_giver_sighting::order_giver_sighting(order_giver_sighting&& other395) noexcept {
-  process = std::move(other395.process);
-  address = std::move(other395.address);
-  age_ms = other395.age_ms;
-  active = other395.active;
-  reads_store = other395.reads_store;
-  __isset = other395.__isset;
-}
-order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other396) {
-  process = other396.process;
-  address = other396.address;
-  age_ms = other396.age_ms;
-  active = other396.active;
-  reads_store = other396.reads_store;
-  __isset = other396.__isset;
-  return *this;
-}
-order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other397) noexcept {
-  process = std::move(other397.process);
-  address = std::move(other397.address);
-  age_ms = other397.age_ms;
-  active = other397.active;
-  reads_store = other397.reads_store;
-  __isset = other397.__isset;
+order_giver_sighting::order_giver_sighting(const order_giver_sighting& other398) {
+  process = other398.process;
+  address = other398.address;
+  age_ms = other398.age_ms;
+  active = other398.active;
+  reads_store = other398.reads_store;
+  __isset = other398.__isset;
+}
+order_giver_sighting::order_giver_sighting(order_giver_sighting&& other399) noexcept {
+  process = std::move(other399.process);
+  address = std::move(other399.address);
+  age_ms = other399.age_ms;
+  active = other399.active;
+  reads_store = other399.reads_store;
+  __isset = other399.__isset;
+}
+order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other400) {
+  process = other400.process;
+  address = other400.address;
+  age_ms = other400.age_ms;
+  active = other400.active;
+  reads_store = other400.reads_store;
+  __isset = other400.__isset;
+  return *this;
+}
+order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other401) noexcept {
+  process = std::move(other401.process);
+  address = std::move(other401.address);
+  age_ms = other401.age_ms;
+  active = other401.active;
+  reads_store = other401.reads_store;
+  __isset = other401.__isset;
   return *this;
 }
 void order_giver_sighting::printTo(std::ostream& out) const {
@@ -12151,15 +12460,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->hears.clear();
-            uint32_t _size398;
-            ::apache::thrift::protocol::TType _etype401;
-            xfer += iprot->readSetBegin(_etype401, _size398);
-            uint32_t _i402;
-            for (_i402 = 0; _i402 < _size398; ++_i402)
+            uint32_t _size402;
+            ::apache::thrift::protocol::TType _etype405;
+            xfer += iprot->readSetBegin(_etype405, _size402);
+            uint32_t _i406;
+            for (_i406 = 0; _i406 < _size402; ++_i406)
             {
-              std::string _elem403;
-              xfer += iprot->readString(_elem403);
-              this->hears.insert(_elem403);
+              std::string _elem407;
+              xfer += iprot->readString(_elem407);
+              this->hears.insert(_elem407);
             }
             xfer += iprot->readSetEnd();
           }
@@ -12220,10 +12529,10 @@
   xfer += oprot->writeFieldBegin("hears", ::apache::thrift::protocol::T_SET, 3);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hears.size()));
-    std::set<std::string> ::const_iterator _iter404;
-    for (_iter404 = this->hears.begin(); _iter404 != this->hears.end(); ++_iter404)
+    std::set<std::string> ::const_iterator _iter408;
+    for (_iter408 = this->hears.begin(); _iter408 != this->hears.end(); ++_iter408)
     {
-      xfer += oprot->writeString((*_iter404));
+      xfer += oprot->writeString((*_iter408));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -12258,42 +12567,42 @@
   swap(a.__isset, b.__isset);
 }
 
-group_status::group_status(const group_status& other405) {
-  in_contact = other405.in_contact;
-  departed = other405.departed;
-  hears = other405.hears;
-  reader = other405.reader;
-  sums = other405.sums;
-  order_giver = other405.order_giver;
-  __isset = other405.__isset;
-}
-group_status::group_status(group_status&& other406) noexcept {
-  in_contact = other406.in_contact;
-  departed = other406.departed;
-  hears = std::move(other406.hears);
-  reader = other406.reader;
-  sums = std::move(other406.sums);
-  order_giver = std::move(other406.order_giver);
-  __isset = other406.__isset;
-}
-group_status& group_status::operator=(const group_status& other407) {
-  in_contact = other407.in_contact;
-  departed = other407.departed;
-  hears = other407.hears;
-  reader = other407.reader;
-  sums = other407.sums;
-  order_giver = other407.order_giver;
-  __isset = other407.__isset;
-  return *this;
-}
-group_status& group_status::operator=(group_status&& other408) noexcept {
-  in_contact = other408.in_contact;
-  departed = other408.departed;
-  hears = std::move(other408.hears);
-  reader = other408.reader;
-  sums = std::move(other408.sums);
-  order_giver = std::move(other408.order_giver);
-  __isset = other408.__isset;
+group_status::group_status(const group_status& other409) {
+  in_contact = other409.in_contact;
+  departed = other409.departed;
+  hears = other409.hears;
+  reader = other409.reader;
+  sums = other409.sums;
+  order_giver = other409.order_giver;
+  __isset = other409.__isset;
+}
+group_status::group_status(group_status&& other410) noexcept {
+  in_contact = other410.in_contact;
+  departed = other410.departed;
+  hears = std::move(other410.hears);
+  reader = other410.reader;
+  sums = std::move(other410.sums);
+  order_giver = std::move(other410.order_giver);
+  __isset = other410.__isset;
+}
+group_status& group_status::operator=(const group_status& other411) {
+  in_contact = other411.in_contact;
+  departed = other411.departed;
+  hears = other411.hears;
+  reader = other411.reader;
+  sums = other411.sums;
+  order_giver = other411.order_giver;
+  __isset = other411.__isset;
+  return *this;
+}
+group_status& group_status::operator=(group_status&& other412) noexcept {
+  in_contact = other412.in_contact;
+  departed = other412.departed;
+  hears = std::move(other412.hears);
+  reader = other412.reader;
+  sums = std::move(other412.sums);
+  order_giver = std::move(other412.order_giver);
+  __isset = other412.__isset;
   return *this;
 }
 void group_status::printTo(std::ostream& out) const {
@@ -12385,14 +12694,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speakers.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->speakers.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size413;
+            ::apache::thrift::protocol::TType _etype416;
+            xfer += iprot->readListBegin(_etype416, _size413);
+            this->speakers.resize(_size413);
+            uint32_t _i417;
+            for (_i417 = 0; _i417 < _size413; ++_i417)
             {
-              xfer += iprot->readString(this->speakers[_i413]);
+              xfer += iprot->readString(this->speakers[_i417]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12453,10 +12762,10 @@
   xfer += oprot->writeFieldBegin("speakers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->speakers.size()));
-    std::vector<std::string> ::const_iterator _iter414;
-    for (_iter414 = this->speakers.begin(); _iter414 != this->speakers.end(); ++_iter414)
+    std::vector<std::string> ::const_iterator _iter418;
+    for (_iter418 = this->speakers.begin(); _iter418 != this->speakers.end(); ++_iter418)
     {
-      xfer += oprot->writeString((*_iter414));
+      xfer += oprot->writeString((*_iter418));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12491,42 +12800,42 @@
   swap(a.__isset, b.__isset);
 }
 
-outside_status::outside_status(const outside_status& other415) {
-  in_contact = other415.in_contact;
-  departed = other415.departed;
-  speakers = other415.speakers;
-  reader = other415.reader;
-  sums = other415.sums;
-  order_giver = other415.order_giver;
-  __isset = other415.__isset;
-}
-outside_status::outside_status(outside_status&& other416) noexcept {
-  in_contact = other416.in_contact;
-  departed = other416.departed;
-  speakers = std::move(other416.speakers);
-  reader = other416.reader;
-  sums = std::move(other416.sums);
-  order_giver = std::move(other416.order_giver);
-  __isset = other416.__isset;
-}
-outside_status& outside_status::operator=(const outside_status& other417) {
-  in_contact = other417.in_contact;
-  departed = other417.departed;
-  speakers = other417.speakers;
-  reader = other417.reader;
-  sums = other417.sums;
-  order_giver = other417.order_giver;
-  __isset = other417.__isset;
-  return *this;
-}
-outside_status& outside_status::operator=(outside_status&& other418) noexcept {
-  in_contact = other418.in_contact;
-  departed = other418.departed;
-  speakers = std::move(other418.speakers);
-  reader = other418.reader;
-  sums = std::move(other418.sums);
-  order_giver = std::move(other418.order_giver);
-  __isset = other418.__isset;
+outside_status::outside_status(const outside_status& other419) {
+  in_contact = other419.in_contact;
+  departed = other419.departed;
+  speakers = other419.speakers;
+  reader = other419.reader;
+  sums = other419.sums;
+  order_giver = other419.order_giver;
+  __isset = other419.__isset;
+}
+outside_status::outside_status(outside_status&& other420) noexcept {
+  in_contact = other420.in_contact;
+  departed = other420.departed;
+  speakers = std::move(other420.speakers);
+  reader = other420.reader;
+  sums = std::move(other420.sums);
+  order_giver = std::move(other420.order_giver);
+  __isset = other420.__isset;
+}
+outside_status& outside_status::operator=(const outside_status& other421) {
+  in_contact = other421.in_contact;
+  departed = other421.departed;
+  speakers = other421.speakers;
+  reader = other421.reader;
+  sums = other421.sums;
+  order_giver = other421.order_giver;
+  __isset = other421.__isset;
+  return *this;
+}
+outside_status& outside_status::operator=(outside_status&& other422) noexcept {
+  in_contact = other422.in_contact;
+  departed = other422.departed;
+  speakers = std::move(other422.speakers);
+  reader = other422.reader;
+  sums = std::move(other422.sums);
+  order_giver = std::move(other422.order_giver);
+  __isset = other422.__isset;
   return *this;
 }
 void outside_status::printTo(std::ostream& out) const {
@@ -12710,6 +13019,11 @@
   this->speeds = val;
 __isset.speeds = true;
 }
+
+void peer_status::__set_view(const store_view& val) {
+  this->view = val;
+__isset.view = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -12774,14 +13088,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size419;
-            ::apache::thrift::protocol::TType _etype422;
-            xfer += iprot->readListBegin(_etype422, _size419);
-            this->heard.resize(_size419);
-            uint32_t _i423;
-            for (_i423 = 0; _i423 < _size419; ++_i423)
+            uint32_t _size423;
+            ::apache::thrift::protocol::TType _etype426;
+            xfer += iprot->readListBegin(_etype426, _size423);
+            this->heard.resize(_size423);
+            uint32_t _i427;
+            for (_i427 = 0; _i427 < _size423; ++_i427)
             {
-              xfer += iprot->readString(this->heard[_i423]);
+              xfer += iprot->readString(this->heard[_i427]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12818,14 +13132,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size424;
-            ::apache::thrift::protocol::TType _etype427;
-            xfer += iprot->readListBegin(_etype427, _size424);
-            this->centres_out.resize(_size424);
-            uint32_t _i428;
-            for (_i428 = 0; _i428 < _size424; ++_i428)
+            uint32_t _size428;
+            ::apache::thrift::protocol::TType _etype431;
+            xfer += iprot->readListBegin(_etype431, _size428);
+            this->centres_out.resize(_size428);
+            uint32_t _i432;
+            for (_i432 = 0; _i432 < _size428; ++_i432)
             {
-              xfer += iprot->readString(this->centres_out[_i428]);
+              xfer += iprot->readString(this->centres_out[_i432]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12838,14 +13152,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size429;
-            ::apache::thrift::protocol::TType _etype432;
-            xfer += iprot->readListBegin(_etype432, _size429);
-            this->uses.resize(_size429);
-            uint32_t _i433;
-            for (_i433 = 0; _i433 < _size429; ++_i433)
+            uint32_t _size433;
+            ::apache::thrift::protocol::TType _etype436;
+            xfer += iprot->readListBegin(_etype436, _size433);
+            this->uses.resize(_size433);
+            uint32_t _i437;
+            for (_i437 = 0; _i437 < _size433; ++_i437)
             {
-              xfer += this->uses[_i433].read(iprot);
+              xfer += this->uses[_i437].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12858,14 +13172,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size434;
-            ::apache::thrift::protocol::TType _etype437;
-            xfer += iprot->readListBegin(_etype437, _size434);
-            this->demands.resize(_size434);
-            uint32_t _i438;
-            for (_i438 = 0; _i438 < _size434; ++_i438)
+            uint32_t _size438;
+            ::apache::thrift::protocol::TType _etype441;
+            xfer += iprot->readListBegin(_etype441, _size438);
+            this->demands.resize(_size438);
+            uint32_t _i442;
+            for (_i442 = 0; _i442 < _size438; ++_i442)
             {
-              xfer += this->demands[_i438].read(iprot);
+              xfer += this->demands[_i442].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12878,14 +13192,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size439;
-            ::apache::thrift::protocol::TType _etype442;
-            xfer += iprot->readListBegin(_etype442, _size439);
-            this->customers.resize(_size439);
-            uint32_t _i443;
-            for (_i443 = 0; _i443 < _size439; ++_i443)
+            uint32_t _size443;
+            ::apache::thrift::protocol::TType _etype446;
+            xfer += iprot->readListBegin(_etype446, _size443);
+            this->customers.resize(_size443);
+            uint32_t _i447;
+            for (_i447 = 0; _i447 < _size443; ++_i447)
             {
-              xfer += this->customers[_i443].read(iprot);
+              xfer += this->customers[_i447].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12898,14 +13212,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size444;
-            ::apache::thrift::protocol::TType _etype447;
-            xfer += iprot->readListBegin(_etype447, _size444);
-            this->holdings.resize(_size444);
-            uint32_t _i448;
-            for (_i448 = 0; _i448 < _size444; ++_i448)
+            uint32_t _size448;
+            ::apache::thrift::protocol::TType _etype451;
+            xfer += iprot->readListBegin(_etype451, _size448);
+            this->holdings.resize(_size448);
+            uint32_t _i452;
+            for (_i452 = 0; _i452 < _size448; ++_i452)
             {
-              xfer += this->holdings[_i448].read(iprot);
+              xfer += this->holdings[_i452].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12918,14 +13232,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size449;
-            ::apache::thrift::protocol::TType _etype452;
-            xfer += iprot->readListBegin(_etype452, _size449);
-            this->leaving_targets.resize(_size449);
-            uint32_t _i453;
-            for (_i453 = 0; _i453 < _size449; ++_i453)
+            uint32_t _size453;
+            ::apache::thrift::protocol::TType _etype456;
+            xfer += iprot->readListBegin(_etype456, _size453);
+            this->leaving_targets.resize(_size453);
+            uint32_t _i457;
+            for (_i457 = 0; _i457 < _size453; ++_i457)
             {
-              xfer += this->leaving_targets[_i453].read(iprot);
+              xfer += this->leaving_targets[_i457].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12938,14 +13252,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size454;
-            ::apache::thrift::protocol::TType _etype457;
-            xfer += iprot->readListBegin(_etype457, _size454);
-            this->suspects.resize(_size454);
-            uint32_t _i458;
-            for (_i458 = 0; _i458 < _size454; ++_i458)
+            uint32_t _size458;
+            ::apache::thrift::protocol::TType _etype461;
+            xfer += iprot->readListBegin(_etype461, _size458);
+            this->suspects.resize(_size458);
+            uint32_t _i462;
+            for (_i462 = 0; _i462 < _size458; ++_i462)
             {
-              xfer += this->suspects[_i458].read(iprot);
+              xfer += this->suspects[_i462].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12966,14 +13280,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size459;
-            ::apache::thrift::protocol::TType _etype462;
-            xfer += iprot->readListBegin(_etype462, _size459);
-            this->registrations.resize(_size459);
-            uint32_t _i463;
-            for (_i463 = 0; _i463 < _size459; ++_i463)
+            uint32_t _size463;
+            ::apache::thrift::protocol::TType _etype466;
+            xfer += iprot->readListBegin(_etype466, _size463);
+            this->registrations.resize(_size463);
+            uint32_t _i467;
+            for (_i467 = 0; _i467 < _size463; ++_i467)
             {
-              xfer += this->registrations[_i463].read(iprot);
+              xfer += this->registrations[_i467].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12994,14 +13308,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size464;
-            ::apache::thrift::protocol::TType _etype467;
-            xfer += iprot->readListBegin(_etype467, _size464);
-            this->loads.resize(_size464);
-            uint32_t _i468;
-            for (_i468 = 0; _i468 < _size464; ++_i468)
+            uint32_t _size468;
+            ::apache::thrift::protocol::TType _etype471;
+            xfer += iprot->readListBegin(_etype471, _size468);
+            this->loads.resize(_size468);
+            uint32_t _i472;
+            for (_i472 = 0; _i472 < _size468; ++_i472)
             {
-              xfer += this->loads[_i468].read(iprot);
+              xfer += this->loads[_i472].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13022,14 +13336,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size469;
-            ::apache::thrift::protocol::TType _etype472;
-            xfer += iprot->readListBegin(_etype472, _size469);
-            this->starts.resize(_size469);
-            uint32_t _i473;
-            for (_i473 = 0; _i473 < _size469; ++_i473)
+            uint32_t _size473;
+            ::apache::thrift::protocol::TType _etype476;
+            xfer += iprot->readListBegin(_etype476, _size473);
+            this->starts.resize(_size473);
+            uint32_t _i477;
+            for (_i477 = 0; _i477 < _size473; ++_i477)
             {
-              xfer += this->starts[_i473].read(iprot);
+              xfer += this->starts[_i477].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13050,14 +13364,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_held.clear();
-            uint32_t _size474;
-            ::apache::thrift::protocol::TType _etype477;
-            xfer += iprot->readListBegin(_etype477, _size474);
-            this->centres_held.resize(_size474);
-            uint32_t _i478;
-            for (_i478 = 0; _i478 < _size474; ++_i478)
+            uint32_t _size478;
+            ::apache::thrift::protocol::TType _etype481;
+            xfer += iprot->readListBegin(_etype481, _size478);
+            this->centres_held.resize(_size478);
+            uint32_t _i482;
+            for (_i482 = 0; _i482 < _size478; ++_i482)
             {
-              xfer += this->centres_held[_i478].read(iprot);
+              xfer += this->centres_held[_i482].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13150,14 +13464,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_parts.clear();
-            uint32_t _size479;
-            ::apache::thrift::protocol::TType _etype482;
-            xfer += iprot->readListBegin(_etype482, _size479);
-            this->suspect_parts.resize(_size479);
-            uint32_t _i483;
-            for (_i483 = 0; _i483 < _size479; ++_i483)
+            uint32_t _size483;
+            ::apache::thrift::protocol::TType _etype486;
+            xfer += iprot->readListBegin(_etype486, _size483);
+            this->suspect_parts.resize(_size483);
+            uint32_t _i487;
+            for (_i487 = 0; _i487 < _size483; ++_i487)
             {
-              xfer += this->suspect_parts[_i483].read(iprot);
+              xfer += this->suspect_parts[_i487].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13170,14 +13484,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->target_limits.clear();
-            uint32_t _size484;
-            ::apache::thrift::protocol::TType _etype487;
-            xfer += iprot->readListBegin(_etype487, _size484);
-            this->target_limits.resize(_size484);
-            uint32_t _i488;
-            for (_i488 = 0; _i488 < _size484; ++_i488)
+            uint32_t _size488;
+            ::apache::thrift::protocol::TType _etype491;
+            xfer += iprot->readListBegin(_etype491, _size488);
+            this->target_limits.resize(_size488);
+            uint32_t _i492;
+            for (_i492 = 0; _i492 < _size488; ++_i492)
             {
-              xfer += this->target_limits[_i488].read(iprot);
+              xfer += this->target_limits[_i492].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13190,14 +13504,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->origins.clear();
-            uint32_t _size489;
-            ::apache::thrift::protocol::TType _etype492;
-            xfer += iprot->readListBegin(_etype492, _size489);
-            this->origins.resize(_size489);
-            uint32_t _i493;
-            for (_i493 = 0; _i493 < _size489; ++_i493)
+            uint32_t _size493;
+            ::apache::thrift::protocol::TType _etype496;
+            xfer += iprot->readListBegin(_etype496, _size493);
+            this->origins.resize(_size493);
+            uint32_t _i497;
+            for (_i497 = 0; _i497 < _size493; ++_i497)
             {
-              xfer += this->origins[_i493].read(iprot);
+              xfer += this->origins[_i497].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13210,14 +13524,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_requests.clear();
-            uint32_t _size494;
-            ::apache::thrift::protocol::TType _etype497;
-            xfer += iprot->readListBegin(_etype497, _size494);
-            this->suspect_requests.resize(_size494);
-            uint32_t _i498;
-            for (_i498 = 0; _i498 < _size494; ++_i498)
+            uint32_t _size498;
+            ::apache::thrift::protocol::TType _etype501;
+            xfer += iprot->readListBegin(_etype501, _size498);
+            this->suspect_requests.resize(_size498);
+            uint32_t _i502;
+            for (_i502 = 0; _i502 < _size498; ++_i502)
             {
-              xfer += this->suspect_requests[_i498].read(iprot);
+              xfer += this->suspect_requests[_i502].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13238,14 +13552,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usage.clear();
-            uint32_t _size499;
-            ::apache::thrift::protocol::TType _etype502;
-            xfer += iprot->readListBegin(_etype502, _size499);
-            this->usage.resize(_size499);
-            uint32_t _i503;
-            for (_i503 = 0; _i503 < _size499; ++_i503)
+            uint32_t _size503;
+            ::apache::thrift::protocol::TType _etype506;
+            xfer += iprot->readListBegin(_etype506, _size503);
+            this->usage.resize(_size503);
+            uint32_t _i507;
+            for (_i507 = 0; _i507 < _size503; ++_i507)
             {
-              xfer += this->usage[_i503].read(iprot);
+              xfer += this->usage[_i507].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13258,14 +13572,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speeds.clear();
-            uint32_t _size504;
-            ::apache::thrift::protocol::TType _etype507;
-            xfer += iprot->readListBegin(_etype507, _size504);
-            this->speeds.resize(_size504);
-            uint32_t _i508;
-            for (_i508 = 0; _i508 < _size504; ++_i508)
+            uint32_t _size508;
+            ::apache::thrift::protocol::TType _etype511;
+            xfer += iprot->readListBegin(_etype511, _size508);
+            this->speeds.resize(_size508);
+            uint32_t _i512;
+            for (_i512 = 0; _i512 < _size508; ++_i512)
             {
-              xfer += this->speeds[_i508].read(iprot);
+              xfer += this->speeds[_i512].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13274,6 +13588,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 41:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->view.read(iprot);
+          this->__isset.view = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13310,10 +13632,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter509;
-    for (_iter509 = this->heard.begin(); _iter509 != this->heard.end(); ++_iter509)
+    std::vector<std::string> ::const_iterator _iter513;
+    for (_iter513 = this->heard.begin(); _iter513 != this->heard.end(); ++_iter513)
     {
-      xfer += oprot->writeString((*_iter509));
+      xfer += oprot->writeString((*_iter513));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13334,10 +13656,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter510;
-    for (_iter510 = this->centres_out.begin(); _iter510 != this->centres_out.end(); ++_iter510)
+    std::vector<std::string> ::const_iterator _iter514;
+    for (_iter514 = this->centres_out.begin(); _iter514 != this->centres_out.end(); ++_iter514)
     {
-      xfer += oprot->writeString((*_iter510));
+      xfer += oprot->writeString((*_iter514));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13346,10 +13668,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter511;
-    for (_iter511 = this->uses.begin(); _iter511 != this->uses.end(); ++_iter511)
+    std::vector<target_use> ::const_iterator _iter515;
+    for (_iter515 = this->uses.begin(); _iter515 != this->uses.end(); ++_iter515)
     {
-      xfer += (*_iter511).write(oprot);
+      xfer += (*_iter515).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13358,10 +13680,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter512;
-    for (_iter512 = this->demands.begin(); _iter512 != this->demands.end(); ++_iter512)
+    std::vector<model_demand> ::const_iterator _iter516;
+    for (_iter516 = this->demands.begin(); _iter516 != this->demands.end(); ++_iter516)
     {
-      xfer += (*_iter512).write(oprot);
+      xfer += (*_iter516).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13370,10 +13692,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter513;
-    for (_iter513 = this->customers.begin(); _iter513 != this->customers.end(); ++_iter513)
+    std::vector<customer_use> ::const_iterator _iter517;
+    for (_iter517 = this->customers.begin(); _iter517 != this->customers.end(); ++_iter517)
     {
-      xfer += (*_iter513).write(oprot);
+      xfer += (*_iter517).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13382,10 +13704,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter514;
-    for (_iter514 = this->holdings.begin(); _iter514 != this->holdings.end(); ++_iter514)
+    std::vector<target_holding> ::const_iterator _iter518;
+    for (_iter518 = this->holdings.begin(); _iter518 != this->holdings.end(); ++_iter518)
     {
-      xfer += (*_iter514).write(oprot);
+      xfer += (*_iter518).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13394,10 +13716,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter515;
-    for (_iter515 = this->leaving_targets.begin(); _iter515 != this->leaving_targets.end(); ++_iter515)
+    std::vector<leaving_target> ::const_iterator _iter519;
+    for (_iter519 = this->leaving_targets.begin(); _iter519 != this->leaving_targets.end(); ++_iter519)
     {
-      xfer += (*_iter515).write(oprot);
+      xfer += (*_iter519).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13406,10 +13728,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter516;
-    for (_iter516 = this->suspects.begin(); _iter516 != this->suspects.end(); ++_iter516)
+    std::vector<quarantine> ::const_iterator _iter520;
+    for (_iter520 = this->suspects.begin(); _iter520 != this->suspects.end(); ++_iter520)
     {
-      xfer += (*_iter516).write(oprot);
+      xfer += (*_iter520).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13422,10 +13744,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter517;
-    for (_iter517 = this->registrations.begin(); _iter517 != this->registrations.end(); ++_iter517)
+    std::vector<target_registration> ::const_iterator _iter521;
+    for (_iter521 = this->registrations.begin(); _iter521 != this->registrations.end(); ++_iter521)
     {
-      xfer += (*_iter517).write(oprot);
+      xfer += (*_iter521).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13438,10 +13760,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter518;
-    for (_iter518 = this->loads.begin(); _iter518 != this->loads.end(); ++_iter518)
+    std::vector<target_load> ::const_iterator _iter522;
+    for (_iter522 = this->loads.begin(); _iter522 != this->loads.end(); ++_iter522)
     {
-      xfer += (*_iter518).write(oprot);
+      xfer += (*_iter522).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13454,10 +13776,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<target_registration> ::const_iterator _iter519;
-    for (_iter519 = this->starts.begin(); _iter519 != this->starts.end(); ++_iter519)
+    std::vector<target_registration> ::const_iterator _iter523;
+    for (_iter523 = this->starts.begin(); _iter523 != this->starts.end(); ++_iter523)
     {
-      xfer += (*_iter519).write(oprot);
+      xfer += (*_iter523).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13470,10 +13792,10 @@
   xfer += oprot->writeFieldBegin("centres_held", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->centres_held.size()));
-    std::vector<held_centre> ::const_iterator _iter520;
-    for (_iter520 = this->centres_held.begin(); _iter520 != this->centres_held.end(); ++_iter520)
+    std::vector<held_centre> ::const_iterator _iter524;
+    for (_iter524 = this->centres_held.begin(); _iter524 != this->centres_held.end(); ++_iter524)
     {
-      xfer += (*_iter520).write(oprot);
+      xfer += (*_iter524).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13524,10 +13846,10 @@
   xfer += oprot->writeFieldBegin("suspect_parts", ::apache::thrift::protocol::T_LIST, 34);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_parts.size()));
-    std::vector<suspect_part> ::const_iterator _iter521;
-    for (_iter521 = this->suspect_parts.begin(); _iter521 != this->suspect_parts.end(); ++_iter521)
+    std::vector<suspect_part> ::const_iterator _iter525;
+    for (_iter525 = this->suspect_parts.begin(); _iter525 != this->suspect_parts.end(); ++_iter525)
     {
-      xfer += (*_iter521).write(oprot);
+      xfer += (*_iter525).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13536,10 +13858,10 @@
   xfer += oprot->writeFieldBegin("target_limits", ::apache::thrift::protocol::T_LIST, 35);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->target_limits.size()));
-    std::vector<target_limit> ::const_iterator _iter522;
-    for (_iter522 = this->target_limits.begin(); _iter522 != this->target_limits.end(); ++_iter522)
+    std::vector<target_limit> ::const_iterator _iter526;
+    for (_iter526 = this->target_limits.begin(); _iter526 != this->target_limits.end(); ++_iter526)
     {
-      xfer += (*_iter522).write(oprot);
+      xfer += (*_iter526).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13548,10 +13870,10 @@
   xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 36);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->origins.size()));
-    std::vector<stream_origins> ::const_iterator _iter523;
-    for (_iter523 = this->origins.begin(); _iter523 != this->origins.end(); ++_iter523)
+    std::vector<stream_origins> ::const_iterator _iter527;
+    for (_iter527 = this->origins.begin(); _iter527 != this->origins.end(); ++_iter527)
     {
-      xfer += (*_iter523).write(oprot);
+      xfer += (*_iter527).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13560,10 +13882,10 @@
   xfer += oprot->writeFieldBegin("suspect_requests", ::apache::thrift::protocol::T_LIST, 37);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_requests.size()));
-    std::vector<suspect_part> ::const_iterator _iter524;
-    for (_iter524 = this->suspect_requests.begin(); _iter524 != this->suspect_requests.end(); ++_iter524)
+    std::vector<suspect_part> ::const_iterator _iter528;
+    for (_iter528 = this->suspect_requests.begin(); _iter528 != this->suspect_requests.end(); ++_iter528)
     {
-      xfer += (*_iter524).write(oprot);
+      xfer += (*_iter528).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13578,10 +13900,10 @@
     xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 39);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
-      std::vector<usage_window> ::const_iterator _iter525;
-      for (_iter525 = this->usage.begin(); _iter525 != this->usage.end(); ++_iter525)
+      std::vector<usage_window> ::const_iterator _iter529;
+      for (_iter529 = this->usage.begin(); _iter529 != this->usage.end(); ++_iter529)
       {
-        xfer += (*_iter525).write(oprot);
+        xfer += (*_iter529).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -13591,15 +13913,20 @@
     xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 40);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-      std::vector<target_speed> ::const_iterator _iter526;
-      for (_iter526 = this->speeds.begin(); _iter526 != this->speeds.end(); ++_iter526)
+      std::vector<target_speed> ::const_iterator _iter530;
+      for (_iter530 = this->speeds.begin(); _iter530 != this->speeds.end(); ++_iter530)
       {
-        xfer += (*_iter526).write(oprot);
+        xfer += (*_iter530).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.view) {
+    xfer += oprot->writeFieldBegin("view", ::apache::thrift::protocol::T_STRUCT, 41);
+    xfer += this->view.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13647,181 +13974,186 @@
   swap(a.unix_ms, b.unix_ms);
   swap(a.usage, b.usage);
   swap(a.speeds, b.speeds);
+  swap(a.view, b.view);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other527) {
-  process = other527.process;
-  boot = other527.boot;
-  sequence = other527.sequence;
-  leaving = other527.leaving;
-  heard = other527.heard;
-  config_version = other527.config_version;
-  config_address = other527.config_address;
-  centres_revision = other527.centres_revision;
-  centres_out = other527.centres_out;
-  uses = other527.uses;
-  demands = other527.demands;
-  customers = other527.customers;
-  holdings = other527.holdings;
-  leaving_targets = other527.leaving_targets;
-  suspects = other527.suspects;
-  wants_registrations = other527.wants_registrations;
-  registrations = other527.registrations;
-  address = other527.address;
-  loads = other527.loads;
-  gives_orders = other527.gives_orders;
-  starts = other527.starts;
-  centres_era = other527.centres_era;
-  centres_held = other527.centres_held;
-  informed = other527.informed;
-  reads_store = other527.reads_store;
-  data_centre = other527.data_centre;
-  group = other527.group;
-  fleet_size = other527.fleet_size;
-  processor_share = other527.processor_share;
-  to_other_group = other527.to_other_group;
-  group_use = other527.group_use;
-  outside = other527.outside;
-  has_details = other527.has_details;
-  suspect_parts = other527.suspect_parts;
-  target_limits = other527.target_limits;
-  origins = other527.origins;
-  suspect_requests = other527.suspect_requests;
-  unix_ms = other527.unix_ms;
-  usage = other527.usage;
-  speeds = other527.speeds;
-  __isset = other527.__isset;
-}
-peer_status::peer_status(peer_status&& other528) noexcept {
-  process = std::move(other528.process);
-  boot = other528.boot;
-  sequence = other528.sequence;
-  leaving = other528.leaving;
-  heard = std::move(other528.heard);
-  config_version = other528.config_version;
-  config_address = std::move(other528.config_address);
-  centres_revision = other528.centres_revision;
-  centres_out = std::move(other528.centres_out);
-  uses = std::move(other528.uses);
-  demands = std::move(other528.demands);
-  customers = std::move(other528.customers);
-  holdings = std::move(other528.holdings);
-  leaving_targets = std::move(other528.leaving_targets);
-  suspects = std::move(other528.suspects);
-  wants_registrations = other528.wants_registrations;
-  registrations = std::move(other528.registrations);
-  address = std::move(other528.address);
-  loads = std::move(other528.loads);
-  gives_orders = other528.gives_orders;
-  starts = std::move(other528.starts);
-  centres_era = other528.centres_era;
-  centres_held = std::move(other528.centres_held);
-  informed = other528.informed;
-  reads_store = other528.reads_store;
-  data_centre = std::move(other528.data_centre);
-  group = std::move(other528.group);
-  fleet_size = other528.fleet_size;
-  processor_share = other528.processor_share;
-  to_other_group = other528.to_other_group;
-  group_use = std::move(other528.group_use);
-  outside = std::move(other528.outside);
-  has_details = other528.has_details;
-  suspect_parts = std::move(other528.suspect_parts);
-  target_limits = std::move(other528.target_limits);
-  origins = std::move(other528.origins);
-  suspect_requests = std::move(other528.suspect_requests);
-  unix_ms = other528.unix_ms;
-  usage = std::move(other528.usage);
-  speeds = std::move(other528.speeds);
-  __isset = other528.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other529) {
-  process = other529.process;
-  boot = other529.boot;
-  sequence = other529.sequence;
-  leaving = other529.leaving;
-  heard = other529.heard;
-  config_version = other529.config_version;
-  config_address = other529.config_address;
-  centres_revision = other529.centres_revision;
-  centres_out = other529.centres_out;
-  uses = other529.uses;
-  demands = other529.demands;
-  customers = other529.customers;
-  holdings = other529.holdings;
-  leaving_targets = other529.leaving_targets;
-  suspects = other529.suspects;
-  wants_registrations = other529.wants_registrations;
-  registrations = other529.registrations;
-  address = other529.address;
-  loads = other529.loads;
-  gives_orders = other529.gives_orders;
-  starts = other529.starts;
-  centres_era = other529.centres_era;
-  centres_held = other529.centres_held;
-  informed = other529.informed;
-  reads_store = other529.reads_store;
-  data_centre = other529.data_centre;
-  group = other529.group;
-  fleet_size = other529.fleet_size;
-  processor_share = other529.processor_share;
-  to_other_group = other529.to_other_group;
-  group_use = other529.group_use;
-  outside = other529.outside;
-  has_details = other529.has_details;
-  suspect_parts = other529.suspect_parts;
-  target_limits = other529.target_limits;
-  origins = other529.origins;
-  suspect_requests = other529.suspect_requests;
-  unix_ms = other529.unix_ms;
-  usage = other529.usage;
-  speeds = other529.speeds;
-  __isset = other529.__isset;
-  return *this;
-}
-peer_status& peer_status::operator=(peer_status&& other530) noexcept {
-  process = std::move(other530.process);
-  boot = other530.boot;
-  sequence = other530.sequence;
-  leaving = other530.leaving;
-  heard = std::move(other530.heard);
-  config_version = other530.config_version;
-  config_address = std::move(other530.config_address);
-  centres_revision = other530.centres_revision;
-  centres_out = std::move(other530.centres_out);
-  uses = std::move(other530.uses);
-  demands = std::move(other530.demands);
-  customers = std::move(other530.customers);
-  holdings = std::move(other530.holdings);
-  leaving_targets = std::move(other530.leaving_targets);
-  suspects = std::move(other530.suspects);
-  wants_registrations = other530.wants_registrations;
-  registrations = std::move(other530.registrations);
-  address = std::move(other530.address);
-  loads = std::move(other530.loads);
-  gives_orders = other530.gives_orders;
-  starts = std::move(other530.starts);
-  centres_era = other530.centres_era;
-  centres_held = std::move(other530.centres_held);
-  informed = other530.informed;
-  reads_store = other530.reads_store;
-  data_centre = std::move(other530.data_centre);
-  group = std::move(other530.group);
-  fleet_size = other530.fleet_size;
-  processor_share = other530.processor_share;
-  to_other_group = other530.to_other_group;
-  group_use = std::move(other530.group_use);
-  outside = std::move(other530.outside);
-  has_details = other530.has_details;
-  suspect_parts = std::move(other530.suspect_parts);
-  target_limits = std::move(other530.target_limits);
-  origins = std::move(other530.origins);
-  suspect_requests = std::move(other530.suspect_requests);
-  unix_ms = other530.unix_ms;
-  usage = std::move(other530.usage);
-  speeds = std::move(other530.speeds);
-  __isset = other530.__isset;
+peer_status::peer_status(const peer_status& other531) {
+  process = other531.process;
+  boot = other531.boot;
+  sequence = other531.sequence;
+  leaving = other531.leaving;
+  heard = other531.heard;
+  config_version = other531.config_version;
+  config_address = other531.config_address;
+  centres_revision = other531.centres_revision;
+  centres_out = other531.centres_out;
+  uses = other531.uses;
+  demands = other531.demands;
+  customers = other531.customers;
+  holdings = other531.holdings;
+  leaving_targets = other531.leaving_targets;
+  suspects = other531.suspects;
+  wants_registrations = other531.wants_registrations;
+  registrations = other531.registrations;
+  address = other531.address;
+  loads = other531.loads;
+  gives_orders = other531.gives_orders;
+  starts = other531.starts;
+  centres_era = other531.centres_era;
+  centres_held = other531.centres_held;
+  informed = other531.informed;
+  reads_store = other531.reads_store;
+  data_centre = other531.data_centre;
+  group = other531.group;
+  fleet_size = other531.fleet_size;
+  processor_share = other531.processor_share;
+  to_other_group = other531.to_other_group;
+  group_use = other531.group_use;
+  outside = other531.outside;
+  has_details = other531.has_details;
+  suspect_parts = other531.suspect_parts;
+  target_limits = other531.target_limits;
+  origins = other531.origins;
+  suspect_requests = other531.suspect_requests;
+  unix_ms = other531.unix_ms;
+  usage = other531.usage;
+  speeds = other531.speeds;
+  view = other531.view;
+  __isset = other531.__isset;
+}
+peer_status::peer_status(peer_status&& other532) noexcept {
+  process = std::move(other532.process);
+  boot = other532.boot;
+  sequence = other532.sequence;
+  leaving = other532.leaving;
+  heard = std::move(other532.heard);
+  config_version = other532.config_version;
+  config_address = std::move(other532.config_address);
+  centres_revision = other532.centres_revision;
+  centres_out = std::move(other532.centres_out);
+  uses = std::move(other532.uses);
+  demands = std::move(other532.demands);
+  customers = std::move(other532.customers);
+  holdings = std::move(other532.holdings);
+  leaving_targets = std::move(other532.leaving_targets);
+  suspects = std::move(other532.suspects);
+  wants_registrations = other532.wants_registrations;
+  registrations = std::move(other532.registrations);
+  address = std::move(other532.address);
+  loads = std::move(other532.loads);
+  gives_orders = other532.gives_orders;
+  starts = std::move(other532.starts);
+  centres_era = other532.centres_era;
+  centres_held = std::move(other532.centres_held);
+  informed = other532.informed;
+  reads_store = other532.reads_store;
+  data_centre = std::move(other532.data_centre);
+  group = std::move(other532.group);
+  fleet_size = other532.fleet_size;
+  processor_share = other532.processor_share;
+  to_other_group = other532.to_other_group;
+  group_use = std::move(other532.group_use);
+  outside = std::move(other532.outside);
+  has_details = other532.has_details;
+  suspect_parts = std::move(other532.suspect_parts);
+  target_limits = std::move(other532.target_limits);
+  origins = std::move(other532.origins);
+  suspect_requests = std::move(other532.suspect_requests);
+  unix_ms = other532.unix_ms;
+  usage = std::move(other532.usage);
+  speeds = std::move(other532.speeds);
+  view = std::move(other532.view);
+  __isset = other532.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other533) {
+  process = other533.process;
+  boot = other533.boot;
+  sequence = other533.sequence;
+  leaving = other533.leaving;
+  heard = other533.heard;
+  config_version = other533.config_version;
+  config_address = other533.config_address;
+  centres_revision = other533.centres_revision;
+  centres_out = other533.centres_out;
+  uses = other533.uses;
+  demands = other533.demands;
+  customers = other533.customers;
+  holdings = other533.holdings;
+  leaving_targets = other533.leaving_targets;
+  suspects = other533.suspects;
+  wants_registrations = other533.wants_registrations;
+  registrations = other533.registrations;
+  address = other533.address;
+  loads = other533.loads;
+  gives_orders = other533.gives_orders;
+  starts = other533.starts;
+  centres_era = other533.centres_era;
+  centres_held = other533.centres_held;
+  informed = other533.informed;
+  reads_store = other533.reads_store;
+  data_centre = other533.data_centre;
+  group = other533.group;
+  fleet_size = other533.fleet_size;
+  processor_share = other533.processor_share;
+  to_other_group = other533.to_other_group;
+  group_use = other533.group_use;
+  outside = other533.outside;
+  has_details = other533.has_details;
+  suspect_parts = other533.suspect_parts;
+  target_limits = other533.target_limits;
+  origins = other533.origins;
+  suspect_requests = other533.suspect_requests;
+  unix_ms = other533.unix_ms;
+  usage = other533.usage;
+  speeds = other533.speeds;
+  view = other533.view;
+  __isset = other533.__isset;
+  return *this;
+}
+peer_status& peer_status::operator=(peer_status&& other534) noexcept {
+  process = std::move(other534.process);
+  boot = other534.boot;
+  sequence = other534.sequence;
+  leaving = other534.leaving;
+  heard = std::move(other534.heard);
+  config_version = other534.config_version;
+  config_address = std::move(other534.config_address);
+  centres_revision = other534.centres_revision;
+  centres_out = std::move(other534.centres_out);
+  uses = std::move(other534.uses);
+  demands = std::move(other534.demands);
+  customers = std::move(other534.customers);
+  holdings = std::move(other534.holdings);
+  leaving_targets = std::move(other534.leaving_targets);
+  suspects = std::move(other534.suspects);
+  wants_registrations = other534.wants_registrations;
+  registrations = std::move(other534.registrations);
+  address = std::move(other534.address);
+  loads = std::move(other534.loads);
+  gives_orders = other534.gives_orders;
+  starts = std::move(other534.starts);
+  centres_era = other534.centres_era;
+  centres_held = std::move(other534.centres_held);
+  informed = other534.informed;
+  reads_store = other534.reads_store;
+  data_centre = std::move(other534.data_centre);
+  group = std::move(other534.group);
+  fleet_size = other534.fleet_size;
+  processor_share = other534.processor_share;
+  to_other_group = other534.to_other_group;
+  group_use = std::move(other534.group_use);
+  outside = std::move(other534.outside);
+  has_details = other534.has_details;
+  suspect_parts = std::move(other534.suspect_parts);
+  target_limits = std::move(other534.target_limits);
+  origins = std::move(other534.origins);
+  suspect_requests = std::move(other534.suspect_requests);
+  unix_ms = other534.unix_ms;
+  usage = std::move(other534.usage);
+  speeds = std::move(other534.speeds);
+  view = std::move(other534.view);
+  __isset = other534.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -13867,6 +14199,7 @@
   out << ", " << "unix_ms="; (__isset.unix_ms ? (out << to_string(unix_ms)) : (out << "<null>"));
   out << ", " << "usage="; (__isset.usage ? (out << to_string(usage)) : (out << "<null>"));
   out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
+  out << ", " << "view="; (__isset.view ? (out << to_string(view)) : (out << "<null>"));
   out << ")";
 }
 
@@ -14092,54 +14425,54 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_request::turn_request(const turn_request& other531) {
-  process = other531.process;
-  target = other531.target;
-  number = other531.number;
-  tokens = other531.tokens;
-  priority = other531.priority;
-  customer = other531.customer;
-  slack_ms = other531.slack_ms;
-  total_tokens = other531.total_tokens;
-  running = other531.running;
-  __isset = other531.__isset;
+turn_request::turn_request(const turn_request& other535) {
+  process = other535.process;
+  target = other535.target;
+  number = other535.number;
+  tokens = other535.tokens;
+  priority = other535.priority;
+  customer = other535.customer;
+  slack_ms = other535.slack_ms;
+  total_tokens = other535.total_tokens;
+  running = other535.running;
+  __isset = other535.__isset;
 }
-turn_request::turn_request(turn_request&& other532) noexcept {
-  process = std::move(other532.process);
-  target = std::move(other532.target);
-  number = other532.number;
-  tokens = other532.tokens;
-  priority = other532.priority;
-  customer = std::move(other532.customer);
-  slack_ms = other532.slack_ms;
-  total_tokens = other532.total_tokens;
-  running = other532.running;
-  __isset = other532.__isset;
+turn_request::turn_request(turn_request&& other536) noexcept {
+  process = std::move(other536.process);
+  target = std::move(other536.target);
+  number = other536.number;
+  tokens = other536.tokens;
+  priority = other536.priority;
+  customer = std::move(other536.customer);
+  slack_ms = other536.slack_ms;
+  total_tokens = other536.total_tokens;
+  running = other536.running;
+  __isset = other536.__isset;
 }
-turn_request& turn_request::operator=(const turn_request& other533) {
-  process = other533.process;
-  target = other533.target;
-  number = other533.number;
-  tokens = other533.tokens;
-  priority = other533.priority;
-  customer = other533.customer;
-  slack_ms = other533.slack_ms;
-  total_tokens = other533.total_tokens;
-  running = other533.running;
-  __isset = other533.__isset;
+turn_request& turn_request::operator=(const turn_request& other537) {
+  process = other537.process;
+  target = other537.target;
+  number = other537.number;
+  tokens = other537.tokens;
+  priority = other537.priority;
+  customer = other537.customer;
+  slack_ms = other537.slack_ms;
+  total_tokens = other537.total_tokens;
+  running = other537.running;
+  __isset = other537.__isset;
   return *this;
 }
-turn_request& turn_request::operator=(turn_request&& other534) noexcept {
-  process = std::move(other534.process);
-  target = std::move(other534.target);
-  number = other534.number;
-  tokens = other534.tokens;
-  priority = other534.priority;
-  customer = std::move(other534.customer);
-  slack_ms = other534.slack_ms;
-  total_tokens = other534.total_tokens;
-  running = other534.running;
-  __isset = other534.__isset;
+turn_request& turn_request::operator=(turn_request&& other538) noexcept {
+  process = std::move(other538.process);
+  target = std::move(other538.target);
+  number = other538.number;
+  tokens = other538.tokens;
+  priority = other538.priority;
+  customer = std::move(other538.customer);
+  slack_ms = other538.slack_ms;
+  total_tokens = other538.total_tokens;
+  running = other538.running;
+  __isset = other538.__isset;
   return *this;
 }
 void turn_request::printTo(std::ostream& out) const {
@@ -14301,38 +14634,38 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_answer::turn_answer(const turn_answer& other535) {
-  process = other535.process;
-  target = other535.target;
-  number = other535.number;
-  given = other535.given;
-  wait_ms = other535.wait_ms;
-  __isset = other535.__isset;
+turn_answer::turn_answer(const turn_answer& other539) {
+  process = other539.process;
+  target = other539.target;
+  number = other539.number;
+  given = other539.given;
+  wait_ms = other539.wait_ms;
+  __isset = other539.__isset;
 }
-turn_answer::turn_answer(turn_answer&& other536) noexcept {
-  process = std::move(other536.process);
-  target = std::move(other536.target);
-  number = other536.number;
-  given = other536.given;
-  wait_ms = other536.wait_ms;
-  __isset = other536.__isset;
+turn_answer::turn_answer(turn_answer&& other540) noexcept {
+  process = std::move(other540.process);
+  target = std::move(other540.target);
+  number = other540.number;
+  given = other540.given;
+  wait_ms = other540.wait_ms;
+  __isset = other540.__isset;
 }
-turn_answer& turn_answer::operator=(const turn_answer& other537) {
-  process = other537.process;
-  target = other537.target;
-  number = other537.number;
-  given = other537.given;
-  wait_ms = other537.wait_ms;
-  __isset = other537.__isset;
+turn_answer& turn_answer::operator=(const turn_answer& other541) {
+  process = other541.process;
+  target = other541.target;
+  number = other541.number;
+  given = other541.given;
+  wait_ms = other541.wait_ms;
+  __isset = other541.__isset;
   return *this;
 }
-turn_answer& turn_answer::operator=(turn_answer&& other538) noexcept {
-  process = std::move(other538.process);
-  target = std::move(other538.target);
-  number = other538.number;
-  given = other538.given;
-  wait_ms = other538.wait_ms;
-  __isset = other538.__isset;
+turn_answer& turn_answer::operator=(turn_answer&& other542) noexcept {
+  process = std::move(other542.process);
+  target = std::move(other542.target);
+  number = other542.number;
+  given = other542.given;
+  wait_ms = other542.wait_ms;
+  __isset = other542.__isset;
   return *this;
 }
 void turn_answer::printTo(std::ostream& out) const {
@@ -14473,34 +14806,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_use::turn_use(const turn_use& other539) {
-  process = other539.process;
-  target = other539.target;
-  number = other539.number;
-  tokens = other539.tokens;
-  __isset = other539.__isset;
-}
-turn_use::turn_use(turn_use&& other540) noexcept {
-  process = std::move(other540.process);
-  target = std::move(other540.target);
-  number = other540.number;
-  tokens = other540.tokens;
-  __isset = other540.__isset;
-}
-turn_use& turn_use::operator=(const turn_use& other541) {
-  process = other541.process;
-  target = other541.target;
-  number = other541.number;
-  tokens = other541.tokens;
-  __isset = other541.__isset;
-  return *this;
-}
-turn_use& turn_use::operator=(turn_use&& other542) noexcept {
-  process = std::move(other542.process);
-  target = std::move(other542.target);
-  number = other542.number;
-  tokens = other542.tokens;
-  __isset = other542.__isset;
+turn_use::turn_use(const turn_use& other543) {
+  process = other543.process;
+  target = other543.target;
+  number = other543.number;
+  tokens = other543.tokens;
+  __isset = other543.__isset;
+}
+turn_use::turn_use(turn_use&& other544) noexcept {
+  process = std::move(other544.process);
+  target = std::move(other544.target);
+  number = other544.number;
+  tokens = other544.tokens;
+  __isset = other544.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other545) {
+  process = other545.process;
+  target = other545.target;
+  number = other545.number;
+  tokens = other545.tokens;
+  __isset = other545.__isset;
+  return *this;
+}
+turn_use& turn_use::operator=(turn_use&& other546) noexcept {
+  process = std::move(other546.process);
+  target = std::move(other546.target);
+  number = other546.number;
+  tokens = other546.tokens;
+  __isset = other546.__isset;
   return *this;
 }
 void turn_use::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -238,6 +238,8 @@
 
 class target_registration;
 
+class store_view;
+
 class stream_origins;
 
 class suspect_part;
@@ -4074,10 +4076,13 @@
 std::ostream& operator<<(std::ostream& out, const target_holding& obj);
 
 typedef struct _leaving_target__isset {
-  _leaving_target__isset() : target(false), born(false), remaining_ms(false) {}
+  _leaving_target__isset() : target(false), born(false), remaining_ms(false), era(false), revision(false), age_ms(false) {}
   bool target :1;
   bool born :1;
   bool remaining_ms :1;
+  bool era :1;
+  bool revision :1;
+  bool age_ms :1;
 } _leaving_target__isset;
 
 /**
@@ -4093,13 +4098,19 @@
   leaving_target() noexcept
                  : target(),
                    born(0),
-                   remaining_ms(0) {
+                   remaining_ms(0),
+                   era(0),
+                   revision(0),
+                   age_ms(0) {
   }
 
   virtual ~leaving_target() noexcept;
   std::string target;
   int64_t born;
   int64_t remaining_ms;
+  int64_t era;
+  int64_t revision;
+  int64_t age_ms;
 
   _leaving_target__isset __isset;
 
@@ -4109,6 +4120,12 @@
 
   void __set_remaining_ms(const int64_t val);
 
+  void __set_era(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
   bool operator == (const leaving_target & rhs) const
   {
     if (!(target == rhs.target))
@@ -4119,6 +4136,18 @@
       return false;
     else if (__isset.remaining_ms && !(remaining_ms == rhs.remaining_ms))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (__isset.revision != rhs.__isset.revision)
+      return false;
+    else if (__isset.revision && !(revision == rhs.revision))
+      return false;
+    if (__isset.age_ms != rhs.__isset.age_ms)
+      return false;
+    else if (__isset.age_ms && !(age_ms == rhs.age_ms))
+      return false;
     return true;
   }
   bool operator != (const leaving_target &rhs) const {
@@ -4262,7 +4291,7 @@
 std::ostream& operator<<(std::ostream& out, const held_centre& obj);
 
 typedef struct _target_registration__isset {
-  _target_registration__isset() : target(false), born(false), service_name(false), address(false), data_centre(false), slots(false), draining(false), cold_ms(false), software_version(false) {}
+  _target_registration__isset() : target(false), born(false), service_name(false), address(false), data_centre(false), slots(false), draining(false), cold_ms(false), software_version(false), era(false), revision(false) {}
   bool target :1;
   bool born :1;
   bool service_name :1;
@@ -4272,6 +4301,8 @@
   bool draining :1;
   bool cold_ms :1;
   bool software_version :1;
+  bool era :1;
+  bool revision :1;
 } _target_registration__isset;
 
 /**
@@ -4293,7 +4324,9 @@
                         slots(0),
                         draining(0),
                         cold_ms(0),
-                        software_version() {
+                        software_version(),
+                        era(0),
+                        revision(0) {
   }
 
   virtual ~target_registration() noexcept;
@@ -4306,6 +4339,8 @@
   bool draining;
   int64_t cold_ms;
   std::string software_version;
+  int64_t era;
+  int64_t revision;
 
   _target_registration__isset __isset;
 
@@ -4327,6 +4362,10 @@
 
   void __set_software_version(const std::string& val);
 
+  void __set_era(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
   bool operator == (const target_registration & rhs) const
   {
     if (!(target == rhs.target))
@@ -4347,6 +4386,14 @@
       return false;
     if (!(software_version == rhs.software_version))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (__isset.revision != rhs.__isset.revision)
+      return false;
+    else if (__isset.revision && !(revision == rhs.revision))
+      return false;
     return true;
   }
   bool operator != (const target_registration &rhs) const {
@@ -4365,6 +4412,83 @@
 
 std::ostream& operator<<(std::ostream& out, const target_registration& obj);
 
+typedef struct _store_view__isset {
+  _store_view__isset() : departures_ms(false), configuration_ms(false), data_centres_ms(false), era(false), revision(false) {}
+  bool departures_ms :1;
+  bool configuration_ms :1;
+  bool data_centres_ms :1;
+  bool era :1;
+  bool revision :1;
+} _store_view__isset;
+
+/**
+ * How old what the sender knows of the store is: it knows all changes up to that time ago, of one kind each; -1: it has
+ * known of none. era, revision: of the registrations that it sends.
+ */
+class store_view : public virtual ::apache::thrift::TBase {
+ public:
+
+  store_view(const store_view&) noexcept;
+  store_view(store_view&&) noexcept;
+  store_view& operator=(const store_view&) noexcept;
+  store_view& operator=(store_view&&) noexcept;
+  store_view() noexcept
+             : departures_ms(0),
+               configuration_ms(0),
+               data_centres_ms(0),
+               era(0),
+               revision(0) {
+  }
+
+  virtual ~store_view() noexcept;
+  int64_t departures_ms;
+  int64_t configuration_ms;
+  int64_t data_centres_ms;
+  int64_t era;
+  int64_t revision;
+
+  _store_view__isset __isset;
+
+  void __set_departures_ms(const int64_t val);
+
+  void __set_configuration_ms(const int64_t val);
+
+  void __set_data_centres_ms(const int64_t val);
+
+  void __set_era(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const store_view & rhs) const
+  {
+    if (!(departures_ms == rhs.departures_ms))
+      return false;
+    if (!(configuration_ms == rhs.configuration_ms))
+      return false;
+    if (!(data_centres_ms == rhs.data_centres_ms))
+      return false;
+    if (!(era == rhs.era))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const store_view &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const store_view & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(store_view &a, store_view &b);
+
+std::ostream& operator<<(std::ostream& out, const store_view& obj);
+
 typedef struct _stream_origins__isset {
   _stream_origins__isset() : software_version(false), attempts(false) {}
   bool software_version :1;
@@ -5014,7 +5138,7 @@
 std::ostream& operator<<(std::ostream& out, const outside_status& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false), unix_ms(false), usage(false), speeds(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false), unix_ms(false), usage(false), speeds(false), view(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -5055,6 +5179,7 @@
   bool unix_ms :1;
   bool usage :1;
   bool speeds :1;
+  bool view :1;
 } _peer_status__isset;
 
 /**
@@ -5147,6 +5272,7 @@
   int64_t unix_ms;
   std::vector<usage_window>  usage;
   std::vector<target_speed>  speeds;
+  store_view view;
 
   _peer_status__isset __isset;
 
@@ -5230,6 +5356,8 @@
 
   void __set_speeds(const std::vector<target_speed> & val);
 
+  void __set_view(const store_view& val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -5322,6 +5450,10 @@
       return false;
     else if (__isset.speeds && !(speeds == rhs.speeds))
       return false;
+    if (__isset.view != rhs.__isset.view)
+      return false;
+    else if (__isset.view && !(view == rhs.view))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -6,6 +6,7 @@
 #include "core/limits/fleet_quota.hpp"
 #include "core/limits/target_limits.hpp"
 #include "core/membership/catch_up.hpp"
+#include "core/membership/store_view.hpp"
 #include "core/streams/origins.hpp"
 #include "core/target_speed/speeds.hpp"
 #include "edge/decision_log.hpp"
@@ -30,7 +31,8 @@
     core::membership::catch_up start; // of this process, until it knows what running gateways know
     core::fleet::config_ptr config;   // null until the first configuration is read
     core::fleet::directory directory;
-    core::fleet::centres_out centres; // data centres taken out of service
+    core::fleet::centres_out centres;  // data centres taken out of service
+    core::membership::store_view view; // how old what is known of the store is
     core::limits::fleet_quota quota;
     core::limits::target_limits target_limits;
     core::streams::origins origins;    // of callers' streams
--- a/src/programs/gateway/metrics.cpp
+++ b/src/programs/gateway/metrics.cpp
@@ -100,6 +100,10 @@
                               "Windows of usage by what became of their report")),
       watch_ages_(gauges(registry, data_centre, "waxwing_watch_age_seconds",
                          "Time since the store last answered the watch of a kind of object")),
+      view_ages_(gauges(registry, data_centre, "waxwing_store_view_age_seconds",
+                        "Age of what is known of the store, itself or by peers, by kind of change")),
+      own_reads_(counters(registry, data_centre, "waxwing_store_view_old_total",
+                          "Reads of the store because what peers told of it was too old, by kind of change")),
       ignored_loads_(counters(registry, data_centre, "waxwing_target_loads_ignored_total",
                               "Loads or momentary figures of targets that were not understood")),
       target_speeds_(gauges(registry, data_centre, "waxwing_target_speed",
@@ -184,6 +188,14 @@
     limited_clients_.Add({{"action", action}, {"reason", reason}}).Increment();
 }
 
+void gateway_metrics::count_own_read(const std::string& kind) {
+    own_reads_.Add({{"kind", kind}}).Increment();
+}
+
+void gateway_metrics::set_view_age(const std::string& kind, core::common::duration age) {
+    view_ages_.Add({{"kind", kind}}).Set(seconds(age));
+}
+
 void gateway_metrics::set_watch_age(const std::string& kind, core::common::duration age) {
     watch_ages_.Add({{"kind", kind}}).Set(seconds(age));
 }
--- a/src/programs/gateway/metrics.hpp
+++ b/src/programs/gateway/metrics.hpp
@@ -42,7 +42,9 @@
     void count_ignored_load(); // a target's stated load or figure that was not understood
     void set_target_speeds(const core::target_speed::speeds::range& extent);
     void count_limited_client(const std::string& action,
-                              const std::string& reason);                    // fixed names from the code
+                              const std::string& reason); // fixed names from the code
+    void count_own_read(const std::string& kind);         // of the store, since what peers told was too old
+    void set_view_age(const std::string& kind, core::common::duration age);  // of what is known of the store
     void set_watch_age(const std::string& kind, core::common::duration age); // since the last answer
 
     prometheus::Gauge& waiting;    // requests waiting for a target
@@ -75,6 +77,8 @@
     prometheus::Family<prometheus::Counter>& duty_calls_;
     prometheus::Family<prometheus::Counter>& usage_reports_;
     prometheus::Family<prometheus::Gauge>& watch_ages_;
+    prometheus::Family<prometheus::Gauge>& view_ages_;
+    prometheus::Family<prometheus::Counter>& own_reads_;
     prometheus::Family<prometheus::Counter>& ignored_loads_;
     prometheus::Family<prometheus::Gauge>& target_speeds_;
     prometheus::Family<prometheus::Gauge>& target_speeds_known_;
--- a/src/programs/gateway/peer_codec.cpp
+++ b/src/programs/gateway/peer_codec.cpp
@@ -10,6 +10,9 @@
 using core::exchange::order_giver_sighting;
 using core::exchange::usage;
 
+constexpr milliseconds max_departure_age{86'400'000}; // a day; older ones are as good as forgotten
+constexpr std::int64_t unknown_age_ms = -1;
+
 usage decode(const std::vector<wire::customer_use>& customers, const std::vector<wire::target_load>& loads) {
     usage out;
     for (const auto& use : customers)
@@ -169,6 +172,72 @@
         to.__set_outside(encode(*report.outside));
 }
 
+core::fleet::departure decode_departure(const wire::leaving_target& from) {
+    core::fleet::departure out{{from.target, from.born}, {}, {}};
+    if (from.__isset.era && from.__isset.revision)
+        out.at = {from.era, from.revision};
+    if (from.__isset.age_ms)
+        out.age = std::clamp(milliseconds{from.age_ms}, milliseconds{0}, max_departure_age);
+    return out;
+}
+
+wire::leaving_target encode_departure(const core::fleet::departure& from) {
+    wire::leaving_target out;
+    out.target = from.start.id;
+    out.born = from.start.born;
+    out.__set_era(from.at.era);
+    out.__set_revision(from.at.revision);
+    out.__set_age_ms(core::common::to_wire_ms(from.age));
+    return out;
+}
+
+core::fleet::target_entry decode_registration(const wire::target_registration& from) {
+    core::fleet::target_entry out;
+    out.id = from.target;
+    out.born = from.born;
+    if (from.__isset.era && from.__isset.revision)
+        out.changed = {from.era, from.revision};
+    out.service = from.service_name;
+    out.address = from.address;
+    out.data_centre = from.data_centre;
+    out.slots = from.slots;
+    out.draining = from.draining;
+    out.cold_left = milliseconds{from.cold_ms};
+    out.software_version = from.software_version;
+    return out;
+}
+
+wire::target_registration encode_registration(const core::fleet::target& from, core::common::time_point now) {
+    wire::target_registration out;
+    out.target = from.entry.id;
+    out.born = from.entry.born;
+    out.__set_era(from.entry.changed.era);
+    out.__set_revision(from.entry.changed.revision);
+    out.service_name = from.entry.service;
+    out.address = from.entry.address;
+    out.data_centre = from.entry.data_centre;
+    out.slots = from.entry.slots;
+    out.software_version = from.entry.software_version;
+    out.draining = from.leaving();
+    out.cold_ms = core::common::to_wire_ms(from.cold_until - now);
+    return out;
+}
+
+wire::store_view encode_view(const core::membership::store_view& from,
+                             core::common::store_position registrations_at, core::common::time_point now) {
+    const auto age_ms = [&](core::membership::stored_kind kind) {
+        const auto age = from.age(kind, now);
+        return age ? core::common::to_wire_ms(*age) : unknown_age_ms;
+    };
+    wire::store_view out;
+    out.departures_ms = age_ms(core::membership::stored_kind::departures);
+    out.configuration_ms = age_ms(core::membership::stored_kind::configuration);
+    out.data_centres_ms = age_ms(core::membership::stored_kind::data_centres);
+    out.era = registrations_at.era;
+    out.revision = registrations_at.revision;
+    return out;
+}
+
 std::optional<core::target_speed::learned_speed> decode_speed(const wire::target_speed& from) {
     if (!std::isfinite(from.speed) || from.speed <= 0 || from.samples < 0)
         return std::nullopt;
--- a/src/programs/gateway/peer_codec.hpp
+++ b/src/programs/gateway/peer_codec.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "core/exchange/report.hpp"
+#include "core/fleet/directory.hpp"
+#include "core/membership/store_view.hpp"
 #include "core/quarantine/suspect_parts.hpp"
 #include "core/target_speed/speeds.hpp"
 #include "waxwing_types.h"
@@ -19,6 +21,18 @@
 [[nodiscard]] core::quarantine::part_report decode_part(const wire::suspect_part& from);
 [[nodiscard]] wire::suspect_part encode_part(const core::quarantine::part_report& report);
 
+[[nodiscard]] core::fleet::departure decode_departure(const wire::leaving_target& from);
+[[nodiscard]] wire::leaving_target encode_departure(const core::fleet::departure& from);
+
+[[nodiscard]] core::fleet::target_entry decode_registration(const wire::target_registration& from);
+[[nodiscard]] wire::target_registration encode_registration(const core::fleet::target& from,
+                                                            core::common::time_point now);
+
+/// `registrations_at`: place in the store's history of the registrations that the sender knows.
+[[nodiscard]] wire::store_view encode_view(const core::membership::store_view& from,
+                                           core::common::store_position registrations_at,
+                                           core::common::time_point now);
+
 /// nullopt: the number of samples is negative or the speed is no positive number.
 [[nodiscard]] std::optional<core::target_speed::learned_speed> decode_speed(const wire::target_speed& from);
 [[nodiscard]] wire::target_speed encode_speed(const core::target_speed::learned_speed& from);
--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using core::common::milliseconds;
+using core::membership::stored_kind;
 
 constexpr milliseconds config_fetch_interval{400}; // between two reads of the configuration from a peer
 constexpr milliseconds config_fetch_timeout{1'500};
@@ -31,20 +32,6 @@
     return std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(value).count());
 }
 
-core::fleet::target_entry decode(const wire::target_registration& registration) {
-    core::fleet::target_entry out;
-    out.id = registration.target;
-    out.born = registration.born;
-    out.service = registration.service_name;
-    out.address = registration.address;
-    out.data_centre = registration.data_centre;
-    out.slots = registration.slots;
-    out.draining = registration.draining;
-    out.cold_left = milliseconds{registration.cold_ms};
-    out.software_version = registration.software_version;
-    return out;
-}
-
 std::uint64_t hash_of_content(const wire::target_holding& holding) {
     std::string content = std::to_string(holding.born).append(" ").append(std::to_string(holding.sequence));
     for (const std::string& model : holding.models)
@@ -105,15 +92,8 @@
         message.centres_held.push_back(std::move(hold));
     }
     message.informed = context_.informed();
-    for (const auto& leaving : leaving_to_tell()) {
-        wire::leaving_target entry;
-        entry.target = leaving.id;
-        entry.born = leaving.born;
-        const auto* known = context_.directory.find(leaving.id);
-        if (known != nullptr && known->entry.born == leaving.born && known->gone_at)
-            entry.__set_remaining_ms(rounded_up_ms(*known->gone_at - context_.loop.now()));
-        message.leaving_targets.push_back(std::move(entry));
-    }
+    add_departures_to(message);
+    message.__set_view(encode_view(context_.view, context_.directory.read_at(), context_.loop.now()));
     add_limits_to(message);
     add_suspects_to(message);
 }
@@ -129,17 +109,15 @@
     }
 }
 
-/// What was heard holds for one start of a target, so passing it on ends with that start.
-std::vector<core::fleet::target_start> peer_updates::leaving_to_tell() const {
-    auto out = context_.directory.leaving_targets();
-    if (!grouped_)
-        return out;
-    for (const auto& [id, target] : context_.directory.targets()) {
-        const core::fleet::target_start start{id, target.entry.born};
-        if (target.leaving_by_peer && std::find(out.begin(), out.end(), start) == out.end())
-            out.push_back(start);
+void peer_updates::add_departures_to(wire::peer_status& message) const {
+    const auto now = context_.loop.now();
+    for (const auto& departure : context_.directory.departures_known(now)) {
+        wire::leaving_target entry = encode_departure(departure);
+        const auto* known = context_.directory.find(departure.start.id);
+        if (known != nullptr && known->entry.born == departure.start.born && known->gone_at)
+            entry.__set_remaining_ms(rounded_up_ms(*known->gone_at - now));
+        message.leaving_targets.push_back(std::move(entry));
     }
-    return out;
 }
 
 void peer_updates::add_suspects_to(wire::peer_status& message) const {
@@ -186,19 +164,8 @@
 std::vector<wire::target_registration> peer_updates::registrations() const {
     const auto now = context_.loop.now();
     std::vector<wire::target_registration> out;
-    for (const auto& [id, target] : context_.directory.targets()) {
-        wire::target_registration registration;
-        registration.target = id;
-        registration.born = target.entry.born;
-        registration.service_name = target.entry.service;
-        registration.address = target.entry.address;
-        registration.data_centre = target.entry.data_centre;
-        registration.slots = target.entry.slots;
-        registration.software_version = target.entry.software_version;
-        registration.draining = target.leaving();
-        registration.cold_ms = std::max<std::int64_t>(0, wire_ms(target.cold_until - now));
-        out.push_back(std::move(registration));
-    }
+    for (const auto& [id, target] : context_.directory.targets())
+        out.push_back(encode_registration(target, now));
     return out;
 }
 
@@ -208,8 +175,8 @@
 
 bool peer_updates::urgent_updates_changed() {
     std::string text;
-    for (const auto& target : leaving_to_tell())
-        text.append(target.id).append(" ").append(std::to_string(target.born)).append(" ");
+    for (const auto& departure : context_.directory.departures_known(context_.loop.now()))
+        text.append(departure.start.id).append(" ").append(std::to_string(departure.start.born)).append(" ");
     for (const std::string& centre : context_.centres.out())
         text.append(centre).append(" ");
     for (const auto& known : context_.target_limits.statements())
@@ -250,6 +217,7 @@
                                   core::streams::origin_source::peer, context_.loop.now());
     apply_store_state(message);
     apply_holdings(message);
+    confirm_view(message);
     if (!own_speakers)
         return {false, departures || limits};
     const auto pass_on = [&](const auto& updates, auto& to) {
@@ -281,18 +249,46 @@
 
 bool peer_updates::apply_departures(const wire::peer_status& message) {
     bool any_new = false;
+    const auto now = context_.loop.now();
     for (const auto& target : message.leaving_targets) {
-        const core::fleet::target_start start{target.target, target.born};
-        any_new = context_.directory.mark_leaving(start) || any_new;
+        const auto departure = decode_departure(target);
+        if (context_.directory.note_departure(departure, now)) {
+            any_new = true;
+            context_.log.write(edge::events::target_leaving, departure.start.id,
+                               {{"born", departure.start.born},
+                                {"at", core::common::to_text(departure.at)},
+                                {"age_ms", wire_ms(departure.age)},
+                                {"source", message.process}});
+        }
         if (target.__isset.remaining_ms && target.remaining_ms >= 0 &&
             target.remaining_ms <= max_remaining.count())
-            any_new = context_.directory.note_removal(start, milliseconds{target.remaining_ms},
-                                                      context_.loop.now()) ||
-                      any_new;
+            any_new =
+                context_.directory.note_removal(departure.start, milliseconds{target.remaining_ms}, now) ||
+                any_new;
     }
     return any_new;
 }
 
+/// The sender's departures are all applied; its configuration and data centres out may still be on their way.
+void peer_updates::confirm_view(const wire::peer_status& message) {
+    const auto now = context_.loop.now();
+    if (!message.__isset.view)
+        return;
+    const auto confirm = [&](stored_kind kind, std::int64_t age_ms) {
+        if (age_ms >= 0)
+            context_.view.confirm(kind, now - milliseconds{age_ms});
+    };
+    // Messages name the departures of the last while only.
+    const auto own_age = context_.view.age(stored_kind::departures, now);
+    if (own_age && *own_age <= core::fleet::departure_retention)
+        confirm(stored_kind::departures, message.view.departures_ms);
+    if (context_.config && context_.config->version >= message.config_version)
+        confirm(stored_kind::configuration, message.view.configuration_ms);
+    if (context_.centres.known_at() >=
+        core::common::store_position{message.centres_era, message.centres_revision})
+        confirm(stored_kind::data_centres, message.view.data_centres_ms);
+}
+
 void peer_updates::apply_centres(const wire::peer_status& message) {
     const auto now = context_.loop.now();
     const core::common::store_position at{message.centres_era, message.centres_revision};
@@ -312,7 +308,7 @@
 
 void peer_updates::apply_store_state(const wire::peer_status& message) {
     for (const auto& start : message.starts)
-        context_.directory.merge_from_peer(decode(start), context_.loop.now());
+        context_.directory.merge_from_peer(decode_registration(start), context_.loop.now());
     if (!message.registrations.empty() && !dependencies_.watch.reads_targets())
         adopt_registrations(message);
     const std::int64_t own = context_.config ? context_.config->version : 0;
@@ -323,10 +319,15 @@
 }
 
 void peer_updates::adopt_registrations(const wire::peer_status& message) {
-    std::vector<core::fleet::target_entry> entries;
+    core::fleet::target_list list;
     for (const auto& registration : message.registrations)
-        entries.push_back(decode(registration));
-    context_.directory.adopt(entries, context_.loop.now());
+        list.entries.push_back(decode_registration(registration));
+    if (message.__isset.view)
+        list.at = {message.view.era, message.view.revision};
+    context_.directory.adopt(list, context_.loop.now());
+    if (message.__isset.view && message.view.departures_ms >= 0)
+        context_.view.confirm(stored_kind::departures,
+                              context_.loop.now() - milliseconds{message.view.departures_ms});
     dependencies_.dispatch.schedule_dispatch();
 }
 
--- a/src/programs/gateway/peer_updates.hpp
+++ b/src/programs/gateway/peer_updates.hpp
@@ -37,8 +37,6 @@
     peer_updates(gateway_context& context, dependencies used)
         : context_(context), dependencies_(std::move(used)) {}
 
-    /// In a fleet of several groups what was heard of leaving targets is passed on: not all hear who saw it.
-    void set_grouped(bool grouped) { grouped_ = grouped; }
     void add_to(wire::peer_status& message) const;
     [[nodiscard]] target_updates due_updates(); // changed, or due to be sent again
     /// Updates that came from another group, to pass on in the own one; the oldest ones, once.
@@ -67,12 +65,13 @@
     void forget_old();
 
 private:
-    [[nodiscard]] std::vector<core::fleet::target_start> leaving_to_tell() const;
+    void add_departures_to(wire::peer_status& message) const;
     void add_limits_to(wire::peer_status& message) const;
     void add_suspects_to(wire::peer_status& message) const; // requests that broke connections to targets
     void apply_centres(const wire::peer_status& message);
     [[nodiscard]] bool apply_departures(const wire::peer_status& message); // true: some are new
     [[nodiscard]] bool apply_limits(const wire::peer_status& message);     // likewise
+    void confirm_view(const wire::peer_status& message);
     void apply_store_state(const wire::peer_status& message);
     void apply_holdings(const wire::peer_status& message);
     [[nodiscard]] bool
@@ -84,7 +83,6 @@
     dependencies dependencies_;
     core::membership::announcement_schedule holdings_updates_{holdings_resend_interval};
     core::membership::announcement_schedule starts_updates_{starts_resend_interval};
-    bool grouped_ = false;
     core::exchange::relay_queue<wire::target_holding> relayed_holdings_; // from other groups
     core::exchange::relay_queue<wire::target_registration> relayed_starts_;
     std::string next_holding_; // targets from there on come first in the next message
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -70,7 +70,6 @@
     log_lost_peers();
     dependencies_.dispatch.set_peer_load(outside_load, exchange_.outside_running(now));
     updates_.forget_old();
-    updates_.set_grouped(exchange_.grouped());
     send_status(audience::everybody);
     context_.loop.schedule(now + exchange_.period(now), [this] { tick(); });
 }
--- a/src/programs/gateway/settings.cpp
+++ b/src/programs/gateway/settings.cpp
@@ -1,10 +1,12 @@
 #include "programs/gateway/settings.hpp"
 
+#include <algorithm>
 #include <sstream>
 
 namespace waxwinglb::programs::gateway {
 namespace {
 
+constexpr core::common::milliseconds min_view_limit{1'000};
 constexpr core::common::milliseconds min_window{1'000};
 constexpr core::common::milliseconds max_window{60'000}; // totals are kept for four windows
 
@@ -67,6 +69,14 @@
         out.single_group = static_cast<std::size_t>(
             exchange.integer("single_group", 1, 1'000, static_cast<std::int64_t>(out.single_group)));
     });
+    in.section("store_view", false, [&](edge::settings_section& view) {
+        auto& [departures, configuration, data_centres] = out.view_limits;
+        departures = view.duration("departures", departures);
+        configuration = view.duration("configuration", configuration);
+        data_centres = view.duration("data_centres", data_centres);
+        if (std::min({departures, configuration, data_centres}) < min_view_limit)
+            view.fault("departures, configuration, data_centres", "expected 1s or more");
+    });
     in.section("ingress", false, [&](edge::settings_section& ingress) {
         out.ingress.memory = ingress.bytes("memory", out.ingress.memory);
         out.ingress.connections =
--- a/src/programs/gateway/settings.hpp
+++ b/src/programs/gateway/settings.hpp
@@ -4,6 +4,7 @@
 #include "core/exchange/groups.hpp"
 #include "core/ingress/client_ledger.hpp"
 #include "core/load_planning/planner.hpp"
+#include "core/membership/store_view.hpp"
 #include "core/retries/window_budget.hpp"
 #include "edge/settings.hpp"
 
@@ -56,6 +57,10 @@
     double processor_share{
         0}; // of a core, of this VM; larger ones speak for their group of gateways; 0: unknown
     std::size_t single_group{core::exchange::max_single_group}; // gateways up to which each reports to each
+    /// Times within which changes in the store must be in force: departures, configuration, data centres out.
+    core::membership::view_limits view_limits{core::common::milliseconds{2'000},
+                                              core::common::milliseconds{2'000},
+                                              core::common::milliseconds{5'000}};
     ingress_settings ingress;
     core::retries::window_limits retries; // of all gateways together
     core::load_planning::planner_limits placing;
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -10,7 +10,9 @@
 
 namespace leaf = boost::leaf;
 using core::common::milliseconds;
+using core::common::time_point;
 using core::fleet::list_source;
+using core::membership::stored_kind;
 using platform::store_reply;
 using platform::store_result;
 
@@ -22,7 +24,7 @@
 // A dead connection is only noticed when its watch times out. Gateways that watch closely use watches that
 // are short enough to stay within the platform's tightest bound (2 s, for a leaving target and for a
 // configuration).
-constexpr milliseconds short_watch_timeout{1'000};
+constexpr milliseconds short_watch_timeout{800};
 // The store ends watches after 30 s.
 constexpr milliseconds long_watch_timeout{25'000};
 // The copies that targets have of models are read only here; they change when a model comes from the weight
@@ -30,7 +32,9 @@
 constexpr milliseconds targets_look{10'000};
 constexpr milliseconds seldom_look{60'000}; // a safeguard: all changes come from other gateways
 constexpr kind_watch::watch_timing targets_timing{short_watch_timeout, milliseconds{250}, milliseconds{0},
-                                                  targets_look};
+                                                  targets_look, true};
+// The store answers a watch with a part of a long history. The rest comes with the next ones.
+constexpr std::size_t least_partial_reply = 100; // events
 constexpr kind_watch::watch_timing config_timing{short_watch_timeout, milliseconds{20}, long_watch_timeout,
                                                  milliseconds{20}};
 constexpr kind_watch::watch_timing centres_timing{short_watch_timeout, milliseconds{20}, milliseconds{0},
@@ -91,10 +95,15 @@
 void kind_watch::schedule_next(milliseconds after) {
     context_.loop.schedule(context_.loop.now() + after, [this, generation = generation_] {
         if (generation == generation_)
-            position_.revision > 0 ? watch() : list();
+            call_next();
     });
 }
 
+void kind_watch::call_next() {
+    const bool lists = !context_.reads_store_closely && timing_.relaxed_lists;
+    position_.revision == 0 || lists ? list() : watch();
+}
+
 /// `close_delay`: until the next watch, if this gateway watches closely.
 void kind_watch::schedule_after_reply(milliseconds close_delay) {
     relaxed_ = !context_.reads_store_closely;
@@ -115,10 +124,19 @@
     if (!relaxed_)
         return;
     ++generation_;
-    watch();
+    position_.revision == 0 || timing_.relaxed_lists ? list() : watch();
+}
+
+void kind_watch::read_now() {
+    if (!relaxed_)
+        return;
+    ++generation_;
+    relaxed_ = false;
+    position_.revision == 0 || timing_.relaxed_lists ? list() : watch_for(milliseconds{0});
 }
 
 void kind_watch::list() {
+    sent_at_ = context_.loop.now();
     store_.list(kind_, [this, generation = generation_](store_reply&& reply) {
         context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
             if (generation == generation_ && record_reply(reply, "list"))
@@ -137,13 +155,19 @@
     const bool restored = listed_era_ >= 0 && reply.at.era > listed_era_;
     listed_era_ = reply.at.era;
     callbacks_.on_list(reply, restored ? list_source::restored_store : list_source::store);
+    callbacks_.on_current(sent_at_);
     schedule_after_reply(timing_.batch_delay);
 }
 
 void kind_watch::watch() {
     relaxed_ = !context_.reads_store_closely;
-    const auto timeout = relaxed_ ? timing_.relaxed_timeout : timing_.timeout;
-    store_.watch(kind_, position_, timeout, [this, generation = generation_](store_reply&& reply) {
+    watch_for(relaxed_ ? timing_.relaxed_timeout : timing_.timeout);
+}
+
+void kind_watch::watch_for(milliseconds wait) {
+    sent_at_ = context_.loop.now();
+    wait_ = wait;
+    store_.watch(kind_, position_, wait, [this, generation = generation_](store_reply&& reply) {
         context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
             if (generation == generation_ && record_reply(reply, "watch"))
                 handle_watch_reply(reply);
@@ -163,13 +187,19 @@
         position_ = reply.at;
     if (!reply.objects.empty())
         callbacks_.on_events(reply);
+    const bool may_be_partial = reply.objects.size() >= least_partial_reply;
+    if (!may_be_partial) // one without events was answered at its end, others at some time after they were
+                         // sent
+        callbacks_.on_current(reply.objects.empty() ? std::min(sent_at_ + wait_, context_.loop.now())
+                                                    : sent_at_);
     if (reply.unnamed > 0) {
         // The list shows which known entry is not among the readable ones any more.
         log_unnamed(reply, "watch");
         position_ = {};
         return schedule_next(unnamed_delay);
     }
-    schedule_after_reply(reply.objects.empty() ? milliseconds{0} : timing_.batch_delay);
+    const bool at_once = reply.objects.empty() || may_be_partial;
+    schedule_after_reply(at_once ? milliseconds{0} : timing_.batch_delay);
 }
 
 void kind_watch::log_unnamed(const store_reply& reply, const char* call) {
@@ -182,16 +212,19 @@
     : context_(context), callbacks_(std::move(handlers)),
       config_watch_(context, store, platform::config_kind, config_timing,
                     {[this](const store_reply& reply, list_source) { apply_config_objects(reply); },
-                     [this](const store_reply& reply) { apply_config_objects(reply); }}),
+                     [this](const store_reply& reply) { apply_config_objects(reply); },
+                     [this](time_point until) { context_.view.confirm(stored_kind::configuration, until); }}),
       targets_watch_(context, store, platform::targets_kind, targets_timing,
                      {[this](const store_reply& reply, list_source source) { list_targets(reply, source); },
-                      [this](const store_reply& reply) { change_targets(reply); }}),
+                      [this](const store_reply& reply) { change_targets(reply); },
+                      [this](time_point until) { context_.view.confirm(stored_kind::departures, until); }}),
       centres_watch_(context, store, platform::evacuations_kind, centres_timing,
                      {[this](const store_reply& reply, list_source) { list_centres(reply); },
-                      [this](const store_reply& reply) { change_centres(reply); }}),
+                      [this](const store_reply& reply) { change_centres(reply); },
+                      [this](time_point until) { context_.view.confirm(stored_kind::data_centres, until); }}),
       members_watch_(context, store, platform::routers_kind, members_timing,
                      {[this](const store_reply& reply, list_source source) { list_members(reply, source); },
-                      [this](const store_reply& reply) { change_members(reply); }}) {}
+                      [this](const store_reply& reply) { change_members(reply); }, [](time_point) {}}) {}
 
 void store_watch::start() {
     config_watch_.start();
@@ -203,6 +236,28 @@
 void store_watch::report_ages(core::common::time_point now) {
     for (const kind_watch* watch : {&config_watch_, &targets_watch_, &centres_watch_, &members_watch_})
         context_.metrics.set_watch_age(watch->kind(), now - watch->answered_at());
+    for (const auto& [kind, watch] : viewed_kinds())
+        if (const auto age = context_.view.age(kind, now))
+            context_.metrics.set_view_age(name_of(kind), *age);
+}
+
+std::array<store_watch::viewed_kind, core::membership::stored_kinds> store_watch::viewed_kinds() {
+    return {{{stored_kind::departures, targets_watch_},
+             {stored_kind::configuration, config_watch_},
+             {stored_kind::data_centres, centres_watch_}}};
+}
+
+void store_watch::read_if_old(time_point now) {
+    for (const auto& [kind, watch] : viewed_kinds()) {
+        const auto limit = context_.settings.view_limits[static_cast<std::size_t>(kind)];
+        if (!watch.relies_on_peers() || !context_.view.take_read_due(kind, limit, now))
+            continue;
+        const auto age = context_.view.age(kind, now).value_or(core::common::duration{});
+        context_.log.write(edge::events::store_view_old, name_of(kind),
+                           {{"age_ms", core::common::to_wire_ms(age)}, {"limit_ms", limit.count()}});
+        context_.metrics.count_own_read(name_of(kind));
+        watch.read_now();
+    }
 }
 
 void store_watch::list_again() {
@@ -309,6 +364,7 @@
             if (!object.flaw.empty())
                 return leaf::new_error(core::common::error{"read registration", object.name, object.flaw});
             BOOST_LEAF_AUTO(entry, platform::decode_target(object.name, object.spec));
+            entry.changed = object.changed;
             log_not_understood(entry);
             ignored_.erase(object.name);
             return std::optional{std::move(entry)};
@@ -333,7 +389,7 @@
         } else {
             context_.directory.forget(object.name);
         }
-    context_.directory.replace_all(entries, context_.loop.now(), source);
+    context_.directory.replace_all({std::move(entries), reply.at, source}, context_.loop.now());
     callbacks_.on_targets();
 }
 
@@ -353,7 +409,7 @@
             changes.push_back({object.name, std::nullopt, true});
         }
     }
-    context_.directory.apply(changes, context_.loop.now());
+    context_.directory.apply(changes, reply.at, context_.loop.now());
     callbacks_.on_targets();
 }
 
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -9,6 +9,7 @@
 #include "platform/store_client.hpp"
 #include "programs/gateway/context.hpp"
 
+#include <array>
 #include <functional>
 
 namespace waxwinglb::programs::gateway {
@@ -21,10 +22,12 @@
         core::common::milliseconds batch_delay; // between two watches; changes arrive in batches
         core::common::milliseconds relaxed_timeout; // both while others read the store closely; 0: a look
         core::common::milliseconds relaxed_delay;
+        bool relaxed_lists = false; // a look reads all objects: the changes since the last one are too many
     };
     struct callbacks {
         std::function<void(const platform::store_reply&, core::fleet::list_source)> on_list;
         std::function<void(const platform::store_reply&)> on_events;
+        std::function<void(core::common::time_point)> on_current; // all changes until then are applied
     };
     kind_watch(gateway_context& context, platform::store_client& store, std::string kind, watch_timing timing,
                callbacks handlers)
@@ -34,13 +37,17 @@
     void start();
     void list_again();    // the store was restored: drops what is on its way
     void watch_closely(); // nobody else does any more: ends a relaxed watch or delay
+    void read_now();      // once, in place of a relaxed watch or delay
+    [[nodiscard]] bool relies_on_peers() const { return relaxed_; }
     [[nodiscard]] bool answering() const { return answering_; }
     [[nodiscard]] const std::string& kind() const { return kind_; }
     [[nodiscard]] core::common::time_point answered_at() const { return answered_at_; }
 
 private:
     void list();
+    void call_next(); // the watch or list that is due
     void watch();
+    void watch_for(core::common::milliseconds wait);
     void handle_list_reply(const platform::store_reply& reply);
     void handle_watch_reply(const platform::store_reply& reply);
     void log_unnamed(const platform::store_reply& reply, const char* call);
@@ -61,6 +68,8 @@
     bool answering_ = true;
     core::common::time_point answered_at_{}; // last answer of the store; start time before the first
     int failures_ = 0;                       // consecutive
+    core::common::time_point sent_at_{};     // the current call
+    core::common::milliseconds wait_{0};     // of the current watch
     bool relaxed_ = false;                   // the current watch or delay relies on other gateways' messages
     std::uint64_t generation_ = 0; // of calls and delays; results of an older generation are ignored
 };
@@ -82,6 +91,8 @@
     void list_again();                              // all kinds
     void watch_closely();                           // all kinds
     void report_ages(core::common::time_point now); // as metrics
+    /// Reads what this gateway relies on its peers for, where what they told is too old.
+    void read_if_old(core::common::time_point now);
 
     /// Applies a configuration document from the store or a peer; older versions are ignored.
     void apply_config(const nlohmann::json& spec, const std::string& source);
@@ -92,6 +103,11 @@
     [[nodiscard]] const std::string& config_text() const { return config_text_; }
 
 private:
+    struct viewed_kind {
+        core::membership::stored_kind kind;
+        kind_watch& watch;
+    };
+    [[nodiscard]] std::array<viewed_kind, core::membership::stored_kinds> viewed_kinds();
     void apply_config_objects(const platform::store_reply& reply);
     void list_targets(const platform::store_reply& reply, core::fleet::list_source source);
     void change_targets(const platform::store_reply& reply);
--- a/tests/core/dispatch_test.cpp
+++ b/tests/core/dispatch_test.cpp
@@ -119,7 +119,7 @@
     first.gone_at = now;
     EXPECT_EQ(service.chosen({}), "no_target");
     first.gone_at.reset();
-    first.leaving_by_peer = true;
+    first.departed = true;
     EXPECT_EQ(service.chosen({}), "no_target");
 }
 
--- a/tests/core/wait_policy_test.cpp
+++ b/tests/core/wait_policy_test.cpp
@@ -97,7 +97,7 @@
     EXPECT_EQ(dispatch::earliest_ready(all, model, now), now + 800ms);
     second.coming["m"] = now + 100ms;
     EXPECT_EQ(dispatch::earliest_ready(all, model, now), now + 100ms);
-    second.leaving_by_peer = true;
-    first.leaving_by_peer = true;
+    second.departed = true;
+    first.departed = true;
     EXPECT_FALSE(dispatch::earliest_ready(all, model, now).has_value());
 }
