Gateways read the store themselves when what they know of it is too old

One gateway reads the store for all. Slow, frozen or cut off it still counts as the reader while it is heard, and a gateway whose own watch of the configuration hangs on a dead connection noticed that after 25 s only. Nobody compared the age of what it knew with the time within which a change must be in force.

A gateway whose knowledge of departures, configuration or data centres taken out is older than 0.6 of the platform's bound reads that kind itself, every 0.5 s until it is current (store_view_old, waxwing_store_view_old_total). The bounds come from the deployment's settings (drain_ms, config_ms, evac_ms).

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -256,6 +256,7 @@
     if (context_.centres.expire(now))
         watch_.centres_changed(context_.centres.known_at(), "hold");
     update_readiness();
+    watch_.read_if_old(now);
     dispatcher_.remove_missing_targets();
     turns_.remove_missing_targets();
     notices_.step();
@@ -331,6 +332,7 @@
     settings_.prompt_tokens_per_second = new_settings.prompt_tokens_per_second;
     settings_.learn_speeds = new_settings.learn_speeds;
     settings_.shared_room = new_settings.shared_room;
+    settings_.view_limits = new_settings.view_limits;
     settings_.ingress = new_settings.ingress;
     guard_.change_settings();
     log_.limit_request_lines(new_settings.request_lines);
