--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -77,6 +77,7 @@
         CURL* easy = nullptr;
         curl_slist* headers = nullptr;
         std::size_t header_bytes = 0; // received
+        bool head_complete = false;   // of the answer; trailers come later
         core::common::time_point last_byte{};
     };
 
@@ -105,6 +106,10 @@
         if (transfer.header_bytes > max_headers)
             return 0; // ends the call as interrupted
         std::string_view line{data, unit * count};
+        if (line.starts_with("HTTP/"))
+            transfer.head_complete = false; // an interim answer came before
+        else if (line == "\r\n" || line == "\n")
+            transfer.head_complete = true;
         const auto colon = line.find(':');
         if (colon != line.npos) {
             std::string name{line.substr(0, colon)};
@@ -168,6 +173,9 @@
         if (code != CURLE_OK)
             done->result.why = {done->request.method + " request", done->request.url,
                                 curl_easy_strerror(code)};
+        else if (done->result.outcome != client_outcome::answered)
+            done->result.why = {done->request.method + " request", done->request.url,
+                                "the answer ended inside its head"};
         curl_multi_remove_handle(multi_, done->easy);
         curl_easy_cleanup(done->easy);
         curl_slist_free_all(done->headers);
@@ -175,8 +183,8 @@
     }
     /// Without a connection the peer never received the request; after any other failure it may have run it.
     static client_outcome outcome_of(const call& transfer, CURLcode code) {
-        if (code == CURLE_OK)
-            return client_outcome::answered;
+        if (code == CURLE_OK) // also if the connection ended inside the head
+            return transfer.head_complete ? client_outcome::answered : client_outcome::interrupted;
         if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
             return client_outcome::not_sent;
         double connected_s = 0;
