An answer that waits for memory goes on waiting for the whole of it

Callers of a small VM lost one of five large answers at a planned stop (LOST), and got 504 after 12 s without a stop. The whole length is asked for with the head, and the reading paused. The part of the body that had come with the head then asked for its own size, was granted that, and ended the wait for the rest: nobody resumed the reading when there was room. A smaller amount no longer replaces a larger one that is waited for.

--- a/src/programs/gateway/caller_session.cpp
+++ b/src/programs/gateway/caller_session.cpp
@@ -182,6 +182,8 @@
     if (!connection_ || bytes <= answer_charged_)
         return true;
     const std::size_t amount = std::bit_ceil(std::max(bytes, least_answer_charge));
+    if (answer_waits_ && amount <= wanted_)
+        return false; // a smaller amount, granted now, would end the wait for the whole answer
     wanted_ = amount;
     if (!ledger_.reserve(id_, part::answer, amount, loop_.now())) {
         if (!answer_waits_)
