A target that leaves while a connection to it is established gets no request

The exchange asks when the connection stands; if the target is no longer usable, the request goes elsewhere without drawing on the retry budget, or is refused as not run.

target_link.a_request_is_not_sent_on_a_connection_that_came_too_late; before, no such question existed and the request went out.

--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -22,7 +22,8 @@
 constexpr int max_sends = 5;                    // of one request, including sends that targets rejected
 constexpr milliseconds rejection_backoff{150}; // models being loaded and slots of full targets get ready soon
 constexpr const char* ended_by_connection = "connection"; // of an answer with neither length nor chunks
-constexpr milliseconds min_useful_time{20};               // no retry with less time to the deadline
+constexpr milliseconds unsent_retry_after{500};
+constexpr milliseconds min_useful_time{20}; // no retry with less time to the deadline
 
 milliseconds whole_ms(duration value) {
     return std::chrono::duration_cast<milliseconds>(value);
@@ -181,6 +182,7 @@
                         {"left_ms", whole_ms(request->deadline - context_.loop.now()).count()},
                         {"config", request->config->version}});
     exchange::events handlers;
+    handlers.may_send = [this, request] { return is_usable(request->target_start); };
     handlers.on_head = [this, request](const edge::answer_head& head) { on_head(request, head); };
     handlers.on_body = [this, request](std::string&& piece) { on_body(request, std::move(piece)); };
     handlers.on_complete = [this, request] { on_complete(request); };
@@ -189,6 +191,13 @@
                                           connection_for(*request), std::move(handlers));
 }
 
+/// A target may leave, or its data centre be taken out, while a connection to it is being established.
+bool forwarder::is_usable(const core::fleet::target_start& start) const {
+    const auto* known = context_.directory.find(start.id);
+    return known != nullptr && known->entry.born == start.born && !known->leaving() &&
+           !context_.centres.out().contains(known->entry.data_centre);
+}
+
 bool forwarder::charge(const caller_request_ptr& request) {
     if (request->charged || request->customer.empty())
         return true;
@@ -368,17 +377,10 @@
 void forwarder::on_failed(const caller_request_ptr& request, exchange_failure failure) {
     if (request->finished)
         return;
-    if (failure == exchange_failure::not_sent) {
-        const std::string unreached = request->target;
-        request->not_before = {};
-        request->unsettled = false;
-        close_exchange(request, dispatcher::attempt_outcome::unreachable);
-        if (!request->came_before)
-            request->sent_to.erase(unreached);
-        if (!retry(request, "target_unreachable", false))
-            refuse(request, 503, "target_unreachable", milliseconds{500});
-        return;
-    }
+    if (failure == exchange_failure::not_sent)
+        return handle_unsent(request, dispatcher::attempt_outcome::unreachable, "target_unreachable");
+    if (failure == exchange_failure::withdrawn)
+        return handle_unsent(request, dispatcher::attempt_outcome::abandoned, "target_left");
     if (failure == exchange_failure::broken)
         return handle_broken_answer(request, "connection_broken");
     request->may_have_run = true;
@@ -388,6 +390,18 @@
                        failure == exchange_failure::silent ? "connection_timed_out" : "answer_malformed");
 }
 
+void forwarder::handle_unsent(const caller_request_ptr& request, dispatcher::attempt_outcome outcome,
+                              const char* reason) {
+    const std::string chosen = request->target;
+    request->not_before = {};
+    request->unsettled = false;
+    close_exchange(request, outcome);
+    if (!request->came_before)
+        request->sent_to.erase(chosen);
+    if (!retry(request, reason, false))
+        refuse(request, 503, reason, unsent_retry_after);
+}
+
 void forwarder::handle_broken_answer(const caller_request_ptr& request, const char* reason) {
     request->may_have_run = true;
     note_broken_run(*request);
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -36,6 +36,7 @@
     void update_budgets();
 
 private:
+    [[nodiscard]] bool is_usable(const core::fleet::target_start& start) const;
     /// Takes its tokens from the customer's rate when it is sent for the first time. False: refused.
     bool charge(const caller_request_ptr& request);
     void on_head(const caller_request_ptr& request, const edge::answer_head& head);
@@ -54,6 +55,8 @@
     void note_broken_run(const caller_request& request);        // an attempt without a whole answer
     void note_sound(const caller_request& request);             // it has got a whole answer
     void note_crash(const caller_request& request);             // its target may have ended because of it
+    void handle_unsent(const caller_request_ptr& request, dispatcher::attempt_outcome outcome,
+                       const char* reason);
     void handle_broken_answer(const caller_request_ptr& request,
                               const char* reason); // its target broke it off
     void handle_lost_answer(const caller_request_ptr& request,
--- a/src/programs/gateway/target_link.cpp
+++ b/src/programs/gateway/target_link.cpp
@@ -172,6 +172,8 @@
     ++open_;
     created->request_ = std::move(request);
     events.on_connected = [self] {
+        if (self->events_.may_send && !self->events_.may_send())
+            return self->fail(exchange_failure::withdrawn);
         self->connection_->send(self->request_);
         self->request_.clear();
     };
--- a/src/programs/gateway/target_link.hpp
+++ b/src/programs/gateway/target_link.hpp
@@ -15,6 +15,7 @@
 /// How an exchange failed.
 enum class exchange_failure {
     not_sent,  // no connection: the target never saw the request
+    withdrawn, // may_send() was false: the target never saw the request
     broken,    // the connection was closed or reset before the answer was complete
     silent,    // the target's kernel no longer acknowledged anything
     malformed, // the bytes received are not an answer to this request
@@ -34,6 +35,7 @@
 class exchange {
 public:
     struct events {
+        std::function<bool()> may_send; // asked when a new connection is established; empty: always
         std::function<void(const edge::answer_head&)> on_head;
         std::function<void(std::string&&)> on_body;
         std::function<void()> on_complete;
--- a/tests/contract/target_link_test.cpp
+++ b/tests/contract/target_link_test.cpp
@@ -113,6 +113,7 @@
     outcome ask(const std::string& id, connection_choice choice = connection_choice::any) {
         outcome out;
         exchange::events events;
+        events.may_send = may_send;
         events.on_head = [&](const edge::answer_head& head) { out.status = head.status; };
         events.on_body = [&](std::string&& piece) { out.body += piece; };
         events.on_complete = [&] {
@@ -138,6 +139,7 @@
     edge::event_loop loop;
     target_link::connection_counters totals;
     std::shared_ptr<target_link> link;
+    std::function<bool()> may_send;
 };
 
 } // namespace
@@ -282,6 +284,17 @@
     }
 }
 
+TEST(target_link, a_request_is_not_sent_on_a_connection_that_came_too_late) {
+    scripted_target target{[](const std::string&, int) { return answer("r1", "ran"); }};
+    test_client client{target.address};
+    client.may_send = [] { return false; };
+    const auto out = client.ask("r1");
+    ASSERT_TRUE(out.failure.has_value());
+    EXPECT_EQ(*out.failure, exchange_failure::withdrawn);
+    EXPECT_EQ(target.requests, 0);
+    EXPECT_EQ(client.link->open_count(), 0);
+}
+
 TEST(target_link, late_answer_without_end_fails_and_closes_the_connection) {
     scripted_target target{[](const std::string& request, int) {
         if (request.find("r2") == std::string::npos)
