Requests still open at the end of the grace get a final answer

Here requests that come later than 2.2 s after SIGTERM are refused at once, but those that still ran 0.4 s before the end lost their connection without a word, among them such as may not be repeated. They get 502 now, which promises nothing, those that wait 503; a stream that has begun is cut, as it must not look complete.

test_gateway_stop, requests_that_run_at_the_end_of_the_grace_are_answered: 10 of 10 without answer before, 10 of 10 with 502 now.

--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -228,6 +228,12 @@
     requests_.erase(request->session.get());
 }
 
+void admission::end_open_requests() {
+    const auto open = requests_;
+    for (const auto& [session, request] : open)
+        forwarder_.on_stop(request);
+}
+
 std::vector<caller_request_ptr> admission::running_at(const std::string& target) const {
     std::vector<caller_request_ptr> out;
     for (const auto& [session, request] : requests_)
--- a/src/programs/gateway/admission.hpp
+++ b/src/programs/gateway/admission.hpp
@@ -21,6 +21,7 @@
     void on_request_finished(const caller_request_ptr& request); // answered, refused, cut or abandoned
     void on_caller_disconnected(caller_session& session);
     void on_caller_drained(caller_session& session); // its output buffer is empty
+    void end_open_requests();                        // the process ends now
     [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
     [[nodiscard]] std::vector<caller_request_ptr> running_at(const std::string& target) const;
 
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -549,6 +549,16 @@
     fail(request, 504, "deadline_passed_running");
 }
 
+void forwarder::on_stop(const caller_request_ptr& request) {
+    if (request->target.empty()) {
+        dispatcher_->withdraw(request);
+        return refuse(request, 503, "ending", {});
+    }
+    request->may_have_run = true;
+    close_exchange(request, dispatcher::attempt_outcome::abandoned);
+    fail(request, 502, "ending");
+}
+
 void forwarder::finish(const caller_request_ptr& request, std::string_view event, const std::string& outcome,
                        const std::string& reason) {
     if (request->finished)
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -20,6 +20,8 @@
     void refuse_over_rate(const caller_request_ptr& request, core::common::duration retry_after);
     void abandon(const caller_request_ptr& request);           // the caller disconnected
     void on_caller_drained(const caller_request_ptr& request); // the caller's output buffer is empty
+    /// The process ends now: the request gets its final answer, or its stream is cut.
+    void on_stop(const caller_request_ptr& request);
     void on_deadline(const caller_request_ptr& request);
     /// Takes a running request off its target, which will be gone, and submits it again. False: it may not be
     /// sent again, or not now.
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -166,8 +166,7 @@
 
 void gateway::run() {
     loop_.run();
-    log_.write(edge::events::process_stopped, settings_.name,
-               {{"open_requests", admission_.open_requests()}});
+    log_.write(edge::events::process_stopped, settings_.name, {{"open_requests", cut_at_stop_}});
 }
 
 // ---- process ---------------------------------------------------------------------------------------
@@ -357,6 +356,10 @@
                                     [](const auto& session) { return session->unsent() > 0; });
     if (!out_of_time && (lasted < min_drain_time || admission_.open_requests() > 0 || unsent))
         return;
+    if (admission_.open_requests() > 0) {
+        cut_at_stop_ = admission_.open_requests();
+        return admission_.end_open_requests(); // their answers are sent until the next step
+    }
     peers_.announce_leaving();
     if (usage_.due()) // once more: the totals in it would be lost with the datagram
         peers_.announce_leaving();
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -73,6 +73,7 @@
     std::unique_ptr<edge::http_server> metrics_;
     std::mutex config_mutex_;
     std::string config_for_peers_; // guarded by config_mutex_: read by the metrics server's thread
+    std::size_t cut_at_stop_ = 0;  // requests that were open at the end of the drain time
     int reloads_seen_ = 0;
     std::filesystem::file_time_type settings_modified_{};
     core::common::time_point settings_checked_at_{};
--- a/tests/programs/test_gateway_stop.py
+++ b/tests/programs/test_gateway_stop.py
@@ -83,6 +83,23 @@
         expect([line["open_requests"] for line in fleet.events("process_stopped")], [len(open_requests)], "open at the end")
 
 
+def requests_that_run_at_the_end_of_the_grace_are_answered():
+    with Fleet(ARGUMENTS.bin, drain="3s") as fleet:
+        ledger = fleet.target("l1", "ledger", slots=64)
+        gateway = fleet.start().gateways[0]
+        fleet.wait_for_target()
+        ledger.hold.clear()
+        callers = [connect(fleet) for _ in range(10)]
+        for connection in callers:
+            send_request(connection, fleet.headers(), "/cert/1")
+        wait_until(lambda: len(ledger.runs) == len(callers), "all requests run")
+        gateway.process.send_signal(signal.SIGTERM)
+        answers = [connection.recv(1_000)[:12] for connection in callers]
+        ledger.hold.set()
+        expect(answers, [b"HTTP/1.1 502"] * len(callers), "answers; 502 promises nothing of a request that may have run")
+        expect(gateway.process.wait(30), 0, "exit code")
+
+
 def read_slowly(connection):
     """Reads to the end at the rate of a slow link. Returns the number of bytes of the body."""
     got = b""
@@ -114,5 +131,6 @@
     run_cases([gateway_ends_in_order_while_a_caller_does_not_close,
                gateway_ends_in_order_while_many_callers_do_not_close,
                gateway_ends_in_order_with_requests_still_open,
+               requests_that_run_at_the_end_of_the_grace_are_answered,
                begun_answers_reach_slow_callers_although_the_gateway_stops])
     sys.exit(0)
