A configuration on its way from the store is not read from a peer too

Callers of the two middle deployments were served by a configuration older than the acknowledged one (CONFIG, 3 s allowed). It had some versions from the store and some from peers: as soon as a peer named a newer version it read that again, over the same link, beside the copy that its own watch was bringing.

It now reads from a peer only if the store does not answer it, or the copy has not come after 1 s; half of the platform's bound is then left for the read.

--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -14,6 +14,9 @@
 using core::membership::stored_kind;
 
 constexpr milliseconds config_fetch_interval{400}; // between two reads of the configuration from a peer
+// A large configuration takes about half as long on the slowest links, and a second copy would delay the
+// first.
+constexpr milliseconds config_transfer_time{1'000};
 constexpr milliseconds config_fetch_timeout{1'500};
 constexpr milliseconds origin_repetition{1'100};      // three messages tell of a stream: one may be lost
 constexpr std::size_t max_new_origins = 500;          // streams in one message
@@ -314,8 +317,8 @@
     const std::int64_t own = context_.config ? context_.config->version : 0;
     if (message.informed && knows_all_of(message) && context_.directory.loaded())
         context_.start.informed_by_peer();
-    if (message.config_version > own && context_.loop.now() >= config_fetched_at_ + config_fetch_interval)
-        fetch_config(message.config_address);
+    if (message.config_version > own)
+        follow_config(own, message.config_address);
 }
 
 void peer_updates::adopt_registrations(const wire::peer_status& message) {
@@ -350,6 +353,17 @@
         dependencies_.dispatch.schedule_dispatch();
 }
 
+/// Reads a newer configuration from the peer that has it, unless it should be on its way from the store.
+void peer_updates::follow_config(std::int64_t own_version, const std::string& address) {
+    const auto now = context_.loop.now();
+    if (std::exchange(outdated_version_, own_version) != own_version)
+        outdated_since_ = now;
+    const bool on_its_way =
+        dependencies_.watch.reads_config() && now < outdated_since_ + config_transfer_time;
+    if (!on_its_way && now >= config_fetched_at_ + config_fetch_interval)
+        fetch_config(address);
+}
+
 void peer_updates::fetch_config(const std::string& address) {
     config_fetched_at_ = context_.loop.now();
     edge::client_request request;
--- a/src/programs/gateway/peer_updates.hpp
+++ b/src/programs/gateway/peer_updates.hpp
@@ -77,6 +77,7 @@
     [[nodiscard]] bool
     knows_all_of(const wire::peer_status& message) const; // configuration, data centres out
     void adopt_registrations(const wire::peer_status& message);
+    void follow_config(std::int64_t own_version, const std::string& address);
     void fetch_config(const std::string& address);
 
     gateway_context& context_;
@@ -90,6 +91,8 @@
     bool updates_left_ = false;
     std::uint64_t announced_urgent_updates_ = 0; // hash of what was last announced
     core::common::time_point config_fetched_at_{};
+    std::int64_t outdated_version_ = -1; // own version, when a peer last had a newer one
+    core::common::time_point outdated_since_{};
     core::common::time_point adopted_outside_at_{}; // registrations from another group
 };
 
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -96,6 +96,7 @@
 
     /// Applies a configuration document from the store or a peer; older versions are ignored.
     void apply_config(const nlohmann::json& spec, const std::string& source);
+    [[nodiscard]] bool reads_config() const { return config_watch_.answering(); }
     [[nodiscard]] bool reads_targets() const { return targets_watch_.answering(); }
     /// Logs the data centres that are out and tells the other parts. `source`: "store", a peer or "hold".
     void centres_changed(core::common::store_position at, const std::string& source);
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -197,16 +197,28 @@
                 self.lock.wait(left)
 
 
+class DelayedAnswer:
+    """A call whose answer takes a time on its way."""
+
+    def __init__(self, call, delay_s):
+        self.command, self.path, self.headers, self.body, self.call, self.delay_s = (
+            call.command, call.path, call.headers, call.body, call, delay_s)
+
+    def answer(self, *answer):
+        time.sleep(self.delay_s)
+        self.call.answer(*answer)
+
+
 class StoreLink:
     """Another address of a store. When it is cut, connections there are closed without an answer."""
 
     def __init__(self, store, address):
-        self.store, self.address, self.cut = store, address, False
+        self.store, self.address, self.cut, self.delay_s = store, address, False, 0.0
         self.server = Server(address, Handler, self)
 
     def serve(self, call):
         if not self.cut:
-            return self.store.serve(call)
+            return self.store.serve(DelayedAnswer(call, self.delay_s))
         call.body()
         call.close_connection = True
         return call.connection.shutdown(socket.SHUT_RDWR)
--- a/tests/programs/test_gateway_view_age.py
+++ b/tests/programs/test_gateway_view_age.py
@@ -5,7 +5,8 @@
 import threading
 import time
 
-from gateway_fleet import Fleet
+from gateway_fleet import Fleet, expect
+from gateway_standins import StoreLink, configuration
 from gateway_standins import configuration
 from harness import Failure, arguments, run_cases, wait_until
 
@@ -15,6 +16,7 @@
 STOPPED_S, RUNNING_S = 0.9, 0.008
 ROUNDS = 3
 FEW_EVENTS = 20                  # in one answer of the store
+SLOW_LINK_S = 0.5                # an answer with a large configuration takes so long on the slowest links
 OWN_READ_S = 13.0                # a gateway reads the registrations itself every 10 s
 
 
@@ -93,7 +95,23 @@
             raise Failure(f"the target was used {late:.2f} s after it had said that it leaves")
 
 
+def a_configuration_on_its_way_from_the_store_is_not_read_from_a_peer_too():
+    with Fleet(ARGUMENTS.bin) as fleet:
+        link = StoreLink(fleet.store, fleet.ports.address())
+        fleet.add_gateway("slow", store=link.address)
+        fleet.start()
+        fleet.wait_for_contact()
+        link.delay_s = SLOW_LINK_S
+        for version in range(3, 3 + ROUNDS):
+            fleet.store.put("config", "main", configuration(version))
+            wait_until(lambda version=version: any(line["subject"] == str(version) for line in fleet.events("config_in_force", "slow")),
+                       f"version {version} is in force at the gateway on a slow link")
+        sources = [line["source"] for line in fleet.events("config_in_force", "slow")]
+        expect(sources, ["store"] * (1 + ROUNDS), "where the configurations came from")
+
+
 if __name__ == "__main__":
     run_cases([departures_reach_gateways_in_time_although_their_reader_is_slow,
-               registrations_from_before_a_departure_bring_no_target_back])
+               registrations_from_before_a_departure_bring_no_target_back,
+               a_configuration_on_its_way_from_the_store_is_not_read_from_a_peer_too])
     sys.exit(0)
