A peer that has read a restored store first brings no departed target back

A gateway that starts after a restore lists the target again and tells of its start; a running one, which had not yet listed the restored store, took that for later than the departure, since its era is. A start of an era that this gateway has not read yet can't be compared with a departure that it knows: the departure holds.

--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -214,7 +214,8 @@
 void directory::merge_from_peer(const target_entry& entry, time_point now) {
     const target_start start{entry.id, entry.born};
     const bool stated = entry.changed != store_position{};
-    if (entry.draining || (departures_.contains(start) && !stated) ||
+    const bool comparable = stated && entry.changed.era <= read_at_.era; // a restored store may list it again
+    if (entry.draining || (departures_.contains(start) && !comparable) ||
         departures_.covers(start, entry.changed))
         return;
     const auto known = targets_.find(entry.id);
--- a/tests/core/fleet_test.cpp
+++ b/tests/core/fleet_test.cpp
@@ -210,6 +210,16 @@
     EXPECT_FALSE(read_first.find("t1")->leaving());
 }
 
+TEST(target_directory, a_peer_that_has_read_a_restored_store_first_brings_no_departed_target_back) {
+    directory targets;
+    targets.replace_all({{entry_at("t1", 1, 10)}, {0, 10}}, start);
+    targets.remove("t1", {0, 20}, start);
+    target_entry old = entry_at("t1", 1, 10);
+    old.changed.era = 1;
+    targets.merge_from_peer(old, start + 1s);
+    EXPECT_EQ(targets.find("t1"), nullptr);
+}
+
 TEST(target_directory, a_departure_is_forgotten_by_its_first_readers_time_however_often_it_is_passed_on) {
     directory targets;
     targets.note_departure({{"t1", 1}, {0, 20}, fleet::departure_retention - 1s}, start);
