--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -358,8 +358,9 @@
     const auto now = context_.loop.now();
     if (std::exchange(outdated_version_, own_version) != own_version)
         outdated_since_ = now;
-    const bool on_its_way =
-        dependencies_.watch.reads_config() && now < outdated_since_ + config_transfer_time;
+    // A gateway that starts serves when it knows what the others know, and a restored store may not have it.
+    const bool on_its_way = context_.informed() && dependencies_.watch.reads_config() &&
+                            now < outdated_since_ + config_transfer_time;
     if (!on_its_way && now >= config_fetched_at_ + config_fetch_interval)
         fetch_config(address);
 }
