--- a/tests/contract/http_reader_test.cpp
+++ b/tests/contract/http_reader_test.cpp
@@ -95,6 +95,16 @@
     }
 }
 
+TEST(answer_reader, memory_is_not_allocated_for_the_length_that_an_answer_states) {
+    for (const char* length : {"1000000000", "99999999999", "18446744073709551614"}) {
+        answer_reader reader;
+        EXPECT_NO_THROW(
+            reader.feed("HTTP/1.1 200 OK\r\nContent-Length: " + std::string{length} + "\r\n\r\nabc"))
+            << length;
+        EXPECT_LT(reader.take_body().capacity(), 1'000U) << length;
+    }
+}
+
 TEST(answer_reader, bytes_after_an_answer_are_kept_apart) {
     answer_reader reader;
     EXPECT_EQ(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 500 x\r\n"),
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -407,6 +407,7 @@
         begin = b"HTTP/1.1 200 OK\r\n" + b"".join(f"{name}: {text}\r\n".encode() for name, text in signed)
         begin += {"field": b"X-Endless: ", "chunk extension": b"Transfer-Encoding: chunked\r\n\r\n1;",
                   "event": b"Content-Type: text/event-stream\r\n\r\ndata: ", "body": b"\r\n", "report": b"\r\n[",
+                  "length": b"Content-Length: 99999999999\r\n\r\n",
                   "trailer": b"Transfer-Encoding: chunked\r\n\r\n0\r\nX: "}[self.endless]
         call.close_connection = True
         try:
--- a/tests/programs/test_gateway_broken_answers.py
+++ b/tests/programs/test_gateway_broken_answers.py
@@ -69,7 +69,7 @@
 
 
 def answers_without_end_are_closed_before_the_deadline_and_within_bounded_memory():
-    for part in ("field", "chunk extension", "trailer", "event", "body"):
+    for part in ("field", "chunk extension", "trailer", "event", "body", "length"):
         for path, model in (("/dossier/1", "m0"), ("/cert/1", None)):
             if (part, model) == ("event", None):
                 continue     # plain answers have no events
