HTTP client: limits on progress, on size and on the memory of several answers; compressed answers

Until now a call had one limit for the whole exchange, so that an answer which kept coming was given up, and each answer might take 8 MB, so that 15 targets could take a machine's 120 MB. Now a call may limit the time until the first byte and between two bytes, the size of an answer, and by a budget that several calls share the memory of all their answers; its progress can be read. A stall limit alone applies from the start, as before. The poll's wait is worked out from the next limit in place of 50 ms.

--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -10,6 +10,7 @@
 #include <cctype>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace waxwinglb::edge {
@@ -17,8 +18,8 @@
 
 constexpr int idle_poll_ms = 1000;
 constexpr long max_connections_cached = 256;
-constexpr std::size_t max_collected_body = 8U << 20U; // bytes; the store's longest pages have about 1 MB
-constexpr std::size_t max_headers = 256U << 10U;      // bytes, of all header fields of one answer
+constexpr std::size_t max_headers = 256U << 10U; // bytes, of all header fields of one answer
+constexpr core::common::milliseconds shortest_poll{1};
 
 struct curl_globals {
     curl_globals() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -77,6 +78,9 @@
         CURL* easy = nullptr;
         curl_slist* headers = nullptr;
         std::size_t header_bytes = 0; // received
+        std::size_t held = 0;         // bytes of the head and of a collected body
+        bool begun = false;           // a byte of the answer has come
+        bool too_large = false;       // the answer was given up because of its size
         bool head_complete = false;   // of the answer; trailers come later
         core::common::time_point last_byte{};
     };
@@ -87,14 +91,29 @@
         curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, max_connections_cached);
         return multi;
     }
+    static void note_bytes(call& transfer, std::size_t count) {
+        transfer.begun = true;
+        transfer.last_byte = core::common::clock::now();
+        if (transfer.request.progress)
+            transfer.request.progress->received += count;
+    }
+    /// Charges for bytes that are kept. Returns false if the answer has become too large.
+    static bool hold_bytes(call& transfer, std::size_t count) {
+        const client_request& request = transfer.request;
+        transfer.too_large =
+            transfer.held + count > request.max_answer || (request.memory && !request.memory->take(count));
+        if (!transfer.too_large)
+            transfer.held += count;
+        return !transfer.too_large;
+    }
     static std::size_t receive_body(char* data, std::size_t unit, std::size_t count, void* self) {
         auto& transfer = *static_cast<call*>(self);
-        transfer.last_byte = core::common::clock::now();
+        note_bytes(transfer, unit * count);
         long status = 0;
         curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
         if (transfer.on_data)
             transfer.on_data(static_cast<int>(status), {data, unit * count});
-        else if (transfer.result.body.size() + unit * count > max_collected_body)
+        else if (!hold_bytes(transfer, unit * count))
             return 0; // ends the call as interrupted
         else
             transfer.result.body.append(data, unit * count);
@@ -102,8 +121,9 @@
     }
     static std::size_t receive_header(char* data, std::size_t unit, std::size_t count, void* self) {
         auto& transfer = *static_cast<call*>(self);
+        note_bytes(transfer, unit * count);
         transfer.header_bytes += unit * count;
-        if (transfer.header_bytes > max_headers)
+        if (transfer.header_bytes > max_headers || !hold_bytes(transfer, unit * count))
             return 0; // ends the call as interrupted
         std::string_view line{data, unit * count};
         if (line.starts_with("HTTP/"))
@@ -153,6 +173,8 @@
         curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &impl::receive_header);
         curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+        if (request.accepts_gzip)
+            curl_easy_setopt(easy, CURLOPT_ACCEPT_ENCODING, "gzip");
         if (request.send_once) {
             curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -170,9 +192,11 @@
         curl_easy_getinfo(done->easy, CURLINFO_RESPONSE_CODE, &status);
         done->result.status = static_cast<int>(status);
         done->result.outcome = outcome_of(*done, code);
+        if (done->request.memory)
+            done->request.memory->give_back(done->held);
         if (code != CURLE_OK)
             done->result.why = {done->request.method + " request", done->request.url,
-                                curl_easy_strerror(code)};
+                                done->too_large ? "the answer is too large" : curl_easy_strerror(code)};
         else if (done->result.outcome != client_outcome::answered)
             done->result.why = {done->request.method + " request", done->request.url,
                                 "the answer ended inside its head"};
@@ -208,11 +232,20 @@
         while (!calls_.empty())
             finish_call(*calls_.begin()->second, CURLE_ABORTED_BY_CALLBACK);
     }
+    /// When the call ends unless a byte comes; nullopt: no limit of this kind applies to it now.
+    [[nodiscard]] static std::optional<core::common::time_point> stalled_at(const call& transfer) {
+        const client_request& request = transfer.request;
+        const bool awaits_answer = !transfer.begun && request.answer_timeout.count() > 0;
+        const auto limit = awaits_answer ? request.answer_timeout : request.stall_timeout;
+        return limit.count() > 0 ? std::optional{transfer.last_byte + limit} : std::nullopt;
+    }
     [[nodiscard]] int poll_ms() const {
-        const bool any_stall_timeout = std::any_of(calls_.begin(), calls_.end(), [](const auto& entry) {
-            return entry.second->request.stall_timeout.count() > 0;
-        });
-        return any_stall_timeout ? 50 : idle_poll_ms;
+        core::common::milliseconds wait{idle_poll_ms};
+        const auto at = core::common::clock::now();
+        for (const auto& [id, transfer] : calls_)
+            if (const auto end = stalled_at(*transfer))
+                wait = std::min(wait, std::chrono::ceil<core::common::milliseconds>(*end - at));
+        return static_cast<int>(std::max(wait, shortest_poll).count());
     }
     void take_commands() {
         std::vector<std::unique_ptr<call>> added;
@@ -243,11 +276,9 @@
     void end_stalled() {
         const auto at = core::common::clock::now();
         std::vector<call*> stalled;
-        for (const auto& [id, transfer] : calls_) {
-            const auto limit = transfer->request.stall_timeout;
-            if (limit.count() > 0 && at - transfer->last_byte > limit)
+        for (const auto& [id, transfer] : calls_)
+            if (const auto end = stalled_at(*transfer); end && at >= *end)
                 stalled.push_back(transfer.get());
-        }
         for (call* transfer : stalled)
             finish_call(*transfer, CURLE_OPERATION_TIMEDOUT);
     }
--- a/src/edge/http_client.hpp
+++ b/src/edge/http_client.hpp
@@ -5,6 +5,7 @@
 #include "core/common/time.hpp"
 #include "edge/http_server.hpp"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -13,6 +14,31 @@
 
 namespace waxwinglb::edge {
 
+inline constexpr std::size_t max_collected_answer = 8U << 20U; // bytes; a store's longest pages have 1 MB
+
+/// Bytes of an answer that have come. Written by the client's thread, read by any.
+struct transfer_progress {
+    std::atomic<std::size_t> received{0};
+};
+
+/// Bounds the memory that the answers to several calls take together while they come. Used on the client's
+/// thread.
+class receive_budget {
+public:
+    explicit receive_budget(std::size_t limit) : limit_(limit) {}
+    [[nodiscard]] bool take(std::size_t bytes) { // false: there is no room for them
+        if (bytes > limit_ - used_)
+            return false;
+        used_ += bytes;
+        return true;
+    }
+    void give_back(std::size_t bytes) { used_ -= bytes; }
+
+private:
+    std::size_t limit_; // bytes
+    std::size_t used_ = 0;
+};
+
 struct client_request {
     std::string method = "GET";
     std::string url;
@@ -20,7 +46,13 @@
     std::string body;
     core::common::milliseconds timeout{10'000}; // for the whole exchange; 0: none
     core::common::milliseconds connect_timeout{500};
-    core::common::milliseconds stall_timeout{0}; // longest time without a received byte; 0: none
+    core::common::milliseconds answer_timeout{0};  // until the first byte of the answer; 0: none
+    core::common::milliseconds stall_timeout{0};   // longest time without a received byte; 0: none. Applies
+                                                   // from the first byte on if answer_timeout is set
+    std::size_t max_answer = max_collected_answer; // bytes of the head and of a collected body
+    std::shared_ptr<receive_budget> memory;      // shared with other calls; null: max_answer alone bounds it
+    std::shared_ptr<transfer_progress> progress; // null: not wanted
+    bool accepts_gzip = false;                   // the result has the decompressed body
     bool send_once = false; // uses a new connection, as libcurl may resend a request on a reused one
     /// Its connection is reset when it closes, so that the peer gets nothing more of a call that was given
     /// up.
--- a/tests/contract/http_test.cpp
+++ b/tests/contract/http_test.cpp
@@ -1,5 +1,6 @@
 // Contract tests of the HTTP server and client together: late answers, streams, limits, and the outcome of
 // failed exchanges.
+#include "edge/gzip.hpp"
 #include "edge/http_client.hpp"
 #include "edge/http_server.hpp"
 #include "edge/ring.hpp"
@@ -12,6 +13,7 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace waxwinglb;
@@ -228,6 +230,95 @@
     EXPECT_LT(peer.read_late(), size);
 }
 
+TEST(http, an_answer_over_its_size_limit_ends_as_interrupted) {
+    server_under_test served;
+    caller requester;
+    auto request = get(served.url("/large"));
+    request.max_answer = 2'000;
+    requester.send(request);
+    served.next()->respond({200, {}, std::string(3'000, 'x')});
+    EXPECT_EQ(requester.wait().outcome, edge::client_outcome::interrupted);
+    requester.send(request);
+    served.next()->respond({200, {}, std::string(1'000, 'x')});
+    EXPECT_EQ(requester.wait().body.size(), 1'000U);
+}
+
+TEST(http, answers_of_many_peers_without_end_share_one_bound) {
+    constexpr std::size_t limit = 100'000;
+    constexpr int peers = 20;
+    server_under_test served;
+    caller requester;
+    auto request = get(served.url("/endless"));
+    request.memory = std::make_shared<edge::receive_budget>(limit);
+    std::vector<std::shared_ptr<edge::transfer_progress>> progress;
+    std::vector<edge::exchange_ptr> open;
+    for (int i = 0; i < peers; ++i) {
+        request.progress = progress.emplace_back(std::make_shared<edge::transfer_progress>());
+        requester.send(request);
+        open.push_back(served.next());
+        open.back()->begin_stream(200, {});
+        open.back()->write_stream(std::string(limit / 2, 'x'));
+    }
+    for (int i = 0; i < peers - 2; ++i)
+        EXPECT_EQ(requester.wait().outcome, edge::client_outcome::interrupted);
+    for (const auto& exchange : open)
+        exchange->abort_stream();
+    requester.wait();
+    requester.wait();
+    EXPECT_TRUE(request.memory->take(limit)) << "the bytes of ended calls are given back";
+}
+
+TEST(http, an_answer_may_take_as_long_as_bytes_keep_coming) {
+    constexpr int pieces = 12;
+    server_under_test served;
+    caller requester;
+    auto request = get(served.url("/slow"));
+    request.answer_timeout = 400ms;
+    request.stall_timeout = 400ms;
+    requester.send(request);
+    const auto exchange = served.next();
+    exchange->begin_stream(200, {});
+    for (int i = 0; i < pieces; ++i) {
+        exchange->write_stream("piece");
+        std::this_thread::sleep_for(50ms);
+    }
+    exchange->end_stream();
+    EXPECT_EQ(requester.wait().body.size(), 5U * pieces);
+}
+
+TEST(http, an_answer_that_does_not_begin_or_stops_ends_as_interrupted) {
+    server_under_test served;
+    caller requester;
+    auto request = get(served.url("/stops"));
+    request.answer_timeout = 100ms;
+    request.stall_timeout = 100ms;
+    requester.send(request);
+    const auto mute = served.next();
+    EXPECT_EQ(requester.wait().outcome, edge::client_outcome::interrupted);
+    requester.send(request);
+    const auto stopping = served.next();
+    stopping->begin_stream(200, {});
+    stopping->write_stream("a part");
+    EXPECT_EQ(requester.wait().outcome, edge::client_outcome::interrupted);
+    mute->respond({200, {}, ""});
+    stopping->end_stream();
+}
+
+TEST(http, a_compressed_answer_arrives_decompressed) {
+    const std::string text(100'000, 'x');
+    server_under_test served;
+    caller requester;
+    auto request = get(served.url("/packed"));
+    request.accepts_gzip = true;
+    requester.send(request);
+    const auto exchange = served.next();
+    EXPECT_EQ(exchange->request().headers.at("accept-encoding"), "gzip");
+    const std::string packed = edge::gzip(text);
+    EXPECT_LT(packed.size(), text.size() / 10);
+    exchange->respond({200, {{"Content-Encoding", "gzip"}}, packed});
+    EXPECT_EQ(requester.wait().body, text);
+}
+
 TEST(http, a_cancelled_call_ends_at_once) {
     const mute_peer peer;
     caller requester;
