Answers of targets: no memory is allocated for the length that a target states

Callers: an answer with Content-Length ended the gateway at once (std::bad_alloc, SIGABRT), and with it the requests of all its clients. Cause: the parser's string_body reserves the whole stated length before the first byte. Evidence: test_gateway_broken_answers, case length, ended in RemoteDisconnected before and gets 502 now; answer_reader.memory_is_not_allocated_for_the_length_that_an_answer_states threw before. The answer's body now grows with the bytes that come, which have their own bound. The same class elsewhere: requests of clients are bounded by max_body_bytes before the reservation; libcurl reserves nothing. But reports and orders might hold 8 MB each: 256 and 16 kB now, 4 MB for all targets together (http.answers_of_many_peers_without_end_share_one_bound).

--- a/src/edge/http_reader.cpp
+++ b/src/edge/http_reader.cpp
@@ -30,6 +30,29 @@
 constexpr std::string_view head_end = "\r\n\r\n";
 constexpr std::size_t max_framing = 64U << 10U; // bytes of a chunk's head or a trailer that has not ended
 
+/// A message body that grows with the bytes that come. string_body would allocate the whole length that the
+/// sender states.
+struct growing_body {
+    using value_type = std::string;
+    class reader {
+    public:
+        template<bool is_request, class fields>
+        reader(http::header<is_request, fields>&, value_type& body) : body_(body) {}
+        static void init(const boost::optional<std::uint64_t>&, boost::system::error_code& failure) {
+            failure = {};
+        }
+        std::size_t put(const boost::asio::const_buffer& bytes, boost::system::error_code& failure) {
+            failure = {};
+            body_.append(static_cast<const char*>(bytes.data()), bytes.size());
+            return bytes.size();
+        }
+        static void finish(boost::system::error_code& failure) { failure = {}; }
+
+    private:
+        value_type& body_;
+    };
+};
+
 bool equal_letter(char a, char b) {
     return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
 }
@@ -269,7 +292,7 @@
 // ---- answers ---------------------------------------------------------------------------------------
 
 struct answer_reader::parts {
-    http::response_parser<http::string_body> parser;
+    http::response_parser<growing_body> parser;
 };
 
 answer_reader::answer_reader() : parts_(std::make_unique<parts>()) {
--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds order_timeout{1'200};
 constexpr milliseconds report_timeout{800};
 constexpr milliseconds connect_timeout{400};
+constexpr std::size_t max_report = 256U << 10U;      // bytes; one of 64 running requests has about 4 kB
+constexpr std::size_t max_order_answer = 16U << 10U; // bytes
 constexpr milliseconds load_time_margin{40}; // added to the expected load time; then a model counts as loaded
 constexpr milliseconds adapter_load_time{25}; // expected; adapters load within milliseconds
 constexpr milliseconds room_retention{1'000}; // for a model to be loaded, after another was to be unloaded
@@ -118,6 +120,8 @@
     request.timeout = report_timeout;
     request.withdrawn_when_ended = true; // orders use the connection afterwards
     request.connect_timeout = connect_timeout;
+    request.max_answer = max_report;
+    request.memory = answer_memory_;
     client_.send(std::move(request), [this, id, at = known.requested_at](edge::client_result&& answer) {
         context_.loop.post([this, id, at, answer = std::move(answer)] { handle_report(id, answer, at); });
     });
@@ -349,6 +353,8 @@
     request.timeout = order_timeout;
     request.withdrawn_when_ended = true; // the next holder may order before a held-up one arrives
     request.connect_timeout = connect_timeout;
+    request.max_answer = max_order_answer;
+    request.memory = answer_memory_;
     client_.send(std::move(request), [this, number, order](edge::client_result&& answer) {
         context_.loop.post([this, number, order, answer = std::move(answer)] {
             handle_order_answer(number, order, answer);
--- a/src/programs/gateway/order_giver.hpp
+++ b/src/programs/gateway/order_giver.hpp
@@ -11,6 +11,9 @@
 
 namespace waxwinglb::programs::gateway {
 
+/// Bytes that the answers of all targets to reports and orders may take together. A target may send anything.
+inline constexpr std::size_t max_answer_memory = 4U << 20U;
+
 class order_giver {
 public:
     order_giver(gateway_context& context, platform::store_client& store, edge::http_client& client,
@@ -67,6 +70,8 @@
 
     gateway_context& context_;
     edge::http_client& client_;
+    std::shared_ptr<edge::receive_budget> answer_memory_ =
+        std::make_shared<edge::receive_budget>(max_answer_memory);
     dispatcher& dispatcher_;
     order_lease lease_;
     peers* peers_ = nullptr;
