Requests whose callers have closed are not sent on

Callers: work went on for those that had left (GONE), also requests that may run once. Cause: a request and the end of its connection wait in the socket together; the gateway read and sent the request, and came to the end in a later turn. On a gateway that is behind, by its load or since it was frozen, that is the usual case: clients give up because nobody reads them. Now the gateway looks for the caller's end whenever a request is about to be sent: at once, after each wait, for a retry, and when a new connection to its target is established. Bytes sent ahead hide the end from a peek, so the kernel's state of the connection is asked then. Costs one system call for each send. Ruled out: reading until the socket is empty first, which leaves the waits uncovered.

--- a/src/edge/connection.cpp
+++ b/src/edge/connection.cpp
@@ -189,18 +189,32 @@
         const auto self = weak.lock();
         if (!self || self->socket_ < 0 || (self->watched_ & ACE_Event_Handler::READ_MASK) != 0)
             return;
-        tcp_info state{};
-        socklen_t size = sizeof state;
-        if (getsockopt(self->socket_, IPPROTO_TCP, TCP_INFO, &state, &size) != 0)
-            return self->watch_peer();
-        if (state.tcpi_state == TCP_CLOSE)
-            return self->fail(close_reason::reset);
-        if (state.tcpi_state == TCP_CLOSE_WAIT || state.tcpi_state == TCP_LAST_ACK)
-            return self->fail(close_reason::ended);
+        if (const auto reason = self->ended_by_peer())
+            return self->fail(*reason);
         self->watch_peer();
     });
 }
 
+std::optional<close_reason> connection::ended_by_peer() const {
+    tcp_info state{};
+    socklen_t size = sizeof state;
+    if (getsockopt(socket_, IPPROTO_TCP, TCP_INFO, &state, &size) != 0)
+        return std::nullopt;
+    if (state.tcpi_state == TCP_CLOSE)
+        return close_reason::reset;
+    if (state.tcpi_state == TCP_CLOSE_WAIT || state.tcpi_state == TCP_LAST_ACK)
+        return close_reason::ended;
+    return std::nullopt;
+}
+
+bool connection::peer_has_closed() const {
+    char byte = 0;
+    const auto count = ::recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) // what was sent before the end hides it
+        return ended_by_peer().has_value();
+    return count == 0 || !would_block(errno);
+}
+
 void connection::resume_reading() {
     loop_.cancel(peer_timer_);
     if (socket_ >= 0)
--- a/src/edge/connection.hpp
+++ b/src/edge/connection.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -62,6 +63,7 @@
     /// Bytes that the peer's kernel has acknowledged since the connection began.
     [[nodiscard]] std::uint64_t taken() const { return queued_ - not_taken(); }
     [[nodiscard]] bool has_unread() const;       // bytes, or the peer's end, that wait in the kernel
+    [[nodiscard]] bool peer_has_closed() const;  // also if bytes that it sent before are still unread
     [[nodiscard]] std::size_t not_taken() const; // bytes, and the end, that the peer has not acknowledged
 
 private:
@@ -76,6 +78,8 @@
     void release();
     /// After close_when_sent(): the peer has left `left` bytes untaken since `since`.
     void await_peer(std::size_t left, core::common::time_point since);
+    /// How the peer has ended the connection, by the kernel's state of it; nullopt: it has not.
+    [[nodiscard]] std::optional<close_reason> ended_by_peer() const;
     void watch_peer(); // looks now and then whether the peer of a paused connection has ended it
 
     event_loop& loop_;
--- a/src/programs/gateway/caller_session.hpp
+++ b/src/programs/gateway/caller_session.hpp
@@ -63,6 +63,8 @@
     void note_progress();                      // of its caller's reading
     [[nodiscard]] bool may_be_evicted() const; // no byte is on its way in either direction
     void drop();                               // closes at once
+    /// The caller has closed, which the event loop may not have come to yet.
+    [[nodiscard]] bool caller_has_left() const { return !connection_ || connection_->peer_has_closed(); }
 
 private:
     void receive(std::string_view bytes);
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -142,6 +142,8 @@
 void forwarder::send(const caller_request_ptr& request, const std::string& target) {
     if (is_blocked(*request)) // since it began to wait
         return refuse(request, 503, "condemned", {});
+    if (request->session->caller_has_left())
+        return request->session->drop(); // abandons the request
     const auto link = dispatcher_->link(target);
     if (!link) {
         dispatcher_->submit(request);
@@ -182,7 +184,7 @@
                         {"left_ms", whole_ms(request->deadline - context_.loop.now()).count()},
                         {"config", request->config->version}});
     exchange::events handlers;
-    handlers.may_send = [this, request] { return is_usable(request->target_start); };
+    handlers.may_send = [this, request] { return may_send_now(request); };
     handlers.on_head = [this, request](const edge::answer_head& head) { on_head(request, head); };
     handlers.on_body = [this, request](std::string&& piece) { on_body(request, std::move(piece)); };
     handlers.on_complete = [this, request] { on_complete(request); };
@@ -198,6 +200,16 @@
            !context_.centres.out().contains(known->entry.data_centre);
 }
 
+bool forwarder::may_send_now(const caller_request_ptr& request) {
+    if (!is_usable(request->target_start))
+        return false;
+    if (!request->session->caller_has_left())
+        return true;
+    request->unsettled = false;
+    request->session->drop(); // abandons the request
+    return false;
+}
+
 bool forwarder::charge(const caller_request_ptr& request) {
     if (request->charged || request->customer.empty())
         return true;
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -39,6 +39,7 @@
 
 private:
     [[nodiscard]] bool is_usable(const core::fleet::target_start& start) const;
+    [[nodiscard]] bool may_send_now(const caller_request_ptr& request); // its connection is established
     /// Takes its tokens from the customer's rate when it is sent for the first time. False: refused.
     bool charge(const caller_request_ptr& request);
     void on_head(const caller_request_ptr& request, const edge::answer_head& head);
--- a/tests/contract/connection_test.cpp
+++ b/tests/contract/connection_test.cpp
@@ -83,6 +83,14 @@
     EXPECT_EQ(paused.received, "later");
 }
 
+TEST(connection, the_end_of_its_peer_is_seen_before_it_is_read) {
+    edge::event_loop loop;
+    connected one{loop, base_descriptor};
+    EXPECT_FALSE(one.connection->peer_has_closed());
+    ::shutdown(one.peer, SHUT_WR);
+    EXPECT_TRUE(one.connection->peer_has_closed());
+}
+
 TEST(connection, a_paused_one_still_sends_what_its_peer_takes_later) {
     edge::event_loop loop;
     connected paused{loop, base_descriptor};
