Answers of the store may take as long as they make progress; a superseded call is ended

Cause, first half: a list had 0.6 s in all, and a watch as much beyond its wait; a configuration of 4,249 routes takes over a second there, alone on the link and from a store that is well, so it was never read.

Now the limits are on the wait for the first byte (0.6 s, doubled up to 1.8 s while calls fail, for a store that answers late) and between two bytes (1 s). The same class beside it: a gateway that read the store because its view was old, or began to watch closely, left its running watch open, and the next version came over the link twice. That watch is ended now; one whose answer has begun to come is awaited in place of a second one. It holds for every kind of object, lists of targets too.

--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -16,8 +16,14 @@
 using platform::store_reply;
 using platform::store_result;
 
+// Until the first byte of an answer, in addition to a watch's wait. Doubles while calls fail, for a store
+// that answers late; its limit leaves time to try again within the shortest time in which a gateway must be
+// in touch again (3 s).
+constexpr milliseconds min_answer_timeout{600};
+constexpr milliseconds max_answer_timeout{1'800};
 constexpr milliseconds min_retry_delay{100}; // after a failed call, doubles
 constexpr milliseconds max_retry_delay{800};
+constexpr int max_doublings = 4;              // of both
 constexpr milliseconds unnamed_delay{800};    // before the list that follows a change without a readable name
 constexpr std::size_t max_ignored_lines = 64; // entries that name no target and have a line, at one time
 constexpr milliseconds restore_spread{400};   // over which gateways list again after a restore of the store
@@ -70,6 +76,7 @@
 }
 
 bool kind_watch::record_reply(store_reply& reply, const char* call) {
+    call_ = {};
     const auto generation = generation_;
     context_.history.note(reply, call);
     if (generation != generation_)
@@ -104,6 +111,21 @@
     position_.revision == 0 || lists ? list() : watch();
 }
 
+milliseconds kind_watch::answer_timeout() const {
+    return std::min(max_answer_timeout, min_answer_timeout * (1 << std::min(failures_, max_doublings)));
+}
+
+void kind_watch::retry_later() {
+    schedule_next(std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, max_doublings))));
+}
+
+void kind_watch::supersede() {
+    ++generation_;
+    call_.cancel();
+    call_ = {};
+    relaxed_ = false;
+}
+
 /// `close_delay`: until the next watch, if this gateway watches closely.
 void kind_watch::schedule_after_reply(milliseconds close_delay) {
     relaxed_ = !context_.reads_store_closely;
@@ -112,32 +134,31 @@
 
 /// All gateways learn of a restore at about the same time: their lists are spread over a short time.
 void kind_watch::list_again() {
-    ++generation_;
+    supersede();
     position_ = {};
-    relaxed_ = false;
     const auto spread = core::common::hash_of(context_.settings.name + kind_) %
                         static_cast<std::uint64_t>(restore_spread.count());
     schedule_next(milliseconds{static_cast<std::int64_t>(spread)});
 }
 
+/// An answer that is coming is awaited: a second one beside it would delay both.
 void kind_watch::watch_closely() {
-    if (!relaxed_)
+    if (!relaxed_ || receiving())
         return;
-    ++generation_;
+    supersede();
     position_.revision == 0 || timing_.relaxed_lists ? list() : watch();
 }
 
 void kind_watch::read_now() {
-    if (!relaxed_)
+    if (!relaxed_ || receiving())
         return;
-    ++generation_;
-    relaxed_ = false;
+    supersede();
     position_.revision == 0 || timing_.relaxed_lists ? list() : watch_for(milliseconds{0});
 }
 
 void kind_watch::list() {
     sent_at_ = context_.loop.now();
-    store_.list(kind_, [this, generation = generation_](store_reply&& reply) {
+    call_ = store_.list(kind_, answer_timeout(), [this, generation = generation_](store_reply&& reply) {
         context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
             if (generation == generation_ && record_reply(reply, "list"))
                 handle_list_reply(reply);
@@ -147,7 +168,7 @@
 
 void kind_watch::handle_list_reply(const store_reply& reply) {
     if (reply.result != store_result::ok)
-        return schedule_next(std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, 4))));
+        return retry_later();
     if (reply.unnamed != unnamed_in_list_)
         log_unnamed(reply, "list");
     unnamed_in_list_ = reply.unnamed;
@@ -167,12 +188,13 @@
 void kind_watch::watch_for(milliseconds wait) {
     sent_at_ = context_.loop.now();
     wait_ = wait;
-    store_.watch(kind_, position_, wait, [this, generation = generation_](store_reply&& reply) {
+    const auto on_reply = [this, generation = generation_](store_reply&& reply) {
         context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
             if (generation == generation_ && record_reply(reply, "watch"))
                 handle_watch_reply(reply);
         });
-    });
+    };
+    call_ = store_.watch(kind_, position_, wait, answer_timeout(), on_reply);
 }
 
 void kind_watch::handle_watch_reply(const store_reply& reply) {
@@ -182,7 +204,7 @@
         return schedule_next(milliseconds{0});
     }
     if (reply.result != store_result::ok)
-        return schedule_next(std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, 4))));
+        return retry_later();
     if (reply.at.revision > 0)
         position_ = reply.at;
     if (!reply.objects.empty())
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -40,6 +40,7 @@
     void read_now();      // once, in place of a relaxed watch or delay
     [[nodiscard]] bool relies_on_peers() const { return relaxed_; }
     [[nodiscard]] bool answering() const { return answering_; }
+    [[nodiscard]] bool receiving() const { return call_.receiving(); } // a part of an answer has come
     [[nodiscard]] const std::string& kind() const { return kind_; }
     [[nodiscard]] core::common::time_point answered_at() const { return answered_at_; }
 
@@ -53,6 +54,9 @@
     void log_unnamed(const platform::store_reply& reply, const char* call);
     void schedule_next(core::common::milliseconds after);
     void schedule_after_reply(core::common::milliseconds close_delay);
+    void retry_later(); // after a failed call
+    void supersede();   // ends the current call or delay, so that no second call uses the link beside it
+    [[nodiscard]] core::common::milliseconds answer_timeout() const;
     /// Notes the store's era and whether it answered. Returns false if the reply must not be used, because it
     /// was the first of a new era and everything is listed again.
     bool record_reply(platform::store_reply& reply, const char* call);
@@ -67,6 +71,7 @@
     std::int64_t listed_era_ = -1;          // of the latest list; -1: none yet
     bool answering_ = true;
     core::common::time_point answered_at_{}; // last answer of the store; start time before the first
+    platform::store_call call_;              // the current one
     int failures_ = 0;                       // consecutive
     core::common::time_point sent_at_{};     // the current call
     core::common::milliseconds wait_{0};     // of the current watch
@@ -97,6 +102,7 @@
     /// Applies a configuration document from the store or a peer; older versions are ignored.
     void apply_config(const nlohmann::json& spec, const std::string& source);
     [[nodiscard]] bool reads_config() const { return config_watch_.answering(); }
+    [[nodiscard]] bool receives_config() const { return config_watch_.receiving(); }
     [[nodiscard]] bool reads_targets() const { return targets_watch_.answering(); }
     /// Logs the data centres that are out and tells the other parts. `source`: "store", a peer or "hold".
     void centres_changed(core::common::store_position at, const std::string& source);
--- a/tests/contract/platform_test.cpp
+++ b/tests/contract/platform_test.cpp
@@ -205,7 +205,7 @@
                                 {"current_rev", second ? 9 : 5}}
                                .dump()});
     }};
-    const auto reply = server.ask([](auto& store, auto done) { store.list("kind", done); });
+    const auto reply = server.ask([](auto& store, auto done) { store.list("kind", 1s, done); });
     ASSERT_EQ(reply.result, store_result::ok);
     ASSERT_EQ(reply.objects.size(), 2U);
     EXPECT_EQ(reply.at.revision, 5);
@@ -223,7 +223,7 @@
                                 {"current_rev", 7}}
                                .dump()});
     }};
-    const auto reply = server.ask([](auto& store, auto done) { store.watch("kind", {0, 5}, 1s, done); });
+    const auto reply = server.ask([](auto& store, auto done) { store.watch("kind", {0, 5}, 1s, 1s, done); });
     ASSERT_EQ(reply.objects.size(), 2U);
     EXPECT_FALSE(reply.objects[0].removed);
     EXPECT_TRUE(reply.objects[1].removed);
@@ -299,7 +299,7 @@
                                 {"current_rev", 5}}
                                .dump()});
     }};
-    EXPECT_EQ(server.ask([](auto& store, auto done) { store.list("kind", done); }).result,
+    EXPECT_EQ(server.ask([](auto& store, auto done) { store.list("kind", 1s, done); }).result,
               store_result::unknown);
 }
 
--- a/tests/programs/gateway_links.py
+++ b/tests/programs/gateway_links.py
@@ -16,7 +16,7 @@
     """Forwards connections; all bytes that come back share one rate, in the order in which they are there."""
 
     def __init__(self, bytes_per_s):
-        self.bytes_per_s, self.lock, self.free_at = bytes_per_s, threading.Lock(), 0.0
+        self.bytes_per_s, self.lock, self.free_at, self.open = bytes_per_s, threading.Lock(), 0.0, []
 
     def in_front_of(self, address, own_address):
         """Listens at `own_address`, and returns it."""
@@ -27,11 +27,24 @@
                 client = listener.accept()[0]
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * PIECE_BYTES)
                 server = socket.create_connection(self.parts(address))
+                self.open += [client, server]
                 threading.Thread(target=self.copy, args=(client, server, False), daemon=True).start()
                 threading.Thread(target=self.copy, args=(server, client, True), daemon=True).start()
         threading.Thread(target=accept, daemon=True).start()
         return own_address
 
+    def drop_connections(self):
+        for end in self.open:
+            self.end(end)
+        self.open = []
+
+    @staticmethod
+    def end(connection):
+        try:
+            connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
     @staticmethod
     def parts(address):
         host, port = address.split(":")
@@ -46,10 +59,7 @@
         except OSError:
             pass
         for end in (source, sink):
-            try:
-                end.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+            self.end(end)
 
     def carry(self, count):
         with self.lock:
--- a/tests/programs/test_gateway_large_configuration.py
+++ b/tests/programs/test_gateway_large_configuration.py
@@ -79,7 +79,8 @@
     with SlowFleet(compresses=False) as slow:
         slow.start()
         slow.store.cut = True
-        wait_until(lambda: slow.fleet.events("store_lost", "slow"), "the store is lost")
+        slow.link.drop_connections()
+        wait_until(lambda: any(line["subject"] == "config" for line in slow.fleet.events("store_lost", "slow")), "the store is lost")
         began = time.monotonic()
         slow.announce(large_configuration(3, ROUTES))
         slow.expect_in_time(3, began)
