Configurations from peers: one read at a time, compressed, retried with a pause at another peer

Callers: as before, CONFIG; gateways went on without a version for as long as 15 s after the store was well. Cause, second half: a gateway that is behind began a read from a peer every 0.4 s, each with 1.5 s in all, whether or not one was under way. On a slow link three or four copies of over a megabyte slow each other until none ends, and what came is thrown away: the retries use up what they wait for (a metastable failure). Members lose sight of one another, and the peers' links carry the copies too.

Now one read is under way at a time and goes on while bytes come (core/membership/config_reads decides); a failed one is repeated after 0.1 to 0.8 s at another peer, and its line says why. The text for peers is kept once (config_page), not twice. Ruled out: that decoding takes too long (1 to 3 in 100 of a core in use).

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -53,11 +53,8 @@
            [this] { peers_.notify_order_giver(); }, [this] { peers_.notify_urgent_updates(); }}),
       admission_(context_, forwarder_, dispatcher_), notices_(context_, dispatcher_, forwarder_, admission_),
       guard_(context_), watch_(context_, store_,
-                               {[this] {
-                                    {
-                                        const std::scoped_lock hold{config_mutex_};
-                                        config_for_peers_ = watch_.config_text();
-                                    }
+                               {[this](std::string text) {
+                                    config_page_.change(std::move(text));
                                     update_readiness();
                                     dispatcher_.schedule_dispatch();
                                 },
@@ -189,11 +186,8 @@
 }
 
 void gateway::serve_metrics(const edge::exchange_ptr& exchange) {
-    if (exchange->request().path == "/peer/config") {
-        const std::scoped_lock hold{config_mutex_};
-        exchange->respond({config_for_peers_.empty() ? 503 : 200, {}, config_for_peers_});
-        return;
-    }
+    if (exchange->request().path == peer_config_path)
+        return config_page_.serve(exchange);
     if (exchange->request().path == "/peer/lease")
         return order_giver_.lease().store().serve(exchange);
     if (usage_.due() && exchange->request().path == "/peer/duties")
--- a/src/programs/gateway/gateway.hpp
+++ b/src/programs/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "edge/program.hpp"
 #include "programs/gateway/admission.hpp"
 #include "programs/gateway/client_guard.hpp"
+#include "programs/gateway/config_page.hpp"
 #include "programs/gateway/duties.hpp"
 #include "programs/gateway/order_giver.hpp"
 #include "programs/gateway/scaling.hpp"
@@ -12,7 +13,6 @@
 
 #include <filesystem>
 #include <memory>
-#include <mutex>
 #include <unordered_set>
 
 namespace waxwinglb::programs::gateway {
@@ -71,9 +71,8 @@
     std::unordered_set<std::shared_ptr<caller_session>> sessions_;
     std::unique_ptr<edge::http_server> readiness_;
     std::unique_ptr<edge::http_server> metrics_;
-    std::mutex config_mutex_;
-    std::string config_for_peers_; // guarded by config_mutex_: read by the metrics server's thread
-    std::size_t cut_at_stop_ = 0;  // requests that were open at the end of the drain time
+    config_page config_page_;
+    std::size_t cut_at_stop_ = 0; // requests that were open at the end of the drain time
     int reloads_seen_ = 0;
     std::filesystem::file_time_type settings_modified_{};
     core::common::time_point settings_checked_at_{};
--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -1,7 +1,6 @@
 #include "programs/gateway/peer_updates.hpp"
 
 #include "core/common/hash.hpp"
-#include "core/common/json_text.hpp"
 #include "core/exchange/groups.hpp"
 #include "programs/gateway/peer_codec.hpp"
 
@@ -13,11 +12,6 @@
 using core::common::milliseconds;
 using core::membership::stored_kind;
 
-constexpr milliseconds config_fetch_interval{400}; // between two reads of the configuration from a peer
-// A large configuration takes about half as long on the slowest links, and a second copy would delay the
-// first.
-constexpr milliseconds config_transfer_time{1'000};
-constexpr milliseconds config_fetch_timeout{1'500};
 constexpr milliseconds origin_repetition{1'100};      // three messages tell of a stream: one may be lost
 constexpr std::size_t max_new_origins = 500;          // streams in one message
 constexpr std::size_t max_all_origins = 1'000;        // in a message to a gateway that has just started
@@ -314,11 +308,9 @@
         context_.directory.merge_from_peer(decode_registration(start), context_.loop.now());
     if (!message.registrations.empty() && !dependencies_.watch.reads_targets())
         adopt_registrations(message);
-    const std::int64_t own = context_.config ? context_.config->version : 0;
     if (message.informed && knows_all_of(message) && context_.directory.loaded())
         context_.start.informed_by_peer();
-    if (message.config_version > own)
-        follow_config(own, message.config_address);
+    config_reader_.follow(message.config_version, message.config_address);
 }
 
 void peer_updates::adopt_registrations(const wire::peer_status& message) {
@@ -353,31 +345,4 @@
         dependencies_.dispatch.schedule_dispatch();
 }
 
-/// Reads a newer configuration from the peer that has it, unless it should be on its way from the store.
-void peer_updates::follow_config(std::int64_t own_version, const std::string& address) {
-    const auto now = context_.loop.now();
-    if (std::exchange(outdated_version_, own_version) != own_version)
-        outdated_since_ = now;
-    // A gateway that starts serves when it knows what the others know, and a restored store may not have it.
-    const bool on_its_way = context_.informed() && dependencies_.watch.reads_config() &&
-                            now < outdated_since_ + config_transfer_time;
-    if (!on_its_way && now >= config_fetched_at_ + config_fetch_interval)
-        fetch_config(address);
-}
-
-void peer_updates::fetch_config(const std::string& address) {
-    config_fetched_at_ = context_.loop.now();
-    edge::client_request request;
-    request.url = "http://" + address + "/peer/config";
-    request.timeout = config_fetch_timeout;
-    dependencies_.client.send(std::move(request), [this, address](edge::client_result&& answer) {
-        context_.loop.post([this, address, answer = std::move(answer)] {
-            if (answer.outcome != edge::client_outcome::answered || answer.status != 200)
-                return context_.log.write(edge::events::peer_lost, address, {{"step", "read configuration"}});
-            const auto document = core::common::parse_json(answer.body);
-            dependencies_.watch.apply_config(document, address);
-        });
-    });
-}
-
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peer_updates.hpp
+++ b/src/programs/gateway/peer_updates.hpp
@@ -8,6 +8,7 @@
 #include "edge/http_client.hpp"
 #include "programs/gateway/dispatcher.hpp"
 #include "programs/gateway/forwarder.hpp"
+#include "programs/gateway/peer_config_reader.hpp"
 #include "programs/gateway/store_watch.hpp"
 
 #include <functional>
@@ -35,7 +36,8 @@
         std::vector<wire::target_registration> starts;
     };
     peer_updates(gateway_context& context, dependencies used)
-        : context_(context), dependencies_(std::move(used)) {}
+        : context_(context), dependencies_(std::move(used)),
+          config_reader_(context, dependencies_.watch, dependencies_.client) {}
 
     void add_to(wire::peer_status& message) const;
     [[nodiscard]] target_updates due_updates(); // changed, or due to be sent again
@@ -77,11 +79,10 @@
     [[nodiscard]] bool
     knows_all_of(const wire::peer_status& message) const; // configuration, data centres out
     void adopt_registrations(const wire::peer_status& message);
-    void follow_config(std::int64_t own_version, const std::string& address);
-    void fetch_config(const std::string& address);
 
     gateway_context& context_;
     dependencies dependencies_;
+    peer_config_reader config_reader_;
     core::membership::announcement_schedule holdings_updates_{holdings_resend_interval};
     core::membership::announcement_schedule starts_updates_{starts_resend_interval};
     core::exchange::relay_queue<wire::target_holding> relayed_holdings_; // from other groups
@@ -89,10 +90,7 @@
     std::string next_holding_; // targets from there on come first in the next message
     std::string next_start_;
     bool updates_left_ = false;
-    std::uint64_t announced_urgent_updates_ = 0; // hash of what was last announced
-    core::common::time_point config_fetched_at_{};
-    std::int64_t outdated_version_ = -1; // own version, when a peer last had a newer one
-    core::common::time_point outdated_since_{};
+    std::uint64_t announced_urgent_updates_ = 0;    // hash of what was last announced
     core::common::time_point adopted_outside_at_{}; // registrations from another group
 };
 
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -315,7 +315,6 @@
     if (!decoded || (context_.config && decoded->version <= context_.config->version))
         return;
     context_.config = decoded;
-    config_text_ = spec.dump();
     context_.start.configuration_read(context_.loop.now());
     context_.quota.configure(decoded->customers, context_.loop.now());
     context_.metrics.config_version.Set(static_cast<double>(decoded->version));
@@ -325,7 +324,7 @@
                         {"services", decoded->services.size()},
                         {"customers", decoded->customers.size()},
                         {"not_understood", decoded->not_understood}});
-    callbacks_.on_config();
+    callbacks_.on_config(spec.dump());
 }
 
 /// Logs what decides on a target's use. Its models change with each order, which has its own lines.
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -87,8 +87,8 @@
         std::string data_centre; // empty: registered by an earlier version
     };
     struct callbacks {
-        std::function<void()> on_config;  // a newer configuration is in force
-        std::function<void()> on_targets; // targets or data centres taken out changed
+        std::function<void(std::string text)> on_config; // a newer configuration is in force; its JSON text
+        std::function<void()> on_targets;                // targets or data centres taken out changed
         std::function<void(const std::map<std::string, member>&)> on_members; // by gateway's name
     };
     store_watch(gateway_context& context, platform::store_client& store, callbacks handlers);
@@ -102,12 +102,9 @@
     /// Applies a configuration document from the store or a peer; older versions are ignored.
     void apply_config(const nlohmann::json& spec, const std::string& source);
     [[nodiscard]] bool reads_config() const { return config_watch_.answering(); }
-    [[nodiscard]] bool receives_config() const { return config_watch_.receiving(); }
     [[nodiscard]] bool reads_targets() const { return targets_watch_.answering(); }
     /// Logs the data centres that are out and tells the other parts. `source`: "store", a peer or "hold".
     void centres_changed(core::common::store_position at, const std::string& source);
-    /// JSON text of the configuration in force, for peers that can't reach the store.
-    [[nodiscard]] const std::string& config_text() const { return config_text_; }
 
 private:
     struct viewed_kind {
@@ -134,7 +131,6 @@
     kind_watch targets_watch_;
     kind_watch centres_watch_;
     kind_watch members_watch_;
-    std::string config_text_;
     std::map<std::string, member> members_;      // by name
     std::map<std::string, std::string> ignored_; // why, by name: entries that name no target and have a line
     std::map<std::string, std::string> not_understood_; // fields, by name of the target; likewise
