--- a/src/programs/gateway/peer_config_reader.cpp
+++ b/src/programs/gateway/peer_config_reader.cpp
@@ -35,12 +35,17 @@
     request.answer_timeout = answer_timeout;
     request.stall_timeout = stall_timeout;
     request.timeout = answer_timeout + max_transfer_time;
-    client_.send(std::move(request), [this, address](edge::client_result&& answer) {
-        context_.loop.post([this, address, answer = std::move(answer)] { handle_answer(address, answer); });
+    request.progress = std::make_shared<edge::transfer_progress>();
+    const auto progress = request.progress;
+    client_.send(std::move(request), [this, address, progress](edge::client_result&& answer) {
+        context_.loop.post([this, address, progress, answer = std::move(answer)] {
+            handle_answer(address, answer, progress->received);
+        });
     });
 }
 
-void peer_config_reader::handle_answer(const std::string& address, const edge::client_result& answer) {
+void peer_config_reader::handle_answer(const std::string& address, const edge::client_result& answer,
+                                       std::size_t received) {
     const bool read = answer.outcome == edge::client_outcome::answered && answer.status == 200;
     reads_.end(read, context_.loop.now());
     if (!read)
@@ -48,6 +53,7 @@
             edge::events::peer_lost, address,
             {{"step", "read configuration"},
              {"status", answer.status},
+             {"received", received},
              {"why", answer.outcome == edge::client_outcome::answered ? "" : describe(answer.why)}});
     watch_.apply_config(core::common::parse_json(answer.body), address);
 }
--- a/src/programs/gateway/peer_config_reader.hpp
+++ b/src/programs/gateway/peer_config_reader.hpp
@@ -20,7 +20,7 @@
 
 private:
     void read(const std::string& address);
-    void handle_answer(const std::string& address, const edge::client_result& answer);
+    void handle_answer(const std::string& address, const edge::client_result& answer, std::size_t received);
 
     gateway_context& context_;
     store_watch& watch_;
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -76,7 +76,7 @@
 }
 
 bool kind_watch::record_reply(store_reply& reply, const char* call) {
-    call_ = {};
+    const std::size_t received = std::exchange(call_, {}).received();
     const auto generation = generation_;
     context_.history.note(reply, call);
     if (generation != generation_)
@@ -93,7 +93,10 @@
     }
     if (was_answering && !answering_)
         context_.log.write(edge::events::store_lost, kind_,
-                           {{"call", call}, {"result", name_of(reply.result)}, {"why", describe(reply.why)}});
+                           {{"call", call},
+                            {"result", name_of(reply.result)},
+                            {"received", received},
+                            {"why", describe(reply.why)}});
     if (!was_answering && answering_)
         context_.log.write(edge::events::store_regained, kind_, {{"call", call}});
     return true;
