--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -97,6 +97,7 @@
         self.texts = {}                    # mark that stands in the objects: the bytes that answers have there
         self.max_events = None             # in one answer to a watch; the rest comes with the next ones
         self.unavailable_kinds = set()     # calls for these kinds get 503
+        self.endless = False               # answers state a length without end, and go on until the gateway closes
         self.calls = []                    # (time, method, kind) of all calls
         self.lists = []                    # kinds of all lists
         self.server = Server(address, Handler, self)
@@ -113,12 +114,25 @@
             self.lock.notify_all()
 
     def answer(self, call, status, value):
+        if self.endless:
+            return self.send_without_end(call)
         if self.texts:
             value = json.dumps(value).encode()
             for mark, text in self.texts.items():
                 value = value.replace(json.dumps(mark).encode(), text)
         call.answer(status, value, [] if self.era is None else [("Store-Era", str(self.era))])
 
+    @staticmethod
+    def send_without_end(call):
+        call.close_connection = True
+        try:
+            call.connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n[")
+            while True:
+                call.connection.sendall(b"x" * 262_144)
+                time.sleep(0.002)
+        except OSError:
+            pass
+
     def put(self, kind, name, spec):
         with self.lock:
             self.revision += 1
@@ -281,7 +295,7 @@
         return [{"name": model, "version": 1, "adapters": sorted(adapters)} for model, adapters in sorted(self.models.items())]
 
     def serve(self, call):
-        if call.path == "/report" and self.endless == "report":
+        if call.path == f"/{self.endless}":
             return self.send_without_end(call, [])
         if call.path == "/report":
             return call.answer(200, {"models": self.holding(), "busy": bool(self.loading), "born": self.born,
@@ -406,14 +420,14 @@
         """Sends bytes until the gateway closes: a part of an answer, or a report."""
         begin = b"HTTP/1.1 200 OK\r\n" + b"".join(f"{name}: {text}\r\n".encode() for name, text in signed)
         begin += {"field": b"X-Endless: ", "chunk extension": b"Transfer-Encoding: chunked\r\n\r\n1;",
-                  "event": b"Content-Type: text/event-stream\r\n\r\ndata: ", "body": b"\r\n", "report": b"\r\n[",
+                  "event": b"Content-Type: text/event-stream\r\n\r\ndata: ", "body": b"\r\n", "report": b"\r\n[", "order": b"\r\n[",
                   "length": b"Content-Length: 99999999999\r\n\r\n",
                   "trailer": b"Transfer-Encoding: chunked\r\n\r\n0\r\nX: "}[self.endless]
         call.close_connection = True
         try:
             call.connection.sendall(begin)
             while True:
-                call.connection.sendall(b"x" * 262_144 if self.endless == "report" else b"x" * 16_384)
+                call.connection.sendall(b"x" * 262_144 if self.endless in ("report", "order") else b"x" * 16_384)
                 time.sleep(0.002)
         except OSError:
             self.closed_by_gateway.append(self.endless)
--- a/tests/programs/test_gateway_broken_answers.py
+++ b/tests/programs/test_gateway_broken_answers.py
@@ -2,12 +2,14 @@
 """waxwing-gateway and answers of targets that are broken off, or that never end."""
 import pathlib
 import sys
+import threading
 
 from gateway_fleet import Fleet, expect, outcome
 from harness import Failure, arguments, run_cases, wait_until
 
 ARGUMENTS = arguments(__doc__)
 MAX_GROWTH_BYTES = 64 << 20  # of a gateway's memory, a quarter of a usual one's limit
+TARGETS = 16                 # that send without end at the same time
 EVENTS = [f"id: {number}\ndata: piece {number}\n\n" for number in range(1, 11)]
 
 
@@ -100,6 +102,39 @@
         expect(fleet.ask("/cert/1", fleet.headers()).status, 200, "another target's service")
 
 
+def reports_and_orders_without_end_from_many_targets_at_once_take_bounded_memory():
+    for call in ("report", "order"):
+        with Fleet(ARGUMENTS.bin) as fleet:
+            targets = [fleet.target(f"t{number}", "engine", models=["m0"], on_disk=["m1", "m2"]) for number in range(TARGETS)]
+            for target in targets:
+                target.endless = call
+            fleet.target("l1", "ledger", slots=6)
+            fleet.start()
+            fleet.wait_for_orders()
+            before = peak_bytes(fleet.gateways[0])
+            if call == "order":      # a model that has to be loaded
+                threading.Thread(target=outcome, args=(fleet, "/notes/1", fleet.headers("m1", Deadline_Remaining="5000")), daemon=True).start()
+            wait_until(lambda: sum(len(target.closed_by_gateway) for target in targets) >= (TARGETS if call == "report" else 1), f"each {call} has been closed")
+            growth = peak_bytes(fleet.gateways[0]) - before
+            if growth > MAX_GROWTH_BYTES:
+                raise Failure(f"{call}s without end of {TARGETS} targets: memory grew by {growth} bytes")
+            expect(fleet.ask("/cert/1", fleet.headers()).status, 200, "another target's service")
+
+
+def answer_of_the_store_that_states_an_endless_length_takes_bounded_memory():
+    with Fleet(ARGUMENTS.bin) as fleet:
+        fleet.target("l1", "ledger", slots=6)
+        fleet.start()
+        fleet.wait_for_target()
+        before = peak_bytes(fleet.gateways[0])
+        fleet.store.endless = True
+        fleet.store.put("servers", "other", {})
+        wait_until(lambda: fleet.events("store_lost"), "the store is lost")
+        if peak_bytes(fleet.gateways[0]) - before > MAX_GROWTH_BYTES:
+            raise Failure(f"memory grew by {peak_bytes(fleet.gateways[0]) - before} bytes")
+        expect(fleet.ask("/cert/1", fleet.headers()).status, 200, "a request while the store is odd")
+
+
 if __name__ == "__main__":
     run_cases([stream_without_length_is_passed_on_whole,
                stream_without_length_that_ends_inside_an_event_is_not_complete,
@@ -107,5 +142,7 @@
                stream_with_chunks_that_ends_inside_an_event_is_not_complete,
                stream_without_length_that_ends_inside_an_event_resumes_at_another_target,
                answers_without_end_are_closed_before_the_deadline_and_within_bounded_memory,
-               report_without_end_is_closed_within_bounded_memory])
+               report_without_end_is_closed_within_bounded_memory,
+               reports_and_orders_without_end_from_many_targets_at_once_take_bounded_memory,
+               answer_of_the_store_that_states_an_endless_length_takes_bounded_memory])
     sys.exit(0)
