--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -71,6 +71,7 @@
     void fail(const caller_request_ptr& request, int status, const std::string& reason);
     void finish(const caller_request_ptr& request, std::string_view event, const std::string& outcome,
                 const std::string& reason);
+    [[nodiscard]] static gateway_metrics::request_kind metric_kind(const caller_request& request);
     [[nodiscard]] std::string request_text(const caller_request& request, const std::string& target) const;
     [[nodiscard]] core::retries::window_limits budget_share() const;
     core::retries::window_budget& budget(const std::string& service);
