Log: the line of a refusal has the status and the Retry-After that the caller got

The line stated the status of a target's answer, so 0 for all refusals (OPERATIONS.md, third walk), and nothing of Retry-After: an operator could not tell what the caller was told. request_refused now has status and retry_ms as sent, request_cut the status sent. test_gateway's first and third walk ask for both.

--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -335,7 +335,7 @@
     note_sound(*request);
     note_duration(*request);
     close_exchange(request, dispatcher::attempt_outcome::succeeded);
-    finish(request, edge::events::request_answered, "answered", "whole");
+    finish(request, edge::events::request_answered, "answered", "whole", {request->head.status});
 }
 
 void forwarder::send_answer(const caller_request_ptr& request) {
@@ -352,7 +352,7 @@
     close_exchange(request,
                    failed ? dispatcher::attempt_outcome::failed : dispatcher::attempt_outcome::succeeded);
     finish(request, edge::events::request_answered, failed ? "failed" : "answered",
-           failed ? "target_error" : "whole");
+           failed ? "target_error" : "whole", {request->head.status});
 }
 
 // ---- bounds ----------------------------------------------------------------------------------------
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -38,6 +38,11 @@
     void update_budgets();
 
 private:
+    /// What the caller was sent last, for the log.
+    struct final_answer {
+        int status = 0; // 0: none
+        core::common::duration retry_after{};
+    };
     [[nodiscard]] bool is_usable(const core::fleet::target_start& start) const;
     [[nodiscard]] bool may_send_now(const caller_request_ptr& request); // its connection is established
     /// Takes its tokens from the customer's rate when it is sent for the first time. False: refused.
@@ -70,7 +75,7 @@
     void close_exchange(const caller_request_ptr& request, dispatcher::attempt_outcome outcome);
     void fail(const caller_request_ptr& request, int status, const std::string& reason);
     void finish(const caller_request_ptr& request, std::string_view event, const std::string& outcome,
-                const std::string& reason);
+                const std::string& reason, const final_answer& sent);
     [[nodiscard]] static gateway_metrics::request_kind metric_kind(const caller_request& request);
     [[nodiscard]] std::string request_text(const caller_request& request, const std::string& target) const;
     [[nodiscard]] core::retries::window_limits budget_share() const;
--- a/src/programs/gateway/forwarder_failures.cpp
+++ b/src/programs/gateway/forwarder_failures.cpp
@@ -167,12 +167,14 @@
 
 /// Answers a request that may have run, without the promise that it has not.
 void forwarder::fail(const caller_request_ptr& request, int status, const std::string& reason) {
-    if (request->session->answer_begun())
+    const bool begun = request->session->answer_begun();
+    const int sent_status = begun ? request->head.status : status;
+    if (begun)
         request->session->abort();
     else
         request->session->answer(status, {{std::string{platform::request_id_header}, request->request_id}},
                                  "");
-    finish(request, edge::events::request_cut, "cut", reason);
+    finish(request, edge::events::request_cut, "cut", reason, {sent_status});
 }
 
 void forwarder::refuse(const caller_request_ptr& request, int status, const std::string& reason,
@@ -183,7 +185,7 @@
     if (retry_after > duration::zero())
         fields.push_back({"Retry-After", seconds_text(retry_after)});
     request->session->answer(status, fields, "");
-    finish(request, edge::events::request_refused, "refused", reason);
+    finish(request, edge::events::request_refused, "refused", reason, {status, retry_after});
 }
 
 void forwarder::refuse_over_rate(const caller_request_ptr& request, duration retry_after) {
@@ -201,7 +203,7 @@
         dispatcher_->withdraw(request);
     else
         close_exchange(request, dispatcher::attempt_outcome::abandoned);
-    finish(request, edge::events::request_abandoned, "abandoned", "caller_left");
+    finish(request, edge::events::request_abandoned, "abandoned", "caller_left", {request->head.status});
 }
 
 void forwarder::on_deadline(const caller_request_ptr& request) {
@@ -225,7 +227,7 @@
 }
 
 void forwarder::finish(const caller_request_ptr& request, std::string_view event, const std::string& outcome,
-                       const std::string& reason) {
+                       const std::string& reason, const final_answer& sent) {
     if (request->finished)
         return;
     request->finished = true;
@@ -242,7 +244,8 @@
                         {"customer", request->customer},
                         {"model", request->model.model},
                         {"adapter", request->model.adapter},
-                        {"status", request->head.status},
+                        {"status", sent.status},
+                        {"retry_ms", core::common::to_wire_ms(sent.retry_after)},
                         {"sends", request->send_count},
                         {"target", request->last_target},
                         {"first_ms", first_ms},
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -113,7 +113,7 @@
         expect(refused.status, 429, "beyond the rate")
         if not 0 < float(refused.headers["retry-after"]) < 10:
             raise Failure(f"Retry-After: {refused.headers['retry-after']}")
-        expect_contains(fleet.timeline(headers["Request-Id"]), "rate_refused", "cause: Its customer had used up its rate and burst over all gateways.")
+        expect_contains(fleet.timeline(headers["Request-Id"]), "rate_refused", "status=429 retry_ms=", "cause: Its customer had used up its rate and burst over all gateways.")
 
 
 def requests_that_wait_hold_no_tokens_of_their_customers_rate():
@@ -177,7 +177,7 @@
         headers = fleet.headers("m3", Deadline_Remaining="4000")
         refused = fleet.ask("/dossier/1", headers)
         expect(refused.status, 503, "a model that only the weight store has")
-        expect_contains(fleet.timeline(headers["Request-Id"]), "operation=load_model model=m3", "cause: Its model was still being loaded when its time ran out, or could not be loaded in time.")
+        expect_contains(fleet.timeline(headers["Request-Id"]), "operation=load_model model=m3", "status=503 retry_ms=", "cause: Its model was still being loaded when its time ran out, or could not be loaded in time.")
         expect(fleet.ask("/dossier/1", fleet.headers("m0")).status, 200, "a loaded model meanwhile")
 
 
