--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -12,7 +12,7 @@
 using core::common::milliseconds;
 using core::membership::stored_kind;
 
-constexpr milliseconds origin_repetition{1'100};      // three messages tell of a stream: one may be lost
+constexpr milliseconds origin_repetition{1'100};      // three messages announce a stream: one may be lost
 constexpr std::size_t max_new_origins = 500;          // streams in one message
 constexpr std::size_t max_all_origins = 1'000;        // in a message to a gateway that has just started
 constexpr milliseconds max_remaining{31'536'000'000}; // a year, as in registrations
@@ -24,7 +24,7 @@
     return core::common::to_wire_ms(value);
 }
 
-/// Gateways tell each other the same time again and again: rounding it down would move it a bit each time.
+/// The same time is announced again and again: rounding it down would move it a bit each time.
 std::int64_t rounded_up_ms(core::common::duration value) {
     return std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(value).count());
 }
@@ -74,7 +74,7 @@
 
 } // namespace
 
-// ---- telling ---------------------------------------------------------------------------------------
+// ---- sending ---------------------------------------------------------------------------------------
 
 void peer_updates::add_to(wire::peer_status& message) const {
     message.config_version = context_.config ? context_.config->version : 0;
@@ -195,7 +195,7 @@
     context_.origins.expire(context_.loop.now());
 }
 
-// ---- hearing ---------------------------------------------------------------------------------------
+// ---- receiving -------------------------------------------------------------------------------------
 
 peer_updates::applied peer_updates::apply(const wire::peer_status& message,
                                           const std::optional<std::vector<std::string>>& own_speakers) {
--- a/src/programs/gateway/peer_updates.hpp
+++ b/src/programs/gateway/peer_updates.hpp
@@ -1,6 +1,7 @@
-/// What gateways tell each other of the store and of targets: the configuration in force, data centres taken
-/// out, leaving targets and targets' limits, registrations for those that can't read the store, and from the
-/// order giver what targets hold. The newest news wins, so each gateway may pass on all that it knows.
+/// The updates that gateways exchange about the store and the targets: the configuration in force, data
+/// centres taken out, leaving targets and targets' limits, registrations for gateways that can't read the
+/// store, and from the order giver what targets hold. The newest update wins, so each gateway may forward all
+/// that it has.
 #pragma once
 
 #include "core/exchange/relay_queue.hpp"
@@ -43,22 +44,22 @@
     [[nodiscard]] target_updates due_updates(); // changed, or due to be sent again
     /// Updates that came from another group, to pass on in the own one; the oldest ones, once.
     [[nodiscard]] target_updates take_relayed();
-    /// Where this gateway's streams that were begun lately began; or all that it knows of.
+    /// Origins of the streams that this gateway began lately; of all streams that it knows.
     [[nodiscard]] std::vector<wire::stream_origins> recent_origins() const;
     [[nodiscard]] std::vector<wire::stream_origins> all_origins() const;
     /// Whether updates are left that didn't fit into the last message. `announces`: it had due_updates.
     [[nodiscard]] bool has_more(bool announces) const;
     [[nodiscard]] std::vector<wire::target_registration> registrations() const;
-    /// Whether this gateway can tell the registrations: it reads them, or has them from another group.
+    /// Whether this gateway can announce the registrations: it reads them, or has them from another group.
     [[nodiscard]] bool has_registrations(core::common::time_point now) const;
     /// Whether the leaving targets, the targets' limits or the data centres taken out changed since the last
     /// call.
     [[nodiscard]] bool urgent_updates_changed();
 
-    /// What a message brought that this gateway must tell others.
+    /// What a message brought that this gateway must forward.
     struct applied {
-        bool updates = false; // of targets, to pass on in the own group
-        bool urgent = false;  // departures or limits of targets that were not heard of before
+        bool updates = false; // of targets, for the own group
+        bool urgent = false;  // departures or limits of targets that were not known before
     };
     /// Applies a peer's message. `own_speakers`: set if it comes from another group; the speakers of the own
     /// one, who pass on its updates.
