--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -93,7 +93,8 @@
     }
     static void note_bytes(call& transfer, std::size_t count) {
         transfer.begun = true;
-        transfer.last_byte = core::common::clock::now();
+        if (transfer.request.stall_timeout.count() > 0)
+            transfer.last_byte = core::common::clock::now();
         if (transfer.request.progress)
             transfer.request.progress->received += count;
     }
