Test: the time until a number of targets falls is taken from the gateway's log

The bound stays 10 s, now between the two decisions. Found on the way and listed: the 10 s count from the rise, 9.66 s after the demand had ended.

--- a/tests/programs/test_gateway_scaling.py
+++ b/tests/programs/test_gateway_scaling.py
@@ -81,13 +81,13 @@
         for thread in threads:
             thread.start()
         wait_until(lambda: 2 in fleet.platform.numbers(), "two targets are called for", 30)
-        raised_at = time.monotonic()
         target.hold.set()
         for thread in threads:
             thread.join()
         wait_until(lambda: fleet.platform.numbers()[-1] == 1, "one is enough again", 60)
-        if time.monotonic() - raised_at < 10:
-            raise Failure("the number fell before demand had been low for 10 s")
+        raised, *_, fell = fleet.events("scale_decided")   # the test's own clock is late by up to a poll
+        if fell["unix_ms"] - raised["unix_ms"] < 10_000:
+            raise Failure(f"the number fell {fell['unix_ms'] - raised['unix_ms']} ms after it rose, before demand had been low for 10 s")
         expect(max(fleet.platform.numbers()), 2, "most")
 
 
