--- a/tests/programs/gateway_links.py
+++ b/tests/programs/gateway_links.py
@@ -107,7 +107,7 @@
         """`addresses`: its own for messages, that of its page, and the one that it announces for the page."""
         self.name, self.compresses, self.page_address = name, compresses, addresses[2]
         self.version, self.text, self.sequence = 0, b"", 0
-        self.open, self.most_open, self.lock = 0, 0, threading.Lock()
+        self.open, self.most_open, self.reads, self.lock = 0, 0, 0, threading.Lock()
         self.server = Server(addresses[1], Handler, self)
         store.put("waxwinglb-routers", name, {"address": addresses[0], "boot": 1, "era": 0, "first_era": 0, "data_centre": "a"})
 
@@ -130,7 +130,7 @@
 
     def serve(self, call):
         with self.lock:
-            self.open += 1
+            self.open, self.reads = self.open + 1, self.reads + 1
             self.most_open = max(self.most_open, self.open)
         try:
             packed = self.compresses and "gzip" in call.headers.get("Accept-Encoding", "")
--- a/tests/programs/test_gateway_large_configuration.py
+++ b/tests/programs/test_gateway_large_configuration.py
@@ -13,6 +13,8 @@
 BOUND_S = 3.0                # config_ms of deployments that have such links
 LINK_BYTES_PER_S = 1_250_000 # 10 Mbit/s, the slowest of the sheets
 ROUTES = 4_200               # of three large changes in a row; the document takes a second of the link
+OUTDATED_S = 6.0             # for so long peers announce what they don't serve
+MOST_READS = 12              # with pauses of 0.1 s, doubled up to 0.8 s
 LATE_S = 1.5                 # by which a slow store's answers are late
 
 
@@ -87,6 +89,19 @@
         expect(max(peer.most_open for peer in slow.peers), 1, "reads under way at one peer")
 
 
+def peers_that_serve_an_older_version_than_they_announce_are_not_read_without_a_pause():
+    with SlowFleet() as slow:
+        slow.start()
+        slow.store.cut = True
+        slow.link.drop_connections()
+        for peer in slow.peers:
+            peer.reads, peer.version = 0, 3
+        time.sleep(OUTDATED_S)
+        reads = sum(peer.reads for peer in slow.peers)
+        if reads > MOST_READS:
+            raise Failure(f"{reads} reads in {OUTDATED_S} s")
+
+
 def versions_in_a_row_are_in_force_in_time_although_the_store_answers_late():
     with SlowFleet() as slow:
         slow.start()
@@ -105,5 +120,6 @@
 if __name__ == "__main__":
     run_cases([document_that_takes_longer_than_a_call_on_a_slow_link_is_read_from_the_store,
                reads_from_peers_do_not_keep_each_other_from_ending_on_a_slow_link,
+               peers_that_serve_an_older_version_than_they_announce_are_not_read_without_a_pause,
                versions_in_a_row_are_in_force_in_time_although_the_store_answers_late])
     sys.exit(0)
