Log: the line of a request's end has the last event and the software version of its target

A stream that ends too early, one of two versions and one that breaks at a join looked alike in the logs: the line of the end named neither the event with which the stream ended nor the version that wrote it. With both, request_sent and ended_by the three hypotheses of the postmortem's draft can be told apart.

--- a/src/programs/gateway/forwarder_failures.cpp
+++ b/src/programs/gateway/forwarder_failures.cpp
@@ -251,6 +251,8 @@
                         {"first_ms", first_ms},
                         {"pause_ms", core::common::to_wire_ms(request->longest_pause)},
                         {"blocked_by", request->blocked_by},
+                        {"software_version", request->target_version},
+                        {"last_event", request->last_event},
                         {"ended_by", request->ended_by},
                         {"incomplete_event_bytes", request->events.size()},
                         {"silent_ms", silence_duration(*request, context_.loop.now()).count()},
