--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -301,6 +301,8 @@
             return call.answer(200, {"models": self.holding(), "busy": bool(self.loading), "born": self.born,
                                      "sequence": self.sequence, "running": 0, "waiting": 0,
                                      "at_hand": {"in_memory": [], "on_disk": sorted(self.on_disk)}})
+        if call.path == "/health":
+            return call.answer(200, b"", [("Instance-Id", self.name)])
         if call.path == "/order":
             return self.take_order(call, json.loads(call.body()))
         return self.run(call, call.body())
