Streams: an id left out within one answer is a missing event

Callers: a stream with events 1 to 5, then 7, ended as whole; a missing piece is ORDER. Cause: ids that leave some out were checked only where an answer was joined; within one answer any rising id passed. Fix: once two events of a stream are there, each one above the one before, the next one must follow too. Streams whose ids take larger steps keep passing: a first id of 1 alone shows nothing about the steps within an answer. The unit test that let such a gap pass is replaced by one that forbids it and one for ids with larger steps, which it allowed and which stay allowed. Still open: the first event of a stream that its caller takes up may leave some out, as this gateway hasn't seen those before.

--- a/src/core/streams/event_sequence.cpp
+++ b/src/core/streams/event_sequence.cpp
@@ -92,11 +92,13 @@
     if (last_ && id <= *last_)
         return event_fault::out_of_order;
     const bool next = id == last_.value_or(0) + 1;
-    const bool joined = steps_seen_ && !answer_has_event_;
-    if (joined && consecutive_ && !next)
+    const bool joined = events_seen_ > 0 && !answer_has_event_;
+    // A first id of 1 alone doesn't show that ids within an answer go up by one.
+    const bool must_be_next = consecutive_ && (joined || events_seen_ > 1);
+    if (must_be_next && !next)
         return event_fault::missing;
-    consecutive_ = next && (consecutive_ || !steps_seen_);
-    steps_seen_ = true;
+    consecutive_ = next && (consecutive_ || events_seen_ == 0);
+    ++events_seen_;
     answer_has_event_ = true;
     last_ = id;
     return event_fault::none;
--- a/src/core/streams/event_sequence.hpp
+++ b/src/core/streams/event_sequence.hpp
@@ -12,7 +12,7 @@
     none,
     malformed,    // text that is no event with an id
     out_of_order, // the id isn't above the one before
-    missing,      // ids went up by one until an answer was joined that leaves some out
+    missing,      // ids went up by one until one that leaves some out
 };
 
 class event_sequence {
@@ -37,7 +37,7 @@
 
     std::optional<std::uint64_t> last_;
     bool consecutive_ = false; // each id so far was one above the id before
-    bool steps_seen_ = false;
+    int events_seen_ = 0;
     bool answer_has_event_ = false;
 };
 
--- a/tests/core/event_sequence_test.cpp
+++ b/tests/core/event_sequence_test.cpp
@@ -66,13 +66,19 @@
             EXPECT_EQ(fault_after_four(text, in_next_answer), event_fault::none) << text;
 }
 
-TEST(event_sequence, ids_that_leave_some_out_within_an_answer_are_its_own) {
-    EXPECT_EQ(fault_after_four(event(6), false), event_fault::none);
+TEST(event_sequence, id_left_out_within_an_answer_after_ids_that_went_up_by_one_is_a_missing_event) {
+    EXPECT_EQ(fault_after_four(event(6), false), event_fault::missing);
+    EXPECT_EQ(fault_after_four(event(5) + event(7), true), event_fault::missing);
     EXPECT_EQ(fault_after_four(event(4), false), event_fault::out_of_order);
-    event_sequence sequence;
-    EXPECT_EQ(sequence.check(event(5) + event(10)).fault, event_fault::none);
-    sequence.begin_answer();
-    EXPECT_EQ(sequence.check(event(15)).fault, event_fault::none);
+}
+
+TEST(event_sequence, ids_that_never_went_up_by_one_may_leave_some_out) {
+    for (const std::string text : {event(1) + event(5) + event(9), event(5) + event(10) + event(11)}) {
+        event_sequence sequence;
+        EXPECT_EQ(sequence.check(text).fault, event_fault::none) << text;
+        sequence.begin_answer();
+        EXPECT_EQ(sequence.check(event(15)).fault, event_fault::none) << text;
+    }
 }
 
 TEST(event_sequence, stream_that_its_caller_takes_up_goes_on_after_the_callers_last_event) {
