Gateway: an answer that only its connection's end completes is complete if its target still runs

Cause: the end of the connection was taken for the end of an answer that has neither length nor chunks. Fix: the gateway asks the target before it completes such an answer: a model runner for its report, whose time of birth must be that of the start which got the request, a plain service at its health path with the target's id. No listener or another start: the answer was broken off and is resumed, repeated or cut as any other. No answer within a second: likewise, without counting as a crash. Calls that were sent before the answer ended don't count; answers that end at one target while a call is open share the next one. Events of a stream are passed on as before; only its last chunk waits. Why it works: the process that answers the call after the end is the one that wrote the answer, and it is alive; a process that was killed can't answer. Still open: a target that lives on and breaks its answer off between two events, in order. The stand-in process of the test ends with its test.

--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -202,6 +202,7 @@
         curl_easy_getinfo(done->easy, CURLINFO_RESPONSE_CODE, &status);
         done->result.status = static_cast<int>(status);
         done->result.outcome = outcome_of(*done, code);
+        done->result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
         if (done->request.memory)
             done->request.memory->give_back(done->held);
         if (code != CURLE_OK)
--- a/src/edge/http_client.hpp
+++ b/src/edge/http_client.hpp
@@ -74,6 +74,7 @@
     int status = 0;
     std::vector<http_field> headers; // names in lower case
     std::string body;                // empty if on_data received it
+    bool timed_out = false;          // one of the request's limits ended it
     std::size_t received = 0;        // bytes of the answer that came, also of one that broke off
     core::common::error why;         // set unless answered
 };
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -54,6 +54,7 @@
     std::string target;                    // where the request runs; empty: it waits
     std::unique_ptr<exchange> target_exchange;
     core::fleet::target_start target_start; // the start of the target that it was last sent to
+    std::string target_address;             // IP:PORT of that target
     std::string target_version;             // software version of that target
     std::optional<std::string> begun_at;    // software version at which the stream began; set if it goes on
     core::common::time_point sent_at{};
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/forwarder.hpp"
 
 #include "core/common/hash.hpp"
+#include "platform/documents.hpp"
 #include "platform/headers.hpp"
 
 #include <algorithm>
@@ -55,13 +56,16 @@
     return head.ends_with_connection ? ended_by_connection : "chunks";
 }
 
+bool has_unmarked_end(const caller_request& request) {
+    return std::string_view{request.ended_by} == ended_by_connection;
+}
+
 /// Why a stream whose body has ended was broken off; nullptr if it is whole. The end of a connection alone
 /// doesn't show that a target which sent no event had none.
 const char* incompleteness_of(const caller_request& request) {
     if (request.events.inside_event())
         return "ended_inside_event";
-    const bool unmarked = std::string_view{request.ended_by} == ended_by_connection;
-    return unmarked && !request.events.any_taken() ? "ended_without_event" : nullptr;
+    return has_unmarked_end(request) && !request.events.any_taken() ? "ended_without_event" : nullptr;
 }
 
 /// An answer without any event shows neither that the stream before it was whole nor that its target knew of
@@ -138,6 +142,7 @@
     request->last_target = target;
     if (const auto* known = context_.directory.find(target)) {
         request->target_start = {target, known->entry.born};
+        request->target_address = known->entry.address;
         request->target_version = known->entry.software_version;
     }
     dispatcher_->begin_attempt(request, target);
@@ -323,13 +328,42 @@
 void forwarder::on_complete(const caller_request_ptr& request) {
     if (request->finished || !request->target_exchange)
         return;
-    if (!request->streaming)
-        return send_answer(request);
-    if (const char* fault = incompleteness_of(*request))
-        return handle_broken_answer(request, fault);
-    if (resumed_with_nothing(*request))
-        return handle_lost_answer(request, "resumption_empty");
-    if (!request->session->answer_begun())
+    if (request->streaming) {
+        if (const char* fault = incompleteness_of(*request))
+            return handle_broken_answer(request, fault);
+        if (resumed_with_nothing(*request))
+            return handle_lost_answer(request, "resumption_empty");
+    }
+    if (has_unmarked_end(*request))
+        return confirm_end(request);
+    complete(request);
+}
+
+/// Completes an answer that only the end of its connection ends, if its target still runs.
+void forwarder::confirm_end(const caller_request_ptr& request) {
+    const auto* service = request->config->find_service(request->service);
+    const bool reports = service != nullptr && service->engine;
+    const std::string health_path =
+        service == nullptr || service->health_path.empty() ? "/" : service->health_path;
+    const probed_target target{request->target_start, request->target_address,
+                               reports ? platform::report_path : health_path};
+    probe_.ask(target, [this, request, attempt = request->send_count](probe_result result) {
+        if (request->finished || !request->target_exchange || request->send_count != attempt)
+            return;
+        context_.log.write(
+            edge::events::end_checked, request->request_id,
+            {{"target", request->target}, {"born", request->target_start.born}, {"result", name_of(result)}});
+        if (result == probe_result::running)
+            return complete(request);
+        if (result == probe_result::ended)
+            return handle_broken_answer(request, "target_ended");
+        request->may_have_run = true;
+        handle_lost_answer(request, "end_unconfirmed");
+    });
+}
+
+void forwarder::complete(const caller_request_ptr& request) {
+    if (!request->streaming || !request->session->answer_begun())
         return send_answer(request);
     request->session->end_answer();
     note_sound(*request);
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -5,13 +5,15 @@
 #include "core/quarantine/suspect_parts.hpp"
 #include "core/retries/window_budget.hpp"
 #include "programs/gateway/dispatcher.hpp"
+#include "programs/gateway/target_probe.hpp"
 
 namespace waxwinglb::programs::gateway {
 
 class forwarder {
 public:
-    forwarder(gateway_context& context, std::function<void(const caller_request_ptr&)> on_finished)
-        : context_(context), on_finished_(std::move(on_finished)) {}
+    forwarder(gateway_context& context, edge::http_client& client,
+              std::function<void(const caller_request_ptr&)> on_finished)
+        : context_(context), probe_(context, client), on_finished_(std::move(on_finished)) {}
     void attach(dispatcher& target_dispatcher) { dispatcher_ = &target_dispatcher; }
 
     void send(const caller_request_ptr& request, const std::string& target);
@@ -50,6 +52,8 @@
     void on_head(const caller_request_ptr& request, const edge::answer_head& head);
     void on_body(const caller_request_ptr& request, std::string&& piece);
     void on_complete(const caller_request_ptr& request);
+    void confirm_end(const caller_request_ptr& request);
+    void complete(const caller_request_ptr& request);
     void on_failed(const caller_request_ptr& request, exchange_failure failure);
 
     core::streams::event_fault relay_events(const caller_request_ptr& request); // those that are complete
@@ -82,6 +86,7 @@
     core::retries::window_budget& budget(const std::string& service);
 
     gateway_context& context_;
+    target_probe probe_;
     std::function<void(const caller_request_ptr&)> on_finished_;
     dispatcher* dispatcher_ = nullptr;
     std::map<std::string, core::retries::window_budget> budgets_;        // by service
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -40,7 +40,7 @@
     : program_(program), settings_(settings), log_(settings.name, settings.request_lines),
       context_(settings_, loop_, log_, *program.metrics), store_(client_, settings.store, store_call_timeout),
       lease_store_client_(client_, settings.store, lease_call_timeout),
-      forwarder_(context_,
+      forwarder_(context_, client_,
                  [this](const caller_request_ptr& request) { admission_.on_request_finished(request); }),
       dispatcher_(
           context_,
--- /dev/null
+++ b/src/programs/gateway/target_probe.hpp
@@ -0,0 +1,60 @@
+/// Asks targets whether the process that answered a request still runs. The kernel closes the connections of
+/// a killed process in order, so the end of a connection alone doesn't show that an answer is complete.
+#pragma once
+
+#include "core/fleet/departures.hpp"
+#include "edge/http_client.hpp"
+#include "programs/gateway/context.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace waxwinglb::programs::gateway {
+
+enum class probe_result {
+    running, // this start of the target has answered
+    ended,   // nothing listens at its address, or another start does
+    unknown, // no answer in time
+};
+
+struct probed_target {
+    core::fleet::target_start start;
+    std::string address; // IP:PORT
+    std::string path;    // of a call that runs nothing
+};
+
+class target_probe {
+public:
+    using handler = std::function<void(probe_result)>;
+    target_probe(gateway_context& context, edge::http_client& client) : context_(context), client_(client) {}
+
+    /// Calls `on_result` on the event loop, after a second at the latest. What a target answers to a call
+    /// that was sent before doesn't count.
+    void ask(const probed_target& target, handler on_result);
+
+private:
+    /// The calls to one start of a target, one at a time.
+    struct inquiry {
+        probed_target target;
+        std::vector<handler> asked;   // before the present call was sent
+        std::vector<handler> waiting; // since then
+        core::common::time_point deadline{};
+    };
+    using inquiry_ptr = std::shared_ptr<inquiry>;
+    void begin(const inquiry_ptr& asked);
+    void call(const inquiry_ptr& asked);
+    void handle_answer(const inquiry_ptr& asked, const edge::client_result& answer);
+    void finish(const inquiry_ptr& asked, probe_result result);
+    [[nodiscard]] static probe_result result_of(const probed_target& target,
+                                                const edge::client_result& answer);
+
+    gateway_context& context_;
+    edge::http_client& client_;
+    std::map<core::fleet::target_start, inquiry_ptr> inquiries_;
+};
+
+[[nodiscard]] const char* name_of(probe_result result);
+
+} // namespace waxwinglb::programs::gateway
--- a/tests/programs/harness.py
+++ b/tests/programs/harness.py
@@ -141,7 +141,7 @@
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([self.binary, "--config", str(self.config)],
                                             stdout=subprocess.PIPE if unread else log, stderr=log,
-                                            stdin=subprocess.DEVNULL, preexec_fn=_die_with_parent)
+                                            stdin=subprocess.DEVNULL, preexec_fn=die_with_parent)
         return self
 
     def running(self):
@@ -188,7 +188,7 @@
         return "\n".join(f"    {self.name}: {line}" for line in lines)
 
 
-def _die_with_parent():
+def die_with_parent():
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
--- a/tests/programs/target_process.py
+++ b/tests/programs/target_process.py
@@ -11,6 +11,7 @@
 import time
 
 from gateway_standins import EVENT_PAUSE_S, Handler, Server, Target
+from harness import die_with_parent
 
 MODEL = "m0"
 
@@ -46,7 +47,7 @@
     def __init__(self, fleet, name, service, parts):
         self.name, address, born = name, fleet.ports.address(), int(time.time() * 1000)
         program = [sys.executable, str(pathlib.Path(__file__)), address, str(born), str(parts)]
-        self.process = subprocess.Popen(program, stdout=subprocess.PIPE, text=True, cwd=pathlib.Path(__file__).parent)
+        self.process = subprocess.Popen(program, stdout=subprocess.PIPE, text=True, preexec_fn=die_with_parent)
         assert self.process.stdout.readline() == "ready\n"
         models = [{"name": MODEL, "version": 1, "adapters": []}] if service == "engine" else []
         fleet.store.put("servers", name, {"service": service, "address": address, "zone": "a", "version": "v1", "slots": 64,
