Streams go on only at the start of a target whose software version is known

Cause: the version is that of the registration, but the request is answered by whatever process listens there. A target that has started again under its id with other software is taken for its former start until its registration comes: for milliseconds, or for as long as the store is away. Only a connection's establishment looked at the start, and by the same registration. Fix: an answer with which a stream goes on, resumed here or taken up by its caller, is held from its head on until the target's report shows the time of birth of the start that was chosen. A process that reports after the answer began can't be an earlier one than that which answers, so equal births mean the same process. Streams that begin anew aren't held; those that are resumed wait for one call. Still open: a stream that begins at such a target is noted under the registration's version, too; nothing in its answer tells it. The look at a target is one piece of code for both uses; its line in the log is target_probed.

--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -42,7 +42,7 @@
 inline constexpr std::string_view target_limited = "target_limited";
 inline constexpr std::string_view target_notice_ignored = "target_notice_ignored";
 inline constexpr std::string_view target_ending = "target_ending";
-inline constexpr std::string_view end_checked = "end_checked";
+inline constexpr std::string_view target_probed = "target_probed";
 inline constexpr std::string_view request_on_notice = "request_on_notice";
 inline constexpr std::string_view scale_decided = "scale_decided";
 inline constexpr std::string_view target_load_ignored = "target_load_ignored";
@@ -94,14 +94,13 @@
     usage_object_ignored, clock_jumped,        target_ending,         request_on_notice,
     scale_decided,        target_load_ignored, target_speed_changed,  turn_asked,
     turn_granted,         turns_held,          client_limited,        store_view_old,
-    end_checked};
+    target_probed};
 /// Events that callers, targets or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed,       request_sent,        request_retried,      request_refused,
     rate_refused,     request_answered,  request_cut,         request_abandoned,    datagram_ignored,
     prompt_suspected, request_on_notice, target_load_ignored, target_speed_changed, turn_asked,
-    turn_granted,     turns_held,        client_limited,
-    end_checked};
+    turn_granted,     turns_held,        client_limited,      target_probed};
 } // namespace events
 
 class decision_log {
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -68,7 +68,9 @@
     core::streams::event_buffer events;     // received of a stream, not yet forwarded
     core::streams::event_sequence sequence; // of the events forwarded
     core::dispatch::stream_progress progress;
-    bool streaming = false;    // the answer is forwarded as it arrives
+    bool streaming = false;        // the answer is forwarded as it arrives
+    bool held = false;             // until it is known which start of the target answers
+    bool ended_while_held = false; // all of it has come
     const char* ended_by = ""; // what marks the end of the target's body: "length", "chunks" or "connection"
     bool run_counted = false;  // as a request that began to run
     bool finished = false;     // answered, refused or abandoned
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -136,6 +136,8 @@
     request->pace.restart();
     request->sequence.begin_answer();
     request->progress.begin_answer();
+    request->held = false;
+    request->ended_while_held = false;
     request->target_gone_at.reset();
     request->on_notice.reset();
     request->ended_by = "";
@@ -225,8 +227,8 @@
         count_run(*request, request->sent_at);
     if (request->session->answer_begun()) { // the caller has the head under which the stream goes on
         if (head.status != request->head.status)
-            handle_lost_answer(request, "resumption_failed");
-        return;
+            return handle_lost_answer(request, "resumption_failed");
+        return hold_until_start_known(request);
     }
     if (head.status >= 500 && request->repeatable() && request->has_attempts_left()) {
         const std::string failed_target = request->target;
@@ -237,21 +239,52 @@
     }
     request->head = head;
     request->streaming = success && request->is_stream();
+    if (request->streaming && request->begun_at)
+        hold_until_start_known(request);
     if (!request->streaming && head.length)
         wait_for_room(*request,
                       static_cast<std::size_t>(std::min<std::uint64_t>(*head.length, max_buffered_answer)));
 }
 
+/// A stream goes on only at the software version that began it. A target may have started again with another
+/// one, under its id, since its registration was read.
+void forwarder::hold_until_start_known(const caller_request_ptr& request) {
+    request->held = true;
+    request->target_exchange->pause();
+    probe(request, [this, request](probe_result result) {
+        if (result != probe_result::running)
+            return handle_lost_answer(request, "target_start_unconfirmed");
+        request->held = false;
+        request->target_exchange->resume();
+        pass_on_events(request);
+        if (request->ended_while_held)
+            on_complete(request);
+    });
+}
+
+/// Passes the result on unless the request has ended or left its target meanwhile.
+void forwarder::probe(const caller_request_ptr& request, target_probe::handler on_result) {
+    const auto* service = request->config->find_service(request->service);
+    const bool reports = service != nullptr && service->engine;
+    const bool checks_health = service != nullptr && !service->health_path.empty();
+    const std::string path = reports ? platform::report_path : checks_health ? service->health_path : "/";
+    probe_.ask({request->target_start, request->target_address, path},
+               [this, request, attempt = request->send_count,
+                on_result = std::move(on_result)](probe_result result) {
+                   if (request->finished || !request->target_exchange || request->send_count != attempt)
+                       return;
+                   context_.log.write(edge::events::target_probed, request->request_id,
+                                      {{"target", request->target},
+                                       {"born", request->target_start.born},
+                                       {"result", name_of(result)}});
+                   on_result(result);
+               });
+}
+
 void forwarder::on_body(const caller_request_ptr& request, std::string&& piece) {
     if (request->streaming) {
         request->events.add(piece);
-        if (const event_fault fault = relay_events(request); fault != event_fault::none)
-            handle_lost_answer(request, name_of(fault));
-        else if (request->events.size() > max_event)
-            handle_lost_answer(request, "event_too_large");
-        else if (request->events.size() > small_event)
-            wait_for_room(*request, request->events.size());
-        return;
+        return pass_on_events(request);
     }
     request->body.append(piece);
     if (request->body.size() > max_buffered_answer)
@@ -260,6 +293,16 @@
         wait_for_room(*request, request->body.size());
 }
 
+void forwarder::pass_on_events(const caller_request_ptr& request) {
+    const event_fault fault = request->held ? event_fault::none : relay_events(request);
+    if (fault != event_fault::none)
+        handle_lost_answer(request, name_of(fault));
+    else if (request->events.size() > max_event)
+        handle_lost_answer(request, "event_too_large");
+    else if (request->events.size() > small_event)
+        wait_for_room(*request, request->events.size());
+}
+
 /// Stops reading from the target while there is no memory for `bytes` of its answer.
 void forwarder::wait_for_room(caller_request& request, std::size_t bytes) {
     if (!request.session->reserve_answer(copies * bytes) && request.target_exchange)
@@ -328,6 +371,10 @@
 void forwarder::on_complete(const caller_request_ptr& request) {
     if (request->finished || !request->target_exchange)
         return;
+    if (request->held) {
+        request->ended_while_held = true;
+        return;
+    }
     if (request->streaming) {
         if (const char* fault = incompleteness_of(*request))
             return handle_broken_answer(request, fault);
@@ -341,23 +388,11 @@
 
 /// Completes an answer that only the end of its connection ends, if its target still runs.
 void forwarder::confirm_end(const caller_request_ptr& request) {
-    const auto* service = request->config->find_service(request->service);
-    const bool reports = service != nullptr && service->engine;
-    const std::string health_path =
-        service == nullptr || service->health_path.empty() ? "/" : service->health_path;
-    const probed_target target{request->target_start, request->target_address,
-                               reports ? platform::report_path : health_path};
-    probe_.ask(target, [this, request, attempt = request->send_count](probe_result result) {
-        if (request->finished || !request->target_exchange || request->send_count != attempt)
-            return;
-        context_.log.write(
-            edge::events::end_checked, request->request_id,
-            {{"target", request->target}, {"born", request->target_start.born}, {"result", name_of(result)}});
+    probe(request, [this, request](probe_result result) {
         if (result == probe_result::running)
             return complete(request);
         if (result == probe_result::ended)
             return handle_broken_answer(request, "target_ended");
-        request->may_have_run = true;
         handle_lost_answer(request, "end_unconfirmed");
     });
 }
--- a/tests/programs/test_gateway_software_versions.py
+++ b/tests/programs/test_gateway_software_versions.py
@@ -69,6 +69,18 @@
             raise Failure("no stream was resumed")
 
 
+def stream_does_not_go_on_at_a_target_that_has_started_again_with_other_software_unnoticed():
+    fleet, engines = fleet_of_versions(["v1", "v1"])
+    with fleet:
+        break_streams(engines[:1], BREAK_AFTER)
+        engines[1].version, engines[1].born = "v2", engines[1].born + 1      # its registration hasn't come
+        for _ in range(STREAMS):
+            status, text = outcome(fleet, "/notes/1", fleet.headers("m0", Prompt_Prefix=f"p{fleet.number}:9"), body=str(fleet.number))
+            expect(len(versions_in(text)), 1, f"versions in {status}: {text}")
+        if not fleet.events("request_retried"):
+            raise Failure("no stream was resumed")
+
+
 def stream_whose_version_has_no_other_target_is_cut_not_mixed():
     fleet, engines = fleet_of_versions(["v1", "v2"])
     with fleet:
@@ -139,7 +151,8 @@
 
 
 if __name__ == "__main__":
-    run_cases([stream_resumed_within_one_answer_stays_at_its_version, stream_whose_version_has_no_other_target_is_cut_not_mixed,
+    run_cases([stream_resumed_within_one_answer_stays_at_its_version,
+               stream_does_not_go_on_at_a_target_that_has_started_again_with_other_software_unnoticed, stream_whose_version_has_no_other_target_is_cut_not_mixed,
                stream_taken_up_by_its_caller_anywhere_goes_on_at_its_version,
                stream_goes_on_although_the_gateway_that_began_it_is_gone_and_others_restarted,
                stream_of_an_unknown_version_is_refused_while_there_are_several,
