Settings: a file that breaks off is refused

A settings file that is read while it is written, or was cut off, is often valid YAML by itself: a slack of 56 became 5, and sections at the end took their defaults without a line in the log. Fix: a file that marks the start of its document (---) must mark its end (...) too, else it is refused with that reason and, at a reload, the former settings stay in force.

--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <fstream>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -15,6 +17,9 @@
 
 using core::common::milliseconds;
 
+constexpr std::string_view document_start = "---";
+constexpr std::string_view document_end = "...";
+
 /// Parses a number followed by one of the units; nullopt if the text has another form.
 std::optional<std::int64_t>
 parse_with_unit(std::string_view text, const std::vector<std::pair<std::string_view, std::int64_t>>& units) {
@@ -39,6 +44,29 @@
     return failure == std::errc{} && stop == end && port >= 0 && port <= 65'535;
 }
 
+std::string read_text(const std::string& path) {
+    std::ifstream file{path};
+    if (!file)
+        throw YAML::BadFile{path};
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Whether a file that marks the start of its document ends before the end of that. What is left of such a
+/// file can be valid by itself.
+bool breaks_off(const std::string& text) {
+    std::istringstream lines{text};
+    bool begun = false;
+    std::string last;
+    for (std::string line; std::getline(lines, line);) {
+        begun = begun || line == document_start;
+        if (!line.empty())
+            last = std::move(line);
+    }
+    return begun && last != document_end;
+}
+
 } // namespace
 
 struct settings_section::state {
@@ -248,9 +276,12 @@
                                                 const std::function<void(settings_section&)>& read) {
     std::vector<settings_fault> faults;
     try {
+        const std::string text = read_text(path);
+        if (breaks_off(text))
+            faults.push_back({0, "", "is incomplete: expected the line \"...\" at its end"});
         settings_section top;
         top.state_ = std::make_shared<settings_section::state>(
-            settings_section::state{YAML::LoadFile(path), "", faults, {}});
+            settings_section::state{YAML::Load(text), "", faults, {}});
         read(top);
         top.state_->finish();
     } catch (const YAML::ParserException& e) {
--- a/src/edge/settings.hpp
+++ b/src/edge/settings.hpp
@@ -1,5 +1,7 @@
 /// Reads settings files in YAML. One pass finds every fault: unknown keys, missing fields, wrong units,
-/// duplicate names and invalid values, each with file, line, path and the expected form.
+/// duplicate names and invalid values, each with file, line, path and the expected form. A file may mark the
+/// start of its document by the line "---"; it must then end with the line "...", as it is incomplete
+/// without.
 #pragma once
 
 #include "core/common/time.hpp"
--- a/tests/contract/settings_test.cpp
+++ b/tests/contract/settings_test.cpp
@@ -93,6 +93,15 @@
     EXPECT_EQ(load("term: x\nmemory: y\nshards: z\n", out).size(), 5U);
 }
 
+TEST(settings, file_with_a_document_start_that_breaks_off_is_incomplete) {
+    const std::string whole = "---\nname: a\nlisten: 127.0.0.1:80\nshards: 128\n...";
+    sample out;
+    EXPECT_TRUE(load(whole, out).empty());
+    EXPECT_TRUE(load(whole + "\n", out).empty());
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        EXPECT_FALSE(load(whole.substr(0, size), out).empty()) << size;
+}
+
 TEST(settings, a_malformed_or_missing_file_is_a_fault) {
     sample out;
     EXPECT_EQ(load("name: [a\n", out).size(), 1U);
