--- /dev/null
+++ b/review/streams/run.py
@@ -0,0 +1,233 @@
+"""ORDER on the sheet of quetzal-folios: nine model runners in three zones, five gateways, 24 streams a second, real sockets.
+
+Not run by CI: GATEWAY=PATH python3 run.py [options]. Callers check ids, texts and software versions of the events, and take
+broken streams up once, at any gateway.
+"""
+import argparse
+import asyncio
+import collections
+import pathlib
+import random
+import signal
+import socket
+import struct
+import sys
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "common"))
+from standins import Engine, engine_configuration, now, read_head, run  # noqa: E402
+
+ARGUMENTS = argparse.ArgumentParser(description=__doc__)
+ARGUMENTS.add_argument("--seed", type=int, default=1)
+ARGUMENTS.add_argument("--seconds", type=float, default=40)
+ARGUMENTS.add_argument("--streams", type=float, default=24, help="that begin in a second")
+ARGUMENTS.add_argument("--break-share", type=float, default=0.0, help="of the streams that their runner breaks off")
+ARGUMENTS.add_argument("--break-in", default="event,between,head,last", help="where: inside an event, between two, in the head, "
+                                                                             "before the last chunk")
+ARGUMENTS.add_argument("--framing", default="chunked", help="of answers, one of those listed: chunked, close")
+ARGUMENTS.add_argument("--end", default="fin", help="of a broken connection: fin or rst, one of those listed")
+ARGUMENTS.add_argument("--release", action="store_true", help="runners are replaced by those of the next version, one by one")
+ARGUMENTS.add_argument("--crashes", type=int, default=0, help="runners that crash with all their connections; others come")
+ARGUMENTS.add_argument("--restarts", type=int, default=0, help="gateways that are killed or stopped and started again")
+ARGUMENTS.add_argument("--text", action="store_true", help="a runner that goes on a stream may answer with an error's text")
+OPTIONS = ARGUMENTS.parse_args()
+RUNNERS, GATEWAYS, EVENTS, EVENT_PAUSE_S = 9, 5, 43, 0.03
+RNG = random.Random(OPTIONS.seed)
+
+
+def choice_of(listed):
+    return RNG.choice(listed.split(","))
+
+
+class Streamer(Engine):
+    """A model runner whose events name their stream, their number and the version of its software."""
+    software, open_writers = "v1", None
+
+    def register(self, state="ready"):
+        put = self.store.put
+        self.store.put = lambda kind, name, spec, **more: put(kind, name, {**spec, "version": self.software}, **more)
+        try:
+            return super().register(state)
+        finally:
+            self.store.put = put
+
+    @staticmethod
+    def end(writer, how):
+        if how == "rst":
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        writer.close()
+
+    def crash_all(self):
+        """As the kernel ends a killed process."""
+        self.record.line(f"runner {self.name} crashes")
+        self.http.server.close()
+        for writer in list(self.http.writers):
+            writer.close()
+
+    async def stream(self, request, writer):
+        request_id = request.field("request-id")
+        self.runs.append((now(), request))
+        first = int(request.field("last-event-id") or 0) + 1
+        framing = choice_of(OPTIONS.framing)
+        breaks = RNG.random() < OPTIONS.break_share
+        where, at = choice_of(OPTIONS.break_in), RNG.randrange(first, EVENTS + 1)
+        head = (f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Signature: sig-{request_id}\r\nWeight-Versions: 1\r\n"
+                "Content-Type: text/event-stream\r\n"
+                + ("Transfer-Encoding: chunked\r\n\r\n" if framing == "chunked" else "Connection: close\r\n\r\n")).encode()
+
+        def framed(data):
+            return b"%x\r\n%s\r\n" % (len(data), data) if framing == "chunked" else data
+        if breaks and where == "head":
+            writer.write(head[:RNG.randrange(1, len(head))])
+            return self.end(writer, choice_of(OPTIONS.end))
+        writer.write(head)
+        if OPTIONS.text and first > 1 and RNG.random() < 0.5:
+            writer.write(framed(b"upstream failure\n\n"))
+            return b"0\r\n\r\n" if framing == "chunked" else self.end(writer, "fin")
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: {request.path} {number} {self.software}\n\n".encode()
+            if breaks and number == at and where in ("event", "between"):
+                if where == "event":
+                    writer.write(framed(event[:RNG.randrange(1, len(event))]))
+                return self.end(writer, choice_of(OPTIONS.end))
+            writer.write(framed(event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+        if framing == "close" or breaks and where == "last":
+            return self.end(writer, "fin")
+        return b"0\r\n\r\n"
+
+
+async def read_stream(case, address, path, prefix, more):
+    """(events' bytes, whether the answer looks whole, status)"""
+    body, whole, status, writer = b"", False, 0, None
+    try:
+        host, port = address.split(":")
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 3)
+        fields = case.fields(8000, Model="m0", Token_Count="100,30", Prompt_Prefix=prefix, **more)
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        writer.write(f"POST {path} HTTP/1.1\r\n{lines}Content-Length: 2\r\n\r\nhi".encode())
+        first, got = await asyncio.wait_for(read_head(reader), 9)
+        status = int(first.split(" ")[1])
+        if got.get("transfer-encoding", "").lower() != "chunked":
+            body = await asyncio.wait_for(reader.readexactly(int(got.get("content-length", 0))), 9)
+            return body, True, status, fields["Request-Id"]
+        while size := int((await asyncio.wait_for(reader.readuntil(b"\r\n"), 9)), 16):
+            body += (await asyncio.wait_for(reader.readexactly(size + 2), 9))[:-2]
+        whole = True
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        pass
+    finally:
+        if writer:
+            writer.close()
+    return body, whole, status, None if not whole and not body else fields["Request-Id"]
+
+
+class Caller:
+    """One stream, taken up once if it breaks. Says what was wrong with it."""
+
+    def __init__(self, case, gateways, number):
+        self.case, self.gateways, self.number = case, gateways, number
+        self.resumable = RNG.random() < 0.87
+        self.path = f"/{'hints' if self.resumable else 'dossier'}/s{number}"
+        self.last, self.versions = 0, []
+
+    async def run(self):
+        more = {}
+        for _ in range(2):
+            body, whole, status, request_id = await read_stream(self.case, RNG.choice(self.gateways).front, self.path,
+                                                                f"a{self.number}:100", more)
+            if status != 200:
+                return "refused" if status else "no answer"
+            if fault := self.take(body):
+                return fault
+            if whole:
+                return "whole" if self.last == EVENTS else "looks whole and isn't"
+            if not self.resumable:
+                return "cut"
+            if self.last:
+                more = {"Last_Event_Id": str(self.last), "Resumes": request_id}
+            await asyncio.sleep(0.05)
+        return "cut"
+
+    def take(self, body):
+        for block in body.split(b"\n\n")[:-1]:
+            try:
+                id_line, data_line = block.decode().split("\n")
+                path, number, version = data_line.removeprefix("data: ").split(" ")
+            except ValueError:
+                return "not an event"
+            if id_line != f"id: {number}" or path != self.path or int(number) != self.last + 1:
+                return "out of order"
+            self.last = int(number)
+            self.versions.append(version)
+        return "two versions" if len(set(self.versions)) > 1 else None
+
+
+async def release(engines):
+    """Each runner is replaced by one of the next version: the new one starts first, the old one drains and goes."""
+    for number, old in enumerate(list(engines)):
+        new = Streamer(old.store, old.record, f"n{number}", old.service, zone=old.zone)
+        new.models, new.software = {"m0"}, "v2"
+        engines.append(await new.start())
+        old.register("draining")
+        await asyncio.sleep(2.5)
+        old.store.remove("servers", old.name)
+        engines.remove(old)
+        old.crash_all()
+
+
+async def crash(engines, gateways):
+    """Runners crash and others of the same version take their places; gateways are killed or stopped."""
+    kinds = ["runner"] * OPTIONS.crashes + ["gateway"] * OPTIONS.restarts
+    RNG.shuffle(kinds)
+    for kind in kinds:
+        await asyncio.sleep(OPTIONS.seconds / (len(kinds) + 1))
+        if kind == "runner":
+            engine = RNG.choice(engines)
+            engine.crash_all()
+            await asyncio.sleep(0.5)
+            engine.models = set()
+            await engine.come_back(engine.name + "x", 0.0)
+            engine.models = {"m0"}
+            engine.register()
+        else:
+            gateway = RNG.choice(gateways)
+            gateway.send_signal(RNG.choice([signal.SIGKILL, signal.SIGTERM]))
+            await asyncio.wait_for(gateway.ended(), 12)
+            gateway.start()
+
+
+async def beat(engines):
+    while True:
+        await asyncio.sleep(1.0)
+        for engine in engines:
+            if engine.http.server.is_serving():
+                engine.register()
+
+
+async def main(case):
+    case.store.put("config", "main", engine_configuration())
+    engines = []
+    for number in range(RUNNERS):
+        engine = Streamer(case.store, case.record, f"e{number}", "seam-assistant", zone="abc"[number % 3])
+        engine.models = {"m0"}
+        engines.append(await engine.start())
+    tasks = [asyncio.create_task(beat(engines))]
+    gateways = [(await case.gateway(f"edge-{number}", zone="abc"[number % 3])).start() for number in range(GATEWAYS)]
+    for gateway in gateways:
+        await gateway.wait_ready()
+    await asyncio.sleep(4)
+    tasks += [asyncio.create_task(crash(engines, gateways))]
+    if OPTIONS.release:
+        tasks.append(asyncio.create_task(release(engines)))
+    callers, until = [], now() + OPTIONS.seconds
+    while now() < until:
+        callers.append(asyncio.create_task(Caller(case, gateways, len(callers)).run()))
+        await asyncio.sleep(1 / OPTIONS.streams)
+    counts = collections.Counter(await asyncio.gather(*callers))
+    wrong = sum(counts[fault] for fault in ("looks whole and isn't", "not an event", "out of order", "two versions"))
+    return case.record.verdict(wrong > 0, f"{wrong} of {len(callers)} streams: {dict(counts)}")
+
+run(main, FOLDER)
