--- a/review/streams/run.py
+++ b/review/streams/run.py
@@ -188,6 +188,8 @@
             engine = RNG.choice(engines)
             engine.crash_all()
             await asyncio.sleep(0.5)
+            if engine not in engines:              # released meanwhile
+                continue
             engine.models = set()
             await engine.come_back(engine.name + "x", 0.0)
             engine.models = {"m0"}
