--- a/tests/core/event_sequence_test.cpp
+++ b/tests/core/event_sequence_test.cpp
@@ -73,7 +73,7 @@
 }
 
 TEST(event_sequence, ids_that_never_went_up_by_one_may_leave_some_out) {
-    for (const std::string text : {event(1) + event(5) + event(9), event(5) + event(10) + event(11)}) {
+    for (const std::string& text : {event(1) + event(5) + event(9), event(5) + event(10) + event(11)}) {
         event_sequence sequence;
         EXPECT_EQ(sequence.check(text).fault, event_fault::none) << text;
         sequence.begin_answer();
