Target probe: a full or slow target isn't taken for one that has ended

Cause: the check wanted an answer, where a connection that stands and isn't reset already shows a living listener; and one refused connection of any kind counted as the end. Fix: a result of its own, listening: enough for the end of an answer, not for the start with which a stream goes on, unless the service's targets report no birth. A target has ended after two refused connections (ECONNREFUSED), or when it names another id or birth. At least two calls before the result is unknown, so that a gateway that stood still asks again.

--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <cerrno>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -203,6 +204,8 @@
         done->result.status = static_cast<int>(status);
         done->result.outcome = outcome_of(*done, code);
         done->result.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+        done->result.connected = was_connected(*done);
+        done->result.refused = was_refused(*done, code);
         if (done->request.memory)
             done->request.memory->give_back(done->held);
         if (code != CURLE_OK)
@@ -216,19 +219,26 @@
         curl_slist_free_all(done->headers);
         done->on_done(std::move(done->result));
     }
+    static bool was_connected(const call& transfer) {
+        double connected_s = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_CONNECT_TIME, &connected_s);
+        long request_bytes = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+        return connected_s > 0 || request_bytes > 0;
+    }
+    static bool was_refused(const call& transfer, CURLcode code) {
+        long reason = 0;
+        curl_easy_getinfo(transfer.easy, CURLINFO_OS_ERRNO, &reason);
+        return code == CURLE_COULDNT_CONNECT && reason == ECONNREFUSED;
+    }
     /// Without a connection the peer never received the request; after any other failure it may have run it.
     static client_outcome outcome_of(const call& transfer, CURLcode code) {
         if (code == CURLE_OK) // also if the connection ended inside the head
             return transfer.head_complete ? client_outcome::answered : client_outcome::interrupted;
         if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
             return client_outcome::not_sent;
-        double connected_s = 0;
-        curl_easy_getinfo(transfer.easy, CURLINFO_CONNECT_TIME, &connected_s);
-        long request_bytes = 0;
-        curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-        return code == CURLE_OPERATION_TIMEDOUT && connected_s == 0 && request_bytes == 0
-                   ? client_outcome::not_sent
-                   : client_outcome::interrupted;
+        return code == CURLE_OPERATION_TIMEDOUT && !was_connected(transfer) ? client_outcome::not_sent
+                                                                            : client_outcome::interrupted;
     }
     void run() {
         const crash_reported_thread this_thread{"http_client"};
--- a/src/edge/http_client.hpp
+++ b/src/edge/http_client.hpp
@@ -74,9 +74,11 @@
     int status = 0;
     std::vector<http_field> headers; // names in lower case
     std::string body;                // empty if on_data received it
-    bool timed_out = false;          // one of the request's limits ended it
-    std::size_t received = 0;        // bytes of the answer that came, also of one that broke off
-    core::common::error why;         // set unless answered
+    bool refused = false;            // nothing listens at the address
+    bool connected = false;
+    bool timed_out = false;   // one of the request's limits ended it
+    std::size_t received = 0; // bytes of the answer that came, also of one that broke off
+    core::common::error why;  // set unless answered
 };
 
 using client_call = std::uint64_t;
--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -50,6 +50,8 @@
         throw YAML::BadFile{path};
     std::ostringstream text;
     text << file.rdbuf();
+    if (file.bad())
+        throw YAML::BadFile{path};
     return text.str();
 }
 
@@ -60,6 +62,7 @@
     bool begun = false;
     std::string last;
     for (std::string line; std::getline(lines, line);) {
+        line.erase(line.find_last_not_of(" \t\r") + 1);
         begun = begun || line == document_start;
         if (!line.empty())
             last = std::move(line);
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -53,7 +53,7 @@
     void on_body(const caller_request_ptr& request, std::string&& piece);
     void pass_on_events(const caller_request_ptr& request);
     void hold_until_start_known(const caller_request_ptr& request);
-    void probe(const caller_request_ptr& request, target_probe::handler on_result);
+    void probe(const caller_request_ptr& request, const char* why, target_probe::handler on_result);
     void on_complete(const caller_request_ptr& request);
     void confirm_end(const caller_request_ptr& request);
     void complete(const caller_request_ptr& request);
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -47,6 +47,12 @@
     return head.ends_with_connection ? ended_by_connection : "chunks";
 }
 
+/// Whether the targets of the request's service report their birth.
+bool service_reports(const caller_request& request) {
+    const auto* service = request.config->find_service(request.service);
+    return service != nullptr && service->engine;
+}
+
 bool has_unmarked_end(const caller_request& request) {
     return std::string_view{request.ended_by} == ended_by_connection;
 }
@@ -108,8 +114,10 @@
 void forwarder::hold_until_start_known(const caller_request_ptr& request) {
     request->held = true;
     request->target_exchange->pause();
-    probe(request, [this, request](probe_result result) {
-        if (result != probe_result::running)
+    probe(request, "start", [this, request](probe_result result) {
+        const bool shown = result == probe_result::running ||
+                           (result == probe_result::listening && !service_reports(*request));
+        if (!shown)
             return handle_lost_answer(request, "target_start_unconfirmed");
         request->held = false;
         request->target_exchange->resume();
@@ -120,19 +128,22 @@
 }
 
 /// Passes the result on unless the request has ended or left its target meanwhile.
-void forwarder::probe(const caller_request_ptr& request, target_probe::handler on_result) {
+void forwarder::probe(const caller_request_ptr& request, const char* why, target_probe::handler on_result) {
     const auto* service = request->config->find_service(request->service);
-    const bool reports = service != nullptr && service->engine;
-    const bool checks_health = service != nullptr && !service->health_path.empty();
-    const std::string path = reports ? platform::report_path : checks_health ? service->health_path : "/";
+    const std::string path = service_reports(*request) ? platform::report_path
+                             : service != nullptr      ? service->health_path
+                                                       : "";
+    if (path.empty()) // no call is known that runs nothing
+        return on_result(probe_result::listening);
     probe_.ask({request->target_start, request->target_address, path},
-               [this, request, attempt = request->send_count,
+               [this, request, why, attempt = request->send_count,
                 on_result = std::move(on_result)](probe_result result) {
                    if (request->finished || !request->target_exchange || request->send_count != attempt)
                        return;
                    context_.log.write(edge::events::target_probed, request->request_id,
                                       {{"target", request->target},
                                        {"born", request->target_start.born},
+                                       {"why", why},
                                        {"result", name_of(result)}});
                    on_result(result);
                });
@@ -151,8 +162,12 @@
 }
 
 void forwarder::pass_on_events(const caller_request_ptr& request) {
-    const event_fault fault = request->held ? event_fault::none : relay_events(request);
-    if (fault != event_fault::none)
+    if (request->held) {
+        if (request->target_exchange)
+            request->target_exchange->pause();
+        return;
+    }
+    if (const event_fault fault = relay_events(request); fault != event_fault::none)
         handle_lost_answer(request, name_of(fault));
     else if (request->events.size() > max_event)
         handle_lost_answer(request, "event_too_large");
@@ -221,7 +236,7 @@
 
 void forwarder::on_caller_drained(const caller_request_ptr& request) {
     request->pace.restart();
-    if (request->target_exchange)
+    if (request->target_exchange && !request->held)
         request->target_exchange->resume();
 }
 
@@ -245,10 +260,10 @@
 
 /// Completes an answer that only the end of its connection ends, if its target still runs.
 void forwarder::confirm_end(const caller_request_ptr& request) {
-    probe(request, [this, request](probe_result result) {
-        if (result == probe_result::running)
+    probe(request, "end", [this, request](probe_result result) {
+        if (result == probe_result::running || result == probe_result::listening)
             return complete(request);
-        if (result == probe_result::ended)
+        if (result == probe_result::ended && request->head.status < 300)
             return handle_broken_answer(request, "target_ended");
         handle_lost_answer(request, "end_unconfirmed");
     });
--- a/src/programs/gateway/forwarder_failures.cpp
+++ b/src/programs/gateway/forwarder_failures.cpp
@@ -99,7 +99,7 @@
     const bool answered = request.ended_by[0] != '\0';
     const bool maybe_stale =
         !answered && request.target_exchange && request.target_exchange->reused_connection();
-    if (request.events.any_taken() || request.shared_parts.empty() || maybe_stale ||
+    if (request.held || request.events.any_taken() || request.shared_parts.empty() || maybe_stale ||
         ended_with_its_target(request, context_.loop.now()))
         return;
     const auto& start = request.target_start;
--- a/src/programs/gateway/target_probe.cpp
+++ b/src/programs/gateway/target_probe.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/target_probe.hpp"
 
+#include "edge/http_reader.hpp"
 #include "platform/documents.hpp"
 #include "platform/headers.hpp"
 
@@ -14,86 +15,101 @@
 namespace leaf = boost::leaf;
 using core::common::milliseconds;
 
-constexpr milliseconds probe_limit{1'000};      // for all calls of one inquiry
-constexpr milliseconds answer_limit{500};       // of one call
-constexpr milliseconds repeat_after{50};        // when a connection was broken
+constexpr milliseconds inquiry_limit{1'000}; // no call begins later, but for the second one
+constexpr milliseconds call_limit{500};      // of one call
+constexpr milliseconds repeat_after{50};
+constexpr int min_calls = 2;                    // before the result is unknown
+constexpr int min_refusals = 2;                 // before a target counts as ended
 constexpr std::size_t max_answer = 256U << 10U; // bytes
+constexpr int ok = 200;
 
-/// Whether a report is that of another start of its target. A report that can't be read shows no other one.
-bool is_other_start(const std::string& report, std::int64_t born) {
+/// What a report says of the start that was asked for.
+probe_result result_of_report(const std::string& report, std::int64_t born) {
     return leaf::try_handle_all(
-        [&]() -> leaf::result<bool> {
+        [&]() -> leaf::result<probe_result> {
             BOOST_LEAF_AUTO(decoded, platform::decode_report(report));
-            return decoded.born != 0 && born != 0 && decoded.born != born;
+            if (decoded.born == 0 || born == 0)
+                return probe_result::listening;
+            return decoded.born == born ? probe_result::running : probe_result::ended;
         },
-        [] { return false; });
+        [] { return probe_result::listening; });
+}
+
+bool names_another_target(const edge::client_result& answer, const std::string& id) {
+    const std::string* named = edge::find_field(answer.headers, platform::answering_instance_header);
+    return answer.status == platform::wrong_target_status || (named != nullptr && *named != id);
+}
+
+probe_result result_of(const probed_target& target, const edge::client_result& answer) {
+    if (answer.outcome != edge::client_outcome::answered) // a target that is full may answer late
+        return answer.connected && answer.timed_out ? probe_result::listening : probe_result::unknown;
+    if (names_another_target(answer, target.start.id))
+        return probe_result::ended;
+    if (target.path == platform::report_path && answer.status == ok)
+        return result_of_report(answer.body, target.start.born);
+    return probe_result::listening;
 }
 
 } // namespace
 
 void target_probe::ask(const probed_target& target, handler on_result) {
     if (const auto found = inquiries_.find(target.start); found != inquiries_.end()) {
-        found->second->waiting.push_back(std::move(on_result));
+        found->second->later_handlers.push_back(std::move(on_result));
         return;
     }
     const auto made = std::make_shared<inquiry>();
     made->target = target;
-    made->asked.push_back(std::move(on_result));
+    made->handlers.push_back(std::move(on_result));
     inquiries_[target.start] = made;
     begin(made);
 }
 
-void target_probe::begin(const inquiry_ptr& asked) {
-    asked->deadline = context_.loop.now() + probe_limit;
-    call(asked);
+void target_probe::begin(const inquiry_ptr& current) {
+    current->deadline = context_.loop.now() + inquiry_limit;
+    current->calls = 0;
+    current->refusals = 0;
+    call(current);
 }
 
-void target_probe::call(const inquiry_ptr& asked) {
+void target_probe::call(const inquiry_ptr& current) {
+    ++current->calls;
     edge::client_request request;
-    request.url = "http://" + asked->target.address + asked->target.path;
-    request.headers.push_back({std::string{platform::instance_header}, asked->target.start.id});
-    const auto left = std::chrono::ceil<milliseconds>(asked->deadline - context_.loop.now());
-    request.timeout = std::clamp(left, milliseconds{1}, answer_limit);
-    request.connect_timeout = request.timeout;
+    request.url = "http://" + current->target.address + current->target.path;
+    request.headers.push_back({std::string{platform::instance_header}, current->target.start.id});
+    request.timeout = call_limit;
+    request.connect_timeout = call_limit;
     request.max_answer = max_answer;
-    client_.send(std::move(request), [this, asked](edge::client_result&& answer) {
-        context_.loop.post([this, asked, answer = std::move(answer)] { handle_answer(asked, answer); });
+    client_.send(std::move(request), [this, current](edge::client_result&& answer) {
+        context_.loop.post([this, current, answer = std::move(answer)] { handle_answer(current, answer); });
     });
 }
 
-void target_probe::handle_answer(const inquiry_ptr& asked, const edge::client_result& answer) {
-    const auto now = context_.loop.now();
-    const probe_result result = result_of(asked->target, answer);
-    if (result == probe_result::unknown && now + repeat_after < asked->deadline) {
-        context_.loop.schedule(now + repeat_after, [this, asked] { call(asked); });
-        return;
-    }
-    finish(asked, result);
-}
-
-probe_result target_probe::result_of(const probed_target& target, const edge::client_result& answer) {
-    if (answer.outcome == edge::client_outcome::not_sent && !answer.timed_out)
-        return probe_result::ended;
-    if (answer.outcome != edge::client_outcome::answered)
-        return probe_result::unknown;
-    constexpr int ok = 200;
-    const bool is_report = target.path == platform::report_path && answer.status == ok;
-    if (answer.status == platform::wrong_target_status ||
-        (is_report && is_other_start(answer.body, target.start.born)))
-        return probe_result::ended;
-    return probe_result::running;
+void target_probe::handle_answer(const inquiry_ptr& current, const edge::client_result& answer) {
+    probe_result result = result_of(current->target, answer);
+    current->refusals += answer.refused ? 1 : 0;
+    if (current->refusals >= min_refusals)
+        result = probe_result::ended;
+    const auto next_call = context_.loop.now() + repeat_after;
+    const bool may_repeat = current->calls < min_calls || next_call < current->deadline;
+    if (result != probe_result::unknown || !may_repeat)
+        return finish(current, result);
+    context_.loop.schedule(next_call, [this, current] { call(current); });
 }
 
-void target_probe::finish(const inquiry_ptr& asked, probe_result result) {
-    auto handlers = std::exchange(asked->asked, std::exchange(asked->waiting, {}));
-    if (result == probe_result::ended) // and stays so
-        handlers.insert(handlers.end(), std::make_move_iterator(asked->asked.begin()),
-                        std::make_move_iterator(asked->asked.end()));
-    if (result == probe_result::ended || asked->asked.empty())
-        inquiries_.erase(asked->target.start);
+void target_probe::finish(const inquiry_ptr& current, probe_result result) {
+    auto answered = std::exchange(current->handlers, {});
+    auto later = std::exchange(current->later_handlers, {});
+    if (result == probe_result::ended) { // a start that has ended doesn't run again
+        answered.insert(answered.end(), std::make_move_iterator(later.begin()),
+                        std::make_move_iterator(later.end()));
+        later.clear();
+    }
+    current->handlers = std::move(later);
+    if (current->handlers.empty())
+        inquiries_.erase(current->target.start);
     else
-        begin(asked);
-    for (const handler& on_result : handlers)
+        begin(current);
+    for (const handler& on_result : answered)
         on_result(result);
 }
 
@@ -101,6 +117,8 @@
     switch (result) {
     case probe_result::running:
         return "running";
+    case probe_result::listening:
+        return "listening";
     case probe_result::ended:
         return "ended";
     case probe_result::unknown:
--- a/src/programs/gateway/target_probe.hpp
+++ b/src/programs/gateway/target_probe.hpp
@@ -8,15 +8,17 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 namespace waxwinglb::programs::gateway {
 
 enum class probe_result {
-    running, // this start of the target has answered
-    ended,   // nothing listens at its address, or another start does
-    unknown, // no answer in time
+    running,   // this start of the target has answered
+    listening, // a process listens at its address and hasn't shown which start it is
+    ended,     // nothing listens there, or another start does
+    unknown,   // no connection in time
 };
 
 struct probed_target {
@@ -30,25 +32,25 @@
     using handler = std::function<void(probe_result)>;
     target_probe(gateway_context& context, edge::http_client& client) : context_(context), client_(client) {}
 
-    /// Calls `on_result` on the event loop, after a second at the latest. What a target answers to a call
-    /// that was sent before doesn't count.
+    /// Calls `on_result` on the event loop, after two inquiries at the latest: one that has begun before
+    /// doesn't count.
     void ask(const probed_target& target, handler on_result);
 
 private:
     /// The calls to one start of a target, one at a time.
     struct inquiry {
         probed_target target;
-        std::vector<handler> asked;   // before the present call was sent
-        std::vector<handler> waiting; // since then
+        std::vector<handler> handlers;       // of those who asked before its first call
+        std::vector<handler> later_handlers; // and since then: the next inquiry is theirs
         core::common::time_point deadline{};
+        int calls = 0;
+        int refusals = 0; // of connections
     };
     using inquiry_ptr = std::shared_ptr<inquiry>;
-    void begin(const inquiry_ptr& asked);
-    void call(const inquiry_ptr& asked);
-    void handle_answer(const inquiry_ptr& asked, const edge::client_result& answer);
-    void finish(const inquiry_ptr& asked, probe_result result);
-    [[nodiscard]] static probe_result result_of(const probed_target& target,
-                                                const edge::client_result& answer);
+    void begin(const inquiry_ptr& current);
+    void call(const inquiry_ptr& current);
+    void handle_answer(const inquiry_ptr& current, const edge::client_result& answer);
+    void finish(const inquiry_ptr& current, probe_result result);
 
     gateway_context& context_;
     edge::http_client& client_;
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -261,6 +261,7 @@
         self.closed_by_gateway = []        # what it was sending then
         self.padding = 0                   # bytes at the end of every plain answer
         self.unframed = False              # answers have neither length nor chunks and end with their connection
+        self.health_delay_s = 0.0          # until a health check is answered: it waits for a slot
         self.break_on_body = None          # request body that breaks the connection when it runs
         self.crash_on_part = None          # id of a prompt's part, not the last, that crashes it as it begins to answer
         self.crash_with_head = True
@@ -302,6 +303,7 @@
                                      "sequence": self.sequence, "running": 0, "waiting": 0,
                                      "at_hand": {"in_memory": [], "on_disk": sorted(self.on_disk)}})
         if call.path == "/health":
+            time.sleep(self.health_delay_s)
             return call.answer(200, b"", [("Instance-Id", self.name)])
         if call.path == "/order":
             return self.take_order(call, json.loads(call.body()))
--- a/tests/programs/test_gateway_killed_targets.py
+++ b/tests/programs/test_gateway_killed_targets.py
@@ -81,10 +81,20 @@
         expect(len(ledger.runs), 1, "runs of the plain service")
 
 
+def answer_of_a_full_service_is_complete_although_its_health_check_waits():
+    with Fleet(ARGUMENTS.bin) as fleet:
+        ledger = fleet.target("l1", "ledger")
+        ledger.unframed, ledger.health_delay_s = True, 3.0
+        fleet.start()
+        wait_for_targets(fleet, 1)
+        expect(outcome(fleet, "/cert/1", fleet.headers()), (200, "recorded x"), "the plain answer")
+
+
 if __name__ == "__main__":
     run_cases([stream_of_a_killed_target_is_not_complete,
                stream_of_a_killed_target_resumes_at_another_one,
                plain_answer_of_a_killed_target_is_not_complete,
                stream_that_ends_as_its_target_starts_again_is_not_complete,
-               answers_of_running_targets_that_end_with_their_connection_are_complete])
+               answers_of_running_targets_that_end_with_their_connection_are_complete,
+               answer_of_a_full_service_is_complete_although_its_health_check_waits])
     sys.exit(0)
