--- a/review/streams/run.py
+++ b/review/streams/run.py
@@ -41,7 +41,7 @@
 
 class Streamer(Engine):
     """A model runner whose events name their stream, their number and the version of its software."""
-    software, open_writers = "v1", None
+    software = "v1"
 
     def register(self, state="ready"):
         put = self.store.put
@@ -100,7 +100,7 @@
 
 
 async def read_stream(case, address, path, prefix, more):
-    """(events' bytes, whether the answer looks whole, status)"""
+    """Returns the events' bytes, whether the answer looks whole, its status, and the attempt's id if it can be taken up."""
     body, whole, status, writer = b"", False, 0, None
     try:
         host, port = address.split(":")
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -53,6 +53,14 @@
     return service != nullptr && service->engine;
 }
 
+/// Path of a call to a target of the request's service that runs nothing; empty if none is known.
+std::string probe_path(const caller_request& request) {
+    const auto* service = request.config->find_service(request.service);
+    if (service == nullptr)
+        return {};
+    return service->engine ? platform::report_path : service->health_path;
+}
+
 bool has_unmarked_end(const caller_request& request) {
     return std::string_view{request.ended_by} == ended_by_connection;
 }
@@ -129,11 +137,8 @@
 
 /// Passes the result on unless the request has ended or left its target meanwhile.
 void forwarder::probe(const caller_request_ptr& request, const char* why, target_probe::handler on_result) {
-    const auto* service = request->config->find_service(request->service);
-    const std::string path = service_reports(*request) ? platform::report_path
-                             : service != nullptr      ? service->health_path
-                                                       : "";
-    if (path.empty()) // no call is known that runs nothing
+    const std::string path = probe_path(*request);
+    if (path.empty())
         return on_result(probe_result::listening);
     probe_.ask({request->target_start, request->target_address, path},
                [this, request, why, attempt = request->send_count,
--- a/src/programs/gateway/target_probe.cpp
+++ b/src/programs/gateway/target_probe.cpp
@@ -6,7 +6,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
-#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace waxwinglb::programs::gateway {
