Log: the line of a request's end has the weights, the adapter's version and the earlier parts of its stream

Two versions of software, of weights or of an adapter in one stream couldn't be told apart in the logs: the line had the software of the last target only. Versions that targets state (Weight-Versions of an answer, version of a registration's or report's model, NAME@VERSION of an adapter) are read and decoded once, into fleet::serving_version; nothing decides by them yet. request_answered and its kin name the start, software, weights and adapter version of the last target, and the same, with framing and last event, of each target before it.

--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -124,12 +124,15 @@
     const bool described =
         same_start && known.described_at != time_point{} && now - known.described_at < description_term;
     auto known_models = std::move(known.entry.models);
+    auto known_versions = std::move(known.entry.versions);
     known.entry = entry;
     known.departed = departures_.contains(start);
     if (described || (same_start && !entry.describes_models))
         known.entry.models = std::move(known_models);
     else
         known.coming.clear();
+    if (same_start && !entry.describes_models)
+        known.entry.versions = std::move(known_versions);
     if (entry.cold_left.count() > 0)
         known.cold_until = now + entry.cold_left;
     if (entry.remaining)
--- a/src/core/fleet/model.hpp
+++ b/src/core/fleet/model.hpp
@@ -118,6 +118,26 @@
 };
 using config_ptr = std::shared_ptr<const config>;
 
+/// A model, or an adapter of it; as text "MODEL" or "MODEL/ADAPTER".
+struct model_ref {
+    std::string model;
+    std::string adapter; // empty: none
+    bool operator==(const model_ref&) const = default;
+    bool operator<(const model_ref& other) const {
+        return std::tie(model, adapter) < std::tie(other.model, other.adapter);
+    }
+};
+[[nodiscard]] model_ref parse_model_ref(std::string_view text);
+[[nodiscard]] std::string to_text(const model_ref& ref); // the inverse of parse_model_ref
+
+/// Versions that a target states of the models and adapters that it holds. A version that isn't stated is
+/// absent.
+struct held_versions {
+    std::map<std::string, std::int64_t> weights; // of models
+    std::map<model_ref, std::string> adapters;
+    bool operator==(const held_versions&) const = default;
+};
+
 /// A target as it registered itself.
 struct target_entry {
     std::string id;                 // of this start of the target or, for some targets, of its machine
@@ -126,30 +146,19 @@
     std::string service;
     std::string address; // "ip:port"
     std::string data_centre;
-    std::string software_version; // what targets of two versions write in one stream does not fit together
+    std::string software_version;
     int slots = 1;
     bool draining = false;
     common::milliseconds cold_left{0};                      // remaining time for which it is slow
     std::optional<common::milliseconds> remaining;          // time until it is removed at short notice
     std::string not_understood;                             // field that counts as absent; for the log
     std::map<std::string, std::vector<std::string>> models; // loaded models and their adapters
+    held_versions versions;                                 // of these
     std::vector<std::string> copies_in_memory;              // models that load fast
     std::vector<std::string> copies_on_disk;                // models that load without the weight store
     bool describes_models = false;                          // the registration had the fields about models
 };
 
-/// A model, or an adapter of it; as text "MODEL" or "MODEL/ADAPTER".
-struct model_ref {
-    std::string model;
-    std::string adapter; // empty: none
-    bool operator==(const model_ref&) const = default;
-    bool operator<(const model_ref& other) const {
-        return std::tie(model, adapter) < std::tie(other.model, other.adapter);
-    }
-};
-[[nodiscard]] model_ref parse_model_ref(std::string_view text);
-[[nodiscard]] std::string to_text(const model_ref& ref); // the inverse of parse_model_ref
-
 /// True if the engine has this model and, if an adapter is named, that adapter ("a1", "a2", ...).
 [[nodiscard]] bool offers(const engine_spec& engine, const model_ref& ref);
 
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/dispatch/short_notice.hpp"
-#include "core/fleet/model.hpp"
+#include "core/fleet/serving_version.hpp"
 #include "core/streams/event_buffer.hpp"
 #include "core/streams/event_sequence.hpp"
 #include "core/target_speed/pace_meter.hpp"
@@ -16,6 +16,14 @@
 
 namespace waxwinglb::programs::gateway {
 
+/// Events of one stream that came from one target, for the log.
+struct stream_part {
+    core::fleet::target_start target;
+    core::fleet::serving_version version;
+    const char* framing = ""; // what would have marked the end of the target's body
+    std::string last_event;   // id
+};
+
 struct caller_request {
     // The request as received.
     std::string request_id;
@@ -53,10 +61,10 @@
     int unread_prompt_tokens = 0;          // prompt tokens counted as unread at the target
     std::string target;                    // where the request runs; empty: it waits
     std::unique_ptr<exchange> target_exchange;
-    core::fleet::target_start target_start; // the start of the target that it was last sent to
-    std::string target_address;             // IP:PORT of that target
-    std::string target_version;             // software version of that target
-    std::optional<std::string> begun_at;    // software version at which the stream began; set if it goes on
+    core::fleet::target_start target_start;      // the start of the target that it was last sent to
+    std::string target_address;                  // IP:PORT of that target
+    core::fleet::serving_version target_version; // of that target; its weights as its answer states them
+    std::optional<std::string> begun_at; // software version at which the stream began; set if it goes on
     core::common::time_point sent_at{};
     edge::event_loop::timer_id timer;                         // fires at the deadline
     std::optional<core::common::time_point> target_gone_at;   // its target is removed at short notice
@@ -80,6 +88,7 @@
     core::common::duration longest_pause{}; // between two forwarded chunks
     core::target_speed::pace_meter pace;    // of the stream at its present target
     std::string last_event;                 // id of the last event forwarded; empty: none
+    std::vector<stream_part> earlier_parts; // of a stream that was resumed, by targets before the last one
 
     [[nodiscard]] bool has_attempts_left() const {
         return static_cast<int>(sent_to.size()) < route->max_attempts;
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -77,6 +77,7 @@
     request->came_before = !request->sent_to.insert(target).second;
     request->body.clear();
     request->events.clear();
+    note_part(*request);
     request->pace.restart();
     request->sequence.begin_answer();
     request->progress.begin_answer();
@@ -89,7 +90,8 @@
     if (const auto* known = context_.directory.find(target)) {
         request->target_start = {target, known->entry.born};
         request->target_address = known->entry.address;
-        request->target_version = known->entry.software_version;
+        request->target_version = core::fleet::version_at(known->entry, request->model);
+        request->target_version.weights.reset(); // those that it answers with may be newer ones
     }
     dispatcher_->begin_attempt(request, target);
     const auto waited = context_.loop.now() - request->arrived;
@@ -97,7 +99,7 @@
         context_.metrics.observe_wait(metric_kind(*request), waited);
     context_.log.write(edge::events::request_sent, request->request_id,
                        {{"target", target},
-                        {"software_version", request->target_version},
+                        {"software_version", request->target_version.software},
                         {"resumes", request->resumes},
                         {"after_event", request->last_event},
                         {"load", dispatcher_->load_of(target)},
@@ -115,6 +117,13 @@
                                           connection_for(*request), std::move(handlers));
 }
 
+/// Keeps for the log what the latest target has contributed to the stream.
+void forwarder::note_part(caller_request& request) {
+    if (request.sequence.answer_has_event())
+        request.earlier_parts.push_back(
+            {request.target_start, request.target_version, request.ended_by, request.last_event});
+}
+
 /// A target may leave, or its data centre be taken out, while a connection to it is being established.
 bool forwarder::is_usable(const core::fleet::target_start& start) const {
     const auto* known = context_.directory.find(start.id);
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -45,6 +45,7 @@
         int status = 0; // 0: none
         core::common::duration retry_after{};
     };
+    static void note_part(caller_request& request);
     [[nodiscard]] bool is_usable(const core::fleet::target_start& start) const;
     [[nodiscard]] bool may_send_now(const caller_request_ptr& request); // its connection is established
     /// Takes its tokens from the customer's rate when it is sent for the first time. False: refused.
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -3,6 +3,7 @@
 #include "core/common/hash.hpp"
 #include "platform/documents.hpp"
 #include "platform/headers.hpp"
+#include "platform/weights.hpp"
 #include "programs/gateway/forwarder.hpp"
 
 #include <algorithm>
@@ -89,6 +90,7 @@
                                              : dispatcher::attempt_outcome::not_run);
     request->may_have_run = true;
     request->ended_by = name_of_end(head);
+    request->target_version.weights = platform::decode_weights(head.fields);
     const bool success = head.status >= 200 && head.status < 300;
     const bool genuine = edge::find_field(head.fields, platform::signature_header) != nullptr &&
                          edge::find_field(head.fields, "Content-Encoding") == nullptr;
@@ -226,9 +228,9 @@
 
 /// From its first event on, a stream goes on only at targets of the version that sent it.
 void forwarder::note_origin(caller_request& request) {
-    request.begun_at = request.target_version;
+    request.begun_at = request.target_version.software;
     const std::string& attempt = request.resumes.empty() ? request.request_id : request.resumes;
-    context_.origins.note(core::common::hash_of(attempt), request.target_version,
+    context_.origins.note(core::common::hash_of(attempt), request.target_version.software,
                           core::streams::origin_source::own, context_.loop.now());
 }
 
--- a/src/programs/gateway/forwarder_failures.cpp
+++ b/src/programs/gateway/forwarder_failures.cpp
@@ -25,6 +25,25 @@
     return text.data();
 }
 
+std::string text_of(const std::optional<std::int64_t>& weights) {
+    return weights ? std::to_string(*weights) : std::string{};
+}
+
+/// Parts of a stream as "TARGET BORN SOFTWARE/WEIGHTS/ADAPTER_VERSION FRAMING to LAST_EVENT", separated by
+/// semicolons.
+std::string text_of(const std::vector<stream_part>& parts) {
+    std::string out;
+    for (const stream_part& part : parts) {
+        const std::string version =
+            part.version.software + "/" + text_of(part.version.weights) + "/" + part.version.adapter;
+        out.append(out.empty() ? "" : "; ")
+            .append(part.target.id + " " + std::to_string(part.target.born) + " " + version + " ")
+            .append(part.framing)
+            .append(" to " + part.last_event);
+    }
+    return out;
+}
+
 /// A connection that breaks when its target is removed says nothing against the request.
 bool ended_with_its_target(const caller_request& request, time_point now) {
     return request.target_gone_at && now >= *request.target_gone_at - core::dispatch::notice_delay;
@@ -251,8 +270,12 @@
                         {"first_ms", first_ms},
                         {"pause_ms", core::common::to_wire_ms(request->longest_pause)},
                         {"blocked_by", request->blocked_by},
-                        {"software_version", request->target_version},
+                        {"born", request->target_start.born},
+                        {"software_version", request->target_version.software},
+                        {"weights", text_of(request->target_version.weights)},
+                        {"adapter_version", request->target_version.adapter},
                         {"last_event", request->last_event},
+                        {"earlier_parts", text_of(request->earlier_parts)},
                         {"ended_by", request->ended_by},
                         {"incomplete_event_bytes", request->events.size()},
                         {"silent_ms", silence_duration(*request, context_.loop.now()).count()},
