--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -246,7 +246,11 @@
         self.models, self.slots, self.on_disk = {model: set() for model in models}, slots, set(on_disk) | set(models)
         self.zone = "a"
         self.version = "v1"                # of its software
-        self.marks_version = False         # events name it
+        self.weights = 1                   # version of the weights that it holds
+        self.new_weights_after = None      # number of events after which a run goes on with the next version of its weights
+        self.states_weights = True         # in its registration and reports
+        self.adapter_versions = {}         # of adapters whose version it states
+        self.marks = None                  # what events name: "software", "weights" or "adapter" (its version); None: nothing
         self.born, self.sequence, self.busy_until = int(time.time() * 1000), 1, 0.0
         self.loading = None                # model being loaded until busy_until
         self.runs = []                     # (request id, headers, body) of the requests that ran
@@ -273,6 +277,7 @@
         self.load = None                   # value of the header Server-Load in all answers; None: no header
         self.event_pause_s = EVENT_PAUSE_S # between two events of a stream
         self.refused_at = []               # arrival time of each such request
+        self.other_weights_asked = 0       # requests that it refused because they expect other weights
         self.refuse_once = set()           # bodies of requests that it refuses, each once
         self.refusals = {}                 # by id of the request: its refusal, written again on kept connections
         self.script = None                 # Script that gives this target's answers; None: its own
@@ -293,7 +298,12 @@
     def holding(self):
         if self.loading and time.monotonic() >= self.busy_until:
             self.models[self.loading], self.loading = set(), None
-        return [{"name": model, "version": 1, "adapters": sorted(adapters)} for model, adapters in sorted(self.models.items())]
+        weights = {"version": self.weights} if self.states_weights else {}
+        return [{"name": model, **weights, "adapters": [self.stated(adapter) for adapter in sorted(adapters)]}
+                for model, adapters in sorted(self.models.items())]
+
+    def stated(self, adapter):
+        return f"{adapter}@{self.adapter_versions[adapter]}" if adapter in self.adapter_versions else adapter
 
     def serve(self, call):
         if call.path == f"/{self.endless}":
@@ -331,6 +341,9 @@
         self.holding()
         if call.headers.get("Target-Instance") != self.name or model and model not in self.models:
             return call.answer(421, {}, [("Instance-Id", self.name)])
+        if call.headers.get("Expected-Version", str(self.weights)) != str(self.weights):
+            self.other_weights_asked += 1
+            return call.answer(421, {}, [("Instance-Id", self.name)])
         leaving = [] if self.leaving is None else [("Server-Leaving", self.leaving)]
         leaving += [] if self.limit is None else [("Server-Limit", self.limit)]
         leaving += [] if self.load is None else [("Server-Load", self.load)]
@@ -395,7 +408,8 @@
 
     def stream(self, call, signed):
         framing = [] if self.unframed else [("Transfer-Encoding", "chunked")]
-        self.send_head(call, signed + [("Content-Type", "text/event-stream")] + framing)
+        weights = self.weights
+        self.send_head(call, signed + [("Content-Type", "text/event-stream"), ("Weight-Versions", str(weights))] + framing)
 
         def write(data):
             try:
@@ -406,8 +420,11 @@
                 raise
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, self.events + 1):
-            mark = f" of {self.version}" if self.marks_version else ""
-            event = f"id: {number}\ndata: piece {number}{mark}\n\n".encode()
+            changes = self.new_weights_after is not None and number == self.new_weights_after + 1
+            weights += changes
+            mark = self.mark(call, weights)
+            first_line = f"weight-versions: {weights}\n" if changes else ""
+            event = f"{first_line}id: {number}\ndata: piece {number}{mark}\n\n".encode()
             if self.break_stream_after is not None and number > self.break_stream_after:
                 if self.break_inside_event:
                     write(event[:-5])
@@ -420,6 +437,12 @@
         call.close_connection = self.unframed
         return call.wfile.write(b"" if self.unframed else b"0\r\n\r\n")
 
+    def mark(self, call, weights):
+        if self.marks is None:
+            return ""
+        adapter = (call.headers.get("Model") or "").split("/")[-1]
+        return " of " + {"software": self.version, "weights": f"w{weights}", "adapter": str(self.adapter_versions.get(adapter))}[self.marks]
+
     def send_without_end(self, call, signed):
         """Sends bytes until the gateway closes: a part of an answer, or a report."""
         begin = b"HTTP/1.1 200 OK\r\n" + b"".join(f"{name}: {text}\r\n".encode() for name, text in signed)
--- a/tests/programs/test_gateway_software_versions.py
+++ b/tests/programs/test_gateway_software_versions.py
@@ -1,61 +1,19 @@
 #!/usr/bin/env python3
 """waxwing-gateway and targets of several software versions in one service: a stream goes on only at the one that began it."""
-import re
 import sys
 import time
 
-from gateway_fleet import Fleet, expect, outcome
+from gateway_fleet import expect
 from harness import Failure, arguments, run_cases, wait_until
+from version_fleet import STREAMS, TOLD_S, BREAK_AFTER, break_streams, broken_stream, restart_all, start_fleet, stream, take_up, versions_in
 
 ARGUMENTS = arguments(__doc__)
-STREAMS = 16
-BREAK_AFTER = 4              # events
-TOLD_S = 1.2                 # by then a gateway's streams are known to those that it is in contact with
 
 
-def fleet_of_versions(versions, gateways=1, **settings):
-    """A fleet and its engines, which all hold the same model; their events name their version."""
-    fleet = Fleet(ARGUMENTS.bin, gateways=gateways, **settings)
-    engines = []
-    for number, version in enumerate(versions):
-        engine = fleet.target(f"t{number}", "engine", models=["m0"])
-        engine.version, engine.marks_version = version, True
-        engine.register()
-        engines.append(engine)
-    fleet.start()
-    wait_until(lambda: len(fleet.events("target_changed")) >= len(versions) * gateways, "the targets are known")
-    fleet.wait_for_contact()
-    return fleet, engines
-
-
-def versions_in(text):
-    return set(re.findall(r" of (\S+)", text))
-
-
-def break_streams(engines, after):
-    for engine in engines:
-        engine.break_stream_after = after
-
-
-def broken_stream(fleet, gateway=0):
-    """A stream that its target broke off, so that its caller got some events. Returns its request id and version."""
-    headers = fleet.headers("m0", Prompt_Prefix=f"p{fleet.number}:9")
-    status, text = outcome(fleet, "/notes/1", headers, gateway, str(fleet.number))  # equal ones would be quarantined
-    expect(status, "IncompleteRead", "the stream breaks")
-    expect(len(versions_in(text)), 1, f"versions in {text}")
-    return headers["Request-Id"], versions_in(text).pop()
-
-
-def take_up(fleet, begun, gateway):
-    """The caller takes its stream up. Returns whether it went on; at another version is a failure."""
-    request_id, version = begun
-    headers = fleet.headers("m0", Resumes=request_id, Last_Event_Id=str(BREAK_AFTER), Prompt_Prefix=f"p{fleet.number}:9")
-    status, text = outcome(fleet, "/notes/1", headers, gateway, str(fleet.number))
-    if status == 200 and versions_in(text) != {version}:
-        raise Failure(f"{request_id} began at {version} and went on at {versions_in(text)}")
-    if status not in (200, 503):
-        raise Failure(f"{request_id} got {status}: not run, so 503 would be true")
-    return status == 200
+def fleet_of_versions(versions, **more):
+    def prepare(engine, version):
+        engine.version, engine.marks = version, "software"
+    return start_fleet(ARGUMENTS.bin, prepare, versions, **more)
 
 
 def stream_resumed_within_one_answer_stays_at_its_version():
@@ -63,7 +21,7 @@
     with fleet:
         break_streams(engines[:2], BREAK_AFTER)
         for _ in range(STREAMS):
-            status, text = outcome(fleet, "/notes/1", fleet.headers("m0", Prompt_Prefix=f"p{fleet.number}:9"), body=str(fleet.number))
+            status, text, _ = stream(fleet)
             expect((status, len(versions_in(text))), (200, 1), f"whole, and of one version: {text}")
         if not fleet.events("request_retried"):
             raise Failure("no stream was resumed")
@@ -75,7 +33,7 @@
         break_streams(engines[:1], BREAK_AFTER)
         engines[1].version, engines[1].born = "v2", engines[1].born + 1      # its registration hasn't come
         for _ in range(STREAMS):
-            status, text = outcome(fleet, "/notes/1", fleet.headers("m0", Prompt_Prefix=f"p{fleet.number}:9"), body=str(fleet.number))
+            status, text, _ = stream(fleet)
             expect(len(versions_in(text)), 1, f"versions in {status}: {text}")
         if not fleet.events("request_retried"):
             raise Failure("no stream was resumed")
@@ -87,7 +45,7 @@
         break_streams(engines[:1], BREAK_AFTER)
         seen = set()
         for _ in range(STREAMS):
-            status, text = outcome(fleet, "/notes/1", fleet.headers("m0", Prompt_Prefix=f"p{fleet.number}:9"), body=str(fleet.number))
+            status, text, _ = stream(fleet)
             expect(len(versions_in(text)), 1, f"versions in {text}")
             seen.add(status)
         expect(seen, {200, "IncompleteRead"}, "answers")
@@ -127,12 +85,7 @@
         break_streams(engines, BREAK_AFTER)
         begun = [broken_stream(fleet, number % 2) for number in range(STREAMS)]
         break_streams(engines, None)
-        for gateway in fleet.gateways:           # power lost by all
-            gateway.kill()
-        for gateway in fleet.gateways:
-            gateway.start()
-        for gateway in fleet.gateways:
-            wait_until(lambda gateway=gateway: fleet.readiness(gateway) == 200, "ready")
+        restart_all(fleet)
         for number, each in enumerate(begun):
             take_up(fleet, each, number % 2)
 
--- /dev/null
+++ b/tests/programs/version_fleet.py
@@ -0,0 +1,70 @@
+"""Fleets whose engines differ in a version that their events name, and callers whose streams break there."""
+import re
+
+from gateway_fleet import Fleet, expect, outcome
+from harness import Failure, wait_until
+
+STREAMS = 16
+BREAK_AFTER = 4              # events
+TOLD_S = 1.2                 # by then a gateway's streams are known to those that it is in contact with
+
+
+def start_fleet(bin_folder, prepare, versions, gateways=1, **settings):
+    """A fleet and its engines, which all hold the same model. `prepare`: gives an engine its version before it registers."""
+    fleet = Fleet(bin_folder, gateways=gateways, **settings)
+    engines = []
+    for number, version in enumerate(versions):
+        engine = fleet.target(f"t{number}", "engine", models=["m0"])
+        prepare(engine, version)
+        engine.register()
+        engines.append(engine)
+    fleet.start()
+    wait_until(lambda: len(fleet.events("target_changed")) >= len(versions) * gateways, "the targets are known")
+    fleet.wait_for_contact()
+    return fleet, engines
+
+
+def versions_in(text):
+    return set(re.findall(r" of (\S+)", text))
+
+
+def break_streams(engines, after):
+    for engine in engines:
+        engine.break_stream_after = after
+
+
+def stream(fleet, model="m0", gateway=0):
+    """Status, text and request id of a new stream."""
+    headers = fleet.headers(model, Prompt_Prefix=f"p{fleet.number}:9")
+    status, text = outcome(fleet, "/notes/1", headers, gateway, str(fleet.number))  # equal ones would be quarantined
+    return status, text, headers["Request-Id"]
+
+
+def broken_stream(fleet, gateway=0):
+    """A stream that its target broke off, so that its caller got some events. Returns its request id and version."""
+    status, text, request_id = stream(fleet, gateway=gateway)
+    expect(status, "IncompleteRead", "the stream breaks")
+    expect(len(versions_in(text)), 1, f"versions in {text}")
+    return request_id, versions_in(text).pop()
+
+
+def take_up(fleet, begun, gateway):
+    """The caller takes its stream up. Returns whether it went on; at another version is a failure."""
+    request_id, version = begun
+    headers = fleet.headers("m0", Resumes=request_id, Last_Event_Id=str(BREAK_AFTER), Prompt_Prefix=f"p{fleet.number}:9")
+    status, text = outcome(fleet, "/notes/1", headers, gateway, str(fleet.number))
+    if status == 200 and versions_in(text) != {version}:
+        raise Failure(f"{request_id} began at {version} and went on at {versions_in(text)}")
+    if status not in (200, 503):
+        raise Failure(f"{request_id} got {status}: not run, so 503 would be true")
+    return status == 200
+
+
+def restart_all(fleet):
+    """All gateways lose power at once."""
+    for gateway in fleet.gateways:
+        gateway.kill()
+    for gateway in fleet.gateways:
+        gateway.start()
+    for gateway in fleet.gateways:
+        wait_until(lambda gateway=gateway: fleet.readiness(gateway) == 200, "ready")
