Streams go on only at the weights and the adapter's version that began them

Cause: a stream that breaks goes on at any target of its software version; what a model's weights or an adapter's version are was neither read nor asked for, although a load fetches the newest weights, so that targets of one model differ whenever a version comes out.

The notion is one now, fleet::serving_version (software, weights, adapter): of a target, as its registration and its answers state it; of a stream, kept in streams::origins and told to peers there (two optional fields). A request that goes on a stream carries the expected version, so a target with other weights refuses without running it; it keeps getting other requests. An answer's stated weights correct the registration's. streams::version_history keeps what the targets of a service state or stated within a minute, by model: a caller's stream of unknown origin is refused while there are several. It replaces the pass that noted each target's software.

--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -187,8 +187,13 @@
  * known of none. era, revision: of the registrations that it sends.
  */
 struct store_view { 1: i64 departures_ms, 2: i64 configuration_ms, 3: i64 data_centres_ms, 4: i64 era, 5: i64 revision }
-/** Streams that began at targets of one software version, by hashes of the request ids that brought their first events. */
-struct stream_origins { 1: string software_version, 2: list<i64> attempts }
+/**
+ * Streams that began at targets of one version, by hashes of the request ids that brought their first events. weights,
+ * adapter_version: if the targets state them.
+ */
+struct stream_origins {
+  1: string software_version, 2: list<i64> attempts, 3: optional i64 weights, 4: optional string adapter_version
+}
 /**
  * What is known of a prompt's part, or of a whole request by its fingerprint, that may crash targets: the target runs that
  * ended under it (of a request: its attempts), with their ages, and the age of its latest complete answer (-1: none known).
--- a/src/core/dispatch/request_target_choice.cpp
+++ b/src/core/dispatch/request_target_choice.cpp
@@ -108,19 +108,41 @@
     return common::hash_of(option.target->entry.id, session);
 }
 
+/// Newest weights of the model that a target states, for a stream that goes on.
+std::optional<std::int64_t> newest_weights_of(std::span<const candidate> candidates,
+                                              const target_criteria& criteria) {
+    std::optional<std::int64_t> newest;
+    if (criteria.begun_at == nullptr || !criteria.begun_at->weights)
+        return newest;
+    for (const candidate& option : candidates)
+        newest = std::max(newest, fleet::version_at(option.target->entry, criteria.model).weights);
+    return newest;
+}
+
+/// Whether a load, which fetches the newest weights, brings others than those that began the stream.
+bool loads_later_weights(const fleet::serving_version& begun_at,
+                         const std::optional<std::int64_t>& newest_weights) {
+    return begun_at.weights && newest_weights > begun_at.weights;
+}
+
 /// Why this target can't take the request; obstacle::none if it can.
-obstacle check(const candidate& option, const target_criteria& criteria, common::time_point now) {
+obstacle check(const candidate& option, const target_criteria& criteria,
+               const std::optional<std::int64_t>& newest_weights, common::time_point now) {
     const fleet::target& target = *option.target;
     const bool tried = criteria.tried != nullptr && criteria.tried->contains(target.entry.id);
     const bool excluded =
         criteria.centres_out != nullptr && criteria.centres_out->contains(target.entry.data_centre);
-    const bool other_version =
-        criteria.software_version != nullptr && target.entry.software_version != *criteria.software_version;
-    const bool barred =
-        other_version || (criteria.only != nullptr && !criteria.only->contains(target.entry.id));
+    const bool barred = criteria.only != nullptr && !criteria.only->contains(target.entry.id);
     if (target.leaving() || tried || barred || excluded || (target.gone_at && now >= *target.gone_at))
         return obstacle::no_target;
-    switch (model_fit(target, criteria.model)) {
+    const fit model = model_fit(target, criteria.model);
+    if (criteria.begun_at != nullptr) {
+        const bool must_load = model == fit::wrong_model || model == fit::loading;
+        if (must_load ? loads_later_weights(*criteria.begun_at, newest_weights)
+                      : !may_continue(*criteria.begun_at, fleet::version_at(target.entry, criteria.model)))
+            return obstacle::other_version;
+    }
+    switch (model) {
     case fit::wrong_model:
         return obstacle::no_model;
     case fit::loading:
@@ -171,6 +193,8 @@
         return "no_model";
     case obstacle::unreachable:
         return "unreachable";
+    case obstacle::other_version:
+        return "other_version";
     case obstacle::no_target:
         return "no_target";
     }
@@ -189,8 +213,9 @@
               common::time_point now) {
     choice result;
     std::vector<const candidate*> usable;
+    const auto newest_weights = newest_weights_of(candidates, criteria);
     for (const candidate& option : candidates) {
-        const obstacle reason = check(option, criteria, now);
+        const obstacle reason = check(option, criteria, newest_weights, now);
         if (reason == obstacle::none) {
             usable.push_back(&option);
             continue;
--- a/src/core/dispatch/request_target_choice.hpp
+++ b/src/core/dispatch/request_target_choice.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/fleet/directory.hpp"
+#include "core/fleet/serving_version.hpp"
 
 #include <set>
 #include <span>
@@ -45,23 +46,24 @@
     const std::set<std::string>* only =
         nullptr;           // if set: the only targets allowed (no attempts are left for others)
     int prompt_tokens = 0; // of the request, if it goes to an engine
-    const std::string* software_version = nullptr; // if set: a stream goes on, at a target of this one only
+    const fleet::serving_version* begun_at = nullptr; // if set: a stream goes on, only where it may
     choice_spread spread{};
 };
 
 /// Why no target could take a request, mildest first.
 enum class obstacle {
     none,
-    reading,     // a target could serve it but has enough prompts to read, or the turn has not come
-    full,        // a target could serve it but is at its limit
-    cold,        // the targets that could serve it are cold and their rate is used up
-    limited,     // the targets that could serve it have named a rate, which others use up for now
-    paused,      // the targets that could serve it want no requests for some time
-    no_adapter,  // the model is loaded, the adapter on no target
-    loading,     // the model is being loaded
-    no_model,    // the model is loaded on no target
-    unreachable, // targets exist but connections to them fail
-    no_target,   // no usable target of the service is known
+    reading,       // a target could serve it but has enough prompts to read, or the turn has not come
+    full,          // a target could serve it but is at its limit
+    cold,          // the targets that could serve it are cold and their rate is used up
+    limited,       // the targets that could serve it have named a rate, which others use up for now
+    paused,        // the targets that could serve it want no requests for some time
+    no_adapter,    // the model is loaded, the adapter on no target
+    loading,       // the model is being loaded
+    no_model,      // the model is loaded on no target
+    unreachable,   // targets exist but connections to them fail
+    other_version, // a stream goes on, and the usable targets have other versions than the one that began it
+    no_target,     // no usable target of the service is known
 };
 [[nodiscard]] const char* name_of(obstacle reason);
 
--- a/src/core/dispatch/wait_policy.cpp
+++ b/src/core/dispatch/wait_policy.cpp
@@ -24,6 +24,8 @@
 time_point wait_limit(obstacle reason, const wait_context& context) {
     const duration aim = context.aim;
     switch (reason) {
+    case obstacle::other_version: // its caller can begin anew
+        return context.since;
     case obstacle::no_target:
     case obstacle::unreachable:
         return context.since + std::min<duration>(aim, missing_target_wait);
--- a/src/core/fleet/directory.cpp
+++ b/src/core/fleet/directory.cpp
@@ -214,6 +214,11 @@
         found->second.pause = target_pause{now, now + length};
 }
 
+void directory::note_weights(const target_start& start, const std::string& model, std::int64_t version) {
+    if (is_registered(start))
+        targets_[start.id].entry.versions.weights[model] = version;
+}
+
 void directory::merge_from_peer(const target_entry& entry, time_point now) {
     const target_start start{entry.id, entry.born};
     const bool stated = entry.changed != store_position{};
--- a/src/core/fleet/directory.hpp
+++ b/src/core/fleet/directory.hpp
@@ -119,6 +119,7 @@
     // What a target said in an answer to this process. No effect if another start has taken its place.
     bool note_said_leaving(const target_start& start, common::time_point now); // true: this is new
     void note_pause(const target_start& start, common::milliseconds length, common::time_point now);
+    void note_weights(const target_start& start, const std::string& model, std::int64_t version);
 
     /// A peer reports a target that has started or become cold. Applied only where newer than what is known.
     void merge_from_peer(const target_entry& entry, common::time_point now);
--- /dev/null
+++ b/src/core/streams/version_history.hpp
@@ -0,0 +1,56 @@
+/// Versions that the targets of a service state, also those that were stated until lately: a stream whose
+/// origin isn't known may have begun at any of them.
+#pragma once
+
+#include "core/common/time.hpp"
+#include "core/fleet/directory.hpp"
+#include "core/fleet/serving_version.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace waxwinglb::core::streams {
+
+constexpr common::milliseconds version_retention{60'000}; // longer than callers wait for a stream
+constexpr std::size_t max_past_statements = 20'000;       // the oldest ones are dropped beyond that
+
+/// What the targets that may have written a stream state.
+struct stated_versions {
+    std::set<std::string> software;
+    std::set<std::int64_t> weights;
+    std::set<std::string> adapters;
+
+    [[nodiscard]] bool several() const {
+        return software.size() > 1 || weights.size() > 1 || adapters.size() > 1;
+    }
+    /// The only version that they state; nullopt if there are several, or no targets.
+    [[nodiscard]] std::optional<fleet::serving_version> only() const;
+};
+
+class version_history {
+public:
+    /// Takes note of what the targets state now; to be called regularly.
+    void update(const std::map<std::string, fleet::target>& targets, common::time_point now);
+    /// Versions that targets of the service had for this model within the retention.
+    [[nodiscard]] stated_versions versions_of(const std::string& service, const fleet::model_ref& ref) const;
+
+private:
+    struct statement {
+        std::string service;
+        std::string software;
+        fleet::held_versions held;
+        common::time_point until{}; // of a past one
+
+        [[nodiscard]] bool is_of(const fleet::target_entry& target) const;
+    };
+    void retire(statement&& past, common::time_point now);
+    static void add(stated_versions& to, const statement& from, const fleet::model_ref& ref);
+
+    std::map<std::string, statement> current_; // by target
+    std::deque<statement> past_;               // oldest first
+};
+
+} // namespace waxwinglb::core::streams
--- a/src/core/timeline/request_trace.cpp
+++ b/src/core/timeline/request_trace.cpp
@@ -53,6 +53,9 @@
     reason_text{"unreachable", "Connections to the targets that could serve it had just failed."},
     reason_text{"no_target",
                 "No target of its service was registered, not leaving, and in a data centre in use."},
+    reason_text{"other_version",
+                "It goes on a stream, and no target had the software, weights and adapter that "
+                "began it."},
     reason_text{"target_unreachable", "The connection to its target could not be opened."},
     reason_text{"wrong_target", "Its target no longer held the model, or another target had its address."},
     reason_text{"target_full", "Its target reported that it had not run it."},
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -11137,6 +11137,16 @@
 void stream_origins::__set_attempts(const std::vector<int64_t> & val) {
   this->attempts = val;
 }
+
+void stream_origins::__set_weights(const int64_t val) {
+  this->weights = val;
+__isset.weights = true;
+}
+
+void stream_origins::__set_adapter_version(const std::string& val) {
+  this->adapter_version = val;
+__isset.adapter_version = true;
+}
 std::ostream& operator<<(std::ostream& out, const stream_origins& obj)
 {
   obj.printTo(out);
@@ -11193,6 +11203,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->weights);
+          this->__isset.weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->adapter_version);
+          this->__isset.adapter_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11226,6 +11252,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.weights) {
+    xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->weights);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.adapter_version) {
+    xfer += oprot->writeFieldBegin("adapter_version", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->adapter_version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11235,28 +11271,38 @@
   using ::std::swap;
   swap(a.software_version, b.software_version);
   swap(a.attempts, b.attempts);
+  swap(a.weights, b.weights);
+  swap(a.adapter_version, b.adapter_version);
   swap(a.__isset, b.__isset);
 }
 
 stream_origins::stream_origins(const stream_origins& other340) {
   software_version = other340.software_version;
   attempts = other340.attempts;
+  weights = other340.weights;
+  adapter_version = other340.adapter_version;
   __isset = other340.__isset;
 }
 stream_origins::stream_origins(stream_origins&& other341) noexcept {
   software_version = std::move(other341.software_version);
   attempts = std::move(other341.attempts);
+  weights = other341.weights;
+  adapter_version = std::move(other341.adapter_version);
   __isset = other341.__isset;
 }
 stream_origins& stream_origins::operator=(const stream_origins& other342) {
   software_version = other342.software_version;
   attempts = other342.attempts;
+  weights = other342.weights;
+  adapter_version = other342.adapter_version;
   __isset = other342.__isset;
   return *this;
 }
 stream_origins& stream_origins::operator=(stream_origins&& other343) noexcept {
   software_version = std::move(other343.software_version);
   attempts = std::move(other343.attempts);
+  weights = other343.weights;
+  adapter_version = std::move(other343.adapter_version);
   __isset = other343.__isset;
   return *this;
 }
@@ -11265,6 +11311,8 @@
   out << "stream_origins(";
   out << "software_version=" << to_string(software_version);
   out << ", " << "attempts=" << to_string(attempts);
+  out << ", " << "weights="; (__isset.weights ? (out << to_string(weights)) : (out << "<null>"));
+  out << ", " << "adapter_version="; (__isset.adapter_version ? (out << to_string(adapter_version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -4086,7 +4086,9 @@
 } _leaving_target__isset;
 
 /**
- * remaining_ms: time until it is removed at short notice; unset if it isn't, or nothing is known of it.
+ * A start of a target that was draining or not registered as of a place in the store's history (era, revision; the highest
+ * values: it said so itself), which a gateway read age_ms ago. remaining_ms: time until it is removed at short notice; unset
+ * if it isn't, or nothing is known of it.
  */
 class leaving_target : public virtual ::apache::thrift::TBase {
  public:
@@ -4306,7 +4308,7 @@
 } _target_registration__isset;
 
 /**
- * A target's registration, for a gateway that can't read the store.
+ * A target's registration, for a gateway that can't read the store. era, revision: of its last change.
  */
 class target_registration : public virtual ::apache::thrift::TBase {
  public:
@@ -4490,13 +4492,16 @@
 std::ostream& operator<<(std::ostream& out, const store_view& obj);
 
 typedef struct _stream_origins__isset {
-  _stream_origins__isset() : software_version(false), attempts(false) {}
+  _stream_origins__isset() : software_version(false), attempts(false), weights(false), adapter_version(false) {}
   bool software_version :1;
   bool attempts :1;
+  bool weights :1;
+  bool adapter_version :1;
 } _stream_origins__isset;
 
 /**
- * Streams that began at targets of one software version, by hashes of the request ids that brought their first events.
+ * Streams that began at targets of one version, by hashes of the request ids that brought their first events. weights,
+ * adapter_version: if the targets state them.
  */
 class stream_origins : public virtual ::apache::thrift::TBase {
  public:
@@ -4506,12 +4511,16 @@
   stream_origins& operator=(const stream_origins&);
   stream_origins& operator=(stream_origins&&) noexcept;
   stream_origins() noexcept
-                 : software_version() {
+                 : software_version(),
+                   weights(0),
+                   adapter_version() {
   }
 
   virtual ~stream_origins() noexcept;
   std::string software_version;
   std::vector<int64_t>  attempts;
+  int64_t weights;
+  std::string adapter_version;
 
   _stream_origins__isset __isset;
 
@@ -4519,12 +4528,24 @@
 
   void __set_attempts(const std::vector<int64_t> & val);
 
+  void __set_weights(const int64_t val);
+
+  void __set_adapter_version(const std::string& val);
+
   bool operator == (const stream_origins & rhs) const
   {
     if (!(software_version == rhs.software_version))
       return false;
     if (!(attempts == rhs.attempts))
       return false;
+    if (__isset.weights != rhs.__isset.weights)
+      return false;
+    else if (__isset.weights && !(weights == rhs.weights))
+      return false;
+    if (__isset.adapter_version != rhs.__isset.adapter_version)
+      return false;
+    else if (__isset.adapter_version && !(adapter_version == rhs.adapter_version))
+      return false;
     return true;
   }
   bool operator != (const stream_origins &rhs) const {
@@ -5197,6 +5218,7 @@
  * data_centre: empty if the sender is of a version that knows no groups. group: empty while the fleet is one group.
  * unix_ms: the sender's time of day; set where duties are configured, as usage is: the sender's usage windows that may not
  * have been reported yet, sent to gateways that give orders.
+ * view: how old what it knows of the store is; leaving_targets then has all departures that it knows.
  * speeds: lasting speeds of targets; set only where targets state their load.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -82,7 +82,7 @@
     if (context_.draining && context_.loop.now() - context_.drain_started > drain_accept_period)
         return reject(request, 503, "ending", drain_retry_after);
     if (!find_route(request) || !identify_caller(request) || !read_deadline(request) ||
-        !find_origin(request) || !charge(request))
+        !find_model(request) || !find_origin(request) || !charge(request))
         return;
     request->timer =
         context_.loop.schedule(request->deadline, [this, request] { forwarder_.on_deadline(request); });
@@ -149,8 +149,8 @@
     return false;
 }
 
-/// A stream that its caller takes up goes on at the software version that began it. Where that isn't known,
-/// it is refused if targets of the service have, or had, several: at another version it would be spoilt.
+/// A stream that its caller takes up goes on at the version that began it. Where that isn't known, it is
+/// refused if targets of the service have, or had, several: at another version it would be spoilt.
 bool admission::find_origin(const caller_request_ptr& request) {
     const auto& fields = request->received.fields;
     const std::string* after = edge::find_field(fields, platform::resume_header);
@@ -163,20 +163,17 @@
     request->begun_at = context_.origins.version_of(hash_of(request->resumes));
     if (request->begun_at)
         return true;
-    context_.note_software_versions();
-    const auto versions = context_.origins.versions_of(request->service, context_.loop.now());
-    if (versions.size() == 1)
-        request->begun_at = *versions.begin();
-    if (versions.size() < 2)
+    context_.versions.update(context_.directory.targets(), context_.loop.now());
+    const auto versions = context_.versions.versions_of(request->service, request->model);
+    request->begun_at = versions.only();
+    if (!versions.several())
         return true;
     reject(request, 503, "unknown_origin", origin_retry_after);
     return false;
 }
 
-/// Reads model and token counts from the request and charges the tokens to the customer's rate.
-bool admission::charge(const caller_request_ptr& request) {
-    const auto& fields = request->received.fields;
-    if (const std::string* model = edge::find_field(fields, platform::model_header))
+bool admission::find_model(const caller_request_ptr& request) {
+    if (const std::string* model = edge::find_field(request->received.fields, platform::model_header))
         request->model = core::fleet::parse_model_ref(*model);
     const auto* service = request->config->find_service(request->service);
     if (service == nullptr || !service->engine)
@@ -185,6 +182,12 @@
         reject(request, 503, "unknown_model");
         return false;
     }
+    return true;
+}
+
+/// Reads the token counts of the request and charges the tokens to the customer's rate.
+bool admission::charge(const caller_request_ptr& request) {
+    const auto& fields = request->received.fields;
     if (const std::string* text = edge::find_field(fields, platform::tokens_header)) {
         const auto tokens = parse_token_count(*text);
         if (!tokens) {
--- a/src/programs/gateway/admission.hpp
+++ b/src/programs/gateway/admission.hpp
@@ -29,6 +29,7 @@
     bool find_route(const caller_request_ptr& request);
     bool identify_caller(const caller_request_ptr& request);
     bool read_deadline(const caller_request_ptr& request);
+    bool find_model(const caller_request_ptr& request);
     bool find_origin(const caller_request_ptr& request);
     bool charge(const caller_request_ptr& request);
     void reject(const caller_request_ptr& request, int status, const std::string& reason,
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -64,7 +64,7 @@
     core::fleet::target_start target_start;      // the start of the target that it was last sent to
     std::string target_address;                  // IP:PORT of that target
     core::fleet::serving_version target_version; // of that target; its weights as its answer states them
-    std::optional<std::string> begun_at; // software version at which the stream began; set if it goes on
+    std::optional<core::fleet::serving_version> begun_at; // of the stream; set if it goes on
     core::common::time_point sent_at{};
     edge::event_loop::timer_id timer;                         // fires at the deadline
     std::optional<core::common::time_point> target_gone_at;   // its target is removed at short notice
@@ -93,6 +93,8 @@
     [[nodiscard]] bool has_attempts_left() const {
         return static_cast<int>(sent_to.size()) < route->max_attempts;
     }
+    /// Goes on a stream, which a target with other weights refuses.
+    [[nodiscard]] bool expects_weights() const { return begun_at && begun_at->weights; }
     [[nodiscard]] bool is_stream() const { return route->kind == core::fleet::call_kind::stream; }
     /// May be sent again after an attempt whose answer was lost.
     [[nodiscard]] bool repeatable() const {
--- a/src/programs/gateway/context.hpp
+++ b/src/programs/gateway/context.hpp
@@ -8,6 +8,7 @@
 #include "core/membership/catch_up.hpp"
 #include "core/membership/store_view.hpp"
 #include "core/streams/origins.hpp"
+#include "core/streams/version_history.hpp"
 #include "core/target_speed/speeds.hpp"
 #include "edge/decision_log.hpp"
 #include "edge/event_loop.hpp"
@@ -35,20 +36,16 @@
     core::membership::store_view view; // how old what is known of the store is
     core::limits::fleet_quota quota;
     core::limits::target_limits target_limits;
-    core::streams::origins origins;    // of callers' streams
-    core::target_speed::speeds speeds; // of targets; empty unless dispatch.learn_speeds is set
-    int gateway_count = 1;             // registered gateways, this one included
-    bool reads_store_closely = true;   // false: others do, and their messages arrive
-    bool draining = false;             // SIGTERM was received
+    core::streams::origins origins;          // of callers' streams
+    core::streams::version_history versions; // of targets
+    core::target_speed::speeds speeds;       // of targets; empty unless dispatch.learn_speeds is set
+    int gateway_count = 1;                   // registered gateways, this one included
+    bool reads_store_closely = true;         // false: others do, and their messages arrive
+    bool draining = false;                   // SIGTERM was received
     core::common::time_point drain_started{};
     /// Counts a customer's request that began to run; empty unless usage is to be reported.
     std::function<void(const std::string& customer, core::common::time_point began)> count_run;
 
-    /// Takes note of the software versions that targets have now.
-    void note_software_versions() {
-        for (const auto& [id, target] : directory.targets())
-            origins.note_target(target.entry.service, target.entry.software_version, loop.now());
-    }
     /// A target's lasting speed; 1 is the usual one.
     [[nodiscard]] double speed_of(const core::fleet::target& target) const {
         return settings.learn_speeds ? speeds.lasting(target.entry.id, target.entry.born) : 1;
--- a/src/programs/gateway/dispatcher.cpp
+++ b/src/programs/gateway/dispatcher.cpp
@@ -192,7 +192,7 @@
     out.centres_out = &context_.centres.out();
     out.only = request.has_attempts_left() ? nullptr : &request.sent_to;
     out.prompt_tokens = request.prompt_tokens;
-    out.software_version = request.begun_at ? &*request.begun_at : nullptr;
+    out.begun_at = request.begun_at ? &*request.begun_at : nullptr;
     out.spread = spread_for(request);
     return out;
 }
--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -51,6 +51,8 @@
         append_field(out, platform::priority_header, std::to_string(std::clamp(request.priority, 0, 9)));
     if (!request.last_event.empty())
         append_field(out, platform::resume_header, request.last_event);
+    if (request.expects_weights())
+        append_field(out, platform::expected_weights_header, std::to_string(*request.begun_at->weights));
     if (!request.received.body.empty() || request.received.method == "POST" ||
         request.received.method == "PUT")
         append_field(out, "Content-Length", std::to_string(request.received.body.size()));
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -67,10 +67,11 @@
     void count_run(caller_request& request, core::common::time_point began); // once for each request
     void send_answer(const caller_request_ptr& request);
     void handle_rejection(const caller_request_ptr& request,
-                          dispatcher::attempt_outcome outcome); // has not run
-    void note_broken_run(const caller_request& request);        // an attempt without a whole answer
-    void note_sound(const caller_request& request);             // it has got a whole answer
-    void note_crash(const caller_request& request);             // its target may have ended because of it
+                          dispatcher::attempt_outcome outcome);   // has not run
+    void handle_other_version(const caller_request_ptr& request); // it can't go on a stream at this target
+    void note_broken_run(const caller_request& request);          // an attempt without a whole answer
+    void note_sound(const caller_request& request);               // it has got a whole answer
+    void note_crash(const caller_request& request);               // its target may have ended because of it
     void handle_unsent(const caller_request_ptr& request, dispatcher::attempt_outcome outcome,
                        const char* reason);
     void handle_broken_answer(const caller_request_ptr& request,
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -84,18 +84,25 @@
 
 void forwarder::on_head(const caller_request_ptr& request, const edge::answer_head& head) {
     dispatcher_->note_answer(request->target_start, head.status, head.fields, answered_call::request);
+    const auto weights = platform::decode_weights(head.fields);
+    if (weights)
+        context_.directory.note_weights(request->target_start, request->model.model, *weights);
+    if (request->expects_weights() && head.status == platform::wrong_target_status)
+        return handle_other_version(request);
     if (reports_not_run(head))
         return handle_rejection(request, head.status == platform::wrong_target_status
                                              ? dispatcher::attempt_outcome::lacks_model
                                              : dispatcher::attempt_outcome::not_run);
     request->may_have_run = true;
     request->ended_by = name_of_end(head);
-    request->target_version.weights = platform::decode_weights(head.fields);
+    request->target_version.weights = weights;
     const bool success = head.status >= 200 && head.status < 300;
     const bool genuine = edge::find_field(head.fields, platform::signature_header) != nullptr &&
                          edge::find_field(head.fields, "Content-Encoding") == nullptr;
     if (success && !genuine)
         return handle_lost_answer(request, "answer_without_signature");
+    if (success && request->begun_at && !may_continue(*request->begun_at, request->target_version))
+        return handle_lost_answer(request, "other_version");
     if (!request->is_stream() && began_to_run(head))
         count_run(*request, request->sent_at);
     if (request->session->answer_begun()) { // the caller has the head under which the stream goes on
@@ -228,9 +235,11 @@
 
 /// From its first event on, a stream goes on only at targets of the version that sent it.
 void forwarder::note_origin(caller_request& request) {
-    request.begun_at = request.target_version.software;
+    if (request.begun_at)
+        request.target_version = core::fleet::completed(request.target_version, *request.begun_at);
+    request.begun_at = request.target_version;
     const std::string& attempt = request.resumes.empty() ? request.request_id : request.resumes;
-    context_.origins.note(core::common::hash_of(attempt), request.target_version.software,
+    context_.origins.note(core::common::hash_of(attempt), request.target_version,
                           core::streams::origin_source::own, context_.loop.now());
 }
 
--- a/src/programs/gateway/forwarder_failures.cpp
+++ b/src/programs/gateway/forwarder_failures.cpp
@@ -140,6 +140,17 @@
     refuse(request, 503, reason, dispatcher_->retry_after_for(*request));
 }
 
+/// Other requests may still be sent to the target: it refused only to go on what other weights began.
+void forwarder::handle_other_version(const caller_request_ptr& request) {
+    constexpr const char* reason = "other_version";
+    request->failed_targets.insert(request->target);
+    close_exchange(request, dispatcher::attempt_outcome::not_run);
+    request->unsettled = false;
+    if (request->has_attempts_left() && retry(request, reason, true))
+        return;
+    refuse(request, 503, reason, dispatcher_->retry_after_for(*request)); // cuts an answer that has begun
+}
+
 void forwarder::handle_lost_answer(const caller_request_ptr& request, const char* reason) {
     request->failed_targets.insert(request->target);
     close_exchange(request, dispatcher::attempt_outcome::failed);
--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -47,13 +47,26 @@
     std::vector<wire::stream_origins> out;
     for (const auto& [version, attempts] : from) {
         wire::stream_origins entry;
-        entry.software_version = version;
+        entry.software_version = version.software;
+        if (version.weights)
+            entry.__set_weights(*version.weights);
+        if (!version.adapter.empty())
+            entry.__set_adapter_version(version.adapter);
         entry.attempts.assign(attempts.begin(), attempts.end());
         out.push_back(std::move(entry));
     }
     return out;
 }
 
+core::fleet::serving_version decode_version(const wire::stream_origins& from) {
+    core::fleet::serving_version out;
+    out.software = from.software_version;
+    if (from.__isset.weights)
+        out.weights = from.weights;
+    out.adapter = from.adapter_version;
+    return out;
+}
+
 /// Moves what is due of `all`, which is ordered by target, to `out`, beginning at target `next`. Returns true
 /// if more may be due than fits into one message; the next call then begins there.
 template<class update_type, class predicate>
@@ -191,7 +204,7 @@
     dependencies_.forward.suspects().expire(context_.loop.now());
     dependencies_.forward.suspect_requests().expire(context_.loop.now());
     context_.target_limits.expire(context_.loop.now());
-    context_.note_software_versions();
+    context_.versions.update(context_.directory.targets(), context_.loop.now());
     context_.origins.expire(context_.loop.now());
 }
 
@@ -210,7 +223,7 @@
     const bool limits = apply_limits(message);
     for (const auto& same_version : message.origins)
         for (const std::int64_t attempt : same_version.attempts)
-            context_.origins.note(static_cast<std::uint64_t>(attempt), same_version.software_version,
+            context_.origins.note(static_cast<std::uint64_t>(attempt), decode_version(same_version),
                                   core::streams::origin_source::peer, context_.loop.now());
     apply_store_state(message);
     apply_holdings(message);
--- a/src/programs/gateway/short_notice.cpp
+++ b/src/programs/gateway/short_notice.cpp
@@ -90,7 +90,7 @@
     if (without_room != notice_decision::wait_for_room || !request.repeatable() ||
         !request.has_attempts_left())
         return without_room;
-    const group_key group{request.service, request.model, request.begun_at.value_or("")};
+    const group_key group{request.service, request.model, request.begun_at};
     if (full_groups_.contains(group))
         return without_room;
     if (!dispatcher_.has_room_for(request))
--- a/src/programs/gateway/short_notice.hpp
+++ b/src/programs/gateway/short_notice.hpp
@@ -35,8 +35,9 @@
     dispatcher& dispatcher_;
     forwarder& forwarder_;
     const admission& admission_;
-    /// Requests that go to the same targets: service, model, software version if it matters.
-    using group_key = std::tuple<std::string, core::fleet::model_ref, std::string>;
+    /// Requests that go to the same targets: service, model, version if it matters.
+    using group_key =
+        std::tuple<std::string, core::fleet::model_ref, std::optional<core::fleet::serving_version>>;
 
     std::map<std::string, notice> notices_; // by target
     std::set<group_key> full_groups_;       // found without room in this step
