Streams whose weights change inside go on at the later ones

What callers saw: after an event whose first line named newer weights, a stream that broke went on at the earlier ones again, within one answer or taken up. Cause: the version of a stream was that of its first event for good. Now event_sequence reads the line, the stream's origin is replaced by the one of later weights, and told to peers again; an answer of earlier weights that a peer tells of later doesn't undo it. Limit: weights are taken to rise, as loads fetch the newest.

--- a/src/core/streams/event_sequence.cpp
+++ b/src/core/streams/event_sequence.cpp
@@ -11,6 +11,7 @@
     bool sound = true;
     bool is_event = false; // has a line that is no comment
     std::optional<std::uint64_t> id;
+    std::optional<std::uint64_t> version; // named by its first line
 };
 
 /// Takes the first line off `rest`, with its end.
@@ -46,9 +47,10 @@
 }
 
 /// Adds a line without its end to what is known of its block.
-void add_line(block& of, std::string_view line) {
+void add_line(block& of, std::string_view line, std::string_view version_field) {
     if (line.starts_with(':'))
         return;
+    const bool first = !of.is_event;
     of.is_event = true;
     const auto name_size = line.find(':');
     const std::string_view name = line.substr(0, name_size);
@@ -59,10 +61,12 @@
     }
     if (name == "id")
         of.id = number_in(line.substr(name_size + 1));
+    if (first && name == version_field)
+        of.version = number_in(line.substr(name_size + 1));
 }
 
 /// Takes the first block off `rest`. All its lines end alike, or two writers have written it.
-block take_block(std::string_view& rest) {
+block take_block(std::string_view& rest, std::string_view version_field) {
     block out;
     std::optional<bool> with_cr;
     while (!rest.empty()) {
@@ -73,7 +77,7 @@
         with_cr = ends_with_cr(line);
         if (text.empty())
             break;
-        add_line(out, text);
+        add_line(out, text, version_field);
     }
     return out;
 }
@@ -107,7 +111,7 @@
 event_sequence::result event_sequence::check(std::string_view events) {
     result out;
     for (std::string_view rest = events; !rest.empty();) {
-        const block next = take_block(rest);
+        const block next = take_block(rest, version_field_);
         if (!next.sound || (next.is_event && !next.id))
             out.fault = event_fault::malformed;
         else if (next.is_event)
@@ -116,6 +120,8 @@
             return out;
         out.sound = events.size() - rest.size();
         out.events += next.is_event ? 1 : 0;
+        if (next.version)
+            out.version = next.version;
     }
     return out;
 }
--- a/src/core/streams/event_sequence.hpp
+++ b/src/core/streams/event_sequence.hpp
@@ -21,8 +21,13 @@
         std::size_t sound = 0; // bytes of the events before the first fault
         int events = 0;        // in them
         event_fault fault = event_fault::none;
+        std::optional<std::uint64_t> version; // the last one that the first line of a sound event names
     };
 
+    /// `version_field`: name of the field by which an event's first line says that the version of the weights
+    /// changes; empty: none.
+    explicit event_sequence(std::string_view version_field = {}) : version_field_(version_field) {}
+
     void continue_after(std::string_view id); // the caller has the events up to this one
     void begin_answer();                      // the events that follow are those of another answer
     [[nodiscard]] bool answer_has_event() const { return answer_has_event_; }
@@ -35,6 +40,7 @@
 private:
     [[nodiscard]] event_fault check_id(std::uint64_t id);
 
+    std::string_view version_field_;
     std::optional<std::uint64_t> last_;
     bool consecutive_ = false; // each id so far was one above the id before
     int events_seen_ = 0;
--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -6,6 +6,7 @@
 #include "core/streams/event_buffer.hpp"
 #include "core/streams/event_sequence.hpp"
 #include "core/target_speed/pace_meter.hpp"
+#include "platform/headers.hpp"
 #include "programs/gateway/caller_session.hpp"
 #include "programs/gateway/target_link.hpp"
 
@@ -71,10 +72,10 @@
     std::optional<core::dispatch::notice_decision> on_notice; // the latest decision because of that
 
     // The answer.
-    edge::answer_head head;                 // from the answering target
-    std::string body;                       // of a plain answer
-    core::streams::event_buffer events;     // received of a stream, not yet forwarded
-    core::streams::event_sequence sequence; // of the events forwarded
+    edge::answer_head head;             // from the answering target
+    std::string body;                   // of a plain answer
+    core::streams::event_buffer events; // received of a stream, not yet forwarded
+    core::streams::event_sequence sequence{platform::weights_event_field}; // of the events forwarded
     core::dispatch::stream_progress progress;
     bool streaming = false;        // the answer is forwarded as it arrives
     bool held = false;             // until it is known which start of the target answers
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -74,6 +74,10 @@
     return has_unmarked_end(request) && !request.events.any_taken() ? "ended_without_event" : nullptr;
 }
 
+bool has_changed_weights(const caller_request& request) {
+    return request.target_version.weights && request.target_version.weights != request.begun_at->weights;
+}
+
 /// An answer without any event shows neither that the stream before it was whole nor that its target knew of
 /// it.
 bool resumed_with_nothing(const caller_request& request) {
@@ -201,6 +205,8 @@
     const auto checked = request->sequence.check(events);
     events.resize(checked.sound);
     request->progress.note(checked.events, request->sent_at, context_.loop.now());
+    if (checked.version)
+        request->target_version.weights = static_cast<std::int64_t>(*checked.version);
     if (!events.empty())
         write_events(request, events);
     return checked.fault;
@@ -218,8 +224,11 @@
         note_origin(*request);
         if (edge::find_field(request->received.fields, platform::resume_header) == nullptr)
             count_run(*request, now); // a stream that is resumed began earlier
-    } else
+    } else {
         request->longest_pause = std::max(request->longest_pause, now - request->last_chunk_at);
+        if (has_changed_weights(*request))
+            note_origin(*request);
+    }
     request->last_chunk_at = now;
     if (const auto each = request->pace.add(core::streams::count_events(events), now))
         dispatcher_->note_work(*request, *each);
--- a/tests/core/event_sequence_test.cpp
+++ b/tests/core/event_sequence_test.cpp
@@ -93,3 +93,12 @@
         EXPECT_EQ(sequence.check(event(5)).fault, event_fault::none) << after;
     }
 }
+
+TEST(event_sequence, the_first_line_of_an_event_may_name_the_version_from_which_the_stream_goes_on) {
+    event_sequence sequence{"weights"};
+    EXPECT_FALSE(sequence.check(event(1)).version);
+    EXPECT_EQ(sequence.check("weights: 2\n" + event(2) + event(3)).version, 2);
+    EXPECT_EQ(sequence.check(": comment\nweights: 3\r\n" + event(4)).fault, event_fault::malformed);
+    EXPECT_FALSE(sequence.check("id: 4\nweights: 3\n\n").version) << "not the first line";
+    EXPECT_FALSE(sequence.check("weights: 4\n" + event(4)).version) << "an event that comes twice";
+}
