Streams don't go on at an adapter that has come anew since its target registered

Adapters come and go without a heartbeat, so a registration can name a version that the target no longer holds. The report that shows which start of the target answers, asked for anyway before the stream goes on, names the adapters too: another version than the stream's is refused before any of its events is passed on. The probe's answer carries the report now.

test_gateway_weight_versions, new case: went on at version 2 of the adapter before, is cut now. Limit: the version at which a stream begins is the registration's, since no answer names it; a stream that begins right after an adapter came anew is noted under the earlier one and cut.

--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -78,6 +78,14 @@
     return request.target_version.weights && request.target_version.weights != request.begun_at->weights;
 }
 
+/// Whether the target reports the version of the adapter at which the stream began, or none. Adapters come
+/// and go without news in registrations.
+bool has_adapter_of(const platform::target_report& report, const caller_request& request) {
+    const auto reported = report.versions.adapters.find(request.model);
+    const std::string& begun_at = request.begun_at->adapter;
+    return begun_at.empty() || reported == report.versions.adapters.end() || reported->second == begun_at;
+}
+
 /// An answer without any event shows neither that the stream before it was whole nor that its target knew of
 /// it.
 bool resumed_with_nothing(const caller_request& request) {
@@ -135,11 +143,13 @@
 void forwarder::hold_until_start_known(const caller_request_ptr& request) {
     request->held = true;
     request->target_exchange->pause();
-    probe(request, "start", [this, request](probe_result result) {
-        const bool shown = result == probe_result::running ||
-                           (result == probe_result::listening && !service_reports(*request));
+    probe(request, "start", [this, request](const probe_answer& answer) {
+        const bool shown = answer.result == probe_result::running ||
+                           (answer.result == probe_result::listening && !service_reports(*request));
         if (!shown)
             return handle_lost_answer(request, "target_start_unconfirmed");
+        if (answer.report && !has_adapter_of(*answer.report, *request))
+            return handle_lost_answer(request, "other_version");
         request->held = false;
         request->target_exchange->resume();
         pass_on_events(request);
@@ -152,18 +162,18 @@
 void forwarder::probe(const caller_request_ptr& request, const char* why, target_probe::handler on_result) {
     const std::string path = probe_path(*request);
     if (path.empty())
-        return on_result(probe_result::listening);
+        return on_result({probe_result::listening, {}});
     probe_.ask({request->target_start, request->target_address, path},
                [this, request, why, attempt = request->send_count,
-                on_result = std::move(on_result)](probe_result result) {
+                on_result = std::move(on_result)](const probe_answer& answer) {
                    if (request->finished || !request->target_exchange || request->send_count != attempt)
                        return;
                    context_.log.write(edge::events::target_probed, request->request_id,
                                       {{"target", request->target},
                                        {"born", request->target_start.born},
                                        {"why", why},
-                                       {"result", name_of(result)}});
-                   on_result(result);
+                                       {"result", name_of(answer.result)}});
+                   on_result(answer);
                });
 }
 
@@ -285,7 +295,8 @@
 
 /// Completes an answer that only the end of its connection ends, if its target still runs.
 void forwarder::confirm_end(const caller_request_ptr& request) {
-    probe(request, "end", [this, request](probe_result result) {
+    probe(request, "end", [this, request](const probe_answer& answer) {
+        const probe_result result = answer.result;
         if (result == probe_result::running || result == probe_result::listening)
             return complete(request);
         if (result == probe_result::ended && request->head.status < 300)
--- a/src/programs/gateway/target_probe.cpp
+++ b/src/programs/gateway/target_probe.cpp
@@ -24,15 +24,17 @@
 constexpr int ok = 200;
 
 /// What a report says of the start that was asked for.
-probe_result result_of_report(const std::string& report, std::int64_t born) {
+probe_answer answer_of_report(const std::string& body, std::int64_t born) {
     return leaf::try_handle_all(
-        [&]() -> leaf::result<probe_result> {
-            BOOST_LEAF_AUTO(decoded, platform::decode_report(report));
-            if (decoded.born == 0 || born == 0)
-                return probe_result::listening;
-            return decoded.born == born ? probe_result::running : probe_result::ended;
+        [&]() -> leaf::result<probe_answer> {
+            BOOST_LEAF_AUTO(report, platform::decode_report(body));
+            if (report.born == 0 || born == 0)
+                return probe_answer{probe_result::listening, report};
+            return probe_answer{report.born == born ? probe_result::running : probe_result::ended, report};
         },
-        [] { return probe_result::listening; });
+        [] {
+            return probe_answer{probe_result::listening, {}};
+        });
 }
 
 bool names_another_target(const edge::client_result& answer, const std::string& id) {
@@ -40,14 +42,14 @@
     return answer.status == platform::wrong_target_status || (named != nullptr && *named != id);
 }
 
-probe_result result_of(const probed_target& target, const edge::client_result& answer) {
+probe_answer decode_answer(const probed_target& target, const edge::client_result& answer) {
     if (answer.outcome != edge::client_outcome::answered) // a target that is full may answer late
-        return answer.connected && answer.timed_out ? probe_result::listening : probe_result::unknown;
+        return {answer.connected && answer.timed_out ? probe_result::listening : probe_result::unknown, {}};
     if (names_another_target(answer, target.start.id))
-        return probe_result::ended;
+        return {probe_result::ended, {}};
     if (target.path == platform::report_path && answer.status == ok)
-        return result_of_report(answer.body, target.start.born);
-    return probe_result::listening;
+        return answer_of_report(answer.body, target.start.born);
+    return {probe_result::listening, {}};
 }
 
 } // namespace
@@ -85,21 +87,21 @@
 }
 
 void target_probe::handle_answer(const inquiry_ptr& current, const edge::client_result& answer) {
-    probe_result result = result_of(current->target, answer);
+    probe_answer decoded = decode_answer(current->target, answer);
     current->refusals += answer.refused ? 1 : 0;
     if (current->refusals >= min_refusals)
-        result = probe_result::ended;
+        decoded.result = probe_result::ended;
     const auto next_call = context_.loop.now() + repeat_after;
     const bool may_repeat = current->calls < min_calls || next_call < current->deadline;
-    if (result != probe_result::unknown || !may_repeat)
-        return finish(current, result);
+    if (decoded.result != probe_result::unknown || !may_repeat)
+        return finish(current, decoded);
     context_.loop.schedule(next_call, [this, current] { call(current); });
 }
 
-void target_probe::finish(const inquiry_ptr& current, probe_result result) {
+void target_probe::finish(const inquiry_ptr& current, const probe_answer& answer) {
     auto answered = std::exchange(current->handlers, {});
     auto later = std::exchange(current->later_handlers, {});
-    if (result == probe_result::ended) { // a start that has ended doesn't run again
+    if (answer.result == probe_result::ended) { // a start that has ended doesn't run again
         answered.insert(answered.end(), std::make_move_iterator(later.begin()),
                         std::make_move_iterator(later.end()));
         later.clear();
@@ -110,7 +112,7 @@
     else
         begin(current);
     for (const handler& on_result : answered)
-        on_result(result);
+        on_result(answer);
 }
 
 const char* name_of(probe_result result) {
--- a/src/programs/gateway/target_probe.hpp
+++ b/src/programs/gateway/target_probe.hpp
@@ -4,11 +4,13 @@
 
 #include "core/fleet/departures.hpp"
 #include "edge/http_client.hpp"
+#include "platform/documents.hpp"
 #include "programs/gateway/context.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,9 +29,14 @@
     std::string path;    // of a call that runs nothing
 };
 
+struct probe_answer {
+    probe_result result = probe_result::unknown;
+    std::optional<platform::target_report> report; // if the path is that of reports, and one came
+};
+
 class target_probe {
 public:
-    using handler = std::function<void(probe_result)>;
+    using handler = std::function<void(const probe_answer&)>;
     target_probe(gateway_context& context, edge::http_client& client) : context_(context), client_(client) {}
 
     /// Calls `on_result` on the event loop, after two inquiries at the latest: one that has begun before
@@ -50,7 +57,7 @@
     void begin(const inquiry_ptr& current);
     void call(const inquiry_ptr& current);
     void handle_answer(const inquiry_ptr& current, const edge::client_result& answer);
-    void finish(const inquiry_ptr& current, probe_result result);
+    void finish(const inquiry_ptr& current, const probe_answer& answer);
 
     gateway_context& context_;
     edge::http_client& client_;
--- a/tests/programs/test_gateway_weight_versions.py
+++ b/tests/programs/test_gateway_weight_versions.py
@@ -138,6 +138,14 @@
         expect_resumed_at_one_version(fleet, {200}, "m0/a1")
 
 
+def stream_does_not_go_on_at_an_adapter_that_has_come_anew_since_its_target_registered():
+    fleet, engines = fleet_of_adapters([1, 1])
+    with fleet:
+        break_streams(engines[:1], BREAK_AFTER)
+        engines[1].adapter_versions = {"a1": 2}
+        expect_resumed_at_one_version(fleet, {200, "IncompleteRead"}, "m0/a1")
+
+
 if __name__ == "__main__":
     run_cases([stream_resumed_within_one_answer_does_not_go_on_at_other_weights,
                stream_does_not_go_on_at_a_target_that_has_loaded_newer_weights_since_its_registration,
@@ -145,5 +153,6 @@
                stream_whose_weights_no_other_target_has_is_cut_at_once, target_that_refuses_other_weights_still_gets_new_streams,
                stream_taken_up_by_its_caller_anywhere_goes_on_at_its_weights, stream_of_unknown_weights_is_refused_while_there_are_several,
                stream_whose_weights_change_inside_goes_on_at_the_newer_ones,
-               stream_taken_up_after_its_weights_changed_goes_on_at_the_newer_ones, stream_does_not_go_on_at_another_version_of_its_adapter])
+               stream_taken_up_after_its_weights_changed_goes_on_at_the_newer_ones, stream_does_not_go_on_at_another_version_of_its_adapter,
+               stream_does_not_go_on_at_an_adapter_that_has_come_anew_since_its_target_registered])
     sys.exit(0)
