--- a/src/core/fleet/serving_version.hpp
+++ b/src/core/fleet/serving_version.hpp
@@ -4,10 +4,10 @@
 
 #include "core/fleet/model.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace waxwinglb::core::fleet {
 
@@ -15,7 +15,10 @@
     std::string software;
     std::optional<std::int64_t> weights; // of the model; nullopt: not stated
     std::string adapter;                 // of the requested adapter; empty: none, or not stated
-    auto operator<=>(const serving_version&) const = default;
+    bool operator==(const serving_version&) const = default;
+    bool operator<(const serving_version& other) const {
+        return std::tie(software, weights, adapter) < std::tie(other.software, other.weights, other.adapter);
+    }
 };
 
 /// What the target has stated that it serves requests of this model with.
