--- a/review/streams/run.py
+++ b/review/streams/run.py
@@ -15,7 +15,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
-from standins import Engine, engine_configuration, now, read_head, run  # noqa: E402
+from standins import Engine, answer_bytes, engine_configuration, now, read_head, run  # noqa: E402
 
 ARGUMENTS = argparse.ArgumentParser(description=__doc__)
 ARGUMENTS.add_argument("--seed", type=int, default=1)
@@ -27,6 +27,10 @@
 ARGUMENTS.add_argument("--framing", default="chunked", help="of answers, one of those listed: chunked, close")
 ARGUMENTS.add_argument("--end", default="fin", help="of a broken connection: fin or rst, one of those listed")
 ARGUMENTS.add_argument("--release", action="store_true", help="runners are replaced by those of the next version, one by one")
+ARGUMENTS.add_argument("--released", type=int, default=9, help="how many of the runners a release replaces")
+ARGUMENTS.add_argument("--weights", type=int, default=1, help="versions of the model's weights that the runners hold, in turn")
+ARGUMENTS.add_argument("--unstated", action="store_true", help="registrations and reports all name version 1 of the weights")
+ARGUMENTS.add_argument("--late-gateways", type=int, default=0, help="of the gateways: start in the middle")
 ARGUMENTS.add_argument("--crashes", type=int, default=0, help="runners that crash with all their connections; others come")
 ARGUMENTS.add_argument("--restarts", type=int, default=0, help="gateways that are killed or stopped and started again")
 ARGUMENTS.add_argument("--text", action="store_true", help="a runner that goes on a stream may answer with an error's text")
@@ -42,6 +46,11 @@
 class Streamer(Engine):
     """A model runner whose events name their stream, their number and the version of its software."""
     software = "v1"
+    weights = 1
+
+    def held(self):
+        stated = 1 if OPTIONS.unstated else self.weights
+        return [{**model, "version": stated} for model in super().held()]
 
     def register(self, state="ready"):
         put = self.store.put
@@ -67,12 +76,15 @@
 
     async def stream(self, request, writer):
         request_id = request.field("request-id")
+        if request.field("expected-version") not in (None, str(self.weights)):
+            return answer_bytes(421, b"", [("Request-Id", request_id)])
         self.runs.append((now(), request))
         first = int(request.field("last-event-id") or 0) + 1
         framing = choice_of(OPTIONS.framing)
         breaks = RNG.random() < OPTIONS.break_share
         where, at = choice_of(OPTIONS.break_in), RNG.randrange(first, EVENTS + 1)
-        head = (f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Signature: sig-{request_id}\r\nWeight-Versions: 1\r\n"
+        head = (f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Signature: sig-{request_id}\r\n"
+                f"Weight-Versions: {self.weights}\r\n"
                 "Content-Type: text/event-stream\r\n"
                 + ("Transfer-Encoding: chunked\r\n\r\n" if framing == "chunked" else "Connection: close\r\n\r\n")).encode()
 
@@ -86,7 +98,7 @@
             writer.write(framed(b"upstream failure\n\n"))
             return b"0\r\n\r\n" if framing == "chunked" else self.end(writer, "fin")
         for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: {request.path} {number} {self.software}\n\n".encode()
+            event = f"id: {number}\ndata: {request.path} {number} {self.software}/w{self.weights}\n\n".encode()
             if breaks and number == at and where in ("event", "between"):
                 if where == "event":
                     writer.write(framed(event[:RNG.randrange(1, len(event))]))
@@ -152,6 +164,8 @@
         return "cut"
 
     def take(self, body):
+        """Returns the first fault in the events of one answer."""
+        begun = len(self.versions)
         for block in body.split(b"\n\n")[:-1]:
             try:
                 id_line, data_line = block.decode().split("\n")
@@ -162,12 +176,14 @@
                 return "out of order"
             self.last = int(number)
             self.versions.append(version)
-        return "two versions" if len(set(self.versions)) > 1 else None
+        if len(set(self.versions)) < 2:
+            return None
+        return "two versions" if len(set(self.versions[begun:])) > 1 else "two versions, taken up by the caller"
 
 
 async def release(engines):
     """Each runner is replaced by one of the next version: the new one starts first, the old one drains and goes."""
-    for number, old in enumerate(list(engines)):
+    for number, old in enumerate(list(engines)[:OPTIONS.released]):
         new = Streamer(old.store, old.record, f"n{number}", old.service, zone=old.zone)
         new.models, new.software = {"m0"}, "v2"
         engines.append(await new.start())
@@ -201,6 +217,18 @@
             gateway.start()
 
 
+async def start_gateways(case, numbers):
+    gateways = [(await case.gateway(f"edge-{number}", zone="abc"[number % 3])).start() for number in numbers]
+    for gateway in gateways:
+        await gateway.wait_ready()
+    return gateways
+
+
+async def start_late(case, gateways):
+    await asyncio.sleep(OPTIONS.seconds / 2)
+    gateways += await start_gateways(case, range(GATEWAYS - OPTIONS.late_gateways, GATEWAYS))
+
+
 async def beat(engines):
     while True:
         await asyncio.sleep(1.0)
@@ -214,14 +242,12 @@
     engines = []
     for number in range(RUNNERS):
         engine = Streamer(case.store, case.record, f"e{number}", "seam-assistant", zone="abc"[number % 3])
-        engine.models = {"m0"}
+        engine.models, engine.weights = {"m0"}, 1 + number % OPTIONS.weights
         engines.append(await engine.start())
     tasks = [asyncio.create_task(beat(engines))]
-    gateways = [(await case.gateway(f"edge-{number}", zone="abc"[number % 3])).start() for number in range(GATEWAYS)]
-    for gateway in gateways:
-        await gateway.wait_ready()
+    gateways = await start_gateways(case, range(GATEWAYS - OPTIONS.late_gateways))
     await asyncio.sleep(4)
-    tasks += [asyncio.create_task(crash(engines, gateways))]
+    tasks += [asyncio.create_task(crash(engines, gateways)), asyncio.create_task(start_late(case, gateways))]
     if OPTIONS.release:
         tasks.append(asyncio.create_task(release(engines)))
     callers, until = [], now() + OPTIONS.seconds
@@ -229,7 +255,8 @@
         callers.append(asyncio.create_task(Caller(case, gateways, len(callers)).run()))
         await asyncio.sleep(1 / OPTIONS.streams)
     counts = collections.Counter(await asyncio.gather(*callers))
-    wrong = sum(counts[fault] for fault in ("looks whole and isn't", "not an event", "out of order", "two versions"))
+    wrong = sum(counts[fault] for fault in ("looks whole and isn't", "not an event", "out of order", "two versions",
+                                              "two versions, taken up by the caller"))
     return case.record.verdict(wrong > 0, f"{wrong} of {len(callers)} streams: {dict(counts)}")
 
 run(main, FOLDER)
