Streams begin at the weights of the registration where the answer names none

An answer without its weights left those of the stream unknown, so it went on at any: the registration's count now until the answer says otherwise. test_gateway_weight_versions, new case: failed before (went on at w2 after w1), passes.

--- a/src/programs/gateway/forwarder.cpp
+++ b/src/programs/gateway/forwarder.cpp
@@ -93,7 +93,6 @@
         request->target_start = {target, known->entry.born};
         request->target_address = known->entry.address;
         request->target_version = core::fleet::version_at(known->entry, request->model);
-        request->target_version.weights.reset(); // those that it answers with may be newer ones
     }
     dispatcher_->begin_attempt(request, target);
     const auto waited = context_.loop.now() - request->arrived;
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -107,7 +107,8 @@
                                              : dispatcher::attempt_outcome::not_run);
     request->may_have_run = true;
     request->ended_by = name_of_end(head);
-    request->target_version.weights = weights;
+    if (weights) // its registration may be older
+        request->target_version.weights = weights;
     const bool success = head.status >= 200 && head.status < 300;
     const bool genuine = edge::find_field(head.fields, platform::signature_header) != nullptr &&
                          edge::find_field(head.fields, "Content-Encoding") == nullptr;
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -249,6 +249,7 @@
         self.weights = 1                   # version of the weights that it holds
         self.new_weights_after = None      # number of events after which a run goes on with the next version of its weights
         self.states_weights = True         # in its registration and reports
+        self.answers_with_weights = True   # its answers name them
         self.adapter_versions = {}         # of adapters whose version it states
         self.marks = None                  # what events name: "software", "weights" or "adapter" (its version); None: nothing
         self.born, self.sequence, self.busy_until = int(time.time() * 1000), 1, 0.0
@@ -409,7 +410,8 @@
     def stream(self, call, signed):
         framing = [] if self.unframed else [("Transfer-Encoding", "chunked")]
         weights = self.weights
-        self.send_head(call, signed + [("Content-Type", "text/event-stream"), ("Weight-Versions", str(weights))] + framing)
+        named = [("Weight-Versions", str(weights))] if self.answers_with_weights else []
+        self.send_head(call, signed + [("Content-Type", "text/event-stream")] + named + framing)
 
         def write(data):
             try:
--- a/tests/programs/test_gateway_weight_versions.py
+++ b/tests/programs/test_gateway_weight_versions.py
@@ -58,6 +58,15 @@
         expect_resumed_at_one_version(fleet, {200})
 
 
+def stream_of_weights_that_only_registrations_name_does_not_go_on_at_others():
+    fleet, engines = fleet_of_weights([1, 2, 1, 2])
+    with fleet:
+        break_streams(engines[:2], BREAK_AFTER)
+        for engine in engines:
+            engine.answers_with_weights = False
+        expect_resumed_at_one_version(fleet, {200})
+
+
 def stream_whose_weights_no_other_target_has_is_cut_at_once():
     fleet, engines = fleet_of_weights([1, 2])
     with fleet:
@@ -150,6 +159,7 @@
     run_cases([stream_resumed_within_one_answer_does_not_go_on_at_other_weights,
                stream_does_not_go_on_at_a_target_that_has_loaded_newer_weights_since_its_registration,
                stream_of_weights_that_targets_name_only_in_answers_does_not_go_on_at_others,
+               stream_of_weights_that_only_registrations_name_does_not_go_on_at_others,
                stream_whose_weights_no_other_target_has_is_cut_at_once, target_that_refuses_other_weights_still_gets_new_streams,
                stream_taken_up_by_its_caller_anywhere_goes_on_at_its_weights, stream_of_unknown_weights_is_refused_while_there_are_several,
                stream_whose_weights_change_inside_goes_on_at_the_newer_ones,
