--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -51,6 +51,7 @@
     /// Takes its tokens from the customer's rate when it is sent for the first time. False: refused.
     bool charge(const caller_request_ptr& request);
     void on_head(const caller_request_ptr& request, const edge::answer_head& head);
+    void note_weights(caller_request& request, const edge::answer_head& head); // as the answer states them
     void on_body(const caller_request_ptr& request, std::string&& piece);
     void pass_on_events(const caller_request_ptr& request);
     void hold_until_start_known(const caller_request_ptr& request);
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -96,9 +96,6 @@
 
 void forwarder::on_head(const caller_request_ptr& request, const edge::answer_head& head) {
     dispatcher_->note_answer(request->target_start, head.status, head.fields, answered_call::request);
-    const auto weights = platform::decode_weights(head.fields);
-    if (weights)
-        context_.directory.note_weights(request->target_start, request->model.model, *weights);
     if (request->expects_weights() && head.status == platform::wrong_target_status)
         return handle_other_version(request);
     if (reports_not_run(head))
@@ -107,13 +104,12 @@
                                              : dispatcher::attempt_outcome::not_run);
     request->may_have_run = true;
     request->ended_by = name_of_end(head);
-    if (weights) // its registration may be older
-        request->target_version.weights = weights;
     const bool success = head.status >= 200 && head.status < 300;
     const bool genuine = edge::find_field(head.fields, platform::signature_header) != nullptr &&
                          edge::find_field(head.fields, "Content-Encoding") == nullptr;
     if (success && !genuine)
         return handle_lost_answer(request, "answer_without_signature");
+    note_weights(*request, head);
     if (success && request->begun_at && !may_continue(*request->begun_at, request->target_version))
         return handle_lost_answer(request, "other_version");
     if (!request->is_stream() && began_to_run(head))
@@ -139,6 +135,15 @@
                       static_cast<std::size_t>(std::min<std::uint64_t>(*head.length, max_buffered_answer)));
 }
 
+/// Targets are registered with the weights that they had some seconds ago.
+void forwarder::note_weights(caller_request& request, const edge::answer_head& head) {
+    const auto stated = platform::decode_weights(head.fields);
+    if (!stated || request.model.model.empty())
+        return;
+    request.target_version.weights = stated;
+    context_.directory.note_weights(request.target_start, request.model.model, *stated);
+}
+
 /// A stream goes on only at the software version that began it. A target may have started again with another
 /// one, under its id, since its registration was read.
 void forwarder::hold_until_start_known(const caller_request_ptr& request) {
