A stream that goes on doesn't wait for a load at a target of other software

Seen in the read-through of the fix: a target without the model counted as one that could get it, whatever its software, so the stream was held for one and a half latency targets instead of being cut at once. request_target_choice, new case: no_model before, other_version now.

--- a/src/core/dispatch/request_target_choice.cpp
+++ b/src/core/dispatch/request_target_choice.cpp
@@ -119,10 +119,17 @@
     return newest;
 }
 
-/// Whether a load, which fetches the newest weights, brings others than those that began the stream.
-bool loads_later_weights(const fleet::serving_version& begun_at,
-                         const std::optional<std::int64_t>& newest_weights) {
-    return begun_at.weights && newest_weights > begun_at.weights;
+/// Whether a stream that goes on would be spoilt at the target, as it is or once it has loaded the model: a
+/// load fetches the newest weights.
+bool has_other_version(const fleet::target_entry& target, fit model, const target_criteria& criteria,
+                       const std::optional<std::int64_t>& newest_weights) {
+    if (criteria.begun_at == nullptr)
+        return false;
+    const fleet::serving_version& begun_at = *criteria.begun_at;
+    fleet::serving_version at = fleet::version_at(target, criteria.model);
+    if (model == fit::wrong_model || model == fit::loading)
+        at.weights = newest_weights > begun_at.weights ? newest_weights : std::nullopt;
+    return !may_continue(begun_at, at);
 }
 
 /// Why this target can't take the request; obstacle::none if it can.
@@ -136,12 +143,8 @@
     if (target.leaving() || tried || barred || excluded || (target.gone_at && now >= *target.gone_at))
         return obstacle::no_target;
     const fit model = model_fit(target, criteria.model);
-    if (criteria.begun_at != nullptr) {
-        const bool must_load = model == fit::wrong_model || model == fit::loading;
-        if (must_load ? loads_later_weights(*criteria.begun_at, newest_weights)
-                      : !may_continue(*criteria.begun_at, fleet::version_at(target.entry, criteria.model)))
-            return obstacle::other_version;
-    }
+    if (has_other_version(target.entry, model, criteria, newest_weights))
+        return obstacle::other_version;
     switch (model) {
     case fit::wrong_model:
         return obstacle::no_model;
--- a/tests/core/origins_test.cpp
+++ b/tests/core/origins_test.cpp
@@ -131,6 +131,17 @@
     EXPECT_EQ(dispatch::choose(candidates, criteria, now).why, dispatch::obstacle::no_model);
 }
 
+TEST(request_target_choice, a_stream_does_not_wait_for_a_load_at_a_target_of_other_software) {
+    fleet::target other = target_of("s", version("v2"));
+    std::vector<dispatch::candidate> candidates(1);
+    candidates[0].target = &other;
+    dispatch::target_criteria criteria;
+    criteria.model = {"m", ""};
+    const auto begun_at = version("v1", 1);
+    criteria.begun_at = &begun_at;
+    EXPECT_EQ(dispatch::choose(candidates, criteria, now).why, dispatch::obstacle::other_version);
+}
+
 TEST(request_target_choice, a_stream_that_goes_on_gets_no_target_of_another_software_version) {
     fleet::target old_version;
     fleet::target new_version;
