Streams that go on don't wait for a load at a target of other software

Callers' streams were held until their wait limit, and a model could be loaded for them in vain: the check of versions looked at weights only where the model must be loaded first. The core test request_target_choice.a_stream_that_goes_on_waits_for_no_load failed before (no_model) and passes now.

--- a/src/core/dispatch/request_target_choice.cpp
+++ b/src/core/dispatch/request_target_choice.cpp
@@ -119,10 +119,12 @@
     return newest;
 }
 
-/// Whether a load, which fetches the newest weights, brings others than those that began the stream.
-bool loads_later_weights(const fleet::serving_version& begun_at,
-                         const std::optional<std::int64_t>& newest_weights) {
-    return begun_at.weights && newest_weights > begun_at.weights;
+/// Whether the stream may go on at the target once it has loaded the model: a load fetches the newest
+/// weights.
+bool may_continue_after_load(const fleet::serving_version& begun_at, const fleet::target& target,
+                             const std::optional<std::int64_t>& newest_weights) {
+    const bool loads_later_weights = begun_at.weights && newest_weights > begun_at.weights;
+    return target.entry.software_version == begun_at.software && !loads_later_weights;
 }
 
 /// Why this target can't take the request; obstacle::none if it can.
@@ -138,8 +140,10 @@
     const fit model = model_fit(target, criteria.model);
     if (criteria.begun_at != nullptr) {
         const bool must_load = model == fit::wrong_model || model == fit::loading;
-        if (must_load ? loads_later_weights(*criteria.begun_at, newest_weights)
-                      : !may_continue(*criteria.begun_at, fleet::version_at(target.entry, criteria.model)))
+        const bool may_go_on =
+            must_load ? may_continue_after_load(*criteria.begun_at, target, newest_weights)
+                      : may_continue(*criteria.begun_at, fleet::version_at(target.entry, criteria.model));
+        if (!may_go_on)
             return obstacle::other_version;
     }
     switch (model) {
