Versions that have left count for their whole minute, however often targets change

Callers whose stream had begun at a version that had left could get it joined with another one's (ORDER): past statements of targets were kept whole, 20,000 at most, and at 4,400 targets five changes of adapters each push out what left 25 s ago. They are kept now as versions with the time until which a target stated them, without a bound to hit: as many as were stated in a minute. core_tests version_history.a_version_counts_for_a_while_however_often_targets_change_their_adapters failed before and passes now.

--- a/src/core/streams/version_history.cpp
+++ b/src/core/streams/version_history.cpp
@@ -1,5 +1,6 @@
 #include "core/streams/version_history.hpp"
 
+#include <limits>
 #include <utility>
 
 namespace waxwinglb::core::streams {
@@ -22,26 +23,36 @@
     return service == target.service && software == target.software_version && held == target.versions;
 }
 
-void version_history::retire(statement&& past, time_point now) {
-    past.until = now;
-    past_.push_back(std::move(past));
-    if (past_.size() > max_past_statements)
-        past_.pop_front();
+void version_history::past_versions::expire(time_point now) {
+    const auto is_old = [now](const auto& version) { return now - version.second > version_retention; };
+    std::erase_if(software, is_old);
+    std::erase_if(weights, is_old);
+    std::erase_if(adapters, is_old);
+}
+
+void version_history::retire(const statement& past, time_point now) {
+    past_versions& versions = past_[past.service];
+    versions.software[past.software] = now;
+    for (const auto& [model, weights] : past.held.weights)
+        versions.weights[{model, weights}] = now;
+    for (const auto& [adapter, version] : past.held.adapters)
+        versions.adapters[{adapter, version}] = now;
 }
 
 void version_history::update(const std::map<std::string, fleet::target>& targets, time_point now) {
-    while (!past_.empty() && now - past_.front().until > version_retention)
-        past_.pop_front();
+    for (auto& [service, versions] : past_)
+        versions.expire(now);
+    std::erase_if(past_, [](const auto& each) { return each.second.software.empty(); });
     auto known = current_.begin();
     for (const auto& [id, target] : targets) {
         while (known != current_.end() && known->first < id) {
-            retire(std::move(known->second), now);
+            retire(known->second, now);
             known = current_.erase(known);
         }
         const fleet::target_entry& entry = target.entry;
         const bool is_known = known != current_.end() && known->first == id;
         if (!is_known || !known->second.is_of(entry)) {
-            statement now_stated{entry.service, entry.software_version, entry.versions, {}};
+            statement now_stated{entry.service, entry.software_version, entry.versions};
             if (is_known)
                 retire(std::exchange(known->second, std::move(now_stated)), now);
             else
@@ -50,7 +61,7 @@
         ++known;
     }
     while (known != current_.end()) {
-        retire(std::move(known->second), now);
+        retire(known->second, now);
         known = current_.erase(known);
     }
 }
@@ -63,14 +74,24 @@
         to.adapters.insert(adapter->second);
 }
 
+void version_history::add(stated_versions& to, const past_versions& from, const fleet::model_ref& ref) {
+    for (const auto& [software, until] : from.software)
+        to.software.insert(software);
+    auto weights = from.weights.lower_bound({ref.model, std::numeric_limits<std::int64_t>::min()});
+    for (; weights != from.weights.end() && weights->first.first == ref.model; ++weights)
+        to.weights.insert(weights->first.second);
+    auto adapter = from.adapters.lower_bound({ref, ""});
+    for (; adapter != from.adapters.end() && adapter->first.first == ref; ++adapter)
+        to.adapters.insert(adapter->first.second);
+}
+
 stated_versions version_history::versions_of(const std::string& service, const fleet::model_ref& ref) const {
     stated_versions out;
     for (const auto& [id, statement] : current_)
         if (statement.service == service)
             add(out, statement, ref);
-    for (const statement& past : past_)
-        if (past.service == service)
-            add(out, past, ref);
+    if (const auto past = past_.find(service); past != past_.end())
+        add(out, past->second, ref);
     return out;
 }
 
--- a/src/core/streams/version_history.hpp
+++ b/src/core/streams/version_history.hpp
@@ -6,16 +6,15 @@
 #include "core/fleet/directory.hpp"
 #include "core/fleet/serving_version.hpp"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace waxwinglb::core::streams {
 
 constexpr common::milliseconds version_retention{60'000}; // longer than callers wait for a stream
-constexpr std::size_t max_past_statements = 20'000;       // the oldest ones are dropped beyond that
 
 /// What the targets that may have written a stream state.
 struct stated_versions {
@@ -42,15 +41,23 @@
         std::string service;
         std::string software;
         fleet::held_versions held;
-        common::time_point until{}; // of a past one
 
         [[nodiscard]] bool is_of(const fleet::target_entry& target) const;
     };
-    void retire(statement&& past, common::time_point now);
+    /// Versions that targets of one service have stated, each with the time until which one did.
+    struct past_versions {
+        std::map<std::string, common::time_point> software;
+        std::map<std::pair<std::string, std::int64_t>, common::time_point> weights; // by model, weights
+        std::map<std::pair<fleet::model_ref, std::string>, common::time_point> adapters;
+
+        void expire(common::time_point now);
+    };
+    void retire(const statement& past, common::time_point now);
     static void add(stated_versions& to, const statement& from, const fleet::model_ref& ref);
+    static void add(stated_versions& to, const past_versions& from, const fleet::model_ref& ref);
 
-    std::map<std::string, statement> current_; // by target
-    std::deque<statement> past_;               // oldest first
+    std::map<std::string, statement> current_;  // by target
+    std::map<std::string, past_versions> past_; // by service
 };
 
 } // namespace waxwinglb::core::streams
