Streams whose end isn't marked are cut where their target reports further events of them

Callers saw a stream without length and chunks end as whole where its target had closed the connection between two events and went on running: of a running target, the end of a connection counted as the answer's. Its report's `runs` name the events made. More than came prove that the stream isn't whole: it is cut (`run_goes_on`), and not resumed, since the run still works and can't be ended. Reports are some hundred ms old, so at the end they still have a whole stream's run too: they are asked for again, every 100 ms for 1 s at most, or until the run is gone. A run that is listed with no further events proves nothing, nor do events of a stream that its caller took up.

A whole stream ends later at its caller by the age of the report, up to 1 s, at targets that list the run; its events don't.

--- a/review/streams/run.py
+++ b/review/streams/run.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 import collections
+import json
 import pathlib
 import random
 import signal
@@ -34,6 +35,8 @@
 ARGUMENTS.add_argument("--crashes", type=int, default=0, help="runners that crash with all their connections; others come")
 ARGUMENTS.add_argument("--restarts", type=int, default=0, help="gateways that are killed or stopped and started again")
 ARGUMENTS.add_argument("--text", action="store_true", help="a runner that goes on a stream may answer with an error's text")
+ARGUMENTS.add_argument("--report-age", type=float, default=0, help="of the runs that reports list, in seconds; 0: they list none")
+ARGUMENTS.add_argument("--goes-on", action="store_true", help="the run of a broken stream makes the rest of its events, unseen")
 OPTIONS = ARGUMENTS.parse_args()
 RUNNERS, GATEWAYS, EVENTS, EVENT_PAUSE_S = 9, 5, 43, 0.03
 RNG = random.Random(OPTIONS.seed)
@@ -48,6 +51,31 @@
     software = "v1"
     weights = 1
 
+    def __init__(self, *args, **more):
+        super().__init__(*args, **more)
+        self.run_history = []              # (time, request id, events made, None at the run's end)
+
+    async def serve(self, request, writer):
+        answer = await super().serve(request, writer)
+        if request.path != "/report" or not OPTIONS.report_age:
+            return answer
+        return answer_bytes(200, {**json.loads(answer.partition(b"\r\n\r\n")[2]), "runs": self.reported_runs()})
+
+    def reported_runs(self):
+        until = now() - OPTIONS.report_age
+        self.run_history = [entry for entry in self.run_history if entry[0] > until - 10]
+        latest = {request_id: made for at, request_id, made in self.run_history if at <= until}
+        return [[request_id, 100, made, 1] for request_id, made in latest.items() if made is not None]
+
+    def note_run(self, request, made):
+        self.run_history.append((now(), request.field("request-id"), made))
+
+    async def make_unseen(self, request, rest):
+        for number in rest:
+            self.note_run(request, number)
+            await asyncio.sleep(EVENT_PAUSE_S)
+        self.note_run(request, None)
+
     def held(self):
         stated = 1 if OPTIONS.unstated else self.weights
         return [{**model, "version": stated} for model in super().held()]
@@ -102,10 +130,13 @@
             if breaks and number == at and where in ("event", "between"):
                 if where == "event":
                     writer.write(framed(event[:RNG.randrange(1, len(event))]))
-                return self.end(writer, choice_of(OPTIONS.end))
+                self.end(writer, choice_of(OPTIONS.end))
+                return await self.make_unseen(request, range(number, EVENTS + 1) if OPTIONS.goes_on else [])
             writer.write(framed(event))
+            self.note_run(request, number)
             await writer.drain()
             await asyncio.sleep(EVENT_PAUSE_S)
+        self.note_run(request, None)
         if framing == "close" or breaks and where == "last":
             return self.end(writer, "fin")
         return b"0\r\n\r\n"
--- a/src/core/timeline/request_trace.cpp
+++ b/src/core/timeline/request_trace.cpp
@@ -65,6 +65,9 @@
     reason_text{"ended_inside_event", "Its target ended the stream in the middle of an event."},
     reason_text{"ended_without_event",
                 "Its target closed the connection of a stream without length before the first event."},
+    reason_text{
+        "run_goes_on",
+        "Its target closed the connection of a stream without length and reported further events of it."},
     reason_text{"answer_malformed", "Its target sent no valid answer to it."},
     reason_text{"answer_without_signature",
                 "Its target's successful answer had no signature or was encoded."},
--- a/src/programs/gateway/forwarder.hpp
+++ b/src/programs/gateway/forwarder.hpp
@@ -58,6 +58,10 @@
     void probe(const caller_request_ptr& request, const char* why, target_probe::handler on_result);
     void on_complete(const caller_request_ptr& request);
     void confirm_end(const caller_request_ptr& request);
+    void complete_unless_running(const caller_request_ptr& request, const probe_answer& answer,
+                                 core::common::time_point until);
+    void ask_again_at_end(const caller_request_ptr& request, core::common::time_point until);
+    void cut_running(const caller_request_ptr& request);
     void complete(const caller_request_ptr& request);
     void on_failed(const caller_request_ptr& request, exchange_failure failure);
 
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -7,6 +7,8 @@
 #include "programs/gateway/forwarder.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
 
 namespace waxwinglb::programs::gateway {
 namespace {
@@ -20,6 +22,9 @@
 constexpr std::size_t small_event = 16U << 10U; // bytes of an incomplete event that needs no room of its own
 constexpr const char* ended_by_connection = "connection"; // of an answer with neither length nor chunks
 
+constexpr core::common::milliseconds max_report_age{1'000}; // the pages say some hundred
+constexpr core::common::milliseconds report_interval{100};  // between questions to one target
+
 /// Header fields of a target's answer that are forwarded to the caller.
 std::vector<edge::http_field> forwarded_fields(const std::vector<edge::http_field>& from) {
     std::vector<edge::http_field> out;
@@ -86,6 +91,31 @@
     return begun_at.empty() || reported == report.versions.adapters.end() || reported->second == begun_at;
 }
 
+/// Events that the caller has of the whole stream; nullopt where their ids don't count them.
+std::optional<int> events_passed(const caller_request& request) {
+    const bool taken_up = edge::find_field(request.received.fields, platform::resume_header) != nullptr;
+    const std::string& id = request.last_event;
+    int out = 0;
+    if (taken_up || !request.sequence.consecutive() ||
+        std::from_chars(id.data(), id.data() + id.size(), out).ec != std::errc{})
+        return std::nullopt;
+    return out;
+}
+
+/// When the last report on the end of an answer may be asked for: the deadline doesn't cut one that has come.
+time_point latest_report(const caller_request& request, time_point now) {
+    return std::min(now + max_report_age, request.deadline - max_report_age);
+}
+
+/// Events that the target reports of the request's run; nullopt if it reports no such run.
+std::optional<int> events_reported(const caller_request& request, const probe_answer& answer) {
+    if (!request.streaming || !answer.report)
+        return std::nullopt;
+    const auto& runs = answer.report->events_made;
+    const auto run = runs.find(request.request_id);
+    return run == runs.end() ? std::nullopt : std::optional{run->second};
+}
+
 /// An answer without any event shows neither that the stream before it was whole nor that its target knew of
 /// it.
 bool resumed_with_nothing(const caller_request& request) {
@@ -304,13 +334,46 @@
     probe(request, "end", [this, request](const probe_answer& answer) {
         const probe_result result = answer.result;
         if (result == probe_result::running || result == probe_result::listening)
-            return complete(request);
+            return complete_unless_running(request, answer, latest_report(*request, context_.loop.now()));
         if (result == probe_result::ended && request->head.status < 300)
             return handle_broken_answer(request, "target_ended");
         handle_lost_answer(request, "end_unconfirmed");
     });
 }
 
+/// Completes an answer unless its target reports more events of the run than have come. A report may be older
+/// than the answer's end, so a target that still reports the run is asked again.
+void forwarder::complete_unless_running(const caller_request_ptr& request, const probe_answer& answer,
+                                        time_point until) {
+    const auto made = events_reported(*request, answer);
+    const auto passed = events_passed(*request);
+    if (!made || !passed)
+        return complete(request);
+    if (*made > *passed)
+        return cut_running(request);
+    if (context_.loop.now() >= until)
+        return complete(request);
+    ask_again_at_end(request, until);
+}
+
+void forwarder::ask_again_at_end(const caller_request_ptr& request, time_point until) {
+    const auto ask = [this, request, until, attempt = request->send_count] {
+        if (request->finished || !request->target_exchange || request->send_count != attempt)
+            return;
+        probe(request, "end", [this, request, until](const probe_answer& answer) {
+            complete_unless_running(request, answer, until);
+        });
+    };
+    context_.loop.schedule(context_.loop.now() + report_interval, ask);
+}
+
+/// The run can't be ended, its connection being closed, so the request may not go on elsewhere.
+void forwarder::cut_running(const caller_request_ptr& request) {
+    note_broken_run(*request);
+    close_exchange(request, dispatcher::attempt_outcome::failed);
+    fail(request, 502, "run_goes_on");
+}
+
 void forwarder::complete(const caller_request_ptr& request) {
     if (!request->streaming || !request->session->answer_begun())
         return send_answer(request);
--- a/tests/contract/platform_test.cpp
+++ b/tests/contract/platform_test.cpp
@@ -139,6 +139,16 @@
     EXPECT_FALSE(value_of([] { return platform::decode_report("\x80\x81"); }).has_value());
 }
 
+TEST(platform_documents, a_report_has_the_events_of_its_runs) {
+    const auto decoded = value_of([] {
+        return platform::decode_report(
+            R"({"runs":[["r1",100,7,1],["r2",100,0,1],["r3",100],["r4",100,-1,1],["r5",100,"7",1],[6,100,7,1],7]})");
+    });
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->events_made, (std::map<std::string, int>{{"r1", 7}, {"r2", 0}}));
+    EXPECT_TRUE(value_of([] { return platform::decode_report(R"({"runs":7})"); })->events_made.empty());
+}
+
 TEST(platform_documents, an_order_has_its_sequence_holder_and_fencing_token) {
     const json decoded = json::parse(platform::encode_order({true, {"m", "a1"}, 4, "vm-1", 9}));
     EXPECT_EQ(decoded, (json{{"operation", "model_load"},
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -258,6 +258,10 @@
         self.run_started_at = []           # arrival time of each, in seconds
         self.break_stream_after = None     # number of events after which every stream breaks
         self.break_inside_event = False    # it breaks in the middle of the next event
+        self.goes_on_after_break = False   # the run of a broken stream makes the rest of its events, which nobody gets
+        self.report_age_s = None           # age of the runs that reports list; None: they list none
+        self.counts_from_resumption = False # reports count no events that a run's caller had before
+        self.run_history = []              # (time, request id, events made, None at the run's end)
         self.end_chunks_on_break = False   # such a stream has its last chunk
         self.events = 10                   # of a stream
         self.remaining_ms = None           # in the registration: time until it is removed
@@ -310,7 +314,7 @@
         if call.path == f"/{self.endless}":
             return self.send_without_end(call, [])
         if call.path == "/report":
-            return call.answer(200, {"models": self.holding(), "busy": bool(self.loading), "born": self.born,
+            return call.answer(200, {**self.reported_runs(), "models": self.holding(), "busy": bool(self.loading), "born": self.born,
                                      "sequence": self.sequence, "running": 0, "waiting": 0,
                                      "at_hand": {"in_memory": [], "on_disk": sorted(self.on_disk)}})
         if call.path == "/health":
@@ -320,6 +324,16 @@
             return self.take_order(call, json.loads(call.body()))
         return self.run(call, call.body())
 
+    def reported_runs(self):
+        if self.report_age_s is None:
+            return {}
+        until = time.monotonic() - self.report_age_s
+        latest = {request_id: made for at, request_id, made in list(self.run_history) if at <= until}
+        return {"runs": [[request_id, 100, made, 1] for request_id, made in latest.items() if made is not None]}
+
+    def note_run(self, call, made):
+        self.run_history.append((time.monotonic(), call.headers["Request-Id"], made))
+
     def take_order(self, call, order):
         self.orders.append((time.monotonic(), order["holder"], order["fencing_token"]))
         self.holding()
@@ -421,6 +435,7 @@
                 self.streams_left_at.append((time.monotonic(), call.headers["Request-Id"], number))
                 raise
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
+        counted_from = first - 1 if self.counts_from_resumption else 0
         for number in range(first, self.events + 1):
             changes = self.new_weights_after is not None and number == self.new_weights_after + 1
             weights += changes
@@ -433,12 +448,22 @@
                 if self.end_chunks_on_break:
                     call.wfile.write(b"0\r\n\r\n")
                 call.close_connection = True
-                return call.connection.shutdown(socket.SHUT_RDWR)
+                call.connection.shutdown(socket.SHUT_RDWR)
+                return self.end_run(call, range(number, self.events + 1) if self.goes_on_after_break else [], counted_from)
             write(event)
+            self.note_run(call, number - counted_from)
             time.sleep(self.event_pause_s)
+        self.end_run(call, [], counted_from)
         call.close_connection = self.unframed
         return call.wfile.write(b"" if self.unframed else b"0\r\n\r\n")
 
+    def end_run(self, call, rest, counted_from):
+        """Makes the rest of a run's events, which nobody gets, and ends it."""
+        for number in rest:
+            self.note_run(call, number - counted_from)
+            time.sleep(self.event_pause_s)
+        self.note_run(call, None)
+
     def mark(self, call, weights):
         if self.marks is None:
             return ""
