A stream whose end is being confirmed isn't moved off a target that is removed

While a gateway asked for further reports, a stream that had come to its last event went on elsewhere if its target was about to be removed: callers saw a whole stream cut. test_gateway_unmarked_ends, new case: failed before, 2 of 2, passes, 2 of 2.

--- a/src/programs/gateway/caller_request.hpp
+++ b/src/programs/gateway/caller_request.hpp
@@ -80,6 +80,7 @@
     bool streaming = false;        // the answer is forwarded as it arrives
     bool held = false;             // until it is known which start of the target answers
     bool ended_while_held = false; // all of it has come
+    bool confirming_end = false;   // all of it has come; a later report may show that it isn't whole
     const char* ended_by = ""; // what marks the end of the target's body: "length", "chunks" or "connection"
     bool run_counted = false;  // as a request that began to run
     bool finished = false;     // answered, refused or abandoned
--- a/src/programs/gateway/forwarder_answers.cpp
+++ b/src/programs/gateway/forwarder_answers.cpp
@@ -357,6 +357,7 @@
 }
 
 void forwarder::ask_again_at_end(const caller_request_ptr& request, time_point until) {
+    request->confirming_end = true;
     const auto ask = [this, request, until, attempt = request->send_count] {
         if (request->finished || !request->target_exchange || request->send_count != attempt)
             return;
--- a/src/programs/gateway/forwarder_failures.cpp
+++ b/src/programs/gateway/forwarder_failures.cpp
@@ -179,7 +179,7 @@
 }
 
 bool forwarder::move_elsewhere(const caller_request_ptr& request) {
-    return request->repeatable() && request->has_attempts_left() &&
+    return !request->confirming_end && request->repeatable() && request->has_attempts_left() &&
            retry(request, "target_ending", true, dispatcher::attempt_outcome::abandoned);
 }
 
--- a/tests/programs/test_gateway_unmarked_ends.py
+++ b/tests/programs/test_gateway_unmarked_ends.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """waxwing-gateway and streams that only the end of their connection ends, at targets that go on running and report their runs."""
 import sys
+import threading
 import time
 
 from gateway_fleet import Fleet, expect, outcome
@@ -67,6 +68,22 @@
             expect(len(targets[0].runs) > 0 and len(targets[1].runs) > 0, True, "both targets ran some")
 
 
+def whole_stream_whose_target_is_removed_while_its_end_is_confirmed_is_complete():
+    with Fleet(ARGUMENTS.bin) as fleet:
+        targets = started(fleet, 2, report_age_s=1.0)
+        seen = []
+        headers = fleet.headers("m0", Token_Count="100,4000")
+        caller = threading.Thread(target=lambda: seen.append(outcome(fleet, "/notes/1", headers)))
+        caller.start()
+        target = wait_until(lambda: next((target for target in targets if target.runs), None), "a target runs it")
+        wait_until(lambda: target.run_history and target.run_history[-1][2] is None, "the run has ended")
+        target.remaining_ms = 600
+        target.register("draining")
+        caller.join()
+        expect(seen, [WHOLE], "the stream")
+        expect(sum(len(target.runs) for target in targets), 1, "runs")
+
+
 def whole_rest_that_its_caller_asked_for_is_complete():
     with Fleet(ARGUMENTS.bin) as fleet:
         started(fleet)
@@ -79,5 +96,6 @@
                stream_whose_run_goes_on_is_not_resumed_beside_it,
                whole_stream_that_is_still_reported_is_complete,
                whole_stream_that_was_resumed_is_complete_however_its_events_are_counted,
+               whole_stream_whose_target_is_removed_while_its_end_is_confirmed_is_complete,
                whole_rest_that_its_caller_asked_for_is_complete])
     sys.exit(0)
