Exchange: names of the field for who is in contact

hears -> is_in_contact, hears_reader -> has_reader_in_contact, groups_heard -> groups_in_contact, a report's heard -> members_in_contact and hears -> groups_in_contact, hears_us -> receives_ours, told_speakers -> relayed_speakers, count_unheard -> count_known_by_sums; comments likewise. is_in_contact is what hears was: a report of the gateway arrived lately; mutual contact keeps its own function. The fields of idl/waxwing.thrift keep their names, the codec maps them. Behaviour doesn't change.

--- a/src/core/exchange/exchange.cpp
+++ b/src/core/exchange/exchange.cpp
@@ -14,13 +14,13 @@
 
 constexpr milliseconds unregistered_retention{10'000};
 constexpr milliseconds peer_retention{60'000}; // of another group's; longer than a datagram may be late
-// A gateway that has just started hears its group within this time. If a whole fleet starts, each of its
-// gateways would otherwise speak for its group until then.
+// A gateway that has just started receives reports of its group within this time. If a whole fleet starts,
+// each of its gateways would otherwise speak for its group until then.
 constexpr milliseconds listening_period{400};
 constexpr std::size_t probes_per_group = 2; // members of a silent group that are tried in one period
 
 /// Coverage by which one of several reporters about the other groups is followed. A member that isn't a
-/// speaker hears of them only for a while, when one of them tries whom it can reach.
+/// speaker learns of them only for a while, when one of them tries whom it can reach.
 int preference(int in_contact, bool is_speaker) {
     constexpr int speaker_weight = 1'000'000; // above the size of any fleet
     return is_speaker ? in_contact * speaker_weight : in_contact;
@@ -86,7 +86,7 @@
     std::erase_if(groups_, [](const auto& group) {
         return group.second.members.empty() && group.second.speakers.empty();
     });
-    unheard_ = count_unheard();
+    known_by_sums_ = count_known_by_sums();
     quota.change_members({direct_.begin(), direct_.end()});
 }
 
@@ -100,12 +100,12 @@
     const auto is_old = [&](const auto& speaker) { return !within(speaker.second, contact_limit, now); };
     for (auto& [name, group] : groups_) {
         std::erase_if(group.speakers, is_old);
-        std::erase_if(group.told_speakers, is_old);
+        std::erase_if(group.relayed_speakers, is_old);
     }
     std::erase_if(peers_, [&](const auto& known) {
         return !direct_.contains(known.first) && !within(known.second.at, peer_retention, now);
     });
-    unheard_ = count_unheard();
+    known_by_sums_ = count_known_by_sums();
     outside_[self_.name] = own_outside(now);
     outside_feed_.lower_coverage(self_.name, preference(outside_[self_.name].in_contact, speaks(now)));
     update_quota(quota, now);
@@ -122,7 +122,7 @@
     known.last = received;
     known.at = now;
     known.is_member = received.own.has_value();
-    known.hears_us = contains(received.heard, self_.name);
+    known.receives_ours = contains(received.members_in_contact, self_.name);
     if (const auto [place, is_new] = places_.try_emplace(received.process);
         is_new || place->second != received.data_centre) {
         place->second = received.data_centre;
@@ -142,7 +142,7 @@
 
 void exchange::take_member(const report& received, limits::fleet_quota& quota, time_point now) {
     quota.merge_report(received.process, received.boot, received.own->taken,
-                       peers_.at(received.process).hears_us, now);
+                       peers_.at(received.process).receives_ours, now);
     if (received.leaving)
         quota.mark_departed(received.process);
 }
@@ -154,7 +154,8 @@
     else
         group.speakers[received.process] = now;
     group.reports[received.process] = *received.group_use;
-    const int coverage = received.group_use->hears.contains(group_) ? received.group_use->in_contact : 0;
+    const int coverage =
+        received.group_use->groups_in_contact.contains(group_) ? received.group_use->in_contact : 0;
     for (const auto& [customer, tokens] :
          group.feed.take(received.process, received.boot, received.group_use->use.taken, coverage, now))
         outside_taken_[customer] += tokens;
@@ -167,7 +168,7 @@
 void exchange::take_outside(const report& received, limits::fleet_quota& quota, time_point now) {
     const outside_report& outside = *received.outside;
     outside_[received.process] = outside;
-    const int coverage = !peers_.at(received.process).hears_us
+    const int coverage = !peers_.at(received.process).receives_ours
                              ? 0
                              : preference(outside.in_contact, contains(own_speakers(now), received.process));
     quota.take_outside(outside_feed_.take(received.process, received.boot, outside.use.taken, coverage, now),
@@ -175,7 +176,7 @@
     note_sighting(by_outside, outside.order_giver, now);
     for (const std::string& speaker : outside.speakers)
         if (const auto group = division_.find(speaker); group != division_.end() && group->second != group_)
-            groups_[group->second].told_speakers[speaker] = now;
+            groups_[group->second].relayed_speakers[speaker] = now;
 }
 
 void exchange::note_order_giver(const report& received, time_point now) {
@@ -194,13 +195,13 @@
 
 // ---- what is known ---------------------------------------------------------------------------------
 
-bool exchange::hears(const std::string& peer, time_point now) const {
+bool exchange::is_in_contact(const std::string& peer, time_point now) const {
     const auto known = peers_.find(peer);
     return known != peers_.end() && within(known->second.at, contact_limit, now);
 }
 
 bool exchange::in_mutual_contact(const peer& other, time_point now) const {
-    return other.is_member && other.hears_us && within(other.at, contact_limit, now);
+    return other.is_member && other.receives_ours && within(other.at, contact_limit, now);
 }
 
 std::vector<std::string> exchange::own_speakers(time_point now) const {
@@ -263,7 +264,7 @@
     return out;
 }
 
-bool exchange::hears_reader(time_point now) const {
+bool exchange::has_reader_in_contact(time_point now) const {
     const auto* outside = followed_outside(now);
     return (outside != nullptr && outside->reader) ||
            std::any_of(peers_.begin(), peers_.end(), [&](const auto& known) {
@@ -286,7 +287,7 @@
     return outside == nullptr ? std::map<std::string, int>{} : outside->use.running;
 }
 
-std::set<std::string> exchange::groups_heard(time_point now) const {
+std::set<std::string> exchange::groups_in_contact(time_point now) const {
     std::set<std::string> out;
     for (const auto& [name, group] : groups_)
         if (group.feed.fresh(now))
@@ -300,12 +301,12 @@
         if (!group.feed.fresh(now))
             continue;
         const group_report& followed = group.reports.at(group.feed.followed());
-        out += followed.hears.contains(group_) ? followed.in_contact : 0;
+        out += followed.groups_in_contact.contains(group_) ? followed.in_contact : 0;
     }
     return out;
 }
 
-/// The other groups as far as this gateway hears their speakers itself.
+/// The other groups as far as their speakers report to this gateway itself.
 outside_report exchange::own_outside(time_point now) const {
     outside_report out;
     out.in_contact = outside_coverage(now);
@@ -334,7 +335,7 @@
 }
 
 /// Registered gateways whose use reaches this one only in sums.
-int exchange::count_unheard() const {
+int exchange::count_known_by_sums() const {
     int out = 0;
     for (const auto& [name, data_centre] : places_) {
         const auto known = peers_.find(name);
@@ -346,7 +347,7 @@
 
 void exchange::update_quota(limits::fleet_quota& quota, time_point now) const {
     const auto* outside = followed_outside(now);
-    limits::outside_members members{unheard_, 0, 0};
+    limits::outside_members members{known_by_sums_, 0, 0};
     if (outside != nullptr) {
         members.in_contact = outside->in_contact;
         members.departed = outside->departed;
@@ -365,7 +366,7 @@
     std::vector<std::string> out;
     for (auto& [name, group] : groups_) {
         const auto before = out.size();
-        for (const auto* speakers : {&group.speakers, &group.told_speakers})
+        for (const auto* speakers : {&group.speakers, &group.relayed_speakers})
             for (const auto& [speaker, at] : *speakers)
                 if (within(at, contact_limit, now) &&
                     (speakers == &group.speakers || !group.speakers.contains(speaker)))
@@ -401,8 +402,8 @@
     out.own = usage{quota.taken(), state.running};
     for (const auto& [name, other] : peers_)
         if (other.is_member && within(other.at, contact_limit, now))
-            out.heard.push_back(name);
-    if (!groups_heard(now).empty())
+            out.members_in_contact.push_back(name);
+    if (!groups_in_contact(now).empty())
         out.outside = own_outside(now);
     return out;
 }
@@ -418,7 +419,7 @@
                                  time_point now) const {
     group_report out;
     out.in_contact = 1;
-    out.hears = groups_heard(now);
+    out.groups_in_contact = groups_in_contact(now);
     out.reader = state.reads_store && state.reads_targets;
     out.use = {quota.group_taken(), state.running};
     out.order_giver = newest_sighting(direct, now);
--- a/src/core/exchange/report.hpp
+++ b/src/core/exchange/report.hpp
@@ -1,4 +1,4 @@
-/// What gateways tell each other about themselves, their group and the other groups.
+/// What gateways report to each other about themselves, their group and the other groups.
 ///
 /// A small fleet is one group, in which every gateway reports to every other one. A larger fleet consists of
 /// groups of gateways of one data centre. Two members of each group, its speakers, pass on sums: of their
@@ -22,7 +22,8 @@
     std::map<std::string, int> running; // requests by target, now
 };
 
-/// A gateway that gives orders to targets, as seen by the sender or by somebody it heard of it from.
+/// A gateway that gives orders to targets, as seen by the sender or by the gateway that reported it to the
+/// sender.
 struct order_giver_sighting {
     std::string name;
     std::string address;      // for peers' messages
@@ -35,10 +36,10 @@
 struct group_report {
     int in_contact = 0;                              // members that the sum covers, the sender included
     int departed = 0;                                // members that have shut down in order
-    std::set<std::string> hears;                     // groups that the sender hears
+    std::set<std::string> groups_in_contact;         // other groups, with the sender
     bool reader = false;                             // a member reads the store closely
     usage use;                                       // of the members together
-    std::optional<order_giver_sighting> order_giver; // that the sender hears itself
+    std::optional<order_giver_sighting> order_giver; // that reports to the sender itself
 };
 
 /// What the sender can say of all other groups together.
@@ -48,7 +49,7 @@
     std::vector<std::string> speakers; // of all groups in contact, the sender's own included
     bool reader = false;               // one of their members reads the store closely
     usage use;                         // of their members together
-    std::optional<order_giver_sighting> order_giver; // that the sender or a speaker whom it hears hears
+    std::optional<order_giver_sighting> order_giver; // that reports to the sender or to one of `speakers`
 };
 
 /// One message. Parts that are meant for other receivers are left out.
@@ -63,10 +64,10 @@
     double processor_share = 0; // of a core; speakers are chosen by it
     bool leaving = false;       // the process is about to end
     bool gives_orders = false;
-    bool reads_store = false;       // watches the store closely
-    bool reads_targets = false;     // the store answers it
-    std::vector<std::string> heard; // members of its own group
-    std::optional<usage> own;       // for the members of its own group
+    bool reads_store = false;                    // watches the store closely
+    bool reads_targets = false;                  // the store answers it
+    std::vector<std::string> members_in_contact; // of its own group
+    std::optional<usage> own;                    // for the members of its own group
     std::optional<group_report> group_use;
     std::optional<outside_report> outside;
 };
--- a/src/core/exchange/total_feed.hpp
+++ b/src/core/exchange/total_feed.hpp
@@ -1,7 +1,7 @@
 /// Follows one total of tokens that several reporters state, each counted from its own start.
 ///
 /// Two speakers report the same sum, so that one of them may fail. Only one of them is followed at a time.
-/// For the others it is noted what they stated when the followed one was last heard: from there a successor
+/// For the others it is noted what they stated at the last report of the followed one: from there a successor
 /// goes on, so that nothing is counted twice and little is lost.
 #pragma once
 
--- a/src/programs/gateway/peer_codec.cpp
+++ b/src/programs/gateway/peer_codec.cpp
@@ -79,13 +79,13 @@
 
 core::exchange::group_report decode(const wire::group_status& from) {
     auto out = decode_common<core::exchange::group_report>(from);
-    out.hears = from.hears;
+    out.groups_in_contact = from.hears;
     return out;
 }
 
 wire::group_status encode(const core::exchange::group_report& from) {
     auto out = encode_common<wire::group_status>(from);
-    out.hears = from.hears;
+    out.hears = from.groups_in_contact;
     return out;
 }
 
@@ -139,7 +139,7 @@
     out.gives_orders = status.gives_orders;
     out.reads_store = status.reads_store;
     out.reads_targets = !status.wants_registrations;
-    out.heard = status.heard;
+    out.members_in_contact = status.heard;
     if (!status.to_other_group)
         out.own = decode(status.customers, status.loads);
     if (status.__isset.group_use)
@@ -162,7 +162,7 @@
     to.gives_orders = report.gives_orders;
     to.reads_store = report.reads_store;
     to.wants_registrations = !report.reads_targets;
-    to.heard = report.heard;
+    to.heard = report.members_in_contact;
     to.to_other_group = !report.own;
     if (report.own)
         encode(*report.own, to.customers, to.loads);
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -137,7 +137,7 @@
     core::membership::reader_view view;
     view.gives_orders = gives_orders;
     view.hears_order_giver = order_giver && order_giver->reads_store;
-    view.hears_other_reader = exchange_.hears_reader(now);
+    view.hears_other_reader = exchange_.has_reader_in_contact(now);
     if (!view.gives_orders && !view.hears_order_giver)
         view.is_substitute = is_coordinator() &&
                              core::membership::is_substitute_reader(context_.settings.name, coordinators());
@@ -151,7 +151,7 @@
 double peers::largest_processor_share() const {
     double largest = 0;
     for (const auto& [name, peer] : exchange_.peers())
-        if (exchange_.hears(name, context_.loop.now()))
+        if (exchange_.is_in_contact(name, context_.loop.now()))
             largest = std::max(largest, peer.last.processor_share);
     return largest;
 }
@@ -159,8 +159,8 @@
 std::string peers::reader_address() const {
     for (const auto& [name, peer] : exchange_.peers()) {
         const auto details = details_.find(name);
-        if (exchange_.hears(name, context_.loop.now()) && peer.last.reads_targets && !peer.last.leaving &&
-            details != details_.end())
+        if (exchange_.is_in_contact(name, context_.loop.now()) && peer.last.reads_targets &&
+            !peer.last.leaving && details != details_.end())
             return details->second.config_address;
     }
     return {};
@@ -369,18 +369,18 @@
     const auto& known_peers = exchange_.peers();
     const auto requester = known_peers.find(peer);
     if (!updates_.has_registrations(now) || requester == known_peers.end() ||
-        requester->second.last.reads_targets || !exchange_.hears(peer, now))
+        requester->second.last.reads_targets || !exchange_.is_in_contact(peer, now))
         return false;
     if (!dependencies_.watch.reads_targets()) // they came from another group, to two members at most
         return exchange_.members().contains(peer);
     std::vector<std::string> informants;
     for (const auto& [name, other] : known_peers) {
-        const auto& heard = other.last.heard;
+        const auto& heard = other.last.members_in_contact;
         // Speakers of other groups don't say whom they hear: all of them hear those of a group.
         const bool hears_requester =
             !other.is_member || std::find(heard.begin(), heard.end(), peer) != heard.end();
-        if (name != peer && exchange_.hears(name, now) && other.last.reads_targets && hears_requester &&
-            other.is_member == requester->second.is_member)
+        if (name != peer && exchange_.is_in_contact(name, now) && other.last.reads_targets &&
+            hears_requester && other.is_member == requester->second.is_member)
             informants.push_back(name);
     }
     return core::membership::is_informant(context_.settings.name, peer, informants);
@@ -474,14 +474,14 @@
 void peers::log_lost_peers() {
     const auto now = context_.loop.now();
     for (const auto& [name, peer] : exchange_.peers())
-        if (exchange_.members().contains(name) && !exchange_.hears(name, now) &&
+        if (exchange_.members().contains(name) && !exchange_.is_in_contact(name, now) &&
             silent_peers_.insert(name).second) {
             context_.log.write(edge::events::peer_lost, name,
                                {{"silent_ms", wire_ms(now - peer.at)}, {"said_leaving", peer.last.leaving}});
             dependencies_.dispatch.set_peer_load(name, {});
         }
     std::set<std::string> heard =
-        exchange_.speaks(now) ? exchange_.groups_heard(now) : std::set<std::string>{};
+        exchange_.speaks(now) ? exchange_.groups_in_contact(now) : std::set<std::string>{};
     for (const std::string& group : groups_heard_)
         if (exchange_.speaks(now) && !heard.contains(group))
             context_.log.write(edge::events::peer_lost, "group " + group);
--- a/tests/core/exchange_model.hpp
+++ b/tests/core/exchange_model.hpp
@@ -115,7 +115,7 @@
     [[nodiscard]] int known_load(const member& each, const std::string& target) const {
         int out = 0;
         for (const auto& [name, peer] : each.exchange->peers())
-            if (peer.is_member && each.exchange->hears(name, local(each)))
+            if (peer.is_member && each.exchange->is_in_contact(name, local(each)))
                 if (const auto found = peer.last.own->running.find(target);
                     found != peer.last.own->running.end())
                     out += found->second;
--- a/tests/core/exchange_test.cpp
+++ b/tests/core/exchange_test.cpp
@@ -333,7 +333,7 @@
     old.process = "g50";
     old.boot = 99;
     old.sequence = 1;
-    old.heard = {"g5"};
+    old.members_in_contact = {"g5"};
     old.own = core::exchange::usage{{}, {{"t", 4}}};
     each.exchange->take(old, *each.quota, fleet.local(each));
     EXPECT_TRUE(each.exchange->members().contains("g50"));
