Target speed: what peers reported is named so

note_told -> note_reported, next_to_tell -> next_to_report, max_told -> max_reported, max_told_samples -> max_reported_samples, tell_interval -> report_interval; in a target's record the sums of peers' reports are received_weight, received_log_speed and received_at, and told_peers_at is reported_at. Comments and one text of a test likewise. Behaviour doesn't change.

--- a/src/core/target_speed/speeds.cpp
+++ b/src/core/target_speed/speeds.cpp
@@ -17,7 +17,7 @@
 constexpr double load_variance_floor = 1.0; // keeps loads that hardly change from showing an effect
 constexpr double usual_spread = 0.02;       // variance of the logarithms of targets' speeds
 constexpr double max_shrink_samples = 200;
-constexpr double weight_time_s = 15;     // after which what was learned or told counts a third
+constexpr double weight_time_s = 15;     // after which what was learned or received counts a third
 constexpr double averaged_figures = 64;  // in a target's usual figure
 constexpr double figure_influence = 0.3; // exponent of a figure just read; it decreases with its age
 constexpr double notable_change = 0.15;
@@ -74,7 +74,7 @@
     average(record.load, load);
     average(record.load_square, static_cast<double>(load) * load);
     average(record.load_log_time, load * log_time);
-    record.samples = std::min(record.samples + 1, max_told_samples);
+    record.samples = std::min(record.samples + 1, max_reported_samples);
     record.sampled_at = now;
 }
 
@@ -95,21 +95,21 @@
     record.figures = std::min(record.figures + 1, static_cast<int>(averaged_figures));
 }
 
-bool speeds::note_told(const learned_speed& told, time_point now) {
-    if (!std::isfinite(told.speed) || told.speed <= 0 || told.samples < 0)
+bool speeds::note_reported(const learned_speed& received, time_point now) {
+    if (!std::isfinite(received.speed) || received.speed <= 0 || received.samples < 0)
         return false;
-    if (told.samples < min_samples)
+    if (received.samples < min_samples)
         return true;
-    target_record* const known_record = record_of(told.target);
+    target_record* const known_record = record_of(received.target);
     if (known_record == nullptr)
         return true; // an earlier start of the target is over
     target_record& record = *known_record;
-    const double kept = decay(now - record.told_at);
-    const double weight = std::min(told.samples, max_told_samples);
-    record.told_weight = kept * record.told_weight + weight;
-    record.told_log_speed =
-        kept * record.told_log_speed + weight * std::log(std::clamp(told.speed, min_speed, max_speed));
-    record.told_at = now;
+    const double kept = decay(now - record.received_at);
+    const double weight = std::min(received.samples, max_reported_samples);
+    record.received_weight = kept * record.received_weight + weight;
+    record.received_log_speed = kept * record.received_log_speed +
+                                weight * std::log(std::clamp(received.speed, min_speed, max_speed));
+    record.received_at = now;
     return true;
 }
 
@@ -199,34 +199,34 @@
 
 void speeds::update_lasting(target_record& record, time_point now) {
     const double own = record.own_log_speed ? record.samples * decay(now - record.sampled_at) : 0;
-    const double told = decay(now - record.told_at);
-    const double weight = own + told * record.told_weight;
+    const double received = decay(now - record.received_at);
+    const double weight = own + received * record.received_weight;
     if (weight < min_samples / 2.0) // little is left of what was learned: the last speed stays
         return;
     const auto service = services_.find(record.service);
     const double shrink =
         service == services_.end() ? service_record{}.shrink_samples : service->second.shrink_samples;
-    const double sum = own * record.own_log_speed.value_or(0) + told * record.told_log_speed;
+    const double sum = own * record.own_log_speed.value_or(0) + received * record.received_log_speed;
     record.lasting = std::clamp(std::exp(sum / (weight + shrink)), min_speed, max_speed);
 }
 
-std::vector<learned_speed> speeds::next_to_tell(std::size_t most, time_point now) {
+std::vector<learned_speed> speeds::next_to_report(std::size_t most, time_point now) {
     std::vector<learned_speed> out;
     std::vector<std::pair<std::string_view, target_record*>> due;
     for (auto& [id, record] : targets_)
-        if (record.states_load && record.own_log_speed && record.sampled_at > record.told_peers_at &&
-            (record.told_peers_at == time_point{} || now - record.told_peers_at >= tell_interval))
+        if (record.states_load && record.own_log_speed && record.sampled_at > record.reported_at &&
+            (record.reported_at == time_point{} || now - record.reported_at >= report_interval))
             due.emplace_back(id, &record);
-    // Those told longest ago come first.
+    // Those reported longest ago come first.
     const auto count = std::min(most, due.size());
     std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(count), due.end(),
                       [](const auto& a, const auto& b) {
-                          return std::tie(a.second->told_peers_at, a.first) <
-                                 std::tie(b.second->told_peers_at, b.first);
+                          return std::tie(a.second->reported_at, a.first) <
+                                 std::tie(b.second->reported_at, b.first);
                       });
     for (std::size_t i = 0; i < count; ++i) {
         target_record& record = *due[i].second;
-        record.told_peers_at = now;
+        record.reported_at = now;
         out.push_back(
             {{std::string{due[i].first}, record.born}, std::exp(*record.own_log_speed), record.samples});
     }
--- a/src/core/target_speed/speeds.hpp
+++ b/src/core/target_speed/speeds.hpp
@@ -26,10 +26,10 @@
 constexpr double max_figure = 4.0;
 constexpr common::milliseconds figure_age{300}; // older figures don't count
 constexpr int min_samples = 4; // own and peers' together; with fewer the target counts as usual
-constexpr int max_told_samples = 64;
+constexpr int max_reported_samples = 64;
 constexpr common::milliseconds update_interval{500};
-constexpr common::milliseconds tell_interval{1'000}; // of the speed of one target
-constexpr std::size_t max_told = 64;                 // speeds in one message to peers, some 40 bytes each
+constexpr common::milliseconds report_interval{1'000}; // of the speed of one target
+constexpr std::size_t max_reported = 64;               // speeds in one message to peers, some 40 bytes each
 
 /// What one gateway has learned itself of a target's speed.
 struct learned_speed {
@@ -55,7 +55,7 @@
     void note_figure(const fleet::target_start& target, const std::string& service,
                      std::optional<double> work_percent, common::time_point now);
     /// Takes over what a peer has learned. Returns false if it is malformed; then it has no effect.
-    bool note_told(const learned_speed& told, common::time_point now);
+    bool note_reported(const learned_speed& received, common::time_point now);
 
     struct factors {
         double lasting = 1;   // 1: usual, or not known
@@ -67,9 +67,9 @@
     /// Brings the lasting speeds up to date, once in update_interval. Returns those that have changed
     /// notably.
     std::vector<speed_change> update(common::time_point now);
-    /// What this gateway has learned itself of targets that state their load, and that peers are to be told
-    /// now: `most` at most, the others with the next calls.
-    std::vector<learned_speed> next_to_tell(std::size_t most, common::time_point now);
+    /// What this gateway has learned itself of targets that state their load, and that is to be reported
+    /// to peers now: `most` at most, the others with the next calls.
+    std::vector<learned_speed> next_to_report(std::size_t most, common::time_point now);
     /// Forgets targets that are not in the directory any more, and earlier starts of those that are.
     void retain(const fleet::directory& known);
 
@@ -93,10 +93,10 @@
         double load_log_time = 0;
         common::time_point sampled_at{};
         std::optional<double> own_log_speed; // as of the last update
-        // Sums of what peers told, which decay with time.
-        double told_weight = 0;
-        double told_log_speed = 0; // times its weight
-        common::time_point told_at{};
+        // Sums of what peers reported, which decay with time.
+        double received_weight = 0;
+        double received_log_speed = 0; // times its weight
+        common::time_point received_at{};
         double lasting = 1;
         double announced = 1; // last value in a speed_change
         common::time_point announced_at{};
@@ -105,7 +105,7 @@
         int figures = 0;
         double figure = 1;
         common::time_point figure_at{};
-        common::time_point told_peers_at{};
+        common::time_point reported_at{};
     };
     struct service_record {
         double load_effect = 0;    // on the logarithm of the time, for each request
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -326,7 +326,8 @@
     if (!context_.settings.learn_speeds)
         return;
     std::vector<wire::target_speed> told;
-    for (const auto& known : context_.speeds.next_to_tell(core::target_speed::max_told, context_.loop.now()))
+    for (const auto& known :
+         context_.speeds.next_to_report(core::target_speed::max_reported, context_.loop.now()))
         told.push_back(encode_speed(known));
     if (!told.empty())
         to.__set_speeds(told);
@@ -343,7 +344,7 @@
         malformed += told ? 0 : 1;
         const auto* target = told ? context_.directory.find(told->target.id) : nullptr;
         if (target != nullptr && target->entry.born == told->target.born)
-            context_.speeds.note_told(*told, context_.loop.now());
+            context_.speeds.note_reported(*told, context_.loop.now());
     }
     if (malformed > 0)
         context_.log.write(edge::events::datagram_ignored, status.process,
--- a/tests/core/target_speed_model.hpp
+++ b/tests/core/target_speed_model.hpp
@@ -115,7 +115,7 @@
     };
     struct gateway {
         std::vector<int> running;
-        std::vector<int> reported; // as last told to the others
+        std::vector<int> reported; // as last reported to the others
         std::vector<int> unread;   // prompt tokens
         std::deque<request> waiting;
         core::target_speed::speeds speeds;
@@ -221,10 +221,10 @@
         }
         if (options_.learns && at % 500 < 10) {
             one.speeds.update(now());
-            for (const auto& told : one.speeds.next_to_tell(core::target_speed::max_told, now()))
+            for (const auto& learned : one.speeds.next_to_report(core::target_speed::max_reported, now()))
                 for (std::size_t other = 0; other < gateways_.size(); ++other)
                     if (other != g)
-                        gateways_[other].speeds.note_told(told, now());
+                        gateways_[other].speeds.note_reported(learned, now());
         }
         dispatch(g);
     }
--- a/tests/core/target_speed_test.cpp
+++ b/tests/core/target_speed_test.cpp
@@ -134,12 +134,12 @@
 
 TEST(target_speed, what_peers_tell_counts_by_its_samples_and_fades) {
     speeds known;
-    EXPECT_TRUE(known.note_told({target(0), 0.5, 64}, start));
-    EXPECT_TRUE(known.note_told({target(0), 2.0, 4}, start));
+    EXPECT_TRUE(known.note_reported({target(0), 0.5, 64}, start));
+    EXPECT_TRUE(known.note_reported({target(0), 2.0, 4}, start));
     known.update(start);
     EXPECT_NEAR(lasting(known, target(0)), 0.55, 0.06);
     for (int second = 60; second < 70; ++second)
-        known.note_told({target(0), 1.5, 64}, start + std::chrono::seconds{second});
+        known.note_reported({target(0), 1.5, 64}, start + std::chrono::seconds{second});
     known.update(start + 70s);
     EXPECT_NEAR(lasting(known, target(0)), 1.5, 0.1);
 }
@@ -148,9 +148,9 @@
     speeds known;
     for (const double odd :
          {0.0, -1.0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()})
-        EXPECT_FALSE(known.note_told({target(0), odd, 64}, start)) << odd;
-    EXPECT_FALSE(known.note_told({target(0), 0.5, -1}, start));
-    EXPECT_TRUE(known.note_told({target(1), 1e300, 2'000'000'000}, start));
+        EXPECT_FALSE(known.note_reported({target(0), odd, 64}, start)) << odd;
+    EXPECT_FALSE(known.note_reported({target(0), 0.5, -1}, start));
+    EXPECT_TRUE(known.note_reported({target(1), 1e300, 2'000'000'000}, start));
     known.update(start);
     EXPECT_EQ(lasting(known, target(0)), 1);
     EXPECT_LE(lasting(known, target(1)), core::target_speed::max_speed);
@@ -159,16 +159,16 @@
 TEST(target_speed, peers_are_told_in_turns_what_was_learned_where_targets_state_their_load) {
     speeds known;
     learn(known, {0.6, 1.0, 1.6}, start);
-    EXPECT_TRUE(known.next_to_tell(10, start).empty()) << "no target states its load";
+    EXPECT_TRUE(known.next_to_report(10, start).empty()) << "no target states its load";
     for (int i = 0; i < 3; ++i)
         known.note_figure(target(i), service, std::nullopt, start);
-    const auto first = known.next_to_tell(2, start);
+    const auto first = known.next_to_report(2, start);
     ASSERT_EQ(first.size(), 2U);
-    const auto second = known.next_to_tell(2, start);
+    const auto second = known.next_to_report(2, start);
     ASSERT_EQ(second.size(), 1U);
     EXPECT_NEAR(second[0].speed, 1.6, 0.16);
-    EXPECT_TRUE(known.next_to_tell(2, start).empty()) << "all are told";
-    EXPECT_TRUE(known.next_to_tell(2, start + 10s).empty()) << "nothing was learned since";
+    EXPECT_TRUE(known.next_to_report(2, start).empty()) << "all are reported";
+    EXPECT_TRUE(known.next_to_report(2, start + 10s).empty()) << "nothing was learned since";
 }
 
 TEST(target_speed, a_figure_counts_while_fresh_and_against_the_targets_usual_one) {
