Usage counts: totals are reported, not told

told_at -> reported_at and the argument told -> reported, in comments likewise. Behaviour doesn't change.

--- a/src/core/duties/usage_counts.cpp
+++ b/src/core/duties/usage_counts.cpp
@@ -43,16 +43,16 @@
     return counts_;
 }
 
-int usage_totals::note(const std::string& gateway, std::int64_t boot, const window_counts& told,
+int usage_totals::note(const std::string& gateway, std::int64_t boot, const window_counts& reported,
                        milliseconds true_now) {
     int unusable = 0;
     source& from = sources_[gateway];
     if (!from.by_boot.contains(boot) && from.by_boot.size() >= max_boots)
         from.by_boot.erase(from.by_boot.begin());
     window_counts& totals = from.by_boot[boot];
-    from.told_at = true_now;
+    from.reported_at = true_now;
     from.newest_window = 0;
-    for (const auto& [window, counts] : told) {
+    for (const auto& [window, counts] : reported) {
         if (!windows_.kept(window, true_now)) {
             ++unusable;
             continue;
@@ -95,7 +95,7 @@
 bool usage_totals::has_final(const std::string& gateway, std::int64_t window, milliseconds settle) const {
     const auto found = sources_.find(gateway);
     return found != sources_.end() && found->second.newest_window > window &&
-           found->second.told_at >= windows_.end_of(window) + settle;
+           found->second.reported_at >= windows_.end_of(window) + settle;
 }
 
 std::set<std::string> usage_totals::gateways(std::int64_t window) const {
--- a/src/core/duties/usage_counts.hpp
+++ b/src/core/duties/usage_counts.hpp
@@ -14,7 +14,7 @@
 using customer_counts = std::map<std::string, std::int64_t>;   // requests by customer; no zeros
 using window_counts = std::map<std::int64_t, customer_counts>; // by window
 
-/// For so long after its end a window's totals are told and kept, and its report is still sent.
+/// For so long after its end a window's totals are reported and kept, and its report is still sent.
 constexpr common::milliseconds usage_retention{20'000};
 
 /// Windows of true time. Window k begins k times `length` after the start of 1970.
@@ -36,7 +36,7 @@
     /// not kept any more, or of one more customer than are kept in memory.
     void add(const std::string& customer, common::milliseconds began, common::milliseconds true_now);
     /// Totals of the windows that are kept. The current one is among them even if nothing was counted in it:
-    /// it tells the receiver that the windows before it are over.
+    /// the receiver concludes from it that the windows before it are over.
     const window_counts& totals(common::milliseconds true_now);
     [[nodiscard]] std::int64_t left_out() const { return left_out_; } // requests that were not counted
 
@@ -53,11 +53,11 @@
     explicit usage_totals(usage_windows windows) : windows_(windows) {}
 
     /// Takes the totals that a gateway stated. Returns the number of entries that can't be used.
-    int note(const std::string& gateway, std::int64_t boot, const window_counts& told,
+    int note(const std::string& gateway, std::int64_t boot, const window_counts& reported,
              common::milliseconds true_now);
     void forget_old(common::milliseconds true_now);
     [[nodiscard]] customer_counts sum(std::int64_t window) const;
-    /// Whether the gateway has told totals that it made, and that arrived, `settle` after the window's end.
+    /// Whether the gateway reported totals that it made, and that arrived, `settle` after the window's end.
     [[nodiscard]] bool has_final(const std::string& gateway, std::int64_t window,
                                  common::milliseconds settle) const;
     [[nodiscard]] std::set<std::string> gateways(std::int64_t window) const; // whose totals are in the sum
@@ -65,8 +65,8 @@
 private:
     struct source {
         std::map<std::int64_t, window_counts> by_boot;
-        std::int64_t newest_window = 0;  // that it told of
-        common::milliseconds told_at{0}; // when it last did
+        std::int64_t newest_window = 0;      // that it reported
+        common::milliseconds reported_at{0}; // when it last did
     };
     usage_windows windows_;
     std::map<std::string, source> sources_; // by gateway
