Peers of a gateway: names of the field for receivers and contacts

audience::everybody -> all_peers, hears_order_giver -> has_order_giver, hears_active_holder -> is_active_holder, telling_details -> reporting_details, told_at -> reported_at, boot_heard_at -> boot_seen_at, groups_heard_ -> groups_in_contact_, and the local names and comments of their kin. The lines of order_lease.cpp, usage_reports.cpp and order_giver.cpp that use them follow. Behaviour doesn't change.

--- a/src/programs/gateway/order_giver.cpp
+++ b/src/programs/gateway/order_giver.cpp
@@ -298,11 +298,12 @@
                                  core::load_planning::planner_input& to) const {
     for (const auto& use : peer.uses)
         core::load_planning::add_use(to, use.target, core::fleet::parse_model_ref(use.model),
-                                     {use.running, peer.told_at - milliseconds{use.idle_ms}});
+                                     {use.running, peer.reported_at - milliseconds{use.idle_ms}});
     for (const auto& demand : peer.demands)
         if (demand.service_name == service)
             core::load_planning::add_demand(to.demands[core::fleet::parse_model_ref(demand.model)],
-                                            {demand.waiting, peer.told_at - milliseconds{demand.oldest_ms},
+                                            {demand.waiting,
+                                             peer.reported_at - milliseconds{demand.oldest_ms},
                                              demand.priority, demand.per_second, 0});
 }
 
--- a/src/programs/gateway/order_lease.cpp
+++ b/src/programs/gateway/order_lease.cpp
@@ -58,7 +58,7 @@
 /// All gateways of a small fleet look after the lease, the coordinators of a large one; the rest is there if
 /// all of those are lost.
 milliseconds order_lease::read_interval() const {
-    const bool active = peers_->hears_active_holder(lease_.record().holder);
+    const bool active = peers_->is_active_holder(lease_.record().holder);
     if (peers_->is_coordinator())
         return active ? read_interval_holder_active : read_interval_holder_silent;
     return active ? read_interval_others_active : read_interval_others_silent;
@@ -69,7 +69,7 @@
     if (lease_.mine() || context_.draining || !context_.config || !lease_.takeable(now))
         return false;
     // Some gateway may not know of the new era yet, or may use another lease in a rolling update.
-    if (peers_->hears_order_giver())
+    if (peers_->has_order_giver())
         return false;
     if (lease_.held_by_previous_start())
         return true;
--- a/src/programs/gateway/peers.cpp
+++ b/src/programs/gateway/peers.cpp
@@ -15,10 +15,10 @@
 // Between two messages sent because of events; more in larger fleets, where each goes to more receivers.
 constexpr milliseconds min_status_interval{15};
 constexpr std::chrono::microseconds status_interval_per_gateway{500};
-// Order givers hear every gateway. Larger fleets tell them details less often, except of what has begun to
-// wait.
+// Every gateway reports to order givers. Larger fleets send them details less often, except of what has begun
+// to wait.
 constexpr milliseconds details_period_per_gateway{3};
-constexpr milliseconds start_period{1'000};  // for that long a new peer is told all streams' origins
+constexpr milliseconds start_period{1'000};  // for that long a new peer is sent all streams' origins
 constexpr std::size_t max_datagram = 65'000; // bytes
 constexpr std::size_t length_prefix = 4;     // of a frame; not sent, since a datagram has its own length
 constexpr std::size_t max_demands = 200;     // in one message; more are left out, in order of model name
@@ -70,12 +70,12 @@
     log_lost_peers();
     dependencies_.dispatch.set_peer_load(outside_load, exchange_.outside_running(now));
     updates_.forget_old();
-    send_status(audience::everybody);
+    send_status(audience::all_peers);
     context_.loop.schedule(now + exchange_.period(now), [this] { tick(); });
 }
 
 void peers::schedule_status(audience to) {
-    if (to == audience::everybody)
+    if (to == audience::all_peers)
         scheduled_audience_ = to;
     if (status_scheduled_)
         return;
@@ -89,7 +89,7 @@
 }
 
 void peers::notify_all() {
-    schedule_status(audience::everybody);
+    schedule_status(audience::all_peers);
 }
 
 void peers::notify_order_giver() {
@@ -103,7 +103,7 @@
 
 void peers::announce_leaving() {
     leaving_ = true;
-    send_status(audience::everybody);
+    send_status(audience::all_peers);
 }
 
 void peers::send_to(const std::string& peer, const std::string& frame) {
@@ -122,11 +122,11 @@
     return std::find(names.begin(), names.end(), context_.settings.name) != names.end();
 }
 
-bool peers::hears_order_giver() const {
+bool peers::has_order_giver() const {
     return exchange_.order_giver(context_.loop.now()).has_value();
 }
 
-bool peers::hears_active_holder(const std::string& holder) const {
+bool peers::is_active_holder(const std::string& holder) const {
     const auto seen = exchange_.order_giver(context_.loop.now());
     return seen && seen->name == holder && seen->reads_store;
 }
@@ -170,12 +170,13 @@
     const auto limit = core::limits::contact_limit + 2 * details_period();
     std::map<std::string, const peer_details*> out;
     for (const auto& [name, details] : details_)
-        if (details.told_at != core::common::time_point{} && context_.loop.now() - details.told_at <= limit)
+        if (details.reported_at != core::common::time_point{} &&
+            context_.loop.now() - details.reported_at <= limit)
             out[name] = &details;
     return out;
 }
 
-std::set<std::string> peers::telling_details() const {
+std::set<std::string> peers::reporting_details() const {
     std::set<std::string> out;
     const auto& known = exchange_.peers();
     for (const auto& [name, details] : fresh_details())
@@ -260,20 +261,20 @@
 
 void peers::send_status(audience to) {
     status_sent_at_ = context_.loop.now();
-    const bool announces = to == audience::everybody && context_.reads_store_closely;
+    const bool announces = to == audience::all_peers && context_.reads_store_closely;
     const auto updates = announces ? updates_.due_updates() : peer_updates::target_updates{};
     send_to_members(to, updates);
     if (exchange_.grouped())
         send_outside(to, updates);
-    if (to == audience::everybody && updates_.has_more(announces))
-        schedule_status(audience::everybody);
+    if (to == audience::all_peers && updates_.has_more(announces))
+        schedule_status(audience::all_peers);
 }
 
 void peers::send_to_members(audience to, const peer_updates::target_updates& updates) {
     const auto now = context_.loop.now();
     const auto order_givers = exchange_.order_givers(now);
     const auto is_receiver = [&](const std::string& name) {
-        return addresses_.contains(name) && (to == audience::everybody || order_givers.contains(name));
+        return addresses_.contains(name) && (to == audience::all_peers || order_givers.contains(name));
     };
     const auto& members = exchange_.members();
     if (std::none_of(members.begin(), members.end(), is_receiver))
@@ -281,7 +282,7 @@
     wire::peer_status base = message_of(exchange_.member_report(local_state(), context_.quota, now));
     base.holdings = updates.holdings;
     base.starts = updates.starts;
-    if (to == audience::everybody) {
+    if (to == audience::all_peers) {
         const auto relayed = updates_.take_relayed();
         base.holdings.insert(base.holdings.end(), relayed.holdings.begin(), relayed.holdings.end());
         base.starts.insert(base.starts.end(), relayed.starts.begin(), relayed.starts.end());
@@ -301,7 +302,7 @@
     const auto now = context_.loop.now();
     std::map<std::string, std::string> receivers; // addresses by name
     const bool announces = dependencies_.gives_orders() || context_.reads_store_closely;
-    if (to == audience::everybody && (announces || exchange_.speaks(now)))
+    if (to == audience::all_peers && (announces || exchange_.speaks(now)))
         for (const std::string& name : exchange_.next_outside_receivers(now))
             if (const auto known = addresses_.find(name); known != addresses_.end())
                 receivers[name] = known->second;
@@ -321,30 +322,29 @@
         send(address, cache.find(*this, order_givers.contains(name), sends_registrations_to(name), false));
 }
 
-/// Members of the own group are told what this gateway has learned itself, not what it was told.
+/// Members of the own group get what this gateway has learned itself, not what peers reported.
 void peers::add_speeds(wire::peer_status& to) {
     if (!context_.settings.learn_speeds)
         return;
-    std::vector<wire::target_speed> told;
+    std::vector<wire::target_speed> learned;
     for (const auto& known :
          context_.speeds.next_to_report(core::target_speed::max_reported, context_.loop.now()))
-        told.push_back(encode_speed(known));
-    if (!told.empty())
-        to.__set_speeds(told);
+        learned.push_back(encode_speed(known));
+    if (!learned.empty())
+        to.__set_speeds(learned);
 }
 
-/// Speeds of targets that this gateway doesn't know are left out: it can't tell whether they are of this
-/// start.
+/// Speeds of targets that this gateway doesn't know are left out: they may not be of this start.
 void peers::take_speeds(const wire::peer_status& status) {
     if (!context_.settings.learn_speeds || !status.__isset.speeds)
         return;
     int malformed = 0;
     for (const auto& entry : status.speeds) {
-        const auto told = decode_speed(entry);
-        malformed += told ? 0 : 1;
-        const auto* target = told ? context_.directory.find(told->target.id) : nullptr;
-        if (target != nullptr && target->entry.born == told->target.born)
-            context_.speeds.note_reported(*told, context_.loop.now());
+        const auto received = decode_speed(entry);
+        malformed += received ? 0 : 1;
+        const auto* target = received ? context_.directory.find(received->target.id) : nullptr;
+        if (target != nullptr && target->entry.born == received->target.born)
+            context_.speeds.note_reported(*received, context_.loop.now());
     }
     if (malformed > 0)
         context_.log.write(edge::events::datagram_ignored, status.process,
@@ -353,7 +353,7 @@
 
 bool peers::has_just_started(const std::string& peer) const {
     const auto known = details_.find(peer);
-    return known != details_.end() && context_.loop.now() - known->second.boot_heard_at <= start_period;
+    return known != details_.end() && context_.loop.now() - known->second.boot_seen_at <= start_period;
 }
 
 milliseconds peers::details_period() const {
@@ -376,12 +376,12 @@
         return exchange_.members().contains(peer);
     std::vector<std::string> informants;
     for (const auto& [name, other] : known_peers) {
-        const auto& heard = other.last.members_in_contact;
-        // Speakers of other groups don't say whom they hear: all of them hear those of a group.
-        const bool hears_requester =
-            !other.is_member || std::find(heard.begin(), heard.end(), peer) != heard.end();
+        const auto& contacts = other.last.members_in_contact;
+        // Speakers of other groups don't state their contacts: all are in contact with those of a group.
+        const bool knows_requester =
+            !other.is_member || std::find(contacts.begin(), contacts.end(), peer) != contacts.end();
         if (name != peer && exchange_.is_in_contact(name, now) && other.last.reads_targets &&
-            hears_requester && other.is_member == requester->second.is_member)
+            knows_requester && other.is_member == requester->second.is_member)
             informants.push_back(name);
     }
     return core::membership::is_informant(context_.settings.name, peer, informants);
@@ -447,12 +447,12 @@
     peer_details& details = details_[status.process];
     details.config_address = status.config_address;
     if (std::exchange(details.boot, status.boot) != status.boot)
-        details.boot_heard_at = now;
+        details.boot_seen_at = now;
     if (status.has_details ||
         status.data_centre.empty()) { // earlier versions state details to order givers only
         details.uses = status.uses;
         details.demands = status.demands;
-        details.told_at = now;
+        details.reported_at = now;
     }
     if (report.own)
         dependencies_.dispatch.set_peer_load(status.process, report.own->running);
@@ -467,7 +467,7 @@
     take_speeds(status);
     const auto applied = updates_.apply(status, own_speakers);
     if (applied.updates)
-        schedule_status(audience::everybody);
+        schedule_status(audience::all_peers);
     if (applied.urgent && exchange_.grouped())
         notify_urgent_updates();
 }
@@ -481,15 +481,15 @@
                                {{"silent_ms", wire_ms(now - peer.at)}, {"said_leaving", peer.last.leaving}});
             dependencies_.dispatch.set_peer_load(name, {});
         }
-    std::set<std::string> heard =
+    std::set<std::string> groups =
         exchange_.speaks(now) ? exchange_.groups_in_contact(now) : std::set<std::string>{};
-    for (const std::string& group : groups_heard_)
-        if (exchange_.speaks(now) && !heard.contains(group))
+    for (const std::string& group : groups_in_contact_)
+        if (exchange_.speaks(now) && !groups.contains(group))
             context_.log.write(edge::events::peer_lost, "group " + group);
-    for (const std::string& group : heard)
-        if (!groups_heard_.contains(group))
+    for (const std::string& group : groups)
+        if (!groups_in_contact_.contains(group))
             context_.log.write(edge::events::peer_regained, "group " + group);
-    groups_heard_ = std::move(heard);
+    groups_in_contact_ = std::move(groups);
 }
 
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peers.hpp
+++ b/src/programs/gateway/peers.hpp
@@ -14,14 +14,14 @@
 
 class usage_reports;
 
-/// What else a peer's messages told.
+/// What else a peer's messages stated.
 struct peer_details {
     std::string config_address;         // serves the configuration and lease calls
-    std::vector<wire::target_use> uses; // as of `told_at`
+    std::vector<wire::target_use> uses; // as of `reported_at`
     std::vector<wire::model_demand> demands;
-    std::int64_t boot = 0;                    // of its process
-    core::common::time_point boot_heard_at{}; // since when this process of it is heard
-    core::common::time_point told_at{};       // uses and demands; they are only told to order givers
+    std::int64_t boot = 0;                   // of its process
+    core::common::time_point boot_seen_at{}; // first message of this process of it
+    core::common::time_point reported_at{};  // uses and demands; they are only reported to order givers
 };
 
 class peers : private ACE_Event_Handler {
@@ -51,25 +51,25 @@
 
     /// Gateways of which one may be chosen as scheduler of a target, all by the same rule.
     [[nodiscard]] std::vector<std::string> coordinators() const;
-    [[nodiscard]] bool is_coordinator() const;    // this gateway is one of them
-    [[nodiscard]] bool hears_order_giver() const; // another gateway gives orders
-    /// `holder` is heard as order giver and reads the store.
-    [[nodiscard]] bool hears_active_holder(const std::string& holder) const;
+    [[nodiscard]] bool is_coordinator() const;  // this gateway is one of them
+    [[nodiscard]] bool has_order_giver() const; // another gateway gives orders
+    /// `holder` is known as order giver and reads the store.
+    [[nodiscard]] bool is_active_holder(const std::string& holder) const;
     /// Whether this gateway must watch the store closely. `gives_orders`: it holds the lease.
     [[nodiscard]] bool reads_store_closely(bool gives_orders) const;
     [[nodiscard]] int in_contact() const;                 // other gateways
-    [[nodiscard]] double largest_processor_share() const; // of a core, of the gateways heard; 0: none heard
+    [[nodiscard]] double largest_processor_share() const; // of a core, of the gateways in contact; 0: none
     /// Address of a peer that the store answers and that relays lease calls; empty: none in contact.
     [[nodiscard]] std::string reader_address() const;
     /// Details that are new enough to plan by; by gateway's name.
     [[nodiscard]] std::map<std::string, const peer_details*> fresh_details() const;
-    /// Gateways that tell such details, but those that are about to end.
-    [[nodiscard]] std::set<std::string> telling_details() const;
+    /// Gateways that report such details, but those that are about to end.
+    [[nodiscard]] std::set<std::string> reporting_details() const;
 
 private:
     int handle_input(ACE_HANDLE) override;
     ACE_HANDLE get_handle() const override { return socket_.get_handle(); }
-    enum class audience { everybody, order_givers };
+    enum class audience { all_peers, order_givers };
     struct frame_cache; // encodings of one message for different receivers
     void tick();
     void schedule_status(audience to);
@@ -100,7 +100,7 @@
     std::map<std::string, std::string> addresses_; // by gateway's name
     std::map<std::string, peer_details> details_;  // by gateway's name
     std::set<std::string> silent_peers_;           // members of the own group
-    std::set<std::string> groups_heard_;           // while this gateway speaks for its group
+    std::set<std::string> groups_in_contact_;      // while this gateway speaks for its group
     bool status_scheduled_ = false;
     audience scheduled_audience_ = audience::order_givers;
     bool leaving_ = false;
--- a/src/programs/gateway/usage_reports.cpp
+++ b/src/programs/gateway/usage_reports.cpp
@@ -160,7 +160,7 @@
 core::duties::usage_sources usage_reports::sources() {
     const auto true_now = clock_.at(context_.loop.now());
     totals_.note(context_.settings.name, boot_, counter_.totals(true_now), true_now);
-    auto in_contact = peers_->telling_details();
+    auto in_contact = peers_->reporting_details();
     in_contact.insert(context_.settings.name);
     return {totals_, std::move(in_contact), calls_.lease_held_since().value_or(context_.loop.now())};
 }
