--- a/review/streams/run.py
+++ b/review/streams/run.py
@@ -16,6 +16,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 from standins import Engine, answer_bytes, engine_configuration, now, read_head, run  # noqa: E402
+from network import FAULTS, HANG_S, Network  # noqa: E402
 
 ARGUMENTS = argparse.ArgumentParser(description=__doc__)
 ARGUMENTS.add_argument("--seed", type=int, default=1)
@@ -34,9 +35,13 @@
 ARGUMENTS.add_argument("--crashes", type=int, default=0, help="runners that crash with all their connections; others come")
 ARGUMENTS.add_argument("--restarts", type=int, default=0, help="gateways that are killed or stopped and started again")
 ARGUMENTS.add_argument("--text", action="store_true", help="a runner that goes on a stream may answer with an error's text")
+ARGUMENTS.add_argument("--network", default="", help=f"faults played on proxies before the runners, or all: {','.join(FAULTS)}")
+ARGUMENTS.add_argument("--event-bytes", type=int, default=0, help="that fill each event up")
 OPTIONS = ARGUMENTS.parse_args()
 RUNNERS, GATEWAYS, EVENTS, EVENT_PAUSE_S = 9, 5, 43, 0.03
+FILLING = "." * OPTIONS.event_bytes
 RNG = random.Random(OPTIONS.seed)
+HANGS = collections.Counter()              # reads of callers that took longer than HANG_S, by what was waited for
 
 
 def choice_of(listed):
@@ -47,6 +52,7 @@
     """A model runner whose events name their stream, their number and the version of its software."""
     software = "v1"
     weights = 1
+    stated = {}                            # fields of the registration that differ from the runner's own
 
     def held(self):
         stated = 1 if OPTIONS.unstated else self.weights
@@ -54,7 +60,7 @@
 
     def register(self, state="ready"):
         put = self.store.put
-        self.store.put = lambda kind, name, spec, **more: put(kind, name, {**spec, "version": self.software}, **more)
+        self.store.put = lambda kind, name, spec, **more: put(kind, name, {**spec, "version": self.software, **self.stated}, **more)
         try:
             return super().register(state)
         finally:
@@ -98,7 +104,7 @@
             writer.write(framed(b"upstream failure\n\n"))
             return b"0\r\n\r\n" if framing == "chunked" else self.end(writer, "fin")
         for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: {request.path} {number} {self.software}/w{self.weights}\n\n".encode()
+            event = f"id: {number}\ndata: {request.path} {number} {self.software}/w{self.weights}{FILLING}\n\n".encode()
             if breaks and number == at and where in ("event", "between"):
                 if where == "event":
                     writer.write(framed(event[:RNG.randrange(1, len(event))]))
@@ -111,6 +117,17 @@
         return b"0\r\n\r\n"
 
 
+async def waited(case, request_id, what, read):
+    """What a read returns; a read that takes longer than HANG_S is counted."""
+    begun = now()
+    try:
+        return await asyncio.wait_for(read, 9)
+    finally:
+        if now() - begun > HANG_S:
+            HANGS[what] += 1
+            case.record.line(f"{request_id} waited {now() - begun:.2f} s for {what}")
+
+
 async def read_stream(case, address, path, prefix, more):
     """Returns the events' bytes, whether the answer looks whole, its status, and the attempt's id if it can be taken up."""
     body, whole, status, writer = b"", False, 0, None
@@ -120,12 +137,12 @@
         fields = case.fields(8000, Model="m0", Token_Count="100,30", Prompt_Prefix=prefix, **more)
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         writer.write(f"POST {path} HTTP/1.1\r\n{lines}Content-Length: 2\r\n\r\nhi".encode())
-        first, got = await asyncio.wait_for(read_head(reader), 9)
+        first, got = await waited(case, fields["Request-Id"], "a head", read_head(reader))
         status = int(first.split(" ")[1])
         if got.get("transfer-encoding", "").lower() != "chunked":
             body = await asyncio.wait_for(reader.readexactly(int(got.get("content-length", 0))), 9)
             return body, True, status, fields["Request-Id"]
-        while size := int((await asyncio.wait_for(reader.readuntil(b"\r\n"), 9)), 16):
+        while size := int((await waited(case, fields["Request-Id"], "an event or the end", reader.readuntil(b"\r\n"))), 16):
             body += (await asyncio.wait_for(reader.readexactly(size + 2), 9))[:-2]
         whole = True
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
@@ -229,6 +246,13 @@
     gateways += await start_gateways(case, range(GATEWAYS - OPTIONS.late_gateways, GATEWAYS))
 
 
+def successor(old):
+    """A runner of other software that takes the place of another one, under a name of its own."""
+    new = Streamer(old.store, old.record, old.name + "r", old.service, zone=old.zone)
+    new.models, new.weights, new.software = {"m0"}, old.weights, old.software + "r"
+    return new
+
+
 async def beat(engines):
     while True:
         await asyncio.sleep(1.0)
@@ -243,11 +267,17 @@
     for number in range(RUNNERS):
         engine = Streamer(case.store, case.record, f"e{number}", "seam-assistant", zone="abc"[number % 3])
         engine.models, engine.weights = {"m0"}, 1 + number % OPTIONS.weights
+        if OPTIONS.network:
+            await Network.stand_before(engine)
         engines.append(await engine.start())
     tasks = [asyncio.create_task(beat(engines))]
     gateways = await start_gateways(case, range(GATEWAYS - OPTIONS.late_gateways))
     await asyncio.sleep(4)
     tasks += [asyncio.create_task(crash(engines, gateways)), asyncio.create_task(start_late(case, gateways))]
+    if OPTIONS.network:
+        network = Network(RNG, case.record, engines, gateways, successor)
+        faults = list(FAULTS) if OPTIONS.network == "all" else OPTIONS.network.split(",")
+        tasks.append(asyncio.create_task(network.play(faults, OPTIONS.seconds)))
     if OPTIONS.release:
         tasks.append(asyncio.create_task(release(engines)))
     callers, until = [], now() + OPTIONS.seconds
@@ -255,8 +285,12 @@
         callers.append(asyncio.create_task(Caller(case, gateways, len(callers)).run()))
         await asyncio.sleep(1 / OPTIONS.streams)
     counts = collections.Counter(await asyncio.gather(*callers))
+    for task in tasks:
+        if task.done():
+            task.result()                  # raises what ended it
     wrong = sum(counts[fault] for fault in ("looks whole and isn't", "not an event", "out of order", "two versions",
                                               "two versions, taken up by the caller"))
-    return case.record.verdict(wrong > 0, f"{wrong} of {len(callers)} streams: {dict(counts)}")
+    return case.record.verdict(wrong > 0, f"{wrong} of {len(callers)} streams: {dict(counts)}; "
+                                         f"waits over {HANG_S} s: {dict(HANGS)}")
 
 run(main, FOLDER)
