--- a/review/streams/network.py
+++ b/review/streams/network.py
@@ -126,4 +126,23 @@
     gateway.send_signal(signal.SIGCONT)
 
 
-FAULTS = {fault.__name__: fault for fault in (cut, cut_back, cut_there, drop, late, half_back, half_there, reset, split, reuse, stop)}
+async def freeze(network, engine):
+    """A runner in a process of its own is stopped for a while, with what its kernel holds."""
+    engine.freeze(True)
+    await asyncio.sleep(network.rng.uniform(0.5, 4.0))
+    engine.freeze(False)
+
+
+async def freeze_and_kill(network, engine):
+    """A runner is stopped, then killed, and another one of other software has its address at once."""
+    engine.freeze(True)
+    await asyncio.sleep(network.rng.uniform(0.1, 3.0))
+    engine.crash_all()
+    engine.store.remove("servers", engine.name)
+    new = network.make_engine(engine)
+    new.proxy, new.stated, new.address = engine.proxy, engine.stated, engine.address
+    network.engines[network.engines.index(engine)] = await new.start()
+
+
+FAULTS = {fault.__name__: fault for fault in (cut, cut_back, cut_there, drop, late, half_back, half_there, reset, split,
+                                              reuse, stop, freeze, freeze_and_kill)}
--- a/review/streams/run.py
+++ b/review/streams/run.py
@@ -11,11 +11,13 @@
 import signal
 import socket
 import struct
+import subprocess
 import sys
+import types
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
-from standins import Engine, answer_bytes, engine_configuration, now, read_head, run  # noqa: E402
+from standins import Engine, HttpServer, answer_bytes, ask_once, die_with_parent, engine_configuration, now, read_head, run  # noqa: E402
 from network import FAULTS, HANG_S, Network  # noqa: E402
 
 ARGUMENTS = argparse.ArgumentParser(description=__doc__)
@@ -37,6 +39,8 @@
 ARGUMENTS.add_argument("--text", action="store_true", help="a runner that goes on a stream may answer with an error's text")
 ARGUMENTS.add_argument("--network", default="", help=f"faults played on proxies before the runners, or all: {','.join(FAULTS)}")
 ARGUMENTS.add_argument("--event-bytes", type=int, default=0, help="that fill each event up")
+ARGUMENTS.add_argument("--processes", action="store_true", help="runners are processes of their own, which crash by SIGKILL")
+ARGUMENTS.add_argument("--serve", help=argparse.SUPPRESS)
 OPTIONS = ARGUMENTS.parse_args()
 RUNNERS, GATEWAYS, EVENTS, EVENT_PAUSE_S = 9, 5, 43, 0.03
 FILLING = "." * OPTIONS.event_bytes
@@ -53,6 +57,29 @@
     software = "v1"
     weights = 1
     stated = {}                            # fields of the registration that differ from the runner's own
+    process = None                         # that serves, if it isn't this one
+    frozen = False
+
+    async def start(self):
+        if not OPTIONS.processes:
+            return await super().start()
+        served = ",".join((self.name, self.address, str(self.born), str(self.weights), self.software))
+        self.process = subprocess.Popen([sys.executable, __file__, *sys.argv[1:], "--serve", served], preexec_fn=die_with_parent)
+        while (await ask_once(self.address, "GET", "/report", {"Host": "x"}, timeout=1.0)).status != 200:
+            await asyncio.sleep(0.05)
+        self.register()
+        return self
+
+    def beats_now(self):
+        if self.frozen:
+            return False
+        return self.process.poll() is None if self.process else self.http.server.is_serving()
+
+    def freeze(self, frozen):
+        """SIGSTOP or SIGCONT; the kernel goes on acknowledging."""
+        self.frozen = frozen
+        self.record.line(f"runner {self.name} {'is stopped' if frozen else 'goes on'}")
+        self.process.send_signal(signal.SIGSTOP if frozen else signal.SIGCONT)
 
     def held(self):
         stated = 1 if OPTIONS.unstated else self.weights
@@ -76,6 +103,10 @@
     def crash_all(self):
         """As the kernel ends a killed process."""
         self.record.line(f"runner {self.name} crashes")
+        if self.process:
+            self.process.kill()
+            self.process.wait()
+            return
         self.http.server.close()
         for writer in list(self.http.writers):
             writer.close()
@@ -257,7 +288,7 @@
     while True:
         await asyncio.sleep(1.0)
         for engine in engines:
-            if engine.http.server.is_serving():
+            if engine.beats_now():
                 engine.register()
 
 
@@ -276,7 +307,8 @@
     tasks += [asyncio.create_task(crash(engines, gateways)), asyncio.create_task(start_late(case, gateways))]
     if OPTIONS.network:
         network = Network(RNG, case.record, engines, gateways, successor)
-        faults = list(FAULTS) if OPTIONS.network == "all" else OPTIONS.network.split(",")
+        playable = [name for name in FAULTS if OPTIONS.processes or not name.startswith("freeze")]
+        faults = playable if OPTIONS.network == "all" else OPTIONS.network.split(",")
         tasks.append(asyncio.create_task(network.play(faults, OPTIONS.seconds)))
     if OPTIONS.release:
         tasks.append(asyncio.create_task(release(engines)))
@@ -293,4 +325,18 @@
     return case.record.verdict(wrong > 0, f"{wrong} of {len(callers)} streams: {dict(counts)}; "
                                          f"waits over {HANG_S} s: {dict(HANGS)}")
 
-run(main, FOLDER)
+
+async def serve_alone():
+    """Serves as the runner that `--serve` describes, until it is killed."""
+    name, address, born, weights, software = OPTIONS.serve.split(",")
+    RNG.seed(f"{OPTIONS.seed} {name}")
+    engine = Streamer(None, types.SimpleNamespace(line=lambda text: None), name, "seam-assistant")
+    engine.models, engine.address, engine.born = {"m0"}, address, int(born)
+    engine.weights, engine.software = int(weights), software
+    await HttpServer().listen(address, engine.serve)
+    await asyncio.Event().wait()
+
+if OPTIONS.serve:
+    asyncio.run(serve_alone())
+else:
+    run(main, FOLDER)
