Review: half-closed connections stay half closed behind the proxy, and split answers are split at once

test_network_proxy, new, failed before: after half_close the next bytes reset both ends (write after FIN), and a read that was under way passed its bytes on whole.

--- a/review/common/proxy.py
+++ b/review/common/proxy.py
@@ -28,6 +28,13 @@
         self.near, self.far = near, far    # writers
         self.passing = asyncio.Event()
         self.passing.set()
+        self.half_closed = set()           # writers that take nothing more
+
+    def half_close(self, writer):
+        """Ends what one of the two writers sends, with FIN."""
+        if writer not in self.half_closed and not writer.is_closing():
+            self.half_closed.add(writer)
+            writer.write_eof()
 
     def reset(self):
         """Ends both connections with RST, and what is kept back with them."""
@@ -68,15 +75,21 @@
         for pair in list(self.pairs):
             pair.reset()
 
+    async def close(self):
+        """Resets all connections and listens no more."""
+        self.server.close()
+        self.heal()
+        self.reset()
+        while self.pairs:
+            await asyncio.sleep(0.01)
+
     def half_close(self, towards_caller=True):
         """Ends one direction of the open connections with FIN; the other goes on."""
         for pair in self.pairs:
-            writer = pair.near if towards_caller else pair.far
-            if writer.can_write_eof() and not writer.is_closing():
-                writer.write_eof()
+            pair.half_close(pair.near if towards_caller else pair.far)
 
     def split(self, piece_bytes, delay_s):
-        """Passes answers on in pieces of at most `piece_bytes`, each after `delay_s`."""
+        """Passes answers on in pieces of at most `piece_bytes` (at least one), each after `delay_s`."""
         self.back.piece_bytes, self.back.delay_s = piece_bytes, delay_s
 
     def connect_to(self, address):
@@ -103,22 +116,25 @@
 
     @staticmethod
     async def pass_on(reader, writer, pair, direction):
-        """Passes bytes and the end; a reset on one side resets the other."""
+        """Passes bytes and the end; a reset on one side resets the other. Bytes after a half close are lost."""
         try:
-            while piece := await reader.read(direction.piece_bytes):
+            while data := await reader.read(LIMIT):
                 await Proxy.until_passing(pair, direction)
-                if direction.delay_s:
-                    await asyncio.sleep(direction.delay_s)
-                if writer.is_closing():
-                    return
-                writer.write(piece)
-                await writer.drain()
+                for start in range(0, len(data), direction.piece_bytes):
+                    await Proxy.pass_piece(data[start:start + direction.piece_bytes], writer, pair, direction)
             await Proxy.until_passing(pair, direction)
-            if writer.can_write_eof() and not writer.is_closing():
-                writer.write_eof()
-        except (OSError, RuntimeError):
+            pair.half_close(writer)
+        except OSError:
             pair.reset()
 
+    @staticmethod
+    async def pass_piece(piece, writer, pair, direction):
+        if direction.delay_s:
+            await asyncio.sleep(direction.delay_s)
+        if writer not in pair.half_closed and not writer.is_closing():
+            writer.write(piece)
+            await writer.drain()
+
     @staticmethod
     async def until_passing(pair, direction):
         while not (pair.passing.is_set() and direction.passing.is_set()):
