--- a/review/streams/network.py
+++ b/review/streams/network.py
@@ -74,6 +74,12 @@
         pair.reset()
 
 
+async def lost(network, engine):
+    """Open connections are lost silently for good, longer than any caller waits; new ones pass."""
+    engine.proxy.drop()
+    await asyncio.sleep(3.0)
+
+
 async def late(network, engine):
     """Open connections are lost silently; their bytes come late, after others went on."""
     engine.proxy.drop()
@@ -144,5 +150,5 @@
     network.engines[network.engines.index(engine)] = await new.start()
 
 
-FAULTS = {fault.__name__: fault for fault in (cut, cut_back, cut_there, drop, late, half_back, half_there, reset, split,
+FAULTS = {fault.__name__: fault for fault in (cut, cut_back, cut_there, drop, lost, late, half_back, half_there, reset, split,
                                               reuse, stop, freeze, freeze_and_kill)}
--- a/review/streams/run.py
+++ b/review/streams/run.py
@@ -17,7 +17,8 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
-from standins import Engine, HttpServer, answer_bytes, ask_once, die_with_parent, engine_configuration, now, read_head, run  # noqa: E402
+from standins import (Engine, HttpServer, answer_bytes, ask_once, die_with_parent, engine_configuration, now,  # noqa: E402
+                      read_head, run)
 from network import FAULTS, HANG_S, Network  # noqa: E402
 
 ARGUMENTS = argparse.ArgumentParser(description=__doc__)
@@ -39,6 +40,7 @@
 ARGUMENTS.add_argument("--text", action="store_true", help="a runner that goes on a stream may answer with an error's text")
 ARGUMENTS.add_argument("--network", default="", help=f"faults played on proxies before the runners, or all: {','.join(FAULTS)}")
 ARGUMENTS.add_argument("--event-bytes", type=int, default=0, help="that fill each event up")
+ARGUMENTS.add_argument("--patience", type=float, default=9, help="seconds without a byte after which callers leave")
 ARGUMENTS.add_argument("--processes", action="store_true", help="runners are processes of their own, which crash by SIGKILL")
 ARGUMENTS.add_argument("--serve", help=argparse.SUPPRESS)
 OPTIONS = ARGUMENTS.parse_args()
@@ -152,7 +154,7 @@
     """What a read returns; a read that takes longer than HANG_S is counted."""
     begun = now()
     try:
-        return await asyncio.wait_for(read, 9)
+        return await asyncio.wait_for(read, OPTIONS.patience)
     finally:
         if now() - begun > HANG_S:
             HANGS[what] += 1
