--- a/review/streams/run.py
+++ b/review/streams/run.py
@@ -12,11 +12,15 @@
 import signal
 import socket
 import struct
+import subprocess
 import sys
+import types
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
-from standins import Engine, answer_bytes, engine_configuration, now, read_head, run  # noqa: E402
+from standins import (Engine, HttpServer, answer_bytes, ask_once, die_with_parent, engine_configuration, now,  # noqa: E402
+                      read_head, run)
+from network import FAULTS, HANG_S, Network  # noqa: E402
 
 ARGUMENTS = argparse.ArgumentParser(description=__doc__)
 ARGUMENTS.add_argument("--seed", type=int, default=1)
@@ -37,9 +41,16 @@
 ARGUMENTS.add_argument("--text", action="store_true", help="a runner that goes on a stream may answer with an error's text")
 ARGUMENTS.add_argument("--report-age", type=float, default=0, help="of the runs that reports list, in seconds; 0: they list none")
 ARGUMENTS.add_argument("--goes-on", action="store_true", help="the run of a broken stream makes the rest of its events, unseen")
+ARGUMENTS.add_argument("--network", default="", help=f"faults played on proxies before the runners, or all: {','.join(FAULTS)}")
+ARGUMENTS.add_argument("--event-bytes", type=int, default=0, help="that fill each event up")
+ARGUMENTS.add_argument("--patience", type=float, default=9, help="seconds without a byte after which callers leave")
+ARGUMENTS.add_argument("--processes", action="store_true", help="runners are processes of their own, which crash by SIGKILL")
+ARGUMENTS.add_argument("--serve", help=argparse.SUPPRESS)
 OPTIONS = ARGUMENTS.parse_args()
 RUNNERS, GATEWAYS, EVENTS, EVENT_PAUSE_S = 9, 5, 43, 0.03
+FILLING = "." * OPTIONS.event_bytes
 RNG = random.Random(OPTIONS.seed)
+HANGS = collections.Counter()              # reads of callers that took longer than HANG_S, by what was waited for
 
 
 def choice_of(listed):
@@ -50,6 +61,30 @@
     """A model runner whose events name their stream, their number and the version of its software."""
     software = "v1"
     weights = 1
+    stated = {}                            # fields of the registration that differ from the runner's own
+    process = None                         # that serves, if it isn't this one
+    frozen = False
+
+    async def start(self):
+        if not OPTIONS.processes:
+            return await super().start()
+        served = ",".join((self.name, self.address, str(self.born), str(self.weights), self.software))
+        self.process = subprocess.Popen([sys.executable, __file__, *sys.argv[1:], "--serve", served], preexec_fn=die_with_parent)
+        while (await ask_once(self.address, "GET", "/report", {"Host": "x"}, timeout=1.0)).status != 200:
+            await asyncio.sleep(0.05)
+        self.register()
+        return self
+
+    def beats_now(self):
+        if self.frozen:
+            return False
+        return self.process.poll() is None if self.process else self.http.server.is_serving()
+
+    def freeze(self, frozen):
+        """SIGSTOP or SIGCONT; the kernel goes on acknowledging."""
+        self.frozen = frozen
+        self.record.line(f"runner {self.name} {'is stopped' if frozen else 'goes on'}")
+        self.process.send_signal(signal.SIGSTOP if frozen else signal.SIGCONT)
 
     def __init__(self, *args, **more):
         super().__init__(*args, **more)
@@ -82,7 +117,7 @@
 
     def register(self, state="ready"):
         put = self.store.put
-        self.store.put = lambda kind, name, spec, **more: put(kind, name, {**spec, "version": self.software}, **more)
+        self.store.put = lambda kind, name, spec, **more: put(kind, name, {**spec, "version": self.software, **self.stated}, **more)
         try:
             return super().register(state)
         finally:
@@ -98,6 +133,10 @@
     def crash_all(self):
         """As the kernel ends a killed process."""
         self.record.line(f"runner {self.name} crashes")
+        if self.process:
+            self.process.kill()
+            self.process.wait()
+            return
         self.http.server.close()
         for writer in list(self.http.writers):
             writer.close()
@@ -126,7 +165,7 @@
             writer.write(framed(b"upstream failure\n\n"))
             return b"0\r\n\r\n" if framing == "chunked" else self.end(writer, "fin")
         for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: {request.path} {number} {self.software}/w{self.weights}\n\n".encode()
+            event = f"id: {number}\ndata: {request.path} {number} {self.software}/w{self.weights}{FILLING}\n\n".encode()
             if breaks and number == at and where in ("event", "between"):
                 if where == "event":
                     writer.write(framed(event[:RNG.randrange(1, len(event))]))
@@ -142,6 +181,17 @@
         return b"0\r\n\r\n"
 
 
+async def waited(case, request_id, what, read):
+    """What a read returns; a read that takes longer than HANG_S is counted."""
+    begun = now()
+    try:
+        return await asyncio.wait_for(read, OPTIONS.patience)
+    finally:
+        if now() - begun > HANG_S:
+            HANGS[what] += 1
+            case.record.line(f"{request_id} waited {now() - begun:.2f} s for {what}")
+
+
 async def read_stream(case, address, path, prefix, more):
     """Returns the events' bytes, whether the answer looks whole, its status, and the attempt's id if it can be taken up."""
     body, whole, status, writer = b"", False, 0, None
@@ -151,12 +201,12 @@
         fields = case.fields(8000, Model="m0", Token_Count="100,30", Prompt_Prefix=prefix, **more)
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         writer.write(f"POST {path} HTTP/1.1\r\n{lines}Content-Length: 2\r\n\r\nhi".encode())
-        first, got = await asyncio.wait_for(read_head(reader), 9)
+        first, got = await waited(case, fields["Request-Id"], "a head", read_head(reader))
         status = int(first.split(" ")[1])
         if got.get("transfer-encoding", "").lower() != "chunked":
             body = await asyncio.wait_for(reader.readexactly(int(got.get("content-length", 0))), 9)
             return body, True, status, fields["Request-Id"]
-        while size := int((await asyncio.wait_for(reader.readuntil(b"\r\n"), 9)), 16):
+        while size := int((await waited(case, fields["Request-Id"], "an event or the end", reader.readuntil(b"\r\n"))), 16):
             body += (await asyncio.wait_for(reader.readexactly(size + 2), 9))[:-2]
         whole = True
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
@@ -260,11 +310,18 @@
     gateways += await start_gateways(case, range(GATEWAYS - OPTIONS.late_gateways, GATEWAYS))
 
 
+def successor(old):
+    """A runner of other software that takes the place of another one, under a name of its own."""
+    new = Streamer(old.store, old.record, old.name + "r", old.service, zone=old.zone)
+    new.models, new.weights, new.software = {"m0"}, old.weights, old.software + "r"
+    return new
+
+
 async def beat(engines):
     while True:
         await asyncio.sleep(1.0)
         for engine in engines:
-            if engine.http.server.is_serving():
+            if engine.beats_now():
                 engine.register()
 
 
@@ -274,11 +331,18 @@
     for number in range(RUNNERS):
         engine = Streamer(case.store, case.record, f"e{number}", "seam-assistant", zone="abc"[number % 3])
         engine.models, engine.weights = {"m0"}, 1 + number % OPTIONS.weights
+        if OPTIONS.network:
+            await Network.stand_before(engine)
         engines.append(await engine.start())
     tasks = [asyncio.create_task(beat(engines))]
     gateways = await start_gateways(case, range(GATEWAYS - OPTIONS.late_gateways))
     await asyncio.sleep(4)
     tasks += [asyncio.create_task(crash(engines, gateways)), asyncio.create_task(start_late(case, gateways))]
+    if OPTIONS.network:
+        network = Network(RNG, case.record, engines, gateways, successor)
+        playable = [name for name in FAULTS if OPTIONS.processes or not name.startswith("freeze")]
+        faults = playable if OPTIONS.network == "all" else OPTIONS.network.split(",")
+        tasks.append(asyncio.create_task(network.play(faults, OPTIONS.seconds)))
     if OPTIONS.release:
         tasks.append(asyncio.create_task(release(engines)))
     callers, until = [], now() + OPTIONS.seconds
@@ -286,8 +350,26 @@
         callers.append(asyncio.create_task(Caller(case, gateways, len(callers)).run()))
         await asyncio.sleep(1 / OPTIONS.streams)
     counts = collections.Counter(await asyncio.gather(*callers))
+    for task in tasks:
+        if task.done():
+            task.result()                  # raises what ended it
     wrong = sum(counts[fault] for fault in ("looks whole and isn't", "not an event", "out of order", "two versions",
                                               "two versions, taken up by the caller"))
-    return case.record.verdict(wrong > 0, f"{wrong} of {len(callers)} streams: {dict(counts)}")
-
-run(main, FOLDER)
+    return case.record.verdict(wrong > 0, f"{wrong} of {len(callers)} streams: {dict(counts)}; "
+                                         f"waits over {HANG_S} s: {dict(HANGS)}")
+
+
+async def serve_alone():
+    """Serves as the runner that `--serve` describes, until it is killed."""
+    name, address, born, weights, software = OPTIONS.serve.split(",")
+    RNG.seed(f"{OPTIONS.seed} {name}")
+    engine = Streamer(None, types.SimpleNamespace(line=lambda text: None), name, "seam-assistant")
+    engine.models, engine.address, engine.born = {"m0"}, address, int(born)
+    engine.weights, engine.software = int(weights), software
+    await HttpServer().listen(address, engine.serve)
+    await asyncio.Event().wait()
+
+if OPTIONS.serve:
+    asyncio.run(serve_alone())
+else:
+    run(main, FOLDER)
