--- a/tests/programs/test_gateway_software_versions.py
+++ b/tests/programs/test_gateway_software_versions.py
@@ -5,7 +5,8 @@
 
 from gateway_fleet import expect
 from harness import Failure, arguments, run_cases, wait_until
-from version_fleet import STREAMS, TOLD_S, BREAK_AFTER, break_streams, broken_stream, restart_all, start_fleet, stream, take_up, versions_in
+from version_fleet import (BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, expect_taken_up_anywhere, restart_all, start_fleet,
+                           stream, take_up, versions_in)
 
 ARGUMENTS = arguments(__doc__)
 
@@ -54,12 +55,7 @@
 def stream_taken_up_by_its_caller_anywhere_goes_on_at_its_version():
     fleet, engines = fleet_of_versions(["v1", "v2", "v1", "v2"], gateways=3)
     with fleet:
-        break_streams(engines, BREAK_AFTER)
-        begun = [broken_stream(fleet, number % 3) for number in range(STREAMS)]
-        expect({version for _, version in begun}, {"v1", "v2"}, "versions that began streams")
-        break_streams(engines, None)
-        time.sleep(TOLD_S)
-        expect([take_up(fleet, each, (number + 1) % 3) for number, each in enumerate(begun)], [True] * STREAMS, "it goes on")
+        expect_taken_up_anywhere(fleet, engines, {"v1", "v2"})
 
 
 def stream_goes_on_although_the_gateway_that_began_it_is_gone_and_others_restarted():
--- a/tests/programs/test_gateway_weight_versions.py
+++ b/tests/programs/test_gateway_weight_versions.py
@@ -5,7 +5,8 @@
 
 from gateway_fleet import expect
 from harness import Failure, arguments, run_cases
-from version_fleet import BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, restart_all, start_fleet, stream, take_up, versions_in
+from version_fleet import (BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, expect_taken_up_anywhere, restart_all, start_fleet,
+                           stream, take_up, versions_in)
 
 ARGUMENTS = arguments(__doc__)
 CUT_WITHIN_S = 0.3           # of the break: a stream that can't go on anywhere isn't held
@@ -91,12 +92,7 @@
 def stream_taken_up_by_its_caller_anywhere_goes_on_at_its_weights():
     fleet, engines = fleet_of_weights([1, 2, 1, 2], gateways=3)
     with fleet:
-        break_streams(engines, BREAK_AFTER)
-        begun = [broken_stream(fleet, number % 3) for number in range(STREAMS)]
-        expect({version for _, version in begun}, {"w1", "w2"}, "weights that began streams")
-        break_streams(engines, None)
-        time.sleep(TOLD_S)
-        expect([take_up(fleet, each, (number + 1) % 3) for number, each in enumerate(begun)], [True] * STREAMS, "it goes on")
+        expect_taken_up_anywhere(fleet, engines, {"w1", "w2"})
 
 
 def stream_of_unknown_weights_is_refused_while_there_are_several():
--- a/tests/programs/version_fleet.py
+++ b/tests/programs/version_fleet.py
@@ -1,5 +1,6 @@
 """Fleets whose engines differ in a version that their events name, and callers whose streams break there."""
 import re
+import time
 
 from gateway_fleet import Fleet, expect, outcome
 from harness import Failure, wait_until
@@ -68,3 +69,14 @@
         gateway.start()
     for gateway in fleet.gateways:
         wait_until(lambda gateway=gateway: fleet.readiness(gateway) == 200, "ready")
+
+
+def expect_taken_up_anywhere(fleet, engines, versions):
+    """Streams that break at engines of these versions, begun at any gateway, go on at the next one."""
+    gateways = len(fleet.gateways)
+    break_streams(engines, BREAK_AFTER)
+    begun = [broken_stream(fleet, number % gateways) for number in range(STREAMS)]
+    expect({version for _, version in begun}, versions, "versions that began streams")
+    break_streams(engines, None)
+    time.sleep(TOLD_S)
+    expect([take_up(fleet, each, (number + 1) % gateways) for number, each in enumerate(begun)], [True] * STREAMS, "it goes on")
