--- a/tests/programs/test_gateway_software_versions.py
+++ b/tests/programs/test_gateway_software_versions.py
@@ -5,7 +5,7 @@
 
 from gateway_fleet import expect
 from harness import Failure, arguments, run_cases, wait_until
-from version_fleet import (BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, expect_taken_up_anywhere, restart_all, start_fleet,
+from version_fleet import (BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, expect_taken_up_anywhere, expect_unknown_ones_not_mixed, start_fleet,
                            stream, take_up, versions_in)
 
 ARGUMENTS = arguments(__doc__)
@@ -78,12 +78,7 @@
 def stream_of_an_unknown_version_is_refused_while_there_are_several():
     fleet, engines = fleet_of_versions(["v1", "v2", "v1", "v2"], gateways=2)
     with fleet:
-        break_streams(engines, BREAK_AFTER)
-        begun = [broken_stream(fleet, number % 2) for number in range(STREAMS)]
-        break_streams(engines, None)
-        restart_all(fleet)
-        for number, each in enumerate(begun):
-            take_up(fleet, each, number % 2)
+        expect_unknown_ones_not_mixed(fleet, engines)
 
 
 def stream_goes_on_after_all_gateways_restarted_if_there_is_one_version():
--- a/tests/programs/test_gateway_weight_versions.py
+++ b/tests/programs/test_gateway_weight_versions.py
@@ -5,7 +5,7 @@
 
 from gateway_fleet import expect
 from harness import Failure, arguments, run_cases
-from version_fleet import (BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, expect_taken_up_anywhere, restart_all, start_fleet,
+from version_fleet import (BREAK_AFTER, STREAMS, TOLD_S, break_streams, expect_taken_up_anywhere, expect_unknown_ones_not_mixed, start_fleet,
                            stream, take_up, versions_in)
 
 ARGUMENTS = arguments(__doc__)
@@ -98,12 +98,7 @@
 def stream_of_unknown_weights_is_refused_while_there_are_several():
     fleet, engines = fleet_of_weights([1, 2, 1, 2], gateways=2)
     with fleet:
-        break_streams(engines, BREAK_AFTER)
-        begun = [broken_stream(fleet, number % 2) for number in range(STREAMS)]
-        break_streams(engines, None)
-        restart_all(fleet)
-        for number, each in enumerate(begun):
-            take_up(fleet, each, number % 2)
+        expect_unknown_ones_not_mixed(fleet, engines)
 
 
 def stream_whose_weights_change_inside_goes_on_at_the_newer_ones():
--- a/tests/programs/version_fleet.py
+++ b/tests/programs/version_fleet.py
@@ -80,3 +80,14 @@
     break_streams(engines, None)
     time.sleep(TOLD_S)
     expect([take_up(fleet, each, (number + 1) % gateways) for number, each in enumerate(begun)], [True] * STREAMS, "it goes on")
+
+
+def expect_unknown_ones_not_mixed(fleet, engines):
+    """Streams that began before all gateways lost power go on at their version or are refused."""
+    gateways = len(fleet.gateways)
+    break_streams(engines, BREAK_AFTER)
+    begun = [broken_stream(fleet, number % gateways) for number in range(STREAMS)]
+    break_streams(engines, None)
+    restart_all(fleet)
+    for number, each in enumerate(begun):
+        take_up(fleet, each, number % gateways)
