--- /dev/null
+++ b/tests/programs/test_gateway_out_of_step.py
@@ -0,0 +1,116 @@
+#!/usr/bin/env python3
+"""waxwing-gateway whose view of the targets is old: streams that began at a version which it doesn't know."""
+import os
+import signal
+import sys
+import time
+
+from gateway_fleet import expect, outcome
+from gateway_standins import StoreLink
+from harness import Failure, arguments, run_cases, wait_until
+from version_fleet import BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, name_software, start_fleet, versions_in
+
+ARGUMENTS = arguments(__doc__)
+PROMPT_S = 1.0               # a refusal that needs no other process
+STILL_S = 4.0
+
+
+def take_up(fleet, begun, gateway, named=True):
+    """The caller takes its stream up. Returns (status, seconds); at another version is a failure."""
+    request_id, version = begun
+    more = {"Resumes": request_id} if named else {}
+    headers = fleet.headers("m0", Last_Event_Id=str(BREAK_AFTER), Prompt_Prefix=f"p{fleet.number}:9", **more)
+    began = time.monotonic()
+    status, text = outcome(fleet, "/notes/1", headers, gateway, str(fleet.number))
+    if status == 200 and versions_in(text) != {version}:
+        raise Failure(f"{request_id} began at {version} and went on at {versions_in(text)}")
+    return status, time.monotonic() - began
+
+
+def statuses(taken):
+    return [status for status, _ in taken]
+
+
+def broken_streams(fleet, engines, gateway):
+    break_streams(engines, BREAK_AFTER)
+    begun = [broken_stream(fleet, gateway) for _ in range(STREAMS)]
+    break_streams(engines, None)
+    return begun
+
+
+def later_target(fleet):
+    later = fleet.target("t9", "engine", models=["m0"])
+    name_software(later, 2)
+    later.register()
+    return later
+
+
+def forget_gateways(store):
+    """Gateways that start from now on don't know of those that run."""
+    for kind, name in list(store.objects):
+        if kind not in ("config", "servers"):
+            store.remove(kind, name)
+
+
+def fleet_with_gateway_behind_a_cut():
+    """Gateway 1 knows v1 and is cut off; v2 comes and streams begin at both versions through gateway 2."""
+    fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1], gateways=1)
+    link = StoreLink(fleet.store, fleet.ports.address())
+    fleet.add_gateway("cut", store=link.address)
+    fleet.gateways[1].start()
+    wait_until(lambda: fleet.readiness(fleet.gateways[1]) == 200, "the gateway is ready")
+    wait_until(lambda: fleet.events("target_changed", "cut"), "it knows the first target")
+    fleet.wait_for_contact()
+    link.cut = True
+    fleet.gateways[0].kill()
+    forget_gateways(fleet.store)
+    engines.append(later_target(fleet))
+    fleet.add_gateway("g3")
+    fleet.gateways[2].start()
+    wait_until(lambda: fleet.readiness(fleet.gateways[2]) == 200, "g3 is ready")
+    wait_until(lambda: len(fleet.events("target_changed", "g3")) >= 2, "g3 knows both targets")
+    return fleet, broken_streams(fleet, engines, 2)
+
+
+def stream_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another():
+    fleet, begun = fleet_with_gateway_behind_a_cut()
+    with fleet:
+        taken = [take_up(fleet, each, 1) for each in begun]
+        expect(statuses(taken), [503] * STREAMS, "refused, as its origin can't be known")
+        expect([seconds for _, seconds in taken if seconds > PROMPT_S], [], "refused at once")
+
+
+def stream_without_name_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another():
+    fleet, begun = fleet_with_gateway_behind_a_cut()
+    with fleet:
+        expect(statuses(take_up(fleet, each, 1, named=False) for each in begun), [503] * STREAMS, "refused")
+
+
+def stream_of_a_version_that_joined_while_the_gateway_stood_still_does_not_go_on_at_another():
+    fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1], gateways=2)
+    with fleet:
+        still = fleet.gateways[1].process.pid
+        os.kill(still, signal.SIGSTOP)
+        engines.append(later_target(fleet))
+        wait_until(lambda: len(fleet.events("target_changed", "g1")) >= 2, "gateway 0 knows the new target")
+        begun = broken_streams(fleet, engines, 0)
+        time.sleep(STILL_S)
+        os.kill(still, signal.SIGCONT)
+        for each in begun:
+            take_up(fleet, each, 1, named=False)
+
+
+def stream_of_unknown_origin_goes_on_where_all_targets_have_one_version():
+    fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1, 1], gateways=2)
+    with fleet:
+        begun = broken_streams(fleet, engines, 0)
+        time.sleep(TOLD_S)
+        expect(statuses(take_up(fleet, each, 1, named=False) for each in begun), [200] * STREAMS, "it goes on")
+
+
+if __name__ == "__main__":
+    run_cases([stream_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another,
+               stream_without_name_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another,
+               stream_of_a_version_that_joined_while_the_gateway_stood_still_does_not_go_on_at_another,
+               stream_of_unknown_origin_goes_on_where_all_targets_have_one_version])
+    sys.exit(0)
--- a/tests/programs/version_fleet.py
+++ b/tests/programs/version_fleet.py
@@ -25,6 +25,10 @@
     return fleet, engines
 
 
+def name_software(engine, version):
+    engine.marks, engine.version = "software", f"v{version}"
+
+
 def versions_in(text):
     return set(re.findall(r" of (\S+)", text))
 
