Requests that came while the process stood still are not thrown away by its old clock

Cause: event_loop::now() was read before the wait for sockets, and the handlers of sockets saw it after the wait. A connection accepted then got a header timeout that had passed already, and the next round of timers closed it with its request unread.

--- a/src/edge/event_loop.cpp
+++ b/src/edge/event_loop.cpp
@@ -13,10 +13,25 @@
 
 constexpr core::common::milliseconds longest_sleep{1'000}; // longest wait if no timer is due earlier
 
+/// Reads the clock when a wait has ended, before the handlers of sockets run: the process may have slept or
+/// been stopped meanwhile.
+class clocked_reactor : public ACE_Select_Reactor {
+public:
+    explicit clocked_reactor(time_point& now) : now_(now) {}
+
+private:
+    int dispatch(int active_handles, ACE_Select_Reactor_Handle_Set& ready) override {
+        if (active_handles > 0)
+            now_ = boot_now();
+        return ACE_Select_Reactor::dispatch(active_handles, ready);
+    }
+    time_point& now_;
+};
+
 } // namespace
 
 event_loop::event_loop(std::size_t posted_capacity)
-    : reactor_(std::make_unique<ACE_Reactor>(new ACE_Select_Reactor, true)), now_(boot_now()),
+    : reactor_(std::make_unique<ACE_Reactor>(new clocked_reactor{now_}, true)), now_(boot_now()),
       posted_capacity_(posted_capacity) {}
 
 event_loop::~event_loop() {
@@ -79,7 +94,6 @@
 }
 
 int event_loop::handle_exception(ACE_HANDLE) {
-    now_ = boot_now();
     run_posted();
     return 0;
 }
--- a/src/edge/event_loop.hpp
+++ b/src/edge/event_loop.hpp
@@ -42,7 +42,8 @@
     /// For owners whose tasks hold what refers to other parts: call it while these exist.
     void discard_tasks();
 
-    /// Time at which the current iteration of the loop began.
+    /// Time at which the current iteration of the loop began, or, while handlers of sockets run, at which the
+    /// wait for them ended.
     [[nodiscard]] core::common::time_point now() const { return now_; }
     ACE_Reactor& reactor() { return *reactor_; }
 
--- a/tests/contract/event_loop_test.cpp
+++ b/tests/contract/event_loop_test.cpp
@@ -60,6 +60,27 @@
 
 namespace {
 
+/// Ends the loop when its socket becomes readable, and notes the loop's time then.
+struct readable_socket : ACE_Event_Handler {
+    edge::event_loop& loop;
+    int socket;
+    core::common::time_point seen_at{};
+    readable_socket(edge::event_loop& used, int watched) : loop(used), socket(watched) {
+        loop.reactor().register_handler(this, READ_MASK);
+    }
+    readable_socket(const readable_socket&) = delete;
+    readable_socket& operator=(const readable_socket&) = delete;
+    readable_socket(readable_socket&&) = delete;
+    readable_socket& operator=(readable_socket&&) = delete;
+    ~readable_socket() override { loop.reactor().remove_handler(this, READ_MASK | DONT_CALL); }
+    ACE_HANDLE get_handle() const override { return socket; }
+    int handle_input(ACE_HANDLE) override {
+        seen_at = loop.now();
+        loop.stop();
+        return 0;
+    }
+};
+
 /// Cancels a timer when it is destroyed, as connections and links do.
 struct cancels_when_destroyed {
     edge::event_loop& loop;
@@ -78,6 +99,24 @@
 
 } // namespace
 
+TEST(event_loop, a_socket_that_becomes_readable_after_a_long_wait_does_not_see_the_time_before_it) {
+    constexpr auto wait = 300ms;
+    edge::event_loop loop;
+    std::array<int, 2> pair{};
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, pair.data()), 0);
+    readable_socket reader{loop, pair[0]};
+    const auto began = edge::boot_now();
+    std::thread writer{[&] {
+        std::this_thread::sleep_for(wait);
+        EXPECT_EQ(::write(pair[1], "x", 1), 1);
+    }};
+    loop.run();
+    writer.join();
+    EXPECT_GE(reader.seen_at - began, wait);
+    ::close(pair[0]);
+    ::close(pair[1]);
+}
+
 TEST(event_loop, ends_while_timers_hold_what_cancels_timers_when_destroyed) {
     constexpr std::size_t count = 100;
     std::size_t destroyed = 0;
--- a/tests/programs/test_gateway_out_of_step.py
+++ b/tests/programs/test_gateway_out_of_step.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
 """waxwing-gateway whose view of the targets is old: streams that began at a version which it doesn't know."""
+import concurrent.futures
 import os
 import signal
 import sys
@@ -8,11 +9,12 @@
 from gateway_fleet import expect, outcome
 from gateway_standins import StoreLink
 from harness import Failure, arguments, run_cases, wait_until
-from version_fleet import BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, name_software, start_fleet, versions_in
+from version_fleet import BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, name_software, start_fleet, stream, versions_in
 
 ARGUMENTS = arguments(__doc__)
 PROMPT_S = 1.0               # a refusal that needs no other process
 STILL_S = 4.0
+STOPPED_S = 1.0              # by then the gateway does nothing any more
 
 
 def take_up(fleet, begun, gateway, named=True):
@@ -100,6 +102,18 @@
             take_up(fleet, each, 1, named=False)
 
 
+def request_that_came_while_the_gateway_stood_still_is_not_thrown_away():
+    fleet, _ = start_fleet(ARGUMENTS.bin, name_software, [1])
+    with fleet, concurrent.futures.ThreadPoolExecutor(STREAMS) as callers:
+        still = fleet.gateways[0].process.pid
+        os.kill(still, signal.SIGSTOP)
+        time.sleep(STOPPED_S)
+        asked = [callers.submit(stream, fleet) for _ in range(STREAMS)]
+        time.sleep(STILL_S)
+        os.kill(still, signal.SIGCONT)
+        expect([each.result()[0] for each in asked], [200] * STREAMS, "served")
+
+
 def stream_of_unknown_origin_goes_on_where_all_targets_have_one_version():
     fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1, 1], gateways=2)
     with fleet:
@@ -112,5 +126,6 @@
     run_cases([stream_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another,
                stream_without_name_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another,
                stream_of_a_version_that_joined_while_the_gateway_stood_still_does_not_go_on_at_another,
+               request_that_came_while_the_gateway_stood_still_is_not_thrown_away,
                stream_of_unknown_origin_goes_on_where_all_targets_have_one_version])
     sys.exit(0)
