Log: by which evidence a caller's stream goes on

Callers saw streams of two software versions, and no line told whether a note on the stream, a peer or the lack of other versions had decided where it goes on, nor how old the gateway's view of the targets was then. origin_decided says both for each stream that is taken up (bounded as the other lines about requests). No decision changes.

--- a/src/edge/decision_log.hpp
+++ b/src/edge/decision_log.hpp
@@ -67,6 +67,7 @@
 inline constexpr std::string_view turn_asked = "turn_asked";
 inline constexpr std::string_view turn_granted = "turn_granted";
 inline constexpr std::string_view turns_held = "turns_held";
+inline constexpr std::string_view origin_decided = "origin_decided";
 inline constexpr std::string_view request_sent = "request_sent";
 inline constexpr std::string_view request_retried = "request_retried";
 inline constexpr std::string_view prompt_suspected = "prompt_suspected";
@@ -94,13 +95,13 @@
     usage_object_ignored, clock_jumped,        target_ending,         request_on_notice,
     scale_decided,        target_load_ignored, target_speed_changed,  turn_asked,
     turn_granted,         turns_held,          client_limited,        store_view_old,
-    target_probed};
+    target_probed,        origin_decided};
 /// Events that callers, targets or peers can cause at any rate; each of them has its own limit.
 inline constexpr std::array about_requests{
     request_waiting,  turn_missed,       request_sent,        request_retried,      request_refused,
     rate_refused,     request_answered,  request_cut,         request_abandoned,    datagram_ignored,
     prompt_suspected, request_on_notice, target_load_ignored, target_speed_changed, turn_asked,
-    turn_granted,     turns_held,        client_limited,      target_probed};
+    turn_granted,     turns_held,        client_limited,      target_probed,        origin_decided};
 } // namespace events
 
 class decision_log {
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -161,17 +161,35 @@
     if (const std::string* origin = edge::find_field(fields, platform::origin_header))
         request->resumes = *origin;
     request->begun_at = context_.origins.version_of(hash_of(request->resumes));
-    if (request->begun_at)
+    if (request->begun_at) {
+        log_origin(request, "noted");
         return true;
+    }
     context_.versions.update(context_.directory.targets(), context_.loop.now());
     const auto versions = context_.versions.versions_of(request->service, request->model);
     request->begun_at = versions.only();
+    log_origin(request, versions.several() ? "several_versions" : "only_version");
     if (!versions.several())
         return true;
     reject(request, 503, "unknown_origin", origin_retry_after);
     return false;
 }
 
+/// `evidence`: for the version at which the stream goes on, or why there is none.
+void admission::log_origin(const caller_request_ptr& request, const char* evidence) {
+    const auto now = context_.loop.now();
+    const auto targets_age = context_.view.age(core::membership::stored_kind::departures, now);
+    const auto& version = request->begun_at;
+    context_.log.write(edge::events::origin_decided, request->request_id,
+                       {{"resumes", request->resumes},
+                        {"evidence", evidence},
+                        {"software_version", version ? version->software : ""},
+                        {"weights", version && version->weights ? std::to_string(*version->weights) : ""},
+                        {"adapter_version", version ? version->adapter : ""},
+                        {"targets_age_ms", targets_age ? core::common::to_wire_ms(*targets_age) : -1},
+                        {"targets", context_.directory.targets().size()}});
+}
+
 bool admission::find_model(const caller_request_ptr& request) {
     if (const std::string* model = edge::find_field(request->received.fields, platform::model_header))
         request->model = core::fleet::parse_model_ref(*model);
--- a/src/programs/gateway/admission.hpp
+++ b/src/programs/gateway/admission.hpp
@@ -32,6 +32,7 @@
     bool find_model(const caller_request_ptr& request);
     bool find_origin(const caller_request_ptr& request);
     bool charge(const caller_request_ptr& request);
+    void log_origin(const caller_request_ptr& request, const char* evidence);
     void reject(const caller_request_ptr& request, int status, const std::string& reason,
                 core::common::duration retry_after = {});
 
