A stream of unknown origin goes on only by a view of the targets that is newer than its request

Cause: where no note of the stream's origin was known, the only version in the gateway's own view decided, however old that view was: absence of news was taken for proof of absence. Now such a request waits for a list of the targets whose call is sent after it came. A stream can only have begun at a target that was registered before, so that list has its version. Requests that come together share a call; while the store is known not to answer they are refused at once (503, not run), so that the caller goes to another gateway. A list, since the store's watches may be silent for a while although there are changes. The call's answer can't come before the request however long either process stands still, so no clock and no age decide.

--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -82,11 +82,11 @@
     if (context_.draining && context_.loop.now() - context_.drain_started > drain_accept_period)
         return reject(request, 503, "ending", drain_retry_after);
     if (!find_route(request) || !identify_caller(request) || !read_deadline(request) ||
-        !find_model(request) || !find_origin(request) || !charge(request))
+        !find_model(request) || !charge(request))
         return;
     request->timer =
         context_.loop.schedule(request->deadline, [this, request] { forwarder_.on_deadline(request); });
-    dispatcher_.submit(request);
+    find_origin(request);
 }
 
 bool admission::find_route(const caller_request_ptr& request) {
@@ -149,30 +149,53 @@
     return false;
 }
 
-/// A stream that its caller takes up goes on at the version that began it. Where that isn't known, it is
-/// refused if targets of the service have, or had, several: at another version it would be spoilt.
-bool admission::find_origin(const caller_request_ptr& request) {
+/// A stream that its caller takes up goes on at the version that began it.
+void admission::find_origin(const caller_request_ptr& request) {
     const auto& fields = request->received.fields;
     const std::string* after = edge::find_field(fields, platform::resume_header);
     if (!request->is_stream() || after == nullptr)
-        return true;
+        return dispatcher_.submit(request);
     if (request->route->resumable)
         request->sequence.continue_after(*after);
     if (const std::string* origin = edge::find_field(fields, platform::origin_header))
         request->resumes = *origin;
     request->begun_at = context_.origins.version_of(hash_of(request->resumes));
-    if (request->begun_at) {
-        log_origin(request, "noted");
-        return true;
-    }
+    if (!request->begun_at)
+        return confirm_origin(request);
+    log_origin(request, "noted");
+    dispatcher_.submit(request);
+}
+
+/// Where the origin isn't known, the stream can have begun at any version that targets had before the request
+/// came: also at one that this gateway hasn't heard of yet.
+void admission::confirm_origin(const caller_request_ptr& request) {
+    if (versions_of(*request).several())
+        return refuse_unknown_origin(request, "several_versions");
+    confirm_targets_([this, request](bool confirmed) {
+        if (request->finished)
+            return;
+        if (!confirmed)
+            return refuse_unknown_origin(request, "targets_unconfirmed");
+        assume_only_version(request);
+    });
+}
+
+void admission::assume_only_version(const caller_request_ptr& request) {
+    request->begun_at = versions_of(*request).only();
+    if (!request->begun_at)
+        return refuse_unknown_origin(request, "several_versions");
+    log_origin(request, "only_version");
+    dispatcher_.submit(request);
+}
+
+core::streams::stated_versions admission::versions_of(const caller_request& request) {
     context_.versions.update(context_.directory.targets(), context_.loop.now());
-    const auto versions = context_.versions.versions_of(request->service, request->model);
-    request->begun_at = versions.only();
-    log_origin(request, versions.several() ? "several_versions" : "only_version");
-    if (!versions.several())
-        return true;
+    return context_.versions.versions_of(request.service, request.model);
+}
+
+void admission::refuse_unknown_origin(const caller_request_ptr& request, const char* why) {
+    log_origin(request, why);
     reject(request, 503, "unknown_origin", origin_retry_after);
-    return false;
 }
 
 /// `evidence`: for the version at which the stream goes on, or why there is none.
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -51,25 +51,27 @@
                forwarder_.refuse(request, 503, core::dispatch::name_of(why), retry_after);
            },
            [this] { peers_.notify_order_giver(); }, [this] { peers_.notify_urgent_updates(); }}),
-      admission_(context_, forwarder_, dispatcher_), notices_(context_, dispatcher_, forwarder_, admission_),
-      guard_(context_), watch_(context_, store_,
-                               {[this](std::string text) {
-                                    config_page_.change(std::move(text));
-                                    update_readiness();
-                                    dispatcher_.schedule_dispatch();
-                                },
-                                [this] {
-                                    update_readiness();
-                                    dispatcher_.schedule_dispatch();
-                                    peers_.notify_urgent_updates();
-                                },
-                                [this](const std::map<std::string, store_watch::member>& members) {
-                                    context_.gateway_count = static_cast<int>(members.size()) +
-                                                             (members.contains(settings_.name) ? 0 : 1);
-                                    peers_.change_members(members);
-                                    scaling_.change_members(members);
-                                    forwarder_.update_budgets();
-                                }}),
+      admission_(context_, forwarder_, dispatcher_,
+                 [this](std::function<void(bool)> on_done) { watch_.confirm_targets(std::move(on_done)); }),
+      notices_(context_, dispatcher_, forwarder_, admission_), guard_(context_),
+      watch_(context_, store_,
+             {[this](std::string text) {
+                  config_page_.change(std::move(text));
+                  update_readiness();
+                  dispatcher_.schedule_dispatch();
+              },
+              [this] {
+                  update_readiness();
+                  dispatcher_.schedule_dispatch();
+                  peers_.notify_urgent_updates();
+              },
+              [this](const std::map<std::string, store_watch::member>& members) {
+                  context_.gateway_count =
+                      static_cast<int>(members.size()) + (members.contains(settings_.name) ? 0 : 1);
+                  peers_.change_members(members);
+                  scaling_.change_members(members);
+                  forwarder_.update_budgets();
+              }}),
       boot_(unix_ms()), order_giver_(context_, lease_store_client_, client_, dispatcher_, boot_),
       duties_(context_, client_, order_giver_.lease()),
       usage_(context_, duties_, lease_store_client_, client_, boot_),
--- a/src/programs/gateway/kind_watch.cpp
+++ b/src/programs/gateway/kind_watch.cpp
@@ -3,6 +3,7 @@
 #include "core/common/hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace waxwinglb::programs::gateway {
@@ -44,6 +45,13 @@
     return "unknown";
 }
 
+/// Moves the elements of `from` to the end of `to`.
+template<class element>
+void append(std::vector<element>& to, std::vector<element>& from) {
+    std::move(from.begin(), from.end(), std::back_inserter(to));
+    from.clear();
+}
+
 } // namespace
 
 void kind_watch::start() {
@@ -86,8 +94,8 @@
 }
 
 void kind_watch::call_next() {
-    const bool lists = !context_.reads_store_closely && timing_.relaxed_lists;
-    position_.revision == 0 || lists ? list() : watch();
+    const bool looks = !context_.reads_store_closely && timing_.relaxed_lists;
+    position_.revision == 0 || looks || !next_confirmations_.empty() ? list() : watch();
 }
 
 milliseconds kind_watch::answer_timeout() const {
@@ -96,6 +104,7 @@
 
 void kind_watch::retry_later() {
     schedule_next(std::min(max_retry_delay, min_retry_delay * (1 << std::min(failures_, max_doublings))));
+    end_confirmations(false);
 }
 
 void kind_watch::supersede() {
@@ -103,12 +112,34 @@
     call_.cancel();
     call_ = {};
     relaxed_ = false;
+    append(next_confirmations_, confirmations_);
+}
+
+/// Watches may be silent for a while although there are changes, so this is a list.
+void kind_watch::confirm(confirmation on_done) {
+    if (!answering_)
+        return on_done(false);
+    next_confirmations_.push_back(std::move(on_done));
+    if (!confirmations_.empty() || receiving())
+        return;
+    supersede();
+    list();
+}
+
+/// Those that came after the call was sent need another one, unless the store doesn't answer.
+void kind_watch::end_confirmations(bool applied) {
+    if (!applied)
+        append(confirmations_, next_confirmations_);
+    for (const confirmation& done : std::exchange(confirmations_, {}))
+        done(applied);
 }
 
 /// `close_delay`: until the next watch, if this gateway watches closely.
 void kind_watch::schedule_after_reply(milliseconds close_delay) {
     relaxed_ = !context_.reads_store_closely;
-    schedule_next(relaxed_ ? timing_.relaxed_delay : close_delay);
+    const milliseconds usual = relaxed_ ? timing_.relaxed_delay : close_delay;
+    schedule_next(next_confirmations_.empty() ? usual : milliseconds{0});
+    end_confirmations(true);
 }
 
 /// All gateways learn of a restore at about the same time: their lists are spread over a short time.
@@ -137,6 +168,7 @@
 
 void kind_watch::list() {
     sent_at_ = context_.loop.now();
+    confirmations_ = std::exchange(next_confirmations_, {});
     call_ = store_.list(kind_, answer_timeout(), [this, generation = generation_](store_reply&& reply) {
         context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
             if (generation == generation_ && record_reply(reply, "list"))
--- a/src/programs/gateway/kind_watch.hpp
+++ b/src/programs/gateway/kind_watch.hpp
@@ -6,6 +6,7 @@
 #include "programs/gateway/context.hpp"
 
 #include <functional>
+#include <vector>
 
 namespace waxwinglb::programs::gateway {
 
@@ -23,6 +24,8 @@
         std::function<void(const platform::store_reply&)> on_events;
         std::function<void(core::common::time_point)> on_current; // all changes until then are applied
     };
+    /// Whether all changes that were made before the call of `confirm` are applied.
+    using confirmation = std::function<void(bool)>;
     kind_watch(gateway_context& context, platform::store_client& store, std::string kind, watch_timing timing,
                callbacks handlers)
         : context_(context), store_(store), kind_(std::move(kind)), timing_(timing),
@@ -32,6 +35,8 @@
     void list_again();    // the store was restored: drops what is on its way
     void watch_closely(); // nobody else does any more: ends a relaxed watch or delay
     void read_now();      // once, in place of a relaxed watch or delay
+    /// Lists all objects by a call that is sent from now on. Those that come together share one call.
+    void confirm(confirmation on_done);
     [[nodiscard]] bool relies_on_peers() const { return relaxed_; }
     [[nodiscard]] bool answering() const { return answering_; }
     [[nodiscard]] bool receiving() const { return call_.receiving(); } // a part of an answer has come
@@ -50,6 +55,7 @@
     void schedule_after_reply(core::common::milliseconds close_delay);
     void retry_later(); // after a failed call
     void supersede();   // ends the current call or delay, so that no second call uses the link beside it
+    void end_confirmations(bool applied);
     [[nodiscard]] core::common::milliseconds answer_timeout() const;
     /// Notes the store's era and whether it answered. Returns false if the reply must not be used, because it
     /// was the first of a new era and everything is listed again.
@@ -64,12 +70,14 @@
     int unnamed_in_list_ = 0;               // entries of the latest list that had no readable name
     std::int64_t listed_era_ = -1;          // of the latest list; -1: none yet
     bool answering_ = true;
-    core::common::time_point answered_at_{}; // last answer of the store; start time before the first
-    platform::store_call call_;              // the current one
-    int failures_ = 0;                       // consecutive
-    core::common::time_point sent_at_{};     // the current call
-    core::common::milliseconds wait_{0};     // of the current watch
-    bool relaxed_ = false;                   // the current watch or delay relies on other gateways' messages
+    core::common::time_point answered_at_{};  // last answer of the store; start time before the first
+    platform::store_call call_;               // the current one
+    int failures_ = 0;                        // consecutive
+    core::common::time_point sent_at_{};      // the current call
+    core::common::milliseconds wait_{0};      // of the current watch
+    bool relaxed_ = false;                    // the current watch or delay relies on other gateways' messages
+    std::vector<confirmation> confirmations_; // that the current call serves
+    std::vector<confirmation> next_confirmations_; // that came after it was sent
     std::uint64_t generation_ = 0; // of calls and delays; results of an older generation are ignored
 };
 
