A gateway that has just started doesn't take the present version for that of streams that began before

Cause: the history of the versions begins with a gateway's own first list, and its lack of earlier versions counted as proof that there were none. Now a history is complete only if it is as old as a stream can be (60 s), or if the store's own history, read once after the first list (target_history), reaches back to the first registration of a gateway: no stream began before. Otherwise unknown streams are refused, not run; what peers have noted goes on.

--- a/src/core/streams/version_history.cpp
+++ b/src/core/streams/version_history.cpp
@@ -39,6 +39,19 @@
         versions.adapters[{adapter, version}] = now;
 }
 
+void version_history::begin(time_point at) {
+    begun_ = at;
+    is_whole_ = false;
+}
+
+void version_history::note_past(const fleet::target_entry& target, time_point now) {
+    retire({target.service, target.software_version, target.versions}, now);
+}
+
+bool version_history::is_complete(time_point now) const {
+    return is_whole_ || (begun_ && *begun_ <= now - version_retention);
+}
+
 void version_history::update(const std::map<std::string, fleet::target>& targets, time_point now) {
     for (auto& [service, versions] : past_)
         versions.expire(now);
--- a/src/core/streams/version_history.hpp
+++ b/src/core/streams/version_history.hpp
@@ -31,6 +31,15 @@
 
 class version_history {
 public:
+    /// What targets stated before then isn't known; to be called when they are first listed, too.
+    void begin(common::time_point at);
+    /// A target stated this before the last call of begin().
+    void note_past(const fleet::target_entry& target, common::time_point now);
+    /// All that was stated since streams began has been noted.
+    void complete() { is_whole_ = true; }
+    /// Whether all versions are known at which a stream can have begun that is still taken up, as of the last
+    /// update.
+    [[nodiscard]] bool is_complete(common::time_point now) const;
     /// Takes note of what the targets state now; to be called regularly.
     void update(const std::map<std::string, fleet::target>& targets, common::time_point now);
     /// Versions that targets of the service had for this model within the retention.
@@ -56,6 +65,8 @@
     static void add(stated_versions& to, const statement& from, const fleet::model_ref& ref);
     static void add(stated_versions& to, const past_versions& from, const fleet::model_ref& ref);
 
+    std::optional<common::time_point> begun_;   // nullopt: nothing is read yet
+    bool is_whole_ = false;                     // what was stated before is known, too
     std::map<std::string, statement> current_;  // by target
     std::map<std::string, past_versions> past_; // by service
 };
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -169,6 +169,8 @@
 /// Where the origin isn't known, the stream can have begun at any version that targets had before the request
 /// came: also at one that this gateway hasn't heard of yet.
 void admission::confirm_origin(const caller_request_ptr& request) {
+    if (!context_.versions.is_complete(context_.loop.now()))
+        return refuse_unknown_origin(request, "versions_before_unknown");
     if (versions_of(*request).several())
         return refuse_unknown_origin(request, "several_versions");
     confirm_targets_([this, request](bool confirmed) {
--- a/src/programs/gateway/kind_watch.hpp
+++ b/src/programs/gateway/kind_watch.hpp
@@ -23,6 +23,10 @@
         std::function<void(const platform::store_reply&, core::fleet::list_source)> on_list;
         std::function<void(const platform::store_reply&)> on_events;
         std::function<void(core::common::time_point)> on_current; // all changes until then are applied
+        /// Called before on_list, with the position of a list and when its call was sent: changes between the
+        /// reads before and that list may stay unknown.
+        std::function<void(core::common::store_position, core::common::time_point)> on_gap =
+            [](core::common::store_position, core::common::time_point) {};
     };
     /// Whether all changes that were made before the call of `confirm` are applied.
     using confirmation = std::function<void(bool)>;
@@ -76,6 +80,7 @@
     core::common::time_point sent_at_{};      // the current call
     core::common::milliseconds wait_{0};      // of the current watch
     bool relaxed_ = false;                    // the current watch or delay relies on other gateways' messages
+    bool lists_after_gap_ = false;            // the current list: no position was known to watch from
     std::vector<confirmation> confirmations_; // that the current call serves
     std::vector<confirmation> next_confirmations_; // that came after it was sent
     std::uint64_t generation_ = 0; // of calls and delays; results of an older generation are ignored
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 store_watch::store_watch(gateway_context& context, platform::store_client& store, callbacks handlers)
-    : context_(context), callbacks_(std::move(handlers)),
+    : context_(context), callbacks_(std::move(handlers)), history_(context, store),
       config_watch_(context, store, platform::config_kind, config_timing,
                     {[this](const store_reply& reply, list_source) { apply_config_objects(reply); },
                      [this](const store_reply& reply) { apply_config_objects(reply); },
@@ -45,7 +45,10 @@
       targets_watch_(context, store, platform::targets_kind, targets_timing,
                      {[this](const store_reply& reply, list_source source) { list_targets(reply, source); },
                       [this](const store_reply& reply) { change_targets(reply); },
-                      [this](time_point until) { context_.view.confirm(stored_kind::departures, until); }}),
+                      [this](time_point until) { context_.view.confirm(stored_kind::departures, until); },
+                      [this](core::common::store_position listed, time_point sent_at) {
+                          history_.note_gap(listed, sent_at);
+                      }}),
       centres_watch_(context, store, platform::evacuations_kind, centres_timing,
                      {[this](const store_reply& reply, list_source) { list_centres(reply); },
                       [this](const store_reply& reply) { change_centres(reply); },
@@ -273,6 +276,7 @@
 void store_watch::list_members(const store_reply& reply, list_source source) {
     if (source == list_source::store)
         members_.clear();
+    history_.note_gateways(reply);
     std::vector<std::int64_t> running_since;
     for (const auto& object : reply.objects)
         if (object.name != context_.settings.name)
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "programs/gateway/kind_watch.hpp"
+#include "programs/gateway/target_history.hpp"
 
 #include <array>
 #include <functional>
@@ -62,6 +63,7 @@
 
     gateway_context& context_;
     callbacks callbacks_;
+    target_history history_;
     kind_watch config_watch_;
     kind_watch targets_watch_;
     kind_watch centres_watch_;
--- a/tests/core/origins_test.cpp
+++ b/tests/core/origins_test.cpp
@@ -116,6 +116,29 @@
     EXPECT_EQ(history.versions_of("s", {"m", ""}).software, (std::set<std::string>{"v1", "v2"}));
 }
 
+TEST(version_history, is_complete_once_it_is_as_old_as_streams_may_be) {
+    streams::version_history history;
+    EXPECT_FALSE(history.is_complete(now)) << "nothing is read yet";
+    history.begin(now);
+    EXPECT_FALSE(history.is_complete(now + 59s));
+    EXPECT_TRUE(history.is_complete(now + 60s));
+    history.begin(now + 100s);
+    EXPECT_FALSE(history.is_complete(now + 101s)) << "changes before may be unknown";
+}
+
+TEST(version_history, is_complete_at_once_if_what_was_stated_before_is_noted) {
+    streams::version_history history;
+    history.begin(now);
+    history.note_past(target_of("s", version("v1", 1)).entry, now);
+    EXPECT_FALSE(history.is_complete(now));
+    history.complete();
+    EXPECT_TRUE(history.is_complete(now));
+    history.update({{"a", target_of("s", version("v2", 1))}}, now);
+    EXPECT_TRUE(history.versions_of("s", {"m", ""}).several());
+    history.begin(now + 1s);
+    EXPECT_FALSE(history.is_complete(now + 1s));
+}
+
 TEST(serving_version, a_stream_may_go_on_where_all_that_both_state_is_equal) {
     const auto begun = version("v1", 1, "7");
     EXPECT_TRUE(may_continue(begun, begun));
--- a/tests/programs/gateway_standins.py
+++ b/tests/programs/gateway_standins.py
@@ -136,7 +136,9 @@
     def put(self, kind, name, spec):
         with self.lock:
             self.revision += 1
-            self.objects[kind, name] = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+            known = self.objects.get((kind, name))
+            created = known["metadata"]["create_rev"] if known else self.revision
+            self.objects[kind, name] = {"metadata": {"name": name, "revision": self.revision, "create_rev": created}, "spec": spec}
             self.history.append((self.revision, kind, {"object": self.objects[kind, name], "removed": False}))
             self.lock.notify_all()
             return self.objects[kind, name]
