An answer whose length is ambiguous doesn't end the gateway

Cause: answer_reader called the answer broken before its head was kept, but the next feed() took it for complete, as the parser had all of it; the exchange then read a head that wasn't there. Now a broken answer stays broken. answer_reader.a_whole_answer_with_two_lengths_stays_broken guards the reader; the test's callers get 502 now, as the request may have run.

--- a/src/edge/http_reader.cpp
+++ b/src/edge/http_reader.cpp
@@ -332,6 +332,8 @@
         if (used == 0)
             break;
     }
+    if (state_ == state::broken)
+        return state_;
     if (parser.is_done())
         state_ = state::complete;
     else if (buffer_.size() > max_framing) // what the parser leaves is part of the framing, never of the body
--- a/tests/contract/http_reader_test.cpp
+++ b/tests/contract/http_reader_test.cpp
@@ -121,6 +121,13 @@
               answer_reader::state::broken);
 }
 
+TEST(answer_reader, a_whole_answer_with_two_lengths_stays_broken) {
+    answer_reader reader;
+    EXPECT_EQ(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok"),
+              answer_reader::state::broken);
+    EXPECT_EQ(reader.feed(""), answer_reader::state::broken);
+}
+
 TEST(http_fields, hop_by_hop_fields_are_recognised_in_any_case) {
     EXPECT_TRUE(edge::concerns_connection("transfer-ENCODING"));
     EXPECT_FALSE(edge::concerns_connection("Request-Id"));
