An answer whose status is none isn't awaited until the deadline

Now the reader of targets' answers calls an answer broken whose status isn't one of 100 to 599, or is 101, which no request asks for. So the request is repeated at another target where it may be, else it ends with 502 at once: it may have run. 600 and above stay 502.

--- a/src/edge/http_reader.cpp
+++ b/src/edge/http_reader.cpp
@@ -78,6 +78,14 @@
     return codings == 1 && !same_name(fields[http::field::transfer_encoding], "chunked");
 }
 
+/// Whether it is one that an answer can have. No request asks to switch protocols.
+bool is_status(unsigned status) {
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 599;
+    constexpr unsigned switching_protocols = 101;
+    return status >= first && status <= last && status != switching_protocols;
+}
+
 int status_for(const boost::system::error_code& failure) {
     if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
         return 431;
@@ -325,7 +333,7 @@
         if (failure && failure != http::error::need_more)
             return state_ = state::broken;
         if (!head_ && parser.is_header_done()) {
-            if (ambiguous_length(parser.get()))
+            if (!is_status(parser.get().result_int()) || ambiguous_length(parser.get()))
                 return state_ = state::broken;
             read_head();
         }
--- a/tests/contract/http_reader_test.cpp
+++ b/tests/contract/http_reader_test.cpp
@@ -128,6 +128,19 @@
     EXPECT_EQ(reader.feed(""), answer_reader::state::broken);
 }
 
+TEST(answer_reader, an_answer_whose_status_is_none_is_broken) {
+    for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+        answer_reader reader;
+        EXPECT_EQ(reader.feed("HTTP/1.1 " + std::string{status} + " X\r\nContent-Length: 2\r\n\r\nok"),
+                  answer_reader::state::broken)
+            << status;
+        EXPECT_EQ(reader.head(), nullptr) << status;
+        EXPECT_EQ(reader.feed(""), answer_reader::state::broken) << "it stays so";
+    }
+    answer_reader interim;
+    EXPECT_EQ(interim.feed("HTTP/1.1 103 Early Hints\r\n\r\n"), answer_reader::state::complete);
+}
+
 TEST(http_fields, hop_by_hop_fields_are_recognised_in_any_case) {
     EXPECT_TRUE(edge::concerns_connection("transfer-ENCODING"));
     EXPECT_FALSE(edge::concerns_connection("Request-Id"));
