--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -194,6 +194,13 @@
 struct stream_origins {
   1: string software_version, 2: list<i64> attempts, 3: optional i64 weights, 4: optional string adapter_version
 }
+/** Versions that targets of a service state, or stated until age_ms ago. */
+struct dated_software { 1: string software_version, 2: i64 age_ms }
+struct dated_weights { 1: string model, 2: i64 weights, 3: i64 age_ms }
+struct dated_adapter { 1: string adapter, 2: string adapter_version, 3: i64 age_ms }
+struct dated_versions {
+  1: string service_name, 2: list<dated_software> software, 3: list<dated_weights> weights, 4: list<dated_adapter> adapters
+}
 /**
  * What is known of a prompt's part, or of a whole request by its fingerprint, that may crash targets: the target runs that
  * ended under it (of a request: its attempts), with their ages, and the age of its latest complete answer (-1: none known).
@@ -238,6 +245,8 @@
  * have been reported yet, sent to gateways that give orders.
  * view: how old what it knows of the store is; leaving_targets then has all departures that it knows.
  * speeds: lasting speeds of targets; set only where targets state their load.
+ * versions: to a member that has just started, if the sender knows all versions that targets had while callers wait for
+ * streams.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
  */
@@ -253,7 +262,8 @@
   31: optional group_status group_use, 32: optional outside_status outside, 33: bool has_details,
   34: list<suspect_part> suspect_parts, 35: list<target_limit> target_limits,
   36: list<stream_origins> origins, 37: list<suspect_part> suspect_requests, 38: optional i64 unix_ms,
-  39: optional list<usage_window> usage, 40: optional list<target_speed> speeds, 41: optional store_view view
+  39: optional list<usage_window> usage, 40: optional list<target_speed> speeds, 41: optional store_view view,
+  42: optional list<dated_versions> versions
 }
 
 /**
--- a/src/core/streams/version_history.cpp
+++ b/src/core/streams/version_history.cpp
@@ -1,5 +1,6 @@
 #include "core/streams/version_history.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -23,20 +24,43 @@
     return service == target.service && software == target.software_version && held == target.versions;
 }
 
-void version_history::past_versions::expire(time_point now) {
+void dated_versions::expire(time_point now) {
     const auto is_old = [now](const auto& version) { return now - version.second > version_retention; };
     std::erase_if(software, is_old);
     std::erase_if(weights, is_old);
     std::erase_if(adapters, is_old);
 }
 
+void version_history::date(dated_versions& to, const statement& stated, time_point until) {
+    to.software[stated.software] = until;
+    for (const auto& [model, weights] : stated.held.weights)
+        to.weights[{model, weights}] = until;
+    for (const auto& [adapter, version] : stated.held.adapters)
+        to.adapters[{adapter, version}] = until;
+}
+
 void version_history::retire(const statement& past, time_point now) {
-    past_versions& versions = past_[past.service];
-    versions.software[past.software] = now;
-    for (const auto& [model, weights] : past.held.weights)
-        versions.weights[{model, weights}] = now;
-    for (const auto& [adapter, version] : past.held.adapters)
-        versions.adapters[{adapter, version}] = now;
+    date(past_[past.service], past, now);
+}
+
+void version_history::merge(const std::string& service, const dated_versions& known) {
+    const auto merge_latest = [](auto& to, const auto& from) {
+        for (const auto& [version, until] : from) {
+            time_point& latest = to.try_emplace(version, until).first->second;
+            latest = std::max(latest, until);
+        }
+    };
+    dated_versions& versions = past_[service];
+    merge_latest(versions.software, known.software);
+    merge_latest(versions.weights, known.weights);
+    merge_latest(versions.adapters, known.adapters);
+}
+
+std::map<std::string, dated_versions> version_history::all(time_point now) const {
+    std::map<std::string, dated_versions> out = past_;
+    for (const auto& [id, statement] : current_)
+        date(out[statement.service], statement, now);
+    return out;
 }
 
 void version_history::begin(time_point at) {
@@ -87,7 +111,7 @@
         to.adapters.insert(adapter->second);
 }
 
-void version_history::add(stated_versions& to, const past_versions& from, const fleet::model_ref& ref) {
+void version_history::add(stated_versions& to, const dated_versions& from, const fleet::model_ref& ref) {
     for (const auto& [software, until] : from.software)
         to.software.insert(software);
     auto weights = from.weights.lower_bound({ref.model, std::numeric_limits<std::int64_t>::min()});
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -11317,6 +11317,646 @@
 }
 
 
+dated_software::~dated_software() noexcept {
+}
+
+
+void dated_software::__set_software_version(const std::string& val) {
+  this->software_version = val;
+}
+
+void dated_software::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const dated_software& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t dated_software::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software_version);
+          this->__isset.software_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t dated_software::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("dated_software");
+
+  xfer += oprot->writeFieldBegin("software_version", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->software_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(dated_software &a, dated_software &b) {
+  using ::std::swap;
+  swap(a.software_version, b.software_version);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+dated_software::dated_software(const dated_software& other344) {
+  software_version = other344.software_version;
+  age_ms = other344.age_ms;
+  __isset = other344.__isset;
+}
+dated_software::dated_software(dated_software&& other345) noexcept {
+  software_version = std::move(other345.software_version);
+  age_ms = other345.age_ms;
+  __isset = other345.__isset;
+}
+dated_software& dated_software::operator=(const dated_software& other346) {
+  software_version = other346.software_version;
+  age_ms = other346.age_ms;
+  __isset = other346.__isset;
+  return *this;
+}
+dated_software& dated_software::operator=(dated_software&& other347) noexcept {
+  software_version = std::move(other347.software_version);
+  age_ms = other347.age_ms;
+  __isset = other347.__isset;
+  return *this;
+}
+void dated_software::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "dated_software(";
+  out << "software_version=" << to_string(software_version);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+dated_weights::~dated_weights() noexcept {
+}
+
+
+void dated_weights::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void dated_weights::__set_weights(const int64_t val) {
+  this->weights = val;
+}
+
+void dated_weights::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const dated_weights& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t dated_weights::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->weights);
+          this->__isset.weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t dated_weights::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("dated_weights");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->weights);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(dated_weights &a, dated_weights &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.weights, b.weights);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+dated_weights::dated_weights(const dated_weights& other348) {
+  model = other348.model;
+  weights = other348.weights;
+  age_ms = other348.age_ms;
+  __isset = other348.__isset;
+}
+dated_weights::dated_weights(dated_weights&& other349) noexcept {
+  model = std::move(other349.model);
+  weights = other349.weights;
+  age_ms = other349.age_ms;
+  __isset = other349.__isset;
+}
+dated_weights& dated_weights::operator=(const dated_weights& other350) {
+  model = other350.model;
+  weights = other350.weights;
+  age_ms = other350.age_ms;
+  __isset = other350.__isset;
+  return *this;
+}
+dated_weights& dated_weights::operator=(dated_weights&& other351) noexcept {
+  model = std::move(other351.model);
+  weights = other351.weights;
+  age_ms = other351.age_ms;
+  __isset = other351.__isset;
+  return *this;
+}
+void dated_weights::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "dated_weights(";
+  out << "model=" << to_string(model);
+  out << ", " << "weights=" << to_string(weights);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+dated_adapter::~dated_adapter() noexcept {
+}
+
+
+void dated_adapter::__set_adapter(const std::string& val) {
+  this->adapter = val;
+}
+
+void dated_adapter::__set_adapter_version(const std::string& val) {
+  this->adapter_version = val;
+}
+
+void dated_adapter::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const dated_adapter& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t dated_adapter::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->adapter);
+          this->__isset.adapter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->adapter_version);
+          this->__isset.adapter_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t dated_adapter::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("dated_adapter");
+
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->adapter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapter_version", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->adapter_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(dated_adapter &a, dated_adapter &b) {
+  using ::std::swap;
+  swap(a.adapter, b.adapter);
+  swap(a.adapter_version, b.adapter_version);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+dated_adapter::dated_adapter(const dated_adapter& other352) {
+  adapter = other352.adapter;
+  adapter_version = other352.adapter_version;
+  age_ms = other352.age_ms;
+  __isset = other352.__isset;
+}
+dated_adapter::dated_adapter(dated_adapter&& other353) noexcept {
+  adapter = std::move(other353.adapter);
+  adapter_version = std::move(other353.adapter_version);
+  age_ms = other353.age_ms;
+  __isset = other353.__isset;
+}
+dated_adapter& dated_adapter::operator=(const dated_adapter& other354) {
+  adapter = other354.adapter;
+  adapter_version = other354.adapter_version;
+  age_ms = other354.age_ms;
+  __isset = other354.__isset;
+  return *this;
+}
+dated_adapter& dated_adapter::operator=(dated_adapter&& other355) noexcept {
+  adapter = std::move(other355.adapter);
+  adapter_version = std::move(other355.adapter_version);
+  age_ms = other355.age_ms;
+  __isset = other355.__isset;
+  return *this;
+}
+void dated_adapter::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "dated_adapter(";
+  out << "adapter=" << to_string(adapter);
+  out << ", " << "adapter_version=" << to_string(adapter_version);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+dated_versions::~dated_versions() noexcept {
+}
+
+
+void dated_versions::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void dated_versions::__set_software(const std::vector<dated_software> & val) {
+  this->software = val;
+}
+
+void dated_versions::__set_weights(const std::vector<dated_weights> & val) {
+  this->weights = val;
+}
+
+void dated_versions::__set_adapters(const std::vector<dated_adapter> & val) {
+  this->adapters = val;
+}
+std::ostream& operator<<(std::ostream& out, const dated_versions& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t dated_versions::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->software.clear();
+            uint32_t _size356;
+            ::apache::thrift::protocol::TType _etype359;
+            xfer += iprot->readListBegin(_etype359, _size356);
+            this->software.resize(_size356);
+            uint32_t _i360;
+            for (_i360 = 0; _i360 < _size356; ++_i360)
+            {
+              xfer += this->software[_i360].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->weights.clear();
+            uint32_t _size361;
+            ::apache::thrift::protocol::TType _etype364;
+            xfer += iprot->readListBegin(_etype364, _size361);
+            this->weights.resize(_size361);
+            uint32_t _i365;
+            for (_i365 = 0; _i365 < _size361; ++_i365)
+            {
+              xfer += this->weights[_i365].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->adapters.clear();
+            uint32_t _size366;
+            ::apache::thrift::protocol::TType _etype369;
+            xfer += iprot->readListBegin(_etype369, _size366);
+            this->adapters.resize(_size366);
+            uint32_t _i370;
+            for (_i370 = 0; _i370 < _size366; ++_i370)
+            {
+              xfer += this->adapters[_i370].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.adapters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t dated_versions::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("dated_versions");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->software.size()));
+    std::vector<dated_software> ::const_iterator _iter371;
+    for (_iter371 = this->software.begin(); _iter371 != this->software.end(); ++_iter371)
+    {
+      xfer += (*_iter371).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("weights", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->weights.size()));
+    std::vector<dated_weights> ::const_iterator _iter372;
+    for (_iter372 = this->weights.begin(); _iter372 != this->weights.end(); ++_iter372)
+    {
+      xfer += (*_iter372).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->adapters.size()));
+    std::vector<dated_adapter> ::const_iterator _iter373;
+    for (_iter373 = this->adapters.begin(); _iter373 != this->adapters.end(); ++_iter373)
+    {
+      xfer += (*_iter373).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(dated_versions &a, dated_versions &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.software, b.software);
+  swap(a.weights, b.weights);
+  swap(a.adapters, b.adapters);
+  swap(a.__isset, b.__isset);
+}
+
+dated_versions::dated_versions(const dated_versions& other374) {
+  service_name = other374.service_name;
+  software = other374.software;
+  weights = other374.weights;
+  adapters = other374.adapters;
+  __isset = other374.__isset;
+}
+dated_versions::dated_versions(dated_versions&& other375) noexcept {
+  service_name = std::move(other375.service_name);
+  software = std::move(other375.software);
+  weights = std::move(other375.weights);
+  adapters = std::move(other375.adapters);
+  __isset = other375.__isset;
+}
+dated_versions& dated_versions::operator=(const dated_versions& other376) {
+  service_name = other376.service_name;
+  software = other376.software;
+  weights = other376.weights;
+  adapters = other376.adapters;
+  __isset = other376.__isset;
+  return *this;
+}
+dated_versions& dated_versions::operator=(dated_versions&& other377) noexcept {
+  service_name = std::move(other377.service_name);
+  software = std::move(other377.software);
+  weights = std::move(other377.weights);
+  adapters = std::move(other377.adapters);
+  __isset = other377.__isset;
+  return *this;
+}
+void dated_versions::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "dated_versions(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "software=" << to_string(software);
+  out << ", " << "weights=" << to_string(weights);
+  out << ", " << "adapters=" << to_string(adapters);
+  out << ")";
+}
+
+
 suspect_part::~suspect_part() noexcept {
 }
 
@@ -11376,14 +12016,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->target_runs.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->target_runs.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            uint32_t _size378;
+            ::apache::thrift::protocol::TType _etype381;
+            xfer += iprot->readListBegin(_etype381, _size378);
+            this->target_runs.resize(_size378);
+            uint32_t _i382;
+            for (_i382 = 0; _i382 < _size378; ++_i382)
             {
-              xfer += iprot->readI64(this->target_runs[_i348]);
+              xfer += iprot->readI64(this->target_runs[_i382]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11396,14 +12036,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ages_ms.clear();
-            uint32_t _size349;
-            ::apache::thrift::protocol::TType _etype352;
-            xfer += iprot->readListBegin(_etype352, _size349);
-            this->ages_ms.resize(_size349);
-            uint32_t _i353;
-            for (_i353 = 0; _i353 < _size349; ++_i353)
+            uint32_t _size383;
+            ::apache::thrift::protocol::TType _etype386;
+            xfer += iprot->readListBegin(_etype386, _size383);
+            this->ages_ms.resize(_size383);
+            uint32_t _i387;
+            for (_i387 = 0; _i387 < _size383; ++_i387)
             {
-              xfer += iprot->readI64(this->ages_ms[_i353]);
+              xfer += iprot->readI64(this->ages_ms[_i387]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11444,10 +12084,10 @@
   xfer += oprot->writeFieldBegin("target_runs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->target_runs.size()));
-    std::vector<int64_t> ::const_iterator _iter354;
-    for (_iter354 = this->target_runs.begin(); _iter354 != this->target_runs.end(); ++_iter354)
+    std::vector<int64_t> ::const_iterator _iter388;
+    for (_iter388 = this->target_runs.begin(); _iter388 != this->target_runs.end(); ++_iter388)
     {
-      xfer += oprot->writeI64((*_iter354));
+      xfer += oprot->writeI64((*_iter388));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11456,10 +12096,10 @@
   xfer += oprot->writeFieldBegin("ages_ms", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ages_ms.size()));
-    std::vector<int64_t> ::const_iterator _iter355;
-    for (_iter355 = this->ages_ms.begin(); _iter355 != this->ages_ms.end(); ++_iter355)
+    std::vector<int64_t> ::const_iterator _iter389;
+    for (_iter389 = this->ages_ms.begin(); _iter389 != this->ages_ms.end(); ++_iter389)
     {
-      xfer += oprot->writeI64((*_iter355));
+      xfer += oprot->writeI64((*_iter389));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11483,34 +12123,34 @@
   swap(a.__isset, b.__isset);
 }
 
-suspect_part::suspect_part(const suspect_part& other356) {
-  part = other356.part;
-  target_runs = other356.target_runs;
-  ages_ms = other356.ages_ms;
-  sound_age_ms = other356.sound_age_ms;
-  __isset = other356.__isset;
+suspect_part::suspect_part(const suspect_part& other390) {
+  part = other390.part;
+  target_runs = other390.target_runs;
+  ages_ms = other390.ages_ms;
+  sound_age_ms = other390.sound_age_ms;
+  __isset = other390.__isset;
 }
-suspect_part::suspect_part(suspect_part&& other357) noexcept {
-  part = other357.part;
-  target_runs = std::move(other357.target_runs);
-  ages_ms = std::move(other357.ages_ms);
-  sound_age_ms = other357.sound_age_ms;
-  __isset = other357.__isset;
+suspect_part::suspect_part(suspect_part&& other391) noexcept {
+  part = other391.part;
+  target_runs = std::move(other391.target_runs);
+  ages_ms = std::move(other391.ages_ms);
+  sound_age_ms = other391.sound_age_ms;
+  __isset = other391.__isset;
 }
-suspect_part& suspect_part::operator=(const suspect_part& other358) {
-  part = other358.part;
-  target_runs = other358.target_runs;
-  ages_ms = other358.ages_ms;
-  sound_age_ms = other358.sound_age_ms;
-  __isset = other358.__isset;
+suspect_part& suspect_part::operator=(const suspect_part& other392) {
+  part = other392.part;
+  target_runs = other392.target_runs;
+  ages_ms = other392.ages_ms;
+  sound_age_ms = other392.sound_age_ms;
+  __isset = other392.__isset;
   return *this;
 }
-suspect_part& suspect_part::operator=(suspect_part&& other359) noexcept {
-  part = other359.part;
-  target_runs = std::move(other359.target_runs);
-  ages_ms = std::move(other359.ages_ms);
-  sound_age_ms = other359.sound_age_ms;
-  __isset = other359.__isset;
+suspect_part& suspect_part::operator=(suspect_part&& other393) noexcept {
+  part = other393.part;
+  target_runs = std::move(other393.target_runs);
+  ages_ms = std::move(other393.ages_ms);
+  sound_age_ms = other393.sound_age_ms;
+  __isset = other393.__isset;
   return *this;
 }
 void suspect_part::printTo(std::ostream& out) const {
@@ -11616,26 +12256,26 @@
   swap(a.__isset, b.__isset);
 }
 
-customer_runs::customer_runs(const customer_runs& other360) {
-  customer = other360.customer;
-  requests = other360.requests;
-  __isset = other360.__isset;
+customer_runs::customer_runs(const customer_runs& other394) {
+  customer = other394.customer;
+  requests = other394.requests;
+  __isset = other394.__isset;
 }
-customer_runs::customer_runs(customer_runs&& other361) noexcept {
-  customer = std::move(other361.customer);
-  requests = other361.requests;
-  __isset = other361.__isset;
+customer_runs::customer_runs(customer_runs&& other395) noexcept {
+  customer = std::move(other395.customer);
+  requests = other395.requests;
+  __isset = other395.__isset;
 }
-customer_runs& customer_runs::operator=(const customer_runs& other362) {
-  customer = other362.customer;
-  requests = other362.requests;
-  __isset = other362.__isset;
+customer_runs& customer_runs::operator=(const customer_runs& other396) {
+  customer = other396.customer;
+  requests = other396.requests;
+  __isset = other396.__isset;
   return *this;
 }
-customer_runs& customer_runs::operator=(customer_runs&& other363) noexcept {
-  customer = std::move(other363.customer);
-  requests = other363.requests;
-  __isset = other363.__isset;
+customer_runs& customer_runs::operator=(customer_runs&& other397) noexcept {
+  customer = std::move(other397.customer);
+  requests = other397.requests;
+  __isset = other397.__isset;
   return *this;
 }
 void customer_runs::printTo(std::ostream& out) const {
@@ -11698,14 +12338,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size364;
-            ::apache::thrift::protocol::TType _etype367;
-            xfer += iprot->readListBegin(_etype367, _size364);
-            this->runs.resize(_size364);
-            uint32_t _i368;
-            for (_i368 = 0; _i368 < _size364; ++_i368)
+            uint32_t _size398;
+            ::apache::thrift::protocol::TType _etype401;
+            xfer += iprot->readListBegin(_etype401, _size398);
+            this->runs.resize(_size398);
+            uint32_t _i402;
+            for (_i402 = 0; _i402 < _size398; ++_i402)
             {
-              xfer += this->runs[_i368].read(iprot);
+              xfer += this->runs[_i402].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11738,10 +12378,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<customer_runs> ::const_iterator _iter369;
-    for (_iter369 = this->runs.begin(); _iter369 != this->runs.end(); ++_iter369)
+    std::vector<customer_runs> ::const_iterator _iter403;
+    for (_iter403 = this->runs.begin(); _iter403 != this->runs.end(); ++_iter403)
     {
-      xfer += (*_iter369).write(oprot);
+      xfer += (*_iter403).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11759,26 +12399,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_window::usage_window(const usage_window& other370) {
-  window = other370.window;
-  runs = other370.runs;
-  __isset = other370.__isset;
+usage_window::usage_window(const usage_window& other404) {
+  window = other404.window;
+  runs = other404.runs;
+  __isset = other404.__isset;
 }
-usage_window::usage_window(usage_window&& other371) noexcept {
-  window = other371.window;
-  runs = std::move(other371.runs);
-  __isset = other371.__isset;
+usage_window::usage_window(usage_window&& other405) noexcept {
+  window = other405.window;
+  runs = std::move(other405.runs);
+  __isset = other405.__isset;
 }
-usage_window& usage_window::operator=(const usage_window& other372) {
-  window = other372.window;
-  runs = other372.runs;
-  __isset = other372.__isset;
+usage_window& usage_window::operator=(const usage_window& other406) {
+  window = other406.window;
+  runs = other406.runs;
+  __isset = other406.__isset;
   return *this;
 }
-usage_window& usage_window::operator=(usage_window&& other373) noexcept {
-  window = other373.window;
-  runs = std::move(other373.runs);
-  __isset = other373.__isset;
+usage_window& usage_window::operator=(usage_window&& other407) noexcept {
+  window = other407.window;
+  runs = std::move(other407.runs);
+  __isset = other407.__isset;
   return *this;
 }
 void usage_window::printTo(std::ostream& out) const {
@@ -11916,34 +12556,34 @@
   swap(a.__isset, b.__isset);
 }
 
-target_speed::target_speed(const target_speed& other374) {
-  target = other374.target;
-  born = other374.born;
-  speed = other374.speed;
-  samples = other374.samples;
-  __isset = other374.__isset;
+target_speed::target_speed(const target_speed& other408) {
+  target = other408.target;
+  born = other408.born;
+  speed = other408.speed;
+  samples = other408.samples;
+  __isset = other408.__isset;
 }
-target_speed::target_speed(target_speed&& other375) noexcept {
-  target = std::move(other375.target);
-  born = other375.born;
-  speed = other375.speed;
-  samples = other375.samples;
-  __isset = other375.__isset;
+target_speed::target_speed(target_speed&& other409) noexcept {
+  target = std::move(other409.target);
+  born = other409.born;
+  speed = other409.speed;
+  samples = other409.samples;
+  __isset = other409.__isset;
 }
-target_speed& target_speed::operator=(const target_speed& other376) {
-  target = other376.target;
-  born = other376.born;
-  speed = other376.speed;
-  samples = other376.samples;
-  __isset = other376.__isset;
+target_speed& target_speed::operator=(const target_speed& other410) {
+  target = other410.target;
+  born = other410.born;
+  speed = other410.speed;
+  samples = other410.samples;
+  __isset = other410.__isset;
   return *this;
 }
-target_speed& target_speed::operator=(target_speed&& other377) noexcept {
-  target = std::move(other377.target);
-  born = other377.born;
-  speed = other377.speed;
-  samples = other377.samples;
-  __isset = other377.__isset;
+target_speed& target_speed::operator=(target_speed&& other411) noexcept {
+  target = std::move(other411.target);
+  born = other411.born;
+  speed = other411.speed;
+  samples = other411.samples;
+  __isset = other411.__isset;
   return *this;
 }
 void target_speed::printTo(std::ostream& out) const {
@@ -12049,26 +12689,26 @@
   swap(a.__isset, b.__isset);
 }
 
-target_load::target_load(const target_load& other378) {
-  target = other378.target;
-  running = other378.running;
-  __isset = other378.__isset;
+target_load::target_load(const target_load& other412) {
+  target = other412.target;
+  running = other412.running;
+  __isset = other412.__isset;
 }
-target_load::target_load(target_load&& other379) noexcept {
-  target = std::move(other379.target);
-  running = other379.running;
-  __isset = other379.__isset;
+target_load::target_load(target_load&& other413) noexcept {
+  target = std::move(other413.target);
+  running = other413.running;
+  __isset = other413.__isset;
 }
-target_load& target_load::operator=(const target_load& other380) {
-  target = other380.target;
-  running = other380.running;
-  __isset = other380.__isset;
+target_load& target_load::operator=(const target_load& other414) {
+  target = other414.target;
+  running = other414.running;
+  __isset = other414.__isset;
   return *this;
 }
-target_load& target_load::operator=(target_load&& other381) noexcept {
-  target = std::move(other381.target);
-  running = other381.running;
-  __isset = other381.__isset;
+target_load& target_load::operator=(target_load&& other415) noexcept {
+  target = std::move(other415.target);
+  running = other415.running;
+  __isset = other415.__isset;
   return *this;
 }
 void target_load::printTo(std::ostream& out) const {
@@ -12123,14 +12763,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size382;
-            ::apache::thrift::protocol::TType _etype385;
-            xfer += iprot->readListBegin(_etype385, _size382);
-            this->customers.resize(_size382);
-            uint32_t _i386;
-            for (_i386 = 0; _i386 < _size382; ++_i386)
+            uint32_t _size416;
+            ::apache::thrift::protocol::TType _etype419;
+            xfer += iprot->readListBegin(_etype419, _size416);
+            this->customers.resize(_size416);
+            uint32_t _i420;
+            for (_i420 = 0; _i420 < _size416; ++_i420)
             {
-              xfer += this->customers[_i386].read(iprot);
+              xfer += this->customers[_i420].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12143,14 +12783,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size387;
-            ::apache::thrift::protocol::TType _etype390;
-            xfer += iprot->readListBegin(_etype390, _size387);
-            this->loads.resize(_size387);
-            uint32_t _i391;
-            for (_i391 = 0; _i391 < _size387; ++_i391)
+            uint32_t _size421;
+            ::apache::thrift::protocol::TType _etype424;
+            xfer += iprot->readListBegin(_etype424, _size421);
+            this->loads.resize(_size421);
+            uint32_t _i425;
+            for (_i425 = 0; _i425 < _size421; ++_i425)
             {
-              xfer += this->loads[_i391].read(iprot);
+              xfer += this->loads[_i425].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12179,10 +12819,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter392;
-    for (_iter392 = this->customers.begin(); _iter392 != this->customers.end(); ++_iter392)
+    std::vector<customer_use> ::const_iterator _iter426;
+    for (_iter426 = this->customers.begin(); _iter426 != this->customers.end(); ++_iter426)
     {
-      xfer += (*_iter392).write(oprot);
+      xfer += (*_iter426).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12191,10 +12831,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter393;
-    for (_iter393 = this->loads.begin(); _iter393 != this->loads.end(); ++_iter393)
+    std::vector<target_load> ::const_iterator _iter427;
+    for (_iter427 = this->loads.begin(); _iter427 != this->loads.end(); ++_iter427)
     {
-      xfer += (*_iter393).write(oprot);
+      xfer += (*_iter427).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12212,26 +12852,26 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_sums::usage_sums(const usage_sums& other394) {
-  customers = other394.customers;
-  loads = other394.loads;
-  __isset = other394.__isset;
+usage_sums::usage_sums(const usage_sums& other428) {
+  customers = other428.customers;
+  loads = other428.loads;
+  __isset = other428.__isset;
 }
-usage_sums::usage_sums(usage_sums&& other395) noexcept {
-  customers = std::move(other395.customers);
-  loads = std::move(other395.loads);
-  __isset = other395.__isset;
+usage_sums::usage_sums(usage_sums&& other429) noexcept {
+  customers = std::move(other429.customers);
+  loads = std::move(other429.loads);
+  __isset = other429.__isset;
 }
-usage_sums& usage_sums::operator=(const usage_sums& other396) {
-  customers = other396.customers;
-  loads = other396.loads;
-  __isset = other396.__isset;
+usage_sums& usage_sums::operator=(const usage_sums& other430) {
+  customers = other430.customers;
+  loads = other430.loads;
+  __isset = other430.__isset;
   return *this;
 }
-usage_sums& usage_sums::operator=(usage_sums&& other397) noexcept {
-  customers = std::move(other397.customers);
-  loads = std::move(other397.loads);
-  __isset = other397.__isset;
+usage_sums& usage_sums::operator=(usage_sums&& other431) noexcept {
+  customers = std::move(other431.customers);
+  loads = std::move(other431.loads);
+  __isset = other431.__isset;
   return *this;
 }
 void usage_sums::printTo(std::ostream& out) const {
@@ -12386,38 +13026,38 @@
   swap(a.__isset, b.__isset);
 }
 
-order_giver_sighting::order_giver_sighting(const order_giver_sighting& other398) {
-  process = other398.process;
-  address = other398.address;
-  age_ms = other398.age_ms;
-  active = other398.active;
-  reads_store = other398.reads_store;
-  __isset = other398.__isset;
-}
-order_giver_sighting::order_giver_sighting(order_giver_sighting&& other399) noexcept {
-  process = std::move(other399.process);
-  address = std::move(other399.address);
-  age_ms = other399.age_ms;
-  active = other399.active;
-  reads_store = other399.reads_store;
-  __isset = other399.__isset;
-}
-order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other400) {
-  process = other400.process;
-  address = other400.address;
-  age_ms = other400.age_ms;
-  active = other400.active;
-  reads_store = other400.reads_store;
-  __isset = other400.__isset;
-  return *this;
-}
-order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other401) noexcept {
-  process = std::move(other401.process);
-  address = std::move(other401.address);
-  age_ms = other401.age_ms;
-  active = other401.active;
-  reads_store = other401.reads_store;
-  __isset = other401.__isset;
+order_giver_sighting::order_giver_sighting(const order_giver_sighting& other432) {
+  process = other432.process;
+  address = other432.address;
+  age_ms = other432.age_ms;
+  active = other432.active;
+  reads_store = other432.reads_store;
+  __isset = other432.__isset;
+}
+order_giver_sighting::order_giver_sighting(order_giver_sighting&& other433) noexcept {
+  process = std::move(other433.process);
+  address = std::move(other433.address);
+  age_ms = other433.age_ms;
+  active = other433.active;
+  reads_store = other433.reads_store;
+  __isset = other433.__isset;
+}
+order_giver_sighting& order_giver_sighting::operator=(const order_giver_sighting& other434) {
+  process = other434.process;
+  address = other434.address;
+  age_ms = other434.age_ms;
+  active = other434.active;
+  reads_store = other434.reads_store;
+  __isset = other434.__isset;
+  return *this;
+}
+order_giver_sighting& order_giver_sighting::operator=(order_giver_sighting&& other435) noexcept {
+  process = std::move(other435.process);
+  address = std::move(other435.address);
+  age_ms = other435.age_ms;
+  active = other435.active;
+  reads_store = other435.reads_store;
+  __isset = other435.__isset;
   return *this;
 }
 void order_giver_sighting::printTo(std::ostream& out) const {
@@ -12508,15 +13148,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->hears.clear();
-            uint32_t _size402;
-            ::apache::thrift::protocol::TType _etype405;
-            xfer += iprot->readSetBegin(_etype405, _size402);
-            uint32_t _i406;
-            for (_i406 = 0; _i406 < _size402; ++_i406)
+            uint32_t _size436;
+            ::apache::thrift::protocol::TType _etype439;
+            xfer += iprot->readSetBegin(_etype439, _size436);
+            uint32_t _i440;
+            for (_i440 = 0; _i440 < _size436; ++_i440)
             {
-              std::string _elem407;
-              xfer += iprot->readString(_elem407);
-              this->hears.insert(_elem407);
+              std::string _elem441;
+              xfer += iprot->readString(_elem441);
+              this->hears.insert(_elem441);
             }
             xfer += iprot->readSetEnd();
           }
@@ -12577,10 +13217,10 @@
   xfer += oprot->writeFieldBegin("hears", ::apache::thrift::protocol::T_SET, 3);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hears.size()));
-    std::set<std::string> ::const_iterator _iter408;
-    for (_iter408 = this->hears.begin(); _iter408 != this->hears.end(); ++_iter408)
+    std::set<std::string> ::const_iterator _iter442;
+    for (_iter442 = this->hears.begin(); _iter442 != this->hears.end(); ++_iter442)
     {
-      xfer += oprot->writeString((*_iter408));
+      xfer += oprot->writeString((*_iter442));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -12615,42 +13255,42 @@
   swap(a.__isset, b.__isset);
 }
 
-group_status::group_status(const group_status& other409) {
-  in_contact = other409.in_contact;
-  departed = other409.departed;
-  hears = other409.hears;
-  reader = other409.reader;
-  sums = other409.sums;
-  order_giver = other409.order_giver;
-  __isset = other409.__isset;
-}
-group_status::group_status(group_status&& other410) noexcept {
-  in_contact = other410.in_contact;
-  departed = other410.departed;
-  hears = std::move(other410.hears);
-  reader = other410.reader;
-  sums = std::move(other410.sums);
-  order_giver = std::move(other410.order_giver);
-  __isset = other410.__isset;
-}
-group_status& group_status::operator=(const group_status& other411) {
-  in_contact = other411.in_contact;
-  departed = other411.departed;
-  hears = other411.hears;
-  reader = other411.reader;
-  sums = other411.sums;
-  order_giver = other411.order_giver;
-  __isset = other411.__isset;
-  return *this;
-}
-group_status& group_status::operator=(group_status&& other412) noexcept {
-  in_contact = other412.in_contact;
-  departed = other412.departed;
-  hears = std::move(other412.hears);
-  reader = other412.reader;
-  sums = std::move(other412.sums);
-  order_giver = std::move(other412.order_giver);
-  __isset = other412.__isset;
+group_status::group_status(const group_status& other443) {
+  in_contact = other443.in_contact;
+  departed = other443.departed;
+  hears = other443.hears;
+  reader = other443.reader;
+  sums = other443.sums;
+  order_giver = other443.order_giver;
+  __isset = other443.__isset;
+}
+group_status::group_status(group_status&& other444) noexcept {
+  in_contact = other444.in_contact;
+  departed = other444.departed;
+  hears = std::move(other444.hears);
+  reader = other444.reader;
+  sums = std::move(other444.sums);
+  order_giver = std::move(other444.order_giver);
+  __isset = other444.__isset;
+}
+group_status& group_status::operator=(const group_status& other445) {
+  in_contact = other445.in_contact;
+  departed = other445.departed;
+  hears = other445.hears;
+  reader = other445.reader;
+  sums = other445.sums;
+  order_giver = other445.order_giver;
+  __isset = other445.__isset;
+  return *this;
+}
+group_status& group_status::operator=(group_status&& other446) noexcept {
+  in_contact = other446.in_contact;
+  departed = other446.departed;
+  hears = std::move(other446.hears);
+  reader = other446.reader;
+  sums = std::move(other446.sums);
+  order_giver = std::move(other446.order_giver);
+  __isset = other446.__isset;
   return *this;
 }
 void group_status::printTo(std::ostream& out) const {
@@ -12742,14 +13382,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speakers.clear();
-            uint32_t _size413;
-            ::apache::thrift::protocol::TType _etype416;
-            xfer += iprot->readListBegin(_etype416, _size413);
-            this->speakers.resize(_size413);
-            uint32_t _i417;
-            for (_i417 = 0; _i417 < _size413; ++_i417)
+            uint32_t _size447;
+            ::apache::thrift::protocol::TType _etype450;
+            xfer += iprot->readListBegin(_etype450, _size447);
+            this->speakers.resize(_size447);
+            uint32_t _i451;
+            for (_i451 = 0; _i451 < _size447; ++_i451)
             {
-              xfer += iprot->readString(this->speakers[_i417]);
+              xfer += iprot->readString(this->speakers[_i451]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12810,10 +13450,10 @@
   xfer += oprot->writeFieldBegin("speakers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->speakers.size()));
-    std::vector<std::string> ::const_iterator _iter418;
-    for (_iter418 = this->speakers.begin(); _iter418 != this->speakers.end(); ++_iter418)
+    std::vector<std::string> ::const_iterator _iter452;
+    for (_iter452 = this->speakers.begin(); _iter452 != this->speakers.end(); ++_iter452)
     {
-      xfer += oprot->writeString((*_iter418));
+      xfer += oprot->writeString((*_iter452));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12848,42 +13488,42 @@
   swap(a.__isset, b.__isset);
 }
 
-outside_status::outside_status(const outside_status& other419) {
-  in_contact = other419.in_contact;
-  departed = other419.departed;
-  speakers = other419.speakers;
-  reader = other419.reader;
-  sums = other419.sums;
-  order_giver = other419.order_giver;
-  __isset = other419.__isset;
-}
-outside_status::outside_status(outside_status&& other420) noexcept {
-  in_contact = other420.in_contact;
-  departed = other420.departed;
-  speakers = std::move(other420.speakers);
-  reader = other420.reader;
-  sums = std::move(other420.sums);
-  order_giver = std::move(other420.order_giver);
-  __isset = other420.__isset;
-}
-outside_status& outside_status::operator=(const outside_status& other421) {
-  in_contact = other421.in_contact;
-  departed = other421.departed;
-  speakers = other421.speakers;
-  reader = other421.reader;
-  sums = other421.sums;
-  order_giver = other421.order_giver;
-  __isset = other421.__isset;
-  return *this;
-}
-outside_status& outside_status::operator=(outside_status&& other422) noexcept {
-  in_contact = other422.in_contact;
-  departed = other422.departed;
-  speakers = std::move(other422.speakers);
-  reader = other422.reader;
-  sums = std::move(other422.sums);
-  order_giver = std::move(other422.order_giver);
-  __isset = other422.__isset;
+outside_status::outside_status(const outside_status& other453) {
+  in_contact = other453.in_contact;
+  departed = other453.departed;
+  speakers = other453.speakers;
+  reader = other453.reader;
+  sums = other453.sums;
+  order_giver = other453.order_giver;
+  __isset = other453.__isset;
+}
+outside_status::outside_status(outside_status&& other454) noexcept {
+  in_contact = other454.in_contact;
+  departed = other454.departed;
+  speakers = std::move(other454.speakers);
+  reader = other454.reader;
+  sums = std::move(other454.sums);
+  order_giver = std::move(other454.order_giver);
+  __isset = other454.__isset;
+}
+outside_status& outside_status::operator=(const outside_status& other455) {
+  in_contact = other455.in_contact;
+  departed = other455.departed;
+  speakers = other455.speakers;
+  reader = other455.reader;
+  sums = other455.sums;
+  order_giver = other455.order_giver;
+  __isset = other455.__isset;
+  return *this;
+}
+outside_status& outside_status::operator=(outside_status&& other456) noexcept {
+  in_contact = other456.in_contact;
+  departed = other456.departed;
+  speakers = std::move(other456.speakers);
+  reader = other456.reader;
+  sums = std::move(other456.sums);
+  order_giver = std::move(other456.order_giver);
+  __isset = other456.__isset;
   return *this;
 }
 void outside_status::printTo(std::ostream& out) const {
@@ -13072,6 +13712,11 @@
   this->view = val;
 __isset.view = true;
 }
+
+void peer_status::__set_versions(const std::vector<dated_versions> & val) {
+  this->versions = val;
+__isset.versions = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -13136,14 +13781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size423;
-            ::apache::thrift::protocol::TType _etype426;
-            xfer += iprot->readListBegin(_etype426, _size423);
-            this->heard.resize(_size423);
-            uint32_t _i427;
-            for (_i427 = 0; _i427 < _size423; ++_i427)
+            uint32_t _size457;
+            ::apache::thrift::protocol::TType _etype460;
+            xfer += iprot->readListBegin(_etype460, _size457);
+            this->heard.resize(_size457);
+            uint32_t _i461;
+            for (_i461 = 0; _i461 < _size457; ++_i461)
             {
-              xfer += iprot->readString(this->heard[_i427]);
+              xfer += iprot->readString(this->heard[_i461]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13180,14 +13825,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_out.clear();
-            uint32_t _size428;
-            ::apache::thrift::protocol::TType _etype431;
-            xfer += iprot->readListBegin(_etype431, _size428);
-            this->centres_out.resize(_size428);
-            uint32_t _i432;
-            for (_i432 = 0; _i432 < _size428; ++_i432)
+            uint32_t _size462;
+            ::apache::thrift::protocol::TType _etype465;
+            xfer += iprot->readListBegin(_etype465, _size462);
+            this->centres_out.resize(_size462);
+            uint32_t _i466;
+            for (_i466 = 0; _i466 < _size462; ++_i466)
             {
-              xfer += iprot->readString(this->centres_out[_i432]);
+              xfer += iprot->readString(this->centres_out[_i466]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13200,14 +13845,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->uses.clear();
-            uint32_t _size433;
-            ::apache::thrift::protocol::TType _etype436;
-            xfer += iprot->readListBegin(_etype436, _size433);
-            this->uses.resize(_size433);
-            uint32_t _i437;
-            for (_i437 = 0; _i437 < _size433; ++_i437)
+            uint32_t _size467;
+            ::apache::thrift::protocol::TType _etype470;
+            xfer += iprot->readListBegin(_etype470, _size467);
+            this->uses.resize(_size467);
+            uint32_t _i471;
+            for (_i471 = 0; _i471 < _size467; ++_i471)
             {
-              xfer += this->uses[_i437].read(iprot);
+              xfer += this->uses[_i471].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13220,14 +13865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size438;
-            ::apache::thrift::protocol::TType _etype441;
-            xfer += iprot->readListBegin(_etype441, _size438);
-            this->demands.resize(_size438);
-            uint32_t _i442;
-            for (_i442 = 0; _i442 < _size438; ++_i442)
+            uint32_t _size472;
+            ::apache::thrift::protocol::TType _etype475;
+            xfer += iprot->readListBegin(_etype475, _size472);
+            this->demands.resize(_size472);
+            uint32_t _i476;
+            for (_i476 = 0; _i476 < _size472; ++_i476)
             {
-              xfer += this->demands[_i442].read(iprot);
+              xfer += this->demands[_i476].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13240,14 +13885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->customers.clear();
-            uint32_t _size443;
-            ::apache::thrift::protocol::TType _etype446;
-            xfer += iprot->readListBegin(_etype446, _size443);
-            this->customers.resize(_size443);
-            uint32_t _i447;
-            for (_i447 = 0; _i447 < _size443; ++_i447)
+            uint32_t _size477;
+            ::apache::thrift::protocol::TType _etype480;
+            xfer += iprot->readListBegin(_etype480, _size477);
+            this->customers.resize(_size477);
+            uint32_t _i481;
+            for (_i481 = 0; _i481 < _size477; ++_i481)
             {
-              xfer += this->customers[_i447].read(iprot);
+              xfer += this->customers[_i481].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13260,14 +13905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->holdings.clear();
-            uint32_t _size448;
-            ::apache::thrift::protocol::TType _etype451;
-            xfer += iprot->readListBegin(_etype451, _size448);
-            this->holdings.resize(_size448);
-            uint32_t _i452;
-            for (_i452 = 0; _i452 < _size448; ++_i452)
+            uint32_t _size482;
+            ::apache::thrift::protocol::TType _etype485;
+            xfer += iprot->readListBegin(_etype485, _size482);
+            this->holdings.resize(_size482);
+            uint32_t _i486;
+            for (_i486 = 0; _i486 < _size482; ++_i486)
             {
-              xfer += this->holdings[_i452].read(iprot);
+              xfer += this->holdings[_i486].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13280,14 +13925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving_targets.clear();
-            uint32_t _size453;
-            ::apache::thrift::protocol::TType _etype456;
-            xfer += iprot->readListBegin(_etype456, _size453);
-            this->leaving_targets.resize(_size453);
-            uint32_t _i457;
-            for (_i457 = 0; _i457 < _size453; ++_i457)
+            uint32_t _size487;
+            ::apache::thrift::protocol::TType _etype490;
+            xfer += iprot->readListBegin(_etype490, _size487);
+            this->leaving_targets.resize(_size487);
+            uint32_t _i491;
+            for (_i491 = 0; _i491 < _size487; ++_i491)
             {
-              xfer += this->leaving_targets[_i457].read(iprot);
+              xfer += this->leaving_targets[_i491].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13300,14 +13945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size458;
-            ::apache::thrift::protocol::TType _etype461;
-            xfer += iprot->readListBegin(_etype461, _size458);
-            this->suspects.resize(_size458);
-            uint32_t _i462;
-            for (_i462 = 0; _i462 < _size458; ++_i462)
+            uint32_t _size492;
+            ::apache::thrift::protocol::TType _etype495;
+            xfer += iprot->readListBegin(_etype495, _size492);
+            this->suspects.resize(_size492);
+            uint32_t _i496;
+            for (_i496 = 0; _i496 < _size492; ++_i496)
             {
-              xfer += this->suspects[_i462].read(iprot);
+              xfer += this->suspects[_i496].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13328,14 +13973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->registrations.clear();
-            uint32_t _size463;
-            ::apache::thrift::protocol::TType _etype466;
-            xfer += iprot->readListBegin(_etype466, _size463);
-            this->registrations.resize(_size463);
-            uint32_t _i467;
-            for (_i467 = 0; _i467 < _size463; ++_i467)
+            uint32_t _size497;
+            ::apache::thrift::protocol::TType _etype500;
+            xfer += iprot->readListBegin(_etype500, _size497);
+            this->registrations.resize(_size497);
+            uint32_t _i501;
+            for (_i501 = 0; _i501 < _size497; ++_i501)
             {
-              xfer += this->registrations[_i467].read(iprot);
+              xfer += this->registrations[_i501].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13356,14 +14001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size468;
-            ::apache::thrift::protocol::TType _etype471;
-            xfer += iprot->readListBegin(_etype471, _size468);
-            this->loads.resize(_size468);
-            uint32_t _i472;
-            for (_i472 = 0; _i472 < _size468; ++_i472)
+            uint32_t _size502;
+            ::apache::thrift::protocol::TType _etype505;
+            xfer += iprot->readListBegin(_etype505, _size502);
+            this->loads.resize(_size502);
+            uint32_t _i506;
+            for (_i506 = 0; _i506 < _size502; ++_i506)
             {
-              xfer += this->loads[_i472].read(iprot);
+              xfer += this->loads[_i506].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13384,14 +14029,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size473;
-            ::apache::thrift::protocol::TType _etype476;
-            xfer += iprot->readListBegin(_etype476, _size473);
-            this->starts.resize(_size473);
-            uint32_t _i477;
-            for (_i477 = 0; _i477 < _size473; ++_i477)
+            uint32_t _size507;
+            ::apache::thrift::protocol::TType _etype510;
+            xfer += iprot->readListBegin(_etype510, _size507);
+            this->starts.resize(_size507);
+            uint32_t _i511;
+            for (_i511 = 0; _i511 < _size507; ++_i511)
             {
-              xfer += this->starts[_i477].read(iprot);
+              xfer += this->starts[_i511].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13412,14 +14057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->centres_held.clear();
-            uint32_t _size478;
-            ::apache::thrift::protocol::TType _etype481;
-            xfer += iprot->readListBegin(_etype481, _size478);
-            this->centres_held.resize(_size478);
-            uint32_t _i482;
-            for (_i482 = 0; _i482 < _size478; ++_i482)
+            uint32_t _size512;
+            ::apache::thrift::protocol::TType _etype515;
+            xfer += iprot->readListBegin(_etype515, _size512);
+            this->centres_held.resize(_size512);
+            uint32_t _i516;
+            for (_i516 = 0; _i516 < _size512; ++_i516)
             {
-              xfer += this->centres_held[_i482].read(iprot);
+              xfer += this->centres_held[_i516].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13512,14 +14157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_parts.clear();
-            uint32_t _size483;
-            ::apache::thrift::protocol::TType _etype486;
-            xfer += iprot->readListBegin(_etype486, _size483);
-            this->suspect_parts.resize(_size483);
-            uint32_t _i487;
-            for (_i487 = 0; _i487 < _size483; ++_i487)
+            uint32_t _size517;
+            ::apache::thrift::protocol::TType _etype520;
+            xfer += iprot->readListBegin(_etype520, _size517);
+            this->suspect_parts.resize(_size517);
+            uint32_t _i521;
+            for (_i521 = 0; _i521 < _size517; ++_i521)
             {
-              xfer += this->suspect_parts[_i487].read(iprot);
+              xfer += this->suspect_parts[_i521].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13532,14 +14177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->target_limits.clear();
-            uint32_t _size488;
-            ::apache::thrift::protocol::TType _etype491;
-            xfer += iprot->readListBegin(_etype491, _size488);
-            this->target_limits.resize(_size488);
-            uint32_t _i492;
-            for (_i492 = 0; _i492 < _size488; ++_i492)
+            uint32_t _size522;
+            ::apache::thrift::protocol::TType _etype525;
+            xfer += iprot->readListBegin(_etype525, _size522);
+            this->target_limits.resize(_size522);
+            uint32_t _i526;
+            for (_i526 = 0; _i526 < _size522; ++_i526)
             {
-              xfer += this->target_limits[_i492].read(iprot);
+              xfer += this->target_limits[_i526].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13552,14 +14197,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->origins.clear();
-            uint32_t _size493;
-            ::apache::thrift::protocol::TType _etype496;
-            xfer += iprot->readListBegin(_etype496, _size493);
-            this->origins.resize(_size493);
-            uint32_t _i497;
-            for (_i497 = 0; _i497 < _size493; ++_i497)
+            uint32_t _size527;
+            ::apache::thrift::protocol::TType _etype530;
+            xfer += iprot->readListBegin(_etype530, _size527);
+            this->origins.resize(_size527);
+            uint32_t _i531;
+            for (_i531 = 0; _i531 < _size527; ++_i531)
             {
-              xfer += this->origins[_i497].read(iprot);
+              xfer += this->origins[_i531].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13572,14 +14217,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_requests.clear();
-            uint32_t _size498;
-            ::apache::thrift::protocol::TType _etype501;
-            xfer += iprot->readListBegin(_etype501, _size498);
-            this->suspect_requests.resize(_size498);
-            uint32_t _i502;
-            for (_i502 = 0; _i502 < _size498; ++_i502)
+            uint32_t _size532;
+            ::apache::thrift::protocol::TType _etype535;
+            xfer += iprot->readListBegin(_etype535, _size532);
+            this->suspect_requests.resize(_size532);
+            uint32_t _i536;
+            for (_i536 = 0; _i536 < _size532; ++_i536)
             {
-              xfer += this->suspect_requests[_i502].read(iprot);
+              xfer += this->suspect_requests[_i536].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13600,14 +14245,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->usage.clear();
-            uint32_t _size503;
-            ::apache::thrift::protocol::TType _etype506;
-            xfer += iprot->readListBegin(_etype506, _size503);
-            this->usage.resize(_size503);
-            uint32_t _i507;
-            for (_i507 = 0; _i507 < _size503; ++_i507)
+            uint32_t _size537;
+            ::apache::thrift::protocol::TType _etype540;
+            xfer += iprot->readListBegin(_etype540, _size537);
+            this->usage.resize(_size537);
+            uint32_t _i541;
+            for (_i541 = 0; _i541 < _size537; ++_i541)
             {
-              xfer += this->usage[_i507].read(iprot);
+              xfer += this->usage[_i541].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13620,14 +14265,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->speeds.clear();
-            uint32_t _size508;
-            ::apache::thrift::protocol::TType _etype511;
-            xfer += iprot->readListBegin(_etype511, _size508);
-            this->speeds.resize(_size508);
-            uint32_t _i512;
-            for (_i512 = 0; _i512 < _size508; ++_i512)
+            uint32_t _size542;
+            ::apache::thrift::protocol::TType _etype545;
+            xfer += iprot->readListBegin(_etype545, _size542);
+            this->speeds.resize(_size542);
+            uint32_t _i546;
+            for (_i546 = 0; _i546 < _size542; ++_i546)
             {
-              xfer += this->speeds[_i512].read(iprot);
+              xfer += this->speeds[_i546].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13644,6 +14289,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 42:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->versions.clear();
+            uint32_t _size547;
+            ::apache::thrift::protocol::TType _etype550;
+            xfer += iprot->readListBegin(_etype550, _size547);
+            this->versions.resize(_size547);
+            uint32_t _i551;
+            for (_i551 = 0; _i551 < _size547; ++_i551)
+            {
+              xfer += this->versions[_i551].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13680,10 +14345,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter513;
-    for (_iter513 = this->heard.begin(); _iter513 != this->heard.end(); ++_iter513)
+    std::vector<std::string> ::const_iterator _iter552;
+    for (_iter552 = this->heard.begin(); _iter552 != this->heard.end(); ++_iter552)
     {
-      xfer += oprot->writeString((*_iter513));
+      xfer += oprot->writeString((*_iter552));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13704,10 +14369,10 @@
   xfer += oprot->writeFieldBegin("centres_out", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->centres_out.size()));
-    std::vector<std::string> ::const_iterator _iter514;
-    for (_iter514 = this->centres_out.begin(); _iter514 != this->centres_out.end(); ++_iter514)
+    std::vector<std::string> ::const_iterator _iter553;
+    for (_iter553 = this->centres_out.begin(); _iter553 != this->centres_out.end(); ++_iter553)
     {
-      xfer += oprot->writeString((*_iter514));
+      xfer += oprot->writeString((*_iter553));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13716,10 +14381,10 @@
   xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
-    std::vector<target_use> ::const_iterator _iter515;
-    for (_iter515 = this->uses.begin(); _iter515 != this->uses.end(); ++_iter515)
+    std::vector<target_use> ::const_iterator _iter554;
+    for (_iter554 = this->uses.begin(); _iter554 != this->uses.end(); ++_iter554)
     {
-      xfer += (*_iter515).write(oprot);
+      xfer += (*_iter554).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13728,10 +14393,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<model_demand> ::const_iterator _iter516;
-    for (_iter516 = this->demands.begin(); _iter516 != this->demands.end(); ++_iter516)
+    std::vector<model_demand> ::const_iterator _iter555;
+    for (_iter555 = this->demands.begin(); _iter555 != this->demands.end(); ++_iter555)
     {
-      xfer += (*_iter516).write(oprot);
+      xfer += (*_iter555).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13740,10 +14405,10 @@
   xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
-    std::vector<customer_use> ::const_iterator _iter517;
-    for (_iter517 = this->customers.begin(); _iter517 != this->customers.end(); ++_iter517)
+    std::vector<customer_use> ::const_iterator _iter556;
+    for (_iter556 = this->customers.begin(); _iter556 != this->customers.end(); ++_iter556)
     {
-      xfer += (*_iter517).write(oprot);
+      xfer += (*_iter556).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13752,10 +14417,10 @@
   xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<target_holding> ::const_iterator _iter518;
-    for (_iter518 = this->holdings.begin(); _iter518 != this->holdings.end(); ++_iter518)
+    std::vector<target_holding> ::const_iterator _iter557;
+    for (_iter557 = this->holdings.begin(); _iter557 != this->holdings.end(); ++_iter557)
     {
-      xfer += (*_iter518).write(oprot);
+      xfer += (*_iter557).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13764,10 +14429,10 @@
   xfer += oprot->writeFieldBegin("leaving_targets", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving_targets.size()));
-    std::vector<leaving_target> ::const_iterator _iter519;
-    for (_iter519 = this->leaving_targets.begin(); _iter519 != this->leaving_targets.end(); ++_iter519)
+    std::vector<leaving_target> ::const_iterator _iter558;
+    for (_iter558 = this->leaving_targets.begin(); _iter558 != this->leaving_targets.end(); ++_iter558)
     {
-      xfer += (*_iter519).write(oprot);
+      xfer += (*_iter558).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13776,10 +14441,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<quarantine> ::const_iterator _iter520;
-    for (_iter520 = this->suspects.begin(); _iter520 != this->suspects.end(); ++_iter520)
+    std::vector<quarantine> ::const_iterator _iter559;
+    for (_iter559 = this->suspects.begin(); _iter559 != this->suspects.end(); ++_iter559)
     {
-      xfer += (*_iter520).write(oprot);
+      xfer += (*_iter559).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13792,10 +14457,10 @@
   xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->registrations.size()));
-    std::vector<target_registration> ::const_iterator _iter521;
-    for (_iter521 = this->registrations.begin(); _iter521 != this->registrations.end(); ++_iter521)
+    std::vector<target_registration> ::const_iterator _iter560;
+    for (_iter560 = this->registrations.begin(); _iter560 != this->registrations.end(); ++_iter560)
     {
-      xfer += (*_iter521).write(oprot);
+      xfer += (*_iter560).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13808,10 +14473,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<target_load> ::const_iterator _iter522;
-    for (_iter522 = this->loads.begin(); _iter522 != this->loads.end(); ++_iter522)
+    std::vector<target_load> ::const_iterator _iter561;
+    for (_iter561 = this->loads.begin(); _iter561 != this->loads.end(); ++_iter561)
     {
-      xfer += (*_iter522).write(oprot);
+      xfer += (*_iter561).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13824,10 +14489,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<target_registration> ::const_iterator _iter523;
-    for (_iter523 = this->starts.begin(); _iter523 != this->starts.end(); ++_iter523)
+    std::vector<target_registration> ::const_iterator _iter562;
+    for (_iter562 = this->starts.begin(); _iter562 != this->starts.end(); ++_iter562)
     {
-      xfer += (*_iter523).write(oprot);
+      xfer += (*_iter562).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13840,10 +14505,10 @@
   xfer += oprot->writeFieldBegin("centres_held", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->centres_held.size()));
-    std::vector<held_centre> ::const_iterator _iter524;
-    for (_iter524 = this->centres_held.begin(); _iter524 != this->centres_held.end(); ++_iter524)
+    std::vector<held_centre> ::const_iterator _iter563;
+    for (_iter563 = this->centres_held.begin(); _iter563 != this->centres_held.end(); ++_iter563)
     {
-      xfer += (*_iter524).write(oprot);
+      xfer += (*_iter563).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13894,10 +14559,10 @@
   xfer += oprot->writeFieldBegin("suspect_parts", ::apache::thrift::protocol::T_LIST, 34);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_parts.size()));
-    std::vector<suspect_part> ::const_iterator _iter525;
-    for (_iter525 = this->suspect_parts.begin(); _iter525 != this->suspect_parts.end(); ++_iter525)
+    std::vector<suspect_part> ::const_iterator _iter564;
+    for (_iter564 = this->suspect_parts.begin(); _iter564 != this->suspect_parts.end(); ++_iter564)
     {
-      xfer += (*_iter525).write(oprot);
+      xfer += (*_iter564).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13906,10 +14571,10 @@
   xfer += oprot->writeFieldBegin("target_limits", ::apache::thrift::protocol::T_LIST, 35);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->target_limits.size()));
-    std::vector<target_limit> ::const_iterator _iter526;
-    for (_iter526 = this->target_limits.begin(); _iter526 != this->target_limits.end(); ++_iter526)
+    std::vector<target_limit> ::const_iterator _iter565;
+    for (_iter565 = this->target_limits.begin(); _iter565 != this->target_limits.end(); ++_iter565)
     {
-      xfer += (*_iter526).write(oprot);
+      xfer += (*_iter565).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13918,10 +14583,10 @@
   xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 36);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->origins.size()));
-    std::vector<stream_origins> ::const_iterator _iter527;
-    for (_iter527 = this->origins.begin(); _iter527 != this->origins.end(); ++_iter527)
+    std::vector<stream_origins> ::const_iterator _iter566;
+    for (_iter566 = this->origins.begin(); _iter566 != this->origins.end(); ++_iter566)
     {
-      xfer += (*_iter527).write(oprot);
+      xfer += (*_iter566).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13930,10 +14595,10 @@
   xfer += oprot->writeFieldBegin("suspect_requests", ::apache::thrift::protocol::T_LIST, 37);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_requests.size()));
-    std::vector<suspect_part> ::const_iterator _iter528;
-    for (_iter528 = this->suspect_requests.begin(); _iter528 != this->suspect_requests.end(); ++_iter528)
+    std::vector<suspect_part> ::const_iterator _iter567;
+    for (_iter567 = this->suspect_requests.begin(); _iter567 != this->suspect_requests.end(); ++_iter567)
     {
-      xfer += (*_iter528).write(oprot);
+      xfer += (*_iter567).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13948,10 +14613,10 @@
     xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_LIST, 39);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->usage.size()));
-      std::vector<usage_window> ::const_iterator _iter529;
-      for (_iter529 = this->usage.begin(); _iter529 != this->usage.end(); ++_iter529)
+      std::vector<usage_window> ::const_iterator _iter568;
+      for (_iter568 = this->usage.begin(); _iter568 != this->usage.end(); ++_iter568)
       {
-        xfer += (*_iter529).write(oprot);
+        xfer += (*_iter568).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -13961,10 +14626,10 @@
     xfer += oprot->writeFieldBegin("speeds", ::apache::thrift::protocol::T_LIST, 40);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speeds.size()));
-      std::vector<target_speed> ::const_iterator _iter530;
-      for (_iter530 = this->speeds.begin(); _iter530 != this->speeds.end(); ++_iter530)
+      std::vector<target_speed> ::const_iterator _iter569;
+      for (_iter569 = this->speeds.begin(); _iter569 != this->speeds.end(); ++_iter569)
       {
-        xfer += (*_iter530).write(oprot);
+        xfer += (*_iter569).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -13975,6 +14640,19 @@
     xfer += this->view.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.versions) {
+    xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_LIST, 42);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->versions.size()));
+      std::vector<dated_versions> ::const_iterator _iter570;
+      for (_iter570 = this->versions.begin(); _iter570 != this->versions.end(); ++_iter570)
+      {
+        xfer += (*_iter570).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14023,185 +14701,190 @@
   swap(a.usage, b.usage);
   swap(a.speeds, b.speeds);
   swap(a.view, b.view);
+  swap(a.versions, b.versions);
   swap(a.__isset, b.__isset);
 }
 
-peer_status::peer_status(const peer_status& other531) {
-  process = other531.process;
-  boot = other531.boot;
-  sequence = other531.sequence;
-  leaving = other531.leaving;
-  heard = other531.heard;
-  config_version = other531.config_version;
-  config_address = other531.config_address;
-  centres_revision = other531.centres_revision;
-  centres_out = other531.centres_out;
-  uses = other531.uses;
-  demands = other531.demands;
-  customers = other531.customers;
-  holdings = other531.holdings;
-  leaving_targets = other531.leaving_targets;
-  suspects = other531.suspects;
-  wants_registrations = other531.wants_registrations;
-  registrations = other531.registrations;
-  address = other531.address;
-  loads = other531.loads;
-  gives_orders = other531.gives_orders;
-  starts = other531.starts;
-  centres_era = other531.centres_era;
-  centres_held = other531.centres_held;
-  informed = other531.informed;
-  reads_store = other531.reads_store;
-  data_centre = other531.data_centre;
-  group = other531.group;
-  fleet_size = other531.fleet_size;
-  processor_share = other531.processor_share;
-  to_other_group = other531.to_other_group;
-  group_use = other531.group_use;
-  outside = other531.outside;
-  has_details = other531.has_details;
-  suspect_parts = other531.suspect_parts;
-  target_limits = other531.target_limits;
-  origins = other531.origins;
-  suspect_requests = other531.suspect_requests;
-  unix_ms = other531.unix_ms;
-  usage = other531.usage;
-  speeds = other531.speeds;
-  view = other531.view;
-  __isset = other531.__isset;
-}
-peer_status::peer_status(peer_status&& other532) noexcept {
-  process = std::move(other532.process);
-  boot = other532.boot;
-  sequence = other532.sequence;
-  leaving = other532.leaving;
-  heard = std::move(other532.heard);
-  config_version = other532.config_version;
-  config_address = std::move(other532.config_address);
-  centres_revision = other532.centres_revision;
-  centres_out = std::move(other532.centres_out);
-  uses = std::move(other532.uses);
-  demands = std::move(other532.demands);
-  customers = std::move(other532.customers);
-  holdings = std::move(other532.holdings);
-  leaving_targets = std::move(other532.leaving_targets);
-  suspects = std::move(other532.suspects);
-  wants_registrations = other532.wants_registrations;
-  registrations = std::move(other532.registrations);
-  address = std::move(other532.address);
-  loads = std::move(other532.loads);
-  gives_orders = other532.gives_orders;
-  starts = std::move(other532.starts);
-  centres_era = other532.centres_era;
-  centres_held = std::move(other532.centres_held);
-  informed = other532.informed;
-  reads_store = other532.reads_store;
-  data_centre = std::move(other532.data_centre);
-  group = std::move(other532.group);
-  fleet_size = other532.fleet_size;
-  processor_share = other532.processor_share;
-  to_other_group = other532.to_other_group;
-  group_use = std::move(other532.group_use);
-  outside = std::move(other532.outside);
-  has_details = other532.has_details;
-  suspect_parts = std::move(other532.suspect_parts);
-  target_limits = std::move(other532.target_limits);
-  origins = std::move(other532.origins);
-  suspect_requests = std::move(other532.suspect_requests);
-  unix_ms = other532.unix_ms;
-  usage = std::move(other532.usage);
-  speeds = std::move(other532.speeds);
-  view = std::move(other532.view);
-  __isset = other532.__isset;
-}
-peer_status& peer_status::operator=(const peer_status& other533) {
-  process = other533.process;
-  boot = other533.boot;
-  sequence = other533.sequence;
-  leaving = other533.leaving;
-  heard = other533.heard;
-  config_version = other533.config_version;
-  config_address = other533.config_address;
-  centres_revision = other533.centres_revision;
-  centres_out = other533.centres_out;
-  uses = other533.uses;
-  demands = other533.demands;
-  customers = other533.customers;
-  holdings = other533.holdings;
-  leaving_targets = other533.leaving_targets;
-  suspects = other533.suspects;
-  wants_registrations = other533.wants_registrations;
-  registrations = other533.registrations;
-  address = other533.address;
-  loads = other533.loads;
-  gives_orders = other533.gives_orders;
-  starts = other533.starts;
-  centres_era = other533.centres_era;
-  centres_held = other533.centres_held;
-  informed = other533.informed;
-  reads_store = other533.reads_store;
-  data_centre = other533.data_centre;
-  group = other533.group;
-  fleet_size = other533.fleet_size;
-  processor_share = other533.processor_share;
-  to_other_group = other533.to_other_group;
-  group_use = other533.group_use;
-  outside = other533.outside;
-  has_details = other533.has_details;
-  suspect_parts = other533.suspect_parts;
-  target_limits = other533.target_limits;
-  origins = other533.origins;
-  suspect_requests = other533.suspect_requests;
-  unix_ms = other533.unix_ms;
-  usage = other533.usage;
-  speeds = other533.speeds;
-  view = other533.view;
-  __isset = other533.__isset;
-  return *this;
-}
-peer_status& peer_status::operator=(peer_status&& other534) noexcept {
-  process = std::move(other534.process);
-  boot = other534.boot;
-  sequence = other534.sequence;
-  leaving = other534.leaving;
-  heard = std::move(other534.heard);
-  config_version = other534.config_version;
-  config_address = std::move(other534.config_address);
-  centres_revision = other534.centres_revision;
-  centres_out = std::move(other534.centres_out);
-  uses = std::move(other534.uses);
-  demands = std::move(other534.demands);
-  customers = std::move(other534.customers);
-  holdings = std::move(other534.holdings);
-  leaving_targets = std::move(other534.leaving_targets);
-  suspects = std::move(other534.suspects);
-  wants_registrations = other534.wants_registrations;
-  registrations = std::move(other534.registrations);
-  address = std::move(other534.address);
-  loads = std::move(other534.loads);
-  gives_orders = other534.gives_orders;
-  starts = std::move(other534.starts);
-  centres_era = other534.centres_era;
-  centres_held = std::move(other534.centres_held);
-  informed = other534.informed;
-  reads_store = other534.reads_store;
-  data_centre = std::move(other534.data_centre);
-  group = std::move(other534.group);
-  fleet_size = other534.fleet_size;
-  processor_share = other534.processor_share;
-  to_other_group = other534.to_other_group;
-  group_use = std::move(other534.group_use);
-  outside = std::move(other534.outside);
-  has_details = other534.has_details;
-  suspect_parts = std::move(other534.suspect_parts);
-  target_limits = std::move(other534.target_limits);
-  origins = std::move(other534.origins);
-  suspect_requests = std::move(other534.suspect_requests);
-  unix_ms = other534.unix_ms;
-  usage = std::move(other534.usage);
-  speeds = std::move(other534.speeds);
-  view = std::move(other534.view);
-  __isset = other534.__isset;
+peer_status::peer_status(const peer_status& other571) {
+  process = other571.process;
+  boot = other571.boot;
+  sequence = other571.sequence;
+  leaving = other571.leaving;
+  heard = other571.heard;
+  config_version = other571.config_version;
+  config_address = other571.config_address;
+  centres_revision = other571.centres_revision;
+  centres_out = other571.centres_out;
+  uses = other571.uses;
+  demands = other571.demands;
+  customers = other571.customers;
+  holdings = other571.holdings;
+  leaving_targets = other571.leaving_targets;
+  suspects = other571.suspects;
+  wants_registrations = other571.wants_registrations;
+  registrations = other571.registrations;
+  address = other571.address;
+  loads = other571.loads;
+  gives_orders = other571.gives_orders;
+  starts = other571.starts;
+  centres_era = other571.centres_era;
+  centres_held = other571.centres_held;
+  informed = other571.informed;
+  reads_store = other571.reads_store;
+  data_centre = other571.data_centre;
+  group = other571.group;
+  fleet_size = other571.fleet_size;
+  processor_share = other571.processor_share;
+  to_other_group = other571.to_other_group;
+  group_use = other571.group_use;
+  outside = other571.outside;
+  has_details = other571.has_details;
+  suspect_parts = other571.suspect_parts;
+  target_limits = other571.target_limits;
+  origins = other571.origins;
+  suspect_requests = other571.suspect_requests;
+  unix_ms = other571.unix_ms;
+  usage = other571.usage;
+  speeds = other571.speeds;
+  view = other571.view;
+  versions = other571.versions;
+  __isset = other571.__isset;
+}
+peer_status::peer_status(peer_status&& other572) noexcept {
+  process = std::move(other572.process);
+  boot = other572.boot;
+  sequence = other572.sequence;
+  leaving = other572.leaving;
+  heard = std::move(other572.heard);
+  config_version = other572.config_version;
+  config_address = std::move(other572.config_address);
+  centres_revision = other572.centres_revision;
+  centres_out = std::move(other572.centres_out);
+  uses = std::move(other572.uses);
+  demands = std::move(other572.demands);
+  customers = std::move(other572.customers);
+  holdings = std::move(other572.holdings);
+  leaving_targets = std::move(other572.leaving_targets);
+  suspects = std::move(other572.suspects);
+  wants_registrations = other572.wants_registrations;
+  registrations = std::move(other572.registrations);
+  address = std::move(other572.address);
+  loads = std::move(other572.loads);
+  gives_orders = other572.gives_orders;
+  starts = std::move(other572.starts);
+  centres_era = other572.centres_era;
+  centres_held = std::move(other572.centres_held);
+  informed = other572.informed;
+  reads_store = other572.reads_store;
+  data_centre = std::move(other572.data_centre);
+  group = std::move(other572.group);
+  fleet_size = other572.fleet_size;
+  processor_share = other572.processor_share;
+  to_other_group = other572.to_other_group;
+  group_use = std::move(other572.group_use);
+  outside = std::move(other572.outside);
+  has_details = other572.has_details;
+  suspect_parts = std::move(other572.suspect_parts);
+  target_limits = std::move(other572.target_limits);
+  origins = std::move(other572.origins);
+  suspect_requests = std::move(other572.suspect_requests);
+  unix_ms = other572.unix_ms;
+  usage = std::move(other572.usage);
+  speeds = std::move(other572.speeds);
+  view = std::move(other572.view);
+  versions = std::move(other572.versions);
+  __isset = other572.__isset;
+}
+peer_status& peer_status::operator=(const peer_status& other573) {
+  process = other573.process;
+  boot = other573.boot;
+  sequence = other573.sequence;
+  leaving = other573.leaving;
+  heard = other573.heard;
+  config_version = other573.config_version;
+  config_address = other573.config_address;
+  centres_revision = other573.centres_revision;
+  centres_out = other573.centres_out;
+  uses = other573.uses;
+  demands = other573.demands;
+  customers = other573.customers;
+  holdings = other573.holdings;
+  leaving_targets = other573.leaving_targets;
+  suspects = other573.suspects;
+  wants_registrations = other573.wants_registrations;
+  registrations = other573.registrations;
+  address = other573.address;
+  loads = other573.loads;
+  gives_orders = other573.gives_orders;
+  starts = other573.starts;
+  centres_era = other573.centres_era;
+  centres_held = other573.centres_held;
+  informed = other573.informed;
+  reads_store = other573.reads_store;
+  data_centre = other573.data_centre;
+  group = other573.group;
+  fleet_size = other573.fleet_size;
+  processor_share = other573.processor_share;
+  to_other_group = other573.to_other_group;
+  group_use = other573.group_use;
+  outside = other573.outside;
+  has_details = other573.has_details;
+  suspect_parts = other573.suspect_parts;
+  target_limits = other573.target_limits;
+  origins = other573.origins;
+  suspect_requests = other573.suspect_requests;
+  unix_ms = other573.unix_ms;
+  usage = other573.usage;
+  speeds = other573.speeds;
+  view = other573.view;
+  versions = other573.versions;
+  __isset = other573.__isset;
+  return *this;
+}
+peer_status& peer_status::operator=(peer_status&& other574) noexcept {
+  process = std::move(other574.process);
+  boot = other574.boot;
+  sequence = other574.sequence;
+  leaving = other574.leaving;
+  heard = std::move(other574.heard);
+  config_version = other574.config_version;
+  config_address = std::move(other574.config_address);
+  centres_revision = other574.centres_revision;
+  centres_out = std::move(other574.centres_out);
+  uses = std::move(other574.uses);
+  demands = std::move(other574.demands);
+  customers = std::move(other574.customers);
+  holdings = std::move(other574.holdings);
+  leaving_targets = std::move(other574.leaving_targets);
+  suspects = std::move(other574.suspects);
+  wants_registrations = other574.wants_registrations;
+  registrations = std::move(other574.registrations);
+  address = std::move(other574.address);
+  loads = std::move(other574.loads);
+  gives_orders = other574.gives_orders;
+  starts = std::move(other574.starts);
+  centres_era = other574.centres_era;
+  centres_held = std::move(other574.centres_held);
+  informed = other574.informed;
+  reads_store = other574.reads_store;
+  data_centre = std::move(other574.data_centre);
+  group = std::move(other574.group);
+  fleet_size = other574.fleet_size;
+  processor_share = other574.processor_share;
+  to_other_group = other574.to_other_group;
+  group_use = std::move(other574.group_use);
+  outside = std::move(other574.outside);
+  has_details = other574.has_details;
+  suspect_parts = std::move(other574.suspect_parts);
+  target_limits = std::move(other574.target_limits);
+  origins = std::move(other574.origins);
+  suspect_requests = std::move(other574.suspect_requests);
+  unix_ms = other574.unix_ms;
+  usage = std::move(other574.usage);
+  speeds = std::move(other574.speeds);
+  view = std::move(other574.view);
+  versions = std::move(other574.versions);
+  __isset = other574.__isset;
   return *this;
 }
 void peer_status::printTo(std::ostream& out) const {
@@ -14248,6 +14931,7 @@
   out << ", " << "usage="; (__isset.usage ? (out << to_string(usage)) : (out << "<null>"));
   out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
   out << ", " << "view="; (__isset.view ? (out << to_string(view)) : (out << "<null>"));
+  out << ", " << "versions="; (__isset.versions ? (out << to_string(versions)) : (out << "<null>"));
   out << ")";
 }
 
@@ -14473,54 +15157,54 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_request::turn_request(const turn_request& other535) {
-  process = other535.process;
-  target = other535.target;
-  number = other535.number;
-  tokens = other535.tokens;
-  priority = other535.priority;
-  customer = other535.customer;
-  slack_ms = other535.slack_ms;
-  total_tokens = other535.total_tokens;
-  running = other535.running;
-  __isset = other535.__isset;
-}
-turn_request::turn_request(turn_request&& other536) noexcept {
-  process = std::move(other536.process);
-  target = std::move(other536.target);
-  number = other536.number;
-  tokens = other536.tokens;
-  priority = other536.priority;
-  customer = std::move(other536.customer);
-  slack_ms = other536.slack_ms;
-  total_tokens = other536.total_tokens;
-  running = other536.running;
-  __isset = other536.__isset;
-}
-turn_request& turn_request::operator=(const turn_request& other537) {
-  process = other537.process;
-  target = other537.target;
-  number = other537.number;
-  tokens = other537.tokens;
-  priority = other537.priority;
-  customer = other537.customer;
-  slack_ms = other537.slack_ms;
-  total_tokens = other537.total_tokens;
-  running = other537.running;
-  __isset = other537.__isset;
-  return *this;
-}
-turn_request& turn_request::operator=(turn_request&& other538) noexcept {
-  process = std::move(other538.process);
-  target = std::move(other538.target);
-  number = other538.number;
-  tokens = other538.tokens;
-  priority = other538.priority;
-  customer = std::move(other538.customer);
-  slack_ms = other538.slack_ms;
-  total_tokens = other538.total_tokens;
-  running = other538.running;
-  __isset = other538.__isset;
+turn_request::turn_request(const turn_request& other575) {
+  process = other575.process;
+  target = other575.target;
+  number = other575.number;
+  tokens = other575.tokens;
+  priority = other575.priority;
+  customer = other575.customer;
+  slack_ms = other575.slack_ms;
+  total_tokens = other575.total_tokens;
+  running = other575.running;
+  __isset = other575.__isset;
+}
+turn_request::turn_request(turn_request&& other576) noexcept {
+  process = std::move(other576.process);
+  target = std::move(other576.target);
+  number = other576.number;
+  tokens = other576.tokens;
+  priority = other576.priority;
+  customer = std::move(other576.customer);
+  slack_ms = other576.slack_ms;
+  total_tokens = other576.total_tokens;
+  running = other576.running;
+  __isset = other576.__isset;
+}
+turn_request& turn_request::operator=(const turn_request& other577) {
+  process = other577.process;
+  target = other577.target;
+  number = other577.number;
+  tokens = other577.tokens;
+  priority = other577.priority;
+  customer = other577.customer;
+  slack_ms = other577.slack_ms;
+  total_tokens = other577.total_tokens;
+  running = other577.running;
+  __isset = other577.__isset;
+  return *this;
+}
+turn_request& turn_request::operator=(turn_request&& other578) noexcept {
+  process = std::move(other578.process);
+  target = std::move(other578.target);
+  number = other578.number;
+  tokens = other578.tokens;
+  priority = other578.priority;
+  customer = std::move(other578.customer);
+  slack_ms = other578.slack_ms;
+  total_tokens = other578.total_tokens;
+  running = other578.running;
+  __isset = other578.__isset;
   return *this;
 }
 void turn_request::printTo(std::ostream& out) const {
@@ -14682,38 +15366,38 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_answer::turn_answer(const turn_answer& other539) {
-  process = other539.process;
-  target = other539.target;
-  number = other539.number;
-  given = other539.given;
-  wait_ms = other539.wait_ms;
-  __isset = other539.__isset;
-}
-turn_answer::turn_answer(turn_answer&& other540) noexcept {
-  process = std::move(other540.process);
-  target = std::move(other540.target);
-  number = other540.number;
-  given = other540.given;
-  wait_ms = other540.wait_ms;
-  __isset = other540.__isset;
-}
-turn_answer& turn_answer::operator=(const turn_answer& other541) {
-  process = other541.process;
-  target = other541.target;
-  number = other541.number;
-  given = other541.given;
-  wait_ms = other541.wait_ms;
-  __isset = other541.__isset;
-  return *this;
-}
-turn_answer& turn_answer::operator=(turn_answer&& other542) noexcept {
-  process = std::move(other542.process);
-  target = std::move(other542.target);
-  number = other542.number;
-  given = other542.given;
-  wait_ms = other542.wait_ms;
-  __isset = other542.__isset;
+turn_answer::turn_answer(const turn_answer& other579) {
+  process = other579.process;
+  target = other579.target;
+  number = other579.number;
+  given = other579.given;
+  wait_ms = other579.wait_ms;
+  __isset = other579.__isset;
+}
+turn_answer::turn_answer(turn_answer&& other580) noexcept {
+  process = std::move(other580.process);
+  target = std::move(other580.target);
+  number = other580.number;
+  given = other580.given;
+  wait_ms = other580.wait_ms;
+  __isset = other580.__isset;
+}
+turn_answer& turn_answer::operator=(const turn_answer& other581) {
+  process = other581.process;
+  target = other581.target;
+  number = other581.number;
+  given = other581.given;
+  wait_ms = other581.wait_ms;
+  __isset = other581.__isset;
+  return *this;
+}
+turn_answer& turn_answer::operator=(turn_answer&& other582) noexcept {
+  process = std::move(other582.process);
+  target = std::move(other582.target);
+  number = other582.number;
+  given = other582.given;
+  wait_ms = other582.wait_ms;
+  __isset = other582.__isset;
   return *this;
 }
 void turn_answer::printTo(std::ostream& out) const {
@@ -14854,34 +15538,34 @@
   swap(a.__isset, b.__isset);
 }
 
-turn_use::turn_use(const turn_use& other543) {
-  process = other543.process;
-  target = other543.target;
-  number = other543.number;
-  tokens = other543.tokens;
-  __isset = other543.__isset;
-}
-turn_use::turn_use(turn_use&& other544) noexcept {
-  process = std::move(other544.process);
-  target = std::move(other544.target);
-  number = other544.number;
-  tokens = other544.tokens;
-  __isset = other544.__isset;
-}
-turn_use& turn_use::operator=(const turn_use& other545) {
-  process = other545.process;
-  target = other545.target;
-  number = other545.number;
-  tokens = other545.tokens;
-  __isset = other545.__isset;
-  return *this;
-}
-turn_use& turn_use::operator=(turn_use&& other546) noexcept {
-  process = std::move(other546.process);
-  target = std::move(other546.target);
-  number = other546.number;
-  tokens = other546.tokens;
-  __isset = other546.__isset;
+turn_use::turn_use(const turn_use& other583) {
+  process = other583.process;
+  target = other583.target;
+  number = other583.number;
+  tokens = other583.tokens;
+  __isset = other583.__isset;
+}
+turn_use::turn_use(turn_use&& other584) noexcept {
+  process = std::move(other584.process);
+  target = std::move(other584.target);
+  number = other584.number;
+  tokens = other584.tokens;
+  __isset = other584.__isset;
+}
+turn_use& turn_use::operator=(const turn_use& other585) {
+  process = other585.process;
+  target = other585.target;
+  number = other585.number;
+  tokens = other585.tokens;
+  __isset = other585.__isset;
+  return *this;
+}
+turn_use& turn_use::operator=(turn_use&& other586) noexcept {
+  process = std::move(other586.process);
+  target = std::move(other586.target);
+  number = other586.number;
+  tokens = other586.tokens;
+  __isset = other586.__isset;
   return *this;
 }
 void turn_use::printTo(std::ostream& out) const {
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -242,6 +242,14 @@
 
 class stream_origins;
 
+class dated_software;
+
+class dated_weights;
+
+class dated_adapter;
+
+class dated_versions;
+
 class suspect_part;
 
 class customer_runs;
@@ -4564,6 +4572,242 @@
 
 std::ostream& operator<<(std::ostream& out, const stream_origins& obj);
 
+typedef struct _dated_software__isset {
+  _dated_software__isset() : software_version(false), age_ms(false) {}
+  bool software_version :1;
+  bool age_ms :1;
+} _dated_software__isset;
+
+/**
+ * Versions that targets of a service state, or stated until age_ms ago.
+ */
+class dated_software : public virtual ::apache::thrift::TBase {
+ public:
+
+  dated_software(const dated_software&);
+  dated_software(dated_software&&) noexcept;
+  dated_software& operator=(const dated_software&);
+  dated_software& operator=(dated_software&&) noexcept;
+  dated_software() noexcept
+                 : software_version(),
+                   age_ms(0) {
+  }
+
+  virtual ~dated_software() noexcept;
+  std::string software_version;
+  int64_t age_ms;
+
+  _dated_software__isset __isset;
+
+  void __set_software_version(const std::string& val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const dated_software & rhs) const
+  {
+    if (!(software_version == rhs.software_version))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const dated_software &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const dated_software & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(dated_software &a, dated_software &b);
+
+std::ostream& operator<<(std::ostream& out, const dated_software& obj);
+
+typedef struct _dated_weights__isset {
+  _dated_weights__isset() : model(false), weights(false), age_ms(false) {}
+  bool model :1;
+  bool weights :1;
+  bool age_ms :1;
+} _dated_weights__isset;
+
+class dated_weights : public virtual ::apache::thrift::TBase {
+ public:
+
+  dated_weights(const dated_weights&);
+  dated_weights(dated_weights&&) noexcept;
+  dated_weights& operator=(const dated_weights&);
+  dated_weights& operator=(dated_weights&&) noexcept;
+  dated_weights() noexcept
+                : model(),
+                  weights(0),
+                  age_ms(0) {
+  }
+
+  virtual ~dated_weights() noexcept;
+  std::string model;
+  int64_t weights;
+  int64_t age_ms;
+
+  _dated_weights__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_weights(const int64_t val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const dated_weights & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(weights == rhs.weights))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const dated_weights &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const dated_weights & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(dated_weights &a, dated_weights &b);
+
+std::ostream& operator<<(std::ostream& out, const dated_weights& obj);
+
+typedef struct _dated_adapter__isset {
+  _dated_adapter__isset() : adapter(false), adapter_version(false), age_ms(false) {}
+  bool adapter :1;
+  bool adapter_version :1;
+  bool age_ms :1;
+} _dated_adapter__isset;
+
+class dated_adapter : public virtual ::apache::thrift::TBase {
+ public:
+
+  dated_adapter(const dated_adapter&);
+  dated_adapter(dated_adapter&&) noexcept;
+  dated_adapter& operator=(const dated_adapter&);
+  dated_adapter& operator=(dated_adapter&&) noexcept;
+  dated_adapter() noexcept
+                : adapter(),
+                  adapter_version(),
+                  age_ms(0) {
+  }
+
+  virtual ~dated_adapter() noexcept;
+  std::string adapter;
+  std::string adapter_version;
+  int64_t age_ms;
+
+  _dated_adapter__isset __isset;
+
+  void __set_adapter(const std::string& val);
+
+  void __set_adapter_version(const std::string& val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const dated_adapter & rhs) const
+  {
+    if (!(adapter == rhs.adapter))
+      return false;
+    if (!(adapter_version == rhs.adapter_version))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const dated_adapter &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const dated_adapter & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(dated_adapter &a, dated_adapter &b);
+
+std::ostream& operator<<(std::ostream& out, const dated_adapter& obj);
+
+typedef struct _dated_versions__isset {
+  _dated_versions__isset() : service_name(false), software(false), weights(false), adapters(false) {}
+  bool service_name :1;
+  bool software :1;
+  bool weights :1;
+  bool adapters :1;
+} _dated_versions__isset;
+
+class dated_versions : public virtual ::apache::thrift::TBase {
+ public:
+
+  dated_versions(const dated_versions&);
+  dated_versions(dated_versions&&) noexcept;
+  dated_versions& operator=(const dated_versions&);
+  dated_versions& operator=(dated_versions&&) noexcept;
+  dated_versions() noexcept
+                 : service_name() {
+  }
+
+  virtual ~dated_versions() noexcept;
+  std::string service_name;
+  std::vector<dated_software>  software;
+  std::vector<dated_weights>  weights;
+  std::vector<dated_adapter>  adapters;
+
+  _dated_versions__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_software(const std::vector<dated_software> & val);
+
+  void __set_weights(const std::vector<dated_weights> & val);
+
+  void __set_adapters(const std::vector<dated_adapter> & val);
+
+  bool operator == (const dated_versions & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(software == rhs.software))
+      return false;
+    if (!(weights == rhs.weights))
+      return false;
+    if (!(adapters == rhs.adapters))
+      return false;
+    return true;
+  }
+  bool operator != (const dated_versions &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const dated_versions & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(dated_versions &a, dated_versions &b);
+
+std::ostream& operator<<(std::ostream& out, const dated_versions& obj);
+
 typedef struct _suspect_part__isset {
   _suspect_part__isset() : part(false), target_runs(false), ages_ms(false), sound_age_ms(false) {}
   bool part :1;
@@ -5159,7 +5403,7 @@
 std::ostream& operator<<(std::ostream& out, const outside_status& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false), unix_ms(false), usage(false), speeds(false), view(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false), unix_ms(false), usage(false), speeds(false), view(false), versions(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -5201,6 +5445,7 @@
   bool usage :1;
   bool speeds :1;
   bool view :1;
+  bool versions :1;
 } _peer_status__isset;
 
 /**
@@ -5220,6 +5465,8 @@
  * have been reported yet, sent to gateways that give orders.
  * view: how old what it knows of the store is; leaving_targets then has all departures that it knows.
  * speeds: lasting speeds of targets; set only where targets state their load.
+ * versions: to a member that has just started, if the sender knows all versions that targets had while callers wait for
+ * streams.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
  */
@@ -5295,6 +5542,7 @@
   std::vector<usage_window>  usage;
   std::vector<target_speed>  speeds;
   store_view view;
+  std::vector<dated_versions>  versions;
 
   _peer_status__isset __isset;
 
@@ -5380,6 +5628,8 @@
 
   void __set_view(const store_view& val);
 
+  void __set_versions(const std::vector<dated_versions> & val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -5476,6 +5726,10 @@
       return false;
     else if (__isset.view && !(view == rhs.view))
       return false;
+    if (__isset.versions != rhs.__isset.versions)
+      return false;
+    else if (__isset.versions && !(versions == rhs.versions))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/kind_watch.cpp
+++ b/src/programs/gateway/kind_watch.cpp
@@ -188,9 +188,9 @@
     const bool restored = listed_era_ >= 0 && reply.at.era > listed_era_;
     listed_era_ = reply.at.era;
     if (lists_after_gap_)
-        callbacks_.on_gap(reply.at, sent_at_);
+        callbacks_.on_gap({reply.at, current_until_, sent_at_});
     callbacks_.on_list(reply, restored ? list_source::restored_store : list_source::store);
-    callbacks_.on_current(sent_at_);
+    note_current(sent_at_);
     schedule_after_reply(timing_.batch_delay);
 }
 
@@ -226,8 +226,7 @@
     const bool may_be_partial = reply.objects.size() >= least_partial_reply;
     if (!may_be_partial) // one without events was answered at its end, others at some time after they were
                          // sent
-        callbacks_.on_current(reply.objects.empty() ? std::min(sent_at_ + wait_, context_.loop.now())
-                                                    : sent_at_);
+        note_current(reply.objects.empty() ? std::min(sent_at_ + wait_, context_.loop.now()) : sent_at_);
     if (reply.unnamed > 0) {
         // The list shows which known entry is not among the readable ones any more.
         log_unnamed(reply, "watch");
@@ -238,6 +237,11 @@
     schedule_after_reply(at_once ? milliseconds{0} : timing_.batch_delay);
 }
 
+void kind_watch::note_current(core::common::time_point until) {
+    current_until_ = until;
+    callbacks_.on_current(until);
+}
+
 void kind_watch::log_unnamed(const store_reply& reply, const char* call) {
     context_.log.write(edge::events::entries_ignored, kind_, {{"call", call}, {"count", reply.unnamed}});
 }
--- a/src/programs/gateway/kind_watch.hpp
+++ b/src/programs/gateway/kind_watch.hpp
@@ -6,6 +6,7 @@
 #include "programs/gateway/context.hpp"
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace waxwinglb::programs::gateway {
@@ -19,14 +20,19 @@
         core::common::milliseconds relaxed_delay;
         bool relaxed_lists = false; // a look reads all objects: the changes since the last one are too many
     };
+    /// Between the last reading and a list that can't be continued from there.
+    struct gap {
+        core::common::store_position listed;
+        std::optional<core::common::time_point>
+            from;                       // changes until then are applied; unset: nothing was read
+        core::common::time_point until; // when the list's call was sent
+    };
     struct callbacks {
         std::function<void(const platform::store_reply&, core::fleet::list_source)> on_list;
         std::function<void(const platform::store_reply&)> on_events;
         std::function<void(core::common::time_point)> on_current; // all changes until then are applied
-        /// Called before on_list, with the position of a list and when its call was sent: changes between the
-        /// reads before and that list may stay unknown.
-        std::function<void(core::common::store_position, core::common::time_point)> on_gap =
-            [](core::common::store_position, core::common::time_point) {};
+        /// Called before on_list where changes before the list may stay unknown.
+        std::function<void(const gap&)> on_gap = [](const gap&) {};
     };
     /// Whether all changes that were made before the call of `confirm` are applied.
     using confirmation = std::function<void(bool)>;
@@ -60,6 +66,7 @@
     void retry_later(); // after a failed call
     void supersede();   // ends the current call or delay, so that no second call uses the link beside it
     void end_confirmations(bool applied);
+    void note_current(core::common::time_point until);
     [[nodiscard]] core::common::milliseconds answer_timeout() const;
     /// Notes the store's era and whether it answered. Returns false if the reply must not be used, because it
     /// was the first of a new era and everything is listed again.
@@ -74,14 +81,15 @@
     int unnamed_in_list_ = 0;               // entries of the latest list that had no readable name
     std::int64_t listed_era_ = -1;          // of the latest list; -1: none yet
     bool answering_ = true;
-    core::common::time_point answered_at_{};  // last answer of the store; start time before the first
-    platform::store_call call_;               // the current one
-    int failures_ = 0;                        // consecutive
-    core::common::time_point sent_at_{};      // the current call
-    core::common::milliseconds wait_{0};      // of the current watch
-    bool relaxed_ = false;                    // the current watch or delay relies on other gateways' messages
-    bool lists_after_gap_ = false;            // the current list: no position was known to watch from
-    std::vector<confirmation> confirmations_; // that the current call serves
+    core::common::time_point answered_at_{}; // last answer of the store; start time before the first
+    platform::store_call call_;              // the current one
+    int failures_ = 0;                       // consecutive
+    core::common::time_point sent_at_{};     // the current call
+    core::common::milliseconds wait_{0};     // of the current watch
+    bool relaxed_ = false;                   // the current watch or delay relies on other gateways' messages
+    std::optional<core::common::time_point> current_until_; // changes until then are applied
+    bool lists_after_gap_ = false;                 // the current list: no position was known to watch from
+    std::vector<confirmation> confirmations_;      // that the current call serves
     std::vector<confirmation> next_confirmations_; // that came after it was sent
     std::uint64_t generation_ = 0; // of calls and delays; results of an older generation are ignored
 };
--- a/src/programs/gateway/peer_codec.cpp
+++ b/src/programs/gateway/peer_codec.cpp
@@ -253,4 +253,47 @@
     return out;
 }
 
+versions_by_service decode_versions(const std::vector<wire::dated_versions>& from,
+                                    core::common::time_point now) {
+    versions_by_service out;
+    for (const auto& service : from) {
+        core::streams::dated_versions& versions = out[service.service_name];
+        for (const auto& each : service.software)
+            versions.software[each.software_version] = now - milliseconds{each.age_ms};
+        for (const auto& each : service.weights)
+            versions.weights[{each.model, each.weights}] = now - milliseconds{each.age_ms};
+        for (const auto& each : service.adapters)
+            versions.adapters[{core::fleet::parse_model_ref(each.adapter), each.adapter_version}] =
+                now - milliseconds{each.age_ms};
+    }
+    return out;
+}
+
+std::vector<wire::dated_versions> encode_versions(const versions_by_service& from,
+                                                  core::common::time_point now) {
+    std::vector<wire::dated_versions> out;
+    for (const auto& [service, versions] : from) {
+        wire::dated_versions& entry = out.emplace_back();
+        entry.service_name = service;
+        for (const auto& [software, until] : versions.software) {
+            wire::dated_software& each = entry.software.emplace_back();
+            each.software_version = software;
+            each.age_ms = core::common::to_wire_ms(now - until);
+        }
+        for (const auto& [weights, until] : versions.weights) {
+            wire::dated_weights& each = entry.weights.emplace_back();
+            each.model = weights.first;
+            each.weights = weights.second;
+            each.age_ms = core::common::to_wire_ms(now - until);
+        }
+        for (const auto& [adapter, until] : versions.adapters) {
+            wire::dated_adapter& each = entry.adapters.emplace_back();
+            each.adapter = core::fleet::to_text(adapter.first);
+            each.adapter_version = adapter.second;
+            each.age_ms = core::common::to_wire_ms(now - until);
+        }
+    }
+    return out;
+}
+
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peer_codec.hpp
+++ b/src/programs/gateway/peer_codec.hpp
@@ -5,10 +5,14 @@
 #include "core/fleet/directory.hpp"
 #include "core/membership/store_view.hpp"
 #include "core/quarantine/suspect_parts.hpp"
+#include "core/streams/version_history.hpp"
 #include "core/target_speed/speeds.hpp"
 #include "waxwing_types.h"
 
+#include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace waxwinglb::programs::gateway {
 
@@ -37,4 +41,11 @@
 [[nodiscard]] std::optional<core::target_speed::learned_speed> decode_speed(const wire::target_speed& from);
 [[nodiscard]] wire::target_speed encode_speed(const core::target_speed::learned_speed& from);
 
+/// Versions of targets, by service.
+using versions_by_service = std::map<std::string, core::streams::dated_versions>;
+[[nodiscard]] versions_by_service decode_versions(const std::vector<wire::dated_versions>& from,
+                                                  core::common::time_point now);
+[[nodiscard]] std::vector<wire::dated_versions> encode_versions(const versions_by_service& from,
+                                                                core::common::time_point now);
+
 } // namespace waxwinglb::programs::gateway
--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -14,6 +14,7 @@
 
 constexpr milliseconds origin_repetition{1'100};      // three messages announce a stream: one may be lost
 constexpr std::size_t max_new_origins = 500;          // streams in one message
+constexpr std::size_t max_versions = 1'000;           // of targets, in such a message
 constexpr std::size_t max_all_origins = 1'000;        // in a message to a gateway that has just started
 constexpr milliseconds max_remaining{31'536'000'000}; // a year, as in registrations
 constexpr double no_limit = -1;                       // on the wire: the target has no limit any more
@@ -147,6 +148,22 @@
     return encode_origins(context_.origins.all(max_all_origins));
 }
 
+/// Versions that came to an end after the sender's latest reading and before the receiver's first one would
+/// be known to neither, so that reading must be recent.
+void peer_updates::add_versions_to(wire::peer_status& message) const {
+    const auto now = context_.loop.now();
+    const auto age = context_.view.age(stored_kind::departures, now);
+    if (!context_.reads_store_closely || !age || *age > core::streams::shortest_registration ||
+        !context_.versions.is_complete(now))
+        return;
+    const auto versions = context_.versions.all(now);
+    std::size_t count = 0;
+    for (const auto& [service, of_service] : versions)
+        count += of_service.size();
+    if (count <= max_versions)
+        message.__set_versions(encode_versions(versions, now));
+}
+
 /// Targets' models and starts (also of targets that became cold) that changed or are due for resending.
 peer_updates::target_updates peer_updates::due_updates() {
     const auto now = context_.loop.now();
@@ -227,6 +244,7 @@
                                   core::streams::origin_source::peer, context_.loop.now());
     apply_store_state(message);
     apply_holdings(message);
+    apply_versions(message);
     confirm_view(message);
     if (!own_speakers)
         return {false, departures || limits};
@@ -339,6 +357,14 @@
     dependencies_.dispatch.schedule_dispatch();
 }
 
+void peer_updates::apply_versions(const wire::peer_status& message) {
+    if (!message.__isset.versions || !context_.directory.loaded())
+        return;
+    for (const auto& [service, versions] : decode_versions(message.versions, context_.loop.now()))
+        context_.versions.merge(service, versions);
+    context_.versions.complete();
+}
+
 void peer_updates::apply_holdings(const wire::peer_status& message) {
     for (const auto& holding : message.holdings) {
         std::map<std::string, std::vector<std::string>> models;
--- a/src/programs/gateway/peer_updates.hpp
+++ b/src/programs/gateway/peer_updates.hpp
@@ -47,6 +47,8 @@
     /// Origins of the streams that this gateway began lately; of all streams that it knows.
     [[nodiscard]] std::vector<wire::stream_origins> recent_origins() const;
     [[nodiscard]] std::vector<wire::stream_origins> all_origins() const;
+    /// For a gateway that has just started: what this one knows of targets' versions, if that is all.
+    void add_versions_to(wire::peer_status& message) const;
     /// Whether updates are left that didn't fit into the last message. `announces`: it had due_updates.
     [[nodiscard]] bool has_more(bool announces) const;
     [[nodiscard]] std::vector<wire::target_registration> registrations() const;
@@ -77,6 +79,7 @@
     void confirm_view(const wire::peer_status& message);
     void apply_store_state(const wire::peer_status& message);
     void apply_holdings(const wire::peer_status& message);
+    void apply_versions(const wire::peer_status& message);
     [[nodiscard]] bool
     knows_all_of(const wire::peer_status& message) const; // configuration, data centres out
     void adopt_registrations(const wire::peer_status& message);
--- a/src/programs/gateway/peers_sending.cpp
+++ b/src/programs/gateway/peers_sending.cpp
@@ -19,7 +19,7 @@
 // Every gateway reports to order givers. Larger fleets send them details less often, except of what has begun
 // to wait.
 constexpr milliseconds details_period_per_gateway{3};
-constexpr milliseconds start_period{1'000}; // for that long a new peer is sent all streams' origins
+constexpr milliseconds start_period{1'000}; // for that long a new peer is sent what it has missed
 constexpr std::size_t max_demands = 200;    // in one message; more are left out, in order of model name
 constexpr double min_reported_rate = 0.01;  // arrivals a second; lower rates are not reported
 
@@ -93,10 +93,10 @@
 /// Encodings of one message for different receivers, each made on first use.
 struct peers::frame_cache {
     const wire::peer_status base;
-    std::map<std::tuple<bool, bool, bool>, std::string> encoded; // by (details, registrations, all_origins)
+    std::map<std::tuple<bool, bool, bool>, std::string> encoded; // by (details, registrations, just_started)
 
-    const std::string& find(const peers& from, bool details, bool registrations, bool all_origins) {
-        std::string& frame = encoded[{details, registrations, all_origins}];
+    const std::string& find(const peers& from, bool details, bool registrations, bool just_started) {
+        std::string& frame = encoded[{details, registrations, just_started}];
         if (!frame.empty())
             return frame;
         wire::peer_status full = base;
@@ -104,8 +104,10 @@
             from.add_demand_details(full);
         if (registrations)
             full.registrations = from.updates_.registrations();
-        if (all_origins)
+        if (just_started) {
             full.origins = from.updates_.all_origins();
+            from.updates_.add_versions_to(full);
+        }
         frame = edge::encode_frame(wire::message_kind::peer_status, full.sequence, full);
         return frame;
     }
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -42,13 +42,12 @@
                     {[this](const store_reply& reply, list_source) { apply_config_objects(reply); },
                      [this](const store_reply& reply) { apply_config_objects(reply); },
                      [this](time_point until) { context_.view.confirm(stored_kind::configuration, until); }}),
-      targets_watch_(context, store, platform::targets_kind, targets_timing,
-                     {[this](const store_reply& reply, list_source source) { list_targets(reply, source); },
-                      [this](const store_reply& reply) { change_targets(reply); },
-                      [this](time_point until) { context_.view.confirm(stored_kind::departures, until); },
-                      [this](core::common::store_position listed, time_point sent_at) {
-                          history_.note_gap(listed, sent_at);
-                      }}),
+      targets_watch_(
+          context, store, platform::targets_kind, targets_timing,
+          {[this](const store_reply& reply, list_source source) { list_targets(reply, source); },
+           [this](const store_reply& reply) { change_targets(reply); },
+           [this](time_point until) { context_.view.confirm(stored_kind::departures, until); },
+           [this](const kind_watch::gap& gap) { history_.note_gap(gap.listed, gap.from, gap.until); }}),
       centres_watch_(context, store, platform::evacuations_kind, centres_timing,
                      {[this](const store_reply& reply, list_source) { list_centres(reply); },
                       [this](const store_reply& reply) { change_centres(reply); },
--- a/src/programs/gateway/target_history.cpp
+++ b/src/programs/gateway/target_history.cpp
@@ -30,8 +30,10 @@
 
 } // namespace
 
-void target_history::note_gap(store_position listed, time_point sent_at) {
-    context_.versions.begin(sent_at);
+void target_history::note_gap(store_position listed, std::optional<time_point> from, time_point until) {
+    if (from && until - *from <= core::streams::shortest_registration)
+        return;
+    context_.versions.begin(until);
     wanted_until_ = listed;
     read_if_known();
 }
--- a/src/programs/gateway/target_history.hpp
+++ b/src/programs/gateway/target_history.hpp
@@ -14,8 +14,9 @@
     target_history(gateway_context& context, platform::store_client& store)
         : context_(context), store_(store) {}
 
-    /// Targets were listed by a call sent then; changes before it are not known.
-    void note_gap(core::common::store_position listed, core::common::time_point sent_at);
+    /// Targets were listed by a call sent at `until`; changes since `from` are not known, or none before.
+    void note_gap(core::common::store_position listed, std::optional<core::common::time_point> from,
+                  core::common::time_point until);
     /// All registered gateways, this one included if it is registered.
     void note_gateways(const platform::store_reply& list);
 
--- a/tests/core/origins_test.cpp
+++ b/tests/core/origins_test.cpp
@@ -139,6 +139,19 @@
     EXPECT_FALSE(history.is_complete(now + 1s));
 }
 
+TEST(version_history, what_one_gateway_knows_counts_at_another_for_as_long) {
+    streams::version_history running;
+    running.update({{"a", target_of("s", version("v1", 1))}, {"b", target_of("s", version("v2", 2))}}, now);
+    running.update({{"b", target_of("s", version("v2", 2))}}, now + 10s);
+    streams::version_history started;
+    started.update({{"b", target_of("s", version("v2", 2))}}, now + 20s);
+    for (const auto& [service, versions] : running.all(now + 20s))
+        started.merge(service, versions);
+    EXPECT_EQ(started.versions_of("s", {"m", ""}).weights, (std::set<std::int64_t>{1, 2}));
+    started.update({{"b", target_of("s", version("v2", 2))}}, now + 71s);
+    EXPECT_EQ(started.versions_of("s", {"m", ""}).only(), version("v2", 2));
+}
+
 TEST(serving_version, a_stream_may_go_on_where_all_that_both_state_is_equal) {
     const auto begun = version("v1", 1, "7");
     EXPECT_TRUE(may_continue(begun, begun));
--- a/tests/programs/test_gateway_departed_versions.py
+++ b/tests/programs/test_gateway_departed_versions.py
@@ -3,8 +3,10 @@
 import sys
 import time
 
+from gateway_fleet import expect
 from harness import Failure, arguments, run_cases, wait_until
-from version_fleet import BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, restart_all, start_fleet, take_up
+from version_fleet import (BREAK_AFTER, STREAMS, TOLD_S, break_streams, broken_stream, name_software, restart_all, start_fleet,
+                           take_up)
 
 ARGUMENTS = arguments(__doc__)
 
@@ -62,8 +64,24 @@
         expect_none_mixed(begun, lambda _, each: take_up(fleet, each, 1))
 
 
+def stream_without_name_goes_on_at_a_gateway_that_started_alone_where_all_targets_had_one_version():
+    fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1, 1], gateways=2)
+    with fleet:
+        break_streams(engines, BREAK_AFTER)
+        begun = [broken_stream(fleet, 0) for _ in range(STREAMS)]
+        break_streams(engines, None)
+        fleet.gateways[1].kill()
+        time.sleep(TOLD_S)                                     # the other one has read all that the store keeps
+        fleet.store.history_from = fleet.store.revision
+        fleet.gateways[1].start()
+        wait_until(lambda: fleet.readiness(fleet.gateways[1]) == 200, "the restarted gateway is ready")
+        went_on = [take_up(fleet, ("", version), 1) for _, version in begun]
+        expect(went_on, [True] * STREAMS, "it goes on")
+
+
 if __name__ == "__main__":
     run_cases([stream_of_weights_that_left_before_all_gateways_started_does_not_go_on_at_others,
                stream_of_software_that_left_before_all_gateways_started_does_not_go_on_at_other,
-               stream_of_weights_that_left_before_one_gateway_started_does_not_go_on_at_others_there])
+               stream_of_weights_that_left_before_one_gateway_started_does_not_go_on_at_others_there,
+               stream_without_name_goes_on_at_a_gateway_that_started_alone_where_all_targets_had_one_version])
     sys.exit(0)
