--- a/src/core/streams/version_history.cpp
+++ b/src/core/streams/version_history.cpp
@@ -68,7 +68,7 @@
     is_whole_ = false;
 }
 
-void version_history::note_past(const fleet::target_entry& target, time_point now) {
+void version_history::note(const fleet::target_entry& target, time_point now) {
     retire({target.service, target.software_version, target.versions}, now);
 }
 
--- a/src/core/streams/version_history.hpp
+++ b/src/core/streams/version_history.hpp
@@ -45,8 +45,8 @@
 public:
     /// What targets stated before then isn't known; to be called when they are first listed, too.
     void begin(common::time_point at);
-    /// A target stated this before the last call of begin().
-    void note_past(const fleet::target_entry& target, common::time_point now);
+    /// A target states this, or did until lately.
+    void note(const fleet::target_entry& target, common::time_point now);
     /// What another gateway knows of a service.
     void merge(const std::string& service, const dated_versions& known);
     /// All that was stated since streams began has been noted.
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -232,6 +232,7 @@
             changes.push_back({object.name, std::nullopt});
         } else if (auto entry = decode_target(object)) {
             log_target(*entry, "changed");
+            context_.versions.note(*entry, context_.loop.now()); // one change may follow at once and end it
             changes.push_back({object.name, std::move(entry)});
         } else {
             // Whatever the entry named before, it names no target now.
--- a/src/programs/gateway/target_history.cpp
+++ b/src/programs/gateway/target_history.cpp
@@ -87,7 +87,7 @@
 bool target_history::note_statements(const platform::store_reply& reply) {
     for (const platform::stored_object& object : reply.objects) {
         if (const auto entry = decode(object))
-            context_.versions.note_past(*entry, context_.loop.now());
+            context_.versions.note(*entry, context_.loop.now());
         else if (object.removed)
             return false;
     }
--- a/tests/core/origins_test.cpp
+++ b/tests/core/origins_test.cpp
@@ -129,7 +129,7 @@
 TEST(version_history, is_complete_at_once_if_what_was_stated_before_is_noted) {
     streams::version_history history;
     history.begin(now);
-    history.note_past(target_of("s", version("v1", 1)).entry, now);
+    history.note(target_of("s", version("v1", 1)).entry, now);
     EXPECT_FALSE(history.is_complete(now));
     history.complete();
     EXPECT_TRUE(history.is_complete(now));
--- a/tests/programs/test_gateway_out_of_step.py
+++ b/tests/programs/test_gateway_out_of_step.py
@@ -47,11 +47,16 @@
     return later
 
 
-def forget_gateways(store):
-    """Gateways that start from now on don't know of those that run."""
-    for kind, name in list(store.objects):
+def start_unknown_gateway(fleet):
+    """Starts a gateway that knows both targets, and no other gateway. Returns its index."""
+    for kind, name in list(fleet.store.objects):
         if kind not in ("config", "servers"):
-            store.remove(kind, name)
+            fleet.store.remove(kind, name)
+    fleet.add_gateway("g3")
+    fleet.gateways[-1].start()
+    wait_until(lambda: fleet.readiness(fleet.gateways[-1]) == 200, "g3 is ready")
+    wait_until(lambda: len(fleet.events("target_changed", "g3")) >= 2, "g3 knows both targets")
+    return len(fleet.gateways) - 1
 
 
 def fleet_with_gateway_behind_a_cut():
@@ -65,13 +70,9 @@
     fleet.wait_for_contact()
     link.cut = True
     fleet.gateways[0].kill()
-    forget_gateways(fleet.store)
     engines.append(later_target(fleet))
-    fleet.add_gateway("g3")
-    fleet.gateways[2].start()
-    wait_until(lambda: fleet.readiness(fleet.gateways[2]) == 200, "g3 is ready")
-    wait_until(lambda: len(fleet.events("target_changed", "g3")) >= 2, "g3 knows both targets")
-    return fleet, broken_streams(fleet, engines, 2)
+    other = start_unknown_gateway(fleet)
+    return fleet, broken_streams(fleet, engines, other)
 
 
 def stream_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another():
@@ -102,6 +103,21 @@
             take_up(fleet, each, 1, named=False)
 
 
+def stream_of_a_version_that_came_and_went_while_the_gateway_stood_still_does_not_go_on_at_another():
+    fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1], gateways=1)
+    with fleet:
+        still = fleet.gateways[0].process.pid
+        os.kill(still, signal.SIGSTOP)
+        later, other = later_target(fleet), start_unknown_gateway(fleet)
+        begun = broken_streams(fleet, [*engines, later], other)
+        fleet.store.remove("servers", "t9")
+        time.sleep(STILL_S)
+        os.kill(still, signal.SIGCONT)
+        time.sleep(TOLD_S)
+        for each in begun:
+            take_up(fleet, each, 0, named=False)
+
+
 def request_that_came_while_the_gateway_stood_still_is_not_thrown_away():
     fleet, _ = start_fleet(ARGUMENTS.bin, name_software, [1])
     with fleet, concurrent.futures.ThreadPoolExecutor(STREAMS) as callers:
@@ -126,6 +142,7 @@
     run_cases([stream_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another,
                stream_without_name_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another,
                stream_of_a_version_that_joined_while_the_gateway_stood_still_does_not_go_on_at_another,
+               stream_of_a_version_that_came_and_went_while_the_gateway_stood_still_does_not_go_on_at_another,
                request_that_came_while_the_gateway_stood_still_is_not_thrown_away,
                stream_of_unknown_origin_goes_on_where_all_targets_have_one_version])
     sys.exit(0)
