A gateway that has just started waits for the message with what it has missed

Cause: any message of a peer that was itself informed made the gateway ready, also one sent before the peer had noticed the new start, which lacks what a newcomer is told. Such messages are marked now (for_start), and only a marked one makes a gateway ready; the limit of 1 s stays. A peer notices a start by the newcomer's first message, so this takes one period of 0.35 s at most.

--- a/idl/waxwing.thrift
+++ b/idl/waxwing.thrift
@@ -245,8 +245,8 @@
  * have been reported yet, sent to gateways that give orders.
  * view: how old what it knows of the store is; leaving_targets then has all departures that it knows.
  * speeds: lasting speeds of targets; set only where targets state their load.
- * versions: to a member that has just started, if the sender knows all versions that targets had while callers wait for
- * streams.
+ * for_start: the message has what a member that has just started has missed: origins of all streams that the sender knows of,
+ * and versions, if the sender knows all versions that targets had while callers wait for streams.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
  */
@@ -263,7 +263,7 @@
   34: list<suspect_part> suspect_parts, 35: list<target_limit> target_limits,
   36: list<stream_origins> origins, 37: list<suspect_part> suspect_requests, 38: optional i64 unix_ms,
   39: optional list<usage_window> usage, 40: optional list<target_speed> speeds, 41: optional store_view view,
-  42: optional list<dated_versions> versions
+  42: optional list<dated_versions> versions, 43: optional bool for_start
 }
 
 /**
--- a/src/gen/waxwing_types.cpp
+++ b/src/gen/waxwing_types.cpp
@@ -13717,6 +13717,11 @@
   this->versions = val;
 __isset.versions = true;
 }
+
+void peer_status::__set_for_start(const bool val) {
+  this->for_start = val;
+__isset.for_start = true;
+}
 std::ostream& operator<<(std::ostream& out, const peer_status& obj)
 {
   obj.printTo(out);
@@ -14309,6 +14314,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 43:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->for_start);
+          this->__isset.for_start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14653,6 +14666,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.for_start) {
+    xfer += oprot->writeFieldBegin("for_start", ::apache::thrift::protocol::T_BOOL, 43);
+    xfer += oprot->writeBool(this->for_start);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14702,6 +14720,7 @@
   swap(a.speeds, b.speeds);
   swap(a.view, b.view);
   swap(a.versions, b.versions);
+  swap(a.for_start, b.for_start);
   swap(a.__isset, b.__isset);
 }
 
@@ -14748,6 +14767,7 @@
   speeds = other571.speeds;
   view = other571.view;
   versions = other571.versions;
+  for_start = other571.for_start;
   __isset = other571.__isset;
 }
 peer_status::peer_status(peer_status&& other572) noexcept {
@@ -14793,6 +14813,7 @@
   speeds = std::move(other572.speeds);
   view = std::move(other572.view);
   versions = std::move(other572.versions);
+  for_start = other572.for_start;
   __isset = other572.__isset;
 }
 peer_status& peer_status::operator=(const peer_status& other573) {
@@ -14838,6 +14859,7 @@
   speeds = other573.speeds;
   view = other573.view;
   versions = other573.versions;
+  for_start = other573.for_start;
   __isset = other573.__isset;
   return *this;
 }
@@ -14884,6 +14906,7 @@
   speeds = std::move(other574.speeds);
   view = std::move(other574.view);
   versions = std::move(other574.versions);
+  for_start = other574.for_start;
   __isset = other574.__isset;
   return *this;
 }
@@ -14932,6 +14955,7 @@
   out << ", " << "speeds="; (__isset.speeds ? (out << to_string(speeds)) : (out << "<null>"));
   out << ", " << "view="; (__isset.view ? (out << to_string(view)) : (out << "<null>"));
   out << ", " << "versions="; (__isset.versions ? (out << to_string(versions)) : (out << "<null>"));
+  out << ", " << "for_start="; (__isset.for_start ? (out << to_string(for_start)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/waxwing_types.h
+++ b/src/gen/waxwing_types.h
@@ -5403,7 +5403,7 @@
 std::ostream& operator<<(std::ostream& out, const outside_status& obj);
 
 typedef struct _peer_status__isset {
-  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false), unix_ms(false), usage(false), speeds(false), view(false), versions(false) {}
+  _peer_status__isset() : process(false), boot(false), sequence(false), leaving(false), heard(false), config_version(false), config_address(false), centres_revision(false), centres_out(false), uses(false), demands(false), customers(false), holdings(false), leaving_targets(false), suspects(false), wants_registrations(false), registrations(false), address(false), loads(false), gives_orders(false), starts(false), centres_era(false), centres_held(false), informed(false), reads_store(false), data_centre(false), group(false), fleet_size(false), processor_share(false), to_other_group(false), group_use(false), outside(false), has_details(false), suspect_parts(false), target_limits(false), origins(false), suspect_requests(false), unix_ms(false), usage(false), speeds(false), view(false), versions(false), for_start(false) {}
   bool process :1;
   bool boot :1;
   bool sequence :1;
@@ -5446,6 +5446,7 @@
   bool speeds :1;
   bool view :1;
   bool versions :1;
+  bool for_start :1;
 } _peer_status__isset;
 
 /**
@@ -5465,8 +5466,8 @@
  * have been reported yet, sent to gateways that give orders.
  * view: how old what it knows of the store is; leaving_targets then has all departures that it knows.
  * speeds: lasting speeds of targets; set only where targets state their load.
- * versions: to a member that has just started, if the sender knows all versions that targets had while callers wait for
- * streams.
+ * for_start: the message has what a member that has just started has missed: origins of all streams that the sender knows of,
+ * and versions, if the sender knows all versions that targets had while callers wait for streams.
  * to_other_group: heard, loads and customers are left out. group_use: from a speaker to the other groups; outside: from
  * a speaker to its group. has_details: uses and demands are stated, maybe as none.
  */
@@ -5497,7 +5498,8 @@
                 processor_share(0),
                 to_other_group(0),
                 has_details(0),
-                unix_ms(0) {
+                unix_ms(0),
+                for_start(0) {
   }
 
   virtual ~peer_status() noexcept;
@@ -5543,6 +5545,7 @@
   std::vector<target_speed>  speeds;
   store_view view;
   std::vector<dated_versions>  versions;
+  bool for_start;
 
   _peer_status__isset __isset;
 
@@ -5630,6 +5633,8 @@
 
   void __set_versions(const std::vector<dated_versions> & val);
 
+  void __set_for_start(const bool val);
+
   bool operator == (const peer_status & rhs) const
   {
     if (!(process == rhs.process))
@@ -5730,6 +5735,10 @@
       return false;
     else if (__isset.versions && !(versions == rhs.versions))
       return false;
+    if (__isset.for_start != rhs.__isset.for_start)
+      return false;
+    else if (__isset.for_start && !(for_start == rhs.for_start))
+      return false;
     return true;
   }
   bool operator != (const peer_status &rhs) const {
--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -242,9 +242,9 @@
         for (const std::int64_t attempt : same_version.attempts)
             context_.origins.note(static_cast<std::uint64_t>(attempt), decode_version(same_version),
                                   core::streams::origin_source::peer, context_.loop.now());
+    apply_versions(message);
     apply_store_state(message);
     apply_holdings(message);
-    apply_versions(message);
     confirm_view(message);
     if (!own_speakers)
         return {false, departures || limits};
@@ -339,7 +339,7 @@
         context_.directory.merge_from_peer(decode_registration(start), context_.loop.now());
     if (!message.registrations.empty() && !dependencies_.watch.reads_targets())
         adopt_registrations(message);
-    if (message.informed && knows_all_of(message) && context_.directory.loaded())
+    if (message.informed && message.for_start && knows_all_of(message) && context_.directory.loaded())
         context_.start.informed_by_peer();
     config_reader_.follow(message.config_version, message.config_address);
 }
--- a/src/programs/gateway/peers_sending.cpp
+++ b/src/programs/gateway/peers_sending.cpp
@@ -105,6 +105,7 @@
         if (registrations)
             full.registrations = from.updates_.registrations();
         if (just_started) {
+            full.__set_for_start(true);
             full.origins = from.updates_.all_origins();
             from.updates_.add_versions_to(full);
         }
