Lists don't skip versions that came and went since the last reading

A list shows what changes led to, not the changes; the history of the versions called itself complete although the list that confirmed a request, or the look of a gateway that relies on its peers, jumped over the events before it. Now each list tells what it jumps over. Where the last reading is over 2 s old, for which any registration stands, the history is incomplete until the events since then are read from the store (target_history), and requests that wait for a confirmation wait for that, too; completeness is asked again when they go on. If the store has forgotten them, streams of unknown origin are refused for a minute. The first registration of a gateway proves nothing in a restored store, where registrations may be younger than the gateways. The cost: one call more for each look of a gateway that relies on its peers, each 10 s. A refusal without any known version says no_version_known.

--- a/src/core/streams/version_history.hpp
+++ b/src/core/streams/version_history.hpp
@@ -49,8 +49,8 @@
     void note(const fleet::target_entry& target, common::time_point now);
     /// What another gateway knows of a service.
     void merge(const std::string& service, const dated_versions& known);
-    /// All that was stated since streams began has been noted.
-    void complete() { is_whole_ = true; }
+    /// All that was stated since streams began has been noted, here or by another gateway.
+    void mark_complete() { is_whole_ = true; }
     /// Whether all versions are known at which a stream can have begun that is still taken up, as of the last
     /// update.
     [[nodiscard]] bool is_complete(common::time_point now) const;
--- a/src/programs/gateway/admission.cpp
+++ b/src/programs/gateway/admission.cpp
@@ -183,9 +183,12 @@
 }
 
 void admission::assume_only_version(const caller_request_ptr& request) {
-    request->begun_at = versions_of(*request).only();
+    if (!context_.versions.is_complete(context_.loop.now())) // the list may have skipped some
+        return refuse_unknown_origin(request, "versions_before_unknown");
+    const auto versions = versions_of(*request);
+    request->begun_at = versions.only();
     if (!request->begun_at)
-        return refuse_unknown_origin(request, "several_versions");
+        return refuse_unknown_origin(request, versions.several() ? "several_versions" : "no_version_known");
     log_origin(request, "only_version");
     dispatcher_.submit(request);
 }
--- a/src/programs/gateway/kind_watch.cpp
+++ b/src/programs/gateway/kind_watch.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using core::common::milliseconds;
+using core::common::store_position;
 using core::fleet::list_source;
 using platform::store_reply;
 using platform::store_result;
@@ -168,7 +169,6 @@
 
 void kind_watch::list() {
     sent_at_ = context_.loop.now();
-    lists_after_gap_ = position_.revision == 0;
     confirmations_ = std::exchange(next_confirmations_, {});
     call_ = store_.list(kind_, answer_timeout(), [this, generation = generation_](store_reply&& reply) {
         context_.loop.post([this, generation, reply = std::move(reply)]() mutable {
@@ -184,11 +184,10 @@
     if (reply.unnamed != unnamed_in_list_)
         log_unnamed(reply, "list");
     unnamed_in_list_ = reply.unnamed;
-    position_ = reply.at;
+    const store_position since = std::exchange(position_, reply.at);
     const bool restored = listed_era_ >= 0 && reply.at.era > listed_era_;
     listed_era_ = reply.at.era;
-    if (lists_after_gap_)
-        callbacks_.on_gap({reply.at, current_until_, sent_at_});
+    callbacks_.on_gap({since, reply.at, current_until_, sent_at_});
     callbacks_.on_list(reply, restored ? list_source::restored_store : list_source::store);
     note_current(sent_at_);
     schedule_after_reply(timing_.batch_delay);
--- a/src/programs/gateway/kind_watch.hpp
+++ b/src/programs/gateway/kind_watch.hpp
@@ -20,9 +20,10 @@
         core::common::milliseconds relaxed_delay;
         bool relaxed_lists = false; // a look reads all objects: the changes since the last one are too many
     };
-    /// Between the last reading and a list that can't be continued from there.
+    /// Between the last reading and a list, which shows no changes, only what they led to.
     struct gap {
-        core::common::store_position listed;
+        core::common::store_position since;  // of the last reading; revision 0: not known
+        core::common::store_position listed; // of the list
         std::optional<core::common::time_point>
             from;                       // changes until then are applied; unset: nothing was read
         core::common::time_point until; // when the list's call was sent
@@ -31,7 +32,7 @@
         std::function<void(const platform::store_reply&, core::fleet::list_source)> on_list;
         std::function<void(const platform::store_reply&)> on_events;
         std::function<void(core::common::time_point)> on_current; // all changes until then are applied
-        /// Called before on_list where changes before the list may stay unknown.
+        /// Called before each on_list.
         std::function<void(const gap&)> on_gap = [](const gap&) {};
     };
     /// Whether all changes that were made before the call of `confirm` are applied.
@@ -88,9 +89,8 @@
     core::common::milliseconds wait_{0};     // of the current watch
     bool relaxed_ = false;                   // the current watch or delay relies on other gateways' messages
     std::optional<core::common::time_point> current_until_; // changes until then are applied
-    bool lists_after_gap_ = false;                 // the current list: no position was known to watch from
-    std::vector<confirmation> confirmations_;      // that the current call serves
-    std::vector<confirmation> next_confirmations_; // that came after it was sent
+    std::vector<confirmation> confirmations_;               // that the current call serves
+    std::vector<confirmation> next_confirmations_;          // that came after it was sent
     std::uint64_t generation_ = 0; // of calls and delays; results of an older generation are ignored
 };
 
--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -362,7 +362,7 @@
         return;
     for (const auto& [service, versions] : decode_versions(message.versions, context_.loop.now()))
         context_.versions.merge(service, versions);
-    context_.versions.complete();
+    context_.versions.mark_complete();
 }
 
 void peer_updates::apply_holdings(const wire::peer_status& message) {
--- a/src/programs/gateway/store_watch.cpp
+++ b/src/programs/gateway/store_watch.cpp
@@ -42,12 +42,11 @@
                     {[this](const store_reply& reply, list_source) { apply_config_objects(reply); },
                      [this](const store_reply& reply) { apply_config_objects(reply); },
                      [this](time_point until) { context_.view.confirm(stored_kind::configuration, until); }}),
-      targets_watch_(
-          context, store, platform::targets_kind, targets_timing,
-          {[this](const store_reply& reply, list_source source) { list_targets(reply, source); },
-           [this](const store_reply& reply) { change_targets(reply); },
-           [this](time_point until) { context_.view.confirm(stored_kind::departures, until); },
-           [this](const kind_watch::gap& gap) { history_.note_gap(gap.listed, gap.from, gap.until); }}),
+      targets_watch_(context, store, platform::targets_kind, targets_timing,
+                     {[this](const store_reply& reply, list_source source) { list_targets(reply, source); },
+                      [this](const store_reply& reply) { change_targets(reply); },
+                      [this](time_point until) { context_.view.confirm(stored_kind::departures, until); },
+                      [this](const kind_watch::gap& gap) { history_.note_gap(gap); }}),
       centres_watch_(context, store, platform::evacuations_kind, centres_timing,
                      {[this](const store_reply& reply, list_source) { list_centres(reply); },
                       [this](const store_reply& reply) { change_centres(reply); },
@@ -95,6 +94,12 @@
         watch->list_again();
 }
 
+void store_watch::confirm_targets(kind_watch::confirmation on_done) {
+    targets_watch_.confirm([this, on_done = std::move(on_done)](bool confirmed) {
+        history_.when_read([on_done, confirmed] { on_done(confirmed); });
+    });
+}
+
 void store_watch::watch_closely() {
     for (kind_watch* watch : {&config_watch_, &targets_watch_, &centres_watch_, &members_watch_})
         watch->watch_closely();
--- a/src/programs/gateway/store_watch.hpp
+++ b/src/programs/gateway/store_watch.hpp
@@ -33,8 +33,8 @@
     /// Reads what this gateway relies on its peers for, where what they told is too old.
     void read_if_old(core::common::time_point now);
 
-    /// Lists the targets that are registered now; see kind_watch.
-    void confirm_targets(kind_watch::confirmation on_done) { targets_watch_.confirm(std::move(on_done)); }
+    /// Lists the targets that are registered now, and reads what the list doesn't show; see kind_watch.
+    void confirm_targets(kind_watch::confirmation on_done);
 
     /// Applies a configuration document from the store or a peer; older versions are ignored.
     void apply_config(const nlohmann::json& spec, const std::string& source);
--- a/src/programs/gateway/target_history.cpp
+++ b/src/programs/gateway/target_history.cpp
@@ -5,6 +5,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwinglb::programs::gateway {
 namespace {
@@ -30,30 +31,44 @@
 
 } // namespace
 
-void target_history::note_gap(store_position listed, std::optional<time_point> from, time_point until) {
-    if (from && until - *from <= core::streams::shortest_registration)
+void target_history::note_gap(const kind_watch::gap& gap) {
+    if (gap.from && gap.until - *gap.from <= core::streams::shortest_registration)
         return;
-    context_.versions.begin(until);
-    wanted_until_ = listed;
-    read_if_known();
+    const bool was_complete = context_.versions.is_complete(context_.loop.now());
+    context_.versions.begin(gap.until);
+    listed_ = gap.listed;
+    if (was_complete && gap.since.revision > 0 && gap.since.era == gap.listed.era)
+        begin_reading(gap.since);
+    else if (!gap.from)
+        read_since_first_gateway();
 }
 
+/// In a restored store, registrations of gateways may be younger than they are.
 void target_history::note_gateways(const platform::store_reply& list) {
-    if (list.result != store_result::ok || list.unnamed > 0)
+    if (list.result != store_result::ok || list.unnamed > 0 || first_gateway_)
         return;
     store_position first = list.at;
-    for (const platform::stored_object& object : list.objects)
+    for (const platform::stored_object& object : list.objects) {
+        if (platform::decode_registration(object.spec).first_era < list.at.era)
+            return;
         first.revision = std::min(first.revision, object.created);
+    }
     first_gateway_ = first;
-    read_if_known();
+    if (!reading_)
+        read_since_first_gateway();
 }
 
-void target_history::read_if_known() {
-    const bool known = wanted_until_ && first_gateway_ && first_gateway_->revision > 0;
-    if (!known || first_gateway_->era != wanted_until_->era)
-        return;
+void target_history::read_since_first_gateway() {
+    const bool known = listed_ && first_gateway_ && first_gateway_->revision > 0;
+    const bool needed = !context_.versions.is_complete(context_.loop.now());
+    if (known && needed && first_gateway_->era == listed_->era)
+        begin_reading({first_gateway_->era, first_gateway_->revision - 1});
+}
+
+void target_history::begin_reading(store_position since) {
     ++generation_;
-    read({first_gateway_->era, first_gateway_->revision - 1});
+    reading_ = true;
+    read(since);
 }
 
 void target_history::read(store_position since) {
@@ -67,21 +82,40 @@
 }
 
 void target_history::handle(const platform::store_reply& reply, store_position since) {
-    if (!wanted_until_ || reply.result == store_result::history_expired || reply.at.era != since.era)
-        return wanted_until_.reset();
-    if (reply.result != store_result::ok) {
-        context_.loop.schedule(context_.loop.now() + retry_delay, [this, since, generation = generation_] {
-            if (generation == generation_)
-                read(since);
-        });
-        return;
-    }
-    if (!note_statements(reply))
-        return wanted_until_.reset();
-    if (reply.at < *wanted_until_ && !reply.objects.empty())
+    if (context_.versions.is_complete(context_.loop.now()))
+        return end_reading();
+    if (!reply.store_answered())
+        return retry_later(since);
+    if (reply.result != store_result::ok || reply.at.era != since.era || !note_statements(reply))
+        return end_reading();
+    if (reply.at < *listed_ && !reply.objects.empty())
         return read(reply.at);
-    wanted_until_.reset();
-    context_.versions.complete();
+    context_.versions.mark_complete();
+    end_reading();
+}
+
+void target_history::when_read(std::function<void()> on_read) {
+    if (!reading_)
+        return on_read();
+    waiting_.push_back(std::move(on_read));
+}
+
+void target_history::end_reading() {
+    reading_ = false;
+    end_waiting();
+}
+
+void target_history::end_waiting() {
+    for (const auto& on_read : std::exchange(waiting_, {}))
+        on_read();
+}
+
+void target_history::retry_later(store_position since) {
+    context_.loop.schedule(context_.loop.now() + retry_delay, [this, since, generation = generation_] {
+        if (generation == generation_)
+            read(since);
+    });
+    end_waiting();
 }
 
 bool target_history::note_statements(const platform::store_reply& reply) {
--- a/tests/core/origins_test.cpp
+++ b/tests/core/origins_test.cpp
@@ -131,7 +131,7 @@
     history.begin(now);
     history.note(target_of("s", version("v1", 1)).entry, now);
     EXPECT_FALSE(history.is_complete(now));
-    history.complete();
+    history.mark_complete();
     EXPECT_TRUE(history.is_complete(now));
     history.update({{"a", target_of("s", version("v2", 1))}}, now);
     EXPECT_TRUE(history.versions_of("s", {"m", ""}).several());
--- a/tests/programs/test_gateway_out_of_step.py
+++ b/tests/programs/test_gateway_out_of_step.py
@@ -72,11 +72,11 @@
     fleet.gateways[0].kill()
     engines.append(later_target(fleet))
     other = start_unknown_gateway(fleet)
-    return fleet, broken_streams(fleet, engines, other)
+    return fleet, link, broken_streams(fleet, engines, other)
 
 
 def stream_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another():
-    fleet, begun = fleet_with_gateway_behind_a_cut()
+    fleet, _, begun = fleet_with_gateway_behind_a_cut()
     with fleet:
         taken = [take_up(fleet, each, 1) for each in begun]
         expect(statuses(taken), [503] * STREAMS, "refused, as its origin can't be known")
@@ -84,11 +84,22 @@
 
 
 def stream_without_name_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another():
-    fleet, begun = fleet_with_gateway_behind_a_cut()
+    fleet, _, begun = fleet_with_gateway_behind_a_cut()
     with fleet:
         expect(statuses(take_up(fleet, each, 1, named=False) for each in begun), [503] * STREAMS, "refused")
 
 
+def stream_of_a_version_that_came_and_went_behind_a_cut_does_not_go_on_at_another():
+    fleet, link, begun = fleet_with_gateway_behind_a_cut()
+    with fleet:
+        fleet.store.remove("servers", "t9")
+        time.sleep(STILL_S)
+        link.cut = False
+        wait_until(lambda: {line["subject"] for line in fleet.events("store_regained", "cut")} >= {"servers"}, "it reads targets")
+        for each in begun:
+            take_up(fleet, each, 1, named=False)
+
+
 def stream_of_a_version_that_joined_while_the_gateway_stood_still_does_not_go_on_at_another():
     fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1], gateways=2)
     with fleet:
@@ -113,7 +124,6 @@
         fleet.store.remove("servers", "t9")
         time.sleep(STILL_S)
         os.kill(still, signal.SIGCONT)
-        time.sleep(TOLD_S)
         for each in begun:
             take_up(fleet, each, 0, named=False)
 
@@ -141,6 +151,7 @@
 if __name__ == "__main__":
     run_cases([stream_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another,
                stream_without_name_of_a_version_that_joined_behind_a_cut_does_not_go_on_at_another,
+               stream_of_a_version_that_came_and_went_behind_a_cut_does_not_go_on_at_another,
                stream_of_a_version_that_joined_while_the_gateway_stood_still_does_not_go_on_at_another,
                stream_of_a_version_that_came_and_went_while_the_gateway_stood_still_does_not_go_on_at_another,
                request_that_came_while_the_gateway_stood_still_is_not_thrown_away,
