--- a/tests/programs/test_gateway_out_of_step.py
+++ b/tests/programs/test_gateway_out_of_step.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """waxwing-gateway whose view of the targets is old: streams that began at a version which it doesn't know."""
 import concurrent.futures
+import contextlib
 import os
 import signal
 import sys
@@ -59,6 +60,15 @@
     return len(fleet.gateways) - 1
 
 
+@contextlib.contextmanager
+def standing_still(gateway):
+    """The process is stopped, and goes on some seconds after the end of the context."""
+    os.kill(gateway.process.pid, signal.SIGSTOP)
+    yield
+    time.sleep(STILL_S)
+    os.kill(gateway.process.pid, signal.SIGCONT)
+
+
 def fleet_with_gateway_behind_a_cut():
     """Gateway 1 knows v1 and is cut off; v2 comes and streams begin at both versions through gateway 2."""
     fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1], gateways=1)
@@ -103,13 +113,10 @@
 def stream_of_a_version_that_joined_while_the_gateway_stood_still_does_not_go_on_at_another():
     fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1], gateways=2)
     with fleet:
-        still = fleet.gateways[1].process.pid
-        os.kill(still, signal.SIGSTOP)
-        engines.append(later_target(fleet))
-        wait_until(lambda: len(fleet.events("target_changed", "g1")) >= 2, "gateway 0 knows the new target")
-        begun = broken_streams(fleet, engines, 0)
-        time.sleep(STILL_S)
-        os.kill(still, signal.SIGCONT)
+        with standing_still(fleet.gateways[1]):
+            engines.append(later_target(fleet))
+            wait_until(lambda: len(fleet.events("target_changed", "g1")) >= 2, "gateway 0 knows the new target")
+            begun = broken_streams(fleet, engines, 0)
         for each in begun:
             take_up(fleet, each, 1, named=False)
 
@@ -117,13 +124,10 @@
 def stream_of_a_version_that_came_and_went_while_the_gateway_stood_still_does_not_go_on_at_another():
     fleet, engines = start_fleet(ARGUMENTS.bin, name_software, [1], gateways=1)
     with fleet:
-        still = fleet.gateways[0].process.pid
-        os.kill(still, signal.SIGSTOP)
-        later, other = later_target(fleet), start_unknown_gateway(fleet)
-        begun = broken_streams(fleet, [*engines, later], other)
-        fleet.store.remove("servers", "t9")
-        time.sleep(STILL_S)
-        os.kill(still, signal.SIGCONT)
+        with standing_still(fleet.gateways[0]):
+            later, other = later_target(fleet), start_unknown_gateway(fleet)
+            begun = broken_streams(fleet, [*engines, later], other)
+            fleet.store.remove("servers", "t9")
         for each in begun:
             take_up(fleet, each, 0, named=False)
 
@@ -131,12 +135,9 @@
 def request_that_came_while_the_gateway_stood_still_is_not_thrown_away():
     fleet, _ = start_fleet(ARGUMENTS.bin, name_software, [1])
     with fleet, concurrent.futures.ThreadPoolExecutor(STREAMS) as callers:
-        still = fleet.gateways[0].process.pid
-        os.kill(still, signal.SIGSTOP)
-        time.sleep(STOPPED_S)
-        asked = [callers.submit(stream, fleet) for _ in range(STREAMS)]
-        time.sleep(STILL_S)
-        os.kill(still, signal.SIGCONT)
+        with standing_still(fleet.gateways[0]):
+            time.sleep(STOPPED_S)
+            asked = [callers.submit(stream, fleet) for _ in range(STREAMS)]
         expect([each.result()[0] for each in asked], [200] * STREAMS, "served")
 
 
