--- a/tests/programs/test_gateway_unnamed_streams.py
+++ b/tests/programs/test_gateway_unnamed_streams.py
@@ -21,6 +21,7 @@
         engine.weights, engine.marks = version, "weights"
     fleet, engines = start_fleet(ARGUMENTS.bin, prepare, weights, gateways=2)
     with fleet:
+        time.sleep(TOLD_S)                 # by then gateways that have just started are told nothing more than others
         engines[0].weights = loaded_since
         break_streams(engines, BREAK_AFTER)
         begun = [broken_stream(fleet) for _ in range(STREAMS)]
