Limits of messages to starting gateways stand in the order in which their comments read

Found on reading the change again: 'in such a message' stood before the line that names the message.

--- a/src/programs/gateway/peer_updates.cpp
+++ b/src/programs/gateway/peer_updates.cpp
@@ -14,8 +14,8 @@
 
 constexpr milliseconds origin_repetition{1'100};      // three messages announce a stream: one may be lost
 constexpr std::size_t max_new_origins = 500;          // streams in one message
-constexpr std::size_t max_versions = 1'000;           // of targets, in such a message
 constexpr std::size_t max_all_origins = 1'000;        // in a message to a gateway that has just started
+constexpr std::size_t max_versions = 1'000;           // of targets, in such a message
 constexpr milliseconds max_remaining{31'536'000'000}; // a year, as in registrations
 constexpr double no_limit = -1;                       // on the wire: the target has no limit any more
 constexpr milliseconds adopted_retention{
