review/common-2: read whole log lines only; a fault of a script is no verdict

The gateways' logs are read while they are written, so that the last line may be incomplete; decoding it ended the script with exit code 1, which stands for a broken rule. Any fault of a script is exit code 2 now.

--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -115,7 +115,7 @@
         for program in self.gateways:
             if gateway not in (None, program.name):
                 continue
-            for line in program.log_text().splitlines():
+            for line in program.log_text().rpartition("\n")[0].splitlines():    # the last one may be incomplete
                 if line.startswith("{"):
                     decoded = json.loads(line)
                     if decoded["event"] == name:
@@ -155,8 +155,8 @@
     except Failure as failure:
         record.note(f"can't run: {failure}")
         verdict = CANNOT_RUN
-    except OSError as error:
-        record.note(f"can't run: {error}")
+    except Exception as error:             # a fault of the script is no verdict on the rule
+        record.note(f"can't run: {type(error).__name__}: {error}")
         verdict = CANNOT_RUN
     record.note(f"verdict {verdict}")
     record.write()
