--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # (tests/programs) and of common-2, which need no build. Checks that they can be loaded.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in common-2/fleet.py 7/scenario.py 8/scenario.py 9/scenario.py 10/scenario.py 10/again.py; do
+for file in common-2/fleet.py 7/scenario.py 8/scenario.py 8/leaving.py 9/scenario.py 10/scenario.py 10/again.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])' "$file"
 done
 PYTHONDONTWRITEBYTECODE=1 python3 -c 'import sys; sys.path.insert(0, "common-2"); import fleet'
